Serve a chat end to end as separate processes

Nothing is proved yet about failures; the decisions are placeholders behind the events and effects of internal/core.

--- /dev/null
+++ b/internal/core/codec.go
@@ -0,0 +1,68 @@
+package core
+
+import (
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"time"
+)
+
+// eventTypes holds one value of each event, by which session files are read.
+var eventTypes = []Event{
+	RequestArrived{}, AttemptEnded{}, AnswerStarted{}, CallerGone{},
+	InstancesListed{}, BackendReported{}, ConfigOffered{}, StoreReplied{},
+	PeerConnected{}, PeerLost{}, PeerReceived{}, StopRequested{}, Ticked{},
+}
+
+var eventsByName = func() map[string]reflect.Type {
+	m := make(map[string]reflect.Type, len(eventTypes))
+	for _, e := range eventTypes {
+		m[e.EventName()] = reflect.TypeOf(e)
+	}
+	return m
+}()
+
+// line is the stable JSON form of an event or effect: one line of a session file.
+type line struct {
+	At     time.Time       `json:"at,omitzero"`
+	Event  string          `json:"event,omitempty"`
+	Effect string          `json:"effect,omitempty"`
+	Data   json.RawMessage `json:"data,omitempty"`
+}
+
+// EncodeEvent gives the session file's line of an event.
+func EncodeEvent(at time.Time, e Event) ([]byte, error) {
+	data, err := json.Marshal(e)
+	if err != nil {
+		return nil, fmt.Errorf("core: encode %s: %w", e.EventName(), err)
+	}
+	return json.Marshal(line{At: at, Event: e.EventName(), Data: data})
+}
+
+// EncodeEffect gives the session file's line of an effect.
+func EncodeEffect(e Effect) ([]byte, error) {
+	data, err := json.Marshal(e)
+	if err != nil {
+		return nil, fmt.Errorf("core: encode %s: %w", e.EffectName(), err)
+	}
+	return json.Marshal(line{Effect: e.EffectName(), Data: data})
+}
+
+// DecodeEvent reads a line that EncodeEvent wrote.
+func DecodeEvent(text []byte) (time.Time, Event, error) {
+	var l line
+	if err := json.Unmarshal(text, &l); err != nil {
+		return time.Time{}, nil, fmt.Errorf("core: session line: %w", err)
+	}
+	t, ok := eventsByName[l.Event]
+	if !ok {
+		return time.Time{}, nil, fmt.Errorf("core: unknown event %q", l.Event)
+	}
+	value := reflect.New(t)
+	if len(l.Data) > 0 {
+		if err := json.Unmarshal(l.Data, value.Interface()); err != nil {
+			return time.Time{}, nil, fmt.Errorf("core: event %s: %w", l.Event, err)
+		}
+	}
+	return l.At, value.Elem().Interface().(Event), nil
+}
--- /dev/null
+++ b/internal/core/effect.go
@@ -0,0 +1,179 @@
+package core
+
+import (
+	"time"
+
+	"github.com/ebonydyke/ebonydyke/internal/core/config"
+	"github.com/ebonydyke/ebonydyke/internal/core/reason"
+)
+
+// Effect is something that the core asks the outside to do.
+type Effect interface {
+	// EffectName is the effect's name in session files.
+	EffectName() string
+}
+
+// SendAttempt sends a request to a backend server. It ends with AttemptEnded.
+type SendAttempt struct {
+	Request RequestID `json:"request"`
+	Attempt int       `json:"attempt"`
+	Backend string    `json:"backend"`
+	Address string    `json:"address"`
+	// Deadline is when the outside gives the attempt up.
+	Deadline time.Time `json:"deadline"`
+	// ResumeAfter continues a broken stream after this event on the same backend server.
+	ResumeAfter string `json:"resume_after,omitempty"`
+	// Placement is the hint for the chat's next turn.
+	Placement string `json:"placement,omitempty"`
+	// Why is the reason of a repeated attempt.
+	Why reason.Reason `json:"why,omitempty"`
+}
+
+// CancelAttempt stops an attempt whose answer nobody waits for.
+type CancelAttempt struct {
+	Request RequestID `json:"request"`
+	Attempt int       `json:"attempt"`
+}
+
+// Finish gives the caller its final answer, if that is not the backend server's.
+// After an answer has begun it ends the stream in an error.
+type Finish struct {
+	Request    RequestID      `json:"request"`
+	Customer   string         `json:"customer,omitempty"`
+	Service    string         `json:"service,omitempty"`
+	Backend    string         `json:"backend,omitempty"`
+	Attempt    int            `json:"attempt,omitempty"`
+	Status     int            `json:"status"`
+	Outcome    reason.Outcome `json:"outcome"`
+	Reason     reason.Reason  `json:"reason,omitempty"`
+	RetryAfter time.Duration  `json:"retry_after,omitempty"`
+	// First is what is known of the first request, on a duplicate.
+	First string `json:"first,omitempty"`
+}
+
+// StoreGet reads a key of the platform's store.
+type StoreGet struct {
+	Op  OpID   `json:"op"`
+	Key string `json:"key"`
+}
+
+// StoreSwap writes a key if its version is still Version; 0 creates it.
+type StoreSwap struct {
+	Op      OpID   `json:"op"`
+	Key     string `json:"key"`
+	Version uint64 `json:"version"`
+	Value   []byte `json:"value"`
+}
+
+// StoreWatch waits until a key's version differs from Version.
+type StoreWatch struct {
+	Op      OpID   `json:"op"`
+	Key     string `json:"key"`
+	Version uint64 `json:"version"`
+}
+
+// ListInstances reads the platform's instance list. It ends with InstancesListed.
+type ListInstances struct {
+	Op OpID `json:"op"`
+}
+
+// PollReport asks a backend server for its load report. It ends with BackendReported.
+type PollReport struct {
+	Backend string `json:"backend"`
+	Address string `json:"address"`
+}
+
+// SetPeers says to which instances a link must be held.
+type SetPeers struct {
+	Peers []PeerAddress `json:"peers"`
+}
+
+// PeerAddress is where a peer listens.
+type PeerAddress struct {
+	Name    string `json:"name"`
+	Address string `json:"address"`
+}
+
+// SendPeer sends a message to another instance, at most once and without order.
+type SendPeer struct {
+	To      string      `json:"to"`
+	Message PeerMessage `json:"message"`
+}
+
+// ConfigTaken says that a configuration came into force here.
+type ConfigTaken struct {
+	Generation uint64 `json:"generation"`
+	Edit       string `json:"edit"`
+}
+
+// ConfigRefused says that a configuration has findings and the old one stays.
+type ConfigRefused struct {
+	Generation uint64          `json:"generation"`
+	Findings   config.Findings `json:"findings"`
+}
+
+// SetReady says whether the balancer may send new requests here.
+type SetReady struct {
+	Ready bool `json:"ready"`
+}
+
+// CloseListener stops accepting callers' connections.
+type CloseListener struct{}
+
+// Stopped says that nothing is in progress any more and the process may exit.
+type Stopped struct{}
+
+// Counted adds to one of the daemon's counters; the core keeps no metrics itself.
+type Counted struct {
+	Counter string `json:"counter"`
+	Label   string `json:"label,omitempty"`
+	N       int    `json:"n"`
+}
+
+// EffectName names the effect in session files.
+func (SendAttempt) EffectName() string { return "send-attempt" }
+
+// EffectName names the effect in session files.
+func (CancelAttempt) EffectName() string { return "cancel-attempt" }
+
+// EffectName names the effect in session files.
+func (Finish) EffectName() string { return "finish" }
+
+// EffectName names the effect in session files.
+func (StoreGet) EffectName() string { return "store-get" }
+
+// EffectName names the effect in session files.
+func (StoreSwap) EffectName() string { return "store-swap" }
+
+// EffectName names the effect in session files.
+func (StoreWatch) EffectName() string { return "store-watch" }
+
+// EffectName names the effect in session files.
+func (ListInstances) EffectName() string { return "list-instances" }
+
+// EffectName names the effect in session files.
+func (PollReport) EffectName() string { return "poll-report" }
+
+// EffectName names the effect in session files.
+func (SetPeers) EffectName() string { return "set-peers" }
+
+// EffectName names the effect in session files.
+func (SendPeer) EffectName() string { return "send-peer" }
+
+// EffectName names the effect in session files.
+func (ConfigTaken) EffectName() string { return "config-taken" }
+
+// EffectName names the effect in session files.
+func (ConfigRefused) EffectName() string { return "config-refused" }
+
+// EffectName names the effect in session files.
+func (SetReady) EffectName() string { return "set-ready" }
+
+// EffectName names the effect in session files.
+func (CloseListener) EffectName() string { return "close-listener" }
+
+// EffectName names the effect in session files.
+func (Stopped) EffectName() string { return "stopped" }
+
+// EffectName names the effect in session files.
+func (Counted) EffectName() string { return "counted" }
--- /dev/null
+++ b/internal/core/membership/membership.go
@@ -0,0 +1,119 @@
+// Package membership merges what is said of backend servers and of the fleet's
+// own instances into one view, in which nothing that left comes back to life.
+package membership
+
+import "time"
+
+// State is what is known of an instance.
+type State string
+
+// The states, in the order in which they win within one incarnation.
+const (
+	// Live instances take new work.
+	Live State = "live"
+	// Leaving instances end the work they have and get none.
+	Leaving State = "leaving"
+	// Gone instances are no more.
+	Gone State = "gone"
+)
+
+// rank orders the states within one incarnation: a later one is never undone.
+func (s State) rank() int {
+	switch s {
+	case Live:
+		return 1
+	case Leaving:
+		return 2
+	case Gone:
+		return 3
+	default:
+		return 0
+	}
+}
+
+// Role tells the fleet's own instances from backend servers.
+type Role string
+
+// The roles in the platform's list.
+const (
+	// Entry is an instance of this system.
+	Entry Role = "entry"
+	// Backend is a backend server.
+	Backend Role = "backend"
+)
+
+// Instance is one line of the platform's list.
+type Instance struct {
+	Name string `json:"name"`
+	Role Role   `json:"role"`
+	// Service is a backend server's service.
+	Service string `json:"service,omitempty"`
+	Zone    string `json:"zone"`
+	// Address is the address for traffic; for an entry instance, for its peers.
+	Address string `json:"address"`
+	// Incarnation grows each time a process starts under this name.
+	Incarnation uint64 `json:"incarnation"`
+	State       State  `json:"state"`
+}
+
+// Fact is one thing said of an instance by anyone.
+type Fact struct {
+	Name        string `json:"name"`
+	Incarnation uint64 `json:"incarnation"`
+	State       State  `json:"state"`
+}
+
+// Report is a backend server's own word on its state and load.
+type Report struct {
+	Backend     string `json:"backend"`
+	Incarnation uint64 `json:"incarnation"`
+	State       State  `json:"state"`
+	// InFlight is the number of requests it works on or queues.
+	InFlight int `json:"in_flight"`
+	// At is when the load was so, by the clock of the one who says it.
+	At time.Time `json:"at"`
+}
+
+// View is the merged state of all instances.
+type View struct {
+	instances map[string]*Instance
+}
+
+// NewView returns an empty view.
+func NewView() *View {
+	return &View{instances: make(map[string]*Instance)}
+}
+
+// Merge takes one line of a list and tells whether the view changed.
+//
+// A lagging source may repeat what was true before: within one incarnation a
+// state of lower rank never undoes one of higher rank, and an older incarnation
+// never undoes a newer one.
+func (v *View) Merge(in Instance) bool {
+	old := v.instances[in.Name]
+	if old != nil && older(in, *old) {
+		return false
+	}
+	if old != nil && *old == in {
+		return false
+	}
+	v.instances[in.Name] = &in
+	return true
+}
+
+func older(in, old Instance) bool {
+	if in.Incarnation != old.Incarnation {
+		return in.Incarnation < old.Incarnation
+	}
+	return in.State.rank() < old.State.rank()
+}
+
+// Get returns what is known of an instance, or nil.
+func (v *View) Get(name string) *Instance { return v.instances[name] }
+
+// Each calls f for every instance, in no order.
+func (v *View) Each(f func(*Instance)) {
+	for _, in := range v.instances {
+		f(in)
+	}
+}
--- /dev/null
+++ b/internal/core/node.go
@@ -0,0 +1,120 @@
+// Package core takes every decision of an instance: which backend server, admit
+// or refuse, retry or give up, claim, membership, load, drain and configuration.
+//
+// It is a deterministic state machine. Handle takes the time and an event and
+// returns the effects that the outside must carry out. Nothing inside starts a
+// goroutine, reads a clock, a socket or a file, or draws from a global random
+// source, so a recorded list of events gives the same effects again.
+package core
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/ebonydyke/ebonydyke/internal/core/config"
+	"github.com/ebonydyke/ebonydyke/internal/core/membership"
+)
+
+// TickInterval is how often the daemon sends a Ticked event.
+const TickInterval = 50 * time.Millisecond
+
+// Settings are what an instance knows of itself from its start.
+type Settings struct {
+	// Name identifies the instance in the fleet.
+	Name string `json:"name"`
+	// Zone is the availability zone it stands in.
+	Zone string `json:"zone"`
+	// PeerAddress is where it listens for its peers.
+	PeerAddress string `json:"peer_address"`
+	// Incarnation grows with each start under the same name.
+	Incarnation uint64 `json:"incarnation"`
+	// Seed starts the node's own random source.
+	Seed uint64 `json:"seed"`
+	// AcceptDelay is how long a stopping instance goes on accepting, until the
+	// balancer has noticed.
+	AcceptDelay time.Duration `json:"accept_delay"`
+}
+
+// Node is the state of one instance. It belongs to one goroutine.
+type Node struct {
+	settings Settings
+	random   *rand.Rand
+	now      time.Time
+	effects  []Effect
+	lastOp   OpID
+
+	snapshot  *config.Snapshot
+	view      *membership.View
+	pools     map[string]*pool
+	requests  map[RequestID]*request
+	configs   configState
+	list      listState
+	lifecycle lifecycleState
+}
+
+// New returns a node that knows nothing but its settings.
+func New(s Settings) *Node {
+	return &Node{
+		settings: s,
+		random:   rand.New(rand.NewPCG(s.Seed, s.Incarnation)),
+		view:     membership.NewView(),
+		pools:    make(map[string]*pool),
+		requests: make(map[RequestID]*request),
+	}
+}
+
+// Handle takes one event at the time now and returns what the outside must do,
+// in that order. The slice is valid until the next call.
+func (n *Node) Handle(now time.Time, event Event) []Effect {
+	if now.After(n.now) {
+		n.now = now
+	}
+	n.effects = n.effects[:0]
+	n.dispatch(event)
+	return n.effects
+}
+
+func (n *Node) dispatch(event Event) {
+	switch e := event.(type) {
+	case RequestArrived:
+		n.requestArrived(e)
+	case AttemptEnded:
+		n.attemptEnded(e)
+	case AnswerStarted:
+		n.answerStarted(e)
+	case CallerGone:
+		n.callerGone(e)
+	case InstancesListed:
+		n.instancesListed(e)
+	case BackendReported:
+		n.backendReported(e)
+	case ConfigOffered:
+		n.offerConfig(e.Envelope)
+	case StoreReplied:
+		n.storeReplied(e)
+	case PeerConnected:
+		n.peerConnected(e)
+	case PeerLost:
+		n.peerLost(e)
+	case PeerReceived:
+		n.peerReceived(e)
+	case StopRequested:
+		n.stopRequested()
+	case Ticked:
+		n.ticked()
+	}
+}
+
+func (n *Node) emit(e Effect) { n.effects = append(n.effects, e) }
+
+func (n *Node) nextOp() OpID {
+	n.lastOp++
+	return n.lastOp
+}
+
+// ticked does what is due by time alone.
+func (n *Node) ticked() {
+	n.tickConfig()
+	n.tickList()
+	n.tickLifecycle()
+}
--- /dev/null
+++ b/internal/core/peermsg.go
@@ -0,0 +1,56 @@
+package core
+
+import (
+	"time"
+
+	"github.com/ebonydyke/ebonydyke/internal/core/claims"
+	"github.com/ebonydyke/ebonydyke/internal/core/config"
+	"github.com/ebonydyke/ebonydyke/internal/core/membership"
+)
+
+// PeerMessage is what one instance tells another. At most one field is set
+// beside Digest; package peer carries it as protobuf.
+type PeerMessage struct {
+	Digest       *Digest         `json:"digest,omitempty"`
+	ConfigOffer  *ConfigOffer    `json:"config_offer,omitempty"`
+	ConfigWanted *ConfigWanted   `json:"config_wanted,omitempty"`
+	Claim        *claims.Request `json:"claim,omitempty"`
+	ClaimReply   *claims.Reply   `json:"claim_reply,omitempty"`
+}
+
+// Digest is what an instance tells its peers each round: what it knows that they
+// may not.
+type Digest struct {
+	// At is the sender's clock; only differences of one sender's are compared.
+	At time.Time `json:"at"`
+	// Generation is the configuration in force at the sender.
+	Generation uint64 `json:"generation"`
+	// Leaving says that the sender has begun its graceful shutdown.
+	Leaving bool `json:"leaving,omitempty"`
+	// Loads are the sender's requests in progress by backend server; a backend
+	// server left out has not changed since the sender's last digest unless Full.
+	Loads []BackendLoad `json:"loads,omitempty"`
+	// Full says that Loads lists every backend server with a request in progress.
+	Full bool `json:"full,omitempty"`
+	// Reports are backend servers' reports that the sender polled itself.
+	Reports []membership.Report `json:"reports,omitempty"`
+	// Facts are changes of membership that the sender learnt.
+	Facts []membership.Fact `json:"facts,omitempty"`
+}
+
+// BackendLoad is the number of one instance's requests at one backend server.
+type BackendLoad struct {
+	Backend  string `json:"backend"`
+	InFlight int    `json:"in_flight"`
+}
+
+// ConfigOffer passes a configuration on.
+type ConfigOffer struct {
+	Envelope config.Envelope `json:"envelope"`
+}
+
+// ConfigWanted asks a peer for the configuration it has in force.
+type ConfigWanted struct {
+	// Above is the generation that the asker has.
+	Above uint64 `json:"above"`
+}
--- /dev/null
+++ b/internal/core/peers.go
@@ -0,0 +1,7 @@
+package core
+
+func (n *Node) peerConnected(PeerConnected) {}
+
+func (n *Node) peerLost(PeerLost) {}
+
+func (n *Node) peerReceived(PeerReceived) {}
--- /dev/null
+++ b/internal/core/requests.go
@@ -0,0 +1,164 @@
+package core
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/ebonydyke/ebonydyke/internal/core/config"
+	"github.com/ebonydyke/ebonydyke/internal/core/reason"
+	"github.com/ebonydyke/ebonydyke/internal/core/retry"
+)
+
+// request is one request in progress at this instance.
+type request struct {
+	arrived  RequestArrived
+	service  *config.Service
+	deadline time.Time
+	attempt  int
+	// backend is the backend server of the running attempt.
+	backend string
+	// tried are the backend servers that earlier attempts failed at.
+	tried []string
+	// mayHaveRun is set once any attempt ended in a way that leaves open whether
+	// a backend server started the request; from then on no answer says not-run.
+	mayHaveRun bool
+	// started is set once the caller has the first byte of an answer.
+	started bool
+	gone    bool
+}
+
+func (n *Node) requestArrived(e RequestArrived) {
+	if n.snapshot == nil {
+		n.refuse(e, "", http.StatusServiceUnavailable, reason.NoConfiguration)
+		return
+	}
+	service := n.serviceOf(e)
+	if service == nil {
+		n.refuse(e, "", http.StatusNotFound, reason.UnknownService)
+		return
+	}
+	if n.snapshot.Customer(e.Customer) == nil {
+		n.refuse(e, service.Name, http.StatusForbidden, reason.UnknownCustomer)
+		return
+	}
+	r := &request{arrived: e, service: service, deadline: e.Deadline}
+	if r.deadline.IsZero() {
+		r.deadline = n.now.Add(time.Duration(service.Deadline))
+	}
+	n.requests[e.Request] = r
+	n.startAttempt(r, reason.None)
+}
+
+func (n *Node) serviceOf(e RequestArrived) *config.Service {
+	if e.Service != "" {
+		return n.snapshot.Service(e.Service)
+	}
+	return n.snapshot.Model(e.Model)
+}
+
+// startAttempt places the request and sends it, or gives it up.
+func (n *Node) startAttempt(r *request, why reason.Reason) {
+	c, refusal := n.place(r)
+	if refusal != reason.None {
+		n.giveUp(r, refusal)
+		return
+	}
+	r.attempt++
+	r.backend = c.Name
+	n.loadSent(r.service.Name, c.Name)
+	n.emit(SendAttempt{
+		Request:   r.arrived.Request,
+		Attempt:   r.attempt,
+		Backend:   c.Name,
+		Address:   c.Address,
+		Deadline:  r.deadline,
+		Placement: c.Name,
+		Why:       why,
+	})
+}
+
+func (n *Node) answerStarted(e AnswerStarted) {
+	if r := n.requests[e.Request]; r != nil && e.Attempt == r.attempt {
+		r.started = true
+	}
+}
+
+func (n *Node) attemptEnded(e AttemptEnded) {
+	r := n.requests[e.Request]
+	if r == nil || e.Attempt != r.attempt {
+		return
+	}
+	n.loadEnded(r.service.Name, r.backend)
+	if e.Outcome == retry.Answered {
+		n.answered(r)
+		return
+	}
+	r.mayHaveRun = r.mayHaveRun || e.Outcome.MayHaveRun()
+	if !n.mayRetry(r, e.Outcome) {
+		n.giveUp(r, e.Outcome.Reason())
+		return
+	}
+	r.tried = append(r.tried, r.backend)
+	n.startAttempt(r, e.Outcome.Reason())
+}
+
+func (n *Node) answered(r *request) {
+	n.pool(r.service.Name).budget.Success()
+	delete(n.requests, r.arrived.Request)
+}
+
+// mayRetry tells whether another attempt may follow one that ended in outcome.
+func (n *Node) mayRetry(r *request, outcome retry.Outcome) bool {
+	if r.started || r.gone || !n.now.Before(r.deadline) {
+		return false
+	}
+	if r.arrived.NonIdempotent && outcome.MayHaveRun() {
+		return false
+	}
+	if r.attempt >= r.service.MaxAttempts {
+		return false
+	}
+	return n.pool(r.service.Name).budget.Take()
+}
+
+// giveUp ends a request without an answer of a backend server.
+func (n *Node) giveUp(r *request, why reason.Reason) {
+	delete(n.requests, r.arrived.Request)
+	outcome, status := reason.NotRun, http.StatusServiceUnavailable
+	if r.mayHaveRun {
+		outcome, status = reason.Unknown, http.StatusBadGateway
+	}
+	n.emit(Finish{
+		Request:    r.arrived.Request,
+		Customer:   r.arrived.Customer,
+		Service:    r.service.Name,
+		Backend:    r.backend,
+		Attempt:    r.attempt,
+		Status:     status,
+		Outcome:    outcome,
+		Reason:     why,
+		RetryAfter: time.Second,
+	})
+}
+
+// refuse ends a request that never got as far as an attempt.
+func (n *Node) refuse(e RequestArrived, service string, status int, why reason.Reason) {
+	n.emit(Finish{
+		Request:    e.Request,
+		Customer:   e.Customer,
+		Service:    service,
+		Status:     status,
+		Outcome:    reason.NotRun,
+		Reason:     why,
+		RetryAfter: time.Second,
+	})
+}
+
+func (n *Node) callerGone(e CallerGone) {
+	r := n.requests[e.Request]
+	if r == nil {
+		return
+	}
+	r.gone = true
+	n.emit(CancelAttempt{Request: e.Request, Attempt: r.attempt})
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,55 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"k8s.io/klog/v2"
+
+	"github.com/ebonydyke/ebonydyke/internal/core"
+	"github.com/ebonydyke/ebonydyke/internal/platform"
+	"github.com/ebonydyke/ebonydyke/internal/proxy"
+	"github.com/ebonydyke/ebonydyke/internal/settings"
+)
+
+// Run runs one instance until stop is closed and its graceful shutdown is over.
+func Run(stop <-chan struct{}, s *settings.Settings) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	start := time.Now()
+	loop := NewLoop(core.New(core.Settings{
+		Name:        s.Name,
+		Zone:        s.Zone,
+		PeerAddress: s.PeerListen,
+		Incarnation: uint64(start.UnixNano()),
+		Seed:        uint64(start.UnixNano()),
+		AcceptDelay: time.Duration(s.AcceptDelay),
+	}))
+	listener, err := net.Listen("tcp", s.Listen)
+	if err != nil {
+		return fmt.Errorf("daemon: listen for callers: %w", err)
+	}
+	server := proxy.New(loop.Post)
+	exec := &executor{ctx: ctx, post: loop.Post, platform: platform.NewClient(s.Platform), proxy: server, stop: cancel}
+
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return loop.Run(ctx, exec) })
+	group.Go(func() error { return server.Serve(listener) })
+	group.Go(func() error {
+		select {
+		case <-stop:
+			loop.Post(core.StopRequested{})
+		case <-ctx.Done():
+		}
+		return nil
+	})
+	klog.InfoS("started", "instance", s.Name, "zone", s.Zone, "listen", listener.Addr().String())
+	if err := group.Wait(); err != nil && !errors.Is(err, context.Canceled) {
+		return err
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/daemon/loop.go
@@ -0,0 +1,58 @@
+// Package daemon runs the core: one goroutine owns its state, takes events from
+// the traffic goroutines and hands its effects to those that carry them out.
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/ebonydyke/ebonydyke/internal/core"
+)
+
+// eventQueue bounds the events waiting for the core.
+const eventQueue = 4096
+
+// Executor carries out effects. It is called by the goroutine that owns the core
+// and must not block.
+type Executor interface {
+	Execute(effect core.Effect)
+}
+
+// Loop owns a core.
+type Loop struct {
+	node   *core.Node
+	events chan core.Event
+	exec   Executor
+}
+
+// NewLoop returns a loop round node.
+func NewLoop(node *core.Node) *Loop {
+	return &Loop{node: node, events: make(chan core.Event, eventQueue)}
+}
+
+// Post hands an event to the core. It waits while the queue is full.
+func (l *Loop) Post(event core.Event) { l.events <- event }
+
+// Run feeds the core until ctx ends.
+func (l *Loop) Run(ctx context.Context, exec Executor) error {
+	l.exec = exec
+	ticker := time.NewTicker(core.TickInterval)
+	defer ticker.Stop()
+	l.handle(core.Ticked{})
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case event := <-l.events:
+			l.handle(event)
+		case <-ticker.C:
+			l.handle(core.Ticked{})
+		}
+	}
+}
+
+func (l *Loop) handle(event core.Event) {
+	for _, effect := range l.node.Handle(time.Now(), event) {
+		l.exec.Execute(effect)
+	}
+}
