Lay the seams of the core: claims, admission, load, dependencies, peers

Each matter has its own file in internal/core with the hooks that the request's course calls, so that the parts can be built beside each other.

--- a/internal/core/claims/claims.go
+++ b/internal/core/claims/claims.go
@@ -21,6 +21,20 @@
 	Released
 )
 
+// String is the word that a duplicate's answer gives for the first request.
+func (s State) String() string {
+	switch s {
+	case Claimed:
+		return "in-progress-or-lost"
+	case Done:
+		return "answered"
+	case Released:
+		return "released"
+	default:
+		return "unknown"
+	}
+}
+
 // Request asks the owner of a range for a change of one claim.
 type Request struct {
 	Key KeyHash `json:"key"`
--- a/internal/core/configs.go
+++ b/internal/core/configs.go
@@ -32,6 +32,9 @@
 }
 
 func (n *Node) storeReplied(e StoreReplied) {
+	if n.claimStoreReplied(e) {
+		return
+	}
 	if e.Op == n.configs.watch {
 		n.configWatched(e)
 	}
@@ -78,3 +81,6 @@
 	n.rebuildPools()
 	n.emit(ConfigTaken{Generation: env.Generation, Edit: env.Edit})
 }
+
+// peerWantsConfig answers a peer whose configuration is older than ours.
+func (n *Node) peerWantsConfig(string, *ConfigWanted) {}
--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -1,6 +1,11 @@
 package core
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	"github.com/ebonydyke/ebonydyke/internal/core/membership"
+)
 
 // listInterval is how often the platform's instance list is read.
 const listInterval = 2 * time.Second
@@ -38,3 +43,19 @@
 }
 
 func (n *Node) backendReported(BackendReported) {}
+
+// entries lists the entry instances that are not gone, this one among them,
+// sorted by name. Owners of ranges, reports and watches are ranked over it.
+func (n *Node) entries() []string {
+	names := []string{n.settings.Name}
+	n.view.Each(func(in *membership.Instance) {
+		if in.Role == membership.Entry && in.State == membership.Live && in.Name != n.settings.Name {
+			names = append(names, in.Name)
+		}
+	})
+	slices.Sort(names)
+	return names
+}
+
+// learn merges a fact from any source and rebuilds the pools if it was news.
+func (n *Node) learn(membership.Fact) {}
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/ebonydyke/ebonydyke/internal/core/config"
+	"github.com/ebonydyke/ebonydyke/internal/core/load"
 	"github.com/ebonydyke/ebonydyke/internal/core/membership"
 )
 
@@ -45,7 +46,9 @@
 
 	snapshot  *config.Snapshot
 	view      *membership.View
+	load      *load.Tracker
 	pools     map[string]*pool
+	poolOf    map[string]*pool
 	requests  map[RequestID]*request
 	configs   configState
 	list      listState
@@ -58,7 +61,9 @@
 		settings: s,
 		random:   rand.New(rand.NewPCG(s.Seed, s.Incarnation)),
 		view:     membership.NewView(),
+		load:     load.NewTracker(),
 		pools:    make(map[string]*pool),
+		poolOf:   make(map[string]*pool),
 		requests: make(map[RequestID]*request),
 	}
 }
@@ -116,5 +121,7 @@
 func (n *Node) ticked() {
 	n.tickConfig()
 	n.tickList()
+	n.tickPeers()
+	n.tickClaims()
 	n.tickLifecycle()
 }
--- a/internal/core/placement.go
+++ b/internal/core/placement.go
@@ -5,6 +5,7 @@
 
 	"github.com/ebonydyke/ebonydyke/internal/core/membership"
 	"github.com/ebonydyke/ebonydyke/internal/core/reason"
+	"github.com/ebonydyke/ebonydyke/internal/core/rendezvous"
 	"github.com/ebonydyke/ebonydyke/internal/core/retry"
 	"github.com/ebonydyke/ebonydyke/internal/core/routing"
 )
@@ -48,35 +49,43 @@
 // chatHash places a request without a chat by its own id.
 func chatHash(r *request) uint64 {
 	if r.arrived.Chat == "" {
-		return routing.Hash(string(r.arrived.Request))
+		return rendezvous.Hash(string(r.arrived.Request))
 	}
-	return routing.Hash(r.arrived.Customer + "\x00" + r.arrived.Chat)
+	return rendezvous.Hash(r.arrived.Customer + "\x00" + r.arrived.Chat)
 }
 
-func (n *Node) loadSent(service, backend string) {
-	n.addLoad(service, backend, 1)
+// loadSent counts a request of this instance to a backend server.
+func (n *Node) loadSent(backend string) {
+	n.load.Sent(backend)
+	n.loadChanged(backend)
 }
 
-func (n *Node) loadEnded(service, backend string) {
-	n.addLoad(service, backend, -1)
+// loadEnded counts the end of a request of this instance.
+func (n *Node) loadEnded(backend string) {
+	n.load.Ended(backend)
+	n.loadChanged(backend)
 }
 
-func (n *Node) addLoad(service, backend string, delta float64) {
-	p := n.pool(service)
-	i, ok := p.index[backend]
-	if !ok {
+// loadChanged takes the estimate of one backend server anew. Whoever changes the
+// tracker calls it, so that no decision has to add up the loads of a pool.
+func (n *Node) loadChanged(backend string) {
+	p := n.poolOf[backend]
+	if p == nil {
 		return
 	}
-	p.candidates[i].Load += delta
-	p.total += delta
+	c := &p.candidates[p.index[backend]]
+	load := n.load.Estimate(backend, n.now)
+	p.total += load - c.Load
+	c.Load = load
 }
 
 // rebuildPools makes the candidates anew after a change of the configuration or
-// of the membership, keeping the loads of those that stay.
+// of the membership.
 func (n *Node) rebuildPools() {
 	if n.snapshot == nil {
 		return
 	}
+	clear(n.poolOf)
 	for _, name := range n.snapshot.Services() {
 		n.rebuildPool(name)
 	}
@@ -108,14 +117,13 @@
 	for i := range p.candidates {
 		c := &p.candidates[i]
 		p.index[c.Name] = i
-		if j, ok := old.index[c.Name]; ok {
-			c.Load = old.candidates[j].Load
-		}
+		c.Load = n.load.Estimate(c.Name, n.now)
 		p.total += c.Load
+		n.poolOf[c.Name] = p
 	}
 	n.pools[name] = p
 }
 
 func candidate(name, address, zone string) routing.Candidate {
-	return routing.Candidate{Name: name, Address: address, Zone: zone, Hash: routing.Hash(name)}
+	return routing.Candidate{Name: name, Address: address, Zone: zone, Hash: rendezvous.Hash(name)}
 }
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"github.com/ebonydyke/ebonydyke/internal/core/claims"
 	"github.com/ebonydyke/ebonydyke/internal/core/config"
 	"github.com/ebonydyke/ebonydyke/internal/core/reason"
 	"github.com/ebonydyke/ebonydyke/internal/core/retry"
@@ -24,7 +25,10 @@
 	mayHaveRun bool
 	// started is set once the caller has the first byte of an answer.
 	started bool
-	gone    bool
+	// claimed is set once the request's idempotency key is recorded as its own.
+	claimed bool
+	// gone is set once the caller has left.
+	gone bool
 }
 
 func (n *Node) requestArrived(e RequestArrived) {
@@ -45,10 +49,66 @@
 	if r.deadline.IsZero() {
 		r.deadline = n.now.Add(time.Duration(service.Deadline))
 	}
+	if !n.dependenciesUsable(service) {
+		n.refuse(e, service.Name, http.StatusServiceUnavailable, reason.DependencyUnavailable)
+		return
+	}
+	if refused := n.admit(r); refused != nil {
+		n.refuseLater(e, service.Name, refused)
+		return
+	}
 	n.requests[e.Request] = r
+	if r.needsClaim() {
+		n.claim(r)
+		return
+	}
+	n.startAttempt(r, reason.None)
+}
+
+// needsClaim tells whether the key must be claimed before any byte is sent.
+func (r *request) needsClaim() bool {
+	return r.arrived.NonIdempotent && r.arrived.Key != ""
+}
+
+// claimGranted goes on with a request whose key is now its own.
+func (n *Node) claimGranted(r *request) {
+	r.claimed = true
+	if r.gone || !n.now.Before(r.deadline) {
+		n.giveUp(r, reason.DeadlineExceeded)
+		return
+	}
 	n.startAttempt(r, reason.None)
 }
 
+// claimRefused ends a request whose key another request holds, or whose claim
+// could not be recorded with certainty. Nothing was sent.
+func (n *Node) claimRefused(r *request, reply claims.Reply) {
+	n.release(r)
+	finish := Finish{
+		Request:  r.arrived.Request,
+		Customer: r.arrived.Customer,
+		Service:  r.service.Name,
+	}
+	switch reply.Verdict {
+	case claims.Duplicate:
+		finish.Status, finish.Outcome, finish.Reason = http.StatusConflict, reason.Duplicate, reason.ClaimDuplicate
+		finish.First = reply.First.String()
+	case claims.Full:
+		finish.Status, finish.Outcome, finish.Reason = http.StatusServiceUnavailable, reason.NotRun, reason.ClaimsFull
+		finish.RetryAfter = time.Second
+	default:
+		finish.Status, finish.Outcome, finish.Reason = http.StatusServiceUnavailable, reason.NotRun, reason.ClaimUnavailable
+		finish.RetryAfter = time.Second
+	}
+	n.emit(finish)
+}
+
+// release forgets a request that has ended, whatever its end.
+func (n *Node) release(r *request) {
+	delete(n.requests, r.arrived.Request)
+	n.admissionEnded(r)
+}
+
 func (n *Node) serviceOf(e RequestArrived) *config.Service {
 	if e.Service != "" {
 		return n.snapshot.Service(e.Service)
@@ -65,7 +125,7 @@
 	}
 	r.attempt++
 	r.backend = c.Name
-	n.loadSent(r.service.Name, c.Name)
+	n.loadSent(c.Name)
 	n.emit(SendAttempt{
 		Request:   r.arrived.Request,
 		Attempt:   r.attempt,
@@ -88,7 +148,7 @@
 	if r == nil || e.Attempt != r.attempt {
 		return
 	}
-	n.loadEnded(r.service.Name, r.backend)
+	n.loadEnded(r.backend)
 	if e.Outcome == retry.Answered {
 		n.answered(r)
 		return
@@ -104,7 +164,10 @@
 
 func (n *Node) answered(r *request) {
 	n.pool(r.service.Name).budget.Success()
-	delete(n.requests, r.arrived.Request)
+	if r.claimed {
+		n.endClaim(r, claims.Done)
+	}
+	n.release(r)
 }
 
 // mayRetry tells whether another attempt may follow one that ended in outcome.
@@ -123,11 +186,13 @@
 
 // giveUp ends a request without an answer of a backend server.
 func (n *Node) giveUp(r *request, why reason.Reason) {
-	delete(n.requests, r.arrived.Request)
 	outcome, status := reason.NotRun, http.StatusServiceUnavailable
 	if r.mayHaveRun {
 		outcome, status = reason.Unknown, http.StatusBadGateway
+	} else if r.claimed {
+		n.endClaim(r, claims.Released)
 	}
+	n.release(r)
 	n.emit(Finish{
 		Request:    r.arrived.Request,
 		Customer:   r.arrived.Customer,
@@ -143,14 +208,18 @@
 
 // refuse ends a request that never got as far as an attempt.
 func (n *Node) refuse(e RequestArrived, service string, status int, why reason.Reason) {
+	n.refuseLater(e, service, &refusal{status: status, why: why, retryAfter: time.Second})
+}
+
+func (n *Node) refuseLater(e RequestArrived, service string, r *refusal) {
 	n.emit(Finish{
 		Request:    e.Request,
 		Customer:   e.Customer,
 		Service:    service,
-		Status:     status,
+		Status:     r.status,
 		Outcome:    reason.NotRun,
-		Reason:     why,
-		RetryAfter: time.Second,
+		Reason:     r.why,
+		RetryAfter: r.retryAfter,
 	})
 }
 
