Place chats by a bounded walk, a spread inner limit and a hint

The walk stopped at the promised bound itself, so a backend server filled up to it crossed it as soon as other requests ended. LimitsFor puts an inner limit under the bound, spread by the chat's hash so that instances with the same stale view do not act alike; the outer limit stays the promise. One pass finds what the sorted walk finds (property test against the plain definition).

Chats rank over all availability zones, requests without a chat over the own zone first: instances of several zones behind one balancer would otherwise each have a ranking of their own for the same chat.

The placement header is now a versioned opaque hint (backend server, incarnation, minute). It may only propose: bounds, capacity and the configuration apply to it.

A backend server that cannot be connected to is passed over by this instance for 0.5 s doubling to 16 s, so that not every turn ranked there pays for the failure.

--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -49,6 +49,7 @@
 	load      *load.Tracker
 	pools     map[string]*pool
 	poolOf    map[string]*pool
+	reach     reachability
 	requests  map[RequestID]*request
 	configs   configState
 	list      listState
@@ -64,6 +65,7 @@
 		load:     load.NewTracker(),
 		pools:    make(map[string]*pool),
 		poolOf:   make(map[string]*pool),
+		reach:    make(reachability),
 		requests: make(map[RequestID]*request),
 	}
 }
@@ -121,6 +123,7 @@
 func (n *Node) ticked() {
 	n.tickConfig()
 	n.tickList()
+	n.tickPlacement()
 	n.tickPeers()
 	n.tickClaims()
 	n.tickLifecycle()
--- a/internal/core/placement.go
+++ b/internal/core/placement.go
@@ -1,8 +1,10 @@
 package core
 
 import (
+	"cmp"
 	"slices"
 
+	"github.com/ebonydyke/ebonydyke/internal/core/config"
 	"github.com/ebonydyke/ebonydyke/internal/core/membership"
 	"github.com/ebonydyke/ebonydyke/internal/core/reason"
 	"github.com/ebonydyke/ebonydyke/internal/core/rendezvous"
@@ -15,8 +17,12 @@
 	// candidates are the usable backend servers, sorted by name.
 	candidates []routing.Candidate
 	index      map[string]int
-	total      float64
-	budget     *retry.Budget
+	// total is the sum of the candidates' loads, unreachable ones included.
+	total float64
+	// unreachable and lost count the unreachable candidates and their load.
+	unreachable int
+	lost        float64
+	budget      *retry.Budget
 }
 
 // retryBurst is how many retries a service may spend before its successes have
@@ -32,26 +38,70 @@
 	return p
 }
 
+// reachable returns the load and the number of the backend servers among which
+// load is shared: those that can be reached, or all when none can.
+func (p *pool) reachable() (float64, int) {
+	if p.unreachable == len(p.candidates) {
+		return p.total, len(p.candidates)
+	}
+	return p.total - p.lost, len(p.candidates) - p.unreachable
+}
+
 // place chooses the backend server of the request's next attempt.
 func (n *Node) place(r *request) (routing.Candidate, reason.Reason) {
 	p := n.pool(r.service.Name)
 	if len(p.candidates) == 0 {
 		return routing.Candidate{}, reason.NoBackend
 	}
-	limit := routing.Limit(r.service.SkewBound, p.total, len(p.candidates))
-	i := routing.Pick(chatHash(r), p.candidates, limit)
-	if i < 0 {
+	choice := n.choice(r, p)
+	i := routing.Pick(p.candidates, &choice)
+	if i == routing.None {
 		return routing.Candidate{}, reason.Saturated
 	}
 	return p.candidates[i], reason.None
 }
 
-// chatHash places a request without a chat by its own id.
+func (n *Node) choice(r *request, p *pool) routing.Choice {
+	chat := chatHash(r)
+	total, count := p.reachable()
+	return routing.Choice{
+		Chat:       chat,
+		Hinted:     n.hinted(r, p),
+		PreferNear: r.arrived.Chat == "",
+		Tried:      r.tried,
+		Capacity:   float64(r.service.Capacity),
+		Limits:     routing.LimitsFor(r.service.SkewBound, total, count, chat),
+	}
+}
+
+// hinted returns the index of the candidate that the request's hint names. A hint
+// of an earlier incarnation is void: the cache went with the process.
+func (n *Node) hinted(r *request, p *pool) int {
+	if r.arrived.Chat == "" {
+		return routing.None
+	}
+	hint, ok := routing.DecodeHint(r.arrived.Hint)
+	if !ok || !hint.Fresh(n.now) {
+		return routing.None
+	}
+	i, ok := p.index[hint.Backend]
+	if !ok || p.candidates[i].Incarnation != hint.Incarnation {
+		return routing.None
+	}
+	return i
+}
+
+// hintFor returns the placement to hand to the caller for the chat's next turn.
+func (n *Node) hintFor(c *routing.Candidate) string {
+	return routing.NewHint(c, n.now).Encode()
+}
+
+// chatHash ranks a request without a chat by its own id.
 func chatHash(r *request) uint64 {
 	if r.arrived.Chat == "" {
 		return rendezvous.Hash(string(r.arrived.Request))
 	}
-	return rendezvous.Hash(r.arrived.Customer + "\x00" + r.arrived.Chat)
+	return rendezvous.HashOf(r.arrived.Customer, r.arrived.Chat)
 }
 
 // loadSent counts a request of this instance to a backend server.
@@ -76,6 +126,9 @@
 	c := &p.candidates[p.index[backend]]
 	load := n.load.Estimate(backend, n.now)
 	p.total += load - c.Load
+	if c.Unreachable {
+		p.lost += load - c.Load
+	}
 	c.Load = load
 }
 
@@ -93,37 +146,94 @@
 
 func (n *Node) rebuildPool(name string) {
 	svc := n.snapshot.Service(name)
-	old := n.pool(name)
-	p := &pool{index: make(map[string]int), budget: old.budget}
+	p := &pool{index: make(map[string]int), budget: n.pool(name).budget}
 	if p.budget == nil {
 		p.budget = retry.NewBudget(svc.RetryShare, retryBurst)
 	}
-	for _, b := range svc.BackendServers {
-		p.candidates = append(p.candidates, candidate(b.Name, b.Address, b.Zone))
-	}
-	if svc.FromPlatform {
-		n.view.Each(func(in *membership.Instance) {
-			if in.Role == membership.Backend && in.Service == name && in.State == membership.Live {
-				p.candidates = append(p.candidates, candidate(in.Name, in.Address, in.Zone))
-			}
-		})
-	}
-	slices.SortFunc(p.candidates, func(a, b routing.Candidate) int {
-		if a.Name < b.Name {
-			return -1
-		}
-		return 1
-	})
+	p.candidates = n.candidates(svc)
 	for i := range p.candidates {
 		c := &p.candidates[i]
 		p.index[c.Name] = i
 		c.Load = n.load.Estimate(c.Name, n.now)
 		p.total += c.Load
+		if n.reach.unreachable(c.Name, n.now) {
+			p.setUnreachable(c, true)
+		}
 		n.poolOf[c.Name] = p
 	}
 	n.pools[name] = p
 }
 
-func candidate(name, address, zone string) routing.Candidate {
-	return routing.Candidate{Name: name, Address: address, Zone: zone, Hash: rendezvous.Hash(name)}
+// candidates lists the usable backend servers of a service, sorted by name.
+func (n *Node) candidates(svc *config.Service) []routing.Candidate {
+	var list []routing.Candidate
+	for _, b := range svc.BackendServers {
+		in := n.view.Get(b.Name)
+		switch {
+		case in == nil:
+			list = append(list, n.candidate(b.Name, b.Address, b.Zone, 0))
+		case in.State == membership.Live:
+			list = append(list, n.candidate(b.Name, b.Address, b.Zone, in.Incarnation))
+		}
+	}
+	if svc.FromPlatform {
+		n.view.Each(func(in *membership.Instance) {
+			if in.Role == membership.Backend && in.Service == svc.Name && in.State == membership.Live {
+				list = append(list, n.candidate(in.Name, in.Address, in.Zone, in.Incarnation))
+			}
+		})
+	}
+	byName := func(a, b routing.Candidate) int { return cmp.Compare(a.Name, b.Name) }
+	slices.SortStableFunc(list, byName)
+	return slices.CompactFunc(list, func(a, b routing.Candidate) bool { return a.Name == b.Name })
+}
+
+func (n *Node) candidate(name, address, zone string, incarnation uint64) routing.Candidate {
+	return routing.Candidate{
+		Name:        name,
+		Address:     address,
+		Zone:        zone,
+		Incarnation: incarnation,
+		Hash:        rendezvous.Hash(name),
+		Far:         zone != n.settings.Zone,
+	}
+}
+
+// backendAnswered takes what the end of an attempt says of its backend server.
+// It is called before the request's next attempt is placed.
+func (n *Node) backendAnswered(backend string, e AttemptEnded) {
+	if e.Outcome == retry.NotSent {
+		n.reach.failed(backend, n.now)
+		n.setReach(backend, true)
+	} else if n.reach.connected(backend) {
+		n.setReach(backend, false)
+	}
+}
+
+func (n *Node) setReach(backend string, unreachable bool) {
+	p := n.poolOf[backend]
+	if p == nil {
+		return
+	}
+	p.setUnreachable(&p.candidates[p.index[backend]], unreachable)
+}
+
+func (p *pool) setUnreachable(c *routing.Candidate, unreachable bool) {
+	switch {
+	case unreachable && !c.Unreachable:
+		p.unreachable++
+		p.lost += c.Load
+	case !unreachable && c.Unreachable:
+		p.unreachable--
+		p.lost -= c.Load
+	}
+	c.Unreachable = unreachable
+}
+
+// tickPlacement lets unreachable backend servers be tried again once their time
+// has passed.
+func (n *Node) tickPlacement() {
+	for _, backend := range n.reach.due(n.now) {
+		n.setReach(backend, false)
+	}
 }
--- /dev/null
+++ b/internal/core/placement_test.go
@@ -0,0 +1,150 @@
+package core_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/ebonydyke/ebonydyke/internal/core"
+	"github.com/ebonydyke/ebonydyke/internal/core/config"
+	"github.com/ebonydyke/ebonydyke/internal/core/reason"
+	"github.com/ebonydyke/ebonydyke/internal/core/retry"
+	"github.com/ebonydyke/ebonydyke/internal/core/routing"
+)
+
+var start = time.Date(2026, 3, 2, 8, 0, 0, 0, time.UTC)
+
+// newPlacing returns a node with one service of n fixed backend servers.
+func newPlacing(t testing.TB, n, capacity int, customers ...config.Customer) *core.Node {
+	t.Helper()
+	service := config.Service{Name: "underwriting", Kind: config.Model, Capacity: capacity}
+	for i := range n {
+		service.BackendServers = append(service.BackendServers, config.BackendServer{
+			Name:    fmt.Sprintf("engine-%03d", i),
+			Address: fmt.Sprintf("127.0.0.1:%d", 1000+i),
+			Zone:    fmt.Sprintf("zone-%d", i%3+1),
+		})
+	}
+	if len(customers) == 0 {
+		customers = []config.Customer{{Name: "branch-recife"}}
+	}
+	text, err := json.Marshal(config.Text{Services: []config.Service{service}, Customers: customers})
+	require.NoError(t, err)
+	node := core.New(core.Settings{Name: "entry-1", Zone: "zone-1", Incarnation: 1, Seed: 1})
+	node.Handle(start, core.ConfigOffered{Envelope: config.Envelope{Generation: 1, Edit: "e1", Text: string(text)}})
+	return node
+}
+
+// arrive sends a request in and returns the attempt or the refusal that came out.
+func arrive(t testing.TB, node *core.Node, now time.Time, e core.RequestArrived) (*core.SendAttempt, *core.Finish) {
+	t.Helper()
+	if e.Customer == "" {
+		e.Customer = "branch-recife"
+	}
+	e.Service = "underwriting"
+	return placed(node.Handle(now, e))
+}
+
+func placed(effects []core.Effect) (*core.SendAttempt, *core.Finish) {
+	for _, effect := range effects {
+		switch e := effect.(type) {
+		case core.SendAttempt:
+			return &e, nil
+		case core.Finish:
+			return nil, &e
+		}
+	}
+	return nil, nil
+}
+
+// A caller forges hints that all name one backend server, and one that the
+// configuration lacks. What its users would see: other chats of that server pushed
+// away, or requests sent to a stranger. The hint may only propose: the server gets
+// no more than the bound allows, and the stranger nothing.
+func TestForgedHintBreaksNoBound(t *testing.T) {
+	node := newPlacing(t, 12, 64)
+	forged := routing.NewHint(&routing.Candidate{Name: "engine-007"}, start).Encode()
+	stranger := routing.NewHint(&routing.Candidate{Name: "stranger"}, start).Encode()
+	stale := routing.NewHint(&routing.Candidate{Name: "engine-007", Incarnation: 9}, start).Encode()
+	loads := make(map[string]int)
+	hints := []string{forged, forged, forged, stranger, stale, "junk"}
+	for i := range 600 {
+		e := core.RequestArrived{Request: core.RequestID(fmt.Sprint(i)), Chat: fmt.Sprint(i), Hint: hints[i%len(hints)]}
+		attempt, _ := arrive(t, node, start, e)
+		require.NotNil(t, attempt)
+		require.NotEqual(t, "stranger", attempt.Backend)
+		loads[attempt.Backend]++
+		require.LessOrEqual(t, float64(loads[attempt.Backend]), routing.Limit(1.25, float64(i), 12))
+	}
+	require.Greater(t, loads["engine-007"], 50, "the forged hints were followed as far as the bound")
+}
+
+// A chat moved off its first choice by load comes back after a pause. Without its
+// hint the ranking sends it to the first choice, which never saw it; with the hint
+// it finds the backend server that holds its prefix.
+func TestHintFindsTheBackendServerOfTheLastTurn(t *testing.T) {
+	node := newPlacing(t, 4, 64)
+	first, _ := arrive(t, node, start, core.RequestArrived{Request: "a", Chat: "dossier"})
+	second, _ := arrive(t, node, start, core.RequestArrived{Request: "b", Chat: "dossier"})
+	require.NotEqual(t, first.Backend, second.Backend, "one request is the bound at this load")
+	for _, id := range []core.RequestID{"a", "b"} {
+		node.Handle(start.Add(time.Second), core.AttemptEnded{Request: id, Attempt: 1, Outcome: retry.Answered})
+	}
+	later := start.Add(time.Hour)
+	back, _ := arrive(t, node, later, core.RequestArrived{Request: "c", Chat: "dossier", Hint: second.Placement})
+	require.Equal(t, second.Backend, back.Backend)
+}
+
+// A backend server refuses connections. Users would wait for a failed connection
+// on every turn that the ranking sends there. After the first failure the instance
+// passes it over, tries it again after a wait, and forgets the failure at success.
+func TestUnreachableBackendServerIsPassedOver(t *testing.T) {
+	node := newPlacing(t, 4, 64)
+	attempt, _ := arrive(t, node, start, core.RequestArrived{Request: "a", Chat: "dossier"})
+	sick := attempt.Backend
+	retried, _ := placed(node.Handle(start, core.AttemptEnded{Request: "a", Attempt: 1, Outcome: retry.NotSent}))
+	require.NotNil(t, retried)
+	require.NotEqual(t, sick, retried.Backend)
+	node.Handle(start, core.AttemptEnded{Request: "a", Attempt: 2, Outcome: retry.Answered})
+
+	turn := func(id core.RequestID, at time.Time) string {
+		node.Handle(at, core.Ticked{})
+		a, _ := arrive(t, node, at, core.RequestArrived{Request: id, Chat: "dossier"})
+		return a.Backend
+	}
+	require.NotEqual(t, sick, turn("b", start.Add(100*time.Millisecond)))
+	node.Handle(start.Add(200*time.Millisecond), core.AttemptEnded{Request: "b", Attempt: 1, Outcome: retry.Answered})
+	require.Equal(t, sick, turn("c", start.Add(time.Second)))
+	node.Handle(start.Add(time.Second), core.AttemptEnded{Request: "c", Attempt: 1, Outcome: retry.Answered})
+	require.Equal(t, sick, turn("d", start.Add(2*time.Second)))
+}
+
+// Full backend servers get nothing more, whatever the bound would allow.
+func TestCapacityIsNeverExceeded(t *testing.T) {
+	node := newPlacing(t, 3, 2)
+	for i := range 6 {
+		attempt, _ := arrive(t, node, start, core.RequestArrived{Request: core.RequestID(fmt.Sprint(i)), Chat: fmt.Sprint(i)})
+		require.NotNil(t, attempt)
+	}
+	attempt, refused := arrive(t, node, start, core.RequestArrived{Request: "over", Chat: "over"})
+	require.Nil(t, attempt)
+	require.Equal(t, reason.Saturated, refused.Reason)
+	require.Equal(t, reason.NotRun, refused.Outcome)
+}
+
+func BenchmarkPlacement(b *testing.B) {
+	for _, n := range []int{12, 148, 890} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			node := newPlacing(b, n, 64)
+			b.ReportAllocs()
+			for i := range b.N {
+				chat := fmt.Sprint(i)
+				node.Handle(start, core.RequestArrived{Request: "r", Customer: "branch-recife", Service: "underwriting", Chat: chat})
+				node.Handle(start, core.AttemptEnded{Request: "r", Attempt: 1, Outcome: retry.Answered})
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/core/reach.go
@@ -0,0 +1,69 @@
+package core
+
+import (
+	"slices"
+	"time"
+)
+
+// The wait after which a backend server that could not be connected to is tried
+// again: doubled with each failure, so that one request in a while pays for a
+// server that is cut off, not every request that the ranking sends there.
+const (
+	reachFirstWait = 500 * time.Millisecond
+	reachLastWait  = 16 * time.Second
+)
+
+// reachability remembers to which backend servers this instance cannot connect.
+// It is this instance's own view: another one may reach them, so nothing of it
+// enters the membership.
+type reachability map[string]*reachState
+
+type reachState struct {
+	wait  time.Duration
+	until time.Time
+	// waiting is set until the wait has passed.
+	waiting bool
+}
+
+// failed counts a connection that could not be made.
+func (m reachability) failed(backend string, now time.Time) {
+	s := m[backend]
+	if s == nil {
+		s = &reachState{wait: reachFirstWait / 2}
+		m[backend] = s
+	}
+	if s.waiting {
+		return
+	}
+	s.wait = min(2*s.wait, reachLastWait)
+	s.until, s.waiting = now.Add(s.wait), true
+}
+
+// connected forgets past failures and tells whether there were any.
+func (m reachability) connected(backend string) bool {
+	_, failed := m[backend]
+	delete(m, backend)
+	return failed
+}
+
+func (m reachability) unreachable(backend string, now time.Time) bool {
+	s := m[backend]
+	return s != nil && s.waiting && now.Before(s.until)
+}
+
+// due returns the backend servers whose wait has just passed, sorted. States of
+// backend servers that nobody tried again for long are dropped.
+func (m reachability) due(now time.Time) []string {
+	var list []string
+	for backend, s := range m {
+		switch {
+		case s.waiting && !now.Before(s.until):
+			s.waiting = false
+			list = append(list, backend)
+		case !s.waiting && now.Sub(s.until) > 4*reachLastWait:
+			delete(m, backend)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
--- a/internal/core/rendezvous/rendezvous.go
+++ b/internal/core/rendezvous/rendezvous.go
@@ -8,6 +8,16 @@
 // they disagree about every ranking.
 func Hash(s string) uint64 { return xxhash.Sum64String(s) }
 
+// HashOf gives the hash of a key of two parts, without joining them first.
+func HashOf(first, second string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(first)
+	_, _ = d.WriteString("\x00")
+	_, _ = d.WriteString(second)
+	return d.Sum64()
+}
+
 // Score is the weight of a name for a key, given both hashes; the highest wins.
 // It depends on nothing else, which is why a leaving name moves only its own keys.
 func Score(key, name uint64) uint64 {
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -132,7 +132,7 @@
 		Backend:   c.Name,
 		Address:   c.Address,
 		Deadline:  r.deadline,
-		Placement: c.Name,
+		Placement: n.hintFor(&c),
 		Why:       why,
 	})
 }
@@ -149,6 +149,7 @@
 		return
 	}
 	n.loadEnded(r.backend)
+	n.backendAnswered(r.backend, e)
 	if e.Outcome == retry.Answered {
 		n.answered(r)
 		return
--- a/internal/core/routing/routing.go
+++ b/internal/core/routing/routing.go
@@ -4,6 +4,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"github.com/ebonydyke/ebonydyke/internal/core/rendezvous"
 )
@@ -13,30 +14,140 @@
 	Name    string
 	Address string
 	Zone    string
+	// Incarnation is the one that membership knows; 0 when nothing named one.
+	Incarnation uint64
 	// Hash is the rendezvous hash of the name, computed once.
 	Hash uint64
 	// Load is the estimate of its requests in progress.
 	Load float64
+	// Far says that it stands in another availability zone than this instance.
+	Far bool
+	// Unreachable says that this instance could not connect to it lately.
+	Unreachable bool
 }
 
-// Limit is the load up to which a backend server may be given one more request:
-// bound times the mean once the new request is counted, and never under one.
-func Limit(bound, total float64, n int) float64 {
-	return max(1, math.Ceil(bound*(total+1)/float64(n)))
+// Limits are the loads up to which a backend server may be given one more request.
+type Limits struct {
+	// Inner is where the walk goes on to the next backend server of the ranking.
+	Inner float64
+	// Hinted is where a hinted backend server is passed over.
+	Hinted float64
+	// Outer is the promised bound: no backend server over it is ever chosen.
+	Outer float64
+}
+
+// Choice is one decision to take.
+type Choice struct {
+	// Chat is the hash by which the candidates are ranked.
+	Chat uint64
+	// Hinted is the index of the candidate that a valid hint names, or None.
+	Hinted int
+	// PreferNear ranks the own availability zone before all others. It suits
+	// requests that no cached prefix draws to any one backend server.
+	PreferNear bool
+	// Tried are the names of backend servers that this request failed at.
+	Tried []string
+	// Capacity is the load that no backend server may exceed.
+	Capacity float64
+	Limits   Limits
 }
 
-// Pick returns the index of the highest ranked candidate under the limit, or -1.
-func Pick(chat uint64, candidates []Candidate, limit float64) int {
-	best, bestScore := -1, uint64(0)
+// None is the index of no candidate.
+const None = -1
+
+// The ranks by which a candidate comes before another one whatever its score.
+const (
+	rankFar = 1 << iota
+	rankOverInner
+	rankUnreachable
+	rankLast
+)
+
+// Pick returns the index of the candidate to choose, or None if every one is over
+// its capacity, over the outer limit or tried. Candidates are sorted by name.
+//
+// One pass over the candidates finds what a walk along the sorted ranking would,
+// without sorting: the highest score among the lowest rank.
+func Pick(candidates []Candidate, choice *Choice) int {
+	if choice.Hinted >= 0 && choice.hintTaken(&candidates[choice.Hinted]) {
+		return choice.Hinted
+	}
+	best, bestRank, bestScore := None, rankLast, uint64(0)
 	for i := range candidates {
 		c := &candidates[i]
-		if c.Load+1 > limit {
+		rank := choice.rank(c)
+		if rank > bestRank {
 			continue
 		}
-		s := rendezvous.Score(chat, c.Hash)
-		if best < 0 || s > bestScore {
-			best, bestScore = i, s
+		score := rendezvous.Score(choice.Chat, c.Hash)
+		if rank == bestRank && best != None && score <= bestScore {
+			continue
+		}
+		if slices.Contains(choice.Tried, c.Name) {
+			continue
 		}
+		best, bestRank, bestScore = i, rank, score
 	}
 	return best
 }
+
+// rank is over rankLast for a candidate that must not be chosen at all.
+func (ch *Choice) rank(c *Candidate) int {
+	load := c.Load + 1
+	if load > ch.Capacity || load > ch.Limits.Outer {
+		return rankLast + 1
+	}
+	rank := 0
+	if load > ch.Limits.Inner {
+		rank |= rankOverInner
+	}
+	if c.Unreachable {
+		rank |= rankUnreachable
+	}
+	if c.Far && ch.PreferNear {
+		rank |= rankFar
+	}
+	return rank
+}
+
+func (ch *Choice) hintTaken(c *Candidate) bool {
+	load := c.Load + 1
+	if load > ch.Limits.Hinted || load > ch.Limits.Outer || load > ch.Capacity {
+		return false
+	}
+	return !c.Unreachable && !slices.Contains(ch.Tried, c.Name)
+}
+
+// The inner limits as shares of what the bound leaves above the mean, found by
+// trial over bounds and pool sizes (docs/design/placement.md).
+const (
+	innerLow  = 0.2
+	innerHigh = 1.0
+	hintedAt  = 1.0
+)
+
+// LimitsFor returns the limits of one decision: total requests in progress at n
+// backend servers, and the bound as a multiple of their mean.
+//
+// The mean falls as other requests end, and every load is an estimate, so a
+// backend server filled up to the bound crosses it a moment later. The inner limit
+// therefore lies under the bound. It is spread by the chat's hash, the same on
+// every instance, so that instances which see the same stale load neither all
+// stop at one backend server at once nor all move on to the same next one.
+func LimitsFor(bound, total float64, n int, chat uint64) Limits {
+	mean := (total + 1) / float64(n)
+	even := math.Ceil(mean)
+	spread := float64(chat>>11) / (1 << 53)
+	inner := innerLow + (innerHigh-innerLow)*spread
+	return Limits{
+		Inner:  max(1, even, math.Floor(mean*(1+(bound-1)*inner))),
+		Hinted: max(1, even, math.Floor(mean*(1+(bound-1)*hintedAt))),
+		Outer:  Limit(bound, total, n),
+	}
+}
+
+// Limit is the promised bound: that multiple of the mean once the new request is
+// counted, and never under one.
+func Limit(bound, total float64, n int) float64 {
+	return max(1, math.Ceil(bound*(total+1)/float64(n)))
+}
--- /dev/null
+++ b/internal/core/routing/routing_test.go
@@ -0,0 +1,181 @@
+package routing_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/ebonydyke/ebonydyke/internal/core/rendezvous"
+	"github.com/ebonydyke/ebonydyke/internal/core/routing"
+)
+
+func candidates(n int, load func(i int) float64) []routing.Candidate {
+	list := make([]routing.Candidate, n)
+	for i := range list {
+		name := fmt.Sprintf("engine-%03d", i)
+		list[i] = routing.Candidate{Name: name, Hash: rendezvous.Hash(name), Load: load(i), Far: i%3 != 0}
+	}
+	return list
+}
+
+func total(list []routing.Candidate) float64 {
+	sum := 0.0
+	for i := range list {
+		sum += list[i].Load
+	}
+	return sum
+}
+
+// walk is the plain definition of the choice: sort everything, take the first.
+func walk(list []routing.Candidate, ch *routing.Choice) int {
+	order := make([]int, 0, len(list))
+	for i := range list {
+		load := list[i].Load + 1
+		if load <= ch.Limits.Outer && load <= ch.Capacity && !slices.Contains(ch.Tried, list[i].Name) {
+			order = append(order, i)
+		}
+	}
+	if slices.Contains(order, ch.Hinted) && !list[ch.Hinted].Unreachable && list[ch.Hinted].Load+1 <= ch.Limits.Hinted {
+		return ch.Hinted
+	}
+	class := func(i int) [3]bool {
+		c := list[i]
+		return [3]bool{c.Unreachable, c.Load+1 > ch.Limits.Inner, c.Far && ch.PreferNear}
+	}
+	slices.SortStableFunc(order, func(a, b int) int {
+		ca, cb := class(a), class(b)
+		for k := range ca {
+			if ca[k] != cb[k] {
+				if cb[k] {
+					return -1
+				}
+				return 1
+			}
+		}
+		sa, sb := rendezvous.Score(ch.Chat, list[a].Hash), rendezvous.Score(ch.Chat, list[b].Hash)
+		if sa > sb {
+			return -1
+		}
+		return 1
+	})
+	if len(order) == 0 {
+		return routing.None
+	}
+	return order[0]
+}
+
+// The one pass must choose what the sorted walk chooses, for every mix of loads,
+// hints, earlier failures, distances and capacities; and never one over a limit.
+func TestPickIsTheWalkAlongTheRanking(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		list := candidates(rapid.IntRange(1, 40).Draw(t, "n"), func(int) float64 {
+			return float64(rapid.IntRange(0, 30).Draw(t, "load"))
+		})
+		for i := range list {
+			list[i].Unreachable = rapid.IntRange(0, 5).Draw(t, "reach") == 0
+		}
+		chat := rapid.Uint64().Draw(t, "chat")
+		ch := routing.Choice{
+			Chat:       chat,
+			Hinted:     rapid.IntRange(-1, len(list)-1).Draw(t, "hint"),
+			PreferNear: rapid.Bool().Draw(t, "near"),
+			Capacity:   float64(rapid.IntRange(1, 40).Draw(t, "capacity")),
+			Limits:     routing.LimitsFor(rapid.Float64Range(1.01, 2).Draw(t, "bound"), total(list), len(list), chat),
+		}
+		for range rapid.IntRange(0, 3).Draw(t, "tries") {
+			ch.Tried = append(ch.Tried, list[rapid.IntRange(0, len(list)-1).Draw(t, "tried")].Name)
+		}
+		got := routing.Pick(list, &ch)
+		require.Equal(t, walk(list, &ch), got)
+		if got != routing.None {
+			require.LessOrEqual(t, list[got].Load+1, ch.Limits.Outer)
+			require.LessOrEqual(t, list[got].Load+1, ch.Capacity)
+			require.NotContains(t, ch.Tried, list[got].Name)
+		}
+	})
+}
+
+// Whatever the loads, with exact knowledge some backend server is under the inner
+// limit, so the walk ends there and the promised bound is not even approached.
+func TestSomeCandidateIsUnderTheInnerLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		list := candidates(rapid.IntRange(1, 60).Draw(t, "n"), func(int) float64 {
+			return float64(rapid.IntRange(0, 200).Draw(t, "load"))
+		})
+		limits := routing.LimitsFor(rapid.Float64Range(1.01, 2).Draw(t, "bound"), total(list), len(list), rapid.Uint64().Draw(t, "chat"))
+		least := slices.MinFunc(list, func(a, b routing.Candidate) int { return int(a.Load - b.Load) })
+		require.LessOrEqual(t, least.Load+1, limits.Inner)
+		require.LessOrEqual(t, limits.Inner, limits.Outer)
+		require.LessOrEqual(t, limits.Hinted, limits.Outer)
+	})
+}
+
+// When a backend server leaves, a chat that was not there must stay where it is:
+// otherwise one departure costs the whole pool its caches.
+func TestLeavingMovesOnlyItsOwnChats(t *testing.T) {
+	list := candidates(12, func(int) float64 { return 0 })
+	left := slices.Delete(slices.Clone(list), 5, 6)
+	moved := 0
+	for chat := range uint64(5000) {
+		h := rendezvous.Hash(fmt.Sprint(chat))
+		ch := routing.Choice{Chat: h, Hinted: routing.None, Capacity: 64, Limits: routing.LimitsFor(1.25, 0, 12, h)}
+		before, after := list[routing.Pick(list, &ch)].Name, left[routing.Pick(left, &ch)].Name
+		if before != after {
+			require.Equal(t, list[5].Name, before)
+			moved++
+		}
+	}
+	require.InDelta(t, 5000/12, moved, 80)
+}
+
+func TestHintGoesRoundAndGrowsOld(t *testing.T) {
+	now := time.Date(2026, 3, 1, 8, 0, 0, 0, time.UTC)
+	hint := routing.NewHint(&routing.Candidate{Name: "engine-3", Incarnation: 1 << 62}, now)
+	got, ok := routing.DecodeHint(hint.Encode())
+	require.True(t, ok)
+	require.Equal(t, hint, got)
+	require.True(t, got.Fresh(now.Add(2*time.Hour)))
+	require.True(t, got.Fresh(now.Add(-time.Minute)), "another instance's clock")
+	require.False(t, got.Fresh(now.Add(24*time.Hour)))
+	require.False(t, got.Fresh(now.Add(-time.Hour)))
+}
+
+// A hint comes from outside: any bytes must either be refused or read as exactly
+// the hint that encodes to them again, and never crash.
+func FuzzDecodeHint(f *testing.F) {
+	f.Add("")
+	f.Add("AcDbhQ4AZW5naW5lLWI")
+	f.Add("Af______________AQBl")
+	f.Add("AgAAZQ")
+	f.Add("!!!!")
+	f.Fuzz(func(t *testing.T, text string) {
+		h, ok := routing.DecodeHint(text)
+		if !ok {
+			return
+		}
+		again, ok := routing.DecodeHint(h.Encode())
+		require.True(t, ok)
+		require.Equal(t, h, again)
+	})
+}
+
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{12, 148, 890} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			list := candidates(n, func(i int) float64 { return float64(8 + i%3) })
+			sum := total(list)
+			b.ReportAllocs()
+			for i := range b.N {
+				chat := rendezvous.Score(uint64(i), 1)
+				ch := routing.Choice{Chat: chat, Hinted: routing.None, Capacity: 64, Limits: routing.LimitsFor(1.25, sum, n, chat)}
+				if routing.Pick(list, &ch) == routing.None {
+					b.Fatal("none chosen")
+				}
+			}
+		})
+	}
+}
