Estimate loads from own requests, peers' digests and late reports

A report's lag is unknown and its clock is the backend server's, so it cannot be aligned with own counts by time. It is set against the most that own and peers' counts came to in the 3 to 6 s before it, and only what they do not explain is added.

Silent peers fade by quarters over 12 s after 3 s; late, doubled and reordered digests and reports are dropped by the sayer's own clock and incarnation.

--- /dev/null
+++ b/internal/core/load/load_test.go
@@ -0,0 +1,164 @@
+package load_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/ebonydyke/ebonydyke/internal/core/load"
+	"github.com/ebonydyke/ebonydyke/internal/core/membership"
+)
+
+var start = time.Date(2026, 3, 2, 8, 0, 0, 0, time.UTC)
+
+func after(d time.Duration) time.Time { return start.Add(d) }
+
+func report(inFlight int, at time.Time) membership.Report {
+	return membership.Report{Backend: "b", Incarnation: 1, InFlight: inFlight, At: at}
+}
+
+func digest(t *load.Tracker, peer string, inFlight int, at time.Time) {
+	t.Digest(peer, at, true, []load.Count{{Backend: "b", InFlight: inFlight}}, at)
+}
+
+// All instances hear each other. A report 2 s old must not be added to what they
+// know already, or every load is counted twice and the pool looks full.
+func TestReportOfKnownLoadAddsNothing(t *testing.T) {
+	tr := load.NewTracker()
+	for range 5 {
+		tr.Sent("b", start)
+	}
+	digest(tr, "p", 7, after(time.Second))
+	for range 3 {
+		tr.Ended("b", after(2*time.Second))
+	}
+	tr.Report(report(12, start), after(2*time.Second+time.Millisecond))
+	require.InDelta(t, 9, tr.Estimate("b"), 0)
+}
+
+// An instance is cut off from its peers. What they send shows only in the backend
+// server's report: the estimate is the report plus what was sent since.
+func TestCutOffInstanceFallsBackOnTheReport(t *testing.T) {
+	tr := load.NewTracker()
+	for range 5 {
+		tr.Sent("b", start)
+	}
+	require.True(t, tr.Report(report(40, start), after(2*time.Second)))
+	require.InDelta(t, 40, tr.Estimate("b"), 0)
+	tr.Sent("b", after(3*time.Second))
+	require.InDelta(t, 41, tr.Estimate("b"), 0)
+	require.Equal(t, []string{"b"}, tr.Tick(after(20*time.Second)), "a report without a newer one counts no longer")
+	require.InDelta(t, 6, tr.Estimate("b"), 0)
+}
+
+// The same report comes by several ways, late and out of order, and once from a
+// process that has since been replaced. Only news counts.
+func TestOldReportsAreDropped(t *testing.T) {
+	tr := load.NewTracker()
+	require.True(t, tr.Report(report(10, after(time.Second)), after(time.Second)))
+	require.False(t, tr.Report(report(99, after(time.Second)), after(2*time.Second)), "twice")
+	require.False(t, tr.Report(report(99, start), after(2*time.Second)), "late")
+	next := membership.Report{Backend: "b", Incarnation: 2, InFlight: 3, At: start}
+	require.True(t, tr.Report(next, after(3*time.Second)), "a new incarnation's clock starts anew")
+	require.False(t, tr.Report(report(99, after(4*time.Second)), after(4*time.Second)), "the old incarnation")
+	require.InDelta(t, 3, tr.Estimate("b"), 0)
+	next.InFlight, next.At = 4, start.Add(-time.Hour)
+	require.True(t, tr.Report(next, after(30*time.Second)), "a clock set back is believed after a silence")
+}
+
+// A peer falls silent: it died, or the link did. Its requests end one after the
+// other, so its counts fade; when it is heard again they are whole at once.
+func TestSilentPeerFades(t *testing.T) {
+	tr := load.NewTracker()
+	digest(tr, "p", 8, start)
+	loads := map[time.Duration]float64{2 * time.Second: 8, 4 * time.Second: 6, 8 * time.Second: 4, 10 * time.Second: 2}
+	for _, at := range []time.Duration{2, 4, 8, 10} {
+		tr.Tick(after(at * time.Second))
+		require.InDelta(t, loads[at*time.Second], tr.Estimate("b"), 0, at)
+	}
+	digest(tr, "p", 8, after(11*time.Second))
+	require.InDelta(t, 8, tr.Estimate("b"), 0)
+	tr.Tick(after(60 * time.Second))
+	require.Zero(t, tr.Estimate("b"))
+}
+
+// Whatever digests come, in whatever order, twice or not at all, the estimate is
+// own requests plus each peer's newest counts, and nothing is left at the end.
+func TestEstimateIsTheSumOfTheNewest(t *testing.T) {
+	type said struct {
+		at     time.Time
+		counts map[string]int
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		tr := load.NewTracker()
+		own, newest := map[string]int{}, map[string]said{}
+		names := []string{"a", "b", "c"}
+		for step := range 60 {
+			now := after(time.Duration(step) * 100 * time.Millisecond)
+			name := rapid.SampledFrom(names).Draw(t, "backend")
+			switch rapid.IntRange(0, 3).Draw(t, "op") {
+			case 0:
+				tr.Sent(name, now)
+				own[name]++
+			case 1:
+				if own[name] > 0 {
+					tr.Ended(name, now)
+					own[name]--
+				}
+			default:
+				peer := rapid.SampledFrom([]string{"p", "q"}).Draw(t, "peer")
+				at := now.Add(-time.Duration(rapid.IntRange(0, 500).Draw(t, "late")) * time.Millisecond)
+				full := rapid.Bool().Draw(t, "full")
+				count := rapid.IntRange(-1, 9).Draw(t, "count")
+				tr.Digest(peer, at, full, []load.Count{{Backend: name, InFlight: count}}, now)
+				old, ok := newest[peer]
+				if ok && !at.After(old.at) {
+					continue
+				}
+				if full || !ok {
+					old.counts = map[string]int{}
+				}
+				old.at = at
+				old.counts[name] = max(0, count)
+				newest[peer] = old
+			}
+			for _, name := range names {
+				want := own[name] + newest["p"].counts[name] + newest["q"].counts[name]
+				require.InDelta(t, want, tr.Estimate(name), 0)
+			}
+		}
+		tr.ForgetPeer("p", after(7*time.Second))
+		tr.ForgetPeer("q", after(7*time.Second))
+		for _, name := range names {
+			require.InDelta(t, own[name], tr.Estimate(name), 0)
+		}
+	})
+}
+
+func BenchmarkDigest(b *testing.B) {
+	for _, n := range []int{12, 148, 890} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			tr := load.NewTracker()
+			counts := make([]load.Count, n)
+			b.ReportAllocs()
+			for i := range b.N {
+				for k := range counts {
+					counts[k] = load.Count{Backend: names[k], InFlight: (i + k) % 3}
+				}
+				now := after(time.Duration(i) * time.Millisecond)
+				tr.Digest("p", now, false, counts, now)
+			}
+		})
+	}
+}
+
+var names = func() []string {
+	list := make([]string, 890)
+	for i := range list {
+		list[i] = fmt.Sprintf("engine-%03d", i)
+	}
+	return list
+}()
--- /dev/null
+++ b/internal/core/loads.go
@@ -0,0 +1,67 @@
+package core
+
+import (
+	"github.com/ebonydyke/ebonydyke/internal/core/load"
+	"github.com/ebonydyke/ebonydyke/internal/core/membership"
+)
+
+// loadSent counts a request of this instance to a backend server.
+func (n *Node) loadSent(backend string) {
+	n.load.Sent(backend, n.now)
+	n.loadChanged(backend)
+}
+
+// loadEnded counts the end of a request of this instance.
+func (n *Node) loadEnded(backend string) {
+	n.load.Ended(backend, n.now)
+	n.loadChanged(backend)
+}
+
+// backendSaid takes the load that a backend server names itself, from an answer's
+// header, a poll or a peer's digest.
+func (n *Node) backendSaid(r membership.Report) {
+	if n.poolOf[r.Backend] != nil && n.load.Report(r, n.now) {
+		n.loadChanged(r.Backend)
+	}
+}
+
+// peerLoads takes the loads and reports of a peer's digest.
+func (n *Node) peerLoads(from string, d *Digest) {
+	counts := make([]load.Count, len(d.Loads))
+	for i, l := range d.Loads {
+		counts[i] = load.Count{Backend: l.Backend, InFlight: l.InFlight}
+	}
+	n.loadsChanged(n.load.Digest(from, d.At, d.Full, counts, n.now))
+	for _, r := range d.Reports {
+		n.backendSaid(r)
+	}
+}
+
+// forgetPeerLoads drops the loads of a peer that has left or started anew.
+func (n *Node) forgetPeerLoads(peer string) {
+	n.loadsChanged(n.load.ForgetPeer(peer, n.now))
+}
+
+func (n *Node) tickLoad() { n.loadsChanged(n.load.Tick(n.now)) }
+
+func (n *Node) loadsChanged(backends []string) {
+	for _, backend := range backends {
+		n.loadChanged(backend)
+	}
+}
+
+// loadChanged takes the estimate of one backend server anew. Whoever changes the
+// tracker calls it, so that no decision has to add up the loads of a pool.
+func (n *Node) loadChanged(backend string) {
+	p := n.poolOf[backend]
+	if p == nil {
+		return
+	}
+	c := &p.candidates[p.index[backend]]
+	estimate := n.load.Estimate(backend)
+	p.total += estimate - c.Load
+	if c.Unreachable {
+		p.lost += estimate - c.Load
+	}
+	c.Load = estimate
+}
--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -42,7 +42,11 @@
 	}
 }
 
-func (n *Node) backendReported(BackendReported) {}
+func (n *Node) backendReported(e BackendReported) {
+	if !e.Failed {
+		n.backendSaid(e.Report)
+	}
+}
 
 // entries lists the entry instances that are not gone, this one among them,
 // sorted by name. Owners of ranges, reports and watches are ranked over it.
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -22,7 +22,7 @@
 }
 
 // peerDigest takes what a peer says of loads, members and its configuration.
-func (n *Node) peerDigest(string, *Digest) {}
+func (n *Node) peerDigest(from string, d *Digest) { n.peerLoads(from, d) }
 
 // tickPeers sends the digests and polls that are due.
 func (n *Node) tickPeers() {}
--- a/internal/core/placement.go
+++ b/internal/core/placement.go
@@ -104,34 +104,6 @@
 	return rendezvous.HashOf(r.arrived.Customer, r.arrived.Chat)
 }
 
-// loadSent counts a request of this instance to a backend server.
-func (n *Node) loadSent(backend string) {
-	n.load.Sent(backend)
-	n.loadChanged(backend)
-}
-
-// loadEnded counts the end of a request of this instance.
-func (n *Node) loadEnded(backend string) {
-	n.load.Ended(backend)
-	n.loadChanged(backend)
-}
-
-// loadChanged takes the estimate of one backend server anew. Whoever changes the
-// tracker calls it, so that no decision has to add up the loads of a pool.
-func (n *Node) loadChanged(backend string) {
-	p := n.poolOf[backend]
-	if p == nil {
-		return
-	}
-	c := &p.candidates[p.index[backend]]
-	load := n.load.Estimate(backend, n.now)
-	p.total += load - c.Load
-	if c.Unreachable {
-		p.lost += load - c.Load
-	}
-	c.Load = load
-}
-
 // rebuildPools makes the candidates anew after a change of the configuration or
 // of the membership.
 func (n *Node) rebuildPools() {
@@ -154,7 +126,7 @@
 	for i := range p.candidates {
 		c := &p.candidates[i]
 		p.index[c.Name] = i
-		c.Load = n.load.Estimate(c.Name, n.now)
+		c.Load = n.load.Estimate(c.Name)
 		p.total += c.Load
 		if n.reach.unreachable(c.Name, n.now) {
 			p.setUnreachable(c, true)
@@ -202,6 +174,9 @@
 // backendAnswered takes what the end of an attempt says of its backend server.
 // It is called before the request's next attempt is placed.
 func (n *Node) backendAnswered(backend string, e AttemptEnded) {
+	if e.Load != nil && e.Load.Backend == backend {
+		n.backendSaid(*e.Load)
+	}
 	if e.Outcome == retry.NotSent {
 		n.reach.failed(backend, n.now)
 		n.setReach(backend, true)
@@ -230,9 +205,10 @@
 	c.Unreachable = unreachable
 }
 
-// tickPlacement lets unreachable backend servers be tried again once their time
-// has passed.
+// tickPlacement ages the loads and lets unreachable backend servers be tried again
+// once their time has passed.
 func (n *Node) tickPlacement() {
+	n.tickLoad()
 	for _, backend := range n.reach.due(n.now) {
 		n.setReach(backend, false)
 	}
