Admit by customers' limits and weighted max-min shares

Below nine tenths of the capacity everyone gets in. Above, a customer over the water level of this instance's sliver is refused with customer-share (429), one over its own limit with customer-limit (429), and at the full capacity with saturated (503). The last tenth is room for those under their share, so the one who surges is refused first; a customer alone on a service therefore stops at nine tenths. TestCapacityIsNeverExceeded filled the pool by one customer, which shares now forbid; it fills it by six and also checks the load of each backend server.

--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -50,6 +50,7 @@
 	pools     map[string]*pool
 	poolOf    map[string]*pool
 	reach     reachability
+	admission admissionState
 	requests  map[RequestID]*request
 	configs   configState
 	list      listState
@@ -59,14 +60,15 @@
 // New returns a node that knows nothing but its settings.
 func New(s Settings) *Node {
 	return &Node{
-		settings: s,
-		random:   rand.New(rand.NewPCG(s.Seed, s.Incarnation)),
-		view:     membership.NewView(),
-		load:     load.NewTracker(),
-		pools:    make(map[string]*pool),
-		poolOf:   make(map[string]*pool),
-		reach:    make(reachability),
-		requests: make(map[RequestID]*request),
+		settings:  s,
+		random:    rand.New(rand.NewPCG(s.Seed, s.Incarnation)),
+		view:      membership.NewView(),
+		load:      load.NewTracker(),
+		pools:     make(map[string]*pool),
+		poolOf:    make(map[string]*pool),
+		reach:     make(reachability),
+		admission: newAdmissionState(),
+		requests:  make(map[RequestID]*request),
 	}
 }
 
@@ -124,6 +126,7 @@
 	n.tickConfig()
 	n.tickList()
 	n.tickPlacement()
+	n.tickAdmission()
 	n.tickPeers()
 	n.tickClaims()
 	n.tickLifecycle()
--- a/internal/core/placement_test.go
+++ b/internal/core/placement_test.go
@@ -124,12 +124,20 @@
 
 // Full backend servers get nothing more, whatever the bound would allow.
 func TestCapacityIsNeverExceeded(t *testing.T) {
-	node := newPlacing(t, 3, 2)
+	var customers []config.Customer
+	for i := range 7 {
+		customers = append(customers, config.Customer{Name: fmt.Sprint("branch-", i)})
+	}
+	node := newPlacing(t, 3, 2, customers...)
+	loads := make(map[string]int)
 	for i := range 6 {
-		attempt, _ := arrive(t, node, start, core.RequestArrived{Request: core.RequestID(fmt.Sprint(i)), Chat: fmt.Sprint(i)})
+		id := core.RequestID(fmt.Sprint(i))
+		attempt, _ := arrive(t, node, start, core.RequestArrived{Request: id, Customer: customers[i].Name, Chat: string(id)})
 		require.NotNil(t, attempt)
+		loads[attempt.Backend]++
 	}
-	attempt, refused := arrive(t, node, start, core.RequestArrived{Request: "over", Chat: "over"})
+	require.Equal(t, map[string]int{"engine-000": 2, "engine-001": 2, "engine-002": 2}, loads)
+	attempt, refused := arrive(t, node, start, core.RequestArrived{Request: "over", Customer: "branch-6", Chat: "over"})
 	require.Nil(t, attempt)
 	require.Equal(t, reason.Saturated, refused.Reason)
 	require.Equal(t, reason.NotRun, refused.Outcome)
