--- /dev/null
+++ b/cmd/ebonymeasure/main.go
@@ -0,0 +1,117 @@
+// Command ebonymeasure judges the core's decisions against baselines and an oracle,
+// in virtual time. It is for developers; the same seed gives the same figures.
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"text/tabwriter"
+
+	"github.com/alecthomas/kong"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/ebonydyke/ebonydyke/internal/measure"
+)
+
+type options struct {
+	Out      string   `help:"Folder for figures.jsonl and curve.png." default:"out/measure"`
+	Seed     uint64   `help:"Seed of the runs." default:"1"`
+	Scenario []string `help:"Scenarios to run; all when empty, 'curve' among them."`
+	Policy   []string `help:"Policies to run; all when empty."`
+	Parallel int      `help:"Runs at a time." default:"4"`
+}
+
+type run struct {
+	scenario measure.Scenario
+	policy   string
+}
+
+func main() {
+	var o options
+	ctx := kong.Parse(&o, kong.Description("Judges the core's decisions against baselines and an oracle."))
+	ctx.FatalIfErrorf(o.run())
+}
+
+func (o *options) run() error {
+	figures, err := o.play(o.runs())
+	if err != nil {
+		return err
+	}
+	if err := os.MkdirAll(o.Out, 0o755); err != nil {
+		return fmt.Errorf("measure: %w", err)
+	}
+	if err := writeLines(filepath.Join(o.Out, "figures.jsonl"), figures); err != nil {
+		return err
+	}
+	if err := printTable(figures); err != nil {
+		return err
+	}
+	curve := filepath.Join(o.Out, "curve.png")
+	return plotCurve(curve, figures)
+}
+
+// runs lists the runs asked for.
+func (o *options) runs() []run {
+	wanted := func(list []string, name string) bool { return len(list) == 0 || slices.Contains(list, name) }
+	var list []run
+	for _, s := range measure.Scenarios(o.Seed) {
+		for _, p := range measure.Policies {
+			if wanted(o.Scenario, s.Name) && wanted(o.Policy, p) {
+				list = append(list, run{s, p})
+			}
+		}
+	}
+	for _, s := range measure.Curve(o.Seed) {
+		for _, p := range []string{"ours", "ours-hint", "oracle"} {
+			if wanted(o.Scenario, s.Name) && wanted(o.Policy, p) {
+				list = append(list, run{s, p})
+			}
+		}
+	}
+	return list
+}
+
+// play runs them a few at a time and returns their figures in order.
+func (o *options) play(runs []run) ([]measure.Figures, error) {
+	figures := make([]measure.Figures, len(runs))
+	var group errgroup.Group
+	group.SetLimit(max(1, o.Parallel))
+	for i, r := range runs {
+		group.Go(func() error {
+			figures[i] = measure.Run(r.scenario, r.policy)
+			return nil
+		})
+	}
+	return figures, group.Wait()
+}
+
+func writeLines(path string, figures []measure.Figures) error {
+	file, err := os.Create(path)
+	if err != nil {
+		return fmt.Errorf("measure: %w", err)
+	}
+	defer func() { _ = file.Close() }()
+	encoder := json.NewEncoder(file)
+	for i := range figures {
+		if err := encoder.Encode(&figures[i]); err != nil {
+			return fmt.Errorf("measure: %s: %w", path, err)
+		}
+	}
+	return file.Sync()
+}
+
+func printTable(figures []measure.Figures) error {
+	out := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(out, "scenario\tpolicy\tbound\tturns\tmean\treuse\tworst\tp99\tover\tby\tplaced over\t"+
+		"quiet: refused\twait p95\trush: refused\tgiven up\twait p95\tsurging: refused\t")
+	for _, f := range figures {
+		fmt.Fprintf(out, "%s\t%s\t%.2f\t%d\t%.1f\t%.3f\t%.2f\t%.2f\t%.4f\t%.1f\t%d by %d\t%d\t%.2f\t%d of %d\t%d\t%.2f\t%d of %d\t\n",
+			f.Scenario, f.Policy, f.Bound, f.Turns, f.Mean, f.Reuse, f.Worst, f.P99, f.Over, f.OverRequests,
+			f.OverDecisions, f.OverMost, f.Quiet.Refusals, f.Quiet.WaitP95,
+			f.Rush.Refusals, f.Rush.Turns, f.Rush.GivenUp, f.Rush.WaitP95, f.Surging.Refusals, f.Surging.Turns)
+	}
+	return out.Flush()
+}
--- /dev/null
+++ b/internal/measure/faults.go
@@ -0,0 +1,113 @@
+package measure
+
+import (
+	"time"
+
+	"github.com/ebonydyke/ebonydyke/internal/core/membership"
+)
+
+// The pace of the faults. Larger fleets see them more often, as their number of
+// backend servers grows.
+const (
+	leaveEvery   = time.Minute
+	leaveFor     = time.Minute
+	drainFor     = 20 * time.Second
+	flapEvery    = 3 * time.Minute
+	flapFor      = 4 * time.Second
+	flapTimes    = 3
+	replaceEvery = 30 * time.Second
+	zoneLostFor  = 2 * time.Minute
+)
+
+func (w *world) faults() {
+	if w.Churn {
+		w.every(w.Warmup+5*time.Second, leaveEvery, w.leaveAndJoin)
+		w.every(w.Warmup+35*time.Second, flapEvery, func() { w.flap(w.drawServer(), flapTimes) })
+		w.every(replaceEvery, replaceEvery, w.replaceRouter)
+	}
+	if w.ZoneLoss {
+		w.after(w.Warmup+w.measured()/2, w.loseZone)
+	}
+}
+
+// drawServer returns a live backend server.
+func (w *world) drawServer() *server {
+	for {
+		if s := w.servers[w.random.IntN(len(w.servers))]; s.state == membership.Live {
+			return s
+		}
+	}
+}
+
+// leaveAndJoin lets a backend server leave as planned; another process joins in its
+// place later, with an empty cache.
+func (w *world) leaveAndJoin() {
+	s := w.drawServer()
+	w.change(s, membership.Leaving)
+	w.after(drainFor, func() { w.crash(s) })
+	w.after(leaveFor, func() { w.join(s) })
+}
+
+// flap crashes a backend server and brings it back, a few times in a row.
+func (w *world) flap(s *server, times int) {
+	w.crash(s)
+	w.after(flapFor, func() { w.join(s) })
+	if times > 1 {
+		w.after(3*flapFor, func() { w.flap(s, times-1) })
+	}
+}
+
+func (w *world) join(s *server) {
+	if s.state == membership.Live {
+		return
+	}
+	s.incarnation++
+	s.cache = newPrefixCache(w.CacheTokens)
+	w.change(s, membership.Live)
+}
+
+// change sets a backend server's state; the platform lists it listLag later.
+func (w *world) change(s *server, state membership.State) {
+	s.state = state
+	listed := s.instance()
+	w.after(listLag, func() { s.listed = listed })
+}
+
+// crash ends a process at once: its requests break off and its cache is lost.
+func (w *world) crash(s *server) {
+	if s.state == membership.Gone {
+		return
+	}
+	w.change(s, membership.Gone)
+	broken := s.running
+	s.running = nil
+	for _, t := range broken {
+		t.attempt++
+		srv, wait := w.policy.failed(t, true)
+		w.placed(t, srv, wait)
+	}
+}
+
+func (w *world) replaceRouter() {
+	w.policy.replaced(w.routers[w.random.IntN(len(w.routers))])
+}
+
+// loseZone takes the backend servers of one availability zone and its routers away.
+func (w *world) loseZone() {
+	const lost = 1
+	for i, s := range w.servers {
+		if i%zones == lost {
+			w.crash(s)
+			w.after(zoneLostFor, func() { w.join(s) })
+		}
+	}
+	for _, r := range w.routers {
+		if r.zone == lost {
+			r.down = true
+			w.after(zoneLostFor, func() {
+				r.down = false
+				w.policy.replaced(r)
+			})
+		}
+	}
+}
--- /dev/null
+++ b/internal/measure/fleet.go
@@ -0,0 +1,297 @@
+package measure
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/ebonydyke/ebonydyke/internal/core"
+	"github.com/ebonydyke/ebonydyke/internal/core/config"
+	"github.com/ebonydyke/ebonydyke/internal/core/membership"
+	"github.com/ebonydyke/ebonydyke/internal/core/retry"
+)
+
+// Delays of the world round the nodes.
+const (
+	linkDelay     = time.Millisecond
+	platformDelay = 5 * time.Millisecond
+	pollDelay     = 2 * time.Millisecond
+)
+
+const serviceName = "model-pool"
+
+// epochStart is the virtual time at which every run starts.
+var epochStart = time.Date(2026, 3, 2, 6, 0, 0, 0, time.UTC)
+
+// process is one running core in a router's place.
+type process struct {
+	name        string
+	zone        string
+	node        *core.Node
+	incarnation uint64
+	own         map[string]int
+	peers       map[string]bool
+	inFlight    int
+	retired     bool
+}
+
+// fleet is the policy under judgement: one real core node a router.
+type fleet struct {
+	w         *world
+	hints     bool
+	config    config.Envelope
+	current   []*process
+	processes []*process
+	byName    map[string]*process
+	servers   map[string]*server
+	placing   map[*turn]*placing
+	nextFeed  time.Duration
+	started   uint64
+}
+
+// placing is a turn in progress at a node.
+type placing struct {
+	process *process
+	attempt int
+	hint    string
+}
+
+func newFleet(w *world, hints bool) *fleet {
+	f := &fleet{
+		w:       w,
+		hints:   hints,
+		config:  configuration(&w.Scenario),
+		byName:  make(map[string]*process),
+		servers: make(map[string]*server),
+		placing: make(map[*turn]*placing),
+		current: make([]*process, len(w.routers)),
+	}
+	for _, s := range w.servers {
+		f.servers[s.name] = s
+	}
+	for _, r := range w.routers {
+		f.start(r)
+	}
+	return f
+}
+
+func configuration(s *Scenario) config.Envelope {
+	text := config.Text{Services: []config.Service{{
+		Name: serviceName, Kind: config.Model, FromPlatform: true,
+		SkewBound: s.Bound, Capacity: s.Capacity, Deadline: config.Duration(10 * time.Minute),
+	}}}
+	for i := range customerShares {
+		text.Customers = append(text.Customers, config.Customer{Name: customerName(i)})
+	}
+	body, err := json.Marshal(text)
+	if err != nil {
+		panic(err)
+	}
+	return config.Envelope{Generation: 1, Edit: "measure", Text: string(body)}
+}
+
+func customerName(i int) string { return fmt.Sprint("customer-", i) }
+
+func (f *fleet) now() time.Time { return epochStart.Add(f.w.now) }
+
+// start runs a new process in the router's place.
+func (f *fleet) start(r *router) {
+	f.started++
+	p := &process{
+		name:        fmt.Sprintf("%s-%d", r.name, f.started),
+		zone:        fmt.Sprint("zone-", r.zone),
+		incarnation: f.started,
+		own:         make(map[string]int),
+		peers:       make(map[string]bool),
+	}
+	p.node = core.New(core.Settings{
+		Name: p.name, Zone: p.zone, PeerAddress: p.name, Incarnation: p.incarnation, Seed: f.w.Seed + f.started,
+	})
+	f.current[r.index] = p
+	f.byName[p.name] = p
+	f.processes = append(f.processes, p)
+	f.handle(p, core.ConfigOffered{Envelope: f.config})
+	f.handle(p, core.Ticked{})
+}
+
+// handle gives a node an event and carries its effects out. It returns the attempt
+// or the refusal that came at once, if any.
+func (f *fleet) handle(p *process, e core.Event) (attempt *core.SendAttempt, refused *core.Finish) {
+	for _, effect := range p.node.Handle(f.now(), e) {
+		switch e := effect.(type) {
+		case core.SendAttempt:
+			attempt = &e
+		case core.Finish:
+			refused = &e
+		default:
+			f.carryOut(p, effect)
+		}
+	}
+	return attempt, refused
+}
+
+func (f *fleet) carryOut(p *process, effect core.Effect) {
+	switch e := effect.(type) {
+	case core.ListInstances:
+		f.w.after(platformDelay, func() { f.handle(p, core.InstancesListed{Op: e.Op, Members: f.list()}) })
+	case core.PollReport:
+		f.w.after(pollDelay, func() { f.poll(p, e.Backend) })
+	case core.SetPeers:
+		f.w.after(linkDelay, func() { f.connect(p, e.Peers) })
+	case core.SendPeer:
+		f.w.after(linkDelay, func() { f.deliver(p.name, e.To, e.Message) })
+	}
+}
+
+func (f *fleet) deliver(from, to string, m core.PeerMessage) {
+	if p := f.byName[to]; p != nil {
+		f.handle(p, core.PeerReceived{From: from, Message: m})
+	}
+}
+
+func (f *fleet) connect(p *process, peers []core.PeerAddress) {
+	for _, peer := range peers {
+		if other := f.byName[peer.Name]; other != nil && !p.peers[peer.Name] {
+			p.peers[peer.Name] = true
+			f.handle(p, core.PeerConnected{Peer: peer.Name, Incarnation: other.incarnation})
+		}
+	}
+}
+
+// list is the platform's lagging list.
+func (f *fleet) list() []membership.Instance {
+	list := make([]membership.Instance, 0, len(f.w.servers)+len(f.processes))
+	for _, s := range f.w.servers {
+		list = append(list, s.listed)
+	}
+	for _, p := range f.processes {
+		state := membership.Live
+		if p.retired {
+			state = membership.Leaving
+		}
+		list = append(list, membership.Instance{
+			Name: p.name, Role: membership.Entry, Zone: p.zone, Address: p.name, Incarnation: p.incarnation, State: state,
+		})
+	}
+	return list
+}
+
+func (f *fleet) report(s *server) membership.Report {
+	return membership.Report{
+		Backend: s.name, Incarnation: s.incarnation, State: s.state, InFlight: s.reported(),
+		At: f.now().Add(-reportLag),
+	}
+}
+
+func (f *fleet) poll(p *process, backend string) {
+	s := f.servers[backend]
+	f.handle(p, core.BackendReported{Report: f.report(s), Failed: s.state == membership.Gone})
+}
+
+func (f *fleet) place(t *turn) (*server, time.Duration) {
+	p := f.current[t.router.index]
+	e := core.RequestArrived{
+		Request:  core.RequestID(t.id()),
+		Customer: customerName(t.chat.customer),
+		Service:  serviceName,
+		Chat:     t.chat.id,
+	}
+	if f.hints {
+		e.Hint = t.chat.hint
+	}
+	f.placing[t] = &placing{process: p}
+	attempt, refused := f.handle(p, e)
+	return f.follow(t, attempt, refused)
+}
+
+// follow turns what the core decided into the world's terms.
+func (f *fleet) follow(t *turn, attempt *core.SendAttempt, refused *core.Finish) (*server, time.Duration) {
+	pl := f.placing[t]
+	if attempt == nil {
+		delete(f.placing, t)
+		return nil, refused.RetryAfter
+	}
+	s := f.servers[attempt.Backend]
+	t.server = s
+	pl.attempt, pl.hint = attempt.Attempt, attempt.Placement
+	pl.process.own[s.name]++
+	pl.process.inFlight++
+	return s, 0
+}
+
+// leave ends the turn's running attempt at its node.
+func (f *fleet) leave(t *turn, outcome retry.Outcome) (*core.SendAttempt, *core.Finish) {
+	pl := f.placing[t]
+	pl.process.own[t.server.name]--
+	pl.process.inFlight--
+	e := core.AttemptEnded{Request: core.RequestID(t.id()), Attempt: pl.attempt, Outcome: outcome}
+	if outcome == retry.Answered {
+		report := f.report(t.server)
+		e.Load = &report
+	}
+	return f.handle(pl.process, e)
+}
+
+func (f *fleet) failed(t *turn, sent bool) (*server, time.Duration) {
+	outcome := retry.NotSent
+	if sent {
+		outcome = retry.Unknown
+	}
+	attempt, refused := f.leave(t, outcome)
+	return f.follow(t, attempt, refused)
+}
+
+func (f *fleet) ended(t *turn) {
+	f.leave(t, retry.Answered)
+	t.chat.hint = f.placing[t].hint
+	delete(f.placing, t)
+}
+
+// replaced starts a new process in the router's place; the old one ends what it has.
+func (f *fleet) replaced(r *router) {
+	f.current[r.index].retired = true
+	f.start(r)
+}
+
+func (f *fleet) tick() {
+	f.feed()
+	kept := f.processes[:0]
+	for _, p := range f.processes {
+		if p.retired && p.inFlight == 0 {
+			delete(f.byName, p.name)
+			continue
+		}
+		f.handle(p, core.Ticked{})
+		kept = append(kept, p)
+	}
+	f.processes = kept
+}
+
+// feed hands each node's loads to the others, full mesh, in place of the digests
+// that the nodes send themselves.
+func (f *fleet) feed() {
+	if f.w.DigestEvery == 0 || f.w.now < f.nextFeed {
+		return
+	}
+	f.nextFeed = f.w.now + f.w.DigestEvery
+	for k, p := range f.processes {
+		spread := f.w.DigestEvery * time.Duration(k) / time.Duration(len(f.processes))
+		f.w.after(spread, func() { f.tell(p) })
+	}
+}
+
+func (f *fleet) tell(p *process) {
+	digest := &core.Digest{At: f.now(), Full: true}
+	for _, s := range f.w.servers {
+		if n := p.own[s.name]; n > 0 {
+			digest.Loads = append(digest.Loads, core.BackendLoad{Backend: s.name, InFlight: n})
+		}
+	}
+	f.w.after(linkDelay, func() {
+		for _, other := range f.processes {
+			if other != p {
+				f.deliver(p.name, other.name, core.PeerMessage{Digest: digest})
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/measure/scenarios.go
@@ -0,0 +1,42 @@
+package measure
+
+import "time"
+
+// plenty is a capacity that no scenario without a limit reaches.
+const plenty = 100_000
+
+// Scenarios returns the runs by which the decisions are judged.
+func Scenarios(seed uint64) []Scenario {
+	reuse := Scenario{
+		Name: "reuse-churn", Seed: seed, Servers: 12, Routers: 8, Mean: 16, Capacity: plenty, Bound: 1.25,
+		CacheTokens: 1_500_000, Warmup: 15 * time.Minute, Duration: 135 * time.Minute,
+		DigestEvery: 500 * time.Millisecond, Churn: true, ZoneLoss: true,
+	}
+	skew := reuse
+	skew.Name, skew.Mean, skew.Surge, skew.ZoneLoss = "skew", 24, true, false
+	skew.Warmup, skew.Duration = 5*time.Minute, 35*time.Minute
+	steady := skew
+	steady.Name, steady.Churn, steady.Surge = "skew-steady", false, false
+	low := skew
+	low.Name, low.Mean = "skew-low", 9
+	large := skew
+	large.Name, large.Servers, large.Routers = "skew-large", 148, 58
+	large.Warmup, large.Duration = 2*time.Minute, 8*time.Minute
+	rush := skew
+	rush.Name, rush.Capacity, rush.Churn = "rush", 36, false
+	return []Scenario{reuse, skew, steady, low, large, rush}
+}
+
+// CurveBounds are the bounds over which reuse is set against skew.
+var CurveBounds = []float64{1.05, 1.1, 1.15, 1.2, 1.25, 1.3, 1.4, 1.5, 1.75, 2}
+
+// Curve returns the runs of the curve: the skew scenario at each bound.
+func Curve(seed uint64) []Scenario {
+	var list []Scenario
+	for _, bound := range CurveBounds {
+		s := Scenarios(seed)[1]
+		s.Name, s.Bound = "curve", bound
+		list = append(list, s)
+	}
+	return list
+}
--- /dev/null
+++ b/internal/measure/workload.go
@@ -0,0 +1,163 @@
+package measure
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+// chat is one caller's chat: turns with pauses between them. It draws from a source
+// of its own, so that every policy is given the same chats.
+type chat struct {
+	id       string
+	customer int
+	random   *rand.Rand
+	dossier  bool
+	turns    int
+	tokens   int
+	hint     string
+	number   int
+}
+
+// turn is one request of a chat.
+type turn struct {
+	chat   *chat
+	number int
+	// prefix are the tokens of the chat so far, fresh those that the turn adds.
+	prefix, fresh, output int
+	cached                int
+	arrived               time.Duration
+	router                *router
+	server                *server
+	attempt               int
+	refusals              int
+	index                 int
+}
+
+func (t *turn) id() string { return fmt.Sprintf("%s/%d/%d", t.chat.id, t.number, t.refusals) }
+
+// The shape of the chats.
+const (
+	dossierShare  = 0.1
+	dossierTurns  = 14
+	dossierTokens = 9000
+	shortTurns    = 5
+	shortTokens   = 600
+	freshTokens   = 150
+	meanOutput    = 400
+	// medianPause lies between two turns of most chats; longShare of the pauses are
+	// longPause and more.
+	medianPause = 75 * time.Second
+	longShare   = 0.03
+	longPause   = time.Hour
+	// expectedService is about the time that one turn takes, for setting the rates.
+	expectedService = 8 * time.Second
+)
+
+// customerShares are the customers' shares of the ordinary traffic: a few large.
+var customerShares = []float64{0.28, 0.2, 0.14, 0.1, 0.08, 0.06, 0.05, 0.04, 0.03, 0.02}
+
+// surging are the customers that surge, by index: 5 and 3 in 100 of the traffic, so
+// that tenfold of them adds 72 in 100.
+var surging = map[int]bool{6: true, 8: true}
+
+const surgeFactor = 10
+
+func newChat(seed uint64, number int, customer int) *chat {
+	random := rand.New(rand.NewPCG(seed, uint64(number)))
+	c := &chat{id: fmt.Sprint("chat-", number), number: number, customer: customer, random: random}
+	c.dossier = random.Float64() < dossierShare
+	mean, tokens := float64(shortTurns), float64(shortTokens)
+	if c.dossier {
+		mean, tokens = dossierTurns, dossierTokens
+	}
+	c.turns = 1 + int(random.ExpFloat64()*(mean-1))
+	c.tokens = int(tokens * lognormal(random, 0.5))
+	return c
+}
+
+// lognormal draws with a median of 1.
+func lognormal(random *rand.Rand, sigma float64) float64 {
+	return math.Exp(sigma * random.NormFloat64())
+}
+
+func (c *chat) pause() time.Duration {
+	if c.random.Float64() < longShare {
+		return time.Duration(float64(longPause) * (1 + 2*c.random.Float64()))
+	}
+	return time.Duration(float64(medianPause) * lognormal(c.random, 0.9))
+}
+
+// nextTurn draws the next turn; its prefix is all that came before.
+func (c *chat) nextTurn(number int) *turn {
+	t := &turn{chat: c, number: number, prefix: c.tokens}
+	if number == 0 {
+		t.prefix, t.fresh = 0, c.tokens
+	} else {
+		t.fresh = int(freshTokens * lognormal(c.random, 0.7))
+	}
+	t.output = int(meanOutput * lognormal(c.random, 0.7))
+	c.tokens = t.prefix + t.fresh + t.output
+	return t
+}
+
+// arrivals starts the chats: a standing population that is spread over its pauses,
+// and new chats at the rate that keeps the mean load.
+func (w *world) arrivals() {
+	turnRate := w.Mean * float64(w.Servers) / expectedService.Seconds()
+	meanTurns := (1-dossierShare)*shortTurns + dossierShare*dossierTurns
+	w.chatRate = turnRate / meanTurns
+	lifetime := meanTurns * 2 * medianPause.Seconds()
+	for range int(w.chatRate * lifetime) {
+		c := w.newChat(w.drawCustomer())
+		first := c.random.IntN(c.turns)
+		for range first {
+			c.tokens += int(freshTokens + meanOutput)
+		}
+		wait := time.Duration(c.random.Float64() * 2 * float64(medianPause))
+		w.after(wait, func() { w.turnArrives(c.nextTurn(first)) })
+	}
+	for customer, share := range customerShares {
+		w.nextChat(customer, share)
+	}
+}
+
+func (w *world) nextChat(customer int, share float64) {
+	rate := w.chatRate * share
+	if w.surges(customer) {
+		rate *= surgeFactor
+	}
+	wait := min(seconds(w.random.ExpFloat64()/rate), time.Minute)
+	w.after(wait, func() {
+		if wait < time.Minute {
+			c := w.newChat(customer)
+			w.turnArrives(c.nextTurn(0))
+		}
+		w.nextChat(customer, share)
+	})
+}
+
+// surges tells whether the customer's rush is on.
+func (w *world) surges(customer int) bool {
+	return surging[customer] && w.inSurge()
+}
+
+func (w *world) inSurge() bool {
+	return w.Surge && w.now >= w.Warmup+w.measured()/3 && w.now < w.Warmup+2*w.measured()/3
+}
+
+func (w *world) newChat(customer int) *chat {
+	w.chats++
+	return newChat(w.Seed, w.chats, customer)
+}
+
+func (w *world) drawCustomer() int {
+	x := w.random.Float64()
+	for i, share := range customerShares {
+		if x -= share; x < 0 {
+			return i
+		}
+	}
+	return 0
+}
