--- a/internal/core/config/types.go
+++ b/internal/core/config/types.go
@@ -20,11 +20,11 @@
 func (d *Duration) UnmarshalJSON(b []byte) error {
 	var s string
 	if err := json.Unmarshal(b, &s); err != nil {
-		return fmt.Errorf("duration: expected text such as \"30s\": %w", err)
+		return fmt.Errorf("duration: expected text such as \"30s\", found %s", b)
 	}
 	v, err := time.ParseDuration(s)
 	if err != nil {
-		return fmt.Errorf("duration: %w", err)
+		return fmt.Errorf("duration: expected text such as \"30s\", found %q", s)
 	}
 	*d = Duration(v)
 	return nil
