--- a/internal/jsonc/decode.go
+++ b/internal/jsonc/decode.go
@@ -38,7 +38,7 @@
 		return
 	}
 	if err := into.UnmarshalJSON(literal); err != nil {
-		d.addAt(value.StartOffset, err.Error())
+		d.misfit(value, err.Error())
 	}
 }
 
@@ -95,7 +95,7 @@
 		return
 	}
 	if !setLiteral(literal, into) {
-		d.addAt(value.StartOffset, fmt.Sprintf("expected %s, found %s", expected, literal))
+		d.misfit(value, fmt.Sprintf("expected %s, found %s", expected, literal))
 	}
 }
 
@@ -133,7 +133,12 @@
 		'n': "null", 'f': "false", 't': "true", '"': "text", '0': "a number",
 		'{': "an object", '[': "a list",
 	}[value.Value.Kind()]
-	d.addAt(value.StartOffset, fmt.Sprintf("expected %s, found %s", expected, found))
+	d.misfit(value, fmt.Sprintf("expected %s, found %s", expected, found))
+}
+
+func (d *Document) misfit(value hujson.Value, what string) {
+	d.misfits[value.StartOffset] = true
+	d.addAt(value.StartOffset, what)
 }
 
 // fieldsOf maps the json names of a struct's fields to their indexes.
--- a/internal/jsonc/document.go
+++ b/internal/jsonc/document.go
@@ -29,12 +29,14 @@
 	root     hujson.Value
 	findings Findings
 	omitted  int
+	// misfits are the offsets of values that could not be decoded.
+	misfits map[int]bool
 }
 
 // Parse reads a text. A text that is not JSON with comments gives its first
 // syntax error as Findings.
 func Parse(file string, text []byte) (*Document, error) {
-	d := &Document{file: file, text: text}
+	d := &Document{file: file, text: text, misfits: make(map[int]bool)}
 	// The parser calls itself for each level: a megabyte of opening brackets
 	// would exhaust the stack, which no recover can catch.
 	if at := tooDeep(text); at >= 0 {
@@ -59,9 +61,14 @@
 }
 
 // Add records a finding at a path such as services[2].depends_on[0]. A path that
-// the text lacks is reported at its nearest ancestor in the text.
+// the text lacks is reported at its nearest ancestor in the text. A value that
+// could not be decoded has its finding already and gets no second one.
 func (d *Document) Add(path, format string, args ...any) {
-	d.addAt(d.offset(path), fmt.Sprintf(format, args...))
+	value, whole := d.find(path)
+	if whole && d.misfits[value.StartOffset] {
+		return
+	}
+	d.addAt(value.StartOffset, fmt.Sprintf(format, args...))
 }
 
 // Err returns the findings in the order of the text, or nil.
@@ -80,7 +87,8 @@
 
 // Place returns the line and column, from 1, of the value at a path.
 func (d *Document) Place(path string) (line, column int) {
-	return d.place(d.offset(path))
+	value, _ := d.find(path)
+	return d.place(value.StartOffset)
 }
 
 // Has tells whether the text has a value at a path.
@@ -103,11 +111,6 @@
 	return 1 + bytes.Count(before, []byte("\n")), offset - bytes.LastIndexByte(before, '\n')
 }
 
-func (d *Document) offset(path string) int {
-	value, _ := d.find(path)
-	return value.StartOffset
-}
-
 // find returns the value at a path, or its nearest ancestor in the text, and
 // whether the path was followed to its end.
 func (d *Document) find(path string) (value hujson.Value, whole bool) {
