--- a/cmd/ebonydyked/main.go
+++ b/cmd/ebonydyked/main.go
@@ -1,33 +1,74 @@
 // Command ebonydyked is one entry instance of the router fleet.
+//
+// It ends with 0 after a graceful shutdown, with 1 after a failure, and with 2
+// when its settings have findings.
 package main
 
 import (
+	"errors"
+	"flag"
+	"fmt"
 	"log/slog"
 	"os"
 	"os/signal"
+	"strconv"
 	"syscall"
 
 	"github.com/alecthomas/kong"
 	"k8s.io/klog/v2"
 
 	"github.com/ebonydyke/ebonydyke/internal/daemon"
+	"github.com/ebonydyke/ebonydyke/internal/jsonc"
 	"github.com/ebonydyke/ebonydyke/internal/settings"
 )
 
+// Exit codes.
+const (
+	exitFailed   = 1
+	exitFindings = 2
+)
+
 type flags struct {
 	Settings string `required:"" type:"path" help:"Settings file, JSON with comments."`
-	Check    bool   `help:"Check the settings and exit."`
+	Check    bool   `help:"Check the settings, print every finding and exit: 0 without findings, else 2."`
 }
 
 func main() {
 	var f flags
-	k := kong.Parse(&f, kong.Description("An entry instance of the ebonydyke router fleet."))
-	klog.SetSlogLogger(slog.New(slog.NewJSONHandler(os.Stderr, nil)))
+	kong.Parse(&f, kong.Description("An entry instance of the ebonydyke router fleet."))
 	s, err := settings.Read(f.Settings)
-	k.FatalIfErrorf(err)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		var findings jsonc.Findings
+		if errors.As(err, &findings) {
+			os.Exit(exitFindings)
+		}
+		os.Exit(exitFailed)
+	}
 	if f.Check {
+		fmt.Println("no findings")
 		return
 	}
+	logJSON(s.LogVerbosity)
+	if err := daemon.Run(stopOnSignal(), s); err != nil {
+		klog.ErrorS(err, "failed", "instance", s.Name)
+		os.Exit(exitFailed)
+	}
+	klog.InfoS("stopped", "instance", s.Name)
+}
+
+// logJSON makes klog write JSON lines to standard error, with the lines of V
+// levels up to verbosity.
+func logJSON(verbosity int) {
+	level := slog.Level(-verbosity)
+	klog.SetSlogLogger(slog.New(slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: level})))
+	set := flag.NewFlagSet("klog", flag.ContinueOnError)
+	klog.InitFlags(set)
+	_ = set.Set("v", strconv.Itoa(verbosity))
+}
+
+// stopOnSignal returns a channel that closes on the first signal to stop.
+func stopOnSignal() <-chan struct{} {
 	stop := make(chan struct{})
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
@@ -35,5 +76,5 @@
 		<-signals
 		close(stop)
 	}()
-	k.FatalIfErrorf(daemon.Run(stop, s))
+	return stop
 }
--- a/internal/core/config/check.go
+++ b/internal/core/config/check.go
@@ -61,6 +61,14 @@
 	return compile(env, t), nil
 }
 
+// Defaults returns a text of one service and one customer that leave out all that
+// may be left out, as it is taken.
+func Defaults() Text {
+	t := Text{Services: make([]Service, 1), Customers: make([]Customer, 1)}
+	fillDefaults(&t)
+	return t
+}
+
 // unfit says why a text cannot be stored as it is, if so.
 func unfit(text string) string {
 	if !utf8.ValidString(text) {
--- a/internal/core/config/types.go
+++ b/internal/core/config/types.go
@@ -43,15 +43,20 @@
 
 // Text is the operators' declaration of the whole fleet's work.
 type Text struct {
-	Services  []Service  `json:"services"`
+	// Services are the model services and plain services of the fleet.
+	Services []Service `json:"services"`
+	// Customers are those whose requests are taken.
 	Customers []Customer `json:"customers"`
-	Claims    Claims     `json:"claims"`
+	// Claims sizes the ledger of idempotency keys.
+	Claims Claims `json:"claims"`
 }
 
 // Service is one service and the backend servers behind it.
 type Service struct {
+	// Name is unique among the services.
 	Name string `json:"name"`
-	Kind Kind   `json:"kind"`
+	// Kind is "model" or "plain".
+	Kind Kind `json:"kind"`
 	// Models are the model names that a model service answers to; its own name
 	// when empty.
 	Models []string `json:"models,omitempty"`
@@ -75,13 +80,17 @@
 
 // BackendServer is one fixed backend server.
 type BackendServer struct {
-	Name    string `json:"name"`
+	// Name is unique in the whole fleet.
+	Name string `json:"name"`
+	// Address is where it listens, as IP:port.
 	Address string `json:"address"`
-	Zone    string `json:"zone"`
+	// Zone is the availability zone that it stands in.
+	Zone string `json:"zone"`
 }
 
 // Customer is one customer and its share.
 type Customer struct {
+	// Name is what callers give in the Ebonydyke-Customer header.
 	Name string `json:"name"`
 	// Weight is the customer's share at saturation relative to the others'.
 	Weight float64 `json:"weight,omitempty"`
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -3,49 +3,201 @@
 package settings
 
 import (
-	"bytes"
-	"encoding/json"
 	"fmt"
+	"net/netip"
+	"net/url"
 	"os"
-
-	"github.com/tailscale/hujson"
+	"regexp"
+	"time"
 
 	"github.com/ebonydyke/ebonydyke/internal/core/config"
+	"github.com/ebonydyke/ebonydyke/internal/jsonc"
 )
 
 // Settings are the daemon's own settings, in JSON with comments.
 type Settings struct {
-	// Name identifies the instance in the fleet.
+	// Name identifies the instance in the fleet; no two running instances may share one.
 	Name string `json:"name"`
-	// Zone is the availability zone the instance stands in.
+	// Zone is the availability zone that the instance stands in.
 	Zone string `json:"zone"`
-	// Listen is the address for callers.
+	// Region is the region of the zone; it may be left out where there is only one.
+	Region string `json:"region"`
+	// Listen is the address for callers, as IP:port.
 	Listen string `json:"listen"`
-	// PeerListen is the address for other instances.
+	// PeerListen is the address for the other instances, as IP:port. They connect
+	// to it as it stands here.
 	PeerListen string `json:"peer_listen"`
-	// AdminListen is the address for operators and metrics; loopback by default.
+	// AdminListen is the address for operators and metrics, as IP:port. Nothing on
+	// it asks who calls, so keep it on loopback or on a network of operators.
 	AdminListen string `json:"admin_listen"`
 	// Platform is the base URL of the platform's service.
 	Platform string `json:"platform"`
-	// AcceptDelay is how long a stopping instance goes on accepting.
+	// Seeds are peer addresses, as IP:port, to ask for the configuration and the
+	// members when the platform is away at the start.
+	Seeds []string `json:"seeds"`
+	// AcceptDelay is how long a stopping instance goes on accepting: longer than
+	// the balancer takes to notice that it is not ready.
 	AcceptDelay config.Duration `json:"accept_delay"`
+	// Limits bound what callers and backend servers can take of the instance.
+	Limits Limits `json:"limits"`
+	// LogVerbosity is the level of detail of the log, from 0 to 9.
+	LogVerbosity int `json:"log_verbosity"`
+}
+
+// Limits bound what callers and backend servers can take of one instance.
+type Limits struct {
+	// MaxBody is the largest request body, in bytes.
+	MaxBody int `json:"max_body"`
+	// MaxHeader is the largest header of a request or an answer, in bytes.
+	MaxHeader int `json:"max_header"`
+	// ReadTimeout bounds the reading of one whole request.
+	ReadTimeout config.Duration `json:"read_timeout"`
+	// CallerIdle is how long a caller's connection is kept without a request:
+	// longer than the balancer keeps its own idle connections.
+	CallerIdle config.Duration `json:"caller_idle"`
+	// WriteStall is how long a caller may take no byte of its answer.
+	WriteStall config.Duration `json:"write_stall"`
+	// DrainIdle is how long a caller's connection must have been silent before a
+	// stopping instance closes it.
+	DrainIdle config.Duration `json:"drain_idle"`
+	// DialTimeout bounds the opening of a connection to a backend server.
+	DialTimeout config.Duration `json:"dial_timeout"`
+	// BackendIdle is how long an unused connection to a backend server is kept.
+	BackendIdle config.Duration `json:"backend_idle"`
+	// Inactivity is how long a backend server may be silent within an answer.
+	Inactivity config.Duration `json:"inactivity"`
+}
+
+// MaxVerbosity is the highest log_verbosity.
+const MaxVerbosity = 9
+
+// Default returns the settings that a file changes. Who and where an instance is
+// has no default.
+func Default() Settings {
+	return Settings{
+		AdminListen: "127.0.0.1:7090",
+		AcceptDelay: config.Duration(10 * time.Second),
+		Limits: Limits{
+			MaxBody:     8 << 20,
+			MaxHeader:   32 << 10,
+			ReadTimeout: config.Duration(time.Minute),
+			CallerIdle:  config.Duration(10 * time.Minute),
+			WriteStall:  config.Duration(time.Minute),
+			DrainIdle:   config.Duration(5 * time.Second),
+			DialTimeout: config.Duration(time.Second),
+			BackendIdle: config.Duration(30 * time.Second),
+			Inactivity:  config.Duration(30 * time.Second),
+		},
+	}
 }
 
-// Read reads and checks a settings file.
+// Read reads and checks a settings file. The error is of type jsonc.Findings
+// when the file could be read.
 func Read(path string) (*Settings, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
-	std, err := hujson.Standardize(text)
+	return Parse(path, text)
+}
+
+// Parse checks the text of a settings file. The error is of type jsonc.Findings
+// and holds every finding.
+func Parse(file string, text []byte) (*Settings, error) {
+	doc, err := jsonc.Parse(file, text)
 	if err != nil {
-		return nil, fmt.Errorf("settings: %s: %w", path, err)
+		return nil, err
 	}
-	dec := json.NewDecoder(bytes.NewReader(std))
-	dec.DisallowUnknownFields()
-	s := Settings{AdminListen: "127.0.0.1:0"}
-	if err := dec.Decode(&s); err != nil {
-		return nil, fmt.Errorf("settings: %s: %w", path, err)
+	s := Default()
+	doc.Decode(&s)
+	check(doc, &s)
+	if err := doc.Err(); err != nil {
+		return nil, err
 	}
 	return &s, nil
 }
+
+var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]*$`)
+
+func check(doc *jsonc.Document, s *Settings) {
+	checkName(doc, "name", s.Name)
+	checkName(doc, "zone", s.Zone)
+	if s.Region != "" {
+		checkName(doc, "region", s.Region)
+	}
+	checkAddress(doc, "listen", s.Listen)
+	checkAddress(doc, "admin_listen", s.AdminListen)
+	checkDialled(doc, "peer_listen", s.PeerListen)
+	for i, seed := range s.Seeds {
+		checkDialled(doc, fmt.Sprintf("seeds[%d]", i), seed)
+	}
+	checkDistinct(doc, s)
+	if u, err := url.Parse(s.Platform); err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
+		doc.Add("platform", "platform %q, expected a URL such as http://10.0.0.1:7000", s.Platform)
+	}
+	if s.AcceptDelay < 0 {
+		doc.Add("accept_delay", "accept_delay %v, expected 0s or more", time.Duration(s.AcceptDelay))
+	}
+	if s.LogVerbosity < 0 || s.LogVerbosity > MaxVerbosity {
+		doc.Add("log_verbosity", "log_verbosity %d, expected from 0 to %d", s.LogVerbosity, MaxVerbosity)
+	}
+	checkLimits(doc, &s.Limits)
+}
+
+func checkName(doc *jsonc.Document, path, name string) {
+	if len(name) > config.MaxName || !namePattern.MatchString(name) {
+		doc.Add(path, "%s %q, expected up to %d letters, digits and ._- beginning with a letter or digit", path, name, config.MaxName)
+	}
+}
+
+func checkAddress(doc *jsonc.Document, path, address string) {
+	if _, err := netip.ParseAddrPort(address); err != nil {
+		doc.Add(path, "%s %q, expected IP:port such as 10.0.0.1:7080", path, address)
+	}
+}
+
+// checkDialled finds an address that others could not connect to.
+func checkDialled(doc *jsonc.Document, path, address string) {
+	addr, err := netip.ParseAddrPort(address)
+	if err != nil || addr.Port() == 0 || addr.Addr().IsUnspecified() {
+		doc.Add(path, "%s %q, expected IP:port that other instances can connect to, such as 10.0.0.1:7081", path, address)
+	}
+}
+
+// checkDistinct finds one address written for two uses.
+func checkDistinct(doc *jsonc.Document, s *Settings) {
+	seen := make(map[string]string)
+	for _, a := range []struct{ path, address string }{
+		{"listen", s.Listen}, {"peer_listen", s.PeerListen}, {"admin_listen", s.AdminListen},
+	} {
+		addr, err := netip.ParseAddrPort(a.address)
+		if err != nil || addr.Port() == 0 {
+			continue
+		}
+		if first := seen[a.address]; first != "" {
+			doc.Add(a.path, "%s %q is already the address of %s, expected another", a.path, a.address, first)
+		}
+		seen[a.address] = a.path
+	}
+}
+
+func checkLimits(doc *jsonc.Document, l *Limits) {
+	for _, limit := range []struct {
+		path  string
+		value int64
+	}{
+		{"max_body", int64(l.MaxBody)},
+		{"max_header", int64(l.MaxHeader)},
+		{"read_timeout", int64(l.ReadTimeout)},
+		{"caller_idle", int64(l.CallerIdle)},
+		{"write_stall", int64(l.WriteStall)},
+		{"drain_idle", int64(l.DrainIdle)},
+		{"dial_timeout", int64(l.DialTimeout)},
+		{"backend_idle", int64(l.BackendIdle)},
+		{"inactivity", int64(l.Inactivity)},
+	} {
+		if limit.value <= 0 {
+			doc.Add("limits."+limit.path, "%s must be above 0", limit.path)
+		}
+	}
+}
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,64 @@
+package settings_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/ebonydyke/ebonydyke/internal/core/config"
+	"github.com/ebonydyke/ebonydyke/internal/settings"
+)
+
+const base = `{
+  // One entry instance.
+  "name": "entry-1",
+  "zone": "recife-a",
+  "listen": "0.0.0.0:7080",
+  "peer_listen": "10.20.1.5:7081",
+  "platform": "http://10.20.0.1:7000",
+}`
+
+func TestDefaults(t *testing.T) {
+	s, err := settings.Parse("s", []byte(base))
+	require.NoError(t, err)
+	require.Equal(t, "127.0.0.1:7090", s.AdminListen)
+	require.Equal(t, config.Duration(10*time.Second), s.AcceptDelay)
+	require.Equal(t, settings.Default().Limits, s.Limits)
+}
+
+// TestFindingsTogether gives every finding of a file in one report.
+func TestFindingsTogether(t *testing.T) {
+	_, err := settings.Parse("s.json", []byte(`{
+  "name": "entry 1",
+  "listen": "localhost:80",
+  "peer_listen": "0.0.0.0:7081",
+  "admin_listen": "10.0.0.1:7081",
+  "platform": "10.20.0.1:7000",
+  "seeds": ["10.0.0.2:0", "10.0.0.3:7081"],
+  "accept_delay": "-1s",
+  "limits": {"max_body": 0, "inactivity": "fast", "max_headers": 4},
+  "log_verbosity": 10,
+  "zones": "a",
+}`))
+	require.EqualError(t, err, strings.TrimSpace(`
+s.json:1:1: zone "", expected up to 64 letters, digits and ._- beginning with a letter or digit
+s.json:2:11: name "entry 1", expected up to 64 letters, digits and ._- beginning with a letter or digit
+s.json:3:13: listen "localhost:80", expected IP:port such as 10.0.0.1:7080
+s.json:4:18: peer_listen "0.0.0.0:7081", expected IP:port that other instances can connect to, such as 10.0.0.1:7081
+s.json:6:15: platform "10.20.0.1:7000", expected a URL such as http://10.0.0.1:7000
+s.json:7:13: seeds[0] "10.0.0.2:0", expected IP:port that other instances can connect to, such as 10.0.0.1:7081
+s.json:8:19: accept_delay -1s, expected 0s or more
+s.json:9:26: max_body must be above 0
+s.json:9:43: duration: expected text such as "30s", found "fast"
+s.json:9:51: unknown field "max_headers", expected one of max_body, max_header, read_timeout, caller_idle, write_stall, drain_idle, dial_timeout, backend_idle, inactivity
+s.json:10:20: log_verbosity 10, expected from 0 to 9
+s.json:11:3: unknown field "zones", expected one of name, zone, region, listen, peer_listen, admin_listen, platform, seeds, accept_delay, limits, log_verbosity
+`))
+}
+
+func TestAddressForTwoUses(t *testing.T) {
+	_, err := settings.Parse("s", []byte(strings.Replace(base, "0.0.0.0:7080", "10.20.1.5:7081", 1)))
+	require.EqualError(t, err, `s:6:18: peer_listen "10.20.1.5:7081" is already the address of listen, expected another`)
+}
