Serve operators: metrics, health, readiness, status, explain, drain

Explain places a request with the same code as a real one. Calls on the platform are counted between the core and the executor, so that neither part knows of metrics. Health fails within its bound when the core is stuck (TestStuckCore).

--- /dev/null
+++ b/internal/admin/admin_test.go
@@ -0,0 +1,118 @@
+package admin_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/ebonydyke/ebonydyke/internal/admin"
+	"github.com/ebonydyke/ebonydyke/internal/core"
+	"github.com/ebonydyke/ebonydyke/internal/core/reason"
+	"github.com/ebonydyke/ebonydyke/internal/metrics"
+)
+
+type fakeInstance struct {
+	ready   bool
+	stuck   bool
+	drained chan struct{}
+}
+
+func (f *fakeInstance) answer(ctx context.Context) error {
+	if !f.stuck {
+		return nil
+	}
+	<-ctx.Done()
+	return errors.New("the core does not answer")
+}
+
+func (f *fakeInstance) Status(ctx context.Context) (core.Status, error) {
+	return core.Status{Instance: "entry-1", Generation: 7}, f.answer(ctx)
+}
+
+func (f *fakeInstance) Explain(ctx context.Context, q core.ExplainQuery) (core.Explanation, error) {
+	return core.Explanation{ExplainQuery: q, Chosen: "engine-a"}, f.answer(ctx)
+}
+
+func (f *fakeInstance) Ready(ctx context.Context) (bool, error) { return f.ready, f.answer(ctx) }
+
+func (f *fakeInstance) Drain() { close(f.drained) }
+
+func serve(t *testing.T, f *fakeInstance, m *metrics.Metrics) func(method, path string) (int, string) {
+	server := httptest.NewServer(admin.NewServer(f, m.Gatherer()).Handler)
+	t.Cleanup(server.Close)
+	return func(method, path string) (int, string) {
+		req, err := http.NewRequest(method, server.URL+path, nil)
+		require.NoError(t, err)
+		resp, err := server.Client().Do(req)
+		require.NoError(t, err)
+		defer func() { _ = resp.Body.Close() }()
+		body, err := io.ReadAll(resp.Body)
+		require.NoError(t, err)
+		return resp.StatusCode, string(body)
+	}
+}
+
+func TestOperatorsInterface(t *testing.T) {
+	f := &fakeInstance{drained: make(chan struct{})}
+	m := metrics.New()
+	m.Refused(reason.Saturated)
+	m.Answered("llm", time.Millisecond, time.Second)
+	m.InFlight(func() float64 { return 3 })
+	call := serve(t, f, m)
+
+	code, _ := call(http.MethodGet, admin.PathHealth)
+	require.Equal(t, http.StatusOK, code, "alive although not ready")
+	code, _ = call(http.MethodGet, admin.PathReady)
+	require.Equal(t, http.StatusServiceUnavailable, code)
+	f.ready = true
+	code, _ = call(http.MethodGet, admin.PathReady)
+	require.Equal(t, http.StatusOK, code)
+
+	_, body := call(http.MethodGet, admin.PathStatus)
+	var s core.Status
+	require.NoError(t, json.Unmarshal([]byte(body), &s))
+	require.Equal(t, uint64(7), s.Generation)
+	_, body = call(http.MethodGet, admin.PathExplain+"?service=llm&customer=c&chat=d")
+	require.Contains(t, body, `"customer":"c","chat":"d"`)
+	code, _ = call(http.MethodGet, admin.PathExplain)
+	require.Equal(t, http.StatusBadRequest, code)
+
+	_, body = call(http.MethodGet, admin.PathMetrics)
+	for _, line := range []string{
+		`ebonydyke_refusals_total{reason="saturated"} 1`,
+		`ebonydyke_refusals_total{reason="customer-share"} 0`,
+		`ebonydyke_first_byte_seconds_count{service="llm"} 1`,
+		`ebonydyke_requests_in_flight 3`,
+	} {
+		require.Contains(t, body, line+"\n")
+	}
+
+	code, _ = call(http.MethodGet, admin.PathDrain)
+	require.Equal(t, http.StatusMethodNotAllowed, code, "a page that is only read must not stop an instance")
+	code, _ = call(http.MethodPost, admin.PathDrain)
+	require.Equal(t, http.StatusAccepted, code)
+	<-f.drained
+}
+
+// TestStuckCore is an instance whose core no longer answers.
+//
+// The balancer goes on sending it requests and each of them hangs. The health and
+// readiness checks must fail within their bound instead of hanging too, and the
+// metrics must still be served.
+func TestStuckCore(t *testing.T) {
+	call := serve(t, &fakeInstance{ready: true, stuck: true}, metrics.New())
+	for _, path := range []string{admin.PathHealth, admin.PathReady, admin.PathStatus} {
+		code, body := call(http.MethodGet, path)
+		require.Equal(t, http.StatusServiceUnavailable, code)
+		require.Contains(t, body, "does not answer")
+	}
+	code, _ := call(http.MethodGet, admin.PathMetrics)
+	require.Equal(t, http.StatusOK, code)
+}
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -53,6 +53,7 @@
 	configs   configState
 	list      listState
 	lifecycle lifecycleState
+	observed  observations
 }
 
 // New returns a node that knows nothing but its settings.
@@ -75,6 +76,7 @@
 		n.now = now
 	}
 	n.effects = n.effects[:0]
+	n.observe(event)
 	n.dispatch(event)
 	return n.effects
 }
--- /dev/null
+++ b/internal/core/status_test.go
@@ -0,0 +1,60 @@
+package core_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/ebonydyke/ebonydyke/internal/core"
+	"github.com/ebonydyke/ebonydyke/internal/core/config"
+	"github.com/ebonydyke/ebonydyke/internal/core/reason"
+)
+
+const statusText = `{
+"services": [{"name": "llm", "kind": "model", "backend_servers": [
+{"name": "e1", "address": "10.0.0.1:80", "zone": "a"}, {"name": "e2", "address": "10.0.0.2:80", "zone": "a"}]}],
+"customers": [{"name": "c1"}]}`
+
+// TestStatusOfAnOutage follows what an operator sees while the platform is away.
+//
+// Calls succeed, then fail, then succeed again. The status must say since when
+// the platform is unreachable, not since the last failed call, and the generation
+// in force must stay.
+func TestStatusOfAnOutage(t *testing.T) {
+	n := core.New(core.Settings{Name: "entry-1", Zone: "a"})
+	start := time.Unix(1_700_000_000, 0).UTC()
+	at := func(seconds int) time.Time { return start.Add(time.Duration(seconds) * time.Second) }
+	require.False(t, n.Status().Platform.Known)
+
+	n.Handle(at(0), core.ConfigOffered{Envelope: config.Envelope{Generation: 4, Edit: "e", Text: statusText}})
+	n.Handle(at(1), core.StoreReplied{Op: 1, Status: core.StoreOK})
+	require.Equal(t, core.PlatformStatus{Known: true, Reachable: true, Since: at(1), LastCall: at(1)}, n.Status().Platform)
+	n.Handle(at(2), core.StoreReplied{Op: 2, Status: core.StoreUnknown})
+	n.Handle(at(9), core.InstancesListed{Op: 3, Failed: true})
+	s := n.Status()
+	require.Equal(t, core.PlatformStatus{Known: true, Since: at(2), LastCall: at(9)}, s.Platform)
+	require.Equal(t, uint64(4), s.Generation)
+	n.Handle(at(10), core.StoreReplied{Op: 4, Status: core.StoreUnchanged})
+	require.Equal(t, at(10), n.Status().Platform.Since)
+}
+
+// TestExplainAgreesWithPlacement asks for an explanation and then sends the
+// request: both must name the same backend server.
+func TestExplainAgreesWithPlacement(t *testing.T) {
+	n := core.New(core.Settings{Name: "entry-1", Zone: "a"})
+	now := time.Unix(1_700_000_000, 0)
+	require.Equal(t, reason.NoConfiguration, n.Explain(core.ExplainQuery{Service: "llm"}).Refused)
+	n.Handle(now, core.ConfigOffered{Envelope: config.Envelope{Generation: 1, Edit: "e", Text: statusText}})
+	require.Equal(t, reason.UnknownService, n.Explain(core.ExplainQuery{Service: "x"}).Refused)
+	require.Equal(t, reason.UnknownCustomer, n.Explain(core.ExplainQuery{Service: "llm", Customer: "x"}).Refused)
+
+	for _, chat := range []string{"one", "two", "three", "four"} {
+		x := n.Explain(core.ExplainQuery{Service: "llm", Customer: "c1", Chat: chat})
+		require.Len(t, x.Ranking, 2)
+		effects := n.Handle(now, core.RequestArrived{Request: core.RequestID(chat), Customer: "c1", Service: "llm", Chat: chat})
+		require.Equal(t, x.Chosen, effects[0].(core.SendAttempt).Backend)
+	}
+	require.Equal(t, 4, n.Status().InFlight)
+	require.InDelta(t, 2, n.Status().Services[0].Mean, 0)
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -11,6 +11,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/ebonydyke/ebonydyke/internal/core"
+	"github.com/ebonydyke/ebonydyke/internal/metrics"
 	"github.com/ebonydyke/ebonydyke/internal/platform"
 	"github.com/ebonydyke/ebonydyke/internal/proxy"
 	"github.com/ebonydyke/ebonydyke/internal/settings"
@@ -21,6 +22,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	start := time.Now()
+	counters := metrics.New()
 	loop := NewLoop(core.New(core.Settings{
 		Name:        s.Name,
 		Zone:        s.Zone,
@@ -28,17 +30,22 @@
 		Incarnation: uint64(start.UnixNano()),
 		Seed:        uint64(start.UnixNano()),
 		AcceptDelay: time.Duration(s.AcceptDelay),
-	}))
+	}), counters)
 	listener, err := net.Listen("tcp", s.Listen)
 	if err != nil {
 		return fmt.Errorf("daemon: listen for callers: %w", err)
 	}
+	adminListener, err := net.Listen("tcp", s.AdminListen)
+	if err != nil {
+		return fmt.Errorf("daemon: listen for operators: %w", err)
+	}
 	server := proxy.New(loop.Post)
 	exec := &executor{ctx: ctx, post: loop.Post, platform: platform.NewClient(s.Platform), proxy: server, stop: cancel}
 
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return loop.Run(ctx, exec) })
 	group.Go(func() error { return server.Serve(listener) })
+	group.Go(func() error { return serveAdmin(ctx, adminListener, loop, counters) })
 	group.Go(func() error {
 		select {
 		case <-stop:
@@ -47,7 +54,8 @@
 		}
 		return nil
 	})
-	klog.InfoS("started", "instance", s.Name, "zone", s.Zone, "listen", listener.Addr().String())
+	klog.InfoS("started", "instance", s.Name, "zone", s.Zone,
+		"listen", listener.Addr().String(), "admin", adminListener.Addr().String())
 	if err := group.Wait(); err != nil && !errors.Is(err, context.Canceled) {
 		return err
 	}
--- a/internal/daemon/loop.go
+++ b/internal/daemon/loop.go
@@ -4,9 +4,11 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/ebonydyke/ebonydyke/internal/core"
+	"github.com/ebonydyke/ebonydyke/internal/metrics"
 )
 
 // eventQueue bounds the events waiting for the core.
@@ -20,14 +22,21 @@
 
 // Loop owns a core.
 type Loop struct {
-	node   *core.Node
-	events chan core.Event
-	exec   Executor
+	node     *core.Node
+	events   chan core.Event
+	inspects chan func(*core.Node)
+	exec     Executor
+	meter    *meter
 }
 
-// NewLoop returns a loop round node.
-func NewLoop(node *core.Node) *Loop {
-	return &Loop{node: node, events: make(chan core.Event, eventQueue)}
+// NewLoop returns a loop round node that counts in m.
+func NewLoop(node *core.Node, m *metrics.Metrics) *Loop {
+	return &Loop{
+		node:     node,
+		events:   make(chan core.Event, eventQueue),
+		inspects: make(chan func(*core.Node)),
+		meter:    newMeter(m),
+	}
 }
 
 // Post hands an event to the core. It waits while the queue is full.
@@ -45,6 +54,8 @@
 			return ctx.Err()
 		case event := <-l.events:
 			l.handle(event)
+		case inspect := <-l.inspects:
+			inspect(l.node)
 		case <-ticker.C:
 			l.handle(core.Ticked{})
 		}
@@ -52,7 +63,28 @@
 }
 
 func (l *Loop) handle(event core.Event) {
+	l.meter.event(event)
 	for _, effect := range l.node.Handle(time.Now(), event) {
+		l.meter.effect(effect)
 		l.exec.Execute(effect)
 	}
 }
+
+// Inspect runs f on the goroutine that owns the core and returns its result. It
+// waits until ctx ends at most; f must not change the node. What f returns must
+// hold nothing that the node goes on changing.
+func Inspect[T any](ctx context.Context, l *Loop, f func(*core.Node) T) (T, error) {
+	result := make(chan T, 1)
+	var none T
+	select {
+	case l.inspects <- func(n *core.Node) { result <- f(n) }:
+	case <-ctx.Done():
+		return none, fmt.Errorf("daemon: the core does not answer: %w", ctx.Err())
+	}
+	select {
+	case v := <-result:
+		return v, nil
+	case <-ctx.Done():
+		return none, fmt.Errorf("daemon: the core does not answer: %w", ctx.Err())
+	}
+}
--- /dev/null
+++ b/internal/daemon/loop_test.go
@@ -0,0 +1,39 @@
+package daemon_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/ebonydyke/ebonydyke/internal/core"
+	"github.com/ebonydyke/ebonydyke/internal/daemon"
+	"github.com/ebonydyke/ebonydyke/internal/metrics"
+)
+
+type ignoreEffects struct{}
+
+func (ignoreEffects) Execute(core.Effect) {}
+
+// TestInspectIsBounded asks a core for its status before its loop runs, as when
+// it is stuck, and after.
+//
+// An operator's question must come back within its bound, and must not be
+// answered later at the expense of somebody else.
+func TestInspectIsBounded(t *testing.T) {
+	loop := daemon.NewLoop(core.New(core.Settings{Name: "entry-1"}), metrics.New())
+	short, cancelShort := context.WithTimeout(context.Background(), time.Millisecond)
+	defer cancelShort()
+	_, err := daemon.Inspect(short, loop, (*core.Node).Status)
+	require.ErrorIs(t, err, context.DeadlineExceeded)
+
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- loop.Run(ctx, ignoreEffects{}) }()
+	s, err := daemon.Inspect(ctx, loop, (*core.Node).Status)
+	require.NoError(t, err)
+	require.Equal(t, "entry-1", s.Instance)
+	cancel()
+	require.ErrorIs(t, <-ended, context.Canceled)
+}
