Give operators their tool: apply, get, diff, status, explain, backends, drain, send

Each outcome has a documented exit code and says what to do next. A write whose answer was lost is not judged by reading back alone: the lost write may still be under way when the store reads unchanged. It is sent again, the same value over the same version, and only a conflict is read back by edit id (internal/edit, table of faults). An edit is refused on a store that holds a lower generation than an instance has in force, unless its base says so; the next generation then goes past the highest in force.

Ruled out: a lease round each edit, which a paused operator would outlive and which needs the store twice more; compare-and-swap alone carries it.

--- a/cmd/ebonyctl/main.go
+++ b/cmd/ebonyctl/main.go
@@ -2,18 +2,123 @@
 package main
 
 import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
 	"github.com/alecthomas/kong"
+
+	"github.com/ebonydyke/ebonydyke/internal/core/config"
+	"github.com/ebonydyke/ebonydyke/internal/edit"
+	"github.com/ebonydyke/ebonydyke/internal/platform"
 )
 
+// Exit codes. Scripts rest on them: a code keeps its meaning.
+const (
+	exitOK            = 0
+	exitFailed        = 1
+	exitFindings      = 2
+	exitLostRace      = 3
+	exitUnknown       = 4
+	exitStoreWentBack = 5
+	exitNotEverywhere = 6
+	exitNotRun        = 7
+	exitDuplicate     = 8
+)
+
+const description = `Operates the ebonydyke router fleet.
+
+Exit codes: 0 done; 1 failed, nothing was changed; 2 the text has findings;
+3 another edit came first, nothing was written; 4 unknown whether it was done;
+5 the store went back, nothing was written; 6 not in force everywhere in time;
+7 the request did not run; 8 the request is a duplicate; 80 wrong usage.`
+
 type cli struct {
-	Platform string `default:"http://127.0.0.1:7000" help:"Base URL of the platform."`
+	Platform  string        `default:"http://127.0.0.1:7000" env:"EBONYDYKE_PLATFORM" help:"Base URL of the platform."`
+	Instances []string      `default:"127.0.0.1:7090" env:"EBONYDYKE_INSTANCES" help:"Operators' addresses (admin_listen) of instances, with commas."`
+	JSON      bool          `name:"json" help:"Print JSON for scripts."`
+	Timeout   time.Duration `default:"30s" help:"How long to try before giving up."`
+
+	Check    checkCommand    `cmd:"" help:"Check a text without applying it."`
+	Apply    applyCommand    `cmd:"" help:"Apply a text to the fleet."`
+	Get      getCommand      `cmd:"" help:"Print the text that the store holds."`
+	Diff     diffCommand     `cmd:"" help:"Show what applying a text would change."`
+	Status   statusCommand   `cmd:"" help:"Show which configuration is in force where."`
+	Explain  explainCommand  `cmd:"" help:"Explain where a chat's next turn would go."`
+	Backends backendsCommand `cmd:"" help:"List the usable backend servers and their loads."`
+	Drain    drainCommand    `cmd:"" help:"Begin the graceful shutdown of one instance."`
+	Send     sendCommand     `cmd:"" help:"Send one request."`
+
+	out io.Writer
+	err io.Writer
+}
+
+func (c *cli) store() platform.Store { return platform.NewClient(c.Platform) }
+
+func (c *cli) context() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.Background(), c.Timeout)
+}
+
+// exitError ends the tool with a code of its own.
+type exitError struct {
+	code int
+	err  error
+}
+
+// Error is the message for the operator.
+func (e *exitError) Error() string { return e.err.Error() }
+
+// Unwrap gives the cause.
+func (e *exitError) Unwrap() error { return e.err }
+
+// exitCode maps an error to the documented code.
+func exitCode(err error) int {
+	var findings config.Findings
+	var coded *exitError
+	switch {
+	case err == nil:
+		return exitOK
+	case errors.As(err, &coded):
+		return coded.code
+	case errors.As(err, &findings):
+		return exitFindings
+	case errors.Is(err, edit.ErrLostRace):
+		return exitLostRace
+	case errors.Is(err, edit.ErrUnknown):
+		return exitUnknown
+	case errors.Is(err, edit.ErrStoreWentBack):
+		return exitStoreWentBack
+	default:
+		return exitFailed
+	}
+}
 
-	Check checkCommand `cmd:"" help:"Check a text without applying it."`
-	Apply applyCommand `cmd:"" help:"Apply a text to the fleet."`
+// advice tells an operator what to do about an error.
+func advice(err error) string {
+	switch exitCode(err) {
+	case exitLostRace:
+		return "Run `ebonyctl diff FILE`, take in what changed, and apply again with --base of the newer generation."
+	case exitUnknown:
+		return "Run `ebonyctl get` once the platform answers, and compare before you apply again."
+	case exitStoreWentBack:
+		return "Compare the text in the store with your own. To write over it, apply with --base of the generation in force."
+	default:
+		return ""
+	}
 }
 
 func main() {
-	var c cli
-	k := kong.Parse(&c, kong.Description("Operates the ebonydyke router fleet."))
-	k.FatalIfErrorf(k.Run(&c))
+	c := cli{out: os.Stdout, err: os.Stderr}
+	k := kong.Parse(&c, kong.Name("ebonyctl"), kong.Description(description))
+	err := k.Run(&c)
+	if err != nil {
+		_, _ = fmt.Fprintln(c.err, err)
+		if text := advice(err); text != "" {
+			_, _ = fmt.Fprintln(c.err, text)
+		}
+	}
+	os.Exit(exitCode(err))
 }
--- /dev/null
+++ b/cmd/ebonyctl/send.go
@@ -0,0 +1,148 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+
+	"github.com/ebonydyke/ebonydyke/internal/core/reason"
+	"github.com/ebonydyke/ebonydyke/internal/proxy"
+)
+
+type sendCommand struct {
+	To            string `default:"127.0.0.1:7080" env:"EBONYDYKE_LISTEN" help:"Callers' address (listen) of an instance."`
+	Customer      string `required:"" help:"The customer."`
+	Chat          string `help:"The chat."`
+	Model         string `help:"Model to send a chat turn to." xor:"target"`
+	Service       string `help:"Plain service to call." xor:"target"`
+	Path          string `default:"/" help:"Path within the plain service."`
+	Method        string `default:"GET" help:"Method of the call on the plain service."`
+	Stream        bool   `help:"Ask for a streamed answer."`
+	NonIdempotent bool   `help:"The request may run at most once."`
+	Key           string `help:"Idempotency key of the request."`
+	Placement     string `help:"The Ebonydyke-Placement header of the chat's last turn."`
+	Message       string `arg:"" optional:"" help:"What to say; the body for a plain service."`
+}
+
+// sent is what send prints for scripts.
+type sent struct {
+	Status    int            `json:"status"`
+	Request   string         `json:"request"`
+	Backend   string         `json:"backend,omitempty"`
+	Outcome   reason.Outcome `json:"outcome"`
+	Reason    reason.Reason  `json:"reason,omitempty"`
+	Placement string         `json:"placement,omitempty"`
+	Body      string         `json:"body,omitempty"`
+	Broken    string         `json:"broken,omitempty"`
+}
+
+// Run sends one request and says what became of it.
+func (c *sendCommand) Run(global *cli) error {
+	ctx, cancel := global.context()
+	defer cancel()
+	req, err := c.request(ctx)
+	if err != nil {
+		return fmt.Errorf("send: %w", err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return fmt.Errorf("send: nothing was sent: %w", err)
+	}
+	if err != nil {
+		return &exitError{exitUnknown, fmt.Errorf("send: no answer from the instance at %s: %w", c.To, err)}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	s := sent{
+		Status:    resp.StatusCode,
+		Request:   resp.Header.Get(proxy.HeaderRequestID),
+		Backend:   resp.Header.Get(proxy.HeaderBackend),
+		Outcome:   reason.Outcome(resp.Header.Get(proxy.HeaderOutcome)),
+		Reason:    reason.Reason(resp.Header.Get(proxy.HeaderReason)),
+		Placement: resp.Header.Get(proxy.HeaderPlacement),
+	}
+	c.readBody(global, resp, &s)
+	if global.JSON {
+		if err := global.printJSON(s); err != nil {
+			return err
+		}
+	} else {
+		global.printf("\n%s by %s (status %d, request %s)\n", s.Outcome, s.by(), s.Status, s.Request)
+	}
+	return s.err()
+}
+
+func (c *sendCommand) request(ctx context.Context) (*http.Request, error) {
+	method, path, body := http.MethodPost, "/v1/chat/completions", []byte(nil)
+	if c.Service != "" {
+		method, path = c.Method, "/services/"+c.Service+"/"+strings.TrimPrefix(c.Path, "/")
+		body = []byte(c.Message)
+	} else {
+		body, _ = json.Marshal(map[string]any{
+			"model":    c.Model,
+			"stream":   c.Stream,
+			"messages": []map[string]string{{"role": "user", "content": c.Message}},
+		})
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.To+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	for header, value := range map[string]string{
+		proxy.HeaderCustomer:  c.Customer,
+		proxy.HeaderChat:      c.Chat,
+		proxy.HeaderKey:       c.Key,
+		proxy.HeaderPlacement: c.Placement,
+		"Content-Type":        "application/json",
+	} {
+		if value != "" {
+			req.Header.Set(header, value)
+		}
+	}
+	if c.NonIdempotent {
+		req.Header.Set(proxy.HeaderIdempotent, "false")
+	}
+	return req, nil
+}
+
+// readBody prints the answer as it arrives, or keeps it for JSON.
+func (c *sendCommand) readBody(global *cli, resp *http.Response, s *sent) {
+	var kept strings.Builder
+	out := global.out
+	if global.JSON {
+		out = &kept
+	}
+	if _, err := io.Copy(out, resp.Body); err != nil {
+		s.Broken = err.Error()
+	}
+	s.Body = kept.String()
+}
+
+func (s *sent) by() string {
+	if s.Backend == "" {
+		return "the fleet"
+	}
+	return s.Backend
+}
+
+// err turns what became of the request into the tool's exit code.
+func (s *sent) err() error {
+	switch {
+	case s.Broken != "":
+		return &exitError{exitUnknown, fmt.Errorf("the answer is broken: %s", s.Broken)}
+	case s.Outcome == reason.Answered:
+		return nil
+	case s.Outcome == reason.NotRun:
+		return &exitError{exitNotRun, fmt.Errorf("the request did not run: %s", s.Reason)}
+	case s.Outcome == reason.Duplicate:
+		return &exitError{exitDuplicate, fmt.Errorf("the request is a duplicate: %s", s.Reason)}
+	default:
+		return &exitError{exitUnknown, fmt.Errorf("it is unknown whether the request ran: %s", s.Reason)}
+	}
+}
--- /dev/null
+++ b/cmd/ebonyctl/status.go
@@ -0,0 +1,201 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/ebonydyke/ebonydyke/internal/core"
+	"github.com/ebonydyke/ebonydyke/internal/core/membership"
+	"github.com/ebonydyke/ebonydyke/internal/edit"
+)
+
+// statusInterval is how often status --wait asks again.
+const statusInterval = 200 * time.Millisecond
+
+type statusCommand struct {
+	Wait bool `help:"Wait until every known instance has the newest configuration in force."`
+}
+
+// fleetStatus is what status prints for scripts.
+type fleetStatus struct {
+	// Newest is the highest generation seen in the store or on an instance.
+	Newest uint64 `json:"newest"`
+	// Stored is the generation that the store holds; StoreError why it was not read.
+	Stored     uint64  `json:"stored"`
+	StoreError string  `json:"store_error,omitempty"`
+	Instances  []asked `json:"instances"`
+	// Heard are live instances that were not asked, as their peers heard them.
+	Heard []core.PeerStatus `json:"heard"`
+	// Behind names the instances that are not known to be on the newest.
+	Behind []string `json:"behind"`
+}
+
+// Run prints the status, once it is as wished.
+func (c *statusCommand) Run(global *cli) error {
+	ctx, cancel := global.context()
+	defer cancel()
+	s := global.fleetStatus(ctx)
+	for c.Wait && !s.settled() && ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-time.After(statusInterval):
+			s = global.fleetStatus(ctx)
+		}
+	}
+	if err := global.printStatus(s); err != nil {
+		return err
+	}
+	if c.Wait && !s.settled() {
+		return &exitError{exitNotEverywhere, fmt.Errorf("generation %d is not in force everywhere after %v; not on it: %v", s.Newest, global.Timeout, s.Behind)}
+	}
+	return nil
+}
+
+func (s *fleetStatus) settled() bool { return s.Newest > 0 && len(s.Behind) == 0 }
+
+func (c *cli) fleetStatus(ctx context.Context) *fleetStatus {
+	s := &fleetStatus{Instances: c.askAll(ctx)}
+	storeCtx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	env, _, err := edit.Read(storeCtx, c.store())
+	if err != nil {
+		s.StoreError = err.Error()
+	}
+	s.Stored = env.Generation
+	s.Newest = s.Stored
+	s.hearPeers()
+	for _, a := range s.Instances {
+		if a.Status != nil {
+			s.Newest = max(s.Newest, a.Status.Generation)
+		}
+	}
+	for _, p := range s.Heard {
+		s.Newest = max(s.Newest, p.Generation)
+	}
+	s.findBehind()
+	return s
+}
+
+// hearPeers collects what the asked instances heard of live ones that were not
+// asked, the latest word of each.
+func (s *fleetStatus) hearPeers() {
+	known := make(map[string]bool)
+	live := make(map[string]bool)
+	for _, a := range s.Instances {
+		if a.Status == nil {
+			continue
+		}
+		known[a.Status.Instance] = true
+		for _, in := range a.Status.Instances {
+			live[in.Name] = live[in.Name] || in.State == membership.Live
+		}
+	}
+	latest := make(map[string]core.PeerStatus)
+	for _, a := range s.Instances {
+		if a.Status == nil {
+			continue
+		}
+		for _, p := range a.Status.Peers {
+			if !known[p.Name] && live[p.Name] && p.Heard.After(latest[p.Name].Heard) {
+				latest[p.Name] = p
+			}
+		}
+	}
+	for name := range live {
+		if live[name] && !known[name] {
+			p := latest[name]
+			p.Name = name
+			s.Heard = append(s.Heard, p)
+		}
+	}
+	slices.SortFunc(s.Heard, func(a, b core.PeerStatus) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+}
+
+func (s *fleetStatus) findBehind() {
+	for _, a := range s.Instances {
+		switch {
+		case a.Status == nil:
+			s.Behind = append(s.Behind, a.Address)
+		case a.Status.Generation < s.Newest:
+			s.Behind = append(s.Behind, a.Status.Instance)
+		}
+	}
+	for _, p := range s.Heard {
+		if p.Generation < s.Newest {
+			s.Behind = append(s.Behind, p.Name)
+		}
+	}
+}
+
+func (c *cli) printStatus(s *fleetStatus) error {
+	if c.JSON {
+		return c.printJSON(s)
+	}
+	t := c.table("INSTANCE", "ZONE", "GENERATION", "STATE", "IN FLIGHT", "PLATFORM")
+	for _, a := range s.Instances {
+		if a.Status == nil {
+			t.row(a.Address, "", "", "no answer", "", "")
+			continue
+		}
+		t.row(a.Status.Instance, a.Status.Zone, generation(a.Status.Generation), state(a.Status),
+			fmt.Sprint(a.Status.InFlight), platformWord(a.Status))
+	}
+	for _, p := range s.Heard {
+		t.row(p.Name, "", generation(p.Generation), "heard of, not asked", "", "")
+	}
+	t.flush()
+	for _, a := range s.Instances {
+		if a.Status != nil && len(a.Status.Findings) > 0 {
+			c.printf("%s refused a newer configuration:\n%v\n", a.Status.Instance, a.Status.Findings)
+		}
+	}
+	if s.StoreError != "" {
+		c.printf("store: not read from here: %s\n", s.StoreError)
+	} else {
+		c.printf("store: %s\n", generation(s.Stored))
+	}
+	if s.settled() {
+		c.printf("generation %d is in force on all %d known instances\n", s.Newest, len(s.Instances)+len(s.Heard))
+	}
+	if s.Stored < s.Newest && s.StoreError == "" {
+		c.printf("the store went back: generation %d is in force\n", s.Newest)
+	}
+	return nil
+}
+
+func generation(g uint64) string {
+	if g == 0 {
+		return "none"
+	}
+	return fmt.Sprintf("generation %d", g)
+}
+
+func state(s *core.Status) string {
+	switch {
+	case s.Stopping:
+		return "draining"
+	case s.Generation == 0:
+		return "waiting for a configuration"
+	default:
+		return "serving"
+	}
+}
+
+func platformWord(s *core.Status) string {
+	p := s.Platform
+	switch {
+	case !p.Known:
+		return "not called yet"
+	case p.Reachable:
+		return "reachable"
+	default:
+		return "unreachable since " + p.Since.Format(time.RFC3339)
+	}
+}
--- /dev/null
+++ b/internal/edit/edit_test.go
@@ -0,0 +1,154 @@
+package edit_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/ebonydyke/ebonydyke/internal/core/config"
+	"github.com/ebonydyke/ebonydyke/internal/edit"
+	"github.com/ebonydyke/ebonydyke/internal/platform"
+)
+
+var errLost = errors.New("connection reset")
+
+// fakeStore holds one key. Each Swap first takes the next of its faults.
+type fakeStore struct {
+	value   []byte
+	version uint64
+	faults  []func(s *fakeStore, value []byte) (done bool, err error)
+	swaps   int
+}
+
+func storeWith(t *testing.T, generation uint64) *fakeStore {
+	t.Helper()
+	value, err := json.Marshal(config.Envelope{Generation: generation, Edit: "theirs"})
+	require.NoError(t, err)
+	return &fakeStore{value: value, version: 10 * generation}
+}
+
+func (s *fakeStore) Get(context.Context, string) ([]byte, uint64, error) {
+	if s.version == 0 {
+		return nil, 0, platform.ErrAbsent
+	}
+	return s.value, s.version, nil
+}
+
+func (s *fakeStore) Swap(_ context.Context, _ string, version uint64, value []byte) (uint64, error) {
+	s.swaps++
+	if len(s.faults) > 0 {
+		fault := s.faults[0]
+		s.faults = s.faults[1:]
+		if done, err := fault(s, value); done {
+			return 0, err
+		}
+	}
+	if version != s.version {
+		return 0, platform.ErrConflict
+	}
+	s.put(value)
+	return s.version, nil
+}
+
+func (s *fakeStore) Watch(context.Context, string, uint64) ([]byte, uint64, error) {
+	return nil, 0, platform.ErrUnchanged
+}
+
+func (s *fakeStore) put(value []byte) {
+	s.value, s.version = value, s.version+1
+}
+
+// Faults of a write.
+func answerLost(s *fakeStore, value []byte) (bool, error) {
+	s.put(value)
+	return true, errLost
+}
+
+func writeLost(*fakeStore, []byte) (bool, error) { return true, errLost }
+
+func notSent(*fakeStore, []byte) (bool, error) { return true, platform.ErrNotSent }
+
+func otherFirst(s *fakeStore, _ []byte) (bool, error) {
+	s.put([]byte(`{"generation":6,"edit":"other"}`))
+	return false, nil
+}
+
+func apply(s *fakeStore, e edit.Edit) (uint64, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	e.ID, e.Text = "mine", "text"
+	return edit.Apply(ctx, s, e)
+}
+
+func base(g uint64) *uint64 { return &g }
+
+// TestOutcomeIsTold covers what an operator is told of an apply.
+//
+// The store takes a write and its answer is lost, or loses the write; another
+// operator's edit comes between; the store went back. An operator who is told
+// "accepted" for an edit that is not there, or "failed" for one that is, goes on
+// to do the wrong thing.
+func TestOutcomeIsTold(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		stored     uint64
+		edit       edit.Edit
+		faults     []func(*fakeStore, []byte) (bool, error)
+		generation uint64
+		err        error
+		edited     bool
+	}{
+		{name: "first text", generation: 1, edited: true},
+		{name: "next text", stored: 5, generation: 6, edited: true},
+		{name: "right base", stored: 5, edit: edit.Edit{Base: base(5)}, generation: 6, edited: true},
+		{name: "old base", stored: 5, edit: edit.Edit{Base: base(4)}, err: edit.ErrLostRace},
+		{name: "other edit first", stored: 5, faults: faults(otherFirst), err: edit.ErrLostRace},
+		{name: "answer lost", stored: 5, faults: faults(answerLost), generation: 6, edited: true},
+		{name: "write lost", stored: 5, faults: faults(writeLost), generation: 6, edited: true},
+		{name: "write lost, then other", stored: 5, faults: faults(writeLost, otherFirst), err: edit.ErrUnknown},
+		{name: "answer lost, then other", stored: 5, faults: faults(answerLost, otherFirst), err: edit.ErrUnknown},
+		{name: "not sent", stored: 5, faults: faults(notSent), err: platform.ErrNotSent},
+		{name: "not sent after lost", stored: 5, faults: faults(answerLost, notSent), generation: 6, edited: true},
+		{name: "store went back", stored: 3, edit: edit.Edit{InForce: 5}, err: edit.ErrStoreWentBack},
+		{name: "store went back, known", stored: 3, edit: edit.Edit{InForce: 5, Base: base(5)}, generation: 6, edited: true},
+		{name: "store emptied, known", edit: edit.Edit{InForce: 5, Base: base(5)}, generation: 6, edited: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := &fakeStore{}
+			if c.stored > 0 {
+				s = storeWith(t, c.stored)
+			}
+			s.faults = c.faults
+			generation, err := apply(s, c.edit)
+			require.ErrorIs(t, err, c.err)
+			if c.err == nil {
+				require.Equal(t, c.generation, generation)
+			}
+			var env config.Envelope
+			if s.value != nil {
+				require.NoError(t, json.Unmarshal(s.value, &env))
+			}
+			require.Equal(t, c.edited, env.Edit == "mine")
+		})
+	}
+}
+
+func faults(f ...func(*fakeStore, []byte) (bool, error)) []func(*fakeStore, []byte) (bool, error) {
+	return f
+}
+
+// TestUnreachableStaysUnknown loses every answer until the operator's patience
+// ends: the tool must not guess.
+func TestUnreachableStaysUnknown(t *testing.T) {
+	s := storeWith(t, 5)
+	for range 100 {
+		s.faults = append(s.faults, writeLost)
+	}
+	_, err := apply(s, edit.Edit{})
+	require.ErrorIs(t, err, edit.ErrUnknown)
+	require.Greater(t, s.swaps, 1)
+}
