Play whole sessions of real processes against golden files

Ids, ports and times are normalised, exit codes shown; -update rewrites. A session now holds one port of a block of 16 until its end, which marks the block as taken for other sessions and other test processes.

make run takes free ports and needs Go and bash only.

--- a/cmd/ebonyctl/fleet.go
+++ b/cmd/ebonyctl/fleet.go
@@ -104,17 +104,19 @@
 // that answers is enough to notice a store that went back.
 func (c *cli) highestInForce(ctx context.Context) uint64 {
 	var highest uint64
+	answered := false
 	for _, a := range c.askAll(ctx) {
 		if a.Status == nil {
 			continue
 		}
+		answered = true
 		highest = max(highest, a.Status.Generation)
 		for _, p := range a.Status.Peers {
 			highest = max(highest, p.Generation)
 		}
 	}
-	if highest == 0 {
-		_, _ = fmt.Fprintln(c.err, "warning: no instance told which generation is in force; a store that went back would not be noticed")
+	if !answered {
+		_, _ = fmt.Fprintln(c.err, "warning: no instance answers at --instances: a store that went back would not be noticed")
 	}
 	return highest
 }
--- a/cmd/ebonyctl/text.go
+++ b/cmd/ebonyctl/text.go
@@ -24,13 +24,13 @@
 }
 
 type checkCommand struct {
-	File string `arg:"" type:"existingfile" help:"The text, JSON with comments."`
+	File string `arg:"" help:"The text, JSON with comments."`
 }
 
 // Run checks a text.
 func (c *checkCommand) Run(global *cli) error {
 	_, snapshot, err := readChecked(c.File)
-	var findings config.Findings
+	findings := config.Findings{}
 	if global.JSON && (err == nil || errors.As(err, &findings)) {
 		return errors.Join(global.printJSON(map[string]any{"findings": findings}), err)
 	}
@@ -42,7 +42,7 @@
 }
 
 type applyCommand struct {
-	File string  `arg:"" type:"existingfile" help:"The text, JSON with comments."`
+	File string  `arg:"" help:"The text, JSON with comments."`
 	Base *uint64 `help:"Generation that the text was based on; the newest when left out."`
 }
 
@@ -98,7 +98,7 @@
 }
 
 type diffCommand struct {
-	File string `arg:"" type:"existingfile" help:"The text, JSON with comments."`
+	File string `arg:"" help:"The text, JSON with comments."`
 }
 
 // Run prints the difference between the stored text and a file.
--- a/cmd/ebonydyked/main.go
+++ b/cmd/ebonydyked/main.go
@@ -29,7 +29,7 @@
 )
 
 type flags struct {
-	Settings string `required:"" type:"path" help:"Settings file, JSON with comments."`
+	Settings string `required:"" help:"Settings file, JSON with comments."`
 	Check    bool   `help:"Check the settings, print every finding and exit: 0 without findings, else 2."`
 }
 
--- a/test/run.sh
+++ b/test/run.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Runs the whole path on this machine: a platform, two engines and a plain service
 # as stand-ins, two instances in two availability zones, one text, two chat turns.
+# It needs Go and bash, takes free ports, and ends every process that it started.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 work=$(mktemp -d)
@@ -11,70 +12,92 @@
   rm -rf "$work"
 }
 trap finish EXIT
+trap 'echo "failed; the end of the log:" >&2; tail -n 20 "$work/log" >&2' ERR
 
 go build -o bin/ ./cmd/... ./test/standin
-start() { "$@" 2>>"$work/log" & pids+=($!); }
-wait_for() {
-  for _ in $(seq 100); do curl -sf -o /dev/null "$1" && return; sleep 0.1; done
-  echo "no answer from $1" >&2
-  cat "$work/log" >&2
-  exit 1
-}
 
-start bin/standin --listen 127.0.0.1:17000 platform
-start bin/standin --listen 127.0.0.1:17101 engine --name engine-a
-start bin/standin --listen 127.0.0.1:17102 engine --name engine-b
-start bin/standin --listen 127.0.0.1:17103 plain --name portal-a
-wait_for http://127.0.0.1:17000/v1/instances
+# Ten ports in a row on which nothing listens, under those that the system gives
+# to outgoing connections.
+taken() { (exec 3<>"/dev/tcp/127.0.0.1/$1") 2>/dev/null; }
+free_ports() {
+  local first p
+  while :; do
+    first=$((10000 + RANDOM % 990 * 10))
+    for p in {0..9}; do taken $((first + p)) && continue 2; done
+    echo "$first"
+    return
+  done
+}
+first=$(free_ports)
+port() { echo "127.0.0.1:$((first + $1))"; }
+platform=$(port 0) engine_a=$(port 1) engine_b=$(port 2) portal=$(port 3)
 
-for i in 1 2; do
-  cat >"$work/instance-$i.json" <<JSON
+start() { "$@" 2>>"$work/log" & pids+=($!); }
+settings() { # number listen peer_listen admin_listen
+  cat >"$work/entry-$1.json" <<JSON
 {
   // One entry instance.
-  "name": "entry-$i",
-  "zone": "zone-$i",
-  "listen": "127.0.0.1:1720$i",
-  "peer_listen": "127.0.0.1:1721$i",
-  "admin_listen": "127.0.0.1:1722$i",
-  "platform": "http://127.0.0.1:17000",
+  "name": "entry-$1",
+  "zone": "zone-$1",
+  "listen": "$2",
+  "peer_listen": "$3",
+  "admin_listen": "$4",
+  "platform": "http://$platform",
   "accept_delay": "200ms",
 }
 JSON
-  start bin/ebonydyked --settings "$work/instance-$i.json"
-done
+}
+
+echo "starting a platform, two engines and a plain service as stand-ins,"
+echo "and two instances in two availability zones"
+start bin/standin --listen "$platform" platform
+start bin/standin --listen "$engine_a" engine --name engine-a
+start bin/standin --listen "$engine_b" engine --name engine-b
+start bin/standin --listen "$portal" plain --name portal-a
+settings 1 "$(port 4)" "$(port 5)" "$(port 6)"
+settings 2 "$(port 7)" "$(port 8)" "$(port 9)"
+start bin/ebonydyked --settings "$work/entry-1.json"
+start bin/ebonydyked --settings "$work/entry-2.json"
 
-cat >"$work/fleet.json" <<'JSON'
+cat >"$work/fleet.json" <<JSON
 {
   "services": [
     {"name": "portal", "kind": "plain", "backend_servers": [
-      {"name": "portal-a", "address": "127.0.0.1:17103", "zone": "zone-1"}]},
+      {"name": "portal-a", "address": "$portal", "zone": "zone-1"}]},
     // The model service needs the portal.
     {"name": "underwriting", "kind": "model", "depends_on": ["portal"], "backend_servers": [
-      {"name": "engine-a", "address": "127.0.0.1:17101", "zone": "zone-1"},
-      {"name": "engine-b", "address": "127.0.0.1:17102", "zone": "zone-2"}]},
+      {"name": "engine-a", "address": "$engine_a", "zone": "zone-1"},
+      {"name": "engine-b", "address": "$engine_b", "zone": "zone-2"}]},
   ],
   "customers": [{"name": "branch-recife"}],
 }
 JSON
-bin/ebonyctl --platform http://127.0.0.1:17000 apply "$work/fleet.json"
+export EBONYDYKE_PLATFORM="http://$platform" EBONYDYKE_INSTANCES="$(port 6),$(port 9)"
 
-chat() {
-  curl -sN --max-time 20 -D "$work/head" "http://127.0.0.1:1720$1/v1/chat/completions" \
-    -H 'Ebonydyke-Customer: branch-recife' -H 'Ebonydyke-Chat: dossier-17' \
-    -d '{"model": "underwriting", "stream": true, "messages": [{"role": "user", "content": "review"}]}' >"$work/body"
-  grep -q '^data: \[DONE\]' "$work/body" || { cat "$work/head" "$work/body" "$work/log" >&2; exit 1; }
-  sed -n 's/^Ebonydyke-Backend: \([^\r]*\).*/\1/p' "$work/head"
-}
-for i in 1 2; do
-  for _ in $(seq 100); do
-    code=$(curl -s -o /dev/null -w '%{http_code}' -H 'Ebonydyke-Customer: branch-recife' "http://127.0.0.1:1720$i/services/portal/hello" || true)
-    [ "$code" = 200 ] && break
-    sleep 0.1
-  done
+echo
+echo "\$ ebonyctl apply fleet.json"
+for _ in {1..100}; do # until the platform listens
+  bin/ebonyctl get >/dev/null 2>&1 && break
+  sleep 0.1
 done
-first=$(chat 1)
-second=$(chat 2)
-echo "first turn through entry-1: $first"
-echo "second turn through entry-2: $second"
-[ -n "$first" ] && [ "$first" = "$second" ]
-echo "both turns met the same backend server"
+bin/ebonyctl apply "$work/fleet.json"
+echo
+echo "\$ ebonyctl status --wait"
+bin/ebonyctl status --wait
+
+turn() { # listen
+  bin/ebonyctl send --to "$1" --customer branch-recife --chat dossier-17 --model underwriting --stream review
+}
+backend() { sed -n 's/^answered by \([^ ]*\) .*/\1/p' "$1"; }
+echo
+echo "\$ ebonyctl send --chat dossier-17 ...    # first turn, through entry-1"
+turn "$(port 4)" | tee "$work/first"
+echo
+echo "\$ ebonyctl send --chat dossier-17 ...    # second turn, through entry-2"
+turn "$(port 7)" | tee "$work/second" | tail -n 1
+grep -q '^data: \[DONE\]' "$work/first"
+grep -q '^data: \[DONE\]' "$work/second"
+[ -n "$(backend "$work/first")" ]
+[ "$(backend "$work/first")" = "$(backend "$work/second")" ]
+echo
+echo "both turns met the same backend server: $(backend "$work/second")"
--- /dev/null
+++ b/test/sessions/sessions_test.go
@@ -0,0 +1,168 @@
+// Package sessions_test plays whole sessions of real processes against golden
+// files: a platform, engines and a plain service as stand-ins, two instances in
+// two availability zones, and the operators' tool.
+//
+// Each script under testdata starts its own processes, and every one still
+// running at its end is ended then. `go test ./test/sessions -update` rewrites
+// the expected outputs on purpose.
+package sessions_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+var update = flag.Bool("update", false, "rewrite the expected outputs on purpose")
+
+// portNames are the ports of a session, each in an environment variable.
+var portNames = []string{
+	"PLATFORM", "ENGINE_A", "ENGINE_B", "PORTAL",
+	"LISTEN_1", "PEER_1", "ADMIN_1", "LISTEN_2", "PEER_2", "ADMIN_2",
+}
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"norm":     normMain,
+		"until":    untilMain,
+		"put":      putMain,
+		"together": togetherMain,
+	})
+}
+
+func TestSessions(t *testing.T) {
+	bin := t.TempDir()
+	build := exec.Command("go", "build", "-o", bin+string(filepath.Separator), "./cmd/...", "./test/standin")
+	build.Dir = filepath.Join("..", "..")
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	examples, err := filepath.Abs(filepath.Join("..", "..", "examples"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	testscript.Run(t, testscript.Params{
+		Dir:           "testdata",
+		UpdateScripts: *update,
+		Cmds:          map[string]func(*testscript.TestScript, bool, []string){"fill": fill},
+		Setup: func(env *testscript.Env) error {
+			env.Setenv("PATH", bin+string(filepath.ListSeparator)+env.Getenv("PATH"))
+			env.Setenv("EXAMPLES", examples)
+			ports := reservePorts(env, len(portNames))
+			var names []string
+			for i, name := range portNames {
+				env.Setenv(name, ports[i])
+				names = append(names, ports[i]+"="+name)
+			}
+			env.Setenv("PORT_NAMES", strings.Join(names, ","))
+			env.Setenv("EBONYDYKE_PLATFORM", "http://127.0.0.1:"+ports[0])
+			env.Setenv("EBONYDYKE_INSTANCES", "127.0.0.1:"+env.Getenv("ADMIN_1")+",127.0.0.1:"+env.Getenv("ADMIN_2"))
+			return writeFiles(env)
+		},
+	})
+}
+
+// Ports of sessions lie under the range from which the system takes the ports of
+// outgoing connections, so that none of those comes in between.
+const (
+	lowPort   = 20_000
+	blocks    = 600
+	blockSize = 16
+)
+
+// reservePorts finds a block of free ports. Its first port stays bound until the
+// session ends and tells other sessions, also of other test processes, that the
+// block is taken: the rest is free until the session's processes bind it.
+func reservePorts(env *testscript.Env, n int) []string {
+	for {
+		first := lowPort + blockSize*rand.IntN(blocks)
+		mark, err := net.Listen("tcp", address(first))
+		if err != nil {
+			continue
+		}
+		ports := freePorts(first+1, n)
+		if len(ports) == n {
+			env.Defer(func() { _ = mark.Close() })
+			return ports
+		}
+		_ = mark.Close()
+	}
+}
+
+func freePorts(first, n int) []string {
+	var ports []string
+	for port := first; port < first+n; port++ {
+		l, err := net.Listen("tcp", address(port))
+		if err != nil {
+			return nil
+		}
+		_ = l.Close()
+		ports = append(ports, strconv.Itoa(port))
+	}
+	return ports
+}
+
+func address(port int) string { return net.JoinHostPort("127.0.0.1", strconv.Itoa(port)) }
+
+// fleetText is the text that most sessions begin with.
+const fleetText = `{
+  "services": [
+    {"name": "portal", "kind": "plain", "backend_servers": [
+      {"name": "portal-a", "address": "127.0.0.1:$PORTAL", "zone": "zone-1"}]},
+    // The model service needs the portal.
+    {"name": "underwriting", "kind": "model", "depends_on": ["portal"], "backend_servers": [
+      {"name": "engine-a", "address": "127.0.0.1:$ENGINE_A", "zone": "zone-1"},
+      {"name": "engine-b", "address": "127.0.0.1:$ENGINE_B", "zone": "zone-2"}]},
+  ],
+  "customers": [{"name": "branch-recife"}],
+}
+`
+
+const settingsText = `{
+  // One entry instance.
+  "name": "entry-%[1]d",
+  "zone": "zone-%[1]d",
+  "listen": "127.0.0.1:$LISTEN_%[1]d",
+  "peer_listen": "127.0.0.1:$PEER_%[1]d",
+  "admin_listen": "127.0.0.1:$ADMIN_%[1]d",
+  "platform": "http://127.0.0.1:$PLATFORM",
+  "accept_delay": "200ms",
+  "limits": {"drain_idle": "100ms"},
+}
+`
+
+// instanceText is the platform's line of an entry instance.
+const instanceText = `{"name": "entry-%[1]d", "role": "entry", "zone": "zone-%[1]d",
+  "address": "127.0.0.1:$PEER_%[1]d", "incarnation": 1, "state": "live"}`
+
+func writeFiles(env *testscript.Env) error {
+	files := map[string]string{"fleet.json": fleetText}
+	for i := 1; i <= 2; i++ {
+		files[fmt.Sprintf("entry-%d.json", i)] = fmt.Sprintf(settingsText, i)
+		files[fmt.Sprintf("listed-%d.json", i)] = fmt.Sprintf(instanceText, i)
+	}
+	for name, text := range files {
+		text = os.Expand(text, env.Getenv)
+		if err := os.WriteFile(filepath.Join(env.WorkDir, name), []byte(text), 0o600); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// fill puts the session's ports in place of their names in files of a script.
+func fill(ts *testscript.TestScript, _ bool, files []string) {
+	for _, name := range files {
+		text := os.Expand(ts.ReadFile(name), ts.Getenv)
+		ts.Check(os.WriteFile(ts.MkAbs(name), []byte(text), 0o600))
+	}
+}
--- /dev/null
+++ b/test/sessions/tools_test.go
@@ -0,0 +1,134 @@
+package sessions_test
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"regexp"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// normMain runs a command and prints its output with ids, ports and times made
+// the same in every run. It ends with the command's own exit code and shows it.
+func normMain() {
+	var stdout, stderr bytes.Buffer
+	code := run(os.Args[1:], &stdout, &stderr)
+	fmt.Print(normalise(stdout.String()))
+	fmt.Fprint(os.Stderr, normalise(stderr.String()))
+	if code != 0 {
+		fmt.Fprintf(os.Stderr, "exit code %d\n", code)
+	}
+	os.Exit(code)
+}
+
+// varying are the parts of an output that differ from run to run.
+var varying = []struct {
+	pattern *regexp.Regexp
+	text    string
+}{
+	{regexp.MustCompile(`\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d(\.\d+)?(Z|[+-]\d\d:\d\d)`), "TIME"},
+	{regexp.MustCompile(`(request "?:?"?)[0-9a-z]{6,}-[0-9a-z]+`), "${1}ID"},
+	{regexp.MustCompile(`(edit"?:? ?"?)[A-Za-z0-9._-]+-\d+-[0-9a-z]{6,}`), "${1}EDIT"},
+	{regexp.MustCompile(`read tcp \S+->`), "read tcp "},
+}
+
+func normalise(text string) string {
+	for _, pair := range strings.Split(os.Getenv("PORT_NAMES"), ",") {
+		port, name, _ := strings.Cut(pair, "=")
+		text = strings.ReplaceAll(text, "127.0.0.1:"+port, "127.0.0.1:"+name)
+	}
+	for _, v := range varying {
+		text = v.pattern.ReplaceAllString(text, v.text)
+	}
+	return text
+}
+
+// untilMain runs a command again until it ends with 0 and its output matches the
+// pattern, at most for the time given: until 10s pattern command...
+func untilMain() {
+	limit, err := time.ParseDuration(os.Args[1])
+	if err != nil {
+		fail(err)
+	}
+	wanted := regexp.MustCompile(os.Args[2])
+	var out bytes.Buffer
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		out.Reset()
+		if run(os.Args[3:], &out, &out) == 0 && wanted.Match(out.Bytes()) {
+			return
+		}
+	}
+	fail(fmt.Errorf("not within %v; last output:\n%s", limit, normalise(out.String())))
+}
+
+// putMain puts a file to a URL: put URL file.
+func putMain() {
+	body, err := os.ReadFile(os.Args[2])
+	if err != nil {
+		fail(err)
+	}
+	req, err := http.NewRequest(http.MethodPut, os.Args[1], bytes.NewReader(body))
+	if err != nil {
+		fail(err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		fail(err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		fail(errors.New(resp.Status))
+	}
+}
+
+// togetherMain runs commands at the same moment, divided by --, and prints their
+// exit codes in rising order.
+func togetherMain() {
+	var wait sync.WaitGroup
+	commands := splitCommands(os.Args[1:])
+	codes := make([]int, len(commands))
+	for i, command := range commands {
+		wait.Go(func() { codes[i] = run(command, io.Discard, io.Discard) })
+	}
+	wait.Wait()
+	slices.Sort(codes)
+	fmt.Println(codes)
+}
+
+func splitCommands(args []string) [][]string {
+	commands := [][]string{nil}
+	for _, arg := range args {
+		if arg == "--" {
+			commands = append(commands, nil)
+			continue
+		}
+		last := len(commands) - 1
+		commands[last] = append(commands[last], arg)
+	}
+	return commands
+}
+
+func run(command []string, stdout, stderr io.Writer) int {
+	c := exec.Command(command[0], command[1:]...)
+	c.Stdout, c.Stderr = stdout, stderr
+	err := c.Run()
+	var exit *exec.ExitError
+	switch {
+	case errors.As(err, &exit):
+		return exit.ExitCode()
+	case err != nil:
+		fail(err)
+	}
+	return 0
+}
+
+func fail(err error) {
+	fmt.Fprintln(os.Stderr, err)
+	os.Exit(1)
+}
