Merge membership so that nothing that left comes back

A leaving server went on getting work while the platform's list lagged or was cut off, a fixed backend server could never be ruled out, and a server that vanished from the list stayed in the ranking for ever. Every instance read the list each 2 s.

A change builds only its own service's pool. Three instances a zone read the list; the rest verify slowly and read fast when those fall silent.

--- a/internal/core/config/snapshot.go
+++ b/internal/core/config/snapshot.go
@@ -28,6 +28,8 @@
 	models    map[string]*Service
 	customers map[string]*Customer
 	names     []string
+	// fixed maps the fixed backend servers to their services.
+	fixed map[string]string
 }
 
 // Service returns the service by its name, or nil.
@@ -39,6 +41,9 @@
 // Customer returns the customer by its name, or nil.
 func (s *Snapshot) Customer(name string) *Customer { return s.customers[name] }
 
+// ServiceOf returns the service that names a backend server in the text, or "".
+func (s *Snapshot) ServiceOf(backend string) string { return s.fixed[backend] }
+
 // Services lists the services' names in the order of the text.
 func (s *Snapshot) Services() []string { return s.names }
 
@@ -54,6 +59,7 @@
 		services:   make(map[string]*Service, len(t.Services)),
 		models:     make(map[string]*Service),
 		customers:  make(map[string]*Customer, len(t.Customers)),
+		fixed:      make(map[string]string),
 	}
 	for i := range t.Services {
 		s.addService(t.Services[i])
@@ -68,6 +74,9 @@
 func (s *Snapshot) addService(svc Service) {
 	s.services[svc.Name] = &svc
 	s.names = append(s.names, svc.Name)
+	for _, b := range svc.BackendServers {
+		s.fixed[b.Name] = svc.Name
+	}
 	if svc.Kind != Model {
 		return
 	}
--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -1,61 +1,241 @@
 package core
 
 import (
+	"maps"
 	"slices"
 	"time"
 
 	"github.com/ebonydyke/ebonydyke/internal/core/membership"
+	"github.com/ebonydyke/ebonydyke/internal/core/rendezvous"
 )
 
-// listInterval is how often the platform's instance list is read.
-const listInterval = 2 * time.Second
+// How often the platform's instance list is read.
+const (
+	// listInterval is the interval of the zone's readers.
+	listInterval = 2 * time.Second
+	// listSlowInterval is that of the others, which hear of changes from peers and
+	// read the list only to verify. It is spread by half to either side.
+	listSlowInterval = 15 * time.Second
+	// listReaders is the number of readers a zone. With three, a frozen one and a
+	// replaced one at once still leave one.
+	listReaders = 3
+	// listMaxDelay bounds the back-off after failed reads.
+	listMaxDelay = 8 * time.Second
+	// peerSilence is how long all other readers may say nothing before an
+	// instance reads the list as if it were one.
+	peerSilence = 5 * time.Second
+	// expireInterval is how often old tombstones are looked for.
+	expireInterval = time.Minute
+)
 
-// listState paces the reading of the platform's instance list.
-type listState struct {
-	op   OpID
-	next time.Time
+// memberState paces the reading of the platform's instance list and keeps what is
+// derived from the view.
+type memberState struct {
+	// list is the read under way; read is when the last one succeeded.
+	list OpID
+	read time.Time
+	slow time.Duration
+	// failures counts failed reads in a row; the next is due at retryAt.
+	failures int
+	retryAt  time.Time
+	expireAt time.Time
+	// heard is when each peer last sent anything.
+	heard map[string]time.Time
+	// entries caches the sorted names of entry instances; nil after a change.
+	entries []string
+	// zone are those of this zone, and readers its readers of the list.
+	zone    []string
+	readers []string
+}
+
+func (n *Node) tickMembers() {
+	n.tickList()
+	if n.snapshot != nil {
+		n.refreshPools(n.view.Stepped(n.now))
+	}
+	if !n.now.Before(n.members.expireAt) {
+		n.members.expireAt = n.now.Add(expireInterval)
+		n.view.Expire(n.now)
+		maps.DeleteFunc(n.members.heard, func(_ string, at time.Time) bool {
+			return n.now.Sub(at) > expireInterval
+		})
+	}
 }
 
 func (n *Node) tickList() {
-	if n.list.op != 0 || n.now.Before(n.list.next) {
+	s := &n.members
+	if s.list != 0 || n.now.Before(n.listDue()) {
 		return
 	}
-	n.list.op = n.nextOp()
-	n.emit(ListInstances{Op: n.list.op})
+	s.list = n.nextOp()
+	n.emit(ListInstances{Op: s.list})
+}
+
+// listDue is when the list is to be read next. It is taken anew on each tick, so
+// that an instance whose readers fall silent does not sleep out its long interval.
+func (n *Node) listDue() time.Time {
+	s := &n.members
+	switch {
+	case s.failures > 0:
+		return s.retryAt
+	case n.readsList():
+		return s.read.Add(listInterval)
+	default:
+		return s.read.Add(s.slow)
+	}
+}
+
+// readsList tells whether this instance reads the list at the short interval.
+func (n *Node) readsList() bool {
+	n.entries()
+	silent := true
+	for _, reader := range n.members.readers {
+		if reader == n.settings.Name {
+			return true
+		}
+		if n.now.Sub(n.members.heard[reader]) < peerSilence {
+			silent = false
+		}
+	}
+	return silent
 }
 
 func (n *Node) instancesListed(e InstancesListed) {
-	if e.Op != n.list.op {
+	s := &n.members
+	if e.Op != s.list {
 		return
 	}
-	n.list.op = 0
-	n.list.next = n.now.Add(listInterval)
+	s.list = 0
 	if e.Failed {
+		s.failures++
+		s.retryAt = n.now.Add(n.backOff(listInterval, listMaxDelay, s.failures))
 		return
 	}
-	changed := false
-	for _, in := range e.Members {
-		changed = n.view.Merge(in) || changed
+	s.failures = 0
+	s.read = n.now
+	s.slow = n.spread(listSlowInterval)
+	n.membersChanged(n.view.Listed(n.now, e.Members))
+}
+
+// spread draws a time from half to one and a half of d, so that instances that
+// began together do not go on together.
+func (n *Node) spread(d time.Duration) time.Duration {
+	return d/2 + time.Duration(n.random.Int64N(int64(d)))
+}
+
+// backOff is the spread delay after a number of failures in a row: it doubles
+// from first up to limit.
+func (n *Node) backOff(first, limit time.Duration, failures int) time.Duration {
+	delay := limit
+	if failures < 16 {
+		delay = min(limit, first<<max(0, failures-1))
+	}
+	return min(limit, n.spread(delay))
+}
+
+// backendReported takes a backend server's answer to a report poll.
+func (n *Node) backendReported(e BackendReported) {
+	if e.Failed {
+		return
 	}
-	if changed {
-		n.rebuildPools()
+	if n.view.Report(n.now, e.Report, true) {
+		n.membersChanged([]string{e.Report.Backend})
+	}
+	n.load.Report(e.Report.Backend, e.Report.InFlight, e.Report.At)
+	n.loadChanged(e.Report.Backend)
+}
+
+// backendSaid takes what an ordinary answer or refusal says of its backend
+// server. A server that refuses because it drains gets no further request, though
+// the platform's list may name it live for long or be cut off.
+func (n *Node) backendSaid(report membership.Report) {
+	if n.view.Report(n.now, report, false) {
+		n.membersChanged([]string{report.Backend})
 	}
 }
 
-func (n *Node) backendReported(BackendReported) {}
+// peerHeard notes that a peer sent something.
+func (n *Node) peerHeard(peer string) { n.members.heard[peer] = n.now }
 
-// entries lists the entry instances that are not gone, this one among them,
-// sorted by name. Owners of ranges, reports and watches are ranked over it.
+// learn merges a fact from any source.
+func (n *Node) learn(f membership.Fact) {
+	if n.view.Learn(n.now, f) {
+		n.membersChanged([]string{f.Name})
+	}
+}
+
+// learnMembers merges lines that a peer passes on. They introduce instances that
+// this one has not seen in a list of its own, but never say what is absent.
+func (n *Node) learnMembers(list []membership.Instance) {
+	var changed []string
+	for _, in := range list {
+		if n.view.Merge(n.now, in) {
+			changed = append(changed, in.Name)
+		}
+	}
+	n.membersChanged(changed)
+}
+
+// membersChanged brings what is derived from the view up to date with changes of
+// the named instances, and touches only the pools that these belong to.
+func (n *Node) membersChanged(names []string) {
+	if len(names) == 0 {
+		return
+	}
+	for _, name := range names {
+		if in := n.view.Get(name); in == nil || in.Role == membership.Entry {
+			n.members.entries = nil
+		}
+	}
+	if n.snapshot != nil {
+		n.refreshPools(names)
+	}
+}
+
+// refreshPools builds anew the pools of the services of the named backend servers.
+func (n *Node) refreshPools(names []string) {
+	var services []string
+	for _, name := range names {
+		service := n.snapshot.ServiceOf(name)
+		if in := n.view.Get(name); service == "" && in != nil {
+			service = in.Service
+		}
+		if n.snapshot.Service(service) != nil {
+			services = append(services, service)
+		}
+	}
+	slices.Sort(services)
+	for _, service := range slices.Compact(services) {
+		for _, c := range n.pool(service).candidates {
+			delete(n.poolOf, c.Name)
+		}
+		n.rebuildPool(service)
+	}
+}
+
+// entries lists the entry instances that are live, this one among them, sorted by
+// name. Owners of ranges, reports and watches are ranked over it. The caller must
+// not change the list.
 func (n *Node) entries() []string {
+	s := &n.members
+	if s.entries != nil {
+		return s.entries
+	}
 	names := []string{n.settings.Name}
+	zone := []string{n.settings.Name}
 	n.view.Each(func(in *membership.Instance) {
-		if in.Role == membership.Entry && in.State == membership.Live && in.Name != n.settings.Name {
-			names = append(names, in.Name)
+		if in.Role != membership.Entry || in.State != membership.Live || in.Name == n.settings.Name {
+			return
+		}
+		names = append(names, in.Name)
+		if in.Zone == n.settings.Zone {
+			zone = append(zone, in.Name)
 		}
 	})
 	slices.Sort(names)
+	slices.Sort(zone)
+	s.entries = names
+	s.zone = zone
+	s.readers = rendezvous.Top(rendezvous.Hash("list/"+n.settings.Zone), zone, listReaders)
 	return names
 }
-
-// learn merges a fact from any source and rebuilds the pools if it was news.
-func (n *Node) learn(membership.Fact) {}
--- a/internal/core/membership/membership.go
+++ b/internal/core/membership/membership.go
@@ -56,6 +56,11 @@
 	State       State  `json:"state"`
 }
 
+// Fact returns what the line says of the instance's state.
+func (in Instance) Fact() Fact {
+	return Fact{Name: in.Name, Incarnation: in.Incarnation, State: in.State}
+}
+
 // Fact is one thing said of an instance by anyone.
 type Fact struct {
 	Name        string `json:"name"`
@@ -73,47 +78,3 @@
 	// At is when the load was so, by the clock of the one who says it.
 	At time.Time `json:"at"`
 }
-
-// View is the merged state of all instances.
-type View struct {
-	instances map[string]*Instance
-}
-
-// NewView returns an empty view.
-func NewView() *View {
-	return &View{instances: make(map[string]*Instance)}
-}
-
-// Merge takes one line of a list and tells whether the view changed.
-//
-// A lagging source may repeat what was true before: within one incarnation a
-// state of lower rank never undoes one of higher rank, and an older incarnation
-// never undoes a newer one.
-func (v *View) Merge(in Instance) bool {
-	old := v.instances[in.Name]
-	if old != nil && older(in, *old) {
-		return false
-	}
-	if old != nil && *old == in {
-		return false
-	}
-	v.instances[in.Name] = &in
-	return true
-}
-
-func older(in, old Instance) bool {
-	if in.Incarnation != old.Incarnation {
-		return in.Incarnation < old.Incarnation
-	}
-	return in.State.rank() < old.State.rank()
-}
-
-// Get returns what is known of an instance, or nil.
-func (v *View) Get(name string) *Instance { return v.instances[name] }
-
-// Each calls f for every instance, in no order.
-func (v *View) Each(f func(*Instance)) {
-	for _, in := range v.instances {
-		f(in)
-	}
-}
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -51,7 +51,7 @@
 	poolOf    map[string]*pool
 	requests  map[RequestID]*request
 	configs   configState
-	list      listState
+	members   memberState
 	lifecycle lifecycleState
 }
 
@@ -65,6 +65,7 @@
 		pools:    make(map[string]*pool),
 		poolOf:   make(map[string]*pool),
 		requests: make(map[RequestID]*request),
+		members:  memberState{heard: make(map[string]time.Time)},
 	}
 }
 
@@ -102,6 +103,7 @@
 	case PeerLost:
 		n.peerLost(e)
 	case PeerReceived:
+		n.peerHeard(e.From)
 		n.peerReceived(e)
 	case StopRequested:
 		n.stopRequested()
@@ -120,7 +122,7 @@
 // ticked does what is due by time alone.
 func (n *Node) ticked() {
 	n.tickConfig()
-	n.tickList()
+	n.tickMembers()
 	n.tickPeers()
 	n.tickClaims()
 	n.tickLifecycle()
--- a/internal/core/peermsg.go
+++ b/internal/core/peermsg.go
@@ -36,6 +36,8 @@
 	Reports []membership.Report `json:"reports,omitempty"`
 	// Facts are changes of membership that the sender learnt.
 	Facts []membership.Fact `json:"facts,omitempty"`
+	// Members are instances that the receiver may not have seen in a list.
+	Members []membership.Instance `json:"members,omitempty"`
 }
 
 // BackendLoad is the number of one instance's requests at one backend server.
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -22,7 +22,12 @@
 }
 
 // peerDigest takes what a peer says of loads, members and its configuration.
-func (n *Node) peerDigest(string, *Digest) {}
+func (n *Node) peerDigest(_ string, d *Digest) {
+	n.learnMembers(d.Members)
+	for _, f := range d.Facts {
+		n.learn(f)
+	}
+}
 
 // tickPeers sends the digests and polls that are due.
 func (n *Node) tickPeers() {}
--- a/internal/core/placement.go
+++ b/internal/core/placement.go
@@ -99,11 +99,14 @@
 		p.budget = retry.NewBudget(svc.RetryShare, retryBurst)
 	}
 	for _, b := range svc.BackendServers {
+		if in := n.view.Get(b.Name); in != nil && in.State != membership.Live {
+			continue
+		}
 		p.candidates = append(p.candidates, candidate(b.Name, b.Address, b.Zone))
 	}
 	if svc.FromPlatform {
-		n.view.Each(func(in *membership.Instance) {
-			if in.Role == membership.Backend && in.Service == name && in.State == membership.Live {
+		n.view.EachOf(name, func(in *membership.Instance) {
+			if in.Role == membership.Backend && in.State == membership.Live {
 				p.candidates = append(p.candidates, candidate(in.Name, in.Address, in.Zone))
 			}
 		})
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -144,6 +144,9 @@
 }
 
 func (n *Node) attemptEnded(e AttemptEnded) {
+	if e.Load != nil {
+		n.backendSaid(*e.Load)
+	}
 	r := n.requests[e.Request]
 	if r == nil || e.Attempt != r.attempt {
 		return
