--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build run test lint format
+.PHONY: build run test ci lint format linter
 
 build:
 	go build -o bin/ ./cmd/... ./test/standin
@@ -9,11 +9,17 @@
 test:
 	go test ./...
 
-lint: bin/golangci-lint
+ci:
+	.ci/run
+
+lint: linter
 	bin/golangci-lint run ./...
 
-format: bin/golangci-lint
+format: linter
 	bin/golangci-lint fmt ./...
 
-bin/golangci-lint: tools/tools.env
-	. tools/tools.env && GOBIN=$(CURDIR)/bin go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$$GOLANGCI_LINT_VERSION
+# Installs the linter unless the pinned version is there already.
+linter:
+	@. tools/tools.env && version=$${GOLANGCI_LINT_VERSION#v} && \
+	{ bin/golangci-lint version 2>/dev/null | grep -qF "version $$version " || \
+	GOBIN=$(CURDIR)/bin go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$$GOLANGCI_LINT_VERSION; }
--- /dev/null
+++ b/tools/verdict/main_test.go
@@ -0,0 +1,70 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+const stream = `{"Action":"pass","Package":"p","Test":"TestA"}
+{"Action":"pass","Package":"p"}
+{"Action":"output","Package":"q","Test":"TestB/one","Output":"said\n"}
+{"Action":"fail","Package":"q","Test":"TestB/one"}
+{"Action":"fail","Package":"q","Test":"TestB"}
+{"Action":"fail","Package":"q"}
+`
+
+func judge(t *testing.T, known, stream string) (bool, string) {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "KNOWN-RED.txt")
+	require.NoError(t, os.WriteFile(file, []byte(known), 0o600))
+	list, err := readKnown(file)
+	require.NoError(t, err)
+	v := verdict{known: list, output: make(map[[2]string]*strings.Builder)}
+	require.NoError(t, v.read(strings.NewReader(stream)))
+	var out strings.Builder
+	good := v.report(&out)
+	return good, out.String()
+}
+
+func TestVerdict(t *testing.T) {
+	good, out := judge(t, "", stream)
+	require.False(t, good)
+	require.Contains(t, out, "FAILED q TestB/one\nsaid\n")
+	require.Contains(t, out, "1 passed, 2 failed, 0 known red, 0 skipped\n")
+
+	good, out = judge(t, "TestB/one: flaky clock: issue 7\n", stream)
+	require.True(t, good)
+	require.Contains(t, out, "KNOWN RED (failed) TestB/one: flaky clock: issue 7\n1 passed, 0 failed, 2 known red, 0 skipped\n")
+
+	good, _ = judge(t, "TestC: other: issue 8", stream)
+	require.False(t, good, "only the listed test is passed over")
+
+	good, out = judge(t, "TestA: mended: issue 9", `{"Action":"pass","Package":"p","Test":"TestA"}`)
+	require.True(t, good)
+	require.Contains(t, out, "KNOWN RED (passed now: take it off the list) TestA")
+}
+
+// TestDeadPackage is a package that dies or does not build.
+//
+// No test of it fails, so a count of failed tests would show a good run.
+func TestDeadPackage(t *testing.T) {
+	good, out := judge(t, "", `{"Action":"pass","Package":"p","Test":"TestA"}`+"\n"+`{"Action":"fail","Package":"q"}`)
+	require.False(t, good)
+	require.Contains(t, out, "1 passed, 1 failed")
+	good, _ = judge(t, "", "")
+	require.False(t, good, "nothing ran")
+}
+
+func TestListIsBounded(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "KNOWN-RED.txt")
+	require.NoError(t, os.WriteFile(file, []byte("A: c: 1\nB: c: 1\nC: c: 1\nD: c: 1\n"), 0o600))
+	_, err := readKnown(file)
+	require.ErrorContains(t, err, "4 tests, expected at most 3")
+	require.NoError(t, os.WriteFile(file, []byte("A without cause\n"), 0o600))
+	_, err = readKnown(file)
+	require.ErrorContains(t, err, "expected \"test: cause: issue\"")
+}
