Merge placement, load and admission with membership

The membership test left the refused request's second attempt open for ever, so with the new inner limit the one other idle server rightly took all that came. The test now ends that attempt; what it asserts is unchanged.

--- a/internal/core/members_test.go
+++ b/internal/core/members_test.go
@@ -109,6 +109,7 @@
 		Request: id, Attempt: 1, Outcome: retry.Refused,
 		Load: &membership.Report{Backend: backend, Incarnation: 1, State: membership.Leaving},
 	})
+	s.handle(core.AttemptEnded{Request: id, Attempt: 2, Outcome: retry.Answered})
 	quiet := func(what string) {
 		require.NotContains(t, s.spread("underwriting"), backend, what)
 	}
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -49,6 +49,8 @@
 	load      *load.Tracker
 	pools     map[string]*pool
 	poolOf    map[string]*pool
+	reach     reachability
+	admission admissionState
 	requests  map[RequestID]*request
 	configs   configState
 	members   memberState
@@ -58,14 +60,16 @@
 // New returns a node that knows nothing but its settings.
 func New(s Settings) *Node {
 	return &Node{
-		settings: s,
-		random:   rand.New(rand.NewPCG(s.Seed, s.Incarnation)),
-		view:     membership.NewView(),
-		load:     load.NewTracker(),
-		pools:    make(map[string]*pool),
-		poolOf:   make(map[string]*pool),
-		requests: make(map[RequestID]*request),
-		members:  memberState{heard: make(map[string]time.Time)},
+		settings:  s,
+		random:    rand.New(rand.NewPCG(s.Seed, s.Incarnation)),
+		view:      membership.NewView(),
+		load:      load.NewTracker(),
+		pools:     make(map[string]*pool),
+		poolOf:    make(map[string]*pool),
+		reach:     make(reachability),
+		admission: newAdmissionState(),
+		requests:  make(map[RequestID]*request),
+		members:   memberState{heard: make(map[string]time.Time)},
 	}
 }
 
@@ -123,6 +127,8 @@
 func (n *Node) ticked() {
 	n.tickConfig()
 	n.tickMembers()
+	n.tickPlacement()
+	n.tickAdmission()
 	n.tickPeers()
 	n.tickClaims()
 	n.tickLifecycle()
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -22,11 +22,12 @@
 }
 
 // peerDigest takes what a peer says of loads, members and its configuration.
-func (n *Node) peerDigest(_ string, d *Digest) {
+func (n *Node) peerDigest(from string, d *Digest) {
 	n.learnMembers(d.Members)
 	for _, f := range d.Facts {
 		n.learn(f)
 	}
+	n.peerLoads(from, d)
 }
 
 // tickPeers sends the digests and polls that are due.
