--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -50,6 +50,7 @@
 	pools     map[string]*pool
 	poolOf    map[string]*pool
 	requests  map[RequestID]*request
+	due       dueQueue
 	configs   configState
 	list      listState
 	lifecycle lifecycleState
@@ -119,6 +120,7 @@
 
 // ticked does what is due by time alone.
 func (n *Node) ticked() {
+	n.tickRequests()
 	n.tickConfig()
 	n.tickList()
 	n.tickPeers()
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -10,14 +10,31 @@
 	"github.com/ebonydyke/ebonydyke/internal/core/retry"
 )
 
+const (
+	// defaultRetryAfter is when a caller may come back if nothing else is known.
+	defaultRetryAfter = time.Second
+	// resumePause lies between two attempts to resume one stream.
+	resumePause = 500 * time.Millisecond
+	// statusCallerGone is for the log; nobody reads an answer with it.
+	statusCallerGone = 499
+)
+
 // request is one request in progress at this instance.
 type request struct {
 	arrived  RequestArrived
 	service  *config.Service
 	deadline time.Time
 	attempt  int
-	// backend is the backend server of the running attempt.
+	// running is set while the last attempt has not ended.
+	running bool
+	// backend and address are the last attempt's backend server.
 	backend string
+	address string
+	// resumeAfter is the last event of a broken stream that its backend server
+	// may resume.
+	resumeAfter string
+	// retryAfter is the longest wait that a refusing backend server asked for.
+	retryAfter time.Duration
 	// tried are the backend servers that earlier attempts failed at.
 	tried []string
 	// mayHaveRun is set once any attempt ended in a way that leaves open whether
@@ -29,6 +46,9 @@
 	claimed bool
 	// gone is set once the caller has left.
 	gone bool
+	// ended is set once the request got its final answer.
+	ended bool
+	due   []*due
 }
 
 func (n *Node) requestArrived(e RequestArrived) {
@@ -58,6 +78,7 @@
 		return
 	}
 	n.requests[e.Request] = r
+	n.schedule(r.deadline, r, (*Node).deadlinePassed)
 	if r.needsClaim() {
 		n.claim(r)
 		return
@@ -73,8 +94,8 @@
 // claimGranted goes on with a request whose key is now its own.
 func (n *Node) claimGranted(r *request) {
 	r.claimed = true
-	if r.gone || !n.now.Before(r.deadline) {
-		n.giveUp(r, reason.DeadlineExceeded)
+	if r.ended {
+		n.endClaim(r, claims.Released)
 		return
 	}
 	n.startAttempt(r, reason.None)
@@ -83,30 +104,21 @@
 // claimRefused ends a request whose key another request holds, or whose claim
 // could not be recorded with certainty. Nothing was sent.
 func (n *Node) claimRefused(r *request, reply claims.Reply) {
-	n.release(r)
-	finish := Finish{
-		Request:  r.arrived.Request,
-		Customer: r.arrived.Customer,
-		Service:  r.service.Name,
+	if r.ended {
+		return
 	}
+	finish := Finish{Status: http.StatusServiceUnavailable, Outcome: reason.NotRun, RetryAfter: defaultRetryAfter}
 	switch reply.Verdict {
 	case claims.Duplicate:
 		finish.Status, finish.Outcome, finish.Reason = http.StatusConflict, reason.Duplicate, reason.ClaimDuplicate
 		finish.First = reply.First.String()
+		finish.RetryAfter = 0
 	case claims.Full:
-		finish.Status, finish.Outcome, finish.Reason = http.StatusServiceUnavailable, reason.NotRun, reason.ClaimsFull
-		finish.RetryAfter = time.Second
+		finish.Reason = reason.ClaimsFull
 	default:
-		finish.Status, finish.Outcome, finish.Reason = http.StatusServiceUnavailable, reason.NotRun, reason.ClaimUnavailable
-		finish.RetryAfter = time.Second
+		finish.Reason = reason.ClaimUnavailable
 	}
-	n.emit(finish)
-}
-
-// release forgets a request that has ended, whatever its end.
-func (n *Node) release(r *request) {
-	delete(n.requests, r.arrived.Request)
-	n.admissionEnded(r)
+	n.finish(r, finish)
 }
 
 func (n *Node) serviceOf(e RequestArrived) *config.Service {
@@ -120,46 +132,63 @@
 func (n *Node) startAttempt(r *request, why reason.Reason) {
 	c, refusal := n.place(r)
 	if refusal != reason.None {
+		if why != reason.None {
+			refusal = why
+		}
 		n.giveUp(r, refusal)
 		return
 	}
+	r.backend, r.address = c.Name, c.Address
+	r.resumeAfter = ""
+	n.send(r, SendAttempt{Placement: c.Name, Why: why})
+}
+
+// resume asks the backend server that began a stream for the rest of it. This is
+// no second run: the stream's own id names the one that is in progress.
+func (n *Node) resume(r *request) {
+	n.send(r, SendAttempt{Placement: r.backend, ResumeAfter: r.resumeAfter, Why: reason.BrokenStream})
+}
+
+func (n *Node) send(r *request, e SendAttempt) {
 	r.attempt++
-	r.backend = c.Name
-	n.loadSent(c.Name)
-	n.emit(SendAttempt{
-		Request:   r.arrived.Request,
-		Attempt:   r.attempt,
-		Backend:   c.Name,
-		Address:   c.Address,
-		Deadline:  r.deadline,
-		Placement: c.Name,
-		Why:       why,
-	})
+	r.running = true
+	n.loadSent(r.backend)
+	e.Request, e.Attempt, e.Deadline = r.arrived.Request, r.attempt, r.deadline
+	e.Backend, e.Address = r.backend, r.address
+	n.emit(e)
 }
 
 func (n *Node) answerStarted(e AnswerStarted) {
-	if r := n.requests[e.Request]; r != nil && e.Attempt == r.attempt {
+	if r := n.requests[e.Request]; r != nil && r.running && e.Attempt == r.attempt {
 		r.started = true
 	}
 }
 
 func (n *Node) attemptEnded(e AttemptEnded) {
+	if e.Load != nil {
+		n.backendReported(BackendReported{Report: *e.Load})
+	}
 	r := n.requests[e.Request]
-	if r == nil || e.Attempt != r.attempt {
+	if r == nil || e.Attempt != r.attempt || !r.running {
 		return
 	}
-	n.loadEnded(r.backend)
+	n.attemptOver(r)
 	if e.Outcome == retry.Answered {
 		n.answered(r)
 		return
 	}
 	r.mayHaveRun = r.mayHaveRun || e.Outcome.MayHaveRun()
-	if !n.mayRetry(r, e.Outcome) {
-		n.giveUp(r, e.Outcome.Reason())
-		return
+	r.retryAfter = max(r.retryAfter, e.RetryAfter)
+	if e.Outcome == retry.Broken {
+		r.resumeAfter = e.LastEventID
 	}
-	r.tried = append(r.tried, r.backend)
-	n.startAttempt(r, e.Outcome.Reason())
+	n.afterFailure(r, e.Outcome)
+}
+
+// attemptOver takes the running attempt off its backend server's load.
+func (n *Node) attemptOver(r *request) {
+	r.running = false
+	n.loadEnded(r.backend)
 }
 
 func (n *Node) answered(r *request) {
@@ -170,45 +199,111 @@
 	n.release(r)
 }
 
-// mayRetry tells whether another attempt may follow one that ended in outcome.
-func (n *Node) mayRetry(r *request, outcome retry.Outcome) bool {
-	if r.started || r.gone || !n.now.Before(r.deadline) {
-		return false
+// afterFailure decides what follows an attempt that brought no whole answer.
+func (n *Node) afterFailure(r *request, outcome retry.Outcome) {
+	why := outcome.Reason()
+	switch {
+	case r.gone:
+		n.giveUp(r, reason.CallerGone)
+	case !n.now.Before(r.deadline):
+		n.giveUp(r, reason.DeadlineExceeded)
+	case r.resumeAfter != "":
+		n.retryOrGiveUp(r, why, (*Node).resumeSoon)
+	case r.started, r.arrived.NonIdempotent && r.mayHaveRun:
+		n.giveUp(r, why)
+	default:
+		n.retryOrGiveUp(r, why, func(n *Node, r *request) {
+			r.tried = append(r.tried, r.backend)
+			n.startAttempt(r, why)
+		})
 	}
-	if r.arrived.NonIdempotent && outcome.MayHaveRun() {
-		return false
+}
+
+// retryOrGiveUp makes another attempt if the attempts of the request and the
+// retry budget of the service allow one.
+func (n *Node) retryOrGiveUp(r *request, why reason.Reason, again func(*Node, *request)) {
+	switch {
+	case r.attempt >= r.service.MaxAttempts && r.attempt > 1:
+		n.giveUp(r, reason.AttemptsExhausted)
+	case r.attempt >= r.service.MaxAttempts:
+		n.giveUp(r, why)
+	case !n.pool(r.service.Name).budget.Take():
+		n.giveUp(r, reason.RetryBudget)
+	default:
+		again(n, r)
 	}
-	if r.attempt >= r.service.MaxAttempts {
-		return false
+}
+
+// resumeSoon resumes at once the first time, and later only after a pause: an
+// engine that does not answer needs time more than it needs requests.
+func (n *Node) resumeSoon(r *request) {
+	if r.attempt == 1 {
+		n.resume(r)
+		return
 	}
-	return n.pool(r.service.Name).budget.Take()
+	n.schedule(n.now.Add(resumePause), r, (*Node).resume)
 }
 
-// giveUp ends a request without an answer of a backend server.
+// deadlinePassed ends a request whose time is over, whether or not its attempt
+// ever reports back. A frozen backend server would otherwise hold its caller.
+func (n *Node) deadlinePassed(r *request) {
+	if r.running {
+		r.mayHaveRun = true
+		n.attemptOver(r)
+		n.emit(CancelAttempt{Request: r.arrived.Request, Attempt: r.attempt})
+	}
+	n.giveUp(r, reason.DeadlineExceeded)
+}
+
+// giveUp ends a request without a whole answer of a backend server.
 func (n *Node) giveUp(r *request, why reason.Reason) {
-	outcome, status := reason.NotRun, http.StatusServiceUnavailable
+	outcome := reason.NotRun
 	if r.mayHaveRun {
-		outcome, status = reason.Unknown, http.StatusBadGateway
+		outcome = reason.Unknown
 	} else if r.claimed {
 		n.endClaim(r, claims.Released)
 	}
-	n.release(r)
-	n.emit(Finish{
-		Request:    r.arrived.Request,
-		Customer:   r.arrived.Customer,
-		Service:    r.service.Name,
+	n.finish(r, Finish{
 		Backend:    r.backend,
 		Attempt:    r.attempt,
-		Status:     status,
+		Status:     giveUpStatus(outcome, why),
 		Outcome:    outcome,
 		Reason:     why,
-		RetryAfter: time.Second,
+		RetryAfter: max(r.retryAfter, defaultRetryAfter),
 	})
 }
 
+func giveUpStatus(outcome reason.Outcome, why reason.Reason) int {
+	switch {
+	case why == reason.CallerGone:
+		return statusCallerGone
+	case why == reason.DeadlineExceeded:
+		return http.StatusGatewayTimeout
+	case outcome == reason.Unknown:
+		return http.StatusBadGateway
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
+
+// finish gives a request its final answer.
+func (n *Node) finish(r *request, e Finish) {
+	n.release(r)
+	e.Request, e.Customer, e.Service = r.arrived.Request, r.arrived.Customer, r.service.Name
+	n.emit(e)
+}
+
+// release forgets a request that has ended, whatever its end.
+func (n *Node) release(r *request) {
+	r.ended = true
+	n.unschedule(r)
+	delete(n.requests, r.arrived.Request)
+	n.admissionEnded(r)
+}
+
 // refuse ends a request that never got as far as an attempt.
 func (n *Node) refuse(e RequestArrived, service string, status int, why reason.Reason) {
-	n.refuseLater(e, service, &refusal{status: status, why: why, retryAfter: time.Second})
+	n.refuseLater(e, service, &refusal{status: status, why: why, retryAfter: defaultRetryAfter})
 }
 
 func (n *Node) refuseLater(e RequestArrived, service string, r *refusal) {
@@ -223,11 +318,17 @@
 	})
 }
 
+// callerGone stops the work for a caller that left. A running attempt still
+// reports its end, which says whether the request may have run.
 func (n *Node) callerGone(e CallerGone) {
 	r := n.requests[e.Request]
-	if r == nil {
+	if r == nil || r.gone {
 		return
 	}
 	r.gone = true
+	if !r.running {
+		n.giveUp(r, reason.CallerGone)
+		return
+	}
 	n.emit(CancelAttempt{Request: e.Request, Attempt: r.attempt})
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -33,7 +33,7 @@
 	if err != nil {
 		return fmt.Errorf("daemon: listen for callers: %w", err)
 	}
-	server := proxy.New(loop.Post)
+	server := proxy.New(loop.Post, proxy.Options{})
 	exec := &executor{ctx: ctx, post: loop.Post, platform: platform.NewClient(s.Platform), proxy: server, stop: cancel}
 
 	group, ctx := errgroup.WithContext(ctx)
--- a/internal/daemon/executor.go
+++ b/internal/daemon/executor.go
@@ -52,11 +52,28 @@
 		x.proxy.SetReady(e.Ready)
 	case core.CloseListener:
 		go x.proxy.CloseListener()
+	case core.PollReport:
+		go x.pollReport(e)
 	case core.Stopped:
-		x.stop()
+		go x.drained()
 	}
 }
 
+// drained ends the process once the last answer is with its caller. The core
+// knows that answers were read to their end; their last bytes may still be here.
+func (x *executor) drained() {
+	x.proxy.Drain()
+	x.stop()
+}
+
+func (x *executor) pollReport(e core.PollReport) {
+	report, err := x.proxy.Report(e.Backend, e.Address)
+	if err != nil {
+		klog.InfoS("no load report", "backend", e.Backend, "error", err)
+	}
+	x.post(core.BackendReported{Report: report, Failed: err != nil})
+}
+
 func (x *executor) storeGet(e core.StoreGet) {
 	ctx, cancel := context.WithTimeout(x.ctx, callTimeout)
 	defer cancel()
--- /dev/null
+++ b/internal/proxy/attempt_test.go
@@ -0,0 +1,221 @@
+package proxy_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/ebonydyke/ebonydyke/internal/core/reason"
+	"github.com/ebonydyke/ebonydyke/internal/proxy"
+	"github.com/ebonydyke/ebonydyke/test/standin/engine"
+)
+
+func dial(t testing.TB, address string) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
+
+func readBytes(t testing.TB, r io.Reader, n int) {
+	t.Helper()
+	_, err := io.ReadFull(r, make([]byte, n))
+	require.NoError(t, err)
+}
+
+// rawBackend is a backend server that counts the requests it read and hands each
+// connection's requests to serve. It closes the connection when serve says so.
+type rawBackend struct {
+	address string
+	seen    atomic.Int64
+}
+
+type rawServe func(nth int, r *http.Request, conn net.Conn) (keep bool)
+
+func startRaw(t testing.TB, serve rawServe) *rawBackend {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	b := &rawBackend{address: l.Addr().String()}
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go b.serve(conn, serve)
+		}
+	}()
+	return b
+}
+
+func (b *rawBackend) serve(conn net.Conn, serve rawServe) {
+	defer func() { _ = conn.Close() }()
+	in := bufio.NewReader(conn)
+	for {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		if !serve(int(b.seen.Add(1)), r, conn) {
+			return
+		}
+	}
+}
+
+func answerOK(conn net.Conn, body string) {
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+}
+
+// A cancellation notice goes out twice although nobody asked twice. The server
+// read the request and closed without an answer, and the HTTP library sent it
+// again by itself. Every method, on a new connection and on a kept one, must
+// reach the server once.
+func TestNothingIsSentTwice(t *testing.T) {
+	for _, method := range []string{"GET", "HEAD", "PUT", "POST", "DELETE", "OPTIONS"} {
+		for _, kept := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s kept=%v", method, kept), func(t *testing.T) {
+				b := startRaw(t, func(nth int, _ *http.Request, conn net.Conn) bool {
+					if kept && nth == 1 {
+						answerOK(conn, "first")
+						return true
+					}
+					return false
+				})
+				text := fleetText(nil, []string{b.address})
+				text.Services[1].MaxAttempts = 1
+				i := startInstance(t, text, proxy.Options{})
+				want := 1
+				if kept {
+					require.Equal(t, "first", send(t, newCall(t, "GET", i.url+"/services/portal/x", "", nil)).body)
+					want = 2
+				}
+				got := send(t, newCall(t, method, i.url+"/services/portal/x", "", nil))
+				require.Equal(t, http.StatusBadGateway, got.status)
+				require.Equal(t, string(reason.Unknown), got.header.Get(proxy.HeaderOutcome))
+				require.EqualValues(t, want, b.seen.Load())
+			})
+		}
+	}
+}
+
+// A request fails, or is called possibly run, only because the server closed a
+// kept connection some time before. The connection is seen to be closed before it
+// is used, so a single attempt suffices.
+func TestStaleConnectionIsNotUsed(t *testing.T) {
+	b := startRaw(t, func(_ int, _ *http.Request, conn net.Conn) bool {
+		answerOK(conn, "answer")
+		return false
+	})
+	text := fleetText(nil, []string{b.address})
+	text.Services[1].MaxAttempts = 1
+	i := startInstance(t, text, proxy.Options{})
+	for range 20 {
+		got := send(t, newCall(t, "GET", i.url+"/services/portal/x", "", nil))
+		require.Equal(t, "answer", got.body)
+		time.Sleep(2 * time.Millisecond)
+	}
+}
+
+// An analyst reads another customer's dossier. The server answered the first
+// request only after its deadline, on a connection that was kept, and the late
+// answer was taken for the next request's. A given-up connection is closed.
+func TestLateAnswerReachesNobodyElse(t *testing.T) {
+	b := startRaw(t, func(nth int, r *http.Request, conn net.Conn) bool {
+		if nth%2 == 1 {
+			time.Sleep(100 * time.Millisecond)
+		}
+		answerOK(conn, r.URL.Path)
+		return true
+	})
+	i := startInstance(t, fleetText(nil, []string{b.address}), proxy.Options{})
+	for n := range 5 {
+		late := send(t, newCall(t, "GET", fmt.Sprintf("%s/services/portal/late-%d", i.url, n), "",
+			headers{proxy.HeaderDeadline: "40"}))
+		require.Equal(t, http.StatusGatewayTimeout, late.status)
+		require.Equal(t, string(reason.Unknown), late.header.Get(proxy.HeaderOutcome))
+		got := send(t, newCall(t, "GET", fmt.Sprintf("%s/services/portal/next-%d", i.url, n), "", nil))
+		require.Equal(t, fmt.Sprintf("/next-%d", n), got.body)
+	}
+}
+
+// What a caller is told when the attempt fails before any byte of an answer:
+// whether it may have run decides between another attempt, "not-run" and
+// "unknown".
+func TestOutcomes(t *testing.T) {
+	const yes, no = "", "false"
+	tests := []struct {
+		name       string
+		idempotent string
+		fault      engine.Fault
+		status     int
+		outcome    reason.Outcome
+		why        reason.Reason
+		runs       int
+	}{
+		{"refused once", no, engine.Fault{Kind: engine.Refuse}, 200, reason.Answered, reason.None, 1},
+		{"refused always", no, engine.Fault{Kind: engine.Refuse, Times: 9}, 503, reason.NotRun, reason.AttemptsExhausted, 0},
+		{"bare 503", no, engine.Fault{Kind: engine.Busy}, 503, reason.Answered, reason.None, 0},
+		{"swallowed, idempotent", yes, engine.Fault{Kind: engine.Swallow}, 200, reason.Answered, reason.None, 1},
+		{"swallowed, not idempotent", no, engine.Fault{Kind: engine.Swallow}, 502, reason.Unknown, reason.BackendLost, 1},
+		{"cut body, idempotent", yes, engine.Fault{Kind: engine.Cut, After: 5}, 200, reason.Answered, reason.None, 1},
+		{"cut body, not idempotent", no, engine.Fault{Kind: engine.Cut, After: 5}, 502, reason.Unknown, reason.BrokenStream, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			engines, addresses := startEngines(t, 1, time.Millisecond)
+			i := startInstance(t, fleetText(addresses, nil), proxy.Options{})
+			engines[0].SetFault(tt.fault)
+			got := send(t, newChat(t, i.url, false, headers{proxy.HeaderIdempotent: tt.idempotent}))
+			require.Equal(t, tt.status, got.status, got.body)
+			require.Equal(t, string(tt.outcome), got.header.Get(proxy.HeaderOutcome))
+			require.Equal(t, string(tt.why), got.header.Get(proxy.HeaderReason))
+			if tt.outcome == reason.NotRun {
+				require.Equal(t, "3", got.header.Get("Retry-After"), "the engine asked for three seconds")
+			}
+			require.Len(t, engines[0].Stats().Runs, tt.runs)
+			if tt.status == 200 {
+				require.Contains(t, got.body, "whole answer of engine-1 to "+got.header.Get(proxy.HeaderRequestID))
+			}
+		})
+	}
+}
+
+// A dial that is refused sent nothing, whatever the request is.
+func TestUnreachableIsNotRun(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := l.Addr().String()
+	require.NoError(t, l.Close())
+	text := fleetText([]string{address}, nil)
+	text.Services[0].MaxAttempts = 1
+	i := startInstance(t, text, proxy.Options{})
+	got := send(t, newChat(t, i.url, true, headers{proxy.HeaderIdempotent: "false"}))
+	require.Equal(t, http.StatusServiceUnavailable, got.status)
+	require.Equal(t, string(reason.NotRun), got.header.Get(proxy.HeaderOutcome))
+	require.Equal(t, string(reason.BackendUnreachable), got.header.Get(proxy.HeaderReason))
+	require.NotEmpty(t, got.header.Get("Retry-After"))
+}
+
+// An answer that ends only by its connection's end may be cut without a trace, so
+// it is never passed on as whole.
+func TestAnswerFramedByCloseIsBroken(t *testing.T) {
+	b := startRaw(t, func(_ int, _ *http.Request, conn net.Conn) bool {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\n"+strings.Repeat("x", 100_000))
+		return false
+	})
+	i := startInstance(t, fleetText(nil, []string{b.address}), proxy.Options{})
+	got := send(t, newCall(t, "GET", i.url+"/services/portal/x", "", nil))
+	require.ErrorContains(t, got.err, "unexpected EOF")
+}
--- /dev/null
+++ b/internal/proxy/caller.go
@@ -0,0 +1,208 @@
+package proxy
+
+import (
+	"errors"
+	"net"
+	"sync"
+	"time"
+)
+
+// past is a deadline that makes a blocked read or write return at once.
+var past = time.Unix(1, 0)
+
+const (
+	// lingerTime is how long a retired connection waits for the caller's end of
+	// it, so that the notice is not destroyed by a reset.
+	lingerTime = 2 * time.Second
+	// readAhead is what may be read of a next request while one is worked on.
+	readAhead = 4096
+)
+
+// retireNotice is the answer to a request that crosses the closing of an idle
+// connection. Callers that have no request out take it for a closed connection,
+// as RFC 9110 says of status 408.
+const retireNotice = "HTTP/1.1 408 Request Timeout\r\n" +
+	"Connection: close\r\nContent-Length: 0\r\n" +
+	HeaderOutcome + ": not-run\r\n" + HeaderReason + ": stopping\r\nRetry-After: 1\r\n\r\n"
+
+// callerConn is a caller's connection.
+//
+// The HTTP library does not read a connection while it works on a request, so it
+// notices a caller's leaving only when it next writes. watch reads in its place,
+// and hands what it read to the library's next read.
+type callerConn struct {
+	net.Conn
+	server *Server
+	ahead  []byte
+
+	mu sync.Mutex
+	// idleSince is zero while a request is read or worked on.
+	idleSince time.Time
+	deadline  time.Time
+	retired   bool
+	closed    bool
+}
+
+// Read reads for the HTTP library.
+func (c *callerConn) Read(p []byte) (int, error) {
+	if len(c.ahead) > 0 {
+		n := copy(p, c.ahead)
+		c.ahead = c.ahead[n:]
+		c.busy()
+		return n, nil
+	}
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.busy()
+		return n, err
+	}
+	if isTimeout(err) && c.isRetired() {
+		c.leave()
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+// SetReadDeadline sets the library's deadline, unless the connection is being
+// retired: then the blocked read must return at once.
+func (c *callerConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = t
+	if c.retired {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// Write writes p unless the caller takes no byte for the length of a write
+// stall. A caller that reads slowly is let: the engine then waits for it, and
+// what this instance holds for it stays one event and the kernel's buffers.
+func (c *callerConn) Write(p []byte) (int, error) {
+	done := 0
+	for {
+		if err := c.SetWriteDeadline(time.Now().Add(c.server.options.WriteStall)); err != nil {
+			return done, err
+		}
+		n, err := c.Conn.Write(p[done:])
+		done += n
+		if err == nil || n == 0 || !isTimeout(err) {
+			return done, err
+		}
+	}
+}
+
+// Close closes the connection once.
+func (c *callerConn) Close() error {
+	c.mu.Lock()
+	closed := c.closed
+	c.closed = true
+	c.mu.Unlock()
+	if closed {
+		return nil
+	}
+	c.server.connClosed(c)
+	return c.Conn.Close()
+}
+
+// busy notes that a request arrives, and takes a retirement back: a request that
+// began to arrive before the connection was given up is served.
+func (c *callerConn) busy() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idleSince = time.Time{}
+	if c.retired {
+		c.retired = false
+		_ = c.Conn.SetReadDeadline(c.deadline)
+	}
+}
+
+// rest notes that the connection waits for a request.
+func (c *callerConn) rest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idleSince = time.Now()
+}
+
+// retire makes a connection that was idle since before t close itself. Its own
+// reader decides: whatever arrived before the reader woke is served.
+func (c *callerConn) retire(t time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.idleSince.IsZero() || c.idleSince.After(t) || c.retired {
+		return
+	}
+	c.retired = true
+	_ = c.Conn.SetReadDeadline(past)
+}
+
+func (c *callerConn) isRetired() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.retired
+}
+
+// leave ends an idle connection. A request may be on its way at this moment: it
+// is answered by the notice, which says truthfully that it did not run.
+func (c *callerConn) leave() {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	_ = tcp.SetDeadline(time.Now().Add(lingerTime))
+	if _, err := tcp.Write([]byte(retireNotice)); err != nil {
+		return
+	}
+	if err := tcp.CloseWrite(); err != nil {
+		return
+	}
+	var b [512]byte
+	for {
+		if _, err := tcp.Read(b[:]); err != nil {
+			return
+		}
+	}
+}
+
+// watch calls gone if the caller closes its connection before stop is called.
+func (c *callerConn) watch(gone func()) (stop func()) {
+	done := make(chan struct{})
+	_ = c.SetReadDeadline(time.Time{})
+	go func() {
+		defer close(done)
+		var b [512]byte
+		for len(c.ahead) < readAhead {
+			n, err := c.Conn.Read(b[:])
+			c.ahead = append(c.ahead, b[:n]...)
+			if err != nil {
+				if !isTimeout(err) && !errors.Is(err, net.ErrClosed) {
+					gone()
+				}
+				return
+			}
+		}
+	}()
+	return func() {
+		_ = c.Conn.SetReadDeadline(past)
+		<-done
+		_ = c.SetReadDeadline(time.Time{})
+	}
+}
+
+// callerListener wraps each accepted connection.
+type callerListener struct {
+	net.Listener
+	server *Server
+}
+
+// Accept waits for a caller.
+func (l callerListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &callerConn{Conn: conn, server: l.server}
+	c.rest()
+	l.server.connOpened(c)
+	return c, nil
+}
--- /dev/null
+++ b/internal/proxy/engine.go
@@ -0,0 +1,93 @@
+package proxy
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"k8s.io/klog/v2"
+
+	"github.com/ebonydyke/ebonydyke/internal/core/membership"
+)
+
+const (
+	// cancelQueue bounds the streams that wait for their cancellation. One that
+	// finds no place is left: the engine ends it by itself in the end.
+	cancelQueue = 256
+	cancelers   = 4
+	callTimeout = 2 * time.Second
+	maxReport   = 64 << 10
+)
+
+// engineClient gives engines the orders that belong to no request's own call.
+type engineClient struct {
+	http  *fasthttp.Client
+	queue chan stream
+}
+
+func newEngineClient(o Options) *engineClient {
+	c := &engineClient{
+		http: &fasthttp.Client{
+			MaxIdemponentCallAttempts: 1,
+			NoDefaultUserAgentHeader:  true,
+			MaxIdleConnDuration:       o.BackendIdle,
+			MaxResponseBodySize:       maxReport,
+		},
+		queue: make(chan stream, cancelQueue),
+	}
+	for range cancelers {
+		go c.run()
+	}
+	return c
+}
+
+// cancel asks the engine to end a stream, without waiting.
+func (c *engineClient) cancel(s stream) {
+	select {
+	case c.queue <- s:
+	default:
+		klog.InfoS("cancellation dropped", "address", s.address, "stream", s.id)
+	}
+}
+
+func (c *engineClient) run() {
+	for s := range c.queue {
+		req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+		req.Header.SetMethod(fasthttp.MethodDelete)
+		req.SetRequestURI(streamURL(s))
+		if err := c.http.DoTimeout(req, resp, callTimeout); err != nil {
+			klog.InfoS("stream not cancelled", "address", s.address, "stream", s.id, "error", err)
+		}
+		fasthttp.ReleaseRequest(req)
+		fasthttp.ReleaseResponse(resp)
+	}
+}
+
+// loadReport is the JSON of an engine's load report.
+type loadReport struct {
+	Incarnation uint64           `json:"incarnation"`
+	State       membership.State `json:"state"`
+	InFlight    int              `json:"in_flight"`
+}
+
+// Report asks a backend server for its load.
+func (s *Server) Report(backend, address string) (membership.Report, error) {
+	report := membership.Report{Backend: backend, At: time.Now()}
+	status, body, err := s.engine.http.GetTimeout(nil, "http://"+address+"/load", callTimeout)
+	if err != nil {
+		return report, fmt.Errorf("proxy: load report of %s: %w", backend, err)
+	}
+	if status != fasthttp.StatusOK {
+		return report, fmt.Errorf("proxy: load report of %s: status %d", backend, status)
+	}
+	var l loadReport
+	if err := json.Unmarshal(body, &l); err != nil {
+		return report, fmt.Errorf("proxy: load report of %s: %w", backend, err)
+	}
+	if l.InFlight < 0 || (l.State != membership.Live && l.State != membership.Leaving) {
+		return report, fmt.Errorf("proxy: load report of %s: cannot be so", backend)
+	}
+	report.Incarnation, report.State, report.InFlight = l.Incarnation, l.State, l.InFlight
+	return report, nil
+}
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -1,48 +1,68 @@
 package proxy
 
 import (
-	"bytes"
-	"encoding/json"
 	"fmt"
-	"io"
-	"math"
-	"strconv"
+	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"github.com/ebonydyke/ebonydyke/internal/core"
+	"github.com/ebonydyke/ebonydyke/internal/core/reason"
 	"github.com/ebonydyke/ebonydyke/internal/core/retry"
 )
 
+// effectQueue holds the effects of one request: at most an attempt and a final
+// answer wait at a time, for an attempt follows only on the end of the last.
+const effectQueue = 4
+
 // exchange is one caller's request and its answer.
 type exchange struct {
 	server  *Server
 	ctx     *fasthttp.RequestCtx
 	id      core.RequestID
-	path    string
+	request *parsedRequest
+	begun   time.Time
 	effects chan core.Effect
+	answer  *answer
+	unwatch func()
+
+	mu sync.Mutex
+	// current is the call of the running attempt.
+	current *call
+	attempt int
+	// cancelled is the last attempt that nobody waits for.
+	cancelled int
+	// over is set once the core gave the final answer.
+	over bool
 }
 
-// newClient returns a client that never sends a request twice by itself.
-func newClient() *fasthttp.Client {
-	return &fasthttp.Client{
-		StreamResponseBody:            true,
-		MaxIdemponentCallAttempts:     1,
-		RetryIfErr:                    func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-		NoDefaultUserAgentHeader:      true,
-		DisablePathNormalizing:        true,
-		DisableHeaderNamesNormalizing: false,
+func newExchange(s *Server, ctx *fasthttp.RequestCtx, p *parsedRequest) *exchange {
+	x := &exchange{
+		server:  s,
+		ctx:     ctx,
+		id:      p.arrived.Request,
+		request: p,
+		begun:   time.Now(),
+		effects: make(chan core.Effect, effectQueue),
+		unwatch: func() {},
 	}
+	x.answer = &answer{exchange: x}
+	return x
 }
 
-func (x *exchange) run(arrived core.RequestArrived) {
-	x.effects = x.server.register(x.id)
-	x.server.post(arrived)
+// run carries a request from its arrival to the first byte of its answer.
+func (x *exchange) run() {
+	x.server.register(x)
+	if c, ok := x.ctx.Conn().(*callerConn); ok {
+		x.unwatch = c.watch(func() { x.server.post(core.CallerGone{Request: x.id}) })
+	}
+	x.server.post(x.request.arrived)
 	for effect := range x.effects {
 		switch e := effect.(type) {
 		case core.SendAttempt:
-			if x.attempt(e) {
+			if x.answer.open(e) {
+				x.answer.begin()
 				return
 			}
 		case core.Finish:
@@ -52,107 +72,128 @@
 	}
 }
 
-// attempt sends the request once and tells whether an answer has begun.
-func (x *exchange) attempt(e core.SendAttempt) bool {
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(req)
-	x.ctx.Request.Header.CopyTo(&req.Header)
-	req.SetBodyRaw(x.ctx.PostBody())
-	req.SetRequestURI("http://" + e.Address + x.path)
-	req.URI().SetQueryStringBytes(x.ctx.URI().QueryString())
-	if err := x.server.client.DoDeadline(req, resp, e.Deadline); err != nil {
-		x.ended(e, retry.Unknown, err)
-		return false
+// deliver takes an effect from the core's goroutine.
+func (x *exchange) deliver(effect core.Effect) {
+	switch e := effect.(type) {
+	case core.CancelAttempt:
+		x.cut(e.Attempt, false)
+		return
+	case core.Finish:
+		x.cut(e.Attempt, true)
 	}
-	x.answer(e, resp)
-	return true
-}
-
-func (x *exchange) ended(e core.SendAttempt, outcome retry.Outcome, err error) {
-	event := core.AttemptEnded{Request: e.Request, Attempt: e.Attempt, Outcome: outcome}
-	if err != nil {
-		event.Detail = err.Error()
+	select {
+	case x.effects <- effect:
+	default:
+		// The queue holds more than the core may send, so this is never reached;
+		// to block here would stop every other request.
 	}
-	x.server.post(event)
-}
-
-// answer passes the backend server's answer on as it arrives.
-func (x *exchange) answer(e core.SendAttempt, resp *fasthttp.Response) {
-	out := &x.ctx.Response
-	out.SetStatusCode(resp.StatusCode())
-	out.Header.SetContentTypeBytes(resp.Header.ContentType())
-	out.Header.Set(HeaderRequestID, string(x.id))
-	out.Header.Set(HeaderBackend, e.Backend)
-	out.Header.Set(HeaderOutcome, "answered")
-	out.Header.Set(HeaderPlacement, e.Placement)
-	out.ImmediateHeaderFlush = true
-	x.server.post(core.AnswerStarted{Request: e.Request, Attempt: e.Attempt})
-	out.SetBodyStream(&answerReader{exchange: x, attempt: e, resp: resp, body: bodyOf(resp)}, -1)
 }
 
-func bodyOf(resp *fasthttp.Response) io.Reader {
-	if stream := resp.BodyStream(); stream != nil {
-		return stream
+// cut ends the running call, so that its goroutine comes back for what is next.
+func (x *exchange) cut(attempt int, over bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.over = x.over || over
+	x.cancelled = max(x.cancelled, attempt)
+	if x.current != nil && (over || x.attempt <= x.cancelled) {
+		x.current.cancel()
 	}
-	return bytes.NewReader(resp.Body())
 }
 
-// answerReader reads a backend server's answer and reports its end to the core.
-type answerReader struct {
-	exchange *exchange
-	attempt  core.SendAttempt
-	resp     *fasthttp.Response
-	body     io.Reader
-	done     bool
+// enter makes c the running call. It is cancelled at once if nobody waits for it.
+func (x *exchange) enter(attempt int, c *call) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.current, x.attempt = c, attempt
+	if x.over || attempt <= x.cancelled {
+		c.cancel()
+	}
 }
 
-// Read passes bytes on. An error leaves the final chunk out, so that the caller
-// cannot take a broken answer for a whole one.
-func (r *answerReader) Read(p []byte) (int, error) {
-	n, err := r.body.Read(p)
-	if err == nil || r.done {
-		return n, err
-	}
-	r.done = true
-	r.exchange.server.forget(r.exchange.id)
-	if err == io.EOF {
-		r.exchange.ended(r.attempt, retry.Answered, nil)
-		return n, io.EOF
+// ended reports the end of an attempt.
+func (x *exchange) ended(event core.AttemptEnded, err error) {
+	event.Request = x.id
+	if err != nil {
+		event.Detail = err.Error()
 	}
-	r.exchange.ended(r.attempt, retry.Broken, err)
-	return n, fmt.Errorf("proxy: answer of %s: %w", r.attempt.Backend, err)
+	x.server.post(event)
 }
 
-// Close is called when the answer is written or the caller has gone.
-func (r *answerReader) Close() error {
-	if !r.done {
-		r.done = true
-		r.exchange.server.forget(r.exchange.id)
-		r.exchange.ended(r.attempt, retry.Broken, io.ErrClosedPipe)
-	}
-	return r.resp.CloseBodyStream()
+// leave ends the exchange's part in the server.
+func (x *exchange) leave() {
+	x.unwatch()
+	x.server.forget(x.id)
 }
 
 // finish writes the fleet's own final answer.
 func (x *exchange) finish(e core.Finish) {
-	x.server.forget(x.id)
-	var body errorBody
-	body.Error.Message = fmt.Sprintf("request %s: %s", x.id, e.Reason)
-	body.Error.Type = e.Outcome
-	body.Error.Code = e.Reason
-	text, _ := json.Marshal(body)
+	x.answer.abandon()
+	x.leave()
 	out := &x.ctx.Response
 	out.SetStatusCode(e.Status)
 	out.Header.SetContentType("application/json")
 	out.Header.Set(HeaderRequestID, string(x.id))
 	out.Header.Set(HeaderOutcome, string(e.Outcome))
 	out.Header.Set(HeaderReason, string(e.Reason))
+	if e.First != "" {
+		out.Header.Set(HeaderFirst, e.First)
+	}
 	if e.RetryAfter > 0 {
 		out.Header.Set("Retry-After", seconds(e.RetryAfter))
 	}
-	out.SetBodyRaw(text)
+	out.SetBodyRaw(encodeError(x.message(e), e.Outcome, e.Reason))
+}
+
+func (x *exchange) message(e core.Finish) string {
+	return fmt.Sprintf("request %s: %s: %s", x.id, e.Outcome, e.Reason)
+}
+
+// newRequest builds the request of one attempt.
+func (x *exchange) newRequest(e core.SendAttempt) *fasthttp.Request {
+	req := fasthttp.AcquireRequest()
+	from := &x.ctx.Request
+	copyRequestHeaders(&req.Header, &from.Header)
+	req.Header.Set(HeaderRequestID, string(x.id))
+	target := "http://" + e.Address + x.request.path
+	if query := x.ctx.URI().QueryString(); len(query) > 0 {
+		target += "?" + string(query)
+	}
+	req.SetRequestURI(target)
+	if body := x.ctx.PostBody(); len(body) > 0 {
+		req.SetBodyRaw(body)
+	}
+	return req
 }
 
-func seconds(d time.Duration) string {
-	return strconv.Itoa(int(math.Ceil(d.Seconds())))
+// outcomeOf types the end of a call that brought no answer. One byte handed to
+// the kernel may have reached the backend server, whatever failed after it.
+func outcomeOf(c *call) retry.Outcome {
+	if c.sent() {
+		return retry.Unknown
+	}
+	return retry.NotSent
+}
+
+// notStarted tells whether the backend server says that it did not start the
+// request. Only its explicit word counts: a bare 503 may come from a server that
+// failed half way, so it is passed on as the answer.
+func notStarted(resp *fasthttp.Response) bool {
+	return resp.StatusCode() >= fasthttp.StatusBadRequest &&
+		string(resp.Header.Peek(HeaderNotStarted)) == "true"
+}
+
+// errorEvent is the end of a stream that could not be completed. The missing
+// final chunk says the same to callers that do not read events.
+func errorEvent(message string, e core.Finish) []byte {
+	text := encodeError(message, e.Outcome, e.Reason)
+	return fmt.Appendf(nil, "event: error\ndata: %s\n\n", text)
+}
+
+// finishReason is for the error that ends a broken answer's body.
+func finishReason(e core.Finish) error {
+	why := e.Reason
+	if why == reason.None {
+		why = reason.BrokenStream
+	}
+	return fmt.Errorf("proxy: answer ended early: %s", why)
 }
--- /dev/null
+++ b/internal/proxy/fleet_test.go
@@ -0,0 +1,208 @@
+package proxy_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/ebonydyke/ebonydyke/internal/core"
+	"github.com/ebonydyke/ebonydyke/internal/core/config"
+	"github.com/ebonydyke/ebonydyke/internal/core/reason"
+	"github.com/ebonydyke/ebonydyke/internal/daemon"
+	"github.com/ebonydyke/ebonydyke/internal/proxy"
+	"github.com/ebonydyke/ebonydyke/test/standin/engine"
+)
+
+const (
+	waitFor = 10 * time.Second
+	poll    = 5 * time.Millisecond
+)
+
+// instance is one entry instance: the real core, loop and proxy over TCP, with
+// the platform's and the peers' effects left out.
+type instance struct {
+	server  *proxy.Server
+	loop    *daemon.Loop
+	address string
+	url     string
+	stopped chan struct{}
+
+	mu       sync.Mutex
+	finishes []core.Finish
+	attempts []core.SendAttempt
+	refused  map[reason.Reason]int
+}
+
+// Execute carries out the effects that concern the proxy.
+func (i *instance) Execute(effect core.Effect) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	switch e := effect.(type) {
+	case core.SendAttempt:
+		i.attempts = append(i.attempts, e)
+		i.server.Deliver(e.Request, e)
+	case core.CancelAttempt:
+		i.server.Deliver(e.Request, e)
+	case core.Finish:
+		i.finishes = append(i.finishes, e)
+		go i.server.Deliver(e.Request, e)
+	case core.SetReady:
+		i.server.SetReady(e.Ready)
+	case core.CloseListener:
+		i.server.CloseListener()
+	case core.Stopped:
+		go func() {
+			i.server.Drain()
+			close(i.stopped)
+		}()
+	}
+}
+
+// Refused implements proxy.Metrics.
+func (i *instance) Refused(r reason.Reason) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.refused[r]++
+}
+
+// Retried implements proxy.Metrics.
+func (i *instance) Retried(reason.Reason) {}
+
+// Answered implements proxy.Metrics.
+func (i *instance) Answered(string, time.Duration, time.Duration) {}
+
+// CallerBytes implements proxy.Metrics.
+func (i *instance) CallerBytes(int) {}
+
+func (i *instance) refusals(r reason.Reason) int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.refused[r]
+}
+
+func (i *instance) lastFinish() core.Finish {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if len(i.finishes) == 0 {
+		return core.Finish{}
+	}
+	return i.finishes[len(i.finishes)-1]
+}
+
+// startInstance starts an instance in front of the text's backend servers.
+func startInstance(t testing.TB, text config.Text, o proxy.Options) *instance {
+	t.Helper()
+	i := &instance{stopped: make(chan struct{}), refused: make(map[reason.Reason]int)}
+	node := core.New(core.Settings{Name: "entry-1", Zone: "zone-1", Seed: 1, AcceptDelay: 100 * time.Millisecond})
+	i.loop = daemon.NewLoop(node)
+	o.Metrics = i
+	i.server = proxy.New(i.loop.Post, o)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	i.address = listener.Addr().String()
+	i.url = "http://" + i.address
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	t.Cleanup(i.server.CloseListener)
+	encoded, err := json.Marshal(text)
+	require.NoError(t, err)
+	i.loop.Post(core.ConfigOffered{Envelope: config.Envelope{Generation: 1, Edit: "e1", Text: string(encoded)}})
+	go func() { _ = i.loop.Run(ctx, i) }()
+	go func() { _ = i.server.Serve(listener) }()
+	return i
+}
+
+// fleetText declares a model service and a plain service.
+func fleetText(model, plain []string) config.Text {
+	servers := func(kind string, addresses []string) []config.BackendServer {
+		var list []config.BackendServer
+		for n, a := range addresses {
+			list = append(list, config.BackendServer{Name: fmt.Sprintf("%s-%d", kind, n+1), Address: a, Zone: "zone-1"})
+		}
+		return list
+	}
+	return config.Text{
+		Services: []config.Service{
+			{Name: "underwriting", Kind: config.Model, BackendServers: servers("engine", model), MaxAttempts: 3, Capacity: 4096},
+			{Name: "portal", Kind: config.Plain, BackendServers: servers("portal", plain), MaxAttempts: 3, Capacity: 4096},
+		},
+		Customers: []config.Customer{{Name: "branch-recife"}},
+	}
+}
+
+// startEngines starts engines whose answers have eight tokens.
+func startEngines(t testing.TB, n int, interval time.Duration) ([]*engine.Server, []string) {
+	t.Helper()
+	var engines []*engine.Server
+	var addresses []string
+	for i := range n {
+		e := &engine.Server{Name: fmt.Sprintf("engine-%d", i+1), Tokens: 8, Interval: interval}
+		s := httptest.NewServer(e)
+		t.Cleanup(s.Close)
+		t.Cleanup(s.CloseClientConnections)
+		engines = append(engines, e)
+		addresses = append(addresses, s.Listener.Addr().String())
+	}
+	return engines, addresses
+}
+
+type headers map[string]string
+
+func newChat(t testing.TB, url string, stream bool, h headers) *http.Request {
+	t.Helper()
+	body := fmt.Sprintf(`{"model":"underwriting","stream":%v,"messages":[{"role":"user","content":"review"}]}`, stream)
+	return newCall(t, http.MethodPost, url+"/v1/chat/completions", body, h)
+}
+
+func newCall(t testing.TB, method, url, body string, h headers) *http.Request {
+	t.Helper()
+	req, err := http.NewRequest(method, url, strings.NewReader(body))
+	require.NoError(t, err)
+	req.Header.Set(proxy.HeaderCustomer, "branch-recife")
+	req.Header.Set(proxy.HeaderChat, "dossier-17")
+	for key, value := range h {
+		req.Header.Set(key, value)
+	}
+	return req
+}
+
+// reply is what a caller got.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	// err is the error in which the body ended.
+	err error
+}
+
+func send(t testing.TB, req *http.Request) reply {
+	t.Helper()
+	resp, err := http.DefaultClient.Do(req)
+	require.NoError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return reply{status: resp.StatusCode, header: resp.Header, body: string(body), err: err}
+}
+
+// eventIDs lists the numbers of the body's events in their order.
+func eventIDs(body string) []string {
+	var ids []string
+	lines := bufio.NewScanner(strings.NewReader(body))
+	for lines.Scan() {
+		if id, ok := strings.CutPrefix(lines.Text(), "id: "); ok {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
--- /dev/null
+++ b/internal/proxy/options.go
@@ -0,0 +1,88 @@
+package proxy
+
+import (
+	"time"
+
+	"github.com/ebonydyke/ebonydyke/internal/core/reason"
+)
+
+// Options are the proxy's limits. The zero value of each stands for its default.
+type Options struct {
+	// Metrics is told what happens; nil counts nothing.
+	Metrics Metrics
+	// MaxBody is the largest request body in bytes.
+	MaxBody int
+	// MaxHeader is the largest header in bytes, of requests and of answers.
+	MaxHeader int
+	// ReadTimeout bounds the reading of one whole request.
+	ReadTimeout time.Duration
+	// CallerIdle is how long a caller's connection is kept without a request. It
+	// must be longer than the balancer keeps its own idle connections, or this
+	// end closes one at the moment at which the balancer sends on it.
+	CallerIdle time.Duration
+	// WriteStall is how long a caller may take no byte at all of its answer.
+	WriteStall time.Duration
+	// DrainIdle is how long a caller's connection must have been silent before a
+	// stopping instance closes it.
+	DrainIdle time.Duration
+	// DialTimeout bounds the opening of a connection to a backend server.
+	DialTimeout time.Duration
+	// BackendIdle is how long a connection to a backend server is kept unused.
+	BackendIdle time.Duration
+	// Inactivity is how long a backend server may be silent within an answer.
+	Inactivity time.Duration
+}
+
+// Defaults of Options.
+const (
+	DefaultMaxBody     = 8 << 20
+	DefaultMaxHeader   = 32 << 10
+	DefaultReadTimeout = time.Minute
+	DefaultCallerIdle  = 10 * time.Minute
+	DefaultWriteStall  = time.Minute
+	DefaultDrainIdle   = 5 * time.Second
+	DefaultDialTimeout = time.Second
+	DefaultBackendIdle = 30 * time.Second
+	DefaultInactivity  = 30 * time.Second
+)
+
+func (o *Options) fill() {
+	if o.Metrics == nil {
+		o.Metrics = noMetrics{}
+	}
+	setDefault(&o.MaxBody, DefaultMaxBody)
+	setDefault(&o.MaxHeader, DefaultMaxHeader)
+	setDefault(&o.ReadTimeout, DefaultReadTimeout)
+	setDefault(&o.CallerIdle, DefaultCallerIdle)
+	setDefault(&o.WriteStall, DefaultWriteStall)
+	setDefault(&o.DrainIdle, DefaultDrainIdle)
+	setDefault(&o.DialTimeout, DefaultDialTimeout)
+	setDefault(&o.BackendIdle, DefaultBackendIdle)
+	setDefault(&o.Inactivity, DefaultInactivity)
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// Metrics counts what the proxy sees. Its methods are called from many goroutines.
+type Metrics interface {
+	// Refused counts a final answer of the fleet's own: a refusal or a failure.
+	Refused(reason.Reason)
+	// Retried counts an attempt beyond a request's first.
+	Retried(reason.Reason)
+	// Answered counts a whole answer and its time to the first byte and to the end.
+	Answered(service string, first, whole time.Duration)
+	// CallerBytes counts bytes of answers' bodies.
+	CallerBytes(n int)
+}
+
+type noMetrics struct{}
+
+func (noMetrics) Refused(reason.Reason)                         {}
+func (noMetrics) Retried(reason.Reason)                         {}
+func (noMetrics) Answered(string, time.Duration, time.Duration) {}
+func (noMetrics) CallerBytes(int)                               {}
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -4,164 +4,201 @@
 package proxy
 
 import (
-	"encoding/json"
 	"net"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
+	"k8s.io/klog/v2"
 
 	"github.com/ebonydyke/ebonydyke/internal/core"
 	"github.com/ebonydyke/ebonydyke/internal/core/reason"
 )
 
-// Headers of the callers' interface.
-const (
-	HeaderCustomer   = "Ebonydyke-Customer"
-	HeaderChat       = "Ebonydyke-Chat"
-	HeaderDeadline   = "Ebonydyke-Deadline-Ms"
-	HeaderIdempotent = "Ebonydyke-Idempotent"
-	HeaderKey        = "Idempotency-Key"
-	HeaderPlacement  = "Ebonydyke-Placement"
-	HeaderRequestID  = "Ebonydyke-Request-Id"
-	HeaderBackend    = "Ebonydyke-Backend"
-	HeaderOutcome    = "Ebonydyke-Outcome"
-	HeaderReason     = "Ebonydyke-Reason"
-)
-
-const (
-	chatPath      = "/v1/chat/completions"
-	servicePrefix = "/services/"
-	// effectQueue holds the effects of one request: at most one attempt, one
-	// cancel and one final answer wait at a time.
-	effectQueue = 4
-)
+// drainInterval is how often a stopping server looks for idle connections.
+const drainInterval = 20 * time.Millisecond
 
 // Server takes callers' requests.
 type Server struct {
 	post     func(core.Event)
+	options  Options
 	http     *fasthttp.Server
-	client   *fasthttp.Client
-	ready    atomic.Bool
+	kept     *fasthttp.Client
+	once     *fasthttp.Client
+	engine   *engineClient
+	leaving  atomic.Bool
 	sequence atomic.Uint64
 	prefix   string
 
-	mu       sync.Mutex
-	requests map[core.RequestID]chan core.Effect
-	listener net.Listener
+	mu        sync.Mutex
+	exchanges map[core.RequestID]*exchange
+	conns     map[*callerConn]struct{}
+	listener  net.Listener
+	closing   bool
 }
 
 // New returns a server that posts its events with post.
-func New(post func(core.Event)) *Server {
+func New(post func(core.Event), o Options) *Server {
+	o.fill()
 	s := &Server{
-		post:     post,
-		client:   newClient(),
-		prefix:   strconv.FormatInt(time.Now().UnixNano(), 36),
-		requests: make(map[core.RequestID]chan core.Effect),
+		post:      post,
+		options:   o,
+		kept:      newClient(o),
+		once:      newClient(o),
+		engine:    newEngineClient(o),
+		prefix:    strconv.FormatInt(time.Now().UnixNano(), 36),
+		exchanges: make(map[core.RequestID]*exchange),
+		conns:     make(map[*callerConn]struct{}),
+	}
+	s.http = &fasthttp.Server{
+		Handler:                      s.handle,
+		ErrorHandler:                 s.badRequest,
+		ConnState:                    connState,
+		MaxRequestBodySize:           o.MaxBody,
+		ReadBufferSize:               o.MaxHeader,
+		ReadTimeout:                  o.ReadTimeout,
+		IdleTimeout:                  o.CallerIdle,
+		NoDefaultServerHeader:        true,
+		DisablePreParseMultipartForm: true,
+		SecureErrorLogMessage:        true,
+		Logger:                       discardLogger{},
 	}
-	s.http = &fasthttp.Server{Handler: s.handle, NoDefaultServerHeader: true}
-	s.ready.Store(true)
 	return s
 }
 
+// discardLogger drops the library's own lines: they hold callers' addresses and
+// repeat what badRequest logs.
+type discardLogger struct{}
+
+// Printf drops a line.
+func (discardLogger) Printf(string, ...any) {}
+
+func connState(conn net.Conn, state fasthttp.ConnState) {
+	c, ok := conn.(*callerConn)
+	if !ok {
+		return
+	}
+	switch state {
+	case fasthttp.StateActive:
+		c.busy()
+	case fasthttp.StateIdle:
+		c.rest()
+	default:
+	}
+}
+
 // Serve takes connections until CloseListener.
 func (s *Server) Serve(l net.Listener) error {
 	s.mu.Lock()
 	s.listener = l
+	closing := s.closing
 	s.mu.Unlock()
-	return s.http.Serve(l)
+	if closing {
+		return l.Close()
+	}
+	return s.http.Serve(callerListener{Listener: l, server: s})
 }
 
-// SetReady says whether the balancer may send new requests.
-func (s *Server) SetReady(ready bool) { s.ready.Store(ready) }
+// SetReady says whether the balancer may send new requests. While it may not,
+// every answer asks its caller to close the connection.
+func (s *Server) SetReady(ready bool) { s.leaving.Store(!ready) }
 
-// CloseListener stops taking connections.
+// CloseListener stops taking connections. Open ones go on.
 func (s *Server) CloseListener() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	_ = s.listener.Close()
+	s.closing = true
+	if s.listener != nil {
+		_ = s.listener.Close()
+	}
 }
 
-// Deliver hands an effect to the goroutine of its request. It never blocks.
-func (s *Server) Deliver(id core.RequestID, effect core.Effect) {
+// Drain waits until the last connection is closed. Requests in progress and those
+// that still arrive on open connections are served; no timer cuts one. Only a
+// connection that has been silent for DrainIdle is closed from this end.
+func (s *Server) Drain() {
+	for !s.closeIdle() {
+		time.Sleep(drainInterval)
+	}
+}
+
+// closeIdle retires the connections that are silent and tells whether none is left.
+func (s *Server) closeIdle() bool {
 	s.mu.Lock()
-	effects := s.requests[id]
-	s.mu.Unlock()
-	select {
-	case effects <- effect:
-	default:
+	defer s.mu.Unlock()
+	silent := time.Now().Add(-s.options.DrainIdle)
+	for c := range s.conns {
+		c.retire(silent)
 	}
+	return len(s.conns) == 0
 }
 
-func (s *Server) register(id core.RequestID) chan core.Effect {
-	effects := make(chan core.Effect, effectQueue)
+func (s *Server) connOpened(c *callerConn) {
 	s.mu.Lock()
-	s.requests[id] = effects
-	s.mu.Unlock()
-	return effects
+	defer s.mu.Unlock()
+	s.conns[c] = struct{}{}
 }
 
-func (s *Server) forget(id core.RequestID) {
+func (s *Server) connClosed(c *callerConn) {
 	s.mu.Lock()
-	delete(s.requests, id)
-	s.mu.Unlock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
 }
 
-func (s *Server) handle(ctx *fasthttp.RequestCtx) {
-	arrived := core.RequestArrived{
-		Request:       s.nextID(),
-		Customer:      string(ctx.Request.Header.Peek(HeaderCustomer)),
-		Chat:          string(ctx.Request.Header.Peek(HeaderChat)),
-		NonIdempotent: string(ctx.Request.Header.Peek(HeaderIdempotent)) == "false",
-		Key:           string(ctx.Request.Header.Peek(HeaderKey)),
-		Hint:          string(ctx.Request.Header.Peek(HeaderPlacement)),
-		Deadline:      deadline(ctx),
+// Deliver hands an effect to the goroutine of its request. It never blocks.
+func (s *Server) Deliver(id core.RequestID, effect core.Effect) {
+	s.mu.Lock()
+	x := s.exchanges[id]
+	s.mu.Unlock()
+	switch e := effect.(type) {
+	case core.SendAttempt:
+		if e.Why != reason.None {
+			s.options.Metrics.Retried(e.Why)
+		}
+	case core.Finish:
+		s.record(e)
 	}
-	x := &exchange{server: s, ctx: ctx, id: arrived.Request}
-	path := string(ctx.Path())
-	switch {
-	case path == chatPath:
-		x.path = chatPath
-		arrived.Model = modelOf(ctx.PostBody())
-	case strings.HasPrefix(path, servicePrefix):
-		name, rest, _ := strings.Cut(path[len(servicePrefix):], "/")
-		arrived.Service = name
-		x.path = "/" + rest
-	default:
-		ctx.Error("not found", fasthttp.StatusNotFound)
-		return
+	if x != nil {
+		x.deliver(effect)
 	}
-	x.run(arrived)
 }
 
-func (s *Server) nextID() core.RequestID {
-	return core.RequestID(s.prefix + "-" + strconv.FormatUint(s.sequence.Add(1), 36))
+// record counts and logs a final answer of the fleet's own.
+func (s *Server) record(e core.Finish) {
+	s.options.Metrics.Refused(e.Reason)
+	klog.InfoS("request ended without an answer", "request", e.Request, "outcome", e.Outcome,
+		"reason", e.Reason, "status", e.Status, "customer", e.Customer, "service", e.Service,
+		"backend", e.Backend, "attempt", e.Attempt)
 }
 
-func deadline(ctx *fasthttp.RequestCtx) time.Time {
-	ms, err := strconv.Atoi(string(ctx.Request.Header.Peek(HeaderDeadline)))
-	if err != nil || ms <= 0 {
-		return time.Time{}
-	}
-	return time.Now().Add(time.Duration(ms) * time.Millisecond)
+func (s *Server) register(x *exchange) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.exchanges[x.id] = x
 }
 
-func modelOf(body []byte) string {
-	var request struct {
-		Model string `json:"model"`
-	}
-	_ = json.Unmarshal(body, &request)
-	return request.Model
+func (s *Server) forget(id core.RequestID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.exchanges, id)
+}
+
+func (s *Server) nextID() core.RequestID {
+	return core.RequestID(s.prefix + "-" + strconv.FormatUint(s.sequence.Add(1), 36))
 }
 
-// errorBody is the JSON body of an answer that the fleet makes itself.
-type errorBody struct {
-	Error struct {
-		Message string         `json:"message"`
-		Type    reason.Outcome `json:"type"`
-		Code    reason.Reason  `json:"code"`
-	} `json:"error"`
+func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	if s.leaving.Load() {
+		ctx.SetConnectionClose()
+	}
+	id := s.nextID()
+	parsed, refused := s.parse(ctx, id)
+	if refused != nil {
+		s.refuse(ctx, id, refused)
+		return
+	}
+	x := newExchange(s, ctx, parsed)
+	x.run()
 }
--- /dev/null
+++ b/internal/proxy/stream_test.go
@@ -0,0 +1,166 @@
+package proxy_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/ebonydyke/ebonydyke/internal/core/reason"
+	"github.com/ebonydyke/ebonydyke/internal/proxy"
+	"github.com/ebonydyke/ebonydyke/test/standin/engine"
+)
+
+var wholeStream = []string{"1", "2", "3", "4", "5", "6", "7", "8", "9"}
+
+// A member's review stalls, repeats a line or stops half way. The engine's
+// connection dies, freezes, loses or repeats an event, or ends without its end
+// mark while the answer runs. The caller must get every event once, from the one
+// stream it began with, or an error it cannot take for the answer's end.
+func TestStreamFaults(t *testing.T) {
+	tests := []struct {
+		name  string
+		fault engine.Fault
+		// want is the events of a whole answer, or nil if it must end in an error.
+		want    []string
+		resumed int
+	}{
+		{"none", engine.Fault{}, wholeStream, 0},
+		{"cut before the first event", engine.Fault{Kind: engine.Cut}, wholeStream, 1},
+		{"cut after three", engine.Fault{Kind: engine.Cut, After: 3}, wholeStream, 1},
+		{"cut twice", engine.Fault{Kind: engine.Cut, After: 3, Times: 2}, wholeStream, 2},
+		{"cut before the end mark", engine.Fault{Kind: engine.Cut, After: 8}, wholeStream, 1},
+		{"frozen after three", engine.Fault{Kind: engine.Freeze, After: 3}, wholeStream, 1},
+		{"event lost", engine.Fault{Kind: engine.Skip, After: 4}, wholeStream, 1},
+		{"event repeated", engine.Fault{Kind: engine.Repeat, After: 4}, wholeStream, 0},
+		{"no end mark", engine.Fault{Kind: engine.NoEnd}, wholeStream, 1},
+		{"restarted after three", engine.Fault{Kind: engine.Restart, After: 3}, nil, 0},
+		{"cut without end", engine.Fault{Kind: engine.Cut, After: 3, Times: 100}, nil, 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			engines, addresses := startEngines(t, 1, time.Millisecond)
+			i := startInstance(t, fleetText(addresses, nil), proxy.Options{Inactivity: 200 * time.Millisecond})
+			engines[0].SetFault(tt.fault)
+			got := send(t, newChat(t, i.url, true, headers{proxy.HeaderIdempotent: "false"}))
+			require.Equal(t, http.StatusOK, got.status)
+			requireOneStream(t, got.body)
+			require.Equal(t, tt.resumed, engines[0].Stats().Resumed, "resumptions")
+			require.Len(t, engines[0].Stats().Runs, 1)
+			if tt.want != nil {
+				require.NoError(t, got.err)
+				require.Equal(t, tt.want, eventIDs(got.body))
+				require.True(t, strings.HasSuffix(got.body, "data: [DONE]\n\n"))
+				return
+			}
+			require.ErrorContains(t, got.err, "unexpected EOF", "an answer without its end must not look whole")
+			require.Contains(t, got.body, "event: error\n")
+			require.NotContains(t, got.body, "[DONE]")
+			require.Equal(t, reason.Unknown, i.lastFinish().Outcome)
+		})
+	}
+}
+
+var tokenSource = regexp.MustCompile(`"content":"(engine-\d+-\d+)-\d+ "`)
+
+// requireOneStream checks that all tokens come from one run of one engine.
+func requireOneStream(t *testing.T, body string) {
+	t.Helper()
+	sources := make(map[string]bool)
+	for _, m := range tokenSource.FindAllStringSubmatch(body, -1) {
+		sources[m[1]] = true
+	}
+	require.LessOrEqual(t, len(sources), 1, "tokens of several runs in one answer: %v", sources)
+}
+
+// An engine dies with a stream that has begun, and another engine stands by. The
+// caller must not get the rest from the other one: two engines' samples make no
+// answer. Before the first event, an idempotent request moves to the other.
+func TestStreamNeverMovesOnceBegun(t *testing.T) {
+	tests := []struct {
+		name  string
+		fault engine.Fault
+		whole bool
+	}{
+		{"before the first event", engine.Fault{Kind: engine.Restart}, true},
+		{"after it", engine.Fault{Kind: engine.Restart, After: 1}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			engines, addresses := startEngines(t, 2, time.Millisecond)
+			i := startInstance(t, fleetText(addresses, nil), proxy.Options{})
+			struck := send(t, newChat(t, i.url, true, nil)).header.Get(proxy.HeaderBackend)
+			for _, e := range engines {
+				if e.Name == struck {
+					e.SetFault(tt.fault)
+				}
+			}
+			got := send(t, newChat(t, i.url, true, nil))
+			requireOneStream(t, got.body)
+			if tt.whole {
+				require.NoError(t, got.err)
+				require.Equal(t, wholeStream, eventIDs(got.body))
+				return
+			}
+			require.Error(t, got.err)
+			require.Equal(t, []string{"1"}, eventIDs(got.body))
+		})
+	}
+}
+
+// A caller leaves while its request waits at an engine, or in the middle of its
+// answer. Nobody reads on, so the engine must be told to stop: else it works for
+// nobody while others queue.
+func TestCallerGoneCancelsEngine(t *testing.T) {
+	tests := []struct {
+		name string
+		// read is how many bytes the caller takes before it leaves.
+		read  int
+		fault engine.Fault
+	}{
+		{"before the first event", 0, engine.Fault{Kind: engine.Freeze}},
+		{"in the answer", 10, engine.Fault{}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			engines, addresses := startEngines(t, 1, 50*time.Millisecond)
+			engines[0].Tokens = 10_000
+			i := startInstance(t, fleetText(addresses, nil), proxy.Options{})
+			engines[0].SetFault(tt.fault)
+			conn := dial(t, i.address)
+			require.NoError(t, newChat(t, i.url, true, nil).Write(conn))
+			require.Eventually(t, func() bool { return engines[0].Stats().InFlight == 1 }, waitFor, poll)
+			readBytes(t, conn, tt.read)
+			require.NoError(t, conn.Close())
+			require.Eventually(t, func() bool {
+				s := engines[0].Stats()
+				return s.InFlight == 0 && s.Cancelled == 1
+			}, waitFor, poll, "the engine still works for a caller that has gone")
+			require.Eventually(t, func() bool { return i.lastFinish().Reason == reason.CallerGone }, waitFor, poll)
+		})
+	}
+}
+
+// An engine dies and a new process takes its address. It numbers its streams from
+// one again, so the resumption finds a stream of the same name: another caller's.
+// Its incarnation gives it away, and the caller gets an error, not its bytes.
+func TestResumeOfAnotherIncarnation(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n" +
+		"Engine-Stream-Id: 1\r\nEngine-Incarnation: %d\r\n\r\n"
+	b := startRaw(t, func(nth int, _ *http.Request, conn net.Conn) bool {
+		_, _ = fmt.Fprintf(conn, head, nth)
+		event := fmt.Sprintf("id: %d\ndata: text of caller %d\n\n", nth, nth)
+		_, _ = fmt.Fprintf(conn, "%x\r\n%s\r\n", len(event), event)
+		return false
+	})
+	i := startInstance(t, fleetText([]string{b.address}, nil), proxy.Options{})
+	got := send(t, newChat(t, i.url, true, nil))
+	require.ErrorContains(t, got.err, "unexpected EOF")
+	require.Contains(t, got.body, "text of caller 1")
+	require.NotContains(t, got.body, "text of caller 2")
+}
--- a/test/standin/engine/engine.go
+++ b/test/standin/engine/engine.go
@@ -1,13 +1,24 @@
-// Package engine stands in for a model engine: streamed chat completions.
+// Package engine stands in for a model engine: chat completions, whole and
+// streamed, with resume, cancel, priorities, load reports, a prefix cache and
+// faults to order.
 package engine
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strconv"
+	"sync"
 	"time"
+
+	"github.com/ebonydyke/ebonydyke/internal/core/membership"
+	"github.com/ebonydyke/ebonydyke/internal/proxy"
 )
 
+// DefaultCacheChats is the number of chats whose prefix an engine holds.
+const DefaultCacheChats = 1024
+
 // Server is one engine.
 type Server struct {
 	// Name is the backend server's name, repeated in its answers.
@@ -16,10 +27,63 @@
 	Tokens int
 	// Interval is the time between tokens.
 	Interval time.Duration
+	// CacheChats is the number of chats whose prefix it holds.
+	CacheChats int
+
+	once  sync.Once
+	mux   *http.ServeMux
+	mu    sync.Mutex
+	fault Fault
+	cache *prefixCache
+
+	incarnation uint64
+	leaving     bool
+	sequence    int
+	streams     map[string]*stream
+	stats       Stats
+}
+
+// Stats is what an engine counted.
+type Stats struct {
+	// Runs counts the requests that were started, by idempotency key or else by
+	// request id.
+	Runs map[string]int `json:"runs"`
+	// Hits and Misses count turns whose chat's prefix was in the cache or not.
+	Hits   int `json:"hits"`
+	Misses int `json:"misses"`
+	// InFlight is the number of answers being sent.
+	InFlight  int `json:"in_flight"`
+	Cancelled int `json:"cancelled"`
+	Resumed   int `json:"resumed"`
+	// LastPriority is the priority of the last request.
+	LastPriority string `json:"last_priority"`
+}
+
+func (s *Server) init() {
+	if s.CacheChats == 0 {
+		s.CacheChats = DefaultCacheChats
+	}
+	s.incarnation = uint64(time.Now().UnixNano())
+	s.streams = make(map[string]*stream)
+	s.cache = newPrefixCache(s.CacheChats)
+	s.stats.Runs = make(map[string]int)
+	s.mux = http.NewServeMux()
+	s.mux.HandleFunc("POST /v1/chat/completions", s.chat)
+	s.mux.HandleFunc("GET /v1/streams/{id}", s.resume)
+	s.mux.HandleFunc("DELETE /v1/streams/{id}", s.cancel)
+	s.mux.HandleFunc("GET /load", s.load)
+	s.mux.HandleFunc("GET /stats", s.serveStats)
+	s.mux.HandleFunc("POST /fault", s.serveFault)
+	s.mux.HandleFunc("POST /leave", s.leave)
 }
 
 // ServeHTTP answers one call.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.once.Do(s.init)
+	s.mux.ServeHTTP(w, r)
+}
+
+func (s *Server) chat(w http.ResponseWriter, r *http.Request) {
 	var request struct {
 		Stream bool `json:"stream"`
 	}
@@ -27,15 +91,214 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	if !request.Stream {
-		_, _ = fmt.Fprintf(w, `{"choices":[{"message":{"role":"assistant","content":"whole answer of %s"}}]}`, s.Name)
+	f := s.nextFault()
+	s.setHeaders(w)
+	if s.refuses(w, f) {
+		return
+	}
+	st := s.begin(r, request.Stream)
+	defer s.end()
+	switch f.Kind {
+	case Swallow:
+		panic(http.ErrAbortHandler)
+	case Late:
+		time.Sleep(f.Delay)
+	}
+	if request.Stream {
+		s.follow(w, r, st, 0, f)
 		return
 	}
+	text := fmt.Sprintf(`{"choices":[{"message":{"role":"assistant","content":"whole answer of %s to %s"}}]}`,
+		s.Name, r.Header.Get(proxy.HeaderRequestID))
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+	if f.Kind == Cut {
+		text = text[:f.After]
+	}
+	_, _ = fmt.Fprint(w, text)
+}
+
+func (s *Server) refuses(w http.ResponseWriter, f Fault) bool {
+	s.mu.Lock()
+	leaving := s.leaving
+	s.mu.Unlock()
+	switch {
+	case f.Kind == Refuse || leaving:
+		w.Header().Set(proxy.HeaderNotStarted, "true")
+		w.Header().Set("Retry-After", "3")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case f.Kind == Busy:
+		http.Error(w, "busy", http.StatusServiceUnavailable)
+	default:
+		return false
+	}
+	return true
+}
+
+// begin counts a run and registers its stream.
+func (s *Server) begin(r *http.Request, streamed bool) *stream {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	key := r.Header.Get(proxy.HeaderKey)
+	if key == "" {
+		key = r.Header.Get(proxy.HeaderRequestID)
+	}
+	s.stats.Runs[key]++
+	s.stats.InFlight++
+	s.stats.LastPriority = r.Header.Get(proxy.HeaderEnginePriority)
+	if chat := r.Header.Get(proxy.HeaderChat); chat != "" {
+		if s.cache.use(chat) {
+			s.stats.Hits++
+		} else {
+			s.stats.Misses++
+		}
+	}
+	s.sequence++
+	st := &stream{id: strconv.Itoa(s.sequence), begun: time.Now(), tokens: s.Tokens, interval: s.Interval}
+	st.ctx, st.cancel = context.WithCancel(context.Background())
+	if streamed {
+		s.streams[st.id] = st
+	}
+	return st
+}
+
+func (s *Server) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stats.InFlight--
+}
+
+func (s *Server) setHeaders(w http.ResponseWriter) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h := w.Header()
+	h.Set(proxy.HeaderLoad, strconv.Itoa(s.stats.InFlight))
+	h.Set(proxy.HeaderIncarnation, strconv.FormatUint(s.incarnation, 10))
+	h.Set(proxy.HeaderState, string(s.state()))
+}
+
+func (s *Server) state() membership.State {
+	if s.leaving {
+		return membership.Leaving
+	}
+	return membership.Live
+}
+
+// follow sends the stream's events after the given number.
+func (s *Server) follow(w http.ResponseWriter, r *http.Request, st *stream, after int, f Fault) {
 	w.Header().Set("Content-Type", "text/event-stream")
-	for i := range s.Tokens {
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: {\"choices\":[{\"delta\":{\"content\":\"%s-%d \"}}]}\n\n", i+1, s.Name, i+1)
-		w.(http.Flusher).Flush()
-		time.Sleep(s.Interval)
+	w.Header().Set(proxy.HeaderStreamID, st.id)
+	flusher := w.(http.Flusher)
+	flusher.Flush()
+	for n := after + 1; n <= st.tokens+1; n++ {
+		s.strike(r, f, n)
+		text, err := st.event(r.Context(), s.Name, n)
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		if f.Kind == NoEnd && n > st.tokens {
+			return
+		}
+		if f.Kind == Skip && n == f.After {
+			continue
+		}
+		if f.Kind == Repeat && n == f.After {
+			text += text
+		}
+		_, _ = fmt.Fprint(w, text)
+		flusher.Flush()
+	}
+	s.forget(st)
+}
+
+func (s *Server) forget(st *stream) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st.cancel()
+	delete(s.streams, st.id)
+}
+
+// strike carries out the faults that end or hold a connection.
+func (s *Server) strike(r *http.Request, f Fault, next int) {
+	if next <= f.After {
+		return
+	}
+	switch f.Kind {
+	case Cut:
+		panic(http.ErrAbortHandler)
+	case Restart:
+		s.restart()
+		panic(http.ErrAbortHandler)
+	case Freeze:
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	default:
+	}
+}
+
+func (s *Server) resume(w http.ResponseWriter, r *http.Request) {
+	f := s.nextFault()
+	s.mu.Lock()
+	st := s.streams[r.PathValue("id")]
+	s.mu.Unlock()
+	after, err := strconv.Atoi(r.Header.Get(proxy.HeaderLastEventID))
+	if st == nil || err != nil || after < 0 {
+		http.Error(w, "unknown stream", http.StatusNotFound)
+		return
+	}
+	s.setHeaders(w)
+	s.mu.Lock()
+	s.stats.Resumed++
+	s.stats.InFlight++
+	s.mu.Unlock()
+	defer s.end()
+	s.follow(w, r, st, after, f)
+}
+
+func (s *Server) cancel(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := s.streams[r.PathValue("id")]
+	if st == nil {
+		http.Error(w, "unknown stream", http.StatusNotFound)
+		return
+	}
+	st.cancel()
+	delete(s.streams, st.id)
+	s.stats.Cancelled++
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) load(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_ = json.NewEncoder(w).Encode(map[string]any{
+		"incarnation": s.incarnation, "state": s.state(), "in_flight": s.stats.InFlight,
+	})
+}
+
+func (s *Server) leave(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = true
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) serveStats(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_ = json.NewEncoder(w).Encode(s.stats)
+}
+
+// Stats returns a copy of the counts.
+func (s *Server) Stats() Stats {
+	s.once.Do(s.init)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.stats
+	c.Runs = make(map[string]int, len(s.stats.Runs))
+	for key, n := range s.stats.Runs {
+		c.Runs[key] = n
 	}
-	_, _ = fmt.Fprint(w, "data: [DONE]\n\n")
+	return c
 }
--- /dev/null
+++ b/test/standin/engine/stream.go
@@ -0,0 +1,37 @@
+package engine
+
+import (
+	"context"
+	"fmt"
+	"time"
+)
+
+// stream is one answer in the making. It goes on without a reader until it is
+// cancelled, so that a reader whose connection broke can resume it.
+type stream struct {
+	id     string
+	ctx    context.Context
+	cancel context.CancelFunc
+	begun  time.Time
+	// tokens and interval tell which events exist at a time.
+	tokens   int
+	interval time.Duration
+}
+
+// event returns the event with number n, waiting until it exists.
+func (st *stream) event(ctx context.Context, engine string, n int) (string, error) {
+	due := st.begun.Add(time.Duration(n-1) * st.interval)
+	timer := time.NewTimer(time.Until(due))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+		return "", ctx.Err()
+	case <-st.ctx.Done():
+		return "", st.ctx.Err()
+	}
+	if n > st.tokens {
+		return fmt.Sprintf("id: %d\ndata: [DONE]\n\n", n), nil
+	}
+	return fmt.Sprintf("id: %d\ndata: {\"choices\":[{\"delta\":{\"content\":\"%s-%s-%d \"}}]}\n\n", n, engine, st.id, n), nil
+}
