--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -69,6 +69,10 @@
 	if r.deadline.IsZero() {
 		r.deadline = n.now.Add(time.Duration(service.Deadline))
 	}
+	if !n.now.Before(r.deadline) {
+		n.refuse(e, service.Name, http.StatusGatewayTimeout, reason.DeadlineExceeded)
+		return
+	}
 	if !n.dependenciesUsable(service) {
 		n.refuse(e, service.Name, http.StatusServiceUnavailable, reason.DependencyUnavailable)
 		return
