Merge attempts and the proxy with placement

Where the parts met: a server that a request failed at was never chosen again, so in a pool of one a refused or broken attempt had no second try (TestOutcomes in internal/proxy failed in four cases). Tried servers now come after all others.

--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -52,6 +52,7 @@
 	reach     reachability
 	admission admissionState
 	requests  map[RequestID]*request
+	due       dueQueue
 	configs   configState
 	members   memberState
 	lifecycle lifecycleState
@@ -125,6 +126,7 @@
 
 // ticked does what is due by time alone.
 func (n *Node) ticked() {
+	n.tickRequests()
 	n.tickConfig()
 	n.tickMembers()
 	n.tickPlacement()
--- a/internal/core/routing/routing.go
+++ b/internal/core/routing/routing.go
@@ -45,7 +45,8 @@
 	// PreferNear ranks the own availability zone before all others. It suits
 	// requests that no cached prefix draws to any one backend server.
 	PreferNear bool
-	// Tried are the names of backend servers that this request failed at.
+	// Tried are the names of backend servers that this request failed at. They come
+	// after all others: in a pool of one, a second attempt still has a place to go.
 	Tried []string
 	// Capacity is the load that no backend server may exceed.
 	Capacity float64
@@ -60,11 +61,12 @@
 	rankFar = 1 << iota
 	rankOverInner
 	rankUnreachable
+	rankTried
 	rankLast
 )
 
 // Pick returns the index of the candidate to choose, or None if every one is over
-// its capacity, over the outer limit or tried. Candidates are sorted by name.
+// its capacity or over the outer limit. Candidates are sorted by name.
 //
 // One pass over the candidates finds what a walk along the sorted ranking would,
 // without sorting: the highest score among the lowest rank.
@@ -83,9 +85,6 @@
 		if rank == bestRank && best != None && score <= bestScore {
 			continue
 		}
-		if slices.Contains(choice.Tried, c.Name) {
-			continue
-		}
 		best, bestRank, bestScore = i, rank, score
 	}
 	return best
@@ -107,6 +106,9 @@
 	if c.Far && ch.PreferNear {
 		rank |= rankFar
 	}
+	if slices.Contains(ch.Tried, c.Name) {
+		rank |= rankTried
+	}
 	return rank
 }
 
