--- a/internal/core/explain.go
+++ b/internal/core/explain.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 
 	"github.com/ebonydyke/ebonydyke/internal/core/reason"
 	"github.com/ebonydyke/ebonydyke/internal/core/rendezvous"
@@ -25,9 +26,13 @@
 	// Bound is the promised multiple of the mean.
 	Bound float64 `json:"bound"`
 	Mean  float64 `json:"mean"`
-	// Limit is the number of requests up to which a backend server may be given
-	// one more.
+	// Limit is the number of requests that the bound allows one backend server.
 	Limit float64 `json:"limit"`
+	// Inner is this chat's own limit under it, from which on the next backend
+	// server of the ranking is preferred.
+	Inner float64 `json:"inner"`
+	// Hinted is the backend server that a valid hint names.
+	Hinted string `json:"hinted,omitempty"`
 	// Ranking holds every usable backend server, highest ranked first.
 	Ranking []RankedBackend `json:"ranking"`
 	// Chosen is the backend server that the turn would go to, if any.
@@ -75,33 +80,49 @@
 	return x
 }
 
+// explainRanking fills in the numbers that the placement rests on.
 func (n *Node) explainRanking(x *Explanation, r *request) {
 	p := n.pool(x.Service)
 	if len(p.candidates) == 0 {
 		return
 	}
-	x.Mean = p.total / float64(len(p.candidates))
-	x.Limit = routing.Limit(x.Bound, p.total, len(p.candidates))
+	total, count := p.reachable()
+	choice := n.choice(r, p)
+	x.Mean = total / float64(count)
+	x.Limit, x.Inner = choice.Limits.Outer, choice.Limits.Inner
+	if choice.Hinted != routing.None {
+		x.Hinted = p.candidates[choice.Hinted].Name
+	}
 	ranked := slices.Clone(p.candidates)
-	chat := chatHash(r)
 	slices.SortStableFunc(ranked, func(a, b routing.Candidate) int {
-		return cmp.Compare(rendezvous.Score(chat, b.Hash), rendezvous.Score(chat, a.Hash))
+		return cmp.Compare(rendezvous.Score(choice.Chat, b.Hash), rendezvous.Score(choice.Chat, a.Hash))
 	})
 	for _, c := range ranked {
 		x.Ranking = append(x.Ranking, RankedBackend{
 			BackendStatus: BackendStatus{Name: c.Name, Zone: c.Zone, Address: c.Address, Load: c.Load, Own: n.load.Own(c.Name)},
-			Why:           x.why(c),
+			Why:           x.why(c, choice.Capacity),
 		})
 	}
 }
 
-func (x *Explanation) why(c routing.Candidate) string {
-	switch {
-	case c.Name == x.Chosen:
-		return "chosen"
-	case c.Load+1 > x.Limit:
-		return "over the bound"
-	default:
-		return ""
+func (x *Explanation) why(c routing.Candidate, capacity float64) string {
+	var words []string
+	if c.Name == x.Chosen {
+		words = append(words, "chosen")
+	}
+	if c.Name == x.Hinted {
+		words = append(words, "hinted")
+	}
+	switch load := c.Load + 1; {
+	case load > capacity:
+		words = append(words, "at its capacity")
+	case load > x.Limit:
+		words = append(words, "at the bound")
+	case load > x.Inner:
+		words = append(words, "at this chat's limit")
+	}
+	if c.Unreachable {
+		words = append(words, "not reachable from here lately")
 	}
+	return strings.Join(words, ", ")
 }
--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -141,8 +141,7 @@
 	if n.view.Report(n.now, e.Report, true) {
 		n.membersChanged([]string{e.Report.Backend})
 	}
-	n.load.Report(e.Report.Backend, e.Report.InFlight, e.Report.At)
-	n.loadChanged(e.Report.Backend)
+	n.loadReported(e.Report)
 }
 
 // backendSaid takes what an ordinary answer or refusal says of its backend
@@ -152,6 +151,7 @@
 	if n.view.Report(n.now, report, false) {
 		n.membersChanged([]string{report.Backend})
 	}
+	n.loadReported(report)
 }
 
 // peerHeard notes that a peer sent something.
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -49,7 +49,10 @@
 	load      *load.Tracker
 	pools     map[string]*pool
 	poolOf    map[string]*pool
+	reach     reachability
+	admission admissionState
 	requests  map[RequestID]*request
+	due       dueQueue
 	configs   configState
 	members   memberState
 	lifecycle lifecycleState
@@ -59,14 +62,16 @@
 // New returns a node that knows nothing but its settings.
 func New(s Settings) *Node {
 	return &Node{
-		settings: s,
-		random:   rand.New(rand.NewPCG(s.Seed, s.Incarnation)),
-		view:     membership.NewView(),
-		load:     load.NewTracker(),
-		pools:    make(map[string]*pool),
-		poolOf:   make(map[string]*pool),
-		requests: make(map[RequestID]*request),
-		members:  memberState{heard: make(map[string]time.Time)},
+		settings:  s,
+		random:    rand.New(rand.NewPCG(s.Seed, s.Incarnation)),
+		view:      membership.NewView(),
+		load:      load.NewTracker(),
+		pools:     make(map[string]*pool),
+		poolOf:    make(map[string]*pool),
+		reach:     make(reachability),
+		admission: newAdmissionState(),
+		requests:  make(map[RequestID]*request),
+		members:   memberState{heard: make(map[string]time.Time)},
 	}
 }
 
@@ -123,8 +128,11 @@
 
 // ticked does what is due by time alone.
 func (n *Node) ticked() {
+	n.tickRequests()
 	n.tickConfig()
 	n.tickMembers()
+	n.tickPlacement()
+	n.tickAdmission()
 	n.tickPeers()
 	n.tickClaims()
 	n.tickLifecycle()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -30,7 +30,8 @@
 		Incarnation: uint64(start.UnixNano()),
 		Seed:        uint64(start.UnixNano()),
 		AcceptDelay: time.Duration(s.AcceptDelay),
-	}), counters)
+	}))
+	loop.CountIn(counters)
 	listener, err := net.Listen("tcp", s.Listen)
 	if err != nil {
 		return fmt.Errorf("daemon: listen for callers: %w", err)
@@ -39,7 +40,7 @@
 	if err != nil {
 		return fmt.Errorf("daemon: listen for operators: %w", err)
 	}
-	server := proxy.New(loop.Post)
+	server := proxy.New(loop.Post, proxyOptions(&s.Limits, counters))
 	exec := &executor{ctx: ctx, post: loop.Post, platform: platform.NewClient(s.Platform), proxy: server, stop: cancel}
 
 	group, ctx := errgroup.WithContext(ctx)
@@ -61,3 +62,19 @@
 	}
 	return nil
 }
+
+// proxyOptions passes the limits of the settings on.
+func proxyOptions(l *settings.Limits, counters proxy.Metrics) proxy.Options {
+	return proxy.Options{
+		Metrics:     counters,
+		MaxBody:     l.MaxBody,
+		MaxHeader:   l.MaxHeader,
+		ReadTimeout: time.Duration(l.ReadTimeout),
+		CallerIdle:  time.Duration(l.CallerIdle),
+		WriteStall:  time.Duration(l.WriteStall),
+		DrainIdle:   time.Duration(l.DrainIdle),
+		DialTimeout: time.Duration(l.DialTimeout),
+		BackendIdle: time.Duration(l.BackendIdle),
+		Inactivity:  time.Duration(l.Inactivity),
+	}
+}
--- a/internal/daemon/loop.go
+++ b/internal/daemon/loop.go
@@ -29,16 +29,18 @@
 	meter    *meter
 }
 
-// NewLoop returns a loop round node that counts in m.
-func NewLoop(node *core.Node, m *metrics.Metrics) *Loop {
+// NewLoop returns a loop round node.
+func NewLoop(node *core.Node) *Loop {
 	return &Loop{
 		node:     node,
 		events:   make(chan core.Event, eventQueue),
 		inspects: make(chan func(*core.Node)),
-		meter:    newMeter(m),
 	}
 }
 
+// CountIn counts what passes through the loop in m. It is called before Run.
+func (l *Loop) CountIn(m *metrics.Metrics) { l.meter = newMeter(m) }
+
 // Post hands an event to the core. It waits while the queue is full.
 func (l *Loop) Post(event core.Event) { l.events <- event }
 
--- a/internal/daemon/loop_test.go
+++ b/internal/daemon/loop_test.go
@@ -9,7 +9,6 @@
 
 	"github.com/ebonydyke/ebonydyke/internal/core"
 	"github.com/ebonydyke/ebonydyke/internal/daemon"
-	"github.com/ebonydyke/ebonydyke/internal/metrics"
 )
 
 type ignoreEffects struct{}
@@ -22,7 +21,7 @@
 // An operator's question must come back within its bound, and must not be
 // answered later at the expense of somebody else.
 func TestInspectIsBounded(t *testing.T) {
-	loop := daemon.NewLoop(core.New(core.Settings{Name: "entry-1"}), metrics.New())
+	loop := daemon.NewLoop(core.New(core.Settings{Name: "entry-1"}))
 	short, cancelShort := context.WithTimeout(context.Background(), time.Millisecond)
 	defer cancelShort()
 	_, err := daemon.Inspect(short, loop, (*core.Node).Status)
