Code the peers' messages compactly in protobuf

A stream keeps a dictionary of names and the last digest's numbers, so that a digest of 12 known backend servers takes 34 bytes with its length (test TestRepeatedDigestIsSmall). Weighed: a short hash a name (4 to 8 bytes a load and collisions to mind) and indexes into the sorted list of backend servers (no names at all, but two instances that disagree about the list would read each other's loads as another server's). The operators' text is deflated.

--- /dev/null
+++ b/api/peerpb/generated_test.go
@@ -0,0 +1,22 @@
+package peerpb_test
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestGeneratedCodeIsOfThisSource shows that make generate ran after the last
+// edit of the source.
+func TestGeneratedCodeIsOfThisSource(t *testing.T) {
+	source, err := os.ReadFile("peer.proto")
+	require.NoError(t, err)
+	recorded, err := os.ReadFile("peer.proto.sha256")
+	require.NoError(t, err)
+	sum := sha256.Sum256(source)
+	require.Equal(t, strings.TrimSpace(string(recorded)), hex.EncodeToString(sum[:]), "run make generate")
+}
--- a/internal/core/peermsg.go
+++ b/internal/core/peermsg.go
@@ -21,14 +21,25 @@
 // Digest is what an instance tells its peers each round: what it knows that they
 // may not.
 type Digest struct {
+	// Incarnation is the sender's; a digest of an earlier one is ignored.
+	Incarnation uint64 `json:"incarnation,omitempty"`
+	// Seq numbers the sender's digests to this peer, from 1 on, so that one that
+	// comes twice, late or never is noticed.
+	Seq uint64 `json:"seq,omitempty"`
 	// At is the sender's clock; only differences of one sender's are compared.
 	At time.Time `json:"at"`
 	// Generation is the configuration in force at the sender.
 	Generation uint64 `json:"generation"`
 	// Leaving says that the sender has begun its graceful shutdown.
 	Leaving bool `json:"leaving,omitempty"`
-	// Loads are the sender's requests in progress by backend server; a backend
-	// server left out has not changed since the sender's last digest unless Full.
+	// Resync asks the receiver for a full digest, because one was missed.
+	Resync bool `json:"resync,omitempty"`
+	// WantMembers asks the receiver for every instance it knows, because the
+	// sender has not been able to read the platform's list.
+	WantMembers bool `json:"want_members,omitempty"`
+	// Loads are requests in progress by backend server that the receiver hears of
+	// from nobody else: the sender's own, and those that it adds up for others. A
+	// backend server left out has not changed since the last digest unless Full.
 	Loads []BackendLoad `json:"loads,omitempty"`
 	// Full says that Loads lists every backend server with a request in progress.
 	Full bool `json:"full,omitempty"`
@@ -36,9 +47,11 @@
 	Reports []membership.Report `json:"reports,omitempty"`
 	// Facts are changes of membership that the sender learnt.
 	Facts []membership.Fact `json:"facts,omitempty"`
+	// Members answer WantMembers.
+	Members []membership.Instance `json:"members,omitempty"`
 }
 
-// BackendLoad is the number of one instance's requests at one backend server.
+// BackendLoad is a number of requests in progress at one backend server.
 type BackendLoad struct {
 	Backend  string `json:"backend"`
 	InFlight int    `json:"in_flight"`
--- /dev/null
+++ b/internal/peer/codec_test.go
@@ -0,0 +1,159 @@
+package peer
+
+import (
+	"bufio"
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/ebonydyke/ebonydyke/internal/core"
+	"github.com/ebonydyke/ebonydyke/internal/core/claims"
+	"github.com/ebonydyke/ebonydyke/internal/core/config"
+	"github.com/ebonydyke/ebonydyke/internal/core/membership"
+)
+
+var start = time.UnixMilli(1_764_000_000_000).UTC()
+
+// carry sends a message through a stream's encoder and decoder.
+func carry(t require.TestingT, e *Encoder, d *Decoder, m core.PeerMessage) (core.PeerMessage, int) {
+	frame, err := e.Encode(m)
+	require.NoError(t, err)
+	body, err := readFrame(bufio.NewReader(bytes.NewReader(frame)), maxFrame)
+	require.NoError(t, err)
+	got, err := d.Decode(body)
+	require.NoError(t, err)
+	return got, len(frame)
+}
+
+// TestMessagesSurviveTheLink sends random messages through one stream, whose
+// coding depends on those before, and compares each with what comes out.
+func TestMessagesSurviveTheLink(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		e, d := NewEncoder(), NewDecoder()
+		for range rapid.IntRange(1, 8).Draw(t, "messages") {
+			m := drawMessage(t)
+			got, _ := carry(t, e, d, m)
+			if m.Digest != nil {
+				require.ElementsMatch(t, m.Digest.Loads, got.Digest.Loads)
+				m.Digest.Loads, got.Digest.Loads = nil, nil
+			}
+			require.Equal(t, m, got)
+		}
+	})
+}
+
+func drawMessage(t *rapid.T) core.PeerMessage {
+	key := claims.KeyHash{Hi: rapid.Uint64().Draw(t, "hi"), Lo: rapid.Uint64().Draw(t, "lo")}
+	switch rapid.IntRange(0, 4).Draw(t, "kind") {
+	case 0:
+		return core.PeerMessage{Claim: &claims.Request{Key: key, Token: key.Lo, Set: claims.Done}}
+	case 1:
+		return core.PeerMessage{ClaimReply: &claims.Reply{
+			Key: key, Token: key.Hi, Set: claims.Claimed, Verdict: claims.Duplicate, First: claims.Done,
+		}}
+	case 2:
+		return core.PeerMessage{ConfigOffer: &core.ConfigOffer{Envelope: config.Envelope{
+			Generation: key.Hi, Edit: "edit", Text: rapid.String().Draw(t, "text"),
+		}}}
+	case 3:
+		return core.PeerMessage{ConfigWanted: &core.ConfigWanted{Above: key.Lo}}
+	default:
+		return core.PeerMessage{Digest: drawDigest(t)}
+	}
+}
+
+func drawDigest(t *rapid.T) *core.Digest {
+	name := rapid.StringMatching(`[a-z]{1,6}`)
+	at := start.Add(time.Duration(rapid.IntRange(-5000, 5000).Draw(t, "at")) * time.Millisecond)
+	d := &core.Digest{
+		Seq: rapid.Uint64().Draw(t, "seq"), At: at, Generation: rapid.Uint64Range(0, 1<<40).Draw(t, "generation"),
+		Leaving: rapid.Bool().Draw(t, "leaving"), Full: rapid.Bool().Draw(t, "full"),
+		Resync: rapid.Bool().Draw(t, "resync"), WantMembers: rapid.Bool().Draw(t, "want"),
+	}
+	for backend, inFlight := range rapid.MapOf(name, rapid.IntRange(0, 1<<20)).Draw(t, "loads") {
+		d.Loads = append(d.Loads, core.BackendLoad{Backend: backend, InFlight: inFlight})
+	}
+	for _, backend := range rapid.SliceOfN(name, 0, 3).Draw(t, "others") {
+		d.Reports = append(d.Reports, membership.Report{
+			Backend: backend, Incarnation: 7, State: membership.Leaving, InFlight: 3, At: at.Add(-time.Second),
+		})
+		d.Facts = append(d.Facts, membership.Fact{Name: backend, Incarnation: 9, State: membership.Gone})
+		d.Members = append(d.Members, membership.Instance{
+			Name: backend, Role: membership.Entry, Zone: "z", Address: "127.0.0.1:1", State: membership.Live,
+		})
+	}
+	return d
+}
+
+// TestRepeatedDigestIsSmall states the figure that the budget rests on: once the
+// dictionary is known, a digest costs about two bytes a load.
+func TestRepeatedDigestIsSmall(t *testing.T) {
+	e, d := NewEncoder(), NewDecoder()
+	digest := func(seq int) core.PeerMessage {
+		out := &core.Digest{Seq: uint64(seq), At: start.Add(time.Duration(seq) * 500 * time.Millisecond), Generation: 3}
+		for i := range 12 {
+			out.Loads = append(out.Loads, core.BackendLoad{Backend: strings.Repeat("server", 3) + string(rune('a'+i)), InFlight: seq})
+		}
+		return core.PeerMessage{Digest: out}
+	}
+	_, first := carry(t, e, d, digest(1))
+	_, second := carry(t, e, d, digest(2))
+	require.Greater(t, first, 12*20)
+	require.Equal(t, 34, second)
+}
+
+// TestDictionaryStaysBounded replaces instances for years on one link: the names
+// of those gone must not pile up at either end.
+func TestDictionaryStaysBounded(t *testing.T) {
+	e, d := NewEncoder(), NewDecoder()
+	for i := range 3 * maxNames {
+		fact := membership.Fact{Name: "entry-" + time.Duration(i).String(), Incarnation: 1, State: membership.Live}
+		m := core.PeerMessage{Digest: &core.Digest{Seq: uint64(i + 1), At: start, Facts: []membership.Fact{fact}}}
+		got, _ := carry(t, e, d, m)
+		require.Equal(t, m, got)
+		require.LessOrEqual(t, len(d.names), maxNames/2+2)
+	}
+}
+
+func TestTextOverTheLimitIsNotSent(t *testing.T) {
+	text := strings.Repeat("x", maxText+1)
+	_, err := NewEncoder().Encode(core.PeerMessage{ConfigOffer: &core.ConfigOffer{Envelope: config.Envelope{Text: text}}})
+	require.ErrorIs(t, err, errTooLarge)
+}
+
+// FuzzDecode feeds a port's bytes to the frame reader and the decoder: they must
+// come to an error or a message, never to a panic or to unbounded memory.
+func FuzzDecode(f *testing.F) {
+	e := NewEncoder()
+	digest := &core.Digest{Seq: 1, At: start, Full: true, Loads: []core.BackendLoad{{Backend: "a", InFlight: 2}},
+		Reports: []membership.Report{{Backend: "b", State: membership.Live}}}
+	seed, err := e.Encode(core.PeerMessage{Digest: digest})
+	require.NoError(f, err)
+	f.Add(bytes.Clone(seed))
+	seed, err = e.Encode(core.PeerMessage{ConfigOffer: &core.ConfigOffer{Envelope: config.Envelope{Text: "{}"}}})
+	require.NoError(f, err)
+	f.Add(bytes.Clone(seed))
+	f.Add([]byte("GET / HTTP/1.1\r\n\r\n"))
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0x7f})
+	f.Add([]byte{0x80, 0x80, 0x40, 0x12, 0x00})
+	f.Add([]byte{0x06, 0x1a, 0x04, 0x2a, 0x02, 0x01, 0x01})
+	f.Fuzz(func(t *testing.T, stream []byte) {
+		d := NewDecoder()
+		r := bufio.NewReader(bytes.NewReader(stream))
+		for {
+			frame, err := readFrame(r, maxFrame)
+			if err != nil {
+				return
+			}
+			require.LessOrEqual(t, len(frame), len(stream))
+			if _, err := d.Decode(frame); err != nil {
+				return
+			}
+			require.LessOrEqual(t, len(d.names), maxNames+1)
+		}
+	})
+}
--- /dev/null
+++ b/internal/peer/decode.go
@@ -0,0 +1,286 @@
+package peer
+
+import (
+	"bytes"
+	"compress/flate"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/ebonydyke/ebonydyke/api/peerpb"
+	"github.com/ebonydyke/ebonydyke/internal/core"
+	"github.com/ebonydyke/ebonydyke/internal/core/claims"
+	"github.com/ebonydyke/ebonydyke/internal/core/config"
+	"github.com/ebonydyke/ebonydyke/internal/core/membership"
+)
+
+// errFrame means that the bytes are not a frame that an instance would send.
+var errFrame = errors.New("peer: bad frame")
+
+// frameReader is what frames are read from.
+type frameReader interface {
+	io.Reader
+	io.ByteReader
+}
+
+// readFrame reads one frame without its length. A stranger may announce a long
+// frame and send nothing: memory grows with the bytes that came, not with the
+// length announced.
+func readFrame(r frameReader, limit uint64) ([]byte, error) {
+	size, err := binary.ReadUvarint(r)
+	if err != nil {
+		return nil, fmt.Errorf("peer: frame length: %w", err)
+	}
+	if size > limit {
+		return nil, fmt.Errorf("%w: %d bytes, at most %d", errFrame, size, limit)
+	}
+	var buf bytes.Buffer
+	if _, err := io.CopyN(&buf, r, int64(size)); err != nil {
+		return nil, fmt.Errorf("peer: frame: %w", err)
+	}
+	return buf.Bytes(), nil
+}
+
+// Decoder reads the frames that an Encoder wrote, in the same order.
+type Decoder struct {
+	names []string
+	last  digestBase
+}
+
+// NewDecoder returns the decoder of a new stream.
+func NewDecoder() *Decoder { return &Decoder{names: []string{""}} }
+
+// Decode reads a frame without its length. After an error the stream is of no
+// more use.
+func (d *Decoder) Decode(frame []byte) (core.PeerMessage, error) {
+	var f peerpb.Frame
+	if err := proto.Unmarshal(frame, &f); err != nil {
+		return core.PeerMessage{}, fmt.Errorf("%w: %w", errFrame, err)
+	}
+	if err := d.addNames(&f); err != nil {
+		return core.PeerMessage{}, err
+	}
+	return d.message(&f)
+}
+
+// decodeHello reads the frame that opens a stream.
+func decodeHello(frame []byte) (*peerpb.Hello, error) {
+	var f peerpb.Frame
+	if err := proto.Unmarshal(frame, &f); err != nil {
+		return nil, fmt.Errorf("%w: %w", errFrame, err)
+	}
+	if f.Hello == nil || f.Hello.Name == "" || len(f.Hello.Name) > maxName {
+		return nil, fmt.Errorf("%w: no hello", errFrame)
+	}
+	if f.Hello.Version != protocolVersion {
+		return nil, fmt.Errorf("%w: version %d, expected %d", errFrame, f.Hello.Version, protocolVersion)
+	}
+	return f.Hello, nil
+}
+
+func (d *Decoder) addNames(f *peerpb.Frame) error {
+	if f.Reset_ {
+		d.names = d.names[:1]
+	}
+	if len(d.names)+len(f.Names) > maxNames+1 {
+		return fmt.Errorf("%w: over %d names", errFrame, maxNames)
+	}
+	for _, name := range f.Names {
+		if name == "" || len(name) > maxName {
+			return fmt.Errorf("%w: name of %d bytes", errFrame, len(name))
+		}
+		d.names = append(d.names, name)
+	}
+	return nil
+}
+
+func (d *Decoder) name(id uint32) (string, error) {
+	if uint64(id) >= uint64(len(d.names)) {
+		return "", fmt.Errorf("%w: unknown name %d", errFrame, id)
+	}
+	return d.names[id], nil
+}
+
+func (d *Decoder) message(f *peerpb.Frame) (core.PeerMessage, error) {
+	var m core.PeerMessage
+	var err error
+	if f.Digest != nil {
+		if m.Digest, err = d.digest(f.Digest); err != nil {
+			return core.PeerMessage{}, err
+		}
+	}
+	switch {
+	case f.ConfigOffer != nil:
+		m.ConfigOffer, err = inflateOffer(f.ConfigOffer)
+	case f.ConfigWanted != nil:
+		m.ConfigWanted = &core.ConfigWanted{Above: f.ConfigWanted.Above}
+	case f.Claim != nil:
+		m.Claim, err = decodeClaim(f.Claim)
+	case f.ClaimReply != nil:
+		m.ClaimReply, err = decodeClaimReply(f.ClaimReply)
+	}
+	if err != nil {
+		return core.PeerMessage{}, err
+	}
+	return m, nil
+}
+
+func (d *Decoder) digest(in *peerpb.Digest) (*core.Digest, error) {
+	at := d.last.at + in.At
+	generation := d.last.generation
+	if in.Generation > 0 {
+		generation = in.Generation - 1
+	}
+	seq := d.last.seq + 1 + uint64(in.Seq)
+	d.last = digestBase{seq: seq, at: at, generation: generation}
+	out := &core.Digest{
+		Seq:         seq,
+		At:          time.UnixMilli(at).UTC(),
+		Generation:  generation,
+		Leaving:     hasFlag(in, peerpb.DigestFlag_DIGEST_FLAG_LEAVING),
+		Full:        hasFlag(in, peerpb.DigestFlag_DIGEST_FLAG_FULL),
+		Resync:      hasFlag(in, peerpb.DigestFlag_DIGEST_FLAG_RESYNC),
+		WantMembers: hasFlag(in, peerpb.DigestFlag_DIGEST_FLAG_WANT_MEMBERS),
+	}
+	if err := d.loads(out, in); err != nil {
+		return nil, err
+	}
+	if err := d.reports(out, in); err != nil {
+		return nil, err
+	}
+	if err := d.facts(out, in); err != nil {
+		return nil, err
+	}
+	if err := d.members(out, in); err != nil {
+		return nil, err
+	}
+	return out, nil
+}
+
+func hasFlag(in *peerpb.Digest, flag peerpb.DigestFlag) bool {
+	return in.Flags&uint32(flag) != 0
+}
+
+func (d *Decoder) loads(out *core.Digest, in *peerpb.Digest) error {
+	if len(in.LoadIds) != len(in.LoadCounts) {
+		return fmt.Errorf("%w: %d load ids, %d counts", errFrame, len(in.LoadIds), len(in.LoadCounts))
+	}
+	id := uint32(0)
+	for i, distance := range in.LoadIds {
+		if distance == 0 {
+			return fmt.Errorf("%w: load named twice", errFrame)
+		}
+		id += distance
+		name, err := d.name(id)
+		if err != nil {
+			return err
+		}
+		out.Loads = append(out.Loads, core.BackendLoad{Backend: name, InFlight: int(in.LoadCounts[i])})
+	}
+	return nil
+}
+
+func (d *Decoder) reports(out *core.Digest, in *peerpb.Digest) error {
+	for _, r := range in.Reports {
+		name, err := d.name(r.Backend)
+		if err != nil {
+			return err
+		}
+		out.Reports = append(out.Reports, membership.Report{
+			Backend:     name,
+			Incarnation: r.Incarnation,
+			State:       states[r.State],
+			InFlight:    int(r.InFlight),
+			At:          time.UnixMilli(d.last.at - r.Age).UTC(),
+		})
+	}
+	return nil
+}
+
+func (d *Decoder) facts(out *core.Digest, in *peerpb.Digest) error {
+	for _, f := range in.Facts {
+		name, err := d.name(f.Name)
+		if err != nil {
+			return err
+		}
+		out.Facts = append(out.Facts, membership.Fact{
+			Name: name, Incarnation: f.Incarnation, State: states[f.State],
+		})
+	}
+	return nil
+}
+
+func (d *Decoder) members(out *core.Digest, in *peerpb.Digest) error {
+	for _, m := range in.Members {
+		name, err := d.name(m.Name)
+		if err != nil {
+			return err
+		}
+		service, err := d.name(m.Service)
+		if err != nil {
+			return err
+		}
+		zone, err := d.name(m.Zone)
+		if err != nil {
+			return err
+		}
+		role := membership.Backend
+		if m.Entry {
+			role = membership.Entry
+		}
+		out.Members = append(out.Members, membership.Instance{
+			Name: name, Role: role, Service: service, Zone: zone, Address: m.Address,
+			Incarnation: m.Incarnation, State: states[m.State],
+		})
+	}
+	return nil
+}
+
+func inflateOffer(in *peerpb.ConfigOffer) (*core.ConfigOffer, error) {
+	r := flate.NewReader(bytes.NewReader(in.Deflated))
+	// A small frame may inflate to any size: stop just past the limit.
+	text, err := io.ReadAll(io.LimitReader(r, maxText+1))
+	if err != nil {
+		return nil, fmt.Errorf("%w: inflate: %w", errFrame, err)
+	}
+	if len(text) > maxText {
+		return nil, fmt.Errorf("%w: text over %d bytes", errFrame, maxText)
+	}
+	env := config.Envelope{Generation: in.Generation, Edit: in.Edit, Text: string(text)}
+	return &core.ConfigOffer{Envelope: env}, nil
+}
+
+func decodeClaim(in *peerpb.Claim) (*claims.Request, error) {
+	set := claims.State(in.Set)
+	if uint32(set) != in.Set {
+		return nil, fmt.Errorf("%w: claim state %d", errFrame, in.Set)
+	}
+	return &claims.Request{Key: claims.KeyHash{Hi: in.Hi, Lo: in.Lo}, Token: in.Token, Set: set}, nil
+}
+
+func decodeClaimReply(in *peerpb.ClaimReply) (*claims.Reply, error) {
+	set, first := claims.State(in.Set), claims.State(in.First)
+	verdict, ok := verdicts[in.Verdict]
+	if uint32(set) != in.Set || uint32(first) != in.First || !ok {
+		return nil, fmt.Errorf("%w: claim reply", errFrame)
+	}
+	return &claims.Reply{
+		Key: claims.KeyHash{Hi: in.Hi, Lo: in.Lo}, Token: in.Token, Set: set, Verdict: verdict, First: first,
+	}, nil
+}
+
+var states = reversed(stateCodes)
+
+var verdicts = reversed(verdictCodes)
+
+func reversed[K, V comparable](m map[K]V) map[V]K {
+	out := make(map[V]K, len(m))
+	for k, v := range m {
+		out[v] = k
+	}
+	return out
+}
--- /dev/null
+++ b/internal/peer/encode.go
@@ -0,0 +1,249 @@
+package peer
+
+import (
+	"bytes"
+	"compress/flate"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/ebonydyke/ebonydyke/api/peerpb"
+	"github.com/ebonydyke/ebonydyke/internal/core"
+	"github.com/ebonydyke/ebonydyke/internal/core/claims"
+	"github.com/ebonydyke/ebonydyke/internal/core/membership"
+)
+
+// Limits of what a link carries; both ends keep them.
+const (
+	// maxFrame bounds a frame in bytes: a text of a megabyte that does not deflate.
+	maxFrame = 1<<20 + 1<<16
+	// maxNames bounds the names in a link's dictionary.
+	maxNames = 8192
+	// maxName bounds one name in bytes.
+	maxName = 256
+	// maxText bounds the operators' text in bytes, the platform's limit of a value.
+	maxText = 1 << 20
+)
+
+// errTooLarge means that a message does not fit the limits of a link.
+var errTooLarge = errors.New("peer: message too large")
+
+// Encoder writes the frames of one direction of one stream. It keeps the
+// stream's dictionary of names and the last digest's numbers, so the frames must
+// be sent in the order in which they were encoded, and none left out.
+type Encoder struct {
+	ids   map[string]uint32
+	last  digestBase
+	frame peerpb.Frame
+	buf   []byte
+}
+
+// digestBase is what a digest's numbers are coded relative to.
+type digestBase struct {
+	seq        uint64
+	at         int64
+	generation uint64
+}
+
+// NewEncoder returns the encoder of a new stream.
+func NewEncoder() *Encoder { return &Encoder{ids: make(map[string]uint32)} }
+
+// Encode gives the frame of a message, its length in front. The slice is valid
+// until the next call.
+func (e *Encoder) Encode(m core.PeerMessage) ([]byte, error) {
+	e.frame = peerpb.Frame{}
+	if len(e.ids) > maxNames/2 {
+		clear(e.ids)
+		e.frame.Reset_ = true
+	}
+	if err := e.fill(m); err != nil {
+		return nil, err
+	}
+	if len(e.ids) > maxNames {
+		return nil, errTooLarge
+	}
+	return e.marshal()
+}
+
+func (e *Encoder) fill(m core.PeerMessage) error {
+	if m.Digest != nil {
+		e.frame.Digest = e.digest(m.Digest)
+	}
+	switch {
+	case m.ConfigOffer != nil:
+		offer, err := configOffer(m.ConfigOffer)
+		if err != nil {
+			return err
+		}
+		e.frame.ConfigOffer = offer
+	case m.ConfigWanted != nil:
+		e.frame.ConfigWanted = &peerpb.ConfigWanted{Above: m.ConfigWanted.Above}
+	case m.Claim != nil:
+		c := m.Claim
+		e.frame.Claim = &peerpb.Claim{Hi: c.Key.Hi, Lo: c.Key.Lo, Token: c.Token, Set: uint32(c.Set)}
+	case m.ClaimReply != nil:
+		e.frame.ClaimReply = claimReply(m.ClaimReply)
+	}
+	return nil
+}
+
+// hello encodes the frame that opens a stream.
+func (e *Encoder) hello(h *peerpb.Hello) ([]byte, error) {
+	e.frame = peerpb.Frame{Hello: h}
+	return e.marshal()
+}
+
+func (e *Encoder) marshal() ([]byte, error) {
+	e.buf = binary.AppendUvarint(e.buf[:0], uint64(proto.Size(&e.frame)))
+	buf, err := proto.MarshalOptions{UseCachedSize: true}.MarshalAppend(e.buf, &e.frame)
+	if err != nil {
+		return nil, fmt.Errorf("peer: encode: %w", err)
+	}
+	if len(buf) > maxFrame {
+		return nil, errTooLarge
+	}
+	e.buf = buf
+	return buf, nil
+}
+
+// id gives the dictionary's number of a name; a new name goes with the frame.
+func (e *Encoder) id(name string) uint32 {
+	if name == "" {
+		return 0
+	}
+	id, ok := e.ids[name]
+	if !ok {
+		id = uint32(len(e.ids) + 1)
+		e.ids[name] = id
+		e.frame.Names = append(e.frame.Names, name)
+	}
+	return id
+}
+
+func (e *Encoder) digest(d *core.Digest) *peerpb.Digest {
+	at := d.At.UnixMilli()
+	out := &peerpb.Digest{
+		Seq:   int64(d.Seq - e.last.seq - 1),
+		At:    at - e.last.at,
+		Flags: digestFlags(d),
+	}
+	if d.Generation != e.last.generation {
+		out.Generation = d.Generation + 1
+	}
+	e.last = digestBase{seq: d.Seq, at: at, generation: d.Generation}
+	e.loads(out, d.Loads)
+	for _, r := range d.Reports {
+		out.Reports = append(out.Reports, e.report(r, d.At))
+	}
+	for _, f := range d.Facts {
+		out.Facts = append(out.Facts, &peerpb.Fact{
+			Name: e.id(f.Name), Incarnation: f.Incarnation, State: stateCodes[f.State],
+		})
+	}
+	for _, in := range d.Members {
+		out.Members = append(out.Members, e.member(in))
+	}
+	return out
+}
+
+func digestFlags(d *core.Digest) uint32 {
+	flags := peerpb.DigestFlag_DIGEST_FLAG_NONE
+	for _, f := range []struct {
+		set  bool
+		flag peerpb.DigestFlag
+	}{
+		{d.Leaving, peerpb.DigestFlag_DIGEST_FLAG_LEAVING},
+		{d.Full, peerpb.DigestFlag_DIGEST_FLAG_FULL},
+		{d.Resync, peerpb.DigestFlag_DIGEST_FLAG_RESYNC},
+		{d.WantMembers, peerpb.DigestFlag_DIGEST_FLAG_WANT_MEMBERS},
+	} {
+		if f.set {
+			flags |= f.flag
+		}
+	}
+	return uint32(flags)
+}
+
+// loads codes the loads in the order of their ids, each id as the distance from
+// the one before: two bytes a load in most cases.
+func (e *Encoder) loads(out *peerpb.Digest, loads []core.BackendLoad) {
+	type load struct{ id, count uint32 }
+	coded := make([]load, 0, len(loads))
+	for _, l := range loads {
+		coded = append(coded, load{e.id(l.Backend), uint32(max(0, l.InFlight))})
+	}
+	slices.SortFunc(coded, func(a, b load) int { return int(a.id) - int(b.id) })
+	previous := uint32(0)
+	for _, l := range coded {
+		out.LoadIds = append(out.LoadIds, l.id-previous)
+		out.LoadCounts = append(out.LoadCounts, l.count)
+		previous = l.id
+	}
+}
+
+func (e *Encoder) report(r membership.Report, at time.Time) *peerpb.Report {
+	return &peerpb.Report{
+		Backend:     e.id(r.Backend),
+		Incarnation: r.Incarnation,
+		State:       stateCodes[r.State],
+		InFlight:    uint32(max(0, r.InFlight)),
+		Age:         at.UnixMilli() - r.At.UnixMilli(),
+	}
+}
+
+func (e *Encoder) member(in membership.Instance) *peerpb.Member {
+	return &peerpb.Member{
+		Name:        e.id(in.Name),
+		Entry:       in.Role == membership.Entry,
+		Service:     e.id(in.Service),
+		Zone:        e.id(in.Zone),
+		Address:     in.Address,
+		Incarnation: in.Incarnation,
+		State:       stateCodes[in.State],
+	}
+}
+
+// configOffer deflates the text: a customers' list repeats itself, and each of a
+// thousand changes a day goes to every instance.
+func configOffer(offer *core.ConfigOffer) (*peerpb.ConfigOffer, error) {
+	env := offer.Envelope
+	if len(env.Text) > maxText {
+		return nil, errTooLarge
+	}
+	var buf bytes.Buffer
+	w, err := flate.NewWriter(&buf, flate.DefaultCompression)
+	if err != nil {
+		return nil, fmt.Errorf("peer: deflate: %w", err)
+	}
+	if _, err := w.Write([]byte(env.Text)); err != nil {
+		return nil, fmt.Errorf("peer: deflate: %w", err)
+	}
+	if err := w.Close(); err != nil {
+		return nil, fmt.Errorf("peer: deflate: %w", err)
+	}
+	return &peerpb.ConfigOffer{Generation: env.Generation, Edit: env.Edit, Deflated: buf.Bytes()}, nil
+}
+
+func claimReply(r *claims.Reply) *peerpb.ClaimReply {
+	return &peerpb.ClaimReply{
+		Hi: r.Key.Hi, Lo: r.Key.Lo, Token: r.Token, Set: uint32(r.Set),
+		Verdict: verdictCodes[r.Verdict], First: uint32(r.First),
+	}
+}
+
+var stateCodes = map[membership.State]peerpb.State{
+	membership.Live:    peerpb.State_STATE_LIVE,
+	membership.Leaving: peerpb.State_STATE_LEAVING,
+	membership.Gone:    peerpb.State_STATE_GONE,
+}
+
+var verdictCodes = map[claims.Verdict]peerpb.Verdict{
+	claims.Granted:     peerpb.Verdict_VERDICT_GRANTED,
+	claims.Duplicate:   peerpb.Verdict_VERDICT_DUPLICATE,
+	claims.Unavailable: peerpb.Verdict_VERDICT_UNAVAILABLE,
+	claims.Full:        peerpb.Verdict_VERDICT_FULL,
+}
