Hold links between instances over TCP and yamux

One connection a pair: the lesser name dials. A hello goes before yamux starts, so a stranger costs a connection and a kilobyte at most, for three seconds, and 64 of them at a time. Two streams: control, and bulk for operators' texts.

Weighed: yamux's own keep-alive (a ping of 12 bytes each way on every idle link, and it can't tell a frozen core from a live one) against the digests that are sent anyhow, which is what decides silence here; a connection for each direction (no tie-break, but twice the hellos and sockets) against one.

Loop.Post no longer waits on a loop that has ended.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -11,6 +11,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/ebonydyke/ebonydyke/internal/core"
+	"github.com/ebonydyke/ebonydyke/internal/peer"
 	"github.com/ebonydyke/ebonydyke/internal/platform"
 	"github.com/ebonydyke/ebonydyke/internal/proxy"
 	"github.com/ebonydyke/ebonydyke/internal/settings"
@@ -33,10 +34,25 @@
 	if err != nil {
 		return fmt.Errorf("daemon: listen for callers: %w", err)
 	}
+	peerListener, err := peer.Listen(ctx, s.PeerListen)
+	if err != nil {
+		return fmt.Errorf("daemon: listen for peers: %w", err)
+	}
+	links := peer.New(peer.Config{
+		Name:        s.Name,
+		Zone:        s.Zone,
+		Incarnation: uint64(start.UnixNano()),
+		Listener:    peerListener,
+		Post:        loop.Post,
+	})
 	server := proxy.New(loop.Post)
-	exec := &executor{ctx: ctx, post: loop.Post, platform: platform.NewClient(s.Platform), proxy: server, stop: cancel}
+	exec := &executor{
+		ctx: ctx, post: loop.Post, platform: platform.NewClient(s.Platform),
+		proxy: server, links: links, stop: cancel,
+	}
 
 	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return links.Run(ctx) })
 	group.Go(func() error { return loop.Run(ctx, exec) })
 	group.Go(func() error { return server.Serve(listener) })
 	group.Go(func() error {
--- a/internal/daemon/executor.go
+++ b/internal/daemon/executor.go
@@ -8,6 +8,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/ebonydyke/ebonydyke/internal/core"
+	"github.com/ebonydyke/ebonydyke/internal/peer"
 	"github.com/ebonydyke/ebonydyke/internal/platform"
 	"github.com/ebonydyke/ebonydyke/internal/proxy"
 )
@@ -24,6 +25,7 @@
 	post     func(core.Event)
 	platform *platform.Client
 	proxy    *proxy.Server
+	links    *peer.Links
 	stop     context.CancelFunc
 }
 
@@ -44,6 +46,10 @@
 		go x.storeWatch(e)
 	case core.ListInstances:
 		go x.listInstances(e)
+	case core.SetPeers:
+		x.links.Set(e.Peers)
+	case core.SendPeer:
+		x.links.Send(e.To, e.Message)
 	case core.ConfigTaken:
 		klog.InfoS("configuration in force", "generation", e.Generation, "edit", e.Edit)
 	case core.ConfigRefused:
--- a/internal/daemon/loop.go
+++ b/internal/daemon/loop.go
@@ -23,18 +23,26 @@
 	node   *core.Node
 	events chan core.Event
 	exec   Executor
+	done   chan struct{}
 }
 
 // NewLoop returns a loop round node.
 func NewLoop(node *core.Node) *Loop {
-	return &Loop{node: node, events: make(chan core.Event, eventQueue)}
+	return &Loop{node: node, events: make(chan core.Event, eventQueue), done: make(chan struct{})}
 }
 
-// Post hands an event to the core. It waits while the queue is full.
-func (l *Loop) Post(event core.Event) { l.events <- event }
+// Post hands an event to the core. It waits while the queue is full, but not on
+// a loop that has ended: a goroutine that posts its last word must be able to end.
+func (l *Loop) Post(event core.Event) {
+	select {
+	case l.events <- event:
+	case <-l.done:
+	}
+}
 
-// Run feeds the core until ctx ends.
+// Run feeds the core until ctx ends. It may be called once.
 func (l *Loop) Run(ctx context.Context, exec Executor) error {
+	defer close(l.done)
 	l.exec = exec
 	ticker := time.NewTicker(core.TickInterval)
 	defer ticker.Stop()
--- /dev/null
+++ b/internal/peer/links_test.go
@@ -0,0 +1,256 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/ebonydyke/ebonydyke/internal/core"
+	"github.com/ebonydyke/ebonydyke/internal/core/claims"
+	"github.com/ebonydyke/ebonydyke/internal/core/config"
+)
+
+const patience = 20 * time.Second
+
+// instance is one end of links, with the events that it posted.
+type instance struct {
+	*Links
+	address string
+
+	mu     sync.Mutex
+	events []core.Event
+}
+
+func newInstance(t *testing.T, name string, incarnation uint64, seeds ...string) *instance {
+	t.Helper()
+	return newImpatient(t, patience, name, incarnation, seeds...)
+}
+
+// newImpatient ends links that are silent for longer than idle.
+func newImpatient(t *testing.T, idle time.Duration, name string, incarnation uint64, seeds ...string) *instance {
+	t.Helper()
+	listener, err := Listen(t.Context(), "127.0.0.1:0")
+	require.NoError(t, err)
+	in := &instance{address: listener.Addr().String()}
+	in.Links = New(Config{
+		Name: name, Zone: "zone-1", Incarnation: incarnation, Listener: listener, Seeds: seeds,
+		Post: in.post, IdleLimit: idle,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- in.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		require.NoError(t, <-done)
+	})
+	return in
+}
+
+func (in *instance) post(e core.Event) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.events = append(in.events, e)
+}
+
+func (in *instance) count(match func(core.Event) bool) int {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	n := 0
+	for _, e := range in.events {
+		if match(e) {
+			n++
+		}
+	}
+	return n
+}
+
+func connected(e core.Event) bool { _, ok := e.(core.PeerConnected); return ok }
+func lost(e core.Event) bool      { _, ok := e.(core.PeerLost); return ok }
+
+func claimsFrom(name string) func(core.Event) bool {
+	return func(e core.Event) bool {
+		r, ok := e.(core.PeerReceived)
+		return ok && r.From == name && r.Message.Claim != nil
+	}
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	require.Eventually(t, ok, patience, 5*time.Millisecond, what)
+}
+
+func claim(token uint64) core.PeerMessage {
+	return core.PeerMessage{Claim: &claims.Request{Token: token, Set: claims.Claimed}}
+}
+
+// TestPairHasOneLink sets each of two instances as the other's peer: one
+// connection must come of it, over which both send, and the bytes counted by
+// kind must be those that the connection carried.
+func TestPairHasOneLink(t *testing.T) {
+	a, b := newInstance(t, "a", 1), newInstance(t, "b", 1)
+	a.Set([]core.PeerAddress{{Name: "b", Address: b.address}})
+	b.Set([]core.PeerAddress{{Name: "a", Address: a.address}})
+	eventually(t, "link", func() bool { return a.count(connected) > 0 && b.count(connected) > 0 })
+	a.Send("b", claim(1))
+	b.Send("a", claim(2))
+	text := string(bytes.Repeat([]byte("text "), 100_000))
+	a.Send("b", core.PeerMessage{ConfigOffer: &core.ConfigOffer{Envelope: config.Envelope{Generation: 2, Text: text}}})
+	eventually(t, "messages", func() bool {
+		offers := b.count(func(e core.Event) bool {
+			r, ok := e.(core.PeerReceived)
+			return ok && r.Message.ConfigOffer != nil && r.Message.ConfigOffer.Envelope.Text == text
+		})
+		return a.count(claimsFrom("b")) == 1 && b.count(claimsFrom("a")) == 1 && offers == 1
+	})
+	require.Equal(t, 1, a.count(connected))
+	require.Equal(t, 1, b.count(connected))
+	sent, got := a.Stats().Snapshot().Out, b.Stats().Snapshot().In
+	for _, k := range []Kind{ClaimKind, ConfigOfferKind} {
+		require.Equal(t, uint64(1), sent[k].Messages, k)
+		require.Equal(t, sent[k], got[k], k)
+	}
+	require.Less(t, sent[LinkOverhead].Bytes, uint64(200), "hello, two streams and window updates")
+}
+
+// TestSendToStalledPeerNeverWaits freezes a peer: its process accepts, says
+// hello and then reads nothing (SIGSTOP, or a half-open connection). A send must
+// return at once, drops are counted, and the link ends by the silence.
+func TestSendToStalledPeerNeverWaits(t *testing.T) {
+	a := newImpatient(t, 500*time.Millisecond, "a", 1)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { _ = conn.Close() })
+			frozen := New(Config{Name: "z", Incarnation: 1})
+			_, _ = frozen.greet(conn)
+		}
+	}()
+	a.Set([]core.PeerAddress{{Name: "z", Address: listener.Addr().String()}})
+	eventually(t, "link", func() bool { return a.count(connected) > 0 })
+	big := core.PeerMessage{Digest: &core.Digest{At: start}}
+	for i := range 4000 {
+		big.Digest.Loads = append(big.Digest.Loads, core.BackendLoad{Backend: fmt.Sprint("server-", i), InFlight: i})
+	}
+	for range 10 * controlQueue {
+		a.Send("z", big)
+	}
+	require.NotZero(t, a.Stats().Snapshot().Dropped[DigestKind])
+	eventually(t, "silence ends the link", func() bool { return a.count(lost) > 0 })
+}
+
+// TestStrangersAreTurnedAway feeds the port what no instance would send. Each
+// connection is closed and counted, no link comes of it, and a good peer is
+// still served.
+func TestStrangersAreTurnedAway(t *testing.T) {
+	b := newInstance(t, "b", 1)
+	oversize := binary.AppendUvarint(nil, maxFrame+1)
+	for _, input := range [][]byte{
+		[]byte("GET / HTTP/1.1\r\nHost: b\r\n\r\n"), oversize, bytes.Repeat([]byte{0xff}, 64), {0}, {3, 1, 2, 3},
+	} {
+		conn, err := net.Dial("tcp", b.address)
+		require.NoError(t, err)
+		_, err = conn.Write(input)
+		require.NoError(t, err)
+		require.NoError(t, conn.SetReadDeadline(time.Now().Add(patience)))
+		for err == nil {
+			_, err = conn.Read(make([]byte, 256))
+		}
+		var timeout net.Error
+		require.False(t, isTimeout(err, &timeout), "the connection must be closed on %q", input)
+		require.NoError(t, conn.Close())
+	}
+	eventually(t, "counted", func() bool { return b.Stats().Snapshot().Strangers == 5 })
+	require.Zero(t, b.count(connected))
+	a := newInstance(t, "a", 1)
+	a.Set([]core.PeerAddress{{Name: "b", Address: b.address}})
+	eventually(t, "good peer", func() bool { return b.count(connected) == 1 })
+}
+
+func isTimeout(err error, target *net.Error) bool {
+	e, ok := err.(net.Error) //nolint:errorlint // the raw error of a read
+	*target = e
+	return ok && e.Timeout()
+}
+
+// TestBadFrameEndsTheLink lets an instance that said hello send bytes that are no
+// frame: the link ends, the fault is counted, nothing of it reaches the core.
+func TestBadFrameEndsTheLink(t *testing.T) {
+	b := newInstance(t, "b", 1)
+	conn, err := net.Dial("tcp", b.address)
+	require.NoError(t, err)
+	_, err = New(Config{Name: "a", Incarnation: 1}).greet(conn)
+	require.NoError(t, err)
+	session, err := openSession(conn, true)
+	require.NoError(t, err)
+	defer func() { _ = session.Close() }()
+	stream, err := session.OpenStream()
+	require.NoError(t, err)
+	_, err = session.OpenStream()
+	require.NoError(t, err)
+	_, err = stream.Write([]byte{6, 0x1a, 4, 0x2a, 2, 1, 1})
+	require.NoError(t, err)
+	eventually(t, "link ended", func() bool { return b.count(lost) == 1 })
+	require.Equal(t, uint64(1), b.Stats().Snapshot().BadFrames)
+	require.Zero(t, b.count(func(e core.Event) bool { _, ok := e.(core.PeerReceived); return ok }))
+}
+
+// TestRestartedPeerReplacesItsLink restarts an instance under its name while the
+// other side still holds the old connection: the new link takes its place, its
+// events come after the old one's end, and the old incarnation can't come back.
+func TestRestartedPeerReplacesItsLink(t *testing.T) {
+	b := newInstance(t, "b", 1)
+	first := newInstance(t, "a", 1, b.address)
+	eventually(t, "first", func() bool { return b.count(connected) == 1 })
+	second := newInstance(t, "a", 2, b.address)
+	isSecond := func(e core.Event) bool { return e == core.PeerConnected{Peer: "a", Incarnation: 2} }
+	eventually(t, "second", func() bool { return b.count(isSecond) > 0 })
+	eventually(t, "second's claim", func() bool {
+		second.Send("b", claim(2))
+		return b.count(claimsFrom("a")) > 0
+	})
+	held := 0
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, e := range b.events {
+		switch e := e.(type) {
+		case core.PeerConnected:
+			held++
+		case core.PeerLost:
+			held--
+		case core.PeerReceived:
+			require.Equal(t, uint64(2), e.Message.Claim.Token)
+		}
+		require.GreaterOrEqual(t, held, 0)
+		require.LessOrEqual(t, held, 1)
+	}
+	_ = first
+}
+
+// TestLinkComesBackAfterACut closes the connection under a link again and again;
+// the side that dials must bring it up again.
+func TestLinkComesBackAfterACut(t *testing.T) {
+	a, b := newInstance(t, "a", 1), newInstance(t, "b", 1)
+	a.Set([]core.PeerAddress{{Name: "b", Address: b.address}})
+	for round := 1; round <= 3; round++ {
+		eventually(t, "link", func() bool { return b.count(connected) == round && a.count(connected) == round })
+		a.Links.mu.Lock()
+		_ = a.links["b"].session.Close()
+		a.Links.mu.Unlock()
+		eventually(t, "lost", func() bool { return b.count(lost) == round })
+	}
+	a.Set(nil)
+	b.Set(nil)
+}
--- /dev/null
+++ b/internal/peer/stats.go
@@ -0,0 +1,153 @@
+package peer
+
+import (
+	"encoding/binary"
+	"net"
+	"sync/atomic"
+
+	"github.com/ebonydyke/ebonydyke/internal/core"
+)
+
+// Kind is the kind of a message, a label of the control counters.
+type Kind int
+
+// The kinds of messages. LinkOverhead is what belongs to none: hellos and yamux
+// frames without data.
+const (
+	DigestKind Kind = iota
+	ConfigOfferKind
+	ConfigWantedKind
+	ClaimKind
+	ClaimReplyKind
+	LinkOverhead
+	kinds
+)
+
+// String is the label's value.
+func (k Kind) String() string {
+	return [kinds]string{"digest", "config-offer", "config-wanted", "claim", "claim-reply", "link"}[k]
+}
+
+func kindOf(m core.PeerMessage) Kind {
+	switch {
+	case m.ConfigOffer != nil:
+		return ConfigOfferKind
+	case m.ConfigWanted != nil:
+		return ConfigWantedKind
+	case m.Claim != nil:
+		return ClaimKind
+	case m.ClaimReply != nil:
+		return ClaimReplyKind
+	default:
+		return DigestKind
+	}
+}
+
+// YamuxHeader is the size in bytes of the header that yamux puts before a frame
+// (its specification, "Framing").
+const YamuxHeader = 12
+
+// Count is the traffic of one kind in one direction.
+type Count struct {
+	Messages uint64
+	// Bytes are those on the connection: frame, its length and the yamux header.
+	Bytes uint64
+}
+
+type counter struct{ messages, bytes atomic.Uint64 }
+
+func (c *counter) add(bytes int) {
+	c.messages.Add(1)
+	c.bytes.Add(uint64(bytes))
+}
+
+func (c *counter) load() Count {
+	return Count{Messages: c.messages.Load(), Bytes: c.bytes.Load()}
+}
+
+// Stats counts what all links of an instance carried.
+type Stats struct {
+	in, out       [kinds]counter
+	drops         [kinds]atomic.Uint64
+	wireIn        atomic.Uint64
+	wireOut       atomic.Uint64
+	strangers     atomic.Uint64
+	badFrames     atomic.Uint64
+	framesByteIn  atomic.Uint64
+	framesByteOut atomic.Uint64
+}
+
+// Snapshot is the counters at one moment.
+type Snapshot struct {
+	In, Out map[Kind]Count
+	// Dropped counts messages that found no link or a full queue.
+	Dropped map[Kind]uint64
+	// Strangers counts connections that said no proper hello, or came while too
+	// many had not said theirs.
+	Strangers uint64
+	// BadFrames counts links ended because of bytes that are no frame.
+	BadFrames uint64
+}
+
+// Snapshot reads the counters.
+func (s *Stats) Snapshot() Snapshot {
+	out := Snapshot{
+		In: make(map[Kind]Count), Out: make(map[Kind]Count), Dropped: make(map[Kind]uint64),
+		Strangers: s.strangers.Load(), BadFrames: s.badFrames.Load(),
+	}
+	for k := range LinkOverhead {
+		out.In[k] = s.in[k].load()
+		out.Out[k] = s.out[k].load()
+		out.Dropped[k] = s.drops[k].Load()
+	}
+	out.In[LinkOverhead] = Count{Bytes: rest(&s.wireIn, &s.framesByteIn)}
+	out.Out[LinkOverhead] = Count{Bytes: rest(&s.wireOut, &s.framesByteOut)}
+	return out
+}
+
+// rest is what the connection carried beside the frames. A frame may be counted
+// a moment before or after its bytes are.
+func rest(wire, frames *atomic.Uint64) uint64 {
+	f := frames.Load()
+	w := wire.Load()
+	return w - min(w, f)
+}
+
+func (s *Stats) received(k Kind, frame int) {
+	n := WireSize(frame)
+	s.in[k].add(n)
+	s.framesByteIn.Add(uint64(n))
+}
+
+func (s *Stats) sent(k Kind, frameWithLength int) {
+	n := frameWithLength + YamuxHeader
+	s.out[k].add(n)
+	s.framesByteOut.Add(uint64(n))
+}
+
+func (s *Stats) dropped(k Kind) { s.drops[k].Add(1) }
+
+// WireSize is what a frame of so many bytes takes on the connection.
+func WireSize(frame int) int {
+	return YamuxHeader + len(binary.AppendUvarint(nil, uint64(frame))) + frame
+}
+
+// countingConn counts every byte of a connection.
+type countingConn struct {
+	net.Conn
+	stats *Stats
+}
+
+// Read implements net.Conn.
+func (c *countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.stats.wireIn.Add(uint64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *countingConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.stats.wireOut.Add(uint64(n))
+	return n, err
+}
