--- /dev/null
+++ b/internal/core/budget.go
@@ -0,0 +1,99 @@
+package core
+
+import "time"
+
+// Counters of what the talk between instances leaves out or ignores.
+const (
+	counterShed  = "peer_shed"
+	counterStale = "peer_stale_digests"
+)
+
+// The budget of an instance is 5 KB/s of control traffic in both directions. What
+// it sends is what others receive, so it may send a little under half.
+const (
+	controlRate  = 2300.0
+	controlBurst = 4 * controlRate
+)
+
+// shedLevel says what is left out of the digests, least useful first. Claims,
+// configuration, leaving and other facts are never left out.
+type shedLevel int
+
+const (
+	// shedNothing sends everything.
+	shedNothing shedLevel = iota
+	// shedRefresh leaves out the full digests that only guard against lost ones.
+	shedRefresh
+	// shedLittle leaves out loads that changed by less than a tenth as well.
+	shedLittle
+	// shedLoads leaves out all loads and reports.
+	shedLoads
+)
+
+// controlBudget is a token bucket of bytes sent to peers.
+type controlBudget struct {
+	spent float64
+	at    time.Time
+}
+
+// spend takes the bytes of a message. What must be sent is sent even when there
+// are none left; it is paid for by what is shed next.
+func (b *controlBudget) spend(now time.Time, bytes int) {
+	b.refill(now)
+	b.spent = min(b.spent+float64(bytes), 2*controlBurst)
+}
+
+func (b *controlBudget) refill(now time.Time) {
+	b.spent = max(0, b.spent-controlRate*now.Sub(b.at).Seconds())
+	b.at = now
+}
+
+func (b *controlBudget) level(now time.Time) shedLevel {
+	b.refill(now)
+	switch {
+	case b.spent < controlBurst/2:
+		return shedNothing
+	case b.spent < controlBurst*3/4:
+		return shedRefresh
+	case b.spent < controlBurst:
+		return shedLittle
+	default:
+		return shedLoads
+	}
+}
+
+// Sizes in bytes that package peer's coding takes on the connection; a test there
+// compares the estimate with it.
+const (
+	sizeFrame   = 12 + 1 + 2
+	sizeDigest  = 5
+	sizeList    = 7
+	sizeLoad    = 2
+	sizeReport  = 16
+	sizeFact    = 16
+	sizeMember  = 60
+	sizeClaim   = 31
+	deflateGain = 8
+)
+
+// WireEstimate is about how many bytes a message takes on the connection, once
+// the names in it are known to the other side.
+func (m PeerMessage) WireEstimate() int {
+	size := sizeFrame
+	if d := m.Digest; d != nil {
+		size += sizeDigest
+		for _, list := range [][]BackendLoad{d.Loads, d.RowSums, d.Totals} {
+			if len(list) > 0 {
+				size += sizeList + sizeLoad*len(list)
+			}
+		}
+		size += sizeReport*len(d.Reports) + sizeFact*len(d.Facts) + sizeMember*len(d.Members)
+	}
+	switch {
+	case m.ConfigOffer != nil:
+		size += len(m.ConfigOffer.Envelope.Text) / deflateGain
+	case m.Claim != nil, m.ClaimReply != nil:
+		size += sizeClaim
+	}
+	return size
+}
--- /dev/null
+++ b/internal/core/digests.go
@@ -0,0 +1,340 @@
+package core
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/ebonydyke/ebonydyke/internal/core/membership"
+)
+
+// sendDigest tells a peer what is new, if anything is or the heartbeat is due.
+func (n *Node) sendDigest(p *peerState) {
+	d := &Digest{
+		Incarnation: n.settings.Incarnation,
+		At:          n.now,
+		Generation:  n.generation(),
+		Leaving:     n.lifecycle.stopping,
+		Resync:      p.wantFull,
+		WantMembers: n.knowsNobody(),
+	}
+	news := d.Generation != p.toldGeneration || d.Leaving != p.toldLeaving
+	n.addLoads(p, d)
+	n.addReports(p, d)
+	d.Facts, p.facts = p.facts, nil
+	if p.membersPending {
+		p.membersPending = false
+		d.Members = n.everyMember()
+	}
+	// A gap is asked about each round until it is filled, but not of a silent peer.
+	news = news || d.Full || (d.Resync && !p.forgotten) || len(d.Loads)+len(d.RowSums)+len(d.Totals)+len(d.Reports)+len(d.Facts)+len(d.Members) > 0
+	if !news && n.now.Sub(p.sentAt) < heartbeat-n.round() {
+		return
+	}
+	p.seq++
+	d.Seq = p.seq
+	p.sentAt = n.now
+	p.toldGeneration, p.toldLeaving = d.Generation, d.Leaving
+	n.emit(SendPeer{To: p.name, Message: PeerMessage{Digest: d}})
+}
+
+func (n *Node) generation() uint64 {
+	if n.snapshot == nil {
+		return 0
+	}
+	return n.snapshot.Generation
+}
+
+// knowsNobody tells whether this instance started while the platform was away and
+// has to learn the fleet from its peers.
+func (n *Node) knowsNobody() bool {
+	known := false
+	n.view.Each(func(*membership.Instance) { known = true })
+	return !known
+}
+
+func (n *Node) everyMember() []membership.Instance {
+	var out []membership.Instance
+	n.view.Each(func(in *membership.Instance) { out = append(out, *in) })
+	slices.SortFunc(out, func(a, b membership.Instance) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// addLoads adds what changed since the last digest, or everything.
+func (n *Node) addLoads(p *peerState, d *Digest) {
+	level := n.peers.budget.level(n.now)
+	if level == shedLoads {
+		return
+	}
+	if p.refreshAt.IsZero() {
+		p.refreshAt = n.now.Add(n.jitter(refreshEvery))
+	}
+	if !n.now.Before(p.refreshAt) {
+		p.refreshAt = n.now.Add(n.jitter(refreshEvery))
+		if level == shedNothing {
+			p.fullPending = true
+		} else {
+			n.emit(Counted{Counter: counterShed, Label: "refresh", N: 1})
+		}
+	}
+	now := n.loadsFor(p)
+	d.Full, p.fullPending = p.fullPending, false
+	shed := 0
+	d.Loads = changed(now.own, p.sent.own, d.Full, level, &shed)
+	d.RowSums = changed(now.rows, p.sent.rows, d.Full, level, &shed)
+	d.Totals = changed(now.totals, p.sent.totals, d.Full, level, &shed)
+	if shed > 0 {
+		n.emit(Counted{Counter: counterShed, Label: "load", N: shed})
+	}
+}
+
+// changed lists what differs from what was sent, and notes it as sent. When
+// bytes are short it leaves out what differs little.
+func changed(now, sent map[string]int, full bool, level shedLevel, shed *int) []BackendLoad {
+	if full {
+		clear(sent)
+	}
+	var out []BackendLoad
+	for _, backend := range union(now, sent) {
+		v, old := now[backend], sent[backend]
+		if v == old {
+			continue
+		}
+		if level == shedLittle && !full && little(v, old) {
+			*shed++
+			continue
+		}
+		out = append(out, BackendLoad{Backend: backend, InFlight: v})
+		if v == 0 {
+			delete(sent, backend)
+		} else {
+			sent[backend] = v
+		}
+	}
+	return out
+}
+
+// little tells whether a change is under a tenth of the load.
+func little(v, old int) bool {
+	return v != 0 && max(v-old, old-v)*10 <= max(v, old)
+}
+
+func union(a, b map[string]int) []string {
+	names := slices.Collect(maps.Keys(a))
+	for name := range b {
+		if _, ok := a[name]; !ok {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// loadsFor gives what a peer must hear of this instance, by the layout's rules.
+func (n *Node) loadsFor(p *peerState) loadLists {
+	l := n.peers.layout
+	if slices.Contains(l.Bridges(), p.name) {
+		return loadLists{}
+	}
+	if !l.Rows() {
+		return loadLists{own: n.ownLoads(nil)}
+	}
+	if slices.Contains(l.Mates(), p.name) {
+		own := n.ownLoads(func(slice int) bool { return n.peers.heads[slice] == p.name })
+		return loadLists{own: own, totals: n.totalsFor(p)}
+	}
+	return loadLists{rows: n.rowSumsFor(p)}
+}
+
+// ownLoads are this instance's own requests at the servers of some slices.
+func (n *Node) ownLoads(inSlice func(int) bool) map[string]int {
+	out := make(map[string]int)
+	n.load.EachOwn(func(backend string, inFlight int) {
+		if inSlice == nil || inSlice(n.peers.layout.Slice(backend)) {
+			out[backend] = inFlight
+		}
+	})
+	return out
+}
+
+// heads tells whether this instance adds up a slice.
+func (n *Node) headsSlice(slice int) bool { return n.peers.heads[slice] == n.settings.Name }
+
+// rowSumsFor adds up the row's own loads in the slices that p heads in its row.
+func (n *Node) rowSumsFor(p *peerState) map[string]int {
+	shared := func(slice int) bool { return slices.Contains(n.peers.columns[slice], p.name) }
+	out := n.ownLoads(shared)
+	for _, mate := range n.peers.layout.Mates() {
+		n.addHeard(out, n.peer(mate).heard.own, shared)
+	}
+	return out
+}
+
+// totalsFor adds up the zone's loads in this instance's slices, but for p's own:
+// those it knows better itself.
+func (n *Node) totalsFor(p *peerState) map[string]int {
+	out := n.ownLoads(n.headsSlice)
+	for _, mate := range n.peers.layout.Mates() {
+		if mate != p.name {
+			n.addHeard(out, n.peer(mate).heard.own, n.headsSlice)
+		}
+	}
+	for slice, columns := range n.peers.columns {
+		for _, column := range columns {
+			n.addHeard(out, n.peer(column).heard.rows, func(s int) bool { return s == slice })
+		}
+	}
+	return out
+}
+
+func (n *Node) addHeard(sum, heard map[string]int, inSlice func(int) bool) {
+	for backend, v := range heard {
+		if inSlice(n.peers.layout.Slice(backend)) {
+			sum[backend] += v
+		}
+	}
+}
+
+func (n *Node) addReports(p *peerState, d *Digest) {
+	if len(p.reports) == 0 {
+		return
+	}
+	if n.peers.budget.level(n.now) == shedLoads {
+		n.emit(Counted{Counter: counterShed, Label: "report", N: len(p.reports)})
+	} else {
+		for _, backend := range slices.Sorted(maps.Keys(p.reports)) {
+			d.Reports = append(d.Reports, p.reports[backend])
+		}
+	}
+	clear(p.reports)
+}
+
+// peerDigest takes what a peer says of loads, members and its configuration.
+func (n *Node) peerDigest(from string, d *Digest) {
+	p := n.peer(from)
+	if !n.freshDigest(p, d) {
+		return
+	}
+	p.heardAt = n.now
+	p.forgotten = false
+	n.takeLoads(p, d)
+	if d.Resync {
+		p.fullPending = true
+	}
+	if d.WantMembers {
+		p.membersPending = true
+	}
+	if d.Leaving && !p.leaving {
+		p.leaving = true
+		n.peerLeaves(from)
+	}
+	n.takeMembers(d.Members)
+	for _, f := range d.Facts {
+		n.learn(f)
+	}
+	for _, r := range d.Reports {
+		// The peer's clock may differ from ours: only the report's age is taken.
+		r.At = r.At.Add(n.now.Sub(d.At))
+		n.backendReported(BackendReported{Report: r})
+		n.heardBackend(r.Backend)
+	}
+	n.heardGeneration(from, d.Generation)
+}
+
+// freshDigest tells whether a digest says anything that was not said since. One
+// of an earlier process under the same name, and one that came before, are not
+// taken: they would bring back loads that have ended.
+func (n *Node) freshDigest(p *peerState, d *Digest) bool {
+	switch {
+	case d.Incarnation < p.incarnation:
+		n.emit(Counted{Counter: counterStale, Label: "incarnation", N: 1})
+		return false
+	case d.Incarnation > p.incarnation:
+		n.forgetLoads(p)
+		p.incarnation, p.lastSeq, p.leaving = d.Incarnation, 0, false
+	}
+	if d.Seq <= p.lastSeq {
+		n.emit(Counted{Counter: counterStale, Label: "sequence", N: 1})
+		return false
+	}
+	if d.Full {
+		p.wantFull = false
+	} else if d.Seq > p.lastSeq+1 {
+		p.wantFull = true
+	}
+	p.lastSeq = d.Seq
+	return true
+}
+
+func (n *Node) takeLoads(p *peerState, d *Digest) {
+	var touched []string
+	touched = takeList(touched, p.heard.own, d.Loads, d.Full)
+	touched = takeList(touched, p.heard.rows, d.RowSums, d.Full)
+	touched = takeList(touched, p.heard.totals, d.Totals, d.Full)
+	slices.Sort(touched)
+	for _, backend := range slices.Compact(touched) {
+		n.load.Digest(p.name, backend, p.heard.sum(backend), n.now)
+		n.loadChanged(backend)
+	}
+}
+
+// takeList merges a list and adds the backend servers that it changed to touched.
+func takeList(touched []string, heard map[string]int, list []BackendLoad, full bool) []string {
+	if full {
+		touched = slices.AppendSeq(touched, maps.Keys(heard))
+		clear(heard)
+	}
+	for _, l := range list {
+		touched = append(touched, l.Backend)
+		switch {
+		case l.InFlight <= 0:
+			delete(heard, l.Backend)
+		case len(heard) < maxPeerLoads:
+			heard[l.Backend] = l.InFlight
+		}
+	}
+	return touched
+}
+
+// peerLeaves spreads that a peer has begun its graceful shutdown. The fact is of
+// the incarnation in the platform's list, whose numbers need not be the processes'.
+func (n *Node) peerLeaves(name string) {
+	if in := n.view.Get(name); in != nil {
+		n.learn(membership.Fact{Name: name, Incarnation: in.Incarnation, State: membership.Leaving})
+	}
+}
+
+func (n *Node) takeMembers(members []membership.Instance) {
+	changed := false
+	for _, in := range members {
+		if in.Name != n.settings.Name {
+			changed = n.view.Merge(in) || changed
+		}
+	}
+	if changed {
+		n.rebuildPools()
+	}
+}
+
+// heardGeneration asks a peer for its configuration if it is ahead. A text that
+// this instance can't take is not asked for at once again.
+func (n *Node) heardGeneration(from string, generation uint64) {
+	w := &n.peers.wanted
+	if generation <= n.generation() {
+		return
+	}
+	if generation != w.generation {
+		w.generation, w.pause, w.next = generation, wantedPause, time.Time{}
+	}
+	if n.now.Before(w.next) {
+		return
+	}
+	w.next = n.now.Add(w.pause)
+	w.pause = min(2*w.pause, maxWantedPause)
+	n.emit(SendPeer{To: from, Message: PeerMessage{ConfigWanted: &ConfigWanted{Above: n.generation()}}})
+}
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -53,6 +53,8 @@
 	configs   configState
 	list      listState
 	lifecycle lifecycleState
+	peers     peersState
+	polls     pollState
 }
 
 // New returns a node that knows nothing but its settings.
@@ -65,6 +67,8 @@
 		pools:    make(map[string]*pool),
 		poolOf:   make(map[string]*pool),
 		requests: make(map[RequestID]*request),
+		peers:    peersState{byName: make(map[string]*peerState)},
+		polls:    pollState{heard: make(map[string]time.Time)},
 	}
 }
 
@@ -84,6 +88,7 @@
 	case RequestArrived:
 		n.requestArrived(e)
 	case AttemptEnded:
+		n.attemptHeard(e)
 		n.attemptEnded(e)
 	case AnswerStarted:
 		n.answerStarted(e)
@@ -93,6 +98,7 @@
 		n.instancesListed(e)
 	case BackendReported:
 		n.backendReported(e)
+		n.pollEnded(e)
 	case ConfigOffered:
 		n.offerConfig(e.Envelope)
 	case StoreReplied:
@@ -110,7 +116,12 @@
 	}
 }
 
-func (n *Node) emit(e Effect) { n.effects = append(n.effects, e) }
+func (n *Node) emit(e Effect) {
+	if send, ok := e.(SendPeer); ok {
+		n.peers.budget.spend(n.now, send.Message.WireEstimate())
+	}
+	n.effects = append(n.effects, e)
+}
 
 func (n *Node) nextOp() OpID {
 	n.lastOp++
--- a/internal/core/peermsg.go
+++ b/internal/core/peermsg.go
@@ -37,11 +37,17 @@
 	// WantMembers asks the receiver for every instance it knows, because the
 	// sender has not been able to read the platform's list.
 	WantMembers bool `json:"want_members,omitempty"`
-	// Loads are requests in progress by backend server that the receiver hears of
-	// from nobody else: the sender's own, and those that it adds up for others. A
-	// backend server left out has not changed since the last digest unless Full.
+	// Loads are the sender's own requests in progress by backend server. In this and
+	// the next two lists a backend server left out has not changed since the last
+	// digest to this peer, or has none if Full.
 	Loads []BackendLoad `json:"loads,omitempty"`
-	// Full says that Loads lists every backend server with a request in progress.
+	// RowSums are what the sender's row has in progress, told to the heads of the
+	// same slice in other rows. They are added up of own loads only.
+	RowSums []BackendLoad `json:"row_sums,omitempty"`
+	// Totals are what the zone has in progress less the receiver's own, told to the
+	// mates of the sender's row. Nobody adds them up again, so no load can go round.
+	Totals []BackendLoad `json:"totals,omitempty"`
+	// Full says that the lists leave nothing out.
 	Full bool `json:"full,omitempty"`
 	// Reports are backend servers' reports that the sender polled itself.
 	Reports []membership.Report `json:"reports,omitempty"`
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -1,15 +1,181 @@
 package core
 
-func (n *Node) peerConnected(PeerConnected) {}
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
 
-func (n *Node) peerLost(PeerLost) {}
+	"github.com/ebonydyke/ebonydyke/internal/core/membership"
+	"github.com/ebonydyke/ebonydyke/internal/core/mesh"
+)
+
+// Times of the talk between instances.
+const (
+	// meshRound is how often changed loads go out in a full mesh.
+	meshRound = 500 * time.Millisecond
+	// rowRound is the same in rows: there the mean is larger, so a count ages
+	// better, and a load takes up to three hops.
+	rowRound = time.Second
+	// heartbeat is the longest pause between digests to a peer.
+	heartbeat = 2 * time.Second
+	// silentAfter is when a peer's duties pass on: two heartbeats were missed.
+	silentAfter = 5 * time.Second
+	// forgetAfter is when a silent peer's loads are dropped: late enough that
+	// whoever took over its sums has spoken. Requests that are still at work then
+	// show in the backend servers' own reports.
+	forgetAfter = 8 * time.Second
+	// refreshEvery is the mean time between full digests to a peer.
+	refreshEvery = time.Minute
+	// layoutEvery is how often the list of instances is compared with the layout.
+	layoutEvery = 500 * time.Millisecond
+	// wantedPause is the wait before the same generation is asked for again.
+	wantedPause    = time.Second
+	maxWantedPause = time.Minute
+)
+
+// Bounds of what waits for one peer.
+const (
+	maxPeerFacts = 256
+	// maxRecentFacts and factLifetime bound what a peer that connects is told.
+	maxRecentFacts = 64
+	factLifetime   = 2 * time.Minute
+	maxPeerLoads   = 8192
+)
+
+// peersState is what an instance knows of its peers.
+type peersState struct {
+	layout     *mesh.Layout
+	members    []mesh.Member
+	nextLayout time.Time
+	// heads and mine are the acting heads of this row's slices.
+	heads   []string
+	columns [][]string
+	linked  []PeerAddress
+	byName  map[string]*peerState
+	budget  controlBudget
+	wanted  wantedState
+	// recent are the facts that a peer which connects now is told.
+	recent []recentFact
+	// generation and leaving are what the peers have been hurried to hear.
+	generation uint64
+	leaving    bool
+}
+
+type recentFact struct {
+	fact membership.Fact
+	at   time.Time
+}
+
+// wantedState paces the requests for a newer configuration.
+type wantedState struct {
+	generation uint64
+	next       time.Time
+	pause      time.Duration
+}
+
+// peerState is one peer.
+type peerState struct {
+	name      string
+	connected bool
+	// since is when a link to the peer was first wanted.
+	since time.Time
+
+	// What it said.
+	incarnation uint64
+	lastSeq     uint64
+	heardAt     time.Time
+	heard       loadLists
+	leaving     bool
+	wantFull    bool
+	forgotten   bool
+
+	// What it was told.
+	seq            uint64
+	sent           loadLists
+	sentAt         time.Time
+	due            time.Time
+	refreshAt      time.Time
+	fullPending    bool
+	membersPending bool
+	toldGeneration uint64
+	toldLeaving    bool
+	facts          []membership.Fact
+	reports        map[string]membership.Report
+}
+
+// loadLists are the three lists of a digest, by backend server.
+type loadLists struct{ own, rows, totals map[string]int }
+
+func newLoadLists() loadLists {
+	return loadLists{own: make(map[string]int), rows: make(map[string]int), totals: make(map[string]int)}
+}
+
+func (l loadLists) sum(backend string) int {
+	return l.own[backend] + l.rows[backend] + l.totals[backend]
+}
+
+// backends lists every name in the lists, sorted.
+func (l loadLists) backends() []string {
+	names := slices.Collect(maps.Keys(l.own))
+	names = slices.AppendSeq(names, maps.Keys(l.rows))
+	names = slices.AppendSeq(names, maps.Keys(l.totals))
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
+func (n *Node) peer(name string) *peerState {
+	p := n.peers.byName[name]
+	if p == nil {
+		p = &peerState{
+			name: name, since: n.now, heardAt: n.now,
+			heard: newLoadLists(), sent: newLoadLists(), reports: make(map[string]membership.Report),
+		}
+		n.peers.byName[name] = p
+	}
+	return p
+}
+
+// peerNames lists the known peers in the order in which they are served.
+func (n *Node) peerNames() []string {
+	return slices.Sorted(maps.Keys(n.peers.byName))
+}
+
+// peerConnected starts afresh with a peer: what was sent over an earlier link may
+// be lost, so the first digest is full.
+func (n *Node) peerConnected(e PeerConnected) {
+	p := n.peer(e.Peer)
+	p.connected = true
+	p.incarnation = max(p.incarnation, e.Incarnation)
+	p.lastSeq = 0
+	p.heardAt = n.now
+	p.leaving = false
+	p.sent = newLoadLists()
+	p.toldGeneration, p.toldLeaving = 0, false
+	p.fullPending = true
+	p.due = n.now
+	n.trimRecent()
+	p.facts = nil
+	for _, r := range n.peers.recent {
+		n.queueFact(p, r.fact)
+	}
+}
+
+// peerLost only notes that nothing can be sent. The peer may be alive behind a
+// cut: its loads age like those of any silent peer, and nobody is declared dead.
+func (n *Node) peerLost(e PeerLost) {
+	if p := n.peers.byName[e.Peer]; p != nil {
+		p.connected = false
+	}
+}
 
 // peerReceived hands a peer's message to the part that it is for.
 func (n *Node) peerReceived(e PeerReceived) {
 	m := e.Message
-	switch {
-	case m.Digest != nil:
+	if m.Digest != nil {
 		n.peerDigest(e.From, m.Digest)
+	}
+	switch {
 	case m.ConfigOffer != nil:
 		n.offerConfig(m.ConfigOffer.Envelope)
 	case m.ConfigWanted != nil:
@@ -21,8 +187,177 @@
 	}
 }
 
-// peerDigest takes what a peer says of loads, members and its configuration.
-func (n *Node) peerDigest(string, *Digest) {}
+// silent tells whether a peer has not been heard for so long that others take
+// over its sums.
+func (n *Node) silent(name string) bool {
+	if name == n.settings.Name {
+		return false
+	}
+	p := n.peers.byName[name]
+	return p != nil && n.now.Sub(p.heardAt) > silentAfter
+}
 
 // tickPeers sends the digests and polls that are due.
-func (n *Node) tickPeers() {}
+func (n *Node) tickPeers() {
+	if !n.now.Before(n.peers.nextLayout) {
+		n.peers.nextLayout = n.now.Add(layoutEvery)
+		n.refreshLayout()
+		n.forgetSilent()
+	}
+	n.hurryNews()
+	for _, name := range n.peerNames() {
+		p := n.peers.byName[name]
+		if p.connected && !n.now.Before(p.due) {
+			p.due = n.now.Add(n.jitter(n.round()))
+			n.sendDigest(p)
+		}
+	}
+	n.tickPolls()
+}
+
+func (n *Node) round() time.Duration {
+	if n.peers.layout.Rows() {
+		return rowRound
+	}
+	return meshRound
+}
+
+// jitter spreads a duration by a tenth each way, so that instances started
+// together do not send together.
+func (n *Node) jitter(d time.Duration) time.Duration {
+	return d + time.Duration((n.random.Float64()-0.5)*0.2*float64(d))
+}
+
+// refreshLayout takes changes of the list of instances and of who is silent.
+func (n *Node) refreshLayout() {
+	members := n.fleet()
+	if n.peers.layout == nil || !slices.Equal(members, n.peers.members) {
+		n.peers.members = members
+		n.peers.layout = mesh.New(mesh.Member{Name: n.settings.Name, Zone: n.settings.Zone}, members)
+		n.pollOwnersChanged()
+	}
+	l := n.peers.layout
+	n.peers.heads, n.peers.columns = nil, nil
+	for s := range l.Slices() {
+		head := l.Head(s, n.silent)
+		var columns []string
+		if head == n.settings.Name {
+			columns = l.Columns(s, n.silent)
+		}
+		n.peers.heads = append(n.peers.heads, head)
+		n.peers.columns = append(n.peers.columns, columns)
+	}
+	n.linkPeers(l.Peers(n.silent))
+}
+
+// fleet lists the entry instances that are not gone, sorted by name. Leaving ones
+// are among them: they still have requests at the backend servers.
+func (n *Node) fleet() []mesh.Member {
+	members := []mesh.Member{{Name: n.settings.Name, Zone: n.settings.Zone}}
+	n.view.Each(func(in *membership.Instance) {
+		if in.Role == membership.Entry && in.State != membership.Gone && in.Name != n.settings.Name {
+			members = append(members, mesh.Member{Name: in.Name, Zone: in.Zone})
+		}
+	})
+	slices.SortFunc(members, func(a, b mesh.Member) int { return cmp.Compare(a.Name, b.Name) })
+	return members
+}
+
+// linkPeers asks for the links of the layout if they are not the ones held.
+func (n *Node) linkPeers(names []string) {
+	var linked []PeerAddress
+	for _, name := range names {
+		n.peer(name)
+		if in := n.view.Get(name); in != nil {
+			linked = append(linked, PeerAddress{Name: name, Address: in.Address})
+		}
+	}
+	if slices.Equal(linked, n.peers.linked) {
+		return
+	}
+	n.peers.linked = linked
+	n.emit(SetPeers{Peers: linked})
+}
+
+// forgetSilent drops the loads of peers that have been silent for long, and all
+// else of those to whom no link is held or wanted.
+func (n *Node) forgetSilent() {
+	for _, name := range n.peerNames() {
+		p := n.peers.byName[name]
+		if n.now.Sub(p.heardAt) <= forgetAfter {
+			continue
+		}
+		if !p.forgotten {
+			n.forgetLoads(p)
+		}
+		if !p.connected && !n.wantsLink(name) {
+			delete(n.peers.byName, name)
+		}
+	}
+}
+
+func (n *Node) forgetLoads(p *peerState) {
+	backends := p.heard.backends()
+	p.heard = newLoadLists()
+	p.forgotten = true
+	// Its next digest may be a small one: it must say all of it again.
+	p.wantFull = true
+	n.load.ForgetPeer(p.name)
+	for _, backend := range backends {
+		n.loadChanged(backend)
+	}
+}
+
+func (n *Node) wantsLink(name string) bool {
+	return slices.ContainsFunc(n.peers.linked, func(a PeerAddress) bool { return a.Name == name })
+}
+
+// spreadFact queues a change of membership for every peer, and for those that
+// connect soon. Whoever learns it for the first time spreads it on, so it reaches
+// all zones without the platform.
+func (n *Node) spreadFact(f membership.Fact) {
+	n.peers.recent = append(n.peers.recent, recentFact{f, n.now})
+	n.trimRecent()
+	for _, name := range n.peerNames() {
+		p := n.peers.byName[name]
+		if !p.connected {
+			continue
+		}
+		n.queueFact(p, f)
+		if f.State != membership.Live {
+			p.due = n.now
+		}
+	}
+}
+
+// queueFact drops the oldest fact from a full queue; the platform's list makes up
+// for it.
+func (n *Node) queueFact(p *peerState, f membership.Fact) {
+	if len(p.facts) >= maxPeerFacts {
+		p.facts = p.facts[1:]
+		n.emit(Counted{Counter: counterShed, Label: "fact", N: 1})
+	}
+	p.facts = append(p.facts, f)
+}
+
+// trimRecent keeps the facts that the platform's lagging list may not show yet.
+func (n *Node) trimRecent() {
+	r := n.peers.recent
+	for len(r) > maxRecentFacts || (len(r) > 0 && n.now.Sub(r[0].at) > factLifetime) {
+		r = r[1:]
+	}
+	n.peers.recent = r
+}
+
+// hurryNews makes every peer hear at once what can't wait for its round: a
+// configuration that came into force, or this instance's leaving.
+func (n *Node) hurryNews() {
+	generation, leaving := n.generation(), n.lifecycle.stopping
+	if generation == n.peers.generation && leaving == n.peers.leaving {
+		return
+	}
+	n.peers.generation, n.peers.leaving = generation, leaving
+	for _, p := range n.peers.byName {
+		p.due = n.now
+	}
+}
--- /dev/null
+++ b/internal/core/peers_test.go
@@ -0,0 +1,338 @@
+package core
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/ebonydyke/ebonydyke/internal/core/claims"
+	"github.com/ebonydyke/ebonydyke/internal/core/config"
+	"github.com/ebonydyke/ebonydyke/internal/core/membership"
+)
+
+// peerFleet joins nodes by fake links in virtual time: what one sends, the other
+// has at its next tick, unless the link is cut or the other is frozen.
+type peerFleet struct {
+	t      *testing.T
+	now    time.Time
+	nodes  map[string]*Node
+	listed []membership.Instance
+	wanted map[string][]PeerAddress
+	linked map[[2]string]bool
+	inbox  map[string][]Event
+	bytes  map[string]int
+	frozen map[string]bool
+	// cut tells whether two instances can't reach each other.
+	cut func(a, b string) bool
+}
+
+func newPeerFleet(t *testing.T, size, zones int) *peerFleet {
+	f := &peerFleet{
+		t: t, now: time.Unix(1_764_000_000, 0).UTC(),
+		nodes: make(map[string]*Node), wanted: make(map[string][]PeerAddress),
+		linked: make(map[[2]string]bool), inbox: make(map[string][]Event),
+		bytes: make(map[string]int), frozen: make(map[string]bool),
+		cut: func(string, string) bool { return false },
+	}
+	for i := range size {
+		name, zone := fmt.Sprintf("entry-%02d", i), fmt.Sprint("zone-", i%zones)
+		f.nodes[name] = New(Settings{Name: name, Zone: zone, Incarnation: 1, Seed: uint64(i)})
+		f.listed = append(f.listed, membership.Instance{
+			Name: name, Role: membership.Entry, Zone: zone, Address: name, Incarnation: 1, State: membership.Live,
+		})
+	}
+	return f
+}
+
+func (f *peerFleet) names() []string { return slices.Sorted(maps.Keys(f.nodes)) }
+
+// run passes virtual time.
+func (f *peerFleet) run(d time.Duration) {
+	for end := f.now.Add(d); f.now.Before(end); {
+		f.now = f.now.Add(TickInterval)
+		f.relink()
+		for _, name := range f.names() {
+			if f.frozen[name] {
+				continue
+			}
+			events := slices.Concat(f.inbox[name], []Event{Ticked{}})
+			f.inbox[name] = nil
+			for _, e := range events {
+				f.handle(name, e)
+			}
+		}
+	}
+}
+
+func (f *peerFleet) handle(name string, e Event) {
+	for _, effect := range f.nodes[name].Handle(f.now, e) {
+		switch e := effect.(type) {
+		case ListInstances:
+			f.inbox[name] = append(f.inbox[name], InstancesListed{Op: e.Op, Members: f.listed})
+		case SetPeers:
+			f.wanted[name] = e.Peers
+		case SendPeer:
+			f.bytes[name] += e.Message.WireEstimate()
+			if f.linked[pair(name, e.To)] {
+				f.inbox[e.To] = append(f.inbox[e.To], PeerReceived{From: name, Message: e.Message})
+			}
+		}
+	}
+}
+
+func pair(a, b string) [2]string { return [2]string{min(a, b), max(a, b)} }
+
+func (f *peerFleet) relink() {
+	want := make(map[[2]string]bool)
+	for name, peers := range f.wanted {
+		for _, p := range peers {
+			if f.nodes[p.Name] != nil && !f.cut(name, p.Name) {
+				want[pair(name, p.Name)] = true
+			}
+		}
+	}
+	for _, name := range f.names() {
+		for _, other := range f.names() {
+			is, was := want[pair(name, other)], f.linked[pair(name, other)]
+			switch {
+			case is && !was:
+				f.inbox[name] = append(f.inbox[name], PeerConnected{Peer: other, Incarnation: f.nodes[other].settings.Incarnation})
+			case was && !is:
+				f.inbox[name] = append(f.inbox[name], PeerLost{Peer: other})
+			}
+		}
+	}
+	f.linked = want
+}
+
+// heard is what a node knows of a backend server's load from itself and its peers.
+func heard(n *Node, backend string) int {
+	sum := n.load.Own(backend)
+	for _, p := range n.peers.byName {
+		sum += p.heard.sum(backend)
+	}
+	return sum
+}
+
+// requireExact checks that the nodes know the sum of the own loads of all in from.
+func (f *peerFleet) requireExact(at, from []string) {
+	f.t.Helper()
+	for i := range 20 {
+		backend := fmt.Sprint("engine-", i)
+		want := 0
+		for _, name := range from {
+			want += f.nodes[name].load.Own(backend)
+		}
+		for _, name := range at {
+			require.Equal(f.t, want, heard(f.nodes[name], backend), "%s at %s", backend, name)
+		}
+	}
+}
+
+func (f *peerFleet) busy(r *rand.Rand, requests int) {
+	for _, name := range f.names() {
+		for range requests {
+			f.nodes[name].load.Sent(fmt.Sprint("engine-", r.IntN(20)))
+		}
+	}
+}
+
+// TestEveryInstanceLearnsTheWholeLoad runs small and large zones: some seconds
+// after the last change each instance must know the exact load of every backend
+// server, though in rows no two of them talk about all of it.
+func TestEveryInstanceLearnsTheWholeLoad(t *testing.T) {
+	for _, size := range []int{2, 8, 11, 30, 58} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			f := newPeerFleet(t, size, 1)
+			r := rand.New(rand.NewPCG(1, uint64(size)))
+			f.run(3 * time.Second)
+			for range 5 {
+				f.busy(r, 6)
+				f.run(time.Second)
+			}
+			for _, n := range f.nodes {
+				n.load.Ended("engine-3")
+			}
+			f.run(8 * time.Second)
+			f.requireExact(f.names(), f.names())
+		})
+	}
+}
+
+// TestPartitionAndHeal cuts zone-0 off from the other zones for a minute. Each
+// side drops the other's loads, which nobody tells it any more, but declares
+// nobody dead; after the heal both know everything again within two seconds.
+func TestPartitionAndHeal(t *testing.T) {
+	f := newPeerFleet(t, 8, 3)
+	f.run(2 * time.Second)
+	f.busy(rand.New(rand.NewPCG(2, 2)), 5)
+	f.run(2 * time.Second)
+	f.requireExact(f.names(), f.names())
+
+	zone := func(name string) string { return f.nodes[name].settings.Zone }
+	f.cut = func(a, b string) bool { return (zone(a) == "zone-0") != (zone(b) == "zone-0") }
+	f.run(time.Minute)
+	var inside, outside []string
+	for _, name := range f.names() {
+		if zone(name) == "zone-0" {
+			inside = append(inside, name)
+		} else {
+			outside = append(outside, name)
+		}
+		for _, other := range f.names() {
+			require.Equal(t, membership.Live, f.nodes[name].view.Get(other).State)
+		}
+	}
+	f.requireExact(inside, inside)
+	f.requireExact(outside, outside)
+
+	f.cut = func(string, string) bool { return false }
+	f.run(2 * time.Second)
+	f.requireExact(f.names(), f.names())
+}
+
+// TestFrozenHeadPassesItsSumsOn freezes the instance that adds up a slice for its
+// row: callers would be sent to servers that look idle. Another of the row must
+// take the slice over, nobody's load may count twice, and after its waking all
+// must agree again.
+func TestFrozenHeadPassesItsSumsOn(t *testing.T) {
+	f := newPeerFleet(t, 30, 1)
+	f.run(3 * time.Second)
+	f.busy(rand.New(rand.NewPCG(3, 3)), 6)
+	f.run(5 * time.Second)
+	frozen := f.nodes["entry-07"].peers.heads[0]
+	f.frozen[frozen] = true
+	f.run(20 * time.Second)
+	awake := slices.DeleteFunc(f.names(), func(name string) bool { return name == frozen })
+	f.requireExact(awake, awake)
+	f.busy(rand.New(rand.NewPCG(4, 4)), 1)
+	f.frozen[frozen] = false
+	f.run(10 * time.Second)
+	f.requireExact(f.names(), f.names())
+}
+
+func digestOf(seq uint64, loads ...BackendLoad) PeerReceived {
+	return PeerReceived{From: "b", Message: PeerMessage{Digest: &Digest{Incarnation: 2, Seq: seq, Loads: loads}}}
+}
+
+// TestOldDigestsChangeNothing delivers digests twice, late and from the process
+// before a restart: each would bring back a load that has ended, and a server
+// would be spared for nothing. A gap must make the instance ask for everything.
+func TestOldDigestsChangeNothing(t *testing.T) {
+	n := New(Settings{Name: "a", Incarnation: 1})
+	now := time.Unix(1_764_000_000, 0)
+	n.Handle(now, PeerConnected{Peer: "b", Incarnation: 2})
+	n.Handle(now, digestOf(1, BackendLoad{"engine-1", 4}))
+	n.Handle(now, digestOf(2, BackendLoad{"engine-1", 0}))
+	require.Zero(t, heard(n, "engine-1"))
+
+	stale := digestOf(9, BackendLoad{"engine-1", 7})
+	stale.Message.Digest.Incarnation = 1
+	for _, e := range []Event{digestOf(1, BackendLoad{"engine-1", 4}), digestOf(2, BackendLoad{"engine-1", 4}), stale} {
+		effects := n.Handle(now, e)
+		require.Equal(t, counterStale, effects[0].(Counted).Counter)
+		require.Zero(t, heard(n, "engine-1"))
+	}
+	require.False(t, n.peers.byName["b"].wantFull)
+	n.Handle(now, digestOf(4, BackendLoad{"engine-2", 1}))
+	require.True(t, n.peers.byName["b"].wantFull)
+
+	full := digestOf(5, BackendLoad{"engine-3", 1})
+	full.Message.Digest.Full = true
+	n.Handle(now, full)
+	require.False(t, n.peers.byName["b"].wantFull)
+	require.Zero(t, heard(n, "engine-2"))
+	require.Equal(t, 1, heard(n, "engine-3"))
+}
+
+// TestRestartedPeerStartsAtNothing restarts a peer under its name: the requests of
+// its earlier process are gone with it.
+func TestRestartedPeerStartsAtNothing(t *testing.T) {
+	n := New(Settings{Name: "a", Incarnation: 1})
+	now := time.Unix(1_764_000_000, 0)
+	n.Handle(now, PeerConnected{Peer: "b", Incarnation: 2})
+	n.Handle(now, digestOf(70, BackendLoad{"engine-1", 4}))
+	restarted := digestOf(1, BackendLoad{"engine-2", 1})
+	restarted.Message.Digest.Incarnation = 3
+	n.Handle(now, restarted)
+	require.Zero(t, heard(n, "engine-1"))
+	require.Equal(t, 1, heard(n, "engine-2"))
+}
+
+// TestBudgetShedsLoadsNeverLeaving changes every load at every moment, far beyond
+// what the budget can carry, beside a stream of claims. What is sent must stay
+// under the rate; claims and the word of leaving must go through all the same.
+func TestBudgetShedsLoadsNeverLeaving(t *testing.T) {
+	f := newPeerFleet(t, 10, 1)
+	f.run(2 * time.Second)
+	r := rand.New(rand.NewPCG(5, 5))
+	before := f.bytes["entry-00"]
+	const seconds = 60
+	for range seconds * 10 {
+		n := f.nodes["entry-00"]
+		for i := range 400 {
+			backend := fmt.Sprint("engine-", i)
+			if r.IntN(2) == 0 {
+				n.load.Sent(backend)
+			} else {
+				n.load.Ended(backend)
+			}
+		}
+		n.effects = n.effects[:0]
+		n.emit(SendPeer{To: "entry-01", Message: PeerMessage{Claim: &claims.Request{}}})
+		f.bytes["entry-00"] += n.effects[0].(SendPeer).Message.WireEstimate()
+		f.run(100 * time.Millisecond)
+	}
+	sent := float64(f.bytes["entry-00"]-before) / seconds
+	require.Less(t, sent, controlRate+2*controlBurst/seconds+400)
+	require.Greater(t, sent, controlRate/2)
+	f.handle("entry-00", StopRequested{})
+	f.run(200 * time.Millisecond)
+	for _, name := range f.names()[1:] {
+		require.True(t, f.nodes[name].peers.byName["entry-00"].leaving, name)
+	}
+}
+
+// TestConfigurationSpreadsByDigests gives one of 30 instances a new generation:
+// the others hear its number, ask and have it in force within seconds, and a
+// generation that cannot be had is not asked for again and again.
+func TestConfigurationSpreadsByDigests(t *testing.T) {
+	n := New(Settings{Name: "a", Incarnation: 1})
+	now := time.Unix(1_764_000_000, 0)
+	n.Handle(now, PeerConnected{Peer: "b", Incarnation: 2})
+	asked := 0
+	for i := range 240 {
+		d := digestOf(uint64(i + 1))
+		d.Message.Digest.Generation = 8
+		for _, e := range n.Handle(now.Add(time.Duration(i)*500*time.Millisecond), d) {
+			if send, ok := e.(SendPeer); ok && send.Message.ConfigWanted != nil {
+				require.Equal(t, "b", send.To)
+				asked++
+			}
+		}
+	}
+	require.Equal(t, 7, asked)
+	n.Handle(now, ConfigOffered{Envelope: config.Envelope{Generation: 8, Text: "{}"}})
+	require.Equal(t, uint64(8), n.generation())
+}
+
+// TestNewcomerLearnsTheFleetFromAPeer starts an instance while the platform is
+// away: its seed's link must be enough to learn every member, with address.
+func TestNewcomerLearnsTheFleetFromAPeer(t *testing.T) {
+	f := newPeerFleet(t, 4, 1)
+	f.run(2 * time.Second)
+	f.listed = nil
+	newcomer := New(Settings{Name: "newcomer", Zone: "zone-0", Incarnation: 1})
+	f.nodes["newcomer"] = newcomer
+	f.wanted["newcomer"] = []PeerAddress{{Name: "entry-02"}}
+	f.run(3 * time.Second)
+	for _, name := range []string{"entry-00", "entry-01", "entry-02", "entry-03"} {
+		require.Equal(t, name, newcomer.view.Get(name).Address)
+	}
+	require.Len(t, newcomer.peers.linked, 4)
+}
--- /dev/null
+++ b/internal/core/polls.go
@@ -0,0 +1,143 @@
+package core
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/ebonydyke/ebonydyke/internal/core/rendezvous"
+)
+
+// reportOwners is how many instances ask a backend server for its report, so that
+// one frozen instance leaves no server unasked.
+const reportOwners = 2
+
+// pollInterval is how often an owner asks in a zone of one instance; it grows with
+// the square root of the zone, as more answers' headers tell the same for free.
+const pollInterval = time.Second
+
+// ownersEvery is how often the owned backend servers are worked out anew even if
+// the list of instances stays the same.
+const ownersEvery = 5 * time.Second
+
+// pollState paces the polling of the backend servers that this instance owns.
+type pollState struct {
+	owned      map[string]*poll
+	nextOwners time.Time
+	// heard is when a backend server last told its load here.
+	heard map[string]time.Time
+}
+
+type poll struct {
+	address string
+	next    time.Time
+}
+
+func (n *Node) pollOwnersChanged() { n.polls.nextOwners = time.Time{} }
+
+// heardBackend notes that a backend server told its load, in an answer's headers
+// or through a peer, so that it need not be asked.
+func (n *Node) heardBackend(backend string) {
+	if backend != "" {
+		n.polls.heard[backend] = n.now
+	}
+}
+
+// attemptHeard notes an answer that told the backend server's load.
+func (n *Node) attemptHeard(e AttemptEnded) {
+	if e.Load != nil {
+		n.heardBackend(e.Load.Backend)
+	}
+}
+
+// pollEnded passes the answer to a poll on to the peers that hear loads.
+func (n *Node) pollEnded(e BackendReported) {
+	backend := e.Report.Backend
+	if e.Failed || n.polls.owned[backend] == nil {
+		return
+	}
+	n.heardBackend(backend)
+	for _, name := range n.peerNames() {
+		p := n.peers.byName[name]
+		if p.connected && !slices.Contains(n.peers.layout.Bridges(), name) {
+			p.reports[backend] = e.Report
+		}
+	}
+}
+
+// tickPolls asks the owned backend servers that told nothing of late.
+func (n *Node) tickPolls() {
+	if !n.now.Before(n.polls.nextOwners) {
+		n.polls.nextOwners = n.now.Add(ownersEvery)
+		n.ownPolls()
+	}
+	interval := n.pollPause()
+	for _, backend := range slices.Sorted(maps.Keys(n.polls.owned)) {
+		p := n.polls.owned[backend]
+		if n.now.Before(p.next) {
+			continue
+		}
+		if heard, ok := n.polls.heard[backend]; ok && n.now.Sub(heard) < interval {
+			p.next = heard.Add(n.jitter(interval))
+			continue
+		}
+		p.next = n.now.Add(n.jitter(interval))
+		n.emit(PollReport{Backend: backend, Address: p.address})
+	}
+}
+
+func (n *Node) pollPause() time.Duration {
+	zone := len(n.zoneEntries(n.settings.Zone))
+	return time.Duration(float64(pollInterval) * math.Sqrt(float64(max(1, zone))))
+}
+
+// zoneEntries are the instances of a zone, all of them if it has none.
+func (n *Node) zoneEntries(zone string) []string {
+	var names, all []string
+	for _, m := range n.peers.members {
+		all = append(all, m.Name)
+		if m.Zone == zone {
+			names = append(names, m.Name)
+		}
+	}
+	if len(names) == 0 {
+		return all
+	}
+	return names
+}
+
+// ownPolls works out which backend servers this instance asks: each has two
+// owners among the instances of its zone.
+func (n *Node) ownPolls() {
+	old := n.polls.owned
+	n.polls.owned = make(map[string]*poll)
+	heard := make(map[string]time.Time)
+	entries := make(map[string][]string)
+	pause := n.pollPause()
+	for _, service := range slices.Sorted(maps.Keys(n.pools)) {
+		for _, c := range n.pools[service].candidates {
+			if at, ok := n.polls.heard[c.Name]; ok {
+				heard[c.Name] = at
+			}
+			if entries[c.Zone] == nil {
+				entries[c.Zone] = n.zoneEntries(c.Zone)
+			}
+			owners := entries[c.Zone]
+			if !slices.Contains(owners, n.settings.Name) ||
+				!slices.Contains(rendezvous.Top(c.Hash, owners, reportOwners), n.settings.Name) {
+				continue
+			}
+			// The first poll comes at any time of the interval, so that instances which
+			// start together, and both owners of a server, do not ask together.
+			first := time.Duration(n.random.Float64() * float64(pause))
+			mine := &poll{address: c.Address, next: n.now.Add(first)}
+			if was := old[c.Name]; was != nil {
+				mine.next = was.next
+			}
+			n.polls.owned[c.Name] = mine
+		}
+	}
+	// Servers that are gone leave no trace.
+	n.polls.heard = heard
+}
--- a/internal/peer/codec_test.go
+++ b/internal/peer/codec_test.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"bytes"
+	"fmt"
+	"math/rand/v2"
 	"strings"
 	"testing"
 	"time"
@@ -38,8 +40,14 @@
 			m := drawMessage(t)
 			got, _ := carry(t, e, d, m)
 			if m.Digest != nil {
-				require.ElementsMatch(t, m.Digest.Loads, got.Digest.Loads)
-				m.Digest.Loads, got.Digest.Loads = nil, nil
+				for _, lists := range [][2]*[]core.BackendLoad{
+					{&m.Digest.Loads, &got.Digest.Loads},
+					{&m.Digest.RowSums, &got.Digest.RowSums},
+					{&m.Digest.Totals, &got.Digest.Totals},
+				} {
+					require.ElementsMatch(t, *lists[0], *lists[1])
+					*lists[0], *lists[1] = nil, nil
+				}
 			}
 			require.Equal(t, m, got)
 		}
@@ -74,8 +82,10 @@
 		Leaving: rapid.Bool().Draw(t, "leaving"), Full: rapid.Bool().Draw(t, "full"),
 		Resync: rapid.Bool().Draw(t, "resync"), WantMembers: rapid.Bool().Draw(t, "want"),
 	}
-	for backend, inFlight := range rapid.MapOf(name, rapid.IntRange(0, 1<<20)).Draw(t, "loads") {
-		d.Loads = append(d.Loads, core.BackendLoad{Backend: backend, InFlight: inFlight})
+	for _, list := range []*[]core.BackendLoad{&d.Loads, &d.RowSums, &d.Totals} {
+		for backend, inFlight := range rapid.MapOf(name, rapid.IntRange(0, 1<<20)).Draw(t, "loads") {
+			*list = append(*list, core.BackendLoad{Backend: backend, InFlight: inFlight})
+		}
 	}
 	for _, backend := range rapid.SliceOfN(name, 0, 3).Draw(t, "others") {
 		d.Reports = append(d.Reports, membership.Report{
@@ -103,7 +113,7 @@
 	_, first := carry(t, e, d, digest(1))
 	_, second := carry(t, e, d, digest(2))
 	require.Greater(t, first, 12*20)
-	require.Equal(t, 34, second)
+	require.Equal(t, 36, second)
 }
 
 // TestDictionaryStaysBounded replaces instances for years on one link: the names
@@ -140,7 +150,7 @@
 	f.Add([]byte("GET / HTTP/1.1\r\n\r\n"))
 	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0x7f})
 	f.Add([]byte{0x80, 0x80, 0x40, 0x12, 0x00})
-	f.Add([]byte{0x06, 0x1a, 0x04, 0x2a, 0x02, 0x01, 0x01})
+	f.Add([]byte{0x08, 0x1a, 0x06, 0x2a, 0x04, 0x0a, 0x02, 0x01, 0x01})
 	f.Fuzz(func(t *testing.T, stream []byte) {
 		d := NewDecoder()
 		r := bufio.NewReader(bytes.NewReader(stream))
@@ -157,3 +167,31 @@
 		}
 	})
 }
+
+// TestCoreEstimatesTheWire compares the sizes by which the core keeps its budget
+// with those on the connection: sheds that rest on a wrong size are no budget.
+func TestCoreEstimatesTheWire(t *testing.T) {
+	e := NewEncoder()
+	r := rand.New(rand.NewPCG(1, 2))
+	estimated, actual := 0, 0
+	for i := range 400 {
+		d := &core.Digest{Seq: uint64(i + 1), At: start.Add(time.Duration(i) * 500 * time.Millisecond), Generation: 4}
+		for b := range 150 {
+			if r.IntN(8) == 0 {
+				d.Loads = append(d.Loads, core.BackendLoad{Backend: fmt.Sprint("engine-", b), InFlight: r.IntN(20)})
+			}
+		}
+		if i%4 == 0 {
+			d.Reports = []membership.Report{{Backend: "engine-1", Incarnation: 1 << 50, State: membership.Live, InFlight: 140, At: d.At}}
+			d.Facts = []membership.Fact{{Name: "engine-2", Incarnation: 1 << 50, State: membership.Leaving}}
+		}
+		m := core.PeerMessage{Digest: d}
+		frame, err := e.Encode(m)
+		require.NoError(t, err)
+		if i > 20 {
+			estimated += m.WireEstimate()
+			actual += len(frame) + YamuxHeader
+		}
+	}
+	require.InEpsilon(t, actual, estimated, 0.1)
+}
--- a/internal/peer/decode.go
+++ b/internal/peer/decode.go
@@ -146,7 +146,7 @@
 		Resync:      hasFlag(in, peerpb.DigestFlag_DIGEST_FLAG_RESYNC),
 		WantMembers: hasFlag(in, peerpb.DigestFlag_DIGEST_FLAG_WANT_MEMBERS),
 	}
-	if err := d.loads(out, in); err != nil {
+	if err := d.allLoads(out, in); err != nil {
 		return nil, err
 	}
 	if err := d.reports(out, in); err != nil {
@@ -165,23 +165,39 @@
 	return in.Flags&uint32(flag) != 0
 }
 
-func (d *Decoder) loads(out *core.Digest, in *peerpb.Digest) error {
-	if len(in.LoadIds) != len(in.LoadCounts) {
-		return fmt.Errorf("%w: %d load ids, %d counts", errFrame, len(in.LoadIds), len(in.LoadCounts))
+func (d *Decoder) allLoads(out *core.Digest, in *peerpb.Digest) error {
+	var err error
+	if out.Loads, err = d.loads(in.Loads); err != nil {
+		return err
+	}
+	if out.RowSums, err = d.loads(in.RowSums); err != nil {
+		return err
+	}
+	out.Totals, err = d.loads(in.Totals)
+	return err
+}
+
+func (d *Decoder) loads(in *peerpb.Loads) ([]core.BackendLoad, error) {
+	if in == nil {
+		return nil, nil
 	}
+	if len(in.Ids) != len(in.Counts) {
+		return nil, fmt.Errorf("%w: %d load ids, %d counts", errFrame, len(in.Ids), len(in.Counts))
+	}
+	out := make([]core.BackendLoad, 0, len(in.Ids))
 	id := uint32(0)
-	for i, distance := range in.LoadIds {
+	for i, distance := range in.Ids {
 		if distance == 0 {
-			return fmt.Errorf("%w: load named twice", errFrame)
+			return nil, fmt.Errorf("%w: load named twice", errFrame)
 		}
 		id += distance
 		name, err := d.name(id)
 		if err != nil {
-			return err
+			return nil, err
 		}
-		out.Loads = append(out.Loads, core.BackendLoad{Backend: name, InFlight: int(in.LoadCounts[i])})
+		out = append(out, core.BackendLoad{Backend: name, InFlight: int(in.Counts[i])})
 	}
-	return nil
+	return out, nil
 }
 
 func (d *Decoder) reports(out *core.Digest, in *peerpb.Digest) error {
--- a/internal/peer/encode.go
+++ b/internal/peer/encode.go
@@ -135,7 +135,9 @@
 		out.Generation = d.Generation + 1
 	}
 	e.last = digestBase{seq: d.Seq, at: at, generation: d.Generation}
-	e.loads(out, d.Loads)
+	out.Loads = e.loads(d.Loads)
+	out.RowSums = e.loads(d.RowSums)
+	out.Totals = e.loads(d.Totals)
 	for _, r := range d.Reports {
 		out.Reports = append(out.Reports, e.report(r, d.At))
 	}
@@ -170,19 +172,24 @@
 
 // loads codes the loads in the order of their ids, each id as the distance from
 // the one before: two bytes a load in most cases.
-func (e *Encoder) loads(out *peerpb.Digest, loads []core.BackendLoad) {
+func (e *Encoder) loads(loads []core.BackendLoad) *peerpb.Loads {
+	if len(loads) == 0 {
+		return nil
+	}
 	type load struct{ id, count uint32 }
 	coded := make([]load, 0, len(loads))
 	for _, l := range loads {
 		coded = append(coded, load{e.id(l.Backend), uint32(max(0, l.InFlight))})
 	}
 	slices.SortFunc(coded, func(a, b load) int { return int(a.id) - int(b.id) })
+	out := &peerpb.Loads{}
 	previous := uint32(0)
 	for _, l := range coded {
-		out.LoadIds = append(out.LoadIds, l.id-previous)
-		out.LoadCounts = append(out.LoadCounts, l.count)
+		out.Ids = append(out.Ids, l.id-previous)
+		out.Counts = append(out.Counts, l.count)
 		previous = l.id
 	}
+	return out
 }
 
 func (e *Encoder) report(r membership.Report, at time.Time) *peerpb.Report {
