--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -97,8 +97,8 @@
 	case InstancesListed:
 		n.instancesListed(e)
 	case BackendReported:
-		n.backendReported(e)
 		n.pollEnded(e)
+		n.backendReported(e)
 	case ConfigOffered:
 		n.offerConfig(e.Envelope)
 	case StoreReplied:
--- a/internal/core/polls.go
+++ b/internal/core/polls.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/ebonydyke/ebonydyke/internal/core/membership"
 	"github.com/ebonydyke/ebonydyke/internal/core/rendezvous"
 )
 
@@ -13,9 +14,10 @@
 // one frozen instance leaves no server unasked.
 const reportOwners = 2
 
-// pollInterval is how often an owner asks in a zone of one instance; it grows with
-// the square root of the zone, as more answers' headers tell the same for free.
-const pollInterval = time.Second
+// minPollPause is how often an owner asks a server that tells it nothing else. In
+// a large zone it grows with the square root of the zone's size, as the headers
+// of more answers tell the same for free.
+const minPollPause = 4 * time.Second
 
 // ownersEvery is how often the owned backend servers are worked out anew even if
 // the list of instances stays the same.
@@ -51,13 +53,17 @@
 	}
 }
 
-// pollEnded passes the answer to a poll on to the peers that hear loads.
+// pollEnded passes the answer to a poll on to the peers that hear loads, if it
+// says what they may not know. It is called before the report is taken.
 func (n *Node) pollEnded(e BackendReported) {
 	backend := e.Report.Backend
 	if e.Failed || n.polls.owned[backend] == nil {
 		return
 	}
 	n.heardBackend(backend)
+	if !n.surprising(e.Report) {
+		return
+	}
 	for _, name := range n.peerNames() {
 		p := n.peers.byName[name]
 		if p.connected && !slices.Contains(n.peers.layout.Bridges(), name) {
@@ -66,6 +72,13 @@
 	}
 }
 
+// surprising tells whether a report differs from what this instance expected by
+// more than a tenth, or says that the server is leaving.
+func (n *Node) surprising(r membership.Report) bool {
+	expected := n.load.Estimate(r.Backend, n.now)
+	return r.State != membership.Live || math.Abs(float64(r.InFlight)-expected) > max(1, expected/10)
+}
+
 // tickPolls asks the owned backend servers that told nothing of late.
 func (n *Node) tickPolls() {
 	if !n.now.Before(n.polls.nextOwners) {
@@ -89,7 +102,7 @@
 
 func (n *Node) pollPause() time.Duration {
 	zone := len(n.zoneEntries(n.settings.Zone))
-	return time.Duration(float64(pollInterval) * math.Sqrt(float64(max(1, zone))))
+	return max(minPollPause, time.Duration(math.Sqrt(float64(zone))*float64(time.Second)))
 }
 
 // zoneEntries are the instances of a zone, all of them if it has none.
--- /dev/null
+++ b/internal/measure/control/main.go
@@ -0,0 +1,127 @@
+// Command control measures what the nodes of a fleet spend on talking to each
+// other and to the platform: real cores in one process, in virtual time, each
+// message coded as on its link. Bytes and counts are the same in every run;
+// processor time and memory are the machine's.
+package main
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"runtime"
+	"text/tabwriter"
+	"time"
+
+	"github.com/ebonydyke/ebonydyke/internal/core"
+)
+
+// Size is a fleet to measure.
+type Size struct {
+	Name      string  `json:"name"`
+	Instances int     `json:"instances"`
+	Zones     int     `json:"zones"`
+	Backends  int     `json:"backends"`
+	Services  int     `json:"services"`
+	Customers int     `json:"customers"`
+	Rate      float64 `json:"requests_per_second_per_instance"`
+	Seed      uint64  `json:"seed"`
+}
+
+// sizes are today's fleet, one availability zone of the two-year fleet at
+// several sizes, and the whole of it. Servers stand to instances as 890 to 350.
+var sizes = []Size{
+	{Name: "today", Instances: 8, Zones: 3, Backends: 15, Services: 2, Customers: 10, Rate: 2},
+	{Name: "zone-15", Instances: 15, Zones: 1, Backends: 38, Services: 27, Customers: 100, Rate: 37},
+	{Name: "zone-30", Instances: 30, Zones: 1, Backends: 76, Services: 27, Customers: 100, Rate: 37},
+	{Name: "zone-58", Instances: 58, Zones: 1, Backends: 148, Services: 27, Customers: 100, Rate: 37},
+	{Name: "zone-116", Instances: 116, Zones: 1, Backends: 296, Services: 27, Customers: 100, Rate: 37},
+	{Name: "fleet-116", Instances: 116, Zones: 2, Backends: 296, Services: 27, Customers: 100, Rate: 37},
+	{Name: "fleet-350", Instances: 350, Zones: 6, Backends: 890, Services: 27, Customers: 100, Rate: 37},
+}
+
+// Times of one run.
+const (
+	warmUp = 45 * time.Second
+	window = 60 * time.Second
+)
+
+func main() {
+	only := flag.String("size", "", "measure only the size of this name")
+	rate := flag.Float64("rate", 0, "requests a second an instance, instead of the size's own")
+	seed := flag.Uint64("seed", 1, "seed of all random choices")
+	out := flag.String("json", "", "write the results as JSON lines to this file")
+	flag.Parse()
+	if err := run(*only, *rate, *seed, *out); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func run(only string, rate float64, seed uint64, path string) error {
+	lines := io.Discard
+	if path != "" {
+		file, err := os.Create(path)
+		if err != nil {
+			return fmt.Errorf("control: %w", err)
+		}
+		defer func() { _ = file.Close() }()
+		lines = file
+	}
+	table := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', tabwriter.AlignRight)
+	defer func() { _ = table.Flush() }()
+	printHead(table)
+	for _, size := range sizes {
+		if only != "" && only != size.Name {
+			continue
+		}
+		if rate > 0 {
+			size.Rate = rate
+		}
+		size.Seed = seed
+		r := measure(size)
+		r.print(table)
+		if err := json.NewEncoder(lines).Encode(r); err != nil {
+			return fmt.Errorf("control: %w", err)
+		}
+	}
+	return table.Flush()
+}
+
+// measure runs one size and, at the end of its window, brings a new generation.
+func measure(size Size) Result {
+	f := newFleet(size)
+	f.run(warmUp)
+	f.counting = true
+	f.platform = platformCalls{}
+	f.run(window)
+	f.counting = false
+	r := f.result()
+	changed := f.now
+	f.put(core.ConfigKey, 1, envelope(size, 2))
+	f.run(15 * time.Second)
+	r.SpreadSeconds, r.NotTaken = f.spreadSeconds(changed)
+	r.MemoryPerNode = f.memoryPerNode()
+	return r
+}
+
+// memoryPerNode is the heap that the nodes hold, by letting go of them.
+func (f *fleet) memoryPerNode() uint64 {
+	for _, in := range f.instances {
+		in.encoders = nil
+	}
+	f.agenda = nil
+	before := heapInUse()
+	for _, in := range f.instances {
+		in.node = nil
+	}
+	return (before - heapInUse()) / uint64(len(f.instances))
+}
+
+func heapInUse() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -233,7 +233,7 @@
 		if err != nil {
 			return k.readError(err)
 		}
-		k.owner.stats.received(kindOf(m), len(frame))
+		k.owner.stats.received(KindOf(m), len(frame))
 		if m.Digest != nil {
 			m.Digest.Incarnation = k.peer.Incarnation
 		}
@@ -259,7 +259,7 @@
 		case m := <-queue:
 			frame, err := e.Encode(m)
 			if err != nil {
-				k.owner.stats.dropped(kindOf(m))
+				k.owner.stats.dropped(KindOf(m))
 				return err
 			}
 			if err := stream.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
@@ -268,7 +268,7 @@
 			if _, err := stream.Write(frame); err != nil {
 				return fmt.Errorf("peer: write: %w", err)
 			}
-			k.owner.stats.sent(kindOf(m), len(frame))
+			k.owner.stats.sent(KindOf(m), len(frame))
 		}
 	}
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -118,7 +118,7 @@
 	link := l.links[to]
 	l.mu.Unlock()
 	if link == nil || !link.send(m) {
-		l.stats.dropped(kindOf(m))
+		l.stats.dropped(KindOf(m))
 	}
 }
 
--- a/internal/peer/stats.go
+++ b/internal/peer/stats.go
@@ -28,7 +28,18 @@
 	return [kinds]string{"digest", "config-offer", "config-wanted", "claim", "claim-reply", "link"}[k]
 }
 
-func kindOf(m core.PeerMessage) Kind {
+// Kinds lists all kinds.
+func Kinds() []Kind {
+	out := make([]Kind, kinds)
+	for k := range out {
+		out[k] = Kind(k)
+	}
+	return out
+}
+
+// KindOf gives the kind of a message. A digest that goes along with another
+// message counts as that.
+func KindOf(m core.PeerMessage) Kind {
 	switch {
 	case m.ConfigOffer != nil:
 		return ConfigOfferKind
