--- a/internal/core/digests.go
+++ b/internal/core/digests.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/ebonydyke/ebonydyke/internal/core/load"
 	"github.com/ebonydyke/ebonydyke/internal/core/membership"
 )
 
@@ -21,7 +22,7 @@
 	news := d.Generation != p.toldGeneration || d.Leaving != p.toldLeaving
 	n.addLoads(p, d)
 	n.addReports(p, d)
-	d.Facts, p.facts = p.facts, nil
+	n.addMembers(p, d)
 	if p.membersPending {
 		p.membersPending = false
 		d.Members = n.everyMember()
@@ -45,17 +46,21 @@
 	return n.snapshot.Generation
 }
 
-// knowsNobody tells whether this instance started while the platform was away and
+// knowsNobody tells whether this instance started while the platform is away and
 // has to learn the fleet from its peers.
 func (n *Node) knowsNobody() bool {
-	known := false
-	n.view.Each(func(*membership.Instance) { known = true })
-	return !known
+	return n.members.read.IsZero() && n.members.failures > 0 && n.view.Seq() == 0
 }
 
+// everyMember lists the instances that are not gone. Those missing from the list
+// are not passed on: that is this instance's own inference.
 func (n *Node) everyMember() []membership.Instance {
 	var out []membership.Instance
-	n.view.Each(func(in *membership.Instance) { out = append(out, *in) })
+	n.view.Each(func(in *membership.Instance) {
+		if in.State != membership.Gone {
+			out = append(out, *in)
+		}
+	})
 	slices.SortFunc(out, func(a, b membership.Instance) int {
 		if a.Name < b.Name {
 			return -1
@@ -233,14 +238,12 @@
 		p.leaving = true
 		n.peerLeaves(from)
 	}
-	n.takeMembers(d.Members)
+	n.learnMembers(d.Members)
 	for _, f := range d.Facts {
 		n.learn(f)
 	}
 	for _, r := range d.Reports {
-		// The peer's clock may differ from ours: only the report's age is taken.
-		r.At = r.At.Add(n.now.Sub(d.At))
-		n.backendReported(BackendReported{Report: r})
+		n.backendSaid(r)
 		n.heardBackend(r.Backend)
 	}
 	n.heardGeneration(from, d.Generation)
@@ -277,10 +280,13 @@
 	touched = takeList(touched, p.heard.rows, d.RowSums, d.Full)
 	touched = takeList(touched, p.heard.totals, d.Totals, d.Full)
 	slices.Sort(touched)
-	for _, backend := range slices.Compact(touched) {
-		n.load.Digest(p.name, backend, p.heard.sum(backend), n.now)
-		n.loadChanged(backend)
+	touched = slices.Compact(touched)
+	counts := make([]load.Count, len(touched))
+	for i, backend := range touched {
+		counts[i] = load.Count{Backend: backend, InFlight: p.heard.sum(backend)}
 	}
+	// Also without a change: the tracker ages the loads of peers that say nothing.
+	n.peerLoads(p.name, d.At, counts)
 }
 
 // takeList merges a list and adds the backend servers that it changed to touched.
@@ -309,18 +315,6 @@
 	}
 }
 
-func (n *Node) takeMembers(members []membership.Instance) {
-	changed := false
-	for _, in := range members {
-		if in.Name != n.settings.Name {
-			changed = n.view.Merge(in) || changed
-		}
-	}
-	if changed {
-		n.rebuildPools()
-	}
-}
-
 // heardGeneration asks a peer for its configuration if it is ahead. A text that
 // this instance can't take is not asked for at once again.
 func (n *Node) heardGeneration(from string, generation uint64) {
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -49,9 +49,12 @@
 	load      *load.Tracker
 	pools     map[string]*pool
 	poolOf    map[string]*pool
+	reach     reachability
+	admission admissionState
 	requests  map[RequestID]*request
+	due       dueQueue
 	configs   configState
-	list      listState
+	members   memberState
 	lifecycle lifecycleState
 	peers     peersState
 	polls     pollState
@@ -60,15 +63,18 @@
 // New returns a node that knows nothing but its settings.
 func New(s Settings) *Node {
 	return &Node{
-		settings: s,
-		random:   rand.New(rand.NewPCG(s.Seed, s.Incarnation)),
-		view:     membership.NewView(),
-		load:     load.NewTracker(),
-		pools:    make(map[string]*pool),
-		poolOf:   make(map[string]*pool),
-		requests: make(map[RequestID]*request),
-		peers:    peersState{byName: make(map[string]*peerState)},
-		polls:    pollState{heard: make(map[string]time.Time)},
+		settings:  s,
+		random:    rand.New(rand.NewPCG(s.Seed, s.Incarnation)),
+		view:      membership.NewView(),
+		load:      load.NewTracker(),
+		pools:     make(map[string]*pool),
+		poolOf:    make(map[string]*pool),
+		reach:     make(reachability),
+		admission: newAdmissionState(),
+		requests:  make(map[RequestID]*request),
+		members:   memberState{heard: make(map[string]time.Time)},
+		peers:     peersState{byName: make(map[string]*peerState)},
+		polls:     pollState{heard: make(map[string]time.Time)},
 	}
 }
 
@@ -108,6 +114,7 @@
 	case PeerLost:
 		n.peerLost(e)
 	case PeerReceived:
+		n.peerHeard(e.From)
 		n.peerReceived(e)
 	case StopRequested:
 		n.stopRequested()
@@ -130,8 +137,11 @@
 
 // ticked does what is due by time alone.
 func (n *Node) ticked() {
+	n.tickRequests()
 	n.tickConfig()
-	n.tickList()
+	n.tickMembers()
+	n.tickPlacement()
+	n.tickAdmission()
 	n.tickPeers()
 	n.tickClaims()
 	n.tickLifecycle()
--- a/internal/core/peermsg.go
+++ b/internal/core/peermsg.go
@@ -53,7 +53,7 @@
 	Reports []membership.Report `json:"reports,omitempty"`
 	// Facts are changes of membership that the sender learnt.
 	Facts []membership.Fact `json:"facts,omitempty"`
-	// Members answer WantMembers.
+	// Members are instances that the receiver may not have seen in a list.
 	Members []membership.Instance `json:"members,omitempty"`
 }
 
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -36,11 +36,13 @@
 
 // Bounds of what waits for one peer.
 const (
-	maxPeerFacts = 256
-	// maxRecentFacts and factLifetime bound what a peer that connects is told.
-	maxRecentFacts = 64
-	factLifetime   = 2 * time.Minute
-	maxPeerLoads   = 8192
+	// maxDigestFacts is how many changes of members a digest carries.
+	maxDigestFacts = 32
+	// factLifetime is how old a change is when no peer that connects is told of it;
+	// the platform's list lags less.
+	factLifetime = 2 * time.Minute
+	markEvery    = 10 * time.Second
+	maxPeerLoads = 8192
 )
 
 // peersState is what an instance knows of its peers.
@@ -55,16 +57,19 @@
 	byName  map[string]*peerState
 	budget  controlBudget
 	wanted  wantedState
-	// recent are the facts that a peer which connects now is told.
-	recent []recentFact
-	// generation and leaving are what the peers have been hurried to hear.
+	// marks and floor tell which changes of the view a peer that connects needs.
+	marks []changeMark
+	floor uint64
+	// generation, leaving and viewSeq are what the peers were hurried to hear.
 	generation uint64
 	leaving    bool
+	viewSeq    uint64
 }
 
-type recentFact struct {
-	fact membership.Fact
-	at   time.Time
+// changeMark is the number of the view's last change at a time.
+type changeMark struct {
+	seq uint64
+	at  time.Time
 }
 
 // wantedState paces the requests for a newer configuration.
@@ -100,7 +105,7 @@
 	membersPending bool
 	toldGeneration uint64
 	toldLeaving    bool
-	facts          []membership.Fact
+	toldSeq        uint64
 	reports        map[string]membership.Report
 }
 
@@ -115,15 +120,6 @@
 	return l.own[backend] + l.rows[backend] + l.totals[backend]
 }
 
-// backends lists every name in the lists, sorted.
-func (l loadLists) backends() []string {
-	names := slices.Collect(maps.Keys(l.own))
-	names = slices.AppendSeq(names, maps.Keys(l.rows))
-	names = slices.AppendSeq(names, maps.Keys(l.totals))
-	slices.Sort(names)
-	return slices.Compact(names)
-}
-
 func (n *Node) peer(name string) *peerState {
 	p := n.peers.byName[name]
 	if p == nil {
@@ -154,11 +150,7 @@
 	p.toldGeneration, p.toldLeaving = 0, false
 	p.fullPending = true
 	p.due = n.now
-	n.trimRecent()
-	p.facts = nil
-	for _, r := range n.peers.recent {
-		n.queueFact(p, r.fact)
-	}
+	p.toldSeq = n.toldChanges()
 }
 
 // peerLost only notes that nothing can be sent. The peer may be alive behind a
@@ -203,6 +195,7 @@
 		n.peers.nextLayout = n.now.Add(layoutEvery)
 		n.refreshLayout()
 		n.forgetSilent()
+		n.markChanges()
 	}
 	n.hurryNews()
 	for _, name := range n.peerNames() {
@@ -297,66 +290,75 @@
 }
 
 func (n *Node) forgetLoads(p *peerState) {
-	backends := p.heard.backends()
 	p.heard = newLoadLists()
 	p.forgotten = true
 	// Its next digest may be a small one: it must say all of it again.
 	p.wantFull = true
-	n.load.ForgetPeer(p.name)
-	for _, backend := range backends {
-		n.loadChanged(backend)
-	}
+	n.forgetPeerLoads(p.name)
 }
 
 func (n *Node) wantsLink(name string) bool {
 	return slices.ContainsFunc(n.peers.linked, func(a PeerAddress) bool { return a.Name == name })
 }
 
-// spreadFact queues a change of membership for every peer, and for those that
-// connect soon. Whoever learns it for the first time spreads it on, so it reaches
-// all zones without the platform.
-func (n *Node) spreadFact(f membership.Fact) {
-	n.peers.recent = append(n.peers.recent, recentFact{f, n.now})
-	n.trimRecent()
-	for _, name := range n.peerNames() {
-		p := n.peers.byName[name]
-		if !p.connected {
-			continue
-		}
-		n.queueFact(p, f)
-		if f.State != membership.Live {
-			p.due = n.now
-		}
+// markChanges remembers how far the view's changes had come at each mark, so that
+// a peer that connects is told those which the platform's list may not show yet.
+// What the first list brought is no news to anyone.
+func (n *Node) markChanges() {
+	p := &n.peers
+	if p.floor == 0 && !n.members.read.IsZero() {
+		p.floor = n.view.Seq()
+	}
+	if len(p.marks) == 0 || n.now.Sub(p.marks[len(p.marks)-1].at) >= markEvery {
+		p.marks = append(p.marks, changeMark{n.view.Seq(), n.now})
+	}
+	for len(p.marks) > 1 && n.now.Sub(p.marks[1].at) > factLifetime {
+		p.marks = p.marks[1:]
 	}
 }
 
-// queueFact drops the oldest fact from a full queue; the platform's list makes up
-// for it.
-func (n *Node) queueFact(p *peerState, f membership.Fact) {
-	if len(p.facts) >= maxPeerFacts {
-		p.facts = p.facts[1:]
-		n.emit(Counted{Counter: counterShed, Label: "fact", N: 1})
+// toldChanges is the change up to which a peer that connects now needs no word.
+func (n *Node) toldChanges() uint64 {
+	if len(n.peers.marks) == 0 {
+		return n.view.Seq()
 	}
-	p.facts = append(p.facts, f)
+	return max(n.peers.floor, n.peers.marks[0].seq)
 }
 
-// trimRecent keeps the facts that the platform's lagging list may not show yet.
-func (n *Node) trimRecent() {
-	r := n.peers.recent
-	for len(r) > maxRecentFacts || (len(r) > 0 && n.now.Sub(r[0].at) > factLifetime) {
-		r = r[1:]
+// addMembers adds what changed in the view since the last digest to the peer.
+// Whoever learns a change tells it on, so it reaches all zones without the
+// platform. Instances that come are introduced whole, as the receiver may not
+// have read the list since.
+func (n *Node) addMembers(p *peerState, d *Digest) {
+	changes, complete := n.view.Changes(p.toldSeq, maxDigestFacts)
+	p.toldSeq = n.view.Seq()
+	if !complete {
+		n.emit(Counted{Counter: counterShed, Label: "fact", N: 1})
+	}
+	for _, in := range changes {
+		if in.State == membership.Live {
+			d.Members = append(d.Members, in)
+		} else {
+			d.Facts = append(d.Facts, membership.Fact{Name: in.Name, Incarnation: in.Incarnation, State: in.State})
+		}
 	}
-	n.peers.recent = r
 }
 
 // hurryNews makes every peer hear at once what can't wait for its round: a
-// configuration that came into force, or this instance's leaving.
+// configuration that came into force, and that somebody is leaving or gone.
 func (n *Node) hurryNews() {
-	generation, leaving := n.generation(), n.lifecycle.stopping
-	if generation == n.peers.generation && leaving == n.peers.leaving {
+	generation, leaving, seq := n.generation(), n.lifecycle.stopping, n.view.Seq()
+	hurry := generation != n.peers.generation || leaving != n.peers.leaving
+	if seq != n.peers.viewSeq {
+		changes, _ := n.view.Changes(n.peers.viewSeq, maxDigestFacts)
+		hurry = hurry || slices.ContainsFunc(changes, func(in membership.Instance) bool {
+			return in.State != membership.Live
+		})
+	}
+	n.peers.generation, n.peers.leaving, n.peers.viewSeq = generation, leaving, seq
+	if !hurry {
 		return
 	}
-	n.peers.generation, n.peers.leaving = generation, leaving
 	for _, p := range n.peers.byName {
 		p.due = n.now
 	}
--- a/internal/core/polls.go
+++ b/internal/core/polls.go
@@ -75,7 +75,7 @@
 // surprising tells whether a report differs from what this instance expected by
 // more than a tenth, or says that the server is leaving.
 func (n *Node) surprising(r membership.Report) bool {
-	expected := n.load.Estimate(r.Backend, n.now)
+	expected := n.load.Estimate(r.Backend)
 	return r.State != membership.Live || math.Abs(float64(r.InFlight)-expected) > max(1, expected/10)
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -45,7 +45,7 @@
 		Listener:    peerListener,
 		Post:        loop.Post,
 	})
-	server := proxy.New(loop.Post)
+	server := proxy.New(loop.Post, proxy.Options{})
 	exec := &executor{
 		ctx: ctx, post: loop.Post, platform: platform.NewClient(s.Platform),
 		proxy: server, links: links, stop: cancel,
