--- a/internal/daemon/loop.go
+++ b/internal/daemon/loop.go
@@ -27,6 +27,7 @@
 	inspects chan func(*core.Node)
 	exec     Executor
 	meter    *meter
+	done     chan struct{}
 }
 
 // NewLoop returns a loop round node that counts in m.
@@ -36,14 +37,22 @@
 		events:   make(chan core.Event, eventQueue),
 		inspects: make(chan func(*core.Node)),
 		meter:    newMeter(m),
+		done:     make(chan struct{}),
 	}
 }
 
-// Post hands an event to the core. It waits while the queue is full.
-func (l *Loop) Post(event core.Event) { l.events <- event }
+// Post hands an event to the core. It waits while the queue is full, but not on
+// a loop that has ended: a goroutine that posts its last word must be able to end.
+func (l *Loop) Post(event core.Event) {
+	select {
+	case l.events <- event:
+	case <-l.done:
+	}
+}
 
-// Run feeds the core until ctx ends.
+// Run feeds the core until ctx ends. It may be called once.
 func (l *Loop) Run(ctx context.Context, exec Executor) error {
+	defer close(l.done)
 	l.exec = exec
 	ticker := time.NewTicker(core.TickInterval)
 	defer ticker.Stop()
