--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -57,6 +57,8 @@
 	members   memberState
 	lifecycle lifecycleState
 	observed  observations
+	peers     peersState
+	polls     pollState
 }
 
 // New returns a node that knows nothing but its settings.
@@ -72,6 +74,8 @@
 		admission: newAdmissionState(),
 		requests:  make(map[RequestID]*request),
 		members:   memberState{heard: make(map[string]time.Time)},
+		peers:     peersState{byName: make(map[string]*peerState)},
+		polls:     pollState{heard: make(map[string]time.Time)},
 	}
 }
 
@@ -92,6 +96,7 @@
 	case RequestArrived:
 		n.requestArrived(e)
 	case AttemptEnded:
+		n.attemptHeard(e)
 		n.attemptEnded(e)
 	case AnswerStarted:
 		n.answerStarted(e)
@@ -100,6 +105,7 @@
 	case InstancesListed:
 		n.instancesListed(e)
 	case BackendReported:
+		n.pollEnded(e)
 		n.backendReported(e)
 	case ConfigOffered:
 		n.offerConfig(e.Envelope)
@@ -119,7 +125,12 @@
 	}
 }
 
-func (n *Node) emit(e Effect) { n.effects = append(n.effects, e) }
+func (n *Node) emit(e Effect) {
+	if send, ok := e.(SendPeer); ok {
+		n.peers.budget.spend(n.now, send.Message.WireEstimate())
+	}
+	n.effects = append(n.effects, e)
+}
 
 func (n *Node) nextOp() OpID {
 	n.lastOp++
--- a/internal/core/peermsg.go
+++ b/internal/core/peermsg.go
@@ -21,16 +21,33 @@
 // Digest is what an instance tells its peers each round: what it knows that they
 // may not.
 type Digest struct {
+	// Incarnation is the sender's; a digest of an earlier one is ignored.
+	Incarnation uint64 `json:"incarnation,omitempty"`
+	// Seq numbers the sender's digests to this peer, from 1 on, so that one that
+	// comes twice, late or never is noticed.
+	Seq uint64 `json:"seq,omitempty"`
 	// At is the sender's clock; only differences of one sender's are compared.
 	At time.Time `json:"at"`
 	// Generation is the configuration in force at the sender.
 	Generation uint64 `json:"generation"`
 	// Leaving says that the sender has begun its graceful shutdown.
 	Leaving bool `json:"leaving,omitempty"`
-	// Loads are the sender's requests in progress by backend server; a backend
-	// server left out has not changed since the sender's last digest unless Full.
+	// Resync asks the receiver for a full digest, because one was missed.
+	Resync bool `json:"resync,omitempty"`
+	// WantMembers asks the receiver for every instance it knows, because the
+	// sender has not been able to read the platform's list.
+	WantMembers bool `json:"want_members,omitempty"`
+	// Loads are the sender's own requests in progress by backend server. In this and
+	// the next two lists a backend server left out has not changed since the last
+	// digest to this peer, or has none if Full.
 	Loads []BackendLoad `json:"loads,omitempty"`
-	// Full says that Loads lists every backend server with a request in progress.
+	// RowSums are what the sender's row has in progress, told to the heads of the
+	// same slice in other rows. They are added up of own loads only.
+	RowSums []BackendLoad `json:"row_sums,omitempty"`
+	// Totals are what the zone has in progress less the receiver's own, told to the
+	// mates of the sender's row. Nobody adds them up again, so no load can go round.
+	Totals []BackendLoad `json:"totals,omitempty"`
+	// Full says that the lists leave nothing out.
 	Full bool `json:"full,omitempty"`
 	// Reports are backend servers' reports that the sender polled itself.
 	Reports []membership.Report `json:"reports,omitempty"`
@@ -40,7 +57,7 @@
 	Members []membership.Instance `json:"members,omitempty"`
 }
 
-// BackendLoad is the number of one instance's requests at one backend server.
+// BackendLoad is a number of requests in progress at one backend server.
 type BackendLoad struct {
 	Backend  string `json:"backend"`
 	InFlight int    `json:"in_flight"`
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -12,6 +12,7 @@
 
 	"github.com/ebonydyke/ebonydyke/internal/core"
 	"github.com/ebonydyke/ebonydyke/internal/metrics"
+	"github.com/ebonydyke/ebonydyke/internal/peer"
 	"github.com/ebonydyke/ebonydyke/internal/platform"
 	"github.com/ebonydyke/ebonydyke/internal/proxy"
 	"github.com/ebonydyke/ebonydyke/internal/settings"
@@ -30,8 +31,7 @@
 		Incarnation: uint64(start.UnixNano()),
 		Seed:        uint64(start.UnixNano()),
 		AcceptDelay: time.Duration(s.AcceptDelay),
-	}))
-	loop.CountIn(counters)
+	}), counters)
 	listener, err := net.Listen("tcp", s.Listen)
 	if err != nil {
 		return fmt.Errorf("daemon: listen for callers: %w", err)
@@ -40,10 +40,25 @@
 	if err != nil {
 		return fmt.Errorf("daemon: listen for operators: %w", err)
 	}
-	server := proxy.New(loop.Post, proxyOptions(&s.Limits, counters))
-	exec := &executor{ctx: ctx, post: loop.Post, platform: platform.NewClient(s.Platform), proxy: server, stop: cancel}
+	peerListener, err := peer.Listen(ctx, s.PeerListen)
+	if err != nil {
+		return fmt.Errorf("daemon: listen for peers: %w", err)
+	}
+	links := peer.New(peer.Config{
+		Name:        s.Name,
+		Zone:        s.Zone,
+		Incarnation: uint64(start.UnixNano()),
+		Listener:    peerListener,
+		Post:        loop.Post,
+	})
+	server := proxy.New(loop.Post, proxyOptions(s.Limits, counters))
+	exec := &executor{
+		ctx: ctx, post: loop.Post, platform: platform.NewClient(s.Platform),
+		proxy: server, links: links, stop: cancel,
+	}
 
 	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return links.Run(ctx) })
 	group.Go(func() error { return loop.Run(ctx, exec) })
 	group.Go(func() error { return server.Serve(listener) })
 	group.Go(func() error { return serveAdmin(ctx, adminListener, loop, counters) })
@@ -63,10 +78,9 @@
 	return nil
 }
 
-// proxyOptions passes the limits of the settings on.
-func proxyOptions(l *settings.Limits, counters proxy.Metrics) proxy.Options {
+func proxyOptions(l settings.Limits, m *metrics.Metrics) proxy.Options {
 	return proxy.Options{
-		Metrics:     counters,
+		Metrics:     m,
 		MaxBody:     l.MaxBody,
 		MaxHeader:   l.MaxHeader,
 		ReadTimeout: time.Duration(l.ReadTimeout),
--- a/internal/daemon/loop.go
+++ b/internal/daemon/loop.go
@@ -27,25 +27,32 @@
 	inspects chan func(*core.Node)
 	exec     Executor
 	meter    *meter
+	done     chan struct{}
 }
 
-// NewLoop returns a loop round node.
-func NewLoop(node *core.Node) *Loop {
+// NewLoop returns a loop round node that counts in m.
+func NewLoop(node *core.Node, m *metrics.Metrics) *Loop {
 	return &Loop{
 		node:     node,
 		events:   make(chan core.Event, eventQueue),
 		inspects: make(chan func(*core.Node)),
+		meter:    newMeter(m),
+		done:     make(chan struct{}),
 	}
 }
 
-// CountIn counts what passes through the loop in m. It is called before Run.
-func (l *Loop) CountIn(m *metrics.Metrics) { l.meter = newMeter(m) }
-
-// Post hands an event to the core. It waits while the queue is full.
-func (l *Loop) Post(event core.Event) { l.events <- event }
+// Post hands an event to the core. It waits while the queue is full, but not on
+// a loop that has ended: a goroutine that posts its last word must be able to end.
+func (l *Loop) Post(event core.Event) {
+	select {
+	case l.events <- event:
+	case <-l.done:
+	}
+}
 
-// Run feeds the core until ctx ends.
+// Run feeds the core until ctx ends. It may be called once.
 func (l *Loop) Run(ctx context.Context, exec Executor) error {
+	defer close(l.done)
 	l.exec = exec
 	ticker := time.NewTicker(core.TickInterval)
 	defer ticker.Stop()
--- a/internal/proxy/fleet_test.go
+++ b/internal/proxy/fleet_test.go
@@ -20,6 +20,7 @@
 	"github.com/ebonydyke/ebonydyke/internal/core/config"
 	"github.com/ebonydyke/ebonydyke/internal/core/reason"
 	"github.com/ebonydyke/ebonydyke/internal/daemon"
+	"github.com/ebonydyke/ebonydyke/internal/metrics"
 	"github.com/ebonydyke/ebonydyke/internal/proxy"
 	"github.com/ebonydyke/ebonydyke/test/standin/engine"
 )
@@ -105,7 +106,7 @@
 	t.Helper()
 	i := &instance{stopped: make(chan struct{}), refused: make(map[reason.Reason]int)}
 	node := core.New(core.Settings{Name: "entry-1", Zone: "zone-1", Seed: 1, AcceptDelay: 100 * time.Millisecond})
-	i.loop = daemon.NewLoop(node)
+	i.loop = daemon.NewLoop(node, metrics.New())
 	o.Metrics = i
 	i.server = proxy.New(i.loop.Post, o)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -123,8 +124,7 @@
 	return i
 }
 
-// fleetText declares a model service and a plain service. One without backend
-// servers takes them from the platform, which lists none.
+// fleetText declares a model service and a plain service.
 func fleetText(model, plain []string) config.Text {
 	servers := func(kind string, addresses []string) []config.BackendServer {
 		var list []config.BackendServer
@@ -133,13 +133,17 @@
 		}
 		return list
 	}
-	return config.Text{
-		Services: []config.Service{
-			{Name: "underwriting", Kind: config.Model, BackendServers: servers("engine", model), FromPlatform: len(model) == 0, MaxAttempts: 3, Capacity: 4096},
-			{Name: "portal", Kind: config.Plain, BackendServers: servers("portal", plain), FromPlatform: len(plain) == 0, MaxAttempts: 3, Capacity: 4096},
-		},
-		Customers: []config.Customer{{Name: "branch-recife"}},
+	text := config.Text{Customers: []config.Customer{{Name: "branch-recife"}}}
+	add := func(name string, kind config.Kind, list []config.BackendServer) {
+		if len(list) > 0 {
+			text.Services = append(text.Services, config.Service{
+				Name: name, Kind: kind, BackendServers: list, MaxAttempts: 3, Capacity: 4096,
+			})
+		}
 	}
+	add("underwriting", config.Model, servers("engine", model))
+	add("portal", config.Plain, servers("portal", plain))
+	return text
 }
 
 // startEngines starts engines whose answers have eight tokens.
