--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -65,6 +65,12 @@
 	m.Refused(reason.Saturated)
 	m.Answered("llm", time.Millisecond, time.Second)
 	m.InFlight(func() float64 { return 3 })
+	m.ReadControl(func() metrics.Control {
+		return metrics.Control{
+			Traffic: []metrics.Traffic{{Kind: "digest", Direction: metrics.Sent, Messages: 2, Bytes: 90}},
+			Dropped: map[string]uint64{"digest": 1},
+		}
+	})
 	call := serve(t, f, m)
 
 	code, _ := call(http.MethodGet, admin.PathHealth)
@@ -90,6 +96,8 @@
 		`ebonydyke_refusals_total{reason="customer-share"} 0`,
 		`ebonydyke_first_byte_seconds_count{service="llm"} 1`,
 		`ebonydyke_requests_in_flight 3`,
+		`ebonydyke_control_bytes_total{direction="sent",kind="digest"} 90`,
+		`ebonydyke_control_dropped_total{kind="digest"} 1`,
 	} {
 		require.Contains(t, body, line+"\n")
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -32,25 +32,19 @@
 		Seed:        uint64(start.UnixNano()),
 		AcceptDelay: time.Duration(s.AcceptDelay),
 	}), counters)
-	listener, err := net.Listen("tcp", s.Listen)
+	listeners, err := listen(ctx, s)
 	if err != nil {
-		return fmt.Errorf("daemon: listen for callers: %w", err)
-	}
-	adminListener, err := net.Listen("tcp", s.AdminListen)
-	if err != nil {
-		return fmt.Errorf("daemon: listen for operators: %w", err)
-	}
-	peerListener, err := peer.Listen(ctx, s.PeerListen)
-	if err != nil {
-		return fmt.Errorf("daemon: listen for peers: %w", err)
+		return err
 	}
 	links := peer.New(peer.Config{
 		Name:        s.Name,
 		Zone:        s.Zone,
 		Incarnation: uint64(start.UnixNano()),
-		Listener:    peerListener,
+		Listener:    listeners.peers,
+		Seeds:       s.Seeds,
 		Post:        loop.Post,
 	})
+	counters.ReadControl(readControl(links))
 	server := proxy.New(loop.Post, proxyOptions(s.Limits, counters))
 	exec := &executor{
 		ctx: ctx, post: loop.Post, platform: platform.NewClient(s.Platform),
@@ -60,8 +54,8 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return links.Run(ctx) })
 	group.Go(func() error { return loop.Run(ctx, exec) })
-	group.Go(func() error { return server.Serve(listener) })
-	group.Go(func() error { return serveAdmin(ctx, adminListener, loop, counters) })
+	group.Go(func() error { return server.Serve(listeners.callers) })
+	group.Go(func() error { return serveAdmin(ctx, listeners.operators, loop, counters) })
 	group.Go(func() error {
 		select {
 		case <-stop:
@@ -71,13 +65,31 @@
 		return nil
 	})
 	klog.InfoS("started", "instance", s.Name, "zone", s.Zone,
-		"listen", listener.Addr().String(), "admin", adminListener.Addr().String())
+		"listen", listeners.callers.Addr().String(), "admin", listeners.operators.Addr().String())
 	if err := group.Wait(); err != nil && !errors.Is(err, context.Canceled) {
 		return err
 	}
 	return nil
 }
 
+// listeners are where an instance listens.
+type listeners struct {
+	callers, peers, operators net.Listener
+}
+
+func listen(ctx context.Context, s *settings.Settings) (l listeners, err error) {
+	if l.callers, err = net.Listen("tcp", s.Listen); err != nil {
+		return l, fmt.Errorf("daemon: listen for callers: %w", err)
+	}
+	if l.operators, err = net.Listen("tcp", s.AdminListen); err != nil {
+		return l, fmt.Errorf("daemon: listen for operators: %w", err)
+	}
+	if l.peers, err = peer.Listen(ctx, s.PeerListen); err != nil {
+		return l, fmt.Errorf("daemon: listen for peers: %w", err)
+	}
+	return l, nil
+}
+
 func proxyOptions(l settings.Limits, m *metrics.Metrics) proxy.Options {
 	return proxy.Options{
 		Metrics:     m,
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -11,15 +11,6 @@
 	"github.com/ebonydyke/ebonydyke/internal/core/reason"
 )
 
-// Direction tells what an instance sent from what it received.
-type Direction string
-
-// The directions of control traffic.
-const (
-	Sent     Direction = "sent"
-	Received Direction = "received"
-)
-
 // latencyBuckets are in seconds: 0.5 ms, about what an instance may add to an
 // answer, up to the longest deadlines.
 var latencyBuckets = prometheus.ExponentialBucketsRange(0.0005, 300, 20)
@@ -34,7 +25,6 @@
 	callerBytes   prometheus.Counter
 	generation    prometheus.Gauge
 	ready         prometheus.Gauge
-	controlBytes  *prometheus.CounterVec
 	platformCalls *prometheus.CounterVec
 	core          *prometheus.CounterVec
 }
@@ -51,13 +41,12 @@
 		callerBytes:   prometheus.NewCounter(prometheus.CounterOpts{Name: "ebonydyke_caller_bytes_total", Help: "Bytes of answers' bodies sent to callers."}),
 		generation:    gauge("generation", "Generation of the configuration in force, 0 for none."),
 		ready:         gauge("ready", "1 until the graceful shutdown begins, then 0."),
-		controlBytes:  counters("control_bytes_total", "Bytes exchanged with peers by kind and direction, framing included.", "kind", "direction"),
 		platformCalls: counters("platform_calls_total", "Calls on the platform by kind and result; a waiting watch is one.", "kind", "result"),
 		core:          counters("core_events_total", "What the core counts itself, such as messages that it shed.", "counter", "label"),
 	}
 	m.registry.MustRegister(
 		m.refusals, m.retries, m.firstByte, m.whole, m.callerBytes, m.generation, m.ready,
-		m.controlBytes, m.platformCalls, m.core,
+		m.platformCalls, m.core,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
 	for _, r := range reason.All {
@@ -118,11 +107,6 @@
 	}
 }
 
-// ControlBytes counts bytes exchanged with a peer.
-func (m *Metrics) ControlBytes(kind string, d Direction, n int) {
-	m.controlBytes.WithLabelValues(kind, string(d)).Add(float64(n))
-}
-
 // PlatformCall counts a call on the platform that has ended.
 func (m *Metrics) PlatformCall(kind, result string) {
 	m.platformCalls.WithLabelValues(kind, result).Inc()
