--- /dev/null
+++ b/internal/core/reason/reason_test.go
@@ -0,0 +1,60 @@
+package reason_test
+
+import (
+	"bytes"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"os"
+	"regexp"
+	"strconv"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/ebonydyke/ebonydyke/internal/core/reason"
+)
+
+// TestReasonsStandEverywhere compares the declared reasons, the list that the
+// metrics are made from, and the table for operators.
+func TestReasonsStandEverywhere(t *testing.T) {
+	var all []string
+	for _, r := range reason.All {
+		all = append(all, string(r))
+	}
+	require.Equal(t, declared(t), all)
+
+	page, err := os.ReadFile("../../../docs/OPERATIONS.md")
+	require.NoError(t, err)
+	_, table, found := bytes.Cut(page, []byte("\n## Reasons\n"))
+	require.True(t, found)
+	var documented []string
+	for _, row := range regexp.MustCompile("(?m)^\\| `([a-z-]+)` \\|").FindAllSubmatch(table, -1) {
+		documented = append(documented, string(row[1]))
+	}
+	require.Equal(t, all, documented)
+}
+
+// declared reads the constants of type Reason from the source, None left out.
+func declared(t *testing.T) []string {
+	t.Helper()
+	file, err := parser.ParseFile(token.NewFileSet(), "reason.go", nil, 0)
+	require.NoError(t, err)
+	var words []string
+	ast.Inspect(file, func(n ast.Node) bool {
+		spec, ok := n.(*ast.ValueSpec)
+		if !ok || len(spec.Values) == 0 {
+			return true
+		}
+		if typ, ok := spec.Type.(*ast.Ident); !ok || typ.Name != "Reason" {
+			return true
+		}
+		word, err := strconv.Unquote(spec.Values[0].(*ast.BasicLit).Value)
+		require.NoError(t, err)
+		if word != "" {
+			words = append(words, word)
+		}
+		return true
+	})
+	return words
+}
