--- a/cmd/ebonyctl/placement.go
+++ b/cmd/ebonyctl/placement.go
@@ -32,7 +32,8 @@
 		t.row(fmt.Sprint(i+1), b.Name, b.Zone, fmt.Sprintf("%.1f", b.Load), fmt.Sprint(b.Own), b.Why)
 	}
 	t.flush()
-	global.printf("generation %d; mean load %.2f; bound %v times the mean: up to %v requests\n", x.Generation, x.Mean, x.Bound, x.Limit)
+	global.printf("generation %d; mean load %.2f; bound %v times the mean: up to %v requests, this chat moves on at %v\n",
+		x.Generation, x.Mean, x.Bound, x.Limit, x.Inner)
 	if x.Refused != "" {
 		global.printf("the turn would be refused: %s\n", x.Refused)
 	} else {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -31,7 +31,8 @@
 		Incarnation: uint64(start.UnixNano()),
 		Seed:        uint64(start.UnixNano()),
 		AcceptDelay: time.Duration(s.AcceptDelay),
-	}), counters)
+	}))
+	loop.CountIn(counters)
 	listener, err := net.Listen("tcp", s.Listen)
 	if err != nil {
 		return fmt.Errorf("daemon: listen for callers: %w", err)
@@ -51,7 +52,7 @@
 		Listener:    peerListener,
 		Post:        loop.Post,
 	})
-	server := proxy.New(loop.Post, proxyOptions(s.Limits, counters))
+	server := proxy.New(loop.Post, proxyOptions(&s.Limits, counters))
 	exec := &executor{
 		ctx: ctx, post: loop.Post, platform: platform.NewClient(s.Platform),
 		proxy: server, links: links, stop: cancel,
@@ -78,9 +79,10 @@
 	return nil
 }
 
-func proxyOptions(l settings.Limits, m *metrics.Metrics) proxy.Options {
+// proxyOptions passes the limits of the settings on.
+func proxyOptions(l *settings.Limits, counters proxy.Metrics) proxy.Options {
 	return proxy.Options{
-		Metrics:     m,
+		Metrics:     counters,
 		MaxBody:     l.MaxBody,
 		MaxHeader:   l.MaxHeader,
 		ReadTimeout: time.Duration(l.ReadTimeout),
