--- a/Makefile
+++ b/Makefile
@@ -18,14 +18,14 @@
 format: linter
 	bin/golangci-lint fmt ./...
 
-# Installs the linter unless the pinned version is there already.
-linter:
-	@. tools/tools.env && version=$${GOLANGCI_LINT_VERSION#v} && \
-	{ bin/golangci-lint version 2>/dev/null | grep -qF "version $$version " || \
-	GOBIN=$(CURDIR)/bin go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$$GOLANGCI_LINT_VERSION; }
-
 # The generated code is committed; a test compares the recorded hash of its
 # source, so that CI needs no generator.
 generate:
 	protoc --go_out=. --go_opt=paths=source_relative api/peerpb/peer.proto
 	sha256sum < api/peerpb/peer.proto | cut -d ' ' -f 1 > api/peerpb/peer.proto.sha256
+
+# Installs the linter unless the pinned version is there already.
+linter:
+	@. tools/tools.env && version=$${GOLANGCI_LINT_VERSION#v} && \
+	{ bin/golangci-lint version 2>/dev/null | grep -qF "version $$version " || \
+	GOBIN=$(CURDIR)/bin go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$$GOLANGCI_LINT_VERSION; }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -31,7 +31,8 @@
 		Incarnation: uint64(start.UnixNano()),
 		Seed:        uint64(start.UnixNano()),
 		AcceptDelay: time.Duration(s.AcceptDelay),
-	}), counters)
+	}))
+	loop.CountIn(counters)
 	listeners, err := listen(ctx, s)
 	if err != nil {
 		return err
@@ -45,7 +46,7 @@
 		Post:        loop.Post,
 	})
 	counters.ReadControl(readControl(links))
-	server := proxy.New(loop.Post, proxyOptions(s.Limits, counters))
+	server := proxy.New(loop.Post, proxyOptions(&s.Limits, counters))
 	exec := &executor{
 		ctx: ctx, post: loop.Post, platform: platform.NewClient(s.Platform),
 		proxy: server, links: links, stop: cancel,
@@ -90,7 +91,8 @@
 	return l, nil
 }
 
-func proxyOptions(l settings.Limits, m *metrics.Metrics) proxy.Options {
+// proxyOptions passes the limits of the settings on.
+func proxyOptions(l *settings.Limits, m proxy.Metrics) proxy.Options {
 	return proxy.Options{
 		Metrics:     m,
 		MaxBody:     l.MaxBody,
--- a/internal/daemon/metered.go
+++ b/internal/daemon/metered.go
@@ -14,7 +14,8 @@
 )
 
 // meter counts what passes between the core and the executor, so that neither
-// has to know of metrics. It belongs to the goroutine that owns the core.
+// has to know of metrics. It belongs to the goroutine that owns the core. A nil
+// meter counts nothing.
 type meter struct {
 	metrics *metrics.Metrics
 	// calls are the calls on the platform that have not ended.
@@ -27,6 +28,9 @@
 
 // effect counts an effect that is about to be carried out.
 func (m *meter) effect(effect core.Effect) {
+	if m == nil {
+		return
+	}
 	switch e := effect.(type) {
 	case core.Counted:
 		m.metrics.Count(e.Counter, e.Label, e.N)
@@ -47,6 +51,9 @@
 
 // event counts an event that the core is about to take.
 func (m *meter) event(event core.Event) {
+	if m == nil {
+		return
+	}
 	switch e := event.(type) {
 	case core.StoreReplied:
 		m.ended(e.Op, string(e.Status))
