Let the greater name dial when the lesser does not

An instance that started while the platform is away stands in nobody's list but its own; with only lesser names dialling, half of its links never came. It now dials after five seconds without one. Full refreshes of a fleet that started together are spread over the minute.

--- a/internal/core/digests.go
+++ b/internal/core/digests.go
@@ -77,7 +77,9 @@
 		return
 	}
 	if p.refreshAt.IsZero() {
-		p.refreshAt = n.now.Add(n.jitter(refreshEvery))
+		// Anywhere in the interval, so that a fleet that started together does not
+		// refresh together.
+		p.refreshAt = n.now.Add(time.Duration(n.random.Float64() * float64(refreshEvery)))
 	}
 	if !n.now.Before(p.refreshAt) {
 		p.refreshAt = n.now.Add(n.jitter(refreshEvery))
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -56,10 +56,17 @@
 	Post func(core.Event)
 	// IdleLimit is how long a link may be silent; 0 is the default.
 	IdleLimit time.Duration
+	// DialWait is how long the greater name of a pair waits for the lesser to
+	// dial; 0 is the default.
+	DialWait time.Duration
 }
 
-// defaultIdleLimit is a few times the longest pause between digests.
-const defaultIdleLimit = 15 * time.Second
+const (
+	// defaultIdleLimit is a few times the longest pause between digests.
+	defaultIdleLimit = 15 * time.Second
+	// defaultDialWait is longer than a list's usual lag.
+	defaultDialWait = 5 * time.Second
+)
 
 // Links holds this instance's links. Set and Send never wait.
 type Links struct {
@@ -78,6 +85,9 @@
 	if cfg.IdleLimit == 0 {
 		cfg.IdleLimit = defaultIdleLimit
 	}
+	if cfg.DialWait == 0 {
+		cfg.DialWait = defaultDialWait
+	}
 	return &Links{
 		cfg:       cfg,
 		changed:   make(chan struct{}, 1),
@@ -151,7 +161,7 @@
 func (l *Links) reconcile(ctx context.Context, group *errgroup.Group) error {
 	holders := make(map[string]holder)
 	for {
-		wanted := l.toDial()
+		wanted := l.wantedPeers()
 		for name, h := range holders {
 			if wanted[name] != h.address {
 				h.cancel()
@@ -177,26 +187,35 @@
 	}
 }
 
-// toDial gives the wanted peers that this side dials. Of each pair the lesser
-// name dials and the other waits, so that the pair has one link and no byte goes
-// twice.
-func (l *Links) toDial() map[string]string {
+func (l *Links) wantedPeers() map[string]string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	dial := make(map[string]string, len(l.wanted))
-	for name, address := range l.wanted {
-		if l.cfg.Name < name {
-			dial[name] = address
-		}
-	}
-	return dial
+	return l.wanted
+}
+
+func (l *Links) linked(name string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.links[name] != nil
 }
 
 // hold keeps a link to the peer at address until ctx ends. Failures are spread
 // by a jittered back-off, so that a healed zone is not met by all at once.
+//
+// Of each pair the lesser name dials, so that the pair has one link and no byte
+// goes twice. The other waits, and dials only if no link comes: an instance that
+// started while the platform is away is in nobody's list but its own.
 func (l *Links) hold(ctx context.Context, name, address string) error {
 	backoff := minBackoff
 	for {
+		if name != "" && name < l.cfg.Name {
+			if !sleep(ctx, l.cfg.DialWait) {
+				return nil
+			}
+			if l.linked(name) {
+				continue
+			}
+		}
 		began := time.Now()
 		err := l.dial(ctx, name, address)
 		if ctx.Err() != nil {
@@ -206,15 +225,25 @@
 		if time.Since(began) > 2*maxBackoff {
 			backoff = minBackoff
 		}
-		select {
-		case <-ctx.Done():
+		if !sleep(ctx, backoff/2+rand.N(backoff)) {
 			return nil
-		case <-time.After(backoff/2 + rand.N(backoff)):
 		}
 		backoff = min(2*backoff, maxBackoff)
 	}
 }
 
+// sleep waits and tells whether ctx goes on.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
 func (l *Links) dial(ctx context.Context, name, address string) error {
 	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
