--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -56,6 +56,7 @@
 	configs   configState
 	members   memberState
 	lifecycle lifecycleState
+	observed  observations
 	peers     peersState
 	polls     pollState
 }
@@ -85,6 +86,7 @@
 		n.now = now
 	}
 	n.effects = n.effects[:0]
+	n.observe(event)
 	n.dispatch(event)
 	return n.effects
 }
--- a/internal/core/peers_test.go
+++ b/internal/core/peers_test.go
@@ -317,7 +317,8 @@
 		}
 	}
 	require.Equal(t, 7, asked)
-	n.Handle(now, ConfigOffered{Envelope: config.Envelope{Generation: 8, Text: "{}"}})
+	text := `{"services": [{"name": "portal", "kind": "plain", "from_platform": true}], "customers": [{"name": "branch"}]}`
+	n.Handle(now, ConfigOffered{Envelope: config.Envelope{Generation: 8, Text: text}})
 	require.Equal(t, uint64(8), n.generation())
 }
 
