--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -49,7 +49,9 @@
 		Zone:        s.Zone,
 		Incarnation: uint64(start.UnixNano()),
 		Listener:    peerListener,
+		Seeds:       s.Seeds,
 		Post:        loop.Post,
+		Metrics:     counters,
 	})
 	server := proxy.New(loop.Post, proxyOptions(s.Limits, counters))
 	exec := &executor{
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -72,7 +72,7 @@
 	}
 	if err != nil {
 		if !dialed {
-			l.stats.strangers.Add(1)
+			l.stats.stranger()
 		}
 		return err
 	}
@@ -243,7 +243,7 @@
 
 func (k *link) readError(err error) error {
 	if errors.Is(err, errFrame) {
-		k.owner.stats.badFrames.Add(1)
+		k.owner.stats.badFrame()
 	}
 	return err
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -19,6 +19,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/ebonydyke/ebonydyke/internal/core"
+	"github.com/ebonydyke/ebonydyke/internal/metrics"
 )
 
 // protocolVersion is the version in the hello; a link between two versions is
@@ -54,6 +55,8 @@
 	Seeds []string
 	// Post hands events to the core; it may wait.
 	Post func(core.Event)
+	// Metrics may be nil.
+	Metrics *metrics.Metrics
 	// IdleLimit is how long a link may be silent; 0 is the default.
 	IdleLimit time.Duration
 	// DialWait is how long the greater name of a pair waits for the lesser to
@@ -90,6 +93,7 @@
 	}
 	return &Links{
 		cfg:       cfg,
+		stats:     Stats{metrics: cfg.Metrics},
 		changed:   make(chan struct{}, 1),
 		strangers: make(chan struct{}, maxStrangers),
 		wanted:    make(map[string]string),
@@ -268,7 +272,7 @@
 		select {
 		case l.strangers <- struct{}{}:
 		default:
-			l.stats.strangers.Add(1)
+			l.stats.stranger()
 			_ = conn.Close()
 			continue
 		}
--- a/internal/peer/stats.go
+++ b/internal/peer/stats.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 
 	"github.com/ebonydyke/ebonydyke/internal/core"
+	"github.com/ebonydyke/ebonydyke/internal/metrics"
 )
 
 // Kind is the kind of a message, a label of the control counters.
@@ -78,6 +79,7 @@
 
 // Stats counts what all links of an instance carried.
 type Stats struct {
+	metrics       *metrics.Metrics
 	in, out       [kinds]counter
 	drops         [kinds]atomic.Uint64
 	wireIn        atomic.Uint64
@@ -127,16 +129,41 @@
 func (s *Stats) received(k Kind, frame int) {
 	n := WireSize(frame)
 	s.in[k].add(n)
+	if s.metrics != nil {
+		s.metrics.ControlBytes(k.String(), metrics.Received, n)
+	}
 	s.framesByteIn.Add(uint64(n))
 }
 
 func (s *Stats) sent(k Kind, frameWithLength int) {
 	n := frameWithLength + YamuxHeader
 	s.out[k].add(n)
+	if s.metrics != nil {
+		s.metrics.ControlBytes(k.String(), metrics.Sent, n)
+	}
 	s.framesByteOut.Add(uint64(n))
 }
 
-func (s *Stats) dropped(k Kind) { s.drops[k].Add(1) }
+func (s *Stats) dropped(k Kind) {
+	s.drops[k].Add(1)
+	if s.metrics != nil {
+		s.metrics.Count("peer_dropped", k.String(), 1)
+	}
+}
+
+func (s *Stats) stranger() {
+	s.strangers.Add(1)
+	if s.metrics != nil {
+		s.metrics.Count("peer_strangers", "", 1)
+	}
+}
+
+func (s *Stats) badFrame() {
+	s.badFrames.Add(1)
+	if s.metrics != nil {
+		s.metrics.Count("peer_bad_frames", "", 1)
+	}
+}
 
 // WireSize is what a frame of so many bytes takes on the connection.
 func WireSize(frame int) int {
