--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build run test lint format generate
+.PHONY: build run test lint format generate measure-control
 
 build:
 	go build -o bin/ ./cmd/... ./test/standin
@@ -23,3 +23,7 @@
 generate:
 	protoc --go_out=. --go_opt=paths=source_relative api/peerpb/peer.proto
 	sha256sum < api/peerpb/peer.proto | cut -d ' ' -f 1 > api/peerpb/peer.proto.sha256
+
+# Control traffic of whole fleets in virtual time; SIZE picks one of them.
+measure-control:
+	go run ./internal/measure/control -size "$(SIZE)"
