--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -18,6 +18,7 @@
 		for kind, n := range now.Dropped {
 			c.Dropped[kind.String()] = n
 		}
+		c.Strangers, c.BadFrames = now.Strangers, now.BadFrames
 		return c
 	}
 }
--- a/internal/metrics/control.go
+++ b/internal/metrics/control.go
@@ -25,6 +25,10 @@
 	Traffic []Traffic
 	// Dropped counts messages that found no link or a full queue, by kind.
 	Dropped map[string]uint64
+	// Strangers counts connections that were no peer's.
+	Strangers uint64
+	// BadFrames counts links ended because of bytes that are no frame.
+	BadFrames uint64
 }
 
 // control reads the counters of the links at each scrape, so that the links need
@@ -34,6 +38,7 @@
 	bytes    *prometheus.Desc
 	messages *prometheus.Desc
 	dropped  *prometheus.Desc
+	rejected *prometheus.Desc
 }
 
 // ReadControl reads the control traffic with f at each scrape.
@@ -43,6 +48,7 @@
 		bytes:    prometheus.NewDesc("ebonydyke_control_bytes_total", "Bytes exchanged with peers, framing included.", []string{"kind", "direction"}, nil),
 		messages: prometheus.NewDesc("ebonydyke_control_messages_total", "Messages exchanged with peers.", []string{"kind", "direction"}, nil),
 		dropped:  prometheus.NewDesc("ebonydyke_control_dropped_total", "Messages to peers that found no link or a full queue.", []string{"kind"}, nil),
+		rejected: prometheus.NewDesc("ebonydyke_control_rejected_total", "Connections rejected at the peers' port.", []string{"why"}, nil),
 	})
 }
 
@@ -51,6 +57,7 @@
 	out <- c.bytes
 	out <- c.messages
 	out <- c.dropped
+	out <- c.rejected
 }
 
 // Collect implements prometheus.Collector.
@@ -64,4 +71,6 @@
 	for kind, n := range now.Dropped {
 		out <- prometheus.MustNewConstMetric(c.dropped, prometheus.CounterValue, float64(n), kind)
 	}
+	out <- prometheus.MustNewConstMetric(c.rejected, prometheus.CounterValue, float64(now.Strangers), "stranger")
+	out <- prometheus.MustNewConstMetric(c.rejected, prometheus.CounterValue, float64(now.BadFrames), "bad-frame")
 }
