Seed each instance's random source from the system, not the clock

Cause: the seed was the start time in nanoseconds. Two instances started in the same nanosecond would draw the same claim tokens, and each would take the other's claim for its own. Found by reading; not seen in a run.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"time"
 
@@ -29,7 +30,9 @@
 		Zone:        s.Zone,
 		PeerAddress: s.PeerListen,
 		Incarnation: uint64(start.UnixNano()),
-		Seed:        uint64(start.UnixNano()),
+		// Not the clock: instances started at the same moment would draw the same
+		// claim tokens, and each would take the other's claim for its own.
+		Seed:        rand.Uint64(),
 		AcceptDelay: time.Duration(s.AcceptDelay),
 	}))
 	loop.CountIn(counters)
