--- a/internal/core/loads.go
+++ b/internal/core/loads.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"time"
+
 	"github.com/ebonydyke/ebonydyke/internal/core/load"
 	"github.com/ebonydyke/ebonydyke/internal/core/membership"
 )
@@ -17,24 +19,17 @@
 	n.loadChanged(backend)
 }
 
-// backendSaid takes the load that a backend server names itself, from an answer's
+// loadReported takes the load that a backend server names itself, from an answer's
 // header, a poll or a peer's digest.
-func (n *Node) backendSaid(r membership.Report) {
+func (n *Node) loadReported(r membership.Report) {
 	if n.poolOf[r.Backend] != nil && n.load.Report(r, n.now) {
 		n.loadChanged(r.Backend)
 	}
 }
 
-// peerLoads takes the loads and reports of a peer's digest.
-func (n *Node) peerLoads(from string, d *Digest) {
-	counts := make([]load.Count, len(d.Loads))
-	for i, l := range d.Loads {
-		counts[i] = load.Count{Backend: l.Backend, InFlight: l.InFlight}
-	}
-	n.loadsChanged(n.load.Digest(from, d.At, d.Full, counts, n.now))
-	for _, r := range d.Reports {
-		n.backendSaid(r)
-	}
+// peerLoads takes the loads in a peer's digest that changed.
+func (n *Node) peerLoads(peer string, at time.Time, counts []load.Count) {
+	n.loadsChanged(n.load.Digest(peer, at, false, counts, n.now))
 }
 
 // forgetPeerLoads drops the loads of a peer that has left or started anew.
--- a/internal/core/placement.go
+++ b/internal/core/placement.go
@@ -149,8 +149,8 @@
 		}
 	}
 	if svc.FromPlatform {
-		n.view.Each(func(in *membership.Instance) {
-			if in.Role == membership.Backend && in.Service == svc.Name && in.State == membership.Live {
+		n.view.EachOf(svc.Name, func(in *membership.Instance) {
+			if in.Role == membership.Backend && in.State == membership.Live {
 				list = append(list, n.candidate(in.Name, in.Address, in.Zone, in.Incarnation))
 			}
 		})
@@ -171,12 +171,9 @@
 	}
 }
 
-// backendAnswered takes what the end of an attempt says of its backend server.
-// It is called before the request's next attempt is placed.
+// backendAnswered takes what the end of an attempt says of the way to its backend
+// server. It is called before the request's next attempt is placed.
 func (n *Node) backendAnswered(backend string, e AttemptEnded) {
-	if e.Load != nil && e.Load.Backend == backend {
-		n.backendSaid(*e.Load)
-	}
 	if e.Outcome == retry.NotSent {
 		n.reach.failed(backend, n.now)
 		n.setReach(backend, true)
