Keep room for returning turns; judge by measure with the nodes' own digests

The measure now carries the nodes' own digests (SetPeers, SendPeer, polls) in place of a feed of its own.

Whether a customer's callers send hints is a running share for each customer.

--- a/Makefile
+++ b/Makefile
@@ -33,3 +33,8 @@
 # Control traffic of whole fleets in virtual time; SIZE picks one of them.
 measure-control:
 	go run ./internal/measure/control -size "$(SIZE)"
+
+# The decisions against baselines and an oracle, in virtual time; about a minute.
+.PHONY: measure
+measure:
+	go run ./cmd/ebonymeasure --out out/measure
--- a/cmd/ebonymeasure/main.go
+++ b/cmd/ebonymeasure/main.go
@@ -57,16 +57,9 @@
 func (o *options) runs() []run {
 	wanted := func(list []string, name string) bool { return len(list) == 0 || slices.Contains(list, name) }
 	var list []run
-	for _, s := range measure.Scenarios(o.Seed) {
+	for _, s := range append(measure.Scenarios(o.Seed), measure.Curve(o.Seed)...) {
 		for _, p := range measure.Policies {
-			if wanted(o.Scenario, s.Name) && wanted(o.Policy, p) {
-				list = append(list, run{s, p})
-			}
-		}
-	}
-	for _, s := range measure.Curve(o.Seed) {
-		for _, p := range []string{"ours", "ours-hint", "oracle"} {
-			if wanted(o.Scenario, s.Name) && wanted(o.Policy, p) {
+			if s.Plays(p) && wanted(o.Scenario, s.Name) && wanted(o.Policy, p) {
 				list = append(list, run{s, p})
 			}
 		}
@@ -105,12 +98,12 @@
 
 func printTable(figures []measure.Figures) error {
 	out := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(out, "scenario\tpolicy\tbound\tturns\tmean\treuse\tworst\tp99\tover\tby\tplaced over\t"+
+	_, _ = fmt.Fprintln(out, "scenario\tpolicy\tbound\tturns\tmean\treuse\tworst\tp99\tover\tby\tplaced over\tbroken\t"+
 		"quiet: refused\twait p95\trush: refused\tgiven up\twait p95\tsurging: refused\t")
 	for _, f := range figures {
-		fmt.Fprintf(out, "%s\t%s\t%.2f\t%d\t%.1f\t%.3f\t%.2f\t%.2f\t%.4f\t%.1f\t%d by %d\t%d\t%.2f\t%d of %d\t%d\t%.2f\t%d of %d\t\n",
+		_, _ = fmt.Fprintf(out, "%s\t%s\t%.2f\t%d\t%.1f\t%.3f\t%.2f\t%.2f\t%.4f\t%.1f\t%d by %d\t%d\t%d\t%.2f\t%d of %d\t%d\t%.2f\t%d of %d\t\n",
 			f.Scenario, f.Policy, f.Bound, f.Turns, f.Mean, f.Reuse, f.Worst, f.P99, f.Over, f.OverRequests,
-			f.OverDecisions, f.OverMost, f.Quiet.Refusals, f.Quiet.WaitP95,
+			f.OverDecisions, f.OverMost, f.Broken, f.Quiet.Refusals, f.Quiet.WaitP95,
 			f.Rush.Refusals, f.Rush.Turns, f.Rush.GivenUp, f.Rush.WaitP95, f.Surging.Refusals, f.Surging.Turns)
 	}
 	return out.Flush()
--- a/internal/core/digests.go
+++ b/internal/core/digests.go
@@ -288,7 +288,7 @@
 		counts[i] = load.Count{Backend: backend, InFlight: p.heard.sum(backend)}
 	}
 	// Also without a change: the tracker ages the loads of peers that say nothing.
-	n.peerLoads(p.name, d.At, counts)
+	n.peerLoads(p.name, counts)
 }
 
 // takeList merges a list and adds the backend servers that it changed to touched.
--- a/internal/core/load/load.go
+++ b/internal/core/load/load.go
@@ -137,8 +137,8 @@
 // returns the backend servers whose estimate changed; the slice is valid until the
 // tracker's next call.
 //
-// Digests may come late, twice or out of order. One that is not newer by the
-// peer's own clock is dropped, unless the peer was silent for so long that its
+// Digests may come late, twice or out of order. One that is older by the peer's own
+// clock is dropped, unless the peer was silent for so long that its
 // clock must have been set back.
 func (t *Tracker) Digest(name string, at time.Time, full bool, counts []Count, now time.Time) []string {
 	t.changed = t.changed[:0]
@@ -146,7 +146,7 @@
 	if p == nil {
 		p = &peer{loads: make(map[string]int), weight: 1}
 		t.peers[name] = p
-	} else if !at.After(p.at) && now.Sub(p.heard) < clockStep {
+	} else if at.Before(p.at) && now.Sub(p.heard) < clockStep {
 		return nil
 	}
 	p.at, p.heard = at, now
--- a/internal/core/load/load_test.go
+++ b/internal/core/load/load_test.go
@@ -115,7 +115,7 @@
 				count := rapid.IntRange(-1, 9).Draw(t, "count")
 				tr.Digest(peer, at, full, []load.Count{{Backend: name, InFlight: count}}, now)
 				old, ok := newest[peer]
-				if ok && !at.After(old.at) {
+				if ok && at.Before(old.at) {
 					continue
 				}
 				if full || !ok {
--- a/internal/core/loads.go
+++ b/internal/core/loads.go
@@ -1,8 +1,6 @@
 package core
 
 import (
-	"time"
-
 	"github.com/ebonydyke/ebonydyke/internal/core/load"
 	"github.com/ebonydyke/ebonydyke/internal/core/membership"
 )
@@ -27,9 +25,10 @@
 	}
 }
 
-// peerLoads takes the loads in a peer's digest that changed.
-func (n *Node) peerLoads(peer string, at time.Time, counts []load.Count) {
-	n.loadsChanged(n.load.Digest(peer, at, false, counts, n.now))
+// peerLoads takes the loads in a peer's digest that changed. Digests that came late
+// or twice were dropped before, by their sequence numbers, so each counts as of now.
+func (n *Node) peerLoads(peer string, counts []load.Count) {
+	n.loadsChanged(n.load.Digest(peer, n.now, false, counts, n.now))
 }
 
 // forgetPeerLoads drops the loads of a peer that has left or started anew.
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -50,6 +50,7 @@
 	pools     map[string]*pool
 	poolOf    map[string]*pool
 	reach     reachability
+	hints     hintShares
 	admission admissionState
 	requests  map[RequestID]*request
 	due       dueQueue
@@ -71,6 +72,7 @@
 		pools:     make(map[string]*pool),
 		poolOf:    make(map[string]*pool),
 		reach:     make(reachability),
+		hints:     make(hintShares),
 		admission: newAdmissionState(),
 		requests:  make(map[RequestID]*request),
 		members:   memberState{heard: make(map[string]time.Time)},
--- a/internal/core/placement.go
+++ b/internal/core/placement.go
@@ -17,6 +17,8 @@
 	// candidates are the usable backend servers, sorted by name.
 	candidates []routing.Candidate
 	index      map[string]int
+	// near counts the candidates in the own availability zone.
+	near int
 	// total is the sum of the candidates' loads, unreachable ones included.
 	total float64
 	// unreachable and lost count the unreachable candidates and their load.
@@ -25,6 +27,13 @@
 	budget      *retry.Budget
 }
 
+// nearPool is the number of backend servers in an availability zone from which on
+// its chats stay there. Smaller pools are ranked over all zones: a few servers a
+// zone cannot even out the load, and instances of several zones behind one balancer
+// would each have their own ranking for the same chat. In large pools the zone is
+// enough, and its instances know the loads in other zones only from late reports.
+const nearPool = 32
+
 // retryBurst is how many retries a service may spend before its successes have
 // earned any.
 const retryBurst = 10
@@ -64,13 +73,14 @@
 func (n *Node) choice(r *request, p *pool) routing.Choice {
 	chat := chatHash(r)
 	total, count := p.reachable()
+	hinted := n.hinted(r, p)
 	return routing.Choice{
 		Chat:       chat,
-		Hinted:     n.hinted(r, p),
-		PreferNear: r.arrived.Chat == "",
+		Hinted:     hinted,
+		PreferNear: r.arrived.Chat == "" || p.near >= nearPool,
 		Tried:      r.tried,
 		Capacity:   float64(r.service.Capacity),
-		Limits:     routing.LimitsFor(r.service.SkewBound, total, count, chat),
+		Limits:     routing.LimitsFor(r.service.SkewBound, total, count, chat, n.hints.kind(r)),
 	}
 }
 
@@ -81,7 +91,11 @@
 		return routing.None
 	}
 	hint, ok := routing.DecodeHint(r.arrived.Hint)
-	if !ok || !hint.Fresh(n.now) {
+	ok = ok && hint.Fresh(n.now)
+	if r.attempt == 0 {
+		n.hints.saw(r.arrived.Customer, ok)
+	}
+	if !ok {
 		return routing.None
 	}
 	i, ok := p.index[hint.Backend]
@@ -96,6 +110,44 @@
 	return routing.NewHint(c, n.now).Encode()
 }
 
+// hintShares tells the customers whose callers send hints back: for each, the
+// running share of turns that came with one. Without it a first turn, which any
+// backend server may take, looks like the return of a chat whose caller sends no
+// hints, which only its ranking leads back to its prefix. It holds at most one
+// number a customer of the configuration.
+type hintShares map[string]float64
+
+const (
+	// hintMemory is over how many turns the share runs.
+	hintMemory = 64
+	// hintingShare is the share from which on a customer counts as sending hints.
+	hintingShare = 0.25
+)
+
+func (m hintShares) saw(customer string, hinted bool) {
+	x := 0.0
+	if hinted {
+		x = 1
+	}
+	m[customer] += (x - m[customer]) / hintMemory
+}
+
+func (m hintShares) kind(r *request) routing.Kind {
+	if m[r.arrived.Customer] >= hintingShare {
+		return routing.First
+	}
+	return routing.Unhinted
+}
+
+// forget drops the customers that the configuration no longer names.
+func (m hintShares) forget(snapshot *config.Snapshot) {
+	for customer := range m {
+		if snapshot.Customer(customer) == nil {
+			delete(m, customer)
+		}
+	}
+}
+
 // chatHash ranks a request without a chat by its own id.
 func chatHash(r *request) uint64 {
 	if r.arrived.Chat == "" {
@@ -111,6 +163,7 @@
 		return
 	}
 	clear(n.poolOf)
+	n.hints.forget(n.snapshot)
 	for _, name := range n.snapshot.Services() {
 		n.rebuildPool(name)
 	}
@@ -128,6 +181,9 @@
 		p.index[c.Name] = i
 		c.Load = n.load.Estimate(c.Name)
 		p.total += c.Load
+		if !c.Far {
+			p.near++
+		}
 		if n.reach.unreachable(c.Name, n.now) {
 			p.setUnreachable(c, true)
 		}
--- a/internal/core/routing/routing.go
+++ b/internal/core/routing/routing.go
@@ -120,30 +120,52 @@
 	return !c.Unreachable && !slices.Contains(ch.Tried, c.Name)
 }
 
-// The inner limits as shares of what the bound leaves above the mean, found by
-// trial over bounds and pool sizes (docs/design/placement.md).
+// Where the inner limits lie, found by trial over bounds, loads and pool sizes
+// (docs/design/placement.md).
 const (
-	innerLow  = 0.2
-	innerHigh = 1.0
-	hintedAt  = 1.0
+	// margin is how far under the bound every limit but the outer one lies, in
+	// square roots of the mean: loads wander by about one such root.
+	margin = 0.4
+	// The limits of a chat without a hint are spread over this part of what the
+	// margin leaves above the mean.
+	unhintedLow, unhintedHigh = 0.3, 1.0
+	// The limits of a first turn, which has no prefix to find, are spread lower and
+	// so keep room for the turns that return.
+	firstLow, firstHigh = 0.0, 0.3
+)
+
+// Kind is what a request stands to lose when it is placed elsewhere.
+type Kind int
+
+// The kinds of request.
+const (
+	// Unhinted is a chat whose caller sends no hints: its ranking is all there is.
+	Unhinted Kind = iota
+	// First is a chat without a hint of a caller that does send them.
+	First
 )
 
 // LimitsFor returns the limits of one decision: total requests in progress at n
 // backend servers, and the bound as a multiple of their mean.
 //
 // The mean falls as other requests end, and every load is an estimate, so a
-// backend server filled up to the bound crosses it a moment later. The inner limit
-// therefore lies under the bound. It is spread by the chat's hash, the same on
-// every instance, so that instances which see the same stale load neither all
-// stop at one backend server at once nor all move on to the same next one.
-func LimitsFor(bound, total float64, n int, chat uint64) Limits {
+// backend server filled up to the bound crosses it a moment later. The limits
+// therefore lie under the bound by a margin that shrinks with the mean. The inner
+// one is also spread by the chat's hash, the same on every instance, so that
+// instances which see the same stale load neither all stop at one backend server
+// at once nor all move on to the same next one.
+func LimitsFor(bound, total float64, n int, chat uint64, kind Kind) Limits {
 	mean := (total + 1) / float64(n)
-	even := math.Ceil(mean)
+	room := max(0, (bound-1)*mean-margin*math.Sqrt(mean))
+	low, high := unhintedLow, unhintedHigh
+	if kind == First {
+		low, high = firstLow, firstHigh
+	}
 	spread := float64(chat>>11) / (1 << 53)
-	inner := innerLow + (innerHigh-innerLow)*spread
+	even := math.Ceil(mean)
 	return Limits{
-		Inner:  max(1, even, math.Floor(mean*(1+(bound-1)*inner))),
-		Hinted: max(1, even, math.Floor(mean*(1+(bound-1)*hintedAt))),
+		Inner:  max(1, even, math.Floor(mean+room*(low+(high-low)*spread))),
+		Hinted: max(1, even, math.Floor(mean+room)),
 		Outer:  Limit(bound, total, n),
 	}
 }
--- a/internal/core/routing/routing_test.go
+++ b/internal/core/routing/routing_test.go
@@ -85,7 +85,7 @@
 			Hinted:     rapid.IntRange(-1, len(list)-1).Draw(t, "hint"),
 			PreferNear: rapid.Bool().Draw(t, "near"),
 			Capacity:   float64(rapid.IntRange(1, 40).Draw(t, "capacity")),
-			Limits:     routing.LimitsFor(rapid.Float64Range(1.01, 2).Draw(t, "bound"), total(list), len(list), chat),
+			Limits:     routing.LimitsFor(rapid.Float64Range(1.01, 2).Draw(t, "bound"), total(list), len(list), chat, routing.First),
 		}
 		for range rapid.IntRange(0, 3).Draw(t, "tries") {
 			ch.Tried = append(ch.Tried, list[rapid.IntRange(0, len(list)-1).Draw(t, "tried")].Name)
@@ -112,7 +112,7 @@
 		list := candidates(rapid.IntRange(1, 60).Draw(t, "n"), func(int) float64 {
 			return float64(rapid.IntRange(0, 200).Draw(t, "load"))
 		})
-		limits := routing.LimitsFor(rapid.Float64Range(1.01, 2).Draw(t, "bound"), total(list), len(list), rapid.Uint64().Draw(t, "chat"))
+		limits := routing.LimitsFor(rapid.Float64Range(1.01, 2).Draw(t, "bound"), total(list), len(list), rapid.Uint64().Draw(t, "chat"), routing.Unhinted)
 		least := slices.MinFunc(list, func(a, b routing.Candidate) int { return int(a.Load - b.Load) })
 		require.LessOrEqual(t, least.Load+1, limits.Inner)
 		require.LessOrEqual(t, limits.Inner, limits.Outer)
@@ -128,7 +128,7 @@
 	moved := 0
 	for chat := range uint64(5000) {
 		h := rendezvous.Hash(fmt.Sprint(chat))
-		ch := routing.Choice{Chat: h, Hinted: routing.None, Capacity: 64, Limits: routing.LimitsFor(1.25, 0, 12, h)}
+		ch := routing.Choice{Chat: h, Hinted: routing.None, Capacity: 64, Limits: routing.LimitsFor(1.25, 0, 12, h, routing.Unhinted)}
 		before, after := list[routing.Pick(list, &ch)].Name, left[routing.Pick(left, &ch)].Name
 		if before != after {
 			require.Equal(t, list[5].Name, before)
@@ -177,7 +177,7 @@
 			b.ReportAllocs()
 			for i := range b.N {
 				chat := rendezvous.Score(uint64(i), 1)
-				ch := routing.Choice{Chat: chat, Hinted: routing.None, Capacity: 64, Limits: routing.LimitsFor(1.25, sum, n, chat)}
+				ch := routing.Choice{Chat: chat, Hinted: routing.None, Capacity: 64, Limits: routing.LimitsFor(1.25, sum, n, chat, routing.Unhinted)}
 				if routing.Pick(list, &ch) == routing.None {
 					b.Fatal("none chosen")
 				}
--- a/internal/measure/baselines.go
+++ b/internal/measure/baselines.go
@@ -154,7 +154,7 @@
 	}
 	chat := rendezvous.Hash(t.chat.id)
 	choice := routing.Choice{Chat: chat, Hinted: routing.None, Capacity: math.Inf(1)}
-	choice.Limits = routing.LimitsFor(b.w.Bound, total, len(b.list), chat)
+	choice.Limits = routing.LimitsFor(b.w.Bound, total, len(b.list), chat, routing.Unhinted)
 	return max(0, routing.Pick(b.candidates, &choice))
 }
 
--- a/internal/measure/engine.go
+++ b/internal/measure/engine.go
@@ -7,12 +7,12 @@
 	"github.com/ebonydyke/ebonydyke/internal/core/membership"
 )
 
-// The fake engine's speeds, in tokens a second, and the load at which it has
-// become half as fast: continuous batching shares one accelerator.
+// The fake engine's speeds, in tokens a second, and at how many times its mean load
+// it has become half as fast: continuous batching shares one accelerator.
 const (
 	prefillRate = 8000.0
 	decodeRate  = 60.0
-	halfSpeedAt = 128.0
+	halfSpeedAt = 5.0
 )
 
 // reportLag is how late a backend server's report tells its load.
@@ -31,9 +31,10 @@
 	incarnation uint64
 	state       membership.State
 	// listed is what the platform's late list says.
-	listed  membership.Instance
-	cache   *prefixCache
-	running []*turn
+	listed    membership.Instance
+	halfSpeed float64
+	cache     *prefixCache
+	running   []*turn
 	// history holds the loads of the last reportLag, the oldest at next.
 	history [historySize]int
 	next    int
@@ -59,7 +60,7 @@
 // start runs a turn and returns when its first token comes and when it ends.
 func (s *server) start(t *turn) (first, end time.Duration) {
 	t.cached = min(t.prefix, s.cache.get(t.chat))
-	slow := 1 + float64(s.load())/halfSpeedAt
+	slow := 1 + float64(s.load())/s.halfSpeed
 	t.index = len(s.running)
 	s.running = append(s.running, t)
 	first = seconds(slow * float64(t.prefix+t.fresh-t.cached) / prefillRate)
--- a/internal/measure/faults.go
+++ b/internal/measure/faults.go
@@ -6,24 +6,22 @@
 	"github.com/ebonydyke/ebonydyke/internal/core/membership"
 )
 
-// The pace of the faults. Larger fleets see them more often, as their number of
-// backend servers grows.
+// The pace of the faults, whatever the size of the fleet.
 const (
-	leaveEvery   = time.Minute
-	leaveFor     = time.Minute
-	drainFor     = 20 * time.Second
-	flapEvery    = 3 * time.Minute
-	flapFor      = 4 * time.Second
-	flapTimes    = 3
-	replaceEvery = 30 * time.Second
-	zoneLostFor  = 2 * time.Minute
+	leaveEvery  = time.Minute
+	leaveFor    = time.Minute
+	drainFor    = 20 * time.Second
+	flapEvery   = 3 * time.Minute
+	flapFor     = 4 * time.Second
+	flapTimes   = 3
+	zoneLostFor = 2 * time.Minute
 )
 
 func (w *world) faults() {
 	if w.Churn {
 		w.every(w.Warmup+5*time.Second, leaveEvery, w.leaveAndJoin)
 		w.every(w.Warmup+35*time.Second, flapEvery, func() { w.flap(w.drawServer(), flapTimes) })
-		w.every(replaceEvery, replaceEvery, w.replaceRouter)
+		w.every(w.ReplaceEvery, w.ReplaceEvery, w.replaceRouter)
 	}
 	if w.ZoneLoss {
 		w.after(w.Warmup+w.measured()/2, w.loseZone)
@@ -96,7 +94,7 @@
 func (w *world) loseZone() {
 	const lost = 1
 	for i, s := range w.servers {
-		if i%zones == lost {
+		if i%w.Zones == lost {
 			w.crash(s)
 			w.after(zoneLostFor, func() { w.join(s) })
 		}
--- a/internal/measure/figures.go
+++ b/internal/measure/figures.go
@@ -30,6 +30,8 @@
 	// the limit as an all-knowing observer reckons it; OverMost is by how many.
 	OverDecisions int `json:"over_decisions"`
 	OverMost      int `json:"over_most"`
+	// Broken counts turns that a crash broke off and the retry budget gave up.
+	Broken int `json:"broken"`
 	// Quiet and Rush are the customers that never surge, outside and inside the
 	// others' surge; Surging are those that do, inside it.
 	Quiet   Service `json:"quiet"`
@@ -103,7 +105,13 @@
 	g.waits = append(g.waits, wait.Seconds())
 }
 
-func (f *tally) refused(w *world, t *turn) { f.group(w, t).Refusals++ }
+func (f *tally) refused(w *world, t *turn) {
+	if t.broken {
+		f.Broken++
+		return
+	}
+	f.group(w, t).Refusals++
+}
 
 func (f *tally) givenUp(w *world, t *turn) { f.group(w, t).GivenUp++ }
 
--- a/internal/measure/fleet.go
+++ b/internal/measure/fleet.go
@@ -8,6 +8,7 @@
 	"github.com/ebonydyke/ebonydyke/internal/core"
 	"github.com/ebonydyke/ebonydyke/internal/core/config"
 	"github.com/ebonydyke/ebonydyke/internal/core/membership"
+	"github.com/ebonydyke/ebonydyke/internal/core/reason"
 	"github.com/ebonydyke/ebonydyke/internal/core/retry"
 )
 
@@ -29,7 +30,6 @@
 	zone        string
 	node        *core.Node
 	incarnation uint64
-	own         map[string]int
 	peers       map[string]bool
 	inFlight    int
 	retired     bool
@@ -45,7 +45,6 @@
 	byName    map[string]*process
 	servers   map[string]*server
 	placing   map[*turn]*placing
-	nextFeed  time.Duration
 	started   uint64
 }
 
@@ -78,10 +77,10 @@
 func configuration(s *Scenario) config.Envelope {
 	text := config.Text{Services: []config.Service{{
 		Name: serviceName, Kind: config.Model, FromPlatform: true,
-		SkewBound: s.Bound, Capacity: s.Capacity, Deadline: config.Duration(10 * time.Minute),
+		SkewBound: s.Bound, Capacity: s.Capacity, Deadline: config.Duration(9 * time.Minute),
 	}}}
-	for i := range customerShares {
-		text.Customers = append(text.Customers, config.Customer{Name: customerName(i)})
+	for i, share := range customerShares {
+		text.Customers = append(text.Customers, config.Customer{Name: customerName(i), Weight: 100 * share})
 	}
 	body, err := json.Marshal(text)
 	if err != nil {
@@ -101,7 +100,6 @@
 		name:        fmt.Sprintf("%s-%d", r.name, f.started),
 		zone:        fmt.Sprint("zone-", r.zone),
 		incarnation: f.started,
-		own:         make(map[string]int),
 		peers:       make(map[string]bool),
 	}
 	p.node = core.New(core.Settings{
@@ -132,6 +130,8 @@
 
 func (f *fleet) carryOut(p *process, effect core.Effect) {
 	switch e := effect.(type) {
+	case core.ConfigRefused:
+		panic(e.Findings.Error())
 	case core.ListInstances:
 		f.w.after(platformDelay, func() { f.handle(p, core.InstancesListed{Op: e.Op, Members: f.list()}) })
 	case core.PollReport:
@@ -209,12 +209,12 @@
 	pl := f.placing[t]
 	if attempt == nil {
 		delete(f.placing, t)
+		t.broken = refused.Outcome != reason.NotRun
 		return nil, refused.RetryAfter
 	}
 	s := f.servers[attempt.Backend]
 	t.server = s
 	pl.attempt, pl.hint = attempt.Attempt, attempt.Placement
-	pl.process.own[s.name]++
 	pl.process.inFlight++
 	return s, 0
 }
@@ -222,7 +222,6 @@
 // leave ends the turn's running attempt at its node.
 func (f *fleet) leave(t *turn, outcome retry.Outcome) (*core.SendAttempt, *core.Finish) {
 	pl := f.placing[t]
-	pl.process.own[t.server.name]--
 	pl.process.inFlight--
 	e := core.AttemptEnded{Request: core.RequestID(t.id()), Attempt: pl.attempt, Outcome: outcome}
 	if outcome == retry.Answered {
@@ -254,7 +253,6 @@
 }
 
 func (f *fleet) tick() {
-	f.feed()
 	kept := f.processes[:0]
 	for _, p := range f.processes {
 		if p.retired && p.inFlight == 0 {
@@ -266,32 +264,3 @@
 	}
 	f.processes = kept
 }
-
-// feed hands each node's loads to the others, full mesh, in place of the digests
-// that the nodes send themselves.
-func (f *fleet) feed() {
-	if f.w.DigestEvery == 0 || f.w.now < f.nextFeed {
-		return
-	}
-	f.nextFeed = f.w.now + f.w.DigestEvery
-	for k, p := range f.processes {
-		spread := f.w.DigestEvery * time.Duration(k) / time.Duration(len(f.processes))
-		f.w.after(spread, func() { f.tell(p) })
-	}
-}
-
-func (f *fleet) tell(p *process) {
-	digest := &core.Digest{At: f.now(), Full: true}
-	for _, s := range f.w.servers {
-		if n := p.own[s.name]; n > 0 {
-			digest.Loads = append(digest.Loads, core.BackendLoad{Backend: s.name, InFlight: n})
-		}
-	}
-	f.w.after(linkDelay, func() {
-		for _, other := range f.processes {
-			if other != p {
-				f.deliver(p.name, other.name, core.PeerMessage{Digest: digest})
-			}
-		}
-	})
-}
--- a/internal/measure/scenarios.go
+++ b/internal/measure/scenarios.go
@@ -1,6 +1,9 @@
 package measure
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // plenty is a capacity that no scenario without a limit reaches.
 const plenty = 100_000
@@ -8,9 +11,9 @@
 // Scenarios returns the runs by which the decisions are judged.
 func Scenarios(seed uint64) []Scenario {
 	reuse := Scenario{
-		Name: "reuse-churn", Seed: seed, Servers: 12, Routers: 8, Mean: 16, Capacity: plenty, Bound: 1.25,
+		Name: "reuse-churn", Seed: seed, Servers: 12, Routers: 8, Zones: 3, Mean: 16, Capacity: plenty, Bound: 1.25,
 		CacheTokens: 1_500_000, Warmup: 15 * time.Minute, Duration: 135 * time.Minute,
-		DigestEvery: 500 * time.Millisecond, Churn: true, ZoneLoss: true,
+		Churn: true, ReplaceEvery: 30 * time.Second, ZoneLoss: true,
 	}
 	skew := reuse
 	skew.Name, skew.Mean, skew.Surge, skew.ZoneLoss = "skew", 24, true, false
@@ -20,22 +23,36 @@
 	low := skew
 	low.Name, low.Mean = "skew-low", 9
 	large := skew
-	large.Name, large.Servers, large.Routers = "skew-large", 148, 58
-	large.Warmup, large.Duration = 2*time.Minute, 8*time.Minute
+	// One availability zone at the two-year size.
+	large.Name, large.Servers, large.Routers, large.Zones = "skew-large", 148, 58, 1
+	large.Warmup, large.Duration = 2*time.Minute, 6*time.Minute
+	// Ten times as often as 290 a day in 350 instances.
+	large.ReplaceEvery = 3 * time.Minute
+	full := large
+	full.Name, full.Mean = "skew-two-years", 65
+	full.Warmup, full.Duration = 90*time.Second, 210*time.Second
+	full.CacheTokens *= 3
+	full.Policies = []string{"rendezvous", "bound-exact", "ours", "ours-hint"}
 	rush := skew
 	rush.Name, rush.Capacity, rush.Churn = "rush", 36, false
-	return []Scenario{reuse, skew, steady, low, large, rush}
+	return []Scenario{reuse, skew, steady, low, large, full, rush}
 }
 
 // CurveBounds are the bounds over which reuse is set against skew.
 var CurveBounds = []float64{1.05, 1.1, 1.15, 1.2, 1.25, 1.3, 1.4, 1.5, 1.75, 2}
 
+// Plays tells whether the policy takes part in the scenario.
+func (s *Scenario) Plays(policyName string) bool {
+	return len(s.Policies) == 0 || slices.Contains(s.Policies, policyName)
+}
+
 // Curve returns the runs of the curve: the skew scenario at each bound.
 func Curve(seed uint64) []Scenario {
 	var list []Scenario
 	for _, bound := range CurveBounds {
 		s := Scenarios(seed)[1]
 		s.Name, s.Bound = "curve", bound
+		s.Policies = []string{"ours", "ours-hint", "oracle"}
 		list = append(list, s)
 	}
 	return list
--- a/internal/measure/workload.go
+++ b/internal/measure/workload.go
@@ -33,6 +33,8 @@
 	attempt               int
 	refusals              int
 	index                 int
+	// broken says that the turn was given up after a crash, not refused.
+	broken bool
 }
 
 func (t *turn) id() string { return fmt.Sprintf("%s/%d/%d", t.chat.id, t.number, t.refusals) }
--- a/internal/measure/world.go
+++ b/internal/measure/world.go
@@ -21,6 +21,7 @@
 	Seed    uint64
 	Servers int
 	Routers int
+	Zones   int
 	// Mean is about the requests in progress at a backend server.
 	Mean     float64
 	Capacity int
@@ -29,20 +30,20 @@
 	CacheTokens int
 	Warmup      time.Duration
 	Duration    time.Duration
-	// DigestEvery is how often the nodes' loads go to their peers; 0 is never.
-	DigestEvery time.Duration
 	// Surge lets two of ten customers surge tenfold in the middle third.
 	Surge bool
 	// Churn makes backend servers leave, join and flap and routers be replaced.
 	Churn bool
+	// ReplaceEvery is how often a router is replaced, with Churn.
+	ReplaceEvery time.Duration
+	// Policies are those that take part; all when empty.
+	Policies []string
 	// ZoneLoss loses an availability zone for two minutes in the middle.
 	ZoneLoss bool
 }
 
 func (s *Scenario) measured() time.Duration { return s.Duration - s.Warmup }
 
-const zones = 3
-
 // listLag is how late the platform's list tells a change; each router reads it at
 // its own moment, so that for seconds they disagree about who exists.
 const listLag = 2 * time.Second
@@ -88,15 +89,16 @@
 		w.servers = append(w.servers, &server{
 			name:        name,
 			hash:        rendezvous.Hash(name),
-			zone:        fmt.Sprint("zone-", i%zones),
+			zone:        fmt.Sprint("zone-", i%s.Zones),
 			incarnation: 1,
 			state:       membership.Live,
+			halfSpeed:   halfSpeedAt * s.Mean,
 			cache:       newPrefixCache(s.CacheTokens),
 		})
 		w.servers[i].listed = w.servers[i].instance()
 	}
 	for i := range s.Routers {
-		w.routers = append(w.routers, &router{index: i, name: fmt.Sprintf("entry-%03d", i), zone: i % zones})
+		w.routers = append(w.routers, &router{index: i, name: fmt.Sprintf("entry-%03d", i), zone: i % s.Zones})
 	}
 	return w
 }
@@ -172,6 +174,7 @@
 	if w.measuring() {
 		w.figures.refused(w, t)
 	}
+	t.broken = false
 	t.refusals++
 	t.attempt++
 	if t.refusals <= maxRefusals {
