Keep probes apart from slow readers of the operators' address

Sixteen slow readers of /status would have made the health check fail, and the balancer drop a sound instance; probes have slots of their own.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -36,9 +36,11 @@
 	ioTimeout = 10 * time.Second
 	// maxHeader is the largest header of a request, in bytes.
 	maxHeader = 16 << 10
-	// maxAtOnce bounds the requests served at once, and so those that wait for
-	// the core.
-	maxAtOnce = 16
+	// maxAnswers bounds the long answers given at once, and so what waits for the
+	// core. Probes have slots of their own: operators who read slowly must not make
+	// the balancer think that the instance is sick.
+	maxAnswers = 16
+	maxProbes  = 64
 )
 
 // Instance is what the interface shows and orders.
@@ -55,16 +57,19 @@
 
 // NewServer returns the server of an instance's interface.
 func NewServer(instance Instance, gatherer prometheus.Gatherer) *http.Server {
-	h := &handler{instance: instance, slots: make(chan struct{}, maxAtOnce)}
+	h := &handler{instance: instance}
+	answers, probes := make(slots, maxAnswers), make(slots, maxProbes)
 	mux := http.NewServeMux()
-	mux.Handle("GET "+PathMetrics, promhttp.HandlerFor(gatherer, promhttp.HandlerOpts{}))
-	mux.HandleFunc("GET "+PathHealth, h.health)
-	mux.HandleFunc("GET "+PathReady, h.ready)
-	mux.HandleFunc("GET "+PathStatus, h.status)
-	mux.HandleFunc("GET "+PathExplain, h.explain)
-	mux.HandleFunc("POST "+PathDrain, h.drain)
+	mux.Handle("GET "+PathMetrics, answers.bound(promhttp.HandlerFor(gatherer, promhttp.HandlerOpts{})))
+	mux.Handle("GET "+PathHealth, probes.bound(http.HandlerFunc(h.health)))
+	mux.Handle("GET "+PathReady, probes.bound(http.HandlerFunc(h.ready)))
+	mux.Handle("GET "+PathStatus, answers.bound(http.HandlerFunc(h.status)))
+	mux.Handle("GET "+PathExplain, answers.bound(http.HandlerFunc(h.explain)))
+	mux.Handle("POST "+PathDrain, probes.bound(http.HandlerFunc(h.drain)))
+	// A page in an operator's browser must not be able to drain an instance.
+	guard := http.NewCrossOriginProtection()
 	return &http.Server{
-		Handler:        h.bounded(mux),
+		Handler:        guard.Handler(mux),
 		ReadTimeout:    ioTimeout,
 		WriteTimeout:   ioTimeout,
 		IdleTimeout:    time.Minute,
@@ -74,20 +79,22 @@
 
 type handler struct {
 	instance Instance
-	slots    chan struct{}
 }
 
-// bounded refuses what is more than may be served at once, and bounds the wait
-// for the core.
-func (h *handler) bounded(next http.Handler) http.Handler {
+// slots bounds the requests that are served at once.
+type slots chan struct{}
+
+// bound refuses what is more than may be served at once, and bounds the wait for
+// the core.
+func (s slots) bound(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		select {
-		case h.slots <- struct{}{}:
+		case s <- struct{}{}:
 		default:
 			http.Error(w, "too many requests at once; try again", http.StatusServiceUnavailable)
 			return
 		}
-		defer func() { <-h.slots }()
+		defer func() { <-s }()
 		ctx, cancel := context.WithTimeout(r.Context(), coreTimeout)
 		defer cancel()
 		next.ServeHTTP(w, r.WithContext(ctx))
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -109,6 +109,22 @@
 	<-f.drained
 }
 
+// TestForeignPageCannotDrain is an operator's browser that shows a page of somebody
+// else's, which posts to the instance on the same machine.
+func TestForeignPageCannotDrain(t *testing.T) {
+	f := &fakeInstance{drained: make(chan struct{})}
+	req := httptest.NewRequest(http.MethodPost, admin.PathDrain, nil)
+	req.Header.Set("Sec-Fetch-Site", "cross-site")
+	answer := httptest.NewRecorder()
+	admin.NewServer(f, metrics.New().Gatherer()).Handler.ServeHTTP(answer, req)
+	require.Equal(t, http.StatusForbidden, answer.Code)
+	select {
+	case <-f.drained:
+		t.Fatal("drained")
+	default:
+	}
+}
+
 // TestStuckCore is an instance whose core no longer answers.
 //
 // The balancer goes on sending it requests and each of them hangs. The health and
