--- a/internal/peer/stats.go
+++ b/internal/peer/stats.go
@@ -136,7 +136,17 @@
 	s.framesByteOut.Add(uint64(n))
 }
 
-func (s *Stats) dropped(k Kind) { s.drops[k].Add(1) }
+func (s *Stats) dropped(k Kind) {
+	s.drops[k].Add(1)
+}
+
+func (s *Stats) stranger() {
+	s.strangers.Add(1)
+}
+
+func (s *Stats) badFrame() {
+	s.badFrames.Add(1)
+}
 
 // WireSize is what a frame of so many bytes takes on the connection.
 func WireSize(frame int) int {
