--- a/internal/core/config/check.go
+++ b/internal/core/config/check.go
@@ -257,9 +257,13 @@
 	}
 }
 
-func (c *checker) name(path, name string) {
+func (c *checker) name(path, name string) { CheckName(c.doc, path, name) }
+
+// CheckName adds a finding for a name that may not stand in headers, metric labels
+// and paths, or is missing.
+func CheckName(doc *jsonc.Document, path, name string) {
 	if len(name) > MaxName || !namePattern.MatchString(name) {
-		c.doc.Add(path, "%s %q, expected up to %d letters, digits and ._- beginning with a letter or digit", lastField(path), name, MaxName)
+		doc.Add(path, "%s %q, expected up to %d letters, digits and ._- beginning with a letter or digit", lastField(path), name, MaxName)
 	}
 }
 
--- a/internal/core/configs.go
+++ b/internal/core/configs.go
@@ -78,6 +78,7 @@
 		return
 	}
 	n.snapshot = snapshot
+	n.configs.findings = nil
 	n.rebuildPools()
 	n.emit(ConfigTaken{Generation: env.Generation, Edit: env.Edit})
 }
--- /dev/null
+++ b/internal/metrics/metrics_test.go
@@ -0,0 +1,50 @@
+package metrics_test
+
+import (
+	"os"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/ebonydyke/ebonydyke/internal/core/reason"
+	"github.com/ebonydyke/ebonydyke/internal/metrics"
+)
+
+// TestMetricsAreDocumented compares what an instance exposes, once each counter
+// was used, with the table for operators.
+func TestMetricsAreDocumented(t *testing.T) {
+	m := metrics.New()
+	m.Refused(reason.Saturated)
+	m.Answered("llm", time.Second, time.Second)
+	m.PlatformCall("get", "ok")
+	m.Count("shed", "load", 1)
+	m.InFlight(func() float64 { return 1 })
+	m.ReadControl(func() metrics.Control {
+		return metrics.Control{
+			Traffic: []metrics.Traffic{{Kind: "digest", Direction: metrics.Sent}},
+			Dropped: map[string]uint64{"digest": 0},
+		}
+	})
+	families, err := m.Gatherer().Gather()
+	require.NoError(t, err)
+	var exposed []string
+	for _, f := range families {
+		if strings.HasPrefix(f.GetName(), "ebonydyke_") {
+			exposed = append(exposed, f.GetName())
+		}
+	}
+
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
+	require.NoError(t, err)
+	var documented []string
+	for _, row := range regexp.MustCompile("(?m)^\\| `(ebonydyke_[a-z_]+)` \\|").FindAllSubmatch(page, -1) {
+		documented = append(documented, string(row[1]))
+	}
+	slices.Sort(exposed)
+	slices.Sort(documented)
+	require.Equal(t, exposed, documented)
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -7,7 +7,6 @@
 	"net/netip"
 	"net/url"
 	"os"
-	"regexp"
 	"time"
 
 	"github.com/ebonydyke/ebonydyke/internal/core/config"
@@ -118,13 +117,11 @@
 	return &s, nil
 }
 
-var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]*$`)
-
 func check(doc *jsonc.Document, s *Settings) {
-	checkName(doc, "name", s.Name)
-	checkName(doc, "zone", s.Zone)
+	config.CheckName(doc, "name", s.Name)
+	config.CheckName(doc, "zone", s.Zone)
 	if s.Region != "" {
-		checkName(doc, "region", s.Region)
+		config.CheckName(doc, "region", s.Region)
 	}
 	checkAddress(doc, "listen", s.Listen)
 	checkAddress(doc, "admin_listen", s.AdminListen)
@@ -145,12 +142,6 @@
 	checkLimits(doc, &s.Limits)
 }
 
-func checkName(doc *jsonc.Document, path, name string) {
-	if len(name) > config.MaxName || !namePattern.MatchString(name) {
-		doc.Add(path, "%s %q, expected up to %d letters, digits and ._- beginning with a letter or digit", path, name, config.MaxName)
-	}
-}
-
 func checkAddress(doc *jsonc.Document, path, address string) {
 	if _, err := netip.ParseAddrPort(address); err != nil {
 		doc.Add(path, "%s %q, expected IP:port such as 10.0.0.1:7080", path, address)
