--- a/cmd/ebonyctl/main.go
+++ b/cmd/ebonyctl/main.go
@@ -99,6 +99,11 @@
 // advice tells an operator what to do about an error.
 func advice(err error) string {
 	switch exitCode(err) {
+	case exitFailed:
+		if errors.Is(err, platform.ErrNotSent) {
+			return "The platform does not answer there: check --platform, or wait until it is back. Nothing was changed."
+		}
+		return ""
 	case exitLostRace:
 		return "Run `ebonyctl diff FILE`, take in what changed, and apply again with --base of the newer generation."
 	case exitUnknown:
--- a/cmd/ebonyctl/send.go
+++ b/cmd/ebonyctl/send.go
@@ -19,8 +19,8 @@
 	To            string `default:"127.0.0.1:7080" env:"EBONYDYKE_LISTEN" help:"Callers' address (listen) of an instance."`
 	Customer      string `required:"" help:"The customer."`
 	Chat          string `help:"The chat."`
-	Model         string `help:"Model to send a chat turn to." xor:"target"`
-	Service       string `help:"Plain service to call." xor:"target"`
+	Model         string `required:"" help:"Model to send a chat turn to." xor:"target"`
+	Service       string `required:"" help:"Plain service to call." xor:"target"`
 	Path          string `default:"/" help:"Path within the plain service."`
 	Method        string `default:"GET" help:"Method of the call on the plain service."`
 	Stream        bool   `help:"Ask for a streamed answer."`
--- a/cmd/ebonyctl/status.go
+++ b/cmd/ebonyctl/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"time"
@@ -47,12 +48,19 @@
 	if err := global.printStatus(s); err != nil {
 		return err
 	}
+	if !s.answered() {
+		return errors.New("no instance answers: give the admin_listen addresses of running instances with --instances")
+	}
 	if c.Wait && !s.settled() {
 		return &exitError{exitNotEverywhere, fmt.Errorf("generation %d is not in force everywhere after %v; not on it: %v", s.Newest, global.Timeout, s.Behind)}
 	}
 	return nil
 }
 
+func (s *fleetStatus) answered() bool {
+	return slices.ContainsFunc(s.Instances, func(a asked) bool { return a.Status != nil })
+}
+
 func (s *fleetStatus) settled() bool { return s.Newest > 0 && len(s.Behind) == 0 }
 
 func (c *cli) fleetStatus(ctx context.Context) *fleetStatus {
--- a/cmd/ebonyctl/text.go
+++ b/cmd/ebonyctl/text.go
@@ -17,7 +17,7 @@
 func readChecked(file string) (string, *config.Snapshot, error) {
 	text, err := os.ReadFile(file)
 	if err != nil {
-		return "", nil, err
+		return "", nil, fmt.Errorf("read the text: %w", err)
 	}
 	snapshot, err := config.Check(file, config.Envelope{Text: string(text)})
 	return string(text), snapshot, err
