--- a/internal/core/config/check_test.go
+++ b/internal/core/config/check_test.go
@@ -1,6 +1,7 @@
 package config_test
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -104,3 +105,28 @@
 		}
 	})
 }
+
+// BenchmarkCheck checks a text of the two-year size. An instance does it between
+// two decisions, for each of 1,000 changes a day.
+func BenchmarkCheck(b *testing.B) {
+	for _, customers := range []int{10, 960, 9600} {
+		var text strings.Builder
+		text.WriteString(`{"services": [`)
+		for i := range 27 {
+			fmt.Fprintf(&text, "\n{\"name\": \"model-%d\", \"kind\": \"model\", \"from_platform\": true},", i)
+		}
+		text.WriteString(`], "customers": [`)
+		for i := range customers {
+			fmt.Fprintf(&text, "\n{\"name\": \"customer-%d\", \"weight\": %d},", i, 1+i%8)
+		}
+		text.WriteString("]}")
+		b.Run(fmt.Sprintf("customers=%d", customers), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				if err := check(text.String()); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- a/internal/core/status_test.go
+++ b/internal/core/status_test.go
@@ -1,6 +1,8 @@
 package core_test
 
 import (
+	"encoding/json"
+	"fmt"
 	"testing"
 	"time"
 
@@ -58,3 +60,32 @@
 	require.Equal(t, 4, n.Status().InFlight)
 	require.InDelta(t, 2, n.Status().Services[0].Mean, 0)
 }
+
+// BenchmarkStatus takes the status at the two-year size, which the core's own
+// goroutine does between two decisions.
+func BenchmarkStatus(b *testing.B) {
+	const backends, entries = 890, 350
+	now := time.Unix(1_700_000_000, 0)
+	text := config.Text{
+		Services:  []config.Service{{Name: "llm", Kind: config.Model}},
+		Customers: []config.Customer{{Name: "c1"}},
+	}
+	for i := range backends {
+		text.Services[0].BackendServers = append(text.Services[0].BackendServers, config.BackendServer{
+			Name: fmt.Sprintf("engine-%d", i), Address: fmt.Sprintf("10.0.%d.%d:8000", i/250, 1+i%250), Zone: "a",
+		})
+	}
+	encoded, err := json.Marshal(text)
+	require.NoError(b, err)
+	n := core.New(core.Settings{Name: "entry-1", Zone: "a"})
+	n.Handle(now, core.ConfigOffered{Envelope: config.Envelope{Generation: 1, Edit: "e", Text: string(encoded)}})
+	for i := range entries {
+		digest := &core.Digest{Generation: 1}
+		n.Handle(now, core.PeerReceived{From: fmt.Sprintf("entry-%d", i+2), Message: core.PeerMessage{Digest: digest}})
+	}
+	for b.Loop() {
+		if s := n.Status(); len(s.Services[0].Backends) != backends {
+			b.Fatal(len(s.Services[0].Backends))
+		}
+	}
+}
--- a/internal/jsonc/decode.go
+++ b/internal/jsonc/decode.go
@@ -48,20 +48,20 @@
 		d.mismatch(value, "an object")
 		return
 	}
-	fields := fieldsOf(into.Type())
-	seen := make(map[string]bool, len(object.Members))
+	fields := d.fieldsOf(into.Type())
+	seen := make([]bool, into.NumField())
 	for _, m := range object.Members {
 		name := nameOf(m)
 		index, known := fields[name]
 		switch {
 		case !known:
 			d.addAt(m.Name.StartOffset, fmt.Sprintf("unknown field %q, expected %s", name, namesOf(into.Type())))
-		case seen[name]:
+		case seen[index]:
 			d.addAt(m.Name.StartOffset, fmt.Sprintf("field %q stands twice, expected once", name))
 		default:
+			seen[index] = true
 			d.decode(m.Value, into.Field(index))
 		}
-		seen[name] = true
 	}
 }
 
@@ -109,7 +109,7 @@
 	case into.Kind() == reflect.Bool:
 		into.SetBool(literal.Bool())
 	case into.Kind() == reflect.String:
-		into.SetString(literal.String())
+		into.SetString(textOf(literal))
 	case into.CanFloat():
 		v, err := strconv.ParseFloat(string(literal), 64)
 		into.SetFloat(v)
@@ -142,11 +142,15 @@
 }
 
 // fieldsOf maps the json names of a struct's fields to their indexes.
-func fieldsOf(t reflect.Type) map[string]int {
+func (d *Document) fieldsOf(t reflect.Type) map[string]int {
+	if fields := d.fields[t]; fields != nil {
+		return fields
+	}
 	fields := make(map[string]int, t.NumField())
 	for i := range t.NumField() {
 		fields[jsonName(t.Field(i))] = i
 	}
+	d.fields[t] = fields
 	return fields
 }
 
--- a/internal/jsonc/document.go
+++ b/internal/jsonc/document.go
@@ -9,8 +9,10 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"reflect"
 	"strconv"
 	"strings"
+	"unicode/utf8"
 
 	"github.com/tailscale/hujson"
 )
@@ -31,12 +33,14 @@
 	omitted  int
 	// misfits are the offsets of values that could not be decoded.
 	misfits map[int]bool
+	// fields are the fields of each struct type by their json names.
+	fields map[reflect.Type]map[string]int
 }
 
 // Parse reads a text. A text that is not JSON with comments gives its first
 // syntax error as Findings.
 func Parse(file string, text []byte) (*Document, error) {
-	d := &Document{file: file, text: text, misfits: make(map[int]bool)}
+	d := &Document{file: file, text: text, misfits: make(map[int]bool), fields: make(map[reflect.Type]map[string]int)}
 	// The parser calls itself for each level: a megabyte of opening brackets
 	// would exhaust the stack, which no recover can catch.
 	if at := tooDeep(text); at >= 0 {
@@ -159,7 +163,18 @@
 }
 
 func nameOf(m hujson.ObjectMember) string {
-	return m.Name.Value.(hujson.Literal).String()
+	return textOf(m.Name.Value.(hujson.Literal))
+}
+
+// textOf returns the text of a string literal. Most have nothing to unescape.
+func textOf(literal hujson.Literal) string {
+	inner := literal[1 : len(literal)-1]
+	for _, c := range inner {
+		if c == '\\' || c >= utf8.RuneSelf {
+			return literal.String()
+		}
+	}
+	return string(inner)
 }
 
 // tooDeep returns the offset of the first bracket that is nested too deep, or -1.
