--- a/cmd/ebonyctl/status.go
+++ b/cmd/ebonyctl/status.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -28,11 +29,21 @@
 	StoreError string  `json:"store_error,omitempty"`
 	Instances  []asked `json:"instances"`
 	// Heard are live instances that were not asked, as their peers heard them.
-	Heard []core.PeerStatus `json:"heard"`
+	Heard []heard `json:"heard"`
 	// Behind names the instances that are not known to be on the newest.
 	Behind []string `json:"behind"`
 }
 
+// silentAfter is how long a peer may say nothing before the tool says so.
+const silentAfter = 10 * time.Second
+
+// heard is a live instance that was not asked.
+type heard struct {
+	core.PeerStatus
+	// Silent says that its peers hear nothing of it, although the platform lists it.
+	Silent bool `json:"silent,omitempty"`
+}
+
 // Run prints the status, once it is as wished.
 func (c *statusCommand) Run(global *cli) error {
 	ctx, cancel := global.context()
@@ -100,30 +111,28 @@
 			live[in.Name] = live[in.Name] || in.State == membership.Live
 		}
 	}
-	latest := make(map[string]core.PeerStatus)
+	latest := make(map[string]heard)
 	for _, a := range s.Instances {
 		if a.Status == nil {
 			continue
 		}
 		for _, p := range a.Status.Peers {
-			if !known[p.Name] && live[p.Name] && p.Heard.After(latest[p.Name].Heard) {
-				latest[p.Name] = p
+			if p.Heard.After(latest[p.Name].Heard) {
+				latest[p.Name] = heard{PeerStatus: p, Silent: a.Status.At.Sub(p.Heard) > silentAfter}
 			}
 		}
 	}
-	for name := range live {
-		if live[name] && !known[name] {
-			p := latest[name]
-			p.Name = name
-			s.Heard = append(s.Heard, p)
+	for name, isLive := range live {
+		if !isLive || known[name] {
+			continue
 		}
-	}
-	slices.SortFunc(s.Heard, func(a, b core.PeerStatus) int {
-		if a.Name < b.Name {
-			return -1
+		p, ok := latest[name]
+		if !ok {
+			p = heard{PeerStatus: core.PeerStatus{Name: name}, Silent: true}
 		}
-		return 1
-	})
+		s.Heard = append(s.Heard, p)
+	}
+	slices.SortFunc(s.Heard, func(a, b heard) int { return cmp.Compare(a.Name, b.Name) })
 }
 
 func (s *fleetStatus) findBehind() {
@@ -156,7 +165,7 @@
 			fmt.Sprint(a.Status.InFlight), platformWord(a.Status))
 	}
 	for _, p := range s.Heard {
-		t.row(p.Name, "", generation(p.Generation), "heard of, not asked", "", "")
+		t.row(p.Name, "", generation(p.Generation), heardState(p), "", "")
 	}
 	t.flush()
 	for _, a := range s.Instances {
@@ -196,6 +205,17 @@
 	}
 }
 
+func heardState(p heard) string {
+	switch {
+	case !p.Silent:
+		return "heard of, not asked"
+	case p.Heard.IsZero():
+		return "listed, never heard of"
+	default:
+		return "silent since " + p.Heard.Format(time.RFC3339)
+	}
+}
+
 func platformWord(s *core.Status) string {
 	p := s.Platform
 	switch {
