Show backend servers that are leaving, and a session of one that leaves

leaving.txtar: an engine says that it leaves; both instances show it as leaving within the 5 s that the script waits at most, and the chat's next turns through either instance meet the other engine.

--- a/cmd/ebonyctl/main.go
+++ b/cmd/ebonyctl/main.go
@@ -48,7 +48,7 @@
 	Diff     diffCommand     `cmd:"" help:"Show what applying a text would change."`
 	Status   statusCommand   `cmd:"" help:"Show which configuration is in force where."`
 	Explain  explainCommand  `cmd:"" help:"Explain where a chat's next turn would go."`
-	Backends backendsCommand `cmd:"" help:"List the usable backend servers and their loads."`
+	Backends backendsCommand `cmd:"" help:"List the backend servers, their loads and states."`
 	Drain    drainCommand    `cmd:"" help:"Begin the graceful shutdown of one instance."`
 	Send     sendCommand     `cmd:"" help:"Send one request."`
 
--- a/cmd/ebonyctl/placement.go
+++ b/cmd/ebonyctl/placement.go
@@ -46,7 +46,7 @@
 	Service string `help:"Only this service."`
 }
 
-// Run lists the usable backend servers as the first instance sees them.
+// Run lists the backend servers as the first instance sees them.
 func (c *backendsCommand) Run(global *cli) error {
 	ctx, cancel := global.context()
 	defer cancel()
@@ -63,13 +63,20 @@
 	if global.JSON {
 		return global.printJSON(services)
 	}
-	t := global.table("SERVICE", "BACKEND SERVER", "ZONE", "ADDRESS", "LOAD", "OWN")
+	t := global.table("SERVICE", "BACKEND SERVER", "ZONE", "ADDRESS", "LOAD", "OWN", "STATE")
 	for _, service := range services {
 		for _, b := range service.Backends {
-			t.row(service.Name, b.Name, b.Zone, b.Address, fmt.Sprintf("%.1f", b.Load), fmt.Sprint(b.Own))
+			t.row(service.Name, b.Name, b.Zone, b.Address, fmt.Sprintf("%.1f", b.Load), fmt.Sprint(b.Own), backendState(b))
 		}
 	}
 	t.flush()
 	global.printf("as %s sees them; OWN is its own part of the load\n", s.Instance)
 	return nil
 }
+
+func backendState(b core.BackendStatus) string {
+	if b.Unreachable {
+		return "not reachable from here lately"
+	}
+	return string(b.State)
+}
--- a/internal/core/explain.go
+++ b/internal/core/explain.go
@@ -97,15 +97,15 @@
 	slices.SortStableFunc(ranked, func(a, b routing.Candidate) int {
 		return cmp.Compare(rendezvous.Score(choice.Chat, b.Hash), rendezvous.Score(choice.Chat, a.Hash))
 	})
-	for _, c := range ranked {
+	for i := range ranked {
 		x.Ranking = append(x.Ranking, RankedBackend{
-			BackendStatus: BackendStatus{Name: c.Name, Zone: c.Zone, Address: c.Address, Load: c.Load, Own: n.load.Own(c.Name)},
-			Why:           x.why(c, choice.Capacity),
+			BackendStatus: n.candidateStatus(&ranked[i]),
+			Why:           x.why(&ranked[i], choice.Capacity),
 		})
 	}
 }
 
-func (x *Explanation) why(c routing.Candidate, capacity float64) string {
+func (x *Explanation) why(c *routing.Candidate, capacity float64) string {
 	var words []string
 	if c.Name == x.Chosen {
 		words = append(words, "chosen")
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -7,6 +7,7 @@
 
 	"github.com/ebonydyke/ebonydyke/internal/core/config"
 	"github.com/ebonydyke/ebonydyke/internal/core/membership"
+	"github.com/ebonydyke/ebonydyke/internal/core/routing"
 )
 
 // peerForget is how long a silent peer stays in the status.
@@ -60,11 +61,12 @@
 	Name string      `json:"name"`
 	Kind config.Kind `json:"kind"`
 	// Mean is the mean load of the usable backend servers.
-	Mean     float64         `json:"mean"`
+	Mean float64 `json:"mean"`
+	// Backends are the usable backend servers, then those that are leaving.
 	Backends []BackendStatus `json:"backends"`
 }
 
-// BackendStatus is one usable backend server.
+// BackendStatus is one backend server.
 type BackendStatus struct {
 	Name    string `json:"name"`
 	Zone    string `json:"zone"`
@@ -73,6 +75,11 @@
 	Load float64 `json:"load"`
 	// Own is the part of them that this instance sent.
 	Own int `json:"own"`
+	// State is what the membership knows; a server that only the text names is live
+	// until it says otherwise.
+	State membership.State `json:"state"`
+	// Unreachable says that this instance could not connect to it lately.
+	Unreachable bool `json:"unreachable,omitempty"`
 }
 
 // InstanceStatus is one line of the membership.
@@ -167,17 +174,47 @@
 }
 
 func (n *Node) serviceStatus(name string) ServiceStatus {
-	s := ServiceStatus{Name: name, Kind: n.snapshot.Service(name).Kind}
-	for _, c := range n.pool(name).candidates {
-		s.Mean += c.Load
-		s.Backends = append(s.Backends, BackendStatus{
-			Name: c.Name, Zone: c.Zone, Address: c.Address, Load: c.Load, Own: n.load.Own(c.Name),
-		})
+	service := n.snapshot.Service(name)
+	s := ServiceStatus{Name: name, Kind: service.Kind}
+	candidates := n.pool(name).candidates
+	for i := range candidates {
+		s.Mean += candidates[i].Load
+		s.Backends = append(s.Backends, n.candidateStatus(&candidates[i]))
 	}
 	s.Mean /= float64(max(1, len(s.Backends)))
+	s.Backends = append(s.Backends, n.leavingOf(service)...)
 	return s
 }
 
+func (n *Node) candidateStatus(c *routing.Candidate) BackendStatus {
+	return BackendStatus{
+		Name: c.Name, Zone: c.Zone, Address: c.Address, Load: c.Load, Own: n.load.Own(c.Name),
+		State: membership.Live, Unreachable: c.Unreachable,
+	}
+}
+
+// leavingOf lists a service's backend servers that end the work they have.
+func (n *Node) leavingOf(service *config.Service) []BackendStatus {
+	var list []BackendStatus
+	add := func(in *membership.Instance, zone, address string) {
+		if in == nil || in.State != membership.Leaving {
+			return
+		}
+		list = append(list, BackendStatus{
+			Name: in.Name, Zone: zone, Address: address, State: in.State,
+			Load: n.load.Estimate(in.Name), Own: n.load.Own(in.Name),
+		})
+	}
+	for _, b := range service.BackendServers {
+		add(n.view.Get(b.Name), b.Zone, b.Address)
+	}
+	if service.FromPlatform {
+		n.view.EachOf(service.Name, func(in *membership.Instance) { add(in, in.Zone, in.Address) })
+	}
+	slices.SortFunc(list, func(a, b BackendStatus) int { return cmp.Compare(a.Name, b.Name) })
+	return slices.CompactFunc(list, func(a, b BackendStatus) bool { return a.Name == b.Name })
+}
+
 func (n *Node) instanceStatuses() []InstanceStatus {
 	var list []InstanceStatus
 	n.view.Each(func(in *membership.Instance) {
--- a/test/sessions/sessions_test.go
+++ b/test/sessions/sessions_test.go
@@ -35,7 +35,7 @@
 	testscript.Main(m, map[string]func(){
 		"norm":     normMain,
 		"until":    untilMain,
-		"put":      putMain,
+		"call":     callMain,
 		"together": togetherMain,
 	})
 }
--- a/test/sessions/tools_test.go
+++ b/test/sessions/tools_test.go
@@ -68,13 +68,16 @@
 	fail(fmt.Errorf("not within %v; last output:\n%s", limit, normalise(out.String())))
 }
 
-// putMain puts a file to a URL: put URL file.
-func putMain() {
-	body, err := os.ReadFile(os.Args[2])
-	if err != nil {
-		fail(err)
+// callMain calls a stand-in: call method URL [file].
+func callMain() {
+	var body []byte
+	if len(os.Args) > 3 {
+		var err error
+		if body, err = os.ReadFile(os.Args[3]); err != nil {
+			fail(err)
+		}
 	}
-	req, err := http.NewRequest(http.MethodPut, os.Args[1], bytes.NewReader(body))
+	req, err := http.NewRequest(os.Args[1], os.Args[2], bytes.NewReader(body))
 	if err != nil {
 		fail(err)
 	}
@@ -82,7 +85,7 @@
 	if err != nil {
 		fail(err)
 	}
-	if resp.StatusCode != http.StatusOK {
+	if resp.StatusCode >= http.StatusMultipleChoices {
 		fail(errors.New(resp.Status))
 	}
 }
