--- a/cmd/ebonyctl/status.go
+++ b/cmd/ebonyctl/status.go
@@ -46,15 +46,14 @@
 
 // Run prints the status, once it is as wished.
 func (c *statusCommand) Run(global *cli) error {
-	ctx, cancel := global.context()
-	defer cancel()
+	// Each question has its own time limit: one that the end of the wait cut short
+	// would show an instance as not answering.
+	ctx := context.Background()
+	end := time.Now().Add(global.Timeout)
 	s := global.fleetStatus(ctx)
-	for c.Wait && !s.settled() && ctx.Err() == nil {
-		select {
-		case <-ctx.Done():
-		case <-time.After(statusInterval):
-			s = global.fleetStatus(ctx)
-		}
+	for c.Wait && !s.settled() && time.Now().Before(end) {
+		time.Sleep(statusInterval)
+		s = global.fleetStatus(ctx)
 	}
 	if err := global.printStatus(s); err != nil {
 		return err
