--- a/internal/core/budget.go
+++ b/internal/core/budget.go
@@ -30,7 +30,7 @@
 	shedLoads
 )
 
-// controlBudget is a token bucket of bytes sent to peers.
+// controlBudget is a token bucket of bytes sent to peers and in polls.
 type controlBudget struct {
 	spent float64
 	at    time.Time
@@ -74,6 +74,9 @@
 	sizeMember  = 60
 	sizeClaim   = 31
 	deflateGain = 8
+	// sizePoll is half of what a poll of a report takes in both directions: its
+	// HTTP headers and a short body, about 400 bytes.
+	sizePoll = 200
 )
 
 // WireEstimate is about how many bytes a message takes on the connection, once
--- a/internal/proxy/fleet_test.go
+++ b/internal/proxy/fleet_test.go
@@ -20,7 +20,6 @@
 	"github.com/ebonydyke/ebonydyke/internal/core/config"
 	"github.com/ebonydyke/ebonydyke/internal/core/reason"
 	"github.com/ebonydyke/ebonydyke/internal/daemon"
-	"github.com/ebonydyke/ebonydyke/internal/metrics"
 	"github.com/ebonydyke/ebonydyke/internal/proxy"
 	"github.com/ebonydyke/ebonydyke/test/standin/engine"
 )
@@ -106,7 +105,7 @@
 	t.Helper()
 	i := &instance{stopped: make(chan struct{}), refused: make(map[reason.Reason]int)}
 	node := core.New(core.Settings{Name: "entry-1", Zone: "zone-1", Seed: 1, AcceptDelay: 100 * time.Millisecond})
-	i.loop = daemon.NewLoop(node, metrics.New())
+	i.loop = daemon.NewLoop(node)
 	o.Metrics = i
 	i.server = proxy.New(i.loop.Post, o)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -12,6 +12,7 @@
 
 	"github.com/ebonydyke/ebonydyke/internal/core/config"
 	"github.com/ebonydyke/ebonydyke/internal/jsonc"
+	"github.com/ebonydyke/ebonydyke/internal/proxy"
 )
 
 // Settings are the daemon's own settings, in JSON with comments.
@@ -78,15 +79,15 @@
 		AdminListen: "127.0.0.1:7090",
 		AcceptDelay: config.Duration(10 * time.Second),
 		Limits: Limits{
-			MaxBody:     8 << 20,
-			MaxHeader:   32 << 10,
-			ReadTimeout: config.Duration(time.Minute),
-			CallerIdle:  config.Duration(10 * time.Minute),
-			WriteStall:  config.Duration(time.Minute),
-			DrainIdle:   config.Duration(5 * time.Second),
-			DialTimeout: config.Duration(time.Second),
-			BackendIdle: config.Duration(30 * time.Second),
-			Inactivity:  config.Duration(30 * time.Second),
+			MaxBody:     proxy.DefaultMaxBody,
+			MaxHeader:   proxy.DefaultMaxHeader,
+			ReadTimeout: config.Duration(proxy.DefaultReadTimeout),
+			CallerIdle:  config.Duration(proxy.DefaultCallerIdle),
+			WriteStall:  config.Duration(proxy.DefaultWriteStall),
+			DrainIdle:   config.Duration(proxy.DefaultDrainIdle),
+			DialTimeout: config.Duration(proxy.DefaultDialTimeout),
+			BackendIdle: config.Duration(proxy.DefaultBackendIdle),
+			Inactivity:  config.Duration(proxy.DefaultInactivity),
 		},
 	}
 }
--- a/test/sessions/sessions_test.go
+++ b/test/sessions/sessions_test.go
@@ -10,6 +10,7 @@
 import (
 	"flag"
 	"fmt"
+	"io/fs"
 	"math/rand/v2"
 	"net"
 	"os"
@@ -40,6 +41,7 @@
 }
 
 func TestSessions(t *testing.T) {
+	readSources(t)
 	bin := t.TempDir()
 	build := exec.Command("go", "build", "-o", bin+string(filepath.Separator), "./cmd/...", "./test/standin")
 	build.Dir = filepath.Join("..", "..")
@@ -71,6 +73,26 @@
 	})
 }
 
+// readSources opens the sources of the programs that are built here. The cache of
+// test results knows the files that a test opens, but not those that a compiler
+// started by it does: it would show the result of an older program.
+func readSources(t *testing.T) {
+	t.Helper()
+	root := filepath.Join("..", "..")
+	for _, dir := range []string{"api", "cmd", "internal", "test"} {
+		err := filepath.WalkDir(filepath.Join(root, dir), func(path string, d fs.DirEntry, err error) error {
+			if err != nil || d.IsDir() || filepath.Ext(path) != ".go" {
+				return nil
+			}
+			_, err = os.ReadFile(path)
+			return err
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
 // Ports of sessions lie under the range from which the system takes the ports of
 // outgoing connections, so that none of those comes in between.
 const (
