--- a/internal/measure/control/fleet.go
+++ b/internal/measure/control/fleet.go
@@ -88,6 +88,8 @@
 	platform  platformCalls
 	answered  int
 	refused   int
+	// skews are the samples of busiest over mean, by service and zone.
+	skews []float64
 }
 
 type stored struct {
--- a/internal/measure/control/main.go
+++ b/internal/measure/control/main.go
@@ -45,6 +45,8 @@
 const (
 	warmUp = 30 * time.Second
 	window = 40 * time.Second
+	// skewEvery is how often the backend servers' loads are looked at.
+	skewEvery = 500 * time.Millisecond
 )
 
 func main() {
@@ -95,7 +97,10 @@
 	f.run(warmUp)
 	f.counting = true
 	f.platform = platformCalls{}
-	f.run(window)
+	for range window / skewEvery {
+		f.run(skewEvery)
+		f.sampleSkew()
+	}
 	f.counting = false
 	r := f.result()
 	changed := f.now
--- a/internal/measure/control/result.go
+++ b/internal/measure/control/result.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"slices"
 	"time"
 
 	"github.com/ebonydyke/ebonydyke/internal/peer"
@@ -78,8 +79,12 @@
 	CoreShare     float64 `json:"core_share"`
 	MemoryPerNode uint64  `json:"memory_per_node"`
 	InFlight      float64 `json:"in_flight_per_backend"`
-	Answered      int     `json:"answered"`
-	Refused       int     `json:"refused"`
+	// SkewWorst and SkewP99 are busiest over mean among the servers of a service in
+	// a zone, once the mean is at least minSkewMean requests a server.
+	SkewWorst float64 `json:"skew_worst"`
+	SkewP99   float64 `json:"skew_p99"`
+	Answered  int     `json:"answered"`
+	Refused   int     `json:"refused"`
 }
 
 func (f *fleet) result() Result {
@@ -102,12 +107,43 @@
 	r.PlatformReads = float64(f.platform.reads) / seconds
 	r.PlatformWrites = float64(f.platform.writes) / seconds
 	r.PlatformWatches = float64(f.platform.watches) / seconds
+	if len(f.skews) > 0 {
+		slices.Sort(f.skews)
+		r.SkewWorst = f.skews[len(f.skews)-1]
+		r.SkewP99 = f.skews[len(f.skews)*99/100]
+	}
 	for _, v := range f.inFlight {
 		r.InFlight += float64(v) / float64(f.size.Backends)
 	}
 	return r
 }
 
+// minSkewMean is the mean load from which on the skew is bounded.
+const minSkewMean = 8
+
+// sampleSkew notes how far the busiest server of each pool stands above the mean.
+func (f *fleet) sampleSkew() {
+	type pool struct{ sum, most, servers float64 }
+	pools := make(map[string]*pool)
+	for _, m := range f.members {
+		if m.Service == "" {
+			continue
+		}
+		p := pools[m.Service+"/"+m.Zone]
+		if p == nil {
+			p = &pool{}
+			pools[m.Service+"/"+m.Zone] = p
+		}
+		v := float64(f.inFlight[m.Name])
+		p.sum, p.most, p.servers = p.sum+v, max(p.most, v), p.servers+1
+	}
+	for _, p := range pools {
+		if mean := p.sum / p.servers; mean >= minSkewMean {
+			f.skews = append(f.skews, p.most/mean)
+		}
+	}
+}
+
 func (in *instance) rates() Rates {
 	seconds := window.Seconds()
 	bytesIn, bytesOut := in.traffic.bytes()
@@ -147,13 +183,13 @@
 }
 
 func printHead(w io.Writer) {
-	_, _ = fmt.Fprintln(w, "size\tbytes/s busiest\tmean\tin\tout\tdigest\tconfig\tmessages/s\tpolls/s\tlinks\tplatform reads/s\twrites/s\twatches/s\twaiting\tspread s\tnot taken\tcore %\tKB/node\tin flight\trefused\t")
+	_, _ = fmt.Fprintln(w, "size\tbytes/s busiest\tmean\tin\tout\tdigest\tconfig\tmessages/s\tpolls/s\tlinks\tplatform reads/s\twrites/s\twatches/s\twaiting\tspread s\tnot taken\tcore %\tKB/node\tin flight\trefused\tskew worst\tp99\t")
 }
 
 func (r Result) print(w io.Writer) {
-	_, _ = fmt.Fprintf(w, "%s\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.1f\t%.2f\t%d\t%.1f\t%.1f\t%.1f\t%d\t%.2f\t%d\t%.2f\t%d\t%.1f\t%d\t\n",
+	_, _ = fmt.Fprintf(w, "%s\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.1f\t%.2f\t%d\t%.1f\t%.1f\t%.1f\t%d\t%.2f\t%d\t%.2f\t%d\t%.1f\t%d\t%.2f\t%.2f\t\n",
 		r.Name, r.Busiest.Total, r.Mean.Total, r.Mean.BytesIn, r.Mean.BytesOut,
 		r.Kinds["digest"], r.Kinds["config-offer"]+r.Kinds["config-wanted"], r.Mean.Messages, r.Busiest.Polls, r.Busiest.Links,
 		r.PlatformReads, r.PlatformWrites, r.PlatformWatches, r.Waiting, r.SpreadSeconds, r.NotTaken,
-		100*r.CoreShare, r.MemoryPerNode/1024, r.InFlight, r.Refused)
+		100*r.CoreShare, r.MemoryPerNode/1024, r.InFlight, r.Refused, r.SkewWorst, r.SkewP99)
 }
