--- a/internal/core/budget.go
+++ b/internal/core/budget.go
@@ -67,7 +67,7 @@
 const (
 	sizeFrame   = 12 + 1 + 2
 	sizeDigest  = 5
-	sizeList    = 7
+	sizeList    = 3
 	sizeLoad    = 2
 	sizeReport  = 16
 	sizeFact    = 16
--- a/internal/measure/control/main.go
+++ b/internal/measure/control/main.go
@@ -30,7 +30,8 @@
 }
 
 // sizes are today's fleet, one availability zone of the two-year fleet at
-// several sizes, and the whole of it. Servers stand to instances as 890 to 350.
+// several sizes, fleets that differ in their customers alone, and the whole of
+// it. Servers stand to instances as 890 to 350 in all but those.
 var sizes = []Size{
 	{Name: "today", Instances: 8, Zones: 3, Backends: 15, Services: 2, Customers: 10, Rate: 2},
 	{Name: "zone-15", Instances: 15, Zones: 1, Backends: 38, Services: 27, Customers: 100, Rate: 37},
@@ -38,6 +39,9 @@
 	{Name: "zone-58", Instances: 58, Zones: 1, Backends: 148, Services: 27, Customers: 100, Rate: 37},
 	{Name: "zone-116", Instances: 116, Zones: 1, Backends: 296, Services: 27, Customers: 100, Rate: 37},
 	{Name: "fleet-116", Instances: 116, Zones: 2, Backends: 296, Services: 27, Customers: 100, Rate: 37},
+	{Name: "customers-600", Instances: 8, Zones: 1, Backends: 27, Services: 27, Customers: 600, Rate: 37},
+	{Name: "customers-2400", Instances: 8, Zones: 1, Backends: 27, Services: 27, Customers: 2400, Rate: 37},
+	{Name: "customers-9600", Instances: 8, Zones: 1, Backends: 27, Services: 27, Customers: 9600, Rate: 37},
 	{Name: "fleet-350", Instances: 350, Zones: 6, Backends: 890, Services: 27, Customers: 100, Rate: 37},
 }
 
@@ -47,6 +51,8 @@
 	window = 40 * time.Second
 	// skewEvery is how often the backend servers' loads are looked at.
 	skewEvery = 500 * time.Millisecond
+	// replaceWindow is long enough for the list and the links to settle.
+	replaceWindow = 20 * time.Second
 )
 
 func main() {
@@ -107,10 +113,29 @@
 	f.put(core.ConfigKey, 1, envelope(size, 2))
 	f.run(15 * time.Second)
 	r.SpreadSeconds, r.NotTaken = f.spreadSeconds(changed)
+	r.ReplaceBytes = f.replaceBytes()
 	r.MemoryPerNode = f.memoryPerNode()
 	return r
 }
 
+// replaceBytes replaces one instance and gives the bytes that the busiest other
+// one spent, in and out, in replaceWindow.
+func (f *fleet) replaceBytes() int {
+	for _, in := range f.instances {
+		in.traffic = newTraffic()
+	}
+	f.counting = true
+	f.replace(f.instances[len(f.instances)/2])
+	f.run(replaceWindow)
+	f.counting = false
+	most := 0
+	for _, in := range f.instances {
+		in, out := in.traffic.bytes()
+		most = max(most, in+out)
+	}
+	return most
+}
+
 // memoryPerNode is the heap that the nodes hold, by letting go of them.
 func (f *fleet) memoryPerNode() uint64 {
 	for _, in := range f.instances {
--- a/internal/peer/encode.go
+++ b/internal/peer/encode.go
@@ -172,7 +172,7 @@
 
 // loads codes the loads in the order of their ids, each id as the distance from
 // the one before: two bytes a load in most cases.
-func (e *Encoder) loads(loads []core.BackendLoad) *peerpb.Loads {
+func (e *Encoder) loads(loads []core.BackendLoad) []uint32 {
 	if len(loads) == 0 {
 		return nil
 	}
@@ -182,11 +182,10 @@
 		coded = append(coded, load{e.id(l.Backend), uint32(max(0, l.InFlight))})
 	}
 	slices.SortFunc(coded, func(a, b load) int { return int(a.id) - int(b.id) })
-	out := &peerpb.Loads{}
+	out := make([]uint32, 0, 2*len(coded))
 	previous := uint32(0)
 	for _, l := range coded {
-		out.Ids = append(out.Ids, l.id-previous)
-		out.Counts = append(out.Counts, l.count)
+		out = append(out, l.id-previous, l.count)
 		previous = l.id
 	}
 	return out
