--- a/Makefile
+++ b/Makefile
@@ -24,12 +24,12 @@
 	protoc --go_out=. --go_opt=paths=source_relative api/peerpb/peer.proto
 	sha256sum < api/peerpb/peer.proto | cut -d ' ' -f 1 > api/peerpb/peer.proto.sha256
 
-# Control traffic of whole fleets in virtual time; SIZE picks one of them.
-measure-control:
-	go run ./internal/measure/control -size "$(SIZE)"
-
 # Installs the linter unless the pinned version is there already.
 linter:
 	@. tools/tools.env && version=$${GOLANGCI_LINT_VERSION#v} && \
 	{ bin/golangci-lint version 2>/dev/null | grep -qF "version $$version " || \
 	GOBIN=$(CURDIR)/bin go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$$GOLANGCI_LINT_VERSION; }
+
+# Control traffic of whole fleets in virtual time; SIZE picks one of them.
+measure-control:
+	go run ./internal/measure/control -size "$(SIZE)"
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -19,7 +19,6 @@
 	"k8s.io/klog/v2"
 
 	"github.com/ebonydyke/ebonydyke/internal/core"
-	"github.com/ebonydyke/ebonydyke/internal/metrics"
 )
 
 // protocolVersion is the version in the hello; a link between two versions is
@@ -55,8 +54,6 @@
 	Seeds []string
 	// Post hands events to the core; it may wait.
 	Post func(core.Event)
-	// Metrics may be nil.
-	Metrics *metrics.Metrics
 	// IdleLimit is how long a link may be silent; 0 is the default.
 	IdleLimit time.Duration
 	// DialWait is how long the greater name of a pair waits for the lesser to
@@ -93,7 +90,6 @@
 	}
 	return &Links{
 		cfg:       cfg,
-		stats:     Stats{metrics: cfg.Metrics},
 		changed:   make(chan struct{}, 1),
 		strangers: make(chan struct{}, maxStrangers),
 		wanted:    make(map[string]string),
