Hand slices over without a gap when the layout changes

A replaced instance moves others to other rows, and slices to other heads. A new head needs up to three rounds to gather its sums; until now its servers looked idle meanwhile and were sent everything. What the former layout told now counts three seconds longer, at the price of counting some loads twice for so long.

--- a/internal/core/digests.go
+++ b/internal/core/digests.go
@@ -93,6 +93,8 @@
 	d.Full, p.fullPending = p.fullPending, false
 	shed := 0
 	d.Loads = changed(now.own, p.sent.own, d.Full, level, &shed)
+	n.linger(now.rows, p.sent.rows)
+	n.linger(now.totals, p.sent.totals)
 	d.RowSums = changed(now.rows, p.sent.rows, d.Full, level, &shed)
 	d.Totals = changed(now.totals, p.sent.totals, d.Full, level, &shed)
 	if shed > 0 {
@@ -100,6 +102,19 @@
 	}
 }
 
+// linger keeps the sums that this instance no longer tells a peer as they were
+// told, until whoever tells them now has gathered its own.
+func (n *Node) linger(now, sent map[string]int) {
+	if n.now.Sub(n.peers.layoutAt) >= handover {
+		return
+	}
+	for backend, v := range sent {
+		if _, ok := now[backend]; !ok {
+			now[backend] = v
+		}
+	}
+}
+
 // changed lists what differs from what was sent, and notes it as sent. When
 // bytes are short it leaves out what differs little.
 func changed(now, sent map[string]int, full bool, level shedLevel, shed *int) []BackendLoad {
@@ -146,16 +161,19 @@
 func (n *Node) loadsFor(p *peerState) loadLists {
 	l := n.peers.layout
 	if slices.Contains(l.Bridges(), p.name) {
-		return loadLists{}
-	}
-	if !l.Rows() {
-		return loadLists{own: n.ownLoads(nil)}
+		return newLoadLists()
 	}
-	if slices.Contains(l.Mates(), p.name) {
-		own := n.ownLoads(func(slice int) bool { return n.peers.heads[slice] == p.name })
-		return loadLists{own: own, totals: n.totalsFor(p)}
+	out := newLoadLists()
+	switch {
+	case !l.Rows():
+		out.own = n.ownLoads(nil)
+	case slices.Contains(l.Mates(), p.name):
+		out.own = n.ownLoads(func(slice int) bool { return n.peers.heads[slice] == p.name })
+		out.totals = n.totalsFor(p)
+	default:
+		out.rows = n.rowSumsFor(p)
 	}
-	return loadLists{rows: n.rowSumsFor(p)}
+	return out
 }
 
 // ownLoads are this instance's own requests at the servers of some slices.
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -25,6 +25,11 @@
 	// whoever took over its sums has spoken. Requests that are still at work then
 	// show in the backend servers' own reports.
 	forgetAfter = 8 * time.Second
+	// handover is how long what the former layout told still counts after a change.
+	// A slice's new head needs up to three rounds to gather its sums. Until then
+	// its servers must not look idle, or all would send there; counted twice, they
+	// get less work for so long, which does less harm.
+	handover = 3 * rowRound
 	// refreshEvery is the mean time between full digests to a peer.
 	refreshEvery = time.Minute
 	// layoutEvery is how often the list of instances is compared with the layout.
@@ -50,6 +55,8 @@
 	layout     *mesh.Layout
 	members    []mesh.Member
 	nextLayout time.Time
+	// layoutAt is when the layout last changed.
+	layoutAt time.Time
 	// heads and mine are the acting heads of this row's slices.
 	heads   []string
 	columns [][]string
@@ -226,6 +233,7 @@
 	members := n.fleet()
 	if n.peers.layout == nil || !slices.Equal(members, n.peers.members) {
 		n.peers.members = members
+		n.peers.layoutAt = n.now
 		n.peers.layout = mesh.New(mesh.Member{Name: n.settings.Name, Zone: n.settings.Zone}, members)
 		n.pollOwnersChanged()
 	}
@@ -277,13 +285,18 @@
 func (n *Node) forgetSilent() {
 	for _, name := range n.peerNames() {
 		p := n.peers.byName[name]
-		if n.now.Sub(p.heardAt) <= forgetAfter {
+		parted := !p.connected && !n.wantsLink(name)
+		limit := forgetAfter
+		if parted {
+			limit = handover
+		}
+		if n.now.Sub(p.heardAt) <= limit {
 			continue
 		}
 		if !p.forgotten {
 			n.forgetLoads(p)
 		}
-		if !p.connected && !n.wantsLink(name) {
+		if parted {
 			delete(n.peers.byName, name)
 		}
 	}
--- a/internal/core/peers_test.go
+++ b/internal/core/peers_test.go
@@ -367,3 +367,89 @@
 	f.run(2 * time.Second)
 	require.Equal(t, membership.Leaving, f.nodes[late].view.Get("engine-1").State)
 }
+
+// TestRegionCutMovesNoLoads cuts three of six zones off from the others for two
+// minutes. Loads never cross zones, so each zone must know its own exactly all the
+// time, nobody may be declared dead, and the heal must not cost a burst.
+func TestRegionCutMovesNoLoads(t *testing.T) {
+	f := newPeerFleet(t, 36, 6)
+	f.run(3 * time.Second)
+	f.busy(rand.New(rand.NewPCG(6, 6)), 5)
+	f.run(3 * time.Second)
+	region := func(name string) bool { return f.nodes[name].settings.Zone < "zone-3" }
+	f.cut = func(a, b string) bool { return region(a) != region(b) }
+	zones := make(map[string][]string)
+	for _, name := range f.names() {
+		zone := f.nodes[name].settings.Zone
+		zones[zone] = append(zones[zone], name)
+	}
+	for range 2 {
+		f.run(time.Minute)
+		for _, names := range zones {
+			f.requireExact(names, names)
+		}
+	}
+	for _, name := range f.names() {
+		for _, other := range f.names() {
+			require.Equal(t, membership.Live, f.nodes[name].view.Get(other).State)
+		}
+	}
+	f.cut = func(string, string) bool { return false }
+	clear(f.bytes)
+	f.run(5 * time.Second)
+	for _, name := range f.names() {
+		require.Less(t, f.bytes[name], 5*int(controlRate), name)
+	}
+}
+
+// TestReplacementLeavesNoServerLookingIdle replaces one instance of 30, which moves
+// some of the others to other rows and slices to other heads. Were a slice's sums
+// gone until the new head has gathered its own, its servers would look idle to all
+// and be sent everything for a second or two.
+func TestReplacementLeavesNoServerLookingIdle(t *testing.T) {
+	least := 1.0
+	for _, gone := range []string{"entry-03", "entry-11", "entry-18", "entry-26"} {
+		least = min(least, replaceOne(t, gone))
+	}
+	t.Logf("least part of a server's load that an instance knew of: %.2f", least)
+	require.Greater(t, least, 0.6)
+}
+
+// replaceOne gives the least part of a server's load that any instance knew of in
+// the 15 s after the replacement.
+func replaceOne(t *testing.T, gone string) float64 {
+	f := newPeerFleet(t, 31, 1)
+	newcomer := f.nodes["entry-30"]
+	delete(f.nodes, "entry-30")
+	joining := f.listed[30]
+	f.listed = f.listed[:30]
+	f.run(3 * time.Second)
+	f.busy(rand.New(rand.NewPCG(7, 7)), 40)
+	f.run(5 * time.Second)
+	others := slices.DeleteFunc(f.names(), func(name string) bool { return name == gone })
+	f.frozen[gone] = true
+	f.cut = func(a, b string) bool { return a == gone || b == gone }
+	for i := range f.listed {
+		if f.listed[i].Name == gone {
+			f.listed[i].State = membership.Gone
+		}
+	}
+	f.listed = append(f.listed, joining)
+	f.nodes["entry-30"] = newcomer
+	least := 1.0
+	for range 30 {
+		f.run(500 * time.Millisecond)
+		for i := range 20 {
+			backend := fmt.Sprint("engine-", i)
+			total := 0
+			for _, name := range others {
+				total += f.nodes[name].load.Own(backend)
+			}
+			for _, name := range others {
+				least = min(least, float64(heard(f.nodes[name], backend))/float64(total))
+			}
+		}
+	}
+	f.requireExact(append(others, "entry-30"), others)
+	return least
+}
--- a/internal/measure/control/fleet.go
+++ b/internal/measure/control/fleet.go
@@ -174,7 +174,7 @@
 	f.now = end
 }
 
-func (f *fleet) start(name, zone string, delay time.Duration) *instance {
+func (f *fleet) start(name, zone string, delay time.Duration) {
 	s := core.Settings{
 		Name: name, Zone: zone, PeerAddress: "10.0.0.1:7000", Incarnation: 1,
 		Seed: f.size.Seed + uint64(len(f.instances)), AcceptDelay: time.Second,
@@ -190,7 +190,6 @@
 	})
 	f.after(delay, func() { f.tick(in) })
 	f.after(delay+5*time.Second, func() { f.arrive(in) })
-	return in
 }
 
 // replace kills an instance without a word and starts another in its zone.
--- a/internal/measure/control/main.go
+++ b/internal/measure/control/main.go
@@ -11,6 +11,7 @@
 	"io"
 	"os"
 	"runtime"
+	"slices"
 	"text/tabwriter"
 	"time"
 
@@ -113,27 +114,33 @@
 	f.put(core.ConfigKey, 1, envelope(size, 2))
 	f.run(15 * time.Second)
 	r.SpreadSeconds, r.NotTaken = f.spreadSeconds(changed)
-	r.ReplaceBytes = f.replaceBytes()
+	r.ReplaceBytes, r.ReplaceSkew = f.replaceOne()
 	r.MemoryPerNode = f.memoryPerNode()
 	return r
 }
 
-// replaceBytes replaces one instance and gives the bytes that the busiest other
-// one spent, in and out, in replaceWindow.
-func (f *fleet) replaceBytes() int {
+// replaceOne replaces one instance and gives the bytes that the busiest other one
+// spent, in and out, in replaceWindow, and the worst skew.
+func (f *fleet) replaceOne() (most int, skew float64) {
 	for _, in := range f.instances {
 		in.traffic = newTraffic()
 	}
+	f.skews = nil
 	f.counting = true
 	f.replace(f.instances[len(f.instances)/2])
-	f.run(replaceWindow)
+	for range replaceWindow / skewEvery {
+		f.run(skewEvery)
+		f.sampleSkew()
+	}
 	f.counting = false
-	most := 0
 	for _, in := range f.instances {
 		in, out := in.traffic.bytes()
 		most = max(most, in+out)
 	}
-	return most
+	if len(f.skews) > 0 {
+		skew = slices.Max(f.skews)
+	}
+	return most, skew
 }
 
 // memoryPerNode is the heap that the nodes hold, by letting go of them.
