--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -126,8 +126,11 @@
 }
 
 func (n *Node) emit(e Effect) {
-	if send, ok := e.(SendPeer); ok {
-		n.peers.budget.spend(n.now, send.Message.WireEstimate())
+	switch e := e.(type) {
+	case SendPeer:
+		n.peers.budget.spend(n.now, e.Message.WireEstimate())
+	case PollReport:
+		n.peers.budget.spend(n.now, sizePoll)
 	}
 	n.effects = append(n.effects, e)
 }
--- a/internal/measure/control/fleet.go
+++ b/internal/measure/control/fleet.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -67,6 +68,7 @@
 	traffic  traffic
 	cpu      time.Duration
 	taken    time.Time
+	dead     bool
 }
 
 // fleet runs nodes in virtual time. Only the processor time it notes depends on
@@ -88,6 +90,8 @@
 	platform  platformCalls
 	answered  int
 	refused   int
+	// skews are the samples of busiest over mean, by service and zone.
+	skews []float64
 }
 
 type stored struct {
@@ -170,7 +174,7 @@
 	f.now = end
 }
 
-func (f *fleet) start(name, zone string, delay time.Duration) *instance {
+func (f *fleet) start(name, zone string, delay time.Duration) {
 	s := core.Settings{
 		Name: name, Zone: zone, PeerAddress: "10.0.0.1:7000", Incarnation: 1,
 		Seed: f.size.Seed + uint64(len(f.instances)), AcceptDelay: time.Second,
@@ -186,16 +190,35 @@
 	})
 	f.after(delay, func() { f.tick(in) })
 	f.after(delay+5*time.Second, func() { f.arrive(in) })
-	return in
+}
+
+// replace kills an instance without a word and starts another in its zone.
+func (f *fleet) replace(in *instance) {
+	in.dead = true
+	delete(f.byName, in.Name)
+	f.members = slices.DeleteFunc(f.members, func(m membership.Instance) bool { return m.Name == in.Name })
+	f.instances = slices.DeleteFunc(f.instances, func(o *instance) bool { return o == in })
+	for _, name := range slices.Sorted(maps.Keys(in.links)) {
+		other := f.byName[name]
+		delete(other.links, in.Name)
+		f.after(linkDelay, func() { f.handle(other, core.PeerLost{Peer: in.Name}) })
+	}
+	f.start(in.Name+"-new", in.Zone, time.Second)
 }
 
 func (f *fleet) tick(in *instance) {
+	if in.dead {
+		return
+	}
 	f.handle(in, core.Ticked{})
 	f.after(core.TickInterval, func() { f.tick(in) })
 }
 
 // arrive brings the instance's next request, at random times of the set rate.
 func (f *fleet) arrive(in *instance) {
+	if in.dead {
+		return
+	}
 	f.requests++
 	f.handle(in, core.RequestArrived{
 		Request:  core.RequestID(fmt.Sprint("r", f.requests)),
@@ -207,6 +230,9 @@
 }
 
 func (f *fleet) handle(in *instance, e core.Event) {
+	if in.dead {
+		return
+	}
 	began := time.Now()
 	effects := in.node.Handle(f.now, e)
 	if f.counting {
@@ -315,7 +341,7 @@
 			f.connect(in, other)
 		}
 	}
-	for name := range in.links {
+	for _, name := range slices.Sorted(maps.Keys(in.links)) {
 		other := f.byName[name]
 		if !slices.Contains(in.wanted, name) && !slices.Contains(other.wanted, in.Name) {
 			delete(in.links, name)
