--- a/internal/proxy/fleet_test.go
+++ b/internal/proxy/fleet_test.go
@@ -37,6 +37,8 @@
 	address string
 	url     string
 	stopped chan struct{}
+	// notReady is called when the instance says that it is not ready.
+	notReady func()
 
 	mu       sync.Mutex
 	finishes []core.Finish
@@ -59,8 +61,11 @@
 		go i.server.Deliver(e.Request, e)
 	case core.SetReady:
 		i.server.SetReady(e.Ready)
+		if i.notReady != nil {
+			i.notReady()
+		}
 	case core.CloseListener:
-		i.server.CloseListener()
+		go i.server.CloseListener()
 	case core.Stopped:
 		go func() {
 			i.server.Drain()
@@ -114,7 +119,7 @@
 	i.url = "http://" + i.address
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	t.Cleanup(i.server.CloseListener)
+	t.Cleanup(func() { _ = listener.Close() })
 	encoded, err := json.Marshal(text)
 	require.NoError(t, err)
 	i.loop.Post(core.ConfigOffered{Envelope: config.Envelope{Generation: 1, Edit: "e1", Text: string(encoded)}})
--- a/internal/proxy/options.go
+++ b/internal/proxy/options.go
@@ -22,6 +22,10 @@
 	CallerIdle time.Duration
 	// WriteStall is how long a caller may take no byte at all of its answer.
 	WriteStall time.Duration
+	// AcceptQuiet is how long no new connection must have come before a stopping
+	// instance closes its listener, and AcceptMax bounds the wait for that.
+	AcceptQuiet time.Duration
+	AcceptMax   time.Duration
 	// DrainIdle is how long a caller's connection must have been silent before a
 	// stopping instance closes it.
 	DrainIdle time.Duration
@@ -40,6 +44,8 @@
 	DefaultReadTimeout = time.Minute
 	DefaultCallerIdle  = 10 * time.Minute
 	DefaultWriteStall  = time.Minute
+	DefaultAcceptQuiet = time.Second
+	DefaultAcceptMax   = 2 * time.Minute
 	DefaultDrainIdle   = 5 * time.Second
 	DefaultDialTimeout = time.Second
 	DefaultBackendIdle = 30 * time.Second
@@ -55,6 +61,8 @@
 	setDefault(&o.ReadTimeout, DefaultReadTimeout)
 	setDefault(&o.CallerIdle, DefaultCallerIdle)
 	setDefault(&o.WriteStall, DefaultWriteStall)
+	setDefault(&o.AcceptQuiet, DefaultAcceptQuiet)
+	setDefault(&o.AcceptMax, DefaultAcceptMax)
 	setDefault(&o.DrainIdle, DefaultDrainIdle)
 	setDefault(&o.DialTimeout, DefaultDialTimeout)
 	setDefault(&o.BackendIdle, DefaultBackendIdle)
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -37,6 +37,10 @@
 	conns     map[*callerConn]struct{}
 	listener  net.Listener
 	closing   bool
+	// lastOpened is when the last connection came.
+	lastOpened time.Time
+	// served is set once the accept loop has ended.
+	served bool
 }
 
 // New returns a server that posts its events with post.
@@ -95,6 +99,11 @@
 	s.listener = l
 	closing := s.closing
 	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.served = true
+	}()
 	if closing {
 		return l.Close()
 	}
@@ -105,17 +114,39 @@
 // every answer asks its caller to close the connection.
 func (s *Server) SetReady(ready bool) { s.leaving.Store(!ready) }
 
-// CloseListener stops taking connections. Open ones go on.
+// CloseListener stops taking connections once none has come for AcceptQuiet. Open
+// ones go on. It returns when the listener is closed.
+//
+// Closing a listener resets the connections that the kernel has taken and this
+// process has not: the balancer reads a reset for an answer to a request that
+// nobody read. New connections show that it still sends here.
 func (s *Server) CloseListener() {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.closing = true
-	if s.listener != nil {
-		_ = s.listener.Close()
+	l := s.listener
+	s.mu.Unlock()
+	if l == nil {
+		return
+	}
+	for begun := time.Now(); !s.quiet(begun); {
+		time.Sleep(drainInterval)
+	}
+	_ = l.Close()
+}
+
+// quiet tells whether no connection has come for long enough, or connections have
+// come for so long that somebody sends here whatever the balancer says.
+func (s *Server) quiet(begun time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if time.Since(begun) > s.options.AcceptMax {
+		klog.InfoS("listener closed while connections still come", "waited", s.options.AcceptMax)
+		return true
 	}
+	return time.Since(s.lastOpened) >= s.options.AcceptQuiet
 }
 
-// Drain waits until the last connection is closed. Requests in progress and those
+// Drain waits until the listener and the last connection are closed. Requests in progress and those
 // that still arrive on open connections are served; no timer cuts one. Only a
 // connection that has been silent for DrainIdle is closed from this end.
 func (s *Server) Drain() {
@@ -132,13 +163,14 @@
 	for c := range s.conns {
 		c.retire(silent)
 	}
-	return len(s.conns) == 0
+	return s.served && len(s.conns) == 0
 }
 
 func (s *Server) connOpened(c *callerConn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.conns[c] = struct{}{}
+	s.lastOpened = time.Now()
 }
 
 func (s *Server) connClosed(c *callerConn) {
