--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -49,23 +49,33 @@
 	load      *load.Tracker
 	pools     map[string]*pool
 	poolOf    map[string]*pool
+	reach     reachability
+	admission admissionState
 	requests  map[RequestID]*request
 	due       dueQueue
 	configs   configState
-	list      listState
+	members   memberState
 	lifecycle lifecycleState
+	observed  observations
+	peers     peersState
+	polls     pollState
 }
 
 // New returns a node that knows nothing but its settings.
 func New(s Settings) *Node {
 	return &Node{
-		settings: s,
-		random:   rand.New(rand.NewPCG(s.Seed, s.Incarnation)),
-		view:     membership.NewView(),
-		load:     load.NewTracker(),
-		pools:    make(map[string]*pool),
-		poolOf:   make(map[string]*pool),
-		requests: make(map[RequestID]*request),
+		settings:  s,
+		random:    rand.New(rand.NewPCG(s.Seed, s.Incarnation)),
+		view:      membership.NewView(),
+		load:      load.NewTracker(),
+		pools:     make(map[string]*pool),
+		poolOf:    make(map[string]*pool),
+		reach:     make(reachability),
+		admission: newAdmissionState(),
+		requests:  make(map[RequestID]*request),
+		members:   memberState{heard: make(map[string]time.Time)},
+		peers:     peersState{byName: make(map[string]*peerState)},
+		polls:     pollState{heard: make(map[string]time.Time)},
 	}
 }
 
@@ -76,6 +86,7 @@
 		n.now = now
 	}
 	n.effects = n.effects[:0]
+	n.observe(event)
 	n.dispatch(event)
 	return n.effects
 }
@@ -85,6 +96,7 @@
 	case RequestArrived:
 		n.requestArrived(e)
 	case AttemptEnded:
+		n.attemptHeard(e)
 		n.attemptEnded(e)
 	case AnswerStarted:
 		n.answerStarted(e)
@@ -93,6 +105,7 @@
 	case InstancesListed:
 		n.instancesListed(e)
 	case BackendReported:
+		n.pollEnded(e)
 		n.backendReported(e)
 	case ConfigOffered:
 		n.offerConfig(e.Envelope)
@@ -103,6 +116,7 @@
 	case PeerLost:
 		n.peerLost(e)
 	case PeerReceived:
+		n.peerHeard(e.From)
 		n.peerReceived(e)
 	case StopRequested:
 		n.stopRequested()
@@ -111,7 +125,12 @@
 	}
 }
 
-func (n *Node) emit(e Effect) { n.effects = append(n.effects, e) }
+func (n *Node) emit(e Effect) {
+	if send, ok := e.(SendPeer); ok {
+		n.peers.budget.spend(n.now, send.Message.WireEstimate())
+	}
+	n.effects = append(n.effects, e)
+}
 
 func (n *Node) nextOp() OpID {
 	n.lastOp++
@@ -122,7 +141,9 @@
 func (n *Node) ticked() {
 	n.tickRequests()
 	n.tickConfig()
-	n.tickList()
+	n.tickMembers()
+	n.tickPlacement()
+	n.tickAdmission()
 	n.tickPeers()
 	n.tickClaims()
 	n.tickLifecycle()
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -30,6 +30,8 @@
 	// backend and address are the last attempt's backend server.
 	backend string
 	address string
+	// placement is the hint that goes with the last attempt's answer.
+	placement string
 	// resumeAfter is the last event of a broken stream that its backend server
 	// may resume.
 	resumeAfter string
@@ -144,13 +146,14 @@
 	}
 	r.backend, r.address = c.Name, c.Address
 	r.resumeAfter = ""
-	n.send(r, SendAttempt{Placement: c.Name, Why: why})
+	r.placement = n.hintFor(&c)
+	n.send(r, SendAttempt{Why: why})
 }
 
 // resume asks the backend server that began a stream for the rest of it. This is
 // no second run: the stream's own id names the one that is in progress.
 func (n *Node) resume(r *request) {
-	n.send(r, SendAttempt{Placement: r.backend, ResumeAfter: r.resumeAfter, Why: reason.BrokenStream})
+	n.send(r, SendAttempt{ResumeAfter: r.resumeAfter, Why: reason.BrokenStream})
 }
 
 func (n *Node) send(r *request, e SendAttempt) {
@@ -158,7 +161,7 @@
 	r.running = true
 	n.loadSent(r.backend)
 	e.Request, e.Attempt, e.Deadline = r.arrived.Request, r.attempt, r.deadline
-	e.Backend, e.Address = r.backend, r.address
+	e.Backend, e.Address, e.Placement = r.backend, r.address, r.placement
 	n.emit(e)
 }
 
@@ -170,13 +173,14 @@
 
 func (n *Node) attemptEnded(e AttemptEnded) {
 	if e.Load != nil {
-		n.backendReported(BackendReported{Report: *e.Load})
+		n.backendSaid(*e.Load)
 	}
 	r := n.requests[e.Request]
 	if r == nil || e.Attempt != r.attempt || !r.running {
 		return
 	}
 	n.attemptOver(r)
+	n.backendAnswered(r.backend, e)
 	if e.Outcome == retry.Answered {
 		n.answered(r)
 		return
--- a/internal/proxy/attempt_test.go
+++ b/internal/proxy/attempt_test.go
@@ -94,7 +94,7 @@
 					return false
 				})
 				text := fleetText(nil, []string{b.address})
-				text.Services[1].MaxAttempts = 1
+				text.Services[0].MaxAttempts = 1
 				i := startInstance(t, text, proxy.Options{})
 				want := 1
 				if kept {
@@ -119,7 +119,7 @@
 		return false
 	})
 	text := fleetText(nil, []string{b.address})
-	text.Services[1].MaxAttempts = 1
+	text.Services[0].MaxAttempts = 1
 	i := startInstance(t, text, proxy.Options{})
 	for range 20 {
 		got := send(t, newCall(t, "GET", i.url+"/services/portal/x", "", nil))
--- a/internal/proxy/fleet_test.go
+++ b/internal/proxy/fleet_test.go
@@ -137,13 +137,17 @@
 		}
 		return list
 	}
-	return config.Text{
-		Services: []config.Service{
-			{Name: "underwriting", Kind: config.Model, BackendServers: servers("engine", model), MaxAttempts: 3, Capacity: 4096},
-			{Name: "portal", Kind: config.Plain, BackendServers: servers("portal", plain), MaxAttempts: 3, Capacity: 4096},
-		},
-		Customers: []config.Customer{{Name: "branch-recife"}},
+	text := config.Text{Customers: []config.Customer{{Name: "branch-recife"}}}
+	add := func(name string, kind config.Kind, list []config.BackendServer) {
+		if len(list) > 0 {
+			text.Services = append(text.Services, config.Service{
+				Name: name, Kind: kind, BackendServers: list, MaxAttempts: 3, Capacity: 4096,
+			})
+		}
 	}
+	add("underwriting", config.Model, servers("engine", model))
+	add("portal", config.Plain, servers("portal", plain))
+	return text
 }
 
 // startEngines starts engines whose answers have eight tokens.
