--- a/internal/proxy/caller.go
+++ b/internal/proxy/caller.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -41,6 +42,8 @@
 	deadline  time.Time
 	retired   bool
 	closed    bool
+	// unread is set when the caller was refused before it had sent everything.
+	unread bool
 }
 
 // Read reads for the HTTP library.
@@ -95,16 +98,26 @@
 // Close closes the connection once.
 func (c *callerConn) Close() error {
 	c.mu.Lock()
-	closed := c.closed
+	closed, unread := c.closed, c.unread
 	c.closed = true
 	c.mu.Unlock()
 	if closed {
 		return nil
 	}
+	if unread {
+		c.linger()
+	}
 	c.server.connClosed(c)
 	return c.Conn.Close()
 }
 
+// leaveUnread notes that the caller still sends what nobody will read.
+func (c *callerConn) leaveUnread() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unread = true
+}
+
 // busy notes that a request arrives, and takes a retirement back: a request that
 // began to arrive before the connection was given up is served.
 func (c *callerConn) busy() {
@@ -145,22 +158,23 @@
 // leave ends an idle connection. A request may be on its way at this moment: it
 // is answered by the notice, which says truthfully that it did not run.
 func (c *callerConn) leave() {
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(lingerTime))
+	if _, err := c.Conn.Write([]byte(retireNotice)); err == nil {
+		c.linger()
+	}
+}
+
+// linger says that nothing more comes and reads on until the caller closes. To
+// close with bytes unread resets the connection, and the reset destroys what the
+// caller has not read yet: the answer.
+func (c *callerConn) linger() {
 	tcp, ok := c.Conn.(*net.TCPConn)
 	if !ok {
 		return
 	}
-	_ = tcp.SetDeadline(time.Now().Add(lingerTime))
-	if _, err := tcp.Write([]byte(retireNotice)); err != nil {
-		return
-	}
-	if err := tcp.CloseWrite(); err != nil {
-		return
-	}
-	var b [512]byte
-	for {
-		if _, err := tcp.Read(b[:]); err != nil {
-			return
-		}
+	_ = tcp.SetReadDeadline(time.Now().Add(lingerTime))
+	if err := tcp.CloseWrite(); err == nil {
+		_, _ = io.Copy(io.Discard, tcp)
 	}
 }
 
--- a/internal/proxy/drain_test.go
+++ b/internal/proxy/drain_test.go
@@ -248,23 +248,23 @@
 	again, err := b.once(kept, newChat(t, i.url, false, nil))
 	require.NoError(t, err)
 	require.True(t, again)
-	long := make(chan reply, 1)
-	go func() { long <- send(t, newChat(t, i.url, true, nil)) }()
+	long := dial(t, i.address)
+	require.NoError(t, newChat(t, i.url, true, nil).Write(long))
 	require.Eventually(t, func() bool { return engines[0].Stats().InFlight == 1 }, waitFor, poll)
 	i.loop.Post(core.StopRequested{})
-	require.Eventually(t, func() bool {
-		probe, err := net.Dial("tcp", i.address)
-		if err == nil {
-			_ = probe.Close()
-		}
-		return errors.Is(err, syscall.ECONNREFUSED)
-	}, waitFor, poll)
+	<-i.closed
+	_, err = net.Dial("tcp", i.address)
+	require.ErrorIs(t, err, syscall.ECONNREFUSED)
 	again, err = b.once(kept, newChat(t, i.url, false, nil))
 	require.NoError(t, err)
 	require.False(t, again, "an answer of a stopping instance asks to close the connection")
-	got := <-long
-	require.NoError(t, got.err)
-	require.Len(t, eventIDs(got.body), 21)
+	resp, err := http.ReadResponse(bufio.NewReader(long), nil)
+	require.NoError(t, err)
+	body, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	require.NoError(t, resp.Body.Close())
+	require.NoError(t, long.Close())
+	require.Len(t, eventIDs(string(body)), 21)
 	<-i.stopped
 }
 
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+	"k8s.io/klog/v2"
 
 	"github.com/ebonydyke/ebonydyke/internal/core"
 	"github.com/ebonydyke/ebonydyke/internal/core/reason"
@@ -115,6 +116,8 @@
 	event.Request = x.id
 	if err != nil {
 		event.Detail = err.Error()
+		klog.InfoS("attempt failed", "request", x.id, "attempt", event.Attempt, "backend", x.answer.send.Backend,
+			"outcome", event.Outcome, "error", event.Detail)
 	}
 	x.server.post(event)
 }
--- a/internal/proxy/fleet_test.go
+++ b/internal/proxy/fleet_test.go
@@ -37,6 +37,8 @@
 	address string
 	url     string
 	stopped chan struct{}
+	// closed is closed once the listener is.
+	closed chan struct{}
 	// notReady is called when the instance says that it is not ready.
 	notReady func()
 
@@ -65,7 +67,10 @@
 			i.notReady()
 		}
 	case core.CloseListener:
-		go i.server.CloseListener()
+		go func() {
+			i.server.CloseListener()
+			close(i.closed)
+		}()
 	case core.Stopped:
 		go func() {
 			i.server.Drain()
@@ -108,7 +113,11 @@
 // startInstance starts an instance in front of the text's backend servers.
 func startInstance(t testing.TB, text config.Text, o proxy.Options) *instance {
 	t.Helper()
-	i := &instance{stopped: make(chan struct{}), refused: make(map[reason.Reason]int)}
+	i := &instance{
+		stopped: make(chan struct{}),
+		closed:  make(chan struct{}),
+		refused: make(map[reason.Reason]int),
+	}
 	node := core.New(core.Settings{Name: "entry-1", Zone: "zone-1", Seed: 1, AcceptDelay: 100 * time.Millisecond})
 	i.loop = daemon.NewLoop(node)
 	o.Metrics = i
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -191,6 +191,9 @@
 	case isTimeout(err):
 		b = &badInput{http.StatusRequestTimeout, reason.BadRequest, "the request came too slowly"}
 	}
+	if c, ok := ctx.Conn().(*callerConn); ok {
+		c.leaveUnread()
+	}
 	s.refuse(ctx, s.nextID(), b)
 }
 
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -65,6 +65,7 @@
 		ReadTimeout:                  o.ReadTimeout,
 		IdleTimeout:                  o.CallerIdle,
 		NoDefaultServerHeader:        true,
+		ReduceMemoryUsage:            true,
 		DisablePreParseMultipartForm: true,
 		SecureErrorLogMessage:        true,
 		Logger:                       discardLogger{},
