--- a/internal/proxy/caller.go
+++ b/internal/proxy/caller.go
@@ -158,7 +158,7 @@
 // leave ends an idle connection. A request may be on its way at this moment: it
 // is answered by the notice, which says truthfully that it did not run.
 func (c *callerConn) leave() {
-	_ = c.Conn.SetWriteDeadline(time.Now().Add(lingerTime))
+	_ = c.SetWriteDeadline(time.Now().Add(lingerTime))
 	if _, err := c.Conn.Write([]byte(retireNotice)); err == nil {
 		c.linger()
 	}
--- /dev/null
+++ b/internal/proxy/engine_test.go
@@ -0,0 +1,83 @@
+package proxy_test
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/ebonydyke/ebonydyke/internal/core/membership"
+	"github.com/ebonydyke/ebonydyke/internal/core/reason"
+	"github.com/ebonydyke/ebonydyke/internal/proxy"
+)
+
+// What an engine says of itself reaches the core: by a poll, and on each answer.
+// One that leaves refuses in its own word, and the request runs elsewhere.
+func TestEngineAdapter(t *testing.T) {
+	engines, addresses := startEngines(t, 2, time.Millisecond)
+	i := startInstance(t, fleetText(addresses, nil), proxy.Options{})
+	for range 3 {
+		got := send(t, newChat(t, i.url, true, headers{proxy.HeaderPriority: "7"}))
+		require.NoError(t, got.err)
+	}
+	stats := engines[0].Stats()
+	if stats.Hits == 0 {
+		stats = engines[1].Stats()
+	}
+	require.Equal(t, 1, stats.Misses, "the first turn of a chat")
+	require.Equal(t, 2, stats.Hits, "later turns meet the engine that holds the prefix")
+	require.Equal(t, "7", stats.LastPriority)
+
+	report, err := i.server.Report("engine-1", addresses[0])
+	require.NoError(t, err)
+	require.Equal(t, membership.Live, report.State)
+	require.NotZero(t, report.Incarnation)
+	for _, a := range addresses[:1] {
+		resp, err := http.Post("http://"+a+"/leave", "", nil)
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+	}
+	left, err := i.server.Report("engine-1", addresses[0])
+	require.NoError(t, err)
+	require.Equal(t, membership.Leaving, left.State)
+	got := send(t, newChat(t, i.url, true, headers{proxy.HeaderIdempotent: "false"}))
+	require.NoError(t, got.err)
+	require.Equal(t, "engine-2", got.header.Get(proxy.HeaderBackend))
+}
+
+// A report that cannot be so is an error and not a load.
+func TestReportThatCannotBe(t *testing.T) {
+	for _, body := range []string{"", "{", `{"in_flight":-1,"state":"live"}`, `{"in_flight":1,"state":"well"}`, `[]`} {
+		b := startRaw(t, func(_ int, _ *http.Request, conn net.Conn) bool {
+			answerOK(conn, body)
+			return true
+		})
+		i := startInstance(t, fleetText([]string{b.address}, nil), proxy.Options{})
+		_, err := i.server.Report("engine-1", b.address)
+		require.Error(t, err, body)
+	}
+}
+
+// An engine's load headers hold nonsense, and its events are as large as a disk.
+// The answer passes or ends in an error; nothing grows without bound.
+func TestHostileEngine(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n" +
+		"Engine-Load: -7\r\nEngine-Incarnation: x\r\nEngine-State: leaving\r\n\r\n"
+	b := startRaw(t, func(_ int, _ *http.Request, conn net.Conn) bool {
+		_, _ = io.WriteString(conn, head+"fffffff\r\ndata: ")
+		for {
+			if _, err := conn.Write(make([]byte, 1<<16)); err != nil {
+				return false
+			}
+		}
+	})
+	text := fleetText([]string{b.address}, nil)
+	text.Services[0].MaxAttempts = 1
+	i := startInstance(t, text, proxy.Options{})
+	got := send(t, newChat(t, i.url, true, nil))
+	require.Equal(t, http.StatusBadGateway, got.status)
+	require.Equal(t, string(reason.BrokenStream), got.header.Get(proxy.HeaderReason))
+}
--- a/test/standin/engine/engine.go
+++ b/test/standin/engine/engine.go
@@ -30,11 +30,11 @@
 	// CacheChats is the number of chats whose prefix it holds.
 	CacheChats int
 
-	once  sync.Once
-	mux   *http.ServeMux
-	mu    sync.Mutex
-	fault Fault
-	cache *prefixCache
+	once   sync.Once
+	mux    *http.ServeMux
+	faults FaultSwitch
+	mu     sync.Mutex
+	cache  *prefixCache
 
 	incarnation uint64
 	leaving     bool
@@ -73,7 +73,7 @@
 	s.mux.HandleFunc("DELETE /v1/streams/{id}", s.cancel)
 	s.mux.HandleFunc("GET /load", s.load)
 	s.mux.HandleFunc("GET /stats", s.serveStats)
-	s.mux.HandleFunc("POST /fault", s.serveFault)
+	s.mux.Handle("POST /fault", &s.faults)
 	s.mux.HandleFunc("POST /leave", s.leave)
 }
 
@@ -91,7 +91,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	f := s.nextFault()
+	f := s.faults.Next()
 	s.setHeaders(w)
 	if s.refuses(w, f) {
 		return
@@ -237,7 +237,7 @@
 }
 
 func (s *Server) resume(w http.ResponseWriter, r *http.Request) {
-	f := s.nextFault()
+	f := s.faults.Next()
 	s.mu.Lock()
 	st := s.streams[r.PathValue("id")]
 	s.mu.Unlock()
--- a/test/standin/engine/fault.go
+++ b/test/standin/engine/fault.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"sync"
 	"time"
 )
 
@@ -42,40 +43,46 @@
 	Times int `json:"times,omitempty"`
 }
 
-// SetFault makes the next answers misbehave; an empty kind heals the engine.
-func (s *Server) SetFault(f Fault) {
-	s.once.Do(s.init)
+// FaultSwitch holds the fault that is in force.
+type FaultSwitch struct {
+	mu    sync.Mutex
+	fault Fault
+}
+
+// Set makes the next answers misbehave; an empty kind heals.
+func (s *FaultSwitch) Set(f Fault) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	f.Times = max(f.Times, 1)
 	s.fault = f
 }
 
-// nextFault takes the fault of one answer.
-func (s *Server) nextFault() Fault {
+// Next takes the fault of one answer.
+func (s *FaultSwitch) Next() Fault {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.fault.Kind == "" {
-		return Fault{}
-	}
 	f := s.fault
 	s.fault.Times--
-	if s.fault.Times == 0 {
+	if s.fault.Times <= 0 {
 		s.fault = Fault{}
 	}
 	return f
 }
 
-func (s *Server) serveFault(w http.ResponseWriter, r *http.Request) {
+// ServeHTTP sets the fault that the body holds as JSON.
+func (s *FaultSwitch) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	var f Fault
 	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	s.SetFault(f)
+	s.Set(f)
 	w.WriteHeader(http.StatusNoContent)
 }
 
+// SetFault makes the next answers misbehave; an empty kind heals the engine.
+func (s *Server) SetFault(f Fault) { s.faults.Set(f) }
+
 // restart forgets what a new process would not know.
 func (s *Server) restart() {
 	s.mu.Lock()
