--- a/internal/core/claiming_test.go
+++ b/internal/core/claiming_test.go
@@ -20,6 +20,14 @@
 	return f
 }
 
+// requireRan requires that so many keys ran: none stays blocked by a claim that
+// never ran.
+func (f *fleet) requireRan(t *testing.T, keys int) {
+	t.Helper()
+	ran := len(f.runs)
+	require.Equal(t, keys, ran)
+}
+
 func requireOnce(t *testing.T, f *fleet) {
 	t.Helper()
 	c := f.tally(claimWindow)
@@ -41,7 +49,7 @@
 	}
 	f.run(10 * time.Second)
 	requireOnce(t, f)
-	require.Equal(t, 50, len(f.runs), "each ran")
+	f.requireRan(t, 50)
 	for _, s := range f.requests {
 		if s.runs == 0 {
 			require.Equal(t, reason.Duplicate, s.outcome)
@@ -67,7 +75,7 @@
 	}
 	f.run(10 * time.Second)
 	requireOnce(t, f)
-	require.Equal(t, 50, len(f.runs))
+	f.requireRan(t, 50)
 }
 
 // A note is refused as a duplicate of one that never ran, or runs twice, because
@@ -96,7 +104,7 @@
 			}
 			f.run(time.Minute)
 			requireOnce(t, f)
-			require.Equal(t, 20, len(f.runs), "no key stays blocked by a claim that never ran")
+			f.requireRan(t, 20)
 		})
 	}
 }
@@ -123,7 +131,7 @@
 	}
 	f.run(10 * time.Second)
 	requireOnce(t, f)
-	require.Equal(t, 10, len(f.runs))
+	f.requireRan(t, 10)
 }
 
 // The owner of the ranges is frozen for longer than the claims' window, others
@@ -279,6 +287,6 @@
 	f.run(10 * time.Second)
 	t.Log(f.reasons(), f.counters)
 	requireOnce(t, f)
-	require.Equal(t, seconds*1000, len(f.runs))
+	f.requireRan(t, seconds*1000)
 	require.Less(t, writes, 100.0)
 }
--- a/internal/core/claims/load.go
+++ b/internal/core/claims/load.go
@@ -74,6 +74,21 @@
 		delay = min(maxDelay, firstDelay<<(r.failures-1))
 	}
 	r.notBefore = now.Add(delay/2 + time.Duration(r.random.Int64N(int64(delay))))
+	r.refuseRemote()
+}
+
+// refuseRemote answers the claims of peers while the store fails: the one who asked
+// may stand in an availability zone that still reaches it, and writes itself.
+func (r *Range) refuseRemote() {
+	var rest []*entry
+	for _, e := range r.queue {
+		if e.req.Set == Claimed && e.from != "" {
+			r.answer(e, Unavailable, 0)
+		} else {
+			rest = append(rest, e)
+		}
+	}
+	r.queue = rest
 }
 
 // reload starts over a little later, since the log is not as it was thought to be.
--- a/internal/core/claims/range.go
+++ b/internal/core/claims/range.go
@@ -232,7 +232,7 @@
 			r.batch = append(r.batch, e)
 			records = append(records, d.record)
 			urgent = urgent || e.req.Set != Done || now.Sub(e.added) >= doneDelay
-		case now.Sub(r.syncedAt) >= syncAge && !(d.verdict == Granted && e.req.Set == Claimed):
+		case now.Sub(r.syncedAt) >= syncAge && (d.verdict != Granted || e.req.Set != Claimed):
 			stale = true
 			rest = append(rest, e)
 		default:
--- a/internal/core/config/snapshot.go
+++ b/internal/core/config/snapshot.go
@@ -11,8 +11,6 @@
 	DefaultDeadline    = Duration(2 * time.Minute)
 	DefaultWeight      = 1.0
 	DefaultWindow      = Duration(10 * time.Minute)
-	DefaultRanges      = 32
-	DefaultSlots       = 64
 )
 
 // Snapshot is one checked configuration. It is never changed once built, so any
@@ -97,8 +95,6 @@
 		setDefault(&t.Customers[i].Weight, DefaultWeight)
 	}
 	setDefault(&t.Claims.Window, DefaultWindow)
-	setDefault(&t.Claims.Ranges, DefaultRanges)
-	setDefault(&t.Claims.Slots, DefaultSlots)
 }
 
 func fillService(s *Service) {
--- a/internal/core/fleet_test.go
+++ b/internal/core/fleet_test.go
@@ -19,7 +19,7 @@
 type fleet struct {
 	now     time.Time
 	random  *rand.Rand
-	due     schedule
+	due     timeline
 	seq     int
 	members []*member
 	store   fakeStore
@@ -73,15 +73,15 @@
 	do  func()
 }
 
-type schedule []item
+type timeline []item
 
-func (s schedule) Len() int { return len(s) }
-func (s schedule) Less(i, j int) bool {
+func (s timeline) Len() int { return len(s) }
+func (s timeline) Less(i, j int) bool {
 	return s[i].at.Before(s[j].at) || s[i].at.Equal(s[j].at) && s[i].seq < s[j].seq
 }
-func (s schedule) Swap(i, j int) { s[i], s[j] = s[j], s[i] }
-func (s *schedule) Push(x any)   { *s = append(*s, x.(item)) }
-func (s *schedule) Pop() any {
+func (s timeline) Swap(i, j int) { s[i], s[j] = s[j], s[i] }
+func (s *timeline) Push(x any)   { *s = append(*s, x.(item)) }
+func (s *timeline) Pop() any {
 	last := (*s)[len(*s)-1]
 	*s = (*s)[:len(*s)-1]
 	return last
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -49,25 +49,35 @@
 	load      *load.Tracker
 	pools     map[string]*pool
 	poolOf    map[string]*pool
+	reach     reachability
+	admission admissionState
 	requests  map[RequestID]*request
+	due       dueQueue
 	configs   configState
 	members   memberState
 	claims    claimState
 	lifecycle lifecycleState
+	observed  observations
+	peers     peersState
+	polls     pollState
 }
 
 // New returns a node that knows nothing but its settings.
 func New(s Settings) *Node {
 	return &Node{
-		settings: s,
-		random:   rand.New(rand.NewPCG(s.Seed, s.Incarnation)),
-		view:     membership.NewView(),
-		load:     load.NewTracker(),
-		pools:    make(map[string]*pool),
-		poolOf:   make(map[string]*pool),
-		requests: make(map[RequestID]*request),
-		claims:   newClaimState(),
-		members:  memberState{heard: make(map[string]time.Time)},
+		settings:  s,
+		random:    rand.New(rand.NewPCG(s.Seed, s.Incarnation)),
+		view:      membership.NewView(),
+		load:      load.NewTracker(),
+		pools:     make(map[string]*pool),
+		poolOf:    make(map[string]*pool),
+		reach:     make(reachability),
+		admission: newAdmissionState(),
+		requests:  make(map[RequestID]*request),
+		claims:    newClaimState(),
+		members:   memberState{heard: make(map[string]time.Time)},
+		peers:     peersState{byName: make(map[string]*peerState)},
+		polls:     pollState{heard: make(map[string]time.Time)},
 	}
 }
 
@@ -78,6 +88,7 @@
 		n.now = now
 	}
 	n.effects = n.effects[:0]
+	n.observe(event)
 	n.dispatch(event)
 	return n.effects
 }
@@ -87,6 +98,7 @@
 	case RequestArrived:
 		n.requestArrived(e)
 	case AttemptEnded:
+		n.attemptHeard(e)
 		n.attemptEnded(e)
 	case AnswerStarted:
 		n.answerStarted(e)
@@ -95,6 +107,7 @@
 	case InstancesListed:
 		n.instancesListed(e)
 	case BackendReported:
+		n.pollEnded(e)
 		n.backendReported(e)
 	case ConfigOffered:
 		n.offerConfig(e.Envelope)
@@ -114,7 +127,12 @@
 	}
 }
 
-func (n *Node) emit(e Effect) { n.effects = append(n.effects, e) }
+func (n *Node) emit(e Effect) {
+	if send, ok := e.(SendPeer); ok {
+		n.peers.budget.spend(n.now, send.Message.WireEstimate())
+	}
+	n.effects = append(n.effects, e)
+}
 
 func (n *Node) nextOp() OpID {
 	n.lastOp++
@@ -123,8 +141,11 @@
 
 // ticked does what is due by time alone.
 func (n *Node) ticked() {
+	n.tickRequests()
 	n.tickConfig()
 	n.tickMembers()
+	n.tickPlacement()
+	n.tickAdmission()
 	n.tickPeers()
 	n.tickClaims()
 	n.tickLifecycle()
--- a/internal/daemon/executor.go
+++ b/internal/daemon/executor.go
@@ -8,6 +8,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/ebonydyke/ebonydyke/internal/core"
+	"github.com/ebonydyke/ebonydyke/internal/peer"
 	"github.com/ebonydyke/ebonydyke/internal/platform"
 	"github.com/ebonydyke/ebonydyke/internal/proxy"
 )
@@ -24,6 +25,7 @@
 	post     func(core.Event)
 	platform *platform.Client
 	proxy    *proxy.Server
+	links    *peer.Links
 	stop     context.CancelFunc
 }
 
@@ -44,6 +46,10 @@
 		go x.storeWatch(e)
 	case core.ListInstances:
 		go x.listInstances(e)
+	case core.SetPeers:
+		x.links.Set(e.Peers)
+	case core.SendPeer:
+		x.links.Send(e.To, e.Message)
 	case core.ConfigTaken:
 		klog.InfoS("configuration in force", "generation", e.Generation, "edit", e.Edit)
 	case core.ConfigRefused:
@@ -52,11 +58,28 @@
 		x.proxy.SetReady(e.Ready)
 	case core.CloseListener:
 		go x.proxy.CloseListener()
+	case core.PollReport:
+		go x.pollReport(e)
 	case core.Stopped:
-		x.stop()
+		go x.drained()
 	}
 }
 
+// drained ends the process once the last answer is with its caller. The core
+// knows that answers were read to their end; their last bytes may still be here.
+func (x *executor) drained() {
+	x.proxy.Drain()
+	x.stop()
+}
+
+func (x *executor) pollReport(e core.PollReport) {
+	report, err := x.proxy.Report(e.Backend, e.Address)
+	if err != nil {
+		klog.InfoS("no load report", "backend", e.Backend, "error", err)
+	}
+	x.post(core.BackendReported{Report: report, Failed: err != nil})
+}
+
 func (x *executor) storeGet(e core.StoreGet) {
 	ctx, cancel := context.WithTimeout(x.ctx, callTimeout)
 	defer cancel()
