--- a/internal/core/config/check.go
+++ b/internal/core/config/check.go
@@ -28,10 +28,8 @@
 	MaxName = 64
 	// MaxAttemptsLimit bounds max_attempts.
 	MaxAttemptsLimit = 10
-	// MaxRanges bounds the ranges of the ledger, each of which has its own owner.
-	MaxRanges = 4096
-	// MaxSlots bounds the store values of one range.
-	MaxSlots = 65_536
+	// MinWindow leaves a request with a key time to run within its claim.
+	MinWindow = 15 * time.Second
 )
 
 var (
@@ -108,8 +106,6 @@
 		c.positive(at("customers", i)+".weight", c.text.Customers[i].Weight)
 	}
 	c.positive("claims.window", float64(c.text.Claims.Window))
-	c.positive("claims.ranges", float64(c.text.Claims.Ranges))
-	c.positive("claims.slots", float64(c.text.Claims.Slots))
 }
 
 // positive finds a value of 0 or less that stands in the text.
@@ -249,11 +245,8 @@
 }
 
 func (c *checker) checkClaims() {
-	if c.text.Claims.Ranges > MaxRanges {
-		c.doc.Add("claims.ranges", "ranges %d, expected at most %d", c.text.Claims.Ranges, MaxRanges)
-	}
-	if c.text.Claims.Slots > MaxSlots {
-		c.doc.Add("claims.slots", "slots %d, expected at most %d", c.text.Claims.Slots, MaxSlots)
+	if window := time.Duration(c.text.Claims.Window); window > 0 && window < MinWindow {
+		c.doc.Add("claims.window", "window %s, expected at least %s", window, MinWindow)
 	}
 }
 
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -46,6 +46,9 @@
 	started bool
 	// claimed is set once the request's idempotency key is recorded as its own.
 	claimed bool
+	// claimToken and claimExpires are those of its claim.
+	claimToken   uint64
+	claimExpires uint32
 	// gone is set once the caller has left.
 	gone bool
 	// ended is set once the request got its final answer.
@@ -104,6 +107,12 @@
 		n.endClaim(r, claims.Released)
 		return
 	}
+	// An instance that was frozen handles the answer to its claim before it sees
+	// that the deadline is over; the key may be another's by now.
+	if !n.now.Before(r.deadline) {
+		n.giveUp(r, reason.DeadlineExceeded)
+		return
+	}
 	n.startAttempt(r, reason.None)
 }
 
--- a/internal/peer/decode.go
+++ b/internal/peer/decode.go
@@ -275,7 +275,7 @@
 	if uint32(set) != in.Set {
 		return nil, fmt.Errorf("%w: claim state %d", errFrame, in.Set)
 	}
-	return &claims.Request{Key: claims.KeyHash{Hi: in.Hi, Lo: in.Lo}, Token: in.Token, Set: set}, nil
+	return &claims.Request{Key: claims.KeyHash{Hi: in.Hi, Lo: in.Lo}, Token: in.Token, Set: set, Expires: in.Expires}, nil
 }
 
 func decodeClaimReply(in *peerpb.ClaimReply) (*claims.Reply, error) {
