--- a/internal/core/claims/range.go
+++ b/internal/core/claims/range.go
@@ -10,9 +10,12 @@
 	// fleetWrites is the number of writes a second that all ranges together may
 	// cost the store while every one of them is busy.
 	fleetWrites = 90
-	// WriteInterval is the least time between two writes of one range: claims that
+	// WriteInterval is the mean time between the writes of a busy range: claims that
 	// arrive in between are written together.
 	WriteInterval = Ranges * time.Second / fleetWrites
+	// writeBurst is the number of writes that a range which has been quiet may make
+	// ahead of its pace, so that the few claims of a quiet fleet do not wait for it.
+	writeBurst = 3
 	// doneDelay is how long the record that a request was answered waits for other
 	// records to be written with.
 	doneDelay = 2 * time.Second
@@ -201,11 +204,10 @@
 	if stale {
 		return &Call{Slot: r.log.tail.slot()}
 	}
-	if len(records) == 0 || !urgent || now.Before(r.nextWrite) {
+	if len(records) == 0 || !urgent || !r.paced(now) {
 		r.unbatch()
 		return nil
 	}
-	r.nextWrite = now.Add(WriteInterval)
 	for _, e := range r.batch {
 		e.written = true
 	}
@@ -213,6 +215,18 @@
 	return &Call{Slot: segment.slot(), Swap: true, Version: r.log.version, Value: segment.Encode()}
 }
 
+// paced takes a write from the pace of the range and tells whether it had one.
+func (r *Range) paced(now time.Time) bool {
+	if now.Before(r.nextWrite.Add(-writeBurst * WriteInterval)) {
+		return false
+	}
+	if r.nextWrite.Before(now) {
+		r.nextWrite = now
+	}
+	r.nextWrite = r.nextWrite.Add(WriteInterval)
+	return true
+}
+
 // decide answers what needs no write and moves to the batch what does. Stale says
 // that something would be answered on knowledge that may be out of date.
 func (r *Range) decide(now time.Time) (records []Record, urgent, stale bool) {
--- /dev/null
+++ b/test/fleet/harness_test.go
@@ -0,0 +1,390 @@
+// Package fleet_test starts whole fleets of real instances and strikes them with
+// kills, freezes and cuts while callers send requests that may run only once.
+//
+// The platform and the backend servers stand inside the test process; the
+// instances are processes of their own, each ended by the test that started it.
+package fleet_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/ebonydyke/ebonydyke/internal/core"
+	"github.com/ebonydyke/ebonydyke/internal/core/config"
+	"github.com/ebonydyke/ebonydyke/internal/core/membership"
+	"github.com/ebonydyke/ebonydyke/test/standin/platform"
+)
+
+const (
+	// patience bounds every wait for something that must come.
+	patience = 30 * time.Second
+	poll     = 20 * time.Millisecond
+)
+
+// binary is the daemon that TestMain built.
+var binary string
+
+func TestMain(m *testing.M) {
+	os.Exit(buildAndRun(m))
+}
+
+func buildAndRun(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "ebonydyke-fleet")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	binary = filepath.Join(dir, "ebonydyked")
+	build := exec.Command("go", "build", "-o", binary, "../../cmd/ebonydyked")
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
+		return 1
+	}
+	return m.Run()
+}
+
+// relay passes connections on to one address until it is cut.
+type relay struct {
+	listener net.Listener
+	target   string
+	cut      atomic.Bool
+
+	mu    sync.Mutex
+	conns []net.Conn
+}
+
+func newRelay(t *testing.T, target string) *relay {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	r := &relay{listener: l, target: target}
+	t.Cleanup(func() {
+		_ = l.Close()
+		r.setCut(true)
+	})
+	go r.serve()
+	return r
+}
+
+func (r *relay) serve() {
+	for {
+		in, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		go r.pass(in)
+	}
+}
+
+func (r *relay) pass(in net.Conn) {
+	defer func() { _ = in.Close() }()
+	if r.cut.Load() {
+		return
+	}
+	out, err := net.Dial("tcp", r.target)
+	if err != nil {
+		return
+	}
+	defer func() { _ = out.Close() }()
+	r.mu.Lock()
+	r.conns = append(r.conns, in, out)
+	r.mu.Unlock()
+	go func() {
+		_, _ = io.Copy(out, in)
+		_ = out.Close()
+	}()
+	_, _ = io.Copy(in, out)
+}
+
+// setCut ends the connections in progress and takes no others, or heals.
+func (r *relay) setCut(cut bool) {
+	r.cut.Store(cut)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if cut {
+		for _, c := range r.conns {
+			_ = c.Close()
+		}
+		r.conns = nil
+	}
+}
+
+// runs counts how often each key was run, over all backend servers.
+type runs struct {
+	mu sync.Mutex
+	of map[string]int
+}
+
+func (r *runs) add(key string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.of[key]++
+}
+
+func (r *runs) count(key string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.of[key]
+}
+
+// instance is one process of the fleet.
+type instance struct {
+	name, zone          string
+	callers, peers, ops string
+	settings            string
+	process             *exec.Cmd
+	ended               chan struct{}
+}
+
+func (i *instance) signal(t *testing.T, s syscall.Signal) {
+	require.NoError(t, i.process.Process.Signal(s))
+}
+
+// fleet is a platform, backend servers and instances in availability zones.
+type fleet struct {
+	t         *testing.T
+	platform  *platform.Server
+	runs      *runs
+	instances []*instance
+	// store holds the relay by which each zone reaches the platform.
+	store map[string]*relay
+	// links holds the relays of the peers' ports, by reaching zone and instance.
+	links map[string]map[string]*relay
+	// callerTimeout is when a caller gives a request up.
+	callerTimeout time.Duration
+}
+
+// startFleet starts instances, zone by zone, before backend servers that answer
+// after delay.
+func startFleet(t *testing.T, zones []string, each int, delay time.Duration) *fleet {
+	f := &fleet{
+		t: t, platform: platform.New(), runs: &runs{of: make(map[string]int)},
+		store: make(map[string]*relay), links: make(map[string]map[string]*relay),
+		callerTimeout: patience,
+	}
+	for n := range each {
+		for _, zone := range zones {
+			f.instances = append(f.instances, f.prepare(fmt.Sprintf("entry-%s-%d", zone, n), zone))
+		}
+	}
+	for _, zone := range zones {
+		f.openZone(zone)
+	}
+	f.apply(1, f.text(zones, delay))
+	for _, i := range f.instances {
+		f.start(i)
+	}
+	for _, i := range f.instances {
+		f.waitGeneration(i, 1)
+	}
+	return f
+}
+
+// The ports of instances lie under the range from which the system takes those of
+// outgoing connections, so that none of these takes one before its instance starts,
+// and over the ports of package sessions_test.
+const (
+	lowPort  = 30_000
+	highPort = 32_700
+)
+
+func freeAddress(t *testing.T) string {
+	for {
+		address := fmt.Sprintf("127.0.0.1:%d", lowPort+rand.IntN(highPort-lowPort))
+		l, err := net.Listen("tcp", address)
+		if err == nil {
+			require.NoError(t, l.Close())
+			return address
+		}
+	}
+}
+
+func (f *fleet) prepare(name, zone string) *instance {
+	return &instance{
+		name: name, zone: zone,
+		callers: freeAddress(f.t), peers: freeAddress(f.t), ops: freeAddress(f.t),
+	}
+}
+
+// openZone gives a zone its own way to the platform, whose list names the
+// relays by which the zone reaches the other zones' instances.
+func (f *fleet) openZone(zone string) {
+	f.links[zone] = make(map[string]*relay)
+	for _, i := range f.instances {
+		if i.zone != zone {
+			f.links[zone][i.name] = newRelay(f.t, i.peers)
+		}
+	}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/v1/instances" {
+			f.list(w, zone)
+			return
+		}
+		f.platform.ServeHTTP(w, r)
+	}))
+	f.t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	f.store[zone] = newRelay(f.t, strings.TrimPrefix(server.URL, "http://"))
+}
+
+func (f *fleet) list(w http.ResponseWriter, zone string) {
+	var list []membership.Instance
+	for _, i := range f.instances {
+		address := i.peers
+		if r := f.links[zone][i.name]; r != nil {
+			address = r.listener.Addr().String()
+		}
+		list = append(list, membership.Instance{
+			Name: i.name, Role: membership.Entry, Zone: i.zone, Address: address,
+			Incarnation: 1, State: membership.Live,
+		})
+	}
+	_ = json.NewEncoder(w).Encode(list)
+}
+
+// text declares a plain service with one backend server a zone.
+func (f *fleet) text(zones []string, delay time.Duration) string {
+	var servers []config.BackendServer
+	for _, zone := range zones {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/load" {
+				http.NotFound(w, r)
+				return
+			}
+			f.runs.add(r.Header.Get("Note"))
+			time.Sleep(delay)
+			_, _ = io.WriteString(w, "done "+r.Header.Get("Note"))
+		}))
+		f.t.Cleanup(server.Close)
+		servers = append(servers, config.BackendServer{
+			Name: "notes-" + zone, Address: strings.TrimPrefix(server.URL, "http://"), Zone: zone,
+		})
+	}
+	text, err := json.Marshal(config.Text{
+		Services:  []config.Service{{Name: "notes", Kind: config.Plain, BackendServers: servers, Capacity: 4096}},
+		Customers: []config.Customer{{Name: "committee"}},
+	})
+	require.NoError(f.t, err)
+	return string(text)
+}
+
+// apply writes a text as the next generation, as the operators' tool does.
+func (f *fleet) apply(generation uint64, text string) {
+	value, err := json.Marshal(config.Envelope{Generation: generation, Edit: fmt.Sprint("edit-", generation), Text: text})
+	require.NoError(f.t, err)
+	url := fmt.Sprintf("/v1/kv/%s?version=%d", core.ConfigKey, generation-1)
+	w := httptest.NewRecorder()
+	f.platform.ServeHTTP(w, httptest.NewRequest(http.MethodPut, url, strings.NewReader(string(value))))
+	require.Equal(f.t, http.StatusOK, w.Code)
+}
+
+func (f *fleet) start(i *instance) {
+	text, err := json.Marshal(map[string]string{
+		"name": i.name, "zone": i.zone, "listen": i.callers, "peer_listen": i.peers,
+		"admin_listen": i.ops, "platform": "http://" + f.store[i.zone].listener.Addr().String(),
+		"accept_delay": "200ms",
+	})
+	require.NoError(f.t, err)
+	i.settings = filepath.Join(f.t.TempDir(), i.name+".json")
+	require.NoError(f.t, os.WriteFile(i.settings, text, 0o600))
+	i.process = exec.Command(binary, "--settings", i.settings)
+	log, err := os.Create(i.settings + ".log")
+	require.NoError(f.t, err)
+	i.process.Stderr = log
+	require.NoError(f.t, i.process.Start())
+	i.ended = make(chan struct{})
+	process, ended := i.process, i.ended
+	go func() {
+		_ = process.Wait()
+		_ = log.Close()
+		close(ended)
+	}()
+	f.t.Cleanup(func() {
+		_ = process.Process.Kill()
+		<-ended
+		if f.t.Failed() {
+			lines, _ := os.ReadFile(i.settings + ".log")
+			f.t.Logf("%s:\n%.4000s", i.name, lines)
+		}
+	})
+}
+
+// generation is the configuration in force at an instance, 0 if it does not say.
+func (f *fleet) generation(i *instance) uint64 {
+	client := http.Client{Timeout: time.Second}
+	resp, err := client.Get("http://" + i.ops + "/status")
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var status struct {
+		Generation uint64 `json:"generation"`
+	}
+	_ = json.NewDecoder(resp.Body).Decode(&status)
+	return status.Generation
+}
+
+func (f *fleet) waitGeneration(i *instance, generation uint64) {
+	f.t.Helper()
+	require.Eventually(f.t, func() bool { return f.generation(i) == generation }, patience, poll, "%s has generation %d", i.name, generation)
+}
+
+// answer is what a caller saw.
+type answer struct {
+	status  int
+	outcome string
+	reason  string
+	first   string
+	body    string
+}
+
+// send sends a note that may run only once. An answer of status 0 is a
+// connection that ended without one.
+func (f *fleet) send(i *instance, key string) answer {
+	req, err := http.NewRequest(http.MethodPost, "http://"+i.callers+"/services/notes/approve", strings.NewReader("note "+key))
+	if err != nil {
+		return answer{}
+	}
+	req.Header.Set("Ebonydyke-Customer", "committee")
+	req.Header.Set("Ebonydyke-Idempotent", "false")
+	req.Header.Set("Ebonydyke-Deadline-Ms", "5000")
+	req.Header.Set("Idempotency-Key", key)
+	req.Header.Set("Note", key)
+	return f.do(req)
+}
+
+func (f *fleet) do(req *http.Request) answer {
+	client := http.Client{Timeout: f.callerTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Do(req)
+	if err != nil {
+		return answer{}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return answer{}
+	}
+	return answer{
+		status: resp.StatusCode, body: string(body),
+		outcome: resp.Header.Get("Ebonydyke-Outcome"), reason: resp.Header.Get("Ebonydyke-Reason"),
+		first: resp.Header.Get("Ebonydyke-First"),
+	}
+}
