--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -56,6 +56,7 @@
 	due       dueQueue
 	configs   configState
 	members   memberState
+	claims    claimState
 	lifecycle lifecycleState
 	observed  observations
 	peers     peersState
@@ -75,6 +76,7 @@
 		hints:     make(hintShares),
 		admission: newAdmissionState(),
 		requests:  make(map[RequestID]*request),
+		claims:    newClaimState(),
 		members:   memberState{heard: make(map[string]time.Time)},
 		peers:     peersState{byName: make(map[string]*peerState)},
 		polls:     pollState{heard: make(map[string]time.Time)},
@@ -128,8 +130,11 @@
 }
 
 func (n *Node) emit(e Effect) {
-	if send, ok := e.(SendPeer); ok {
-		n.peers.budget.spend(n.now, send.Message.WireEstimate())
+	switch e := e.(type) {
+	case SendPeer:
+		n.peers.budget.spend(n.now, e.Message.WireEstimate())
+	case PollReport:
+		n.peers.budget.spend(n.now, sizePoll)
 	}
 	n.effects = append(n.effects, e)
 }
--- a/internal/measure/control/main.go
+++ b/internal/measure/control/main.go
@@ -11,6 +11,7 @@
 	"io"
 	"os"
 	"runtime"
+	"slices"
 	"text/tabwriter"
 	"time"
 
@@ -30,7 +31,8 @@
 }
 
 // sizes are today's fleet, one availability zone of the two-year fleet at
-// several sizes, and the whole of it. Servers stand to instances as 890 to 350.
+// several sizes, fleets that differ in their customers alone, and the whole of
+// it. Servers stand to instances as 890 to 350 in all but those.
 var sizes = []Size{
 	{Name: "today", Instances: 8, Zones: 3, Backends: 15, Services: 2, Customers: 10, Rate: 2},
 	{Name: "zone-15", Instances: 15, Zones: 1, Backends: 38, Services: 27, Customers: 100, Rate: 37},
@@ -38,6 +40,9 @@
 	{Name: "zone-58", Instances: 58, Zones: 1, Backends: 148, Services: 27, Customers: 100, Rate: 37},
 	{Name: "zone-116", Instances: 116, Zones: 1, Backends: 296, Services: 27, Customers: 100, Rate: 37},
 	{Name: "fleet-116", Instances: 116, Zones: 2, Backends: 296, Services: 27, Customers: 100, Rate: 37},
+	{Name: "customers-600", Instances: 8, Zones: 1, Backends: 27, Services: 27, Customers: 600, Rate: 37},
+	{Name: "customers-2400", Instances: 8, Zones: 1, Backends: 27, Services: 27, Customers: 2400, Rate: 37},
+	{Name: "customers-9600", Instances: 8, Zones: 1, Backends: 27, Services: 27, Customers: 9600, Rate: 37},
 	{Name: "fleet-350", Instances: 350, Zones: 6, Backends: 890, Services: 27, Customers: 100, Rate: 37},
 }
 
@@ -45,6 +50,10 @@
 const (
 	warmUp = 30 * time.Second
 	window = 40 * time.Second
+	// skewEvery is how often the backend servers' loads are looked at.
+	skewEvery = 500 * time.Millisecond
+	// replaceWindow is long enough for the list and the links to settle.
+	replaceWindow = 20 * time.Second
 )
 
 func main() {
@@ -95,17 +104,45 @@
 	f.run(warmUp)
 	f.counting = true
 	f.platform = platformCalls{}
-	f.run(window)
+	for range window / skewEvery {
+		f.run(skewEvery)
+		f.sampleSkew()
+	}
 	f.counting = false
 	r := f.result()
 	changed := f.now
 	f.put(core.ConfigKey, 1, envelope(size, 2))
 	f.run(15 * time.Second)
 	r.SpreadSeconds, r.NotTaken = f.spreadSeconds(changed)
+	r.ReplaceBytes, r.ReplaceSkew = f.replaceOne()
 	r.MemoryPerNode = f.memoryPerNode()
 	return r
 }
 
+// replaceOne replaces one instance and gives the bytes that the busiest other one
+// spent, in and out, in replaceWindow, and the worst skew.
+func (f *fleet) replaceOne() (most int, skew float64) {
+	for _, in := range f.instances {
+		in.traffic = newTraffic()
+	}
+	f.skews = nil
+	f.counting = true
+	f.replace(f.instances[len(f.instances)/2])
+	for range replaceWindow / skewEvery {
+		f.run(skewEvery)
+		f.sampleSkew()
+	}
+	f.counting = false
+	for _, in := range f.instances {
+		in, out := in.traffic.bytes()
+		most = max(most, in+out)
+	}
+	if len(f.skews) > 0 {
+		skew = slices.Max(f.skews)
+	}
+	return most, skew
+}
+
 // memoryPerNode is the heap that the nodes hold, by letting go of them.
 func (f *fleet) memoryPerNode() uint64 {
 	for _, in := range f.instances {
