--- a/internal/measure/measure_test.go
+++ b/internal/measure/measure_test.go
@@ -25,9 +25,11 @@
 // The figures judge decisions, so a change in them must come from a decision: the
 // same seed gives the same figures, whatever the order of maps.
 func TestSameSeedSameFigures(t *testing.T) {
+	t.Parallel()
 	s := scenario(t, "skew", 3)
 	s.Duration = 2 * time.Minute
-	require.Equal(t, measure.Run(s, "ours-hint"), measure.Run(s, "ours-hint"))
+	first := measure.Run(s, "ours-hint")
+	require.Equal(t, first, measure.Run(s, "ours-hint"))
 }
 
 // Members' chats crowd on the engines that their rankings name: without the bound
@@ -35,6 +37,7 @@
 // Nobody leaves or surges here; eight routers each see a sliver and hear of the
 // rest half a second late.
 func TestBoundHoldsInSteadyTraffic(t *testing.T) {
+	t.Parallel()
 	for seed := uint64(1); seed <= 2; seed++ {
 		s := scenario(t, "skew-steady", seed)
 		require.Greater(t, measure.Run(s, "rendezvous").P99, 1.5, "the fault shows without the bound")
@@ -52,6 +55,7 @@
 // exists. Dispatchers would see one engine drown. The worst moment is the one when
 // an empty engine joins and the mean drops; the time above the bound stays short.
 func TestBoundUnderSurgeChurnAndDisagreement(t *testing.T) {
+	t.Parallel()
 	for seed := uint64(1); seed <= 2; seed++ {
 		s := scenario(t, "skew", seed)
 		without := measure.Run(s, "rendezvous")
@@ -69,6 +73,7 @@
 // would see refusals and blank screens for a rush that is not theirs: they are
 // served as in quiet time, and those who surge are refused.
 func TestTheOthersAreServedThroughASurge(t *testing.T) {
+	t.Parallel()
 	s := scenario(t, "rush", 1)
 	s.Warmup, s.Duration = 5*time.Minute, 23*time.Minute
 	f := measure.Run(s, "ours-hint")
@@ -81,6 +86,7 @@
 // Engines come and go, and chats return: with hints their turns find nearly as much
 // of their prefix as one who sees every cache and load at once would find for them.
 func TestReuseNearTheOracles(t *testing.T) {
+	t.Parallel()
 	s := scenario(t, "skew", 1)
 	oracle, ours := measure.Run(s, "oracle"), measure.Run(s, "ours-hint")
 	require.Greater(t, ours.Reuse, 0.85*oracle.Reuse)
