Measure with a deadline that the text's checks allow

All requests of 'ours' were refused, no-configuration: the measure's deadline of ten minutes is not under the claim window, a finding since the checks came in. The measure now panics when its configuration is refused.

--- a/internal/measure/fleet.go
+++ b/internal/measure/fleet.go
@@ -78,7 +78,7 @@
 func configuration(s *Scenario) config.Envelope {
 	text := config.Text{Services: []config.Service{{
 		Name: serviceName, Kind: config.Model, FromPlatform: true,
-		SkewBound: s.Bound, Capacity: s.Capacity, Deadline: config.Duration(10 * time.Minute),
+		SkewBound: s.Bound, Capacity: s.Capacity, Deadline: config.Duration(5 * time.Minute),
 	}}}
 	for i := range customerShares {
 		text.Customers = append(text.Customers, config.Customer{Name: customerName(i)})
@@ -132,6 +132,8 @@
 
 func (f *fleet) carryOut(p *process, effect core.Effect) {
 	switch e := effect.(type) {
+	case core.ConfigRefused:
+		panic(e.Findings)
 	case core.ListInstances:
 		f.w.after(platformDelay, func() { f.handle(p, core.InstancesListed{Op: e.Op, Members: f.list()}) })
 	case core.PollReport:
