--- a/test/fleet/harness_test.go
+++ b/test/fleet/harness_test.go
@@ -204,14 +204,24 @@
 	highPort = 32_700
 )
 
+// given are the ports handed out, none of them twice: instances of one fleet bind
+// theirs only later.
+var given = make(map[int]bool)
+
 func freeAddress(t *testing.T) string {
 	for {
-		address := fmt.Sprintf("127.0.0.1:%d", lowPort+rand.IntN(highPort-lowPort))
+		port := lowPort + rand.IntN(highPort-lowPort)
+		address := fmt.Sprintf("127.0.0.1:%d", port)
 		l, err := net.Listen("tcp", address)
-		if err == nil {
-			require.NoError(t, l.Close())
-			return address
+		if err != nil {
+			continue
+		}
+		require.NoError(t, l.Close())
+		if given[port] {
+			continue
 		}
+		given[port] = true
+		return address
 	}
 }
 
