Work out what each service needs once a text, not once a request

A legal text without cycles could hang an instance: each request followed every path of its dependencies to the end.

Ruled out: remembering visited services during each request, which is linear too but allocates for every request. Texts are bounded to 1,000 services, and a finding names at most 8 of a cycle's.

--- a/internal/core/config/check.go
+++ b/internal/core/config/check.go
@@ -26,6 +26,8 @@
 	MaxEncoded = 1_000_000 - 1_000
 	// MaxName is the longest name, in bytes. Names stand in headers and labels.
 	MaxName = 64
+	// MaxServices bounds the services, and so the work of following what each needs.
+	MaxServices = 1_000
 	// MaxAttemptsLimit bounds max_attempts.
 	MaxAttemptsLimit = 10
 	// MinWindow leaves a request with a key time to run within its claim.
@@ -119,6 +121,10 @@
 	if len(c.text.Services) == 0 {
 		c.doc.Add("services", "no services, expected at least one")
 	}
+	if len(c.text.Services) > MaxServices {
+		c.doc.Add("services", "%d services, expected at most %d", len(c.text.Services), MaxServices)
+		return
+	}
 	if len(c.text.Customers) == 0 {
 		c.doc.Add("customers", "no customers, expected at least one: requests of unknown customers are refused")
 	}
--- a/internal/core/config/check_test.go
+++ b/internal/core/config/check_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/ebonydyke/ebonydyke/internal/core/config"
+	"github.com/ebonydyke/ebonydyke/internal/jsonc"
 )
 
 // base is a text without findings. The tests change one thing in it.
@@ -56,6 +57,7 @@
 		{"short window", `"window": "10m"`, `"window": "14s"`, `t:7:22: window 14s, expected at least 15s`},
 		{"weight", `"c1"`, `"c1", "weight": -1`, `t:6:40: weight must be above 0`},
 		{"limit", `"c1"`, `"c1", "max_in_flight": -1`, `t:6:47: max_in_flight -1, expected 0 for no bound`},
+		{"too many services", `{"name": "llm"`, strings.Repeat(`{"name": "s"},`, config.MaxServices) + `{"name": "llm"`, `t:2:13: 1002 services, expected at most 1000`},
 		{"not UTF-8", `"c1"`, "\"c\xff\"", `t:1:1: bytes that are not UTF-8`},
 		{"too large", `"claims"`, "// " + strings.Repeat(`"`, config.MaxEncoded/2) + "\n" + `"claims"`, `t:1:1: text takes `},
 	} {
@@ -75,6 +77,26 @@
 	require.Len(t, findings, 5, findings.Error())
 }
 
+// TestEveryServiceNeedsAll is a text of almost a megabyte in which each service
+// names every one, and so closes some 45,000 cycles. The report of them must stay
+// short: every instance that reads the text from the store logs and keeps it.
+func TestEveryServiceNeedsAll(t *testing.T) {
+	const services = 300
+	var all, text strings.Builder
+	for i := range services {
+		fmt.Fprintf(&all, "\"s%d\",", i)
+	}
+	text.WriteString(`{"customers": [{"name": "c"}], "services": [`)
+	for i := range services {
+		fmt.Fprintf(&text, `{"name": "s%d", "kind": "plain", "from_platform": true, "depends_on": [%s]},`, i, &all)
+	}
+	text.WriteString("]}")
+	var findings config.Findings
+	require.ErrorAs(t, check(text.String()), &findings)
+	require.Len(t, findings, jsonc.MaxFindings+1)
+	require.Less(t, len(findings.Error()), 100*200)
+}
+
 func TestExamples(t *testing.T) {
 	files, err := filepath.Glob("../../../examples/*.json")
 	require.NoError(t, err)
--- a/internal/core/config/cycles.go
+++ b/internal/core/config/cycles.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 )
@@ -14,6 +15,9 @@
 	visited
 )
 
+// maxShown is the number of services of a cycle that a finding names.
+const maxShown = 8
+
 // cycleSearch walks the dependencies depth first. A dependency on a service of
 // the trail closes a cycle; each is reported once, where it closes.
 type cycleSearch struct {
@@ -44,8 +48,7 @@
 			continue
 		}
 		if s.visits[next] == onTrail {
-			cycle := append(slices.Clone(s.trail[slices.Index(s.trail, name):]), name)
-			s.checker.doc.Add(at(at("services", i)+".depends_on", j), "dependency cycle %s, expected none", strings.Join(cycle, " -> "))
+			s.report(at(at("services", i)+".depends_on", j), name)
 			continue
 		}
 		s.walk(next)
@@ -53,3 +56,14 @@
 	s.trail = s.trail[:len(s.trail)-1]
 	s.visits[i] = visited
 }
+
+// report tells of a cycle that closes at name. A long one is told by its ends: a
+// text may hold very many of them.
+func (s *cycleSearch) report(path, name string) {
+	cycle := s.trail[slices.Index(s.trail, name):]
+	shown := strings.Join(cycle[:min(len(cycle), maxShown)], " -> ")
+	if len(cycle) > maxShown {
+		shown += fmt.Sprintf(" -> (%d more)", len(cycle)-maxShown)
+	}
+	s.checker.doc.Add(path, "dependency cycle %s -> %s, expected none", shown, name)
+}
--- a/internal/core/config/snapshot.go
+++ b/internal/core/config/snapshot.go
@@ -28,6 +28,8 @@
 	names     []string
 	// fixed maps the fixed backend servers to their services.
 	fixed map[string]string
+	// needs lists what each service needs, directly or through others.
+	needs map[string][]string
 }
 
 // Service returns the service by its name, or nil.
@@ -58,6 +60,7 @@
 		models:     make(map[string]*Service),
 		customers:  make(map[string]*Customer, len(t.Customers)),
 		fixed:      make(map[string]string),
+		needs:      allNeeds(t.Services),
 	}
 	for i := range t.Services {
 		s.addService(t.Services[i])
--- a/internal/jsonc/document.go
+++ b/internal/jsonc/document.go
@@ -68,6 +68,10 @@
 // the text lacks is reported at its nearest ancestor in the text. A value that
 // could not be decoded has its finding already and gets no second one.
 func (d *Document) Add(path, format string, args ...any) {
+	if len(d.findings) >= MaxFindings {
+		d.omitted++
+		return
+	}
 	value, whole := d.find(path)
 	if whole && d.misfits[value.StartOffset] {
 		return
