--- a/cmd/ebonyctl/placement.go
+++ b/cmd/ebonyctl/placement.go
@@ -34,6 +34,8 @@
 	t.flush()
 	global.printf("generation %d; mean load %.2f; bound %v times the mean: up to %v requests, this chat moves on at %v\n",
 		x.Generation, x.Mean, x.Bound, x.Limit, x.Inner)
+	global.printf("the service carries %.1f of %v requests; the customer has %d in progress at this instance\n",
+		x.Load, x.Capacity, x.CustomerInFlight)
 	if x.Refused != "" {
 		global.printf("the turn would be refused: %s\n", x.Refused)
 	} else {
--- a/internal/core/explain.go
+++ b/internal/core/explain.go
@@ -33,6 +33,11 @@
 	Inner float64 `json:"inner"`
 	// Hinted is the backend server that a valid hint names.
 	Hinted string `json:"hinted,omitempty"`
+	// Load and Capacity are of the whole service; shares apply near its capacity.
+	Load     float64 `json:"load"`
+	Capacity float64 `json:"capacity"`
+	// CustomerInFlight is the customer's requests in progress at this instance.
+	CustomerInFlight int `json:"customer_in_flight"`
 	// Ranking holds every usable backend server, highest ranked first.
 	Ranking []RankedBackend `json:"ranking"`
 	// Chosen is the backend server that the turn would go to, if any.
@@ -48,7 +53,8 @@
 	Why string `json:"why"`
 }
 
-// Explain decides as for a request that came now, without sending anything.
+// Explain decides as for a request that came now, without sending anything. What
+// customers' shares would say is left out: asking them counts as a demand.
 func (n *Node) Explain(q ExplainQuery) Explanation {
 	x := Explanation{ExplainQuery: q}
 	if n.snapshot == nil {
@@ -65,10 +71,14 @@
 		Service: q.Service, Customer: q.Customer, Chat: q.Chat, Hint: q.Hint,
 	}}
 	x.Bound = service.SkewBound
+	x.CustomerInFlight = n.admission.inFlight[q.Customer]
 	chosen, why := n.place(r)
+	customer := n.snapshot.Customer(q.Customer)
 	switch {
-	case n.snapshot.Customer(q.Customer) == nil:
+	case customer == nil:
 		x.Refused = reason.UnknownCustomer
+	case customer.MaxInFlight > 0 && x.CustomerInFlight >= customer.MaxInFlight:
+		x.Refused = reason.CustomerLimit
 	case !n.dependenciesUsable(service):
 		x.Refused = reason.DependencyUnavailable
 	case why != reason.None:
@@ -89,6 +99,7 @@
 	total, count := p.reachable()
 	choice := n.choice(r, p)
 	x.Mean = total / float64(count)
+	x.Load, x.Capacity = total, float64(r.service.Capacity*count)
 	x.Limit, x.Inner = choice.Limits.Outer, choice.Limits.Inner
 	if choice.Hinted != routing.None {
 		x.Hinted = p.candidates[choice.Hinted].Name
