--- a/test/fleet/fleet_test.go
+++ b/test/fleet/fleet_test.go
@@ -178,24 +178,42 @@
 	}
 }
 
-// A member's request is lost while the operators replace the fleet. Eight instances
-// are stopped one after another and started again under load; a caller whose
-// connection is refused goes to the next instance, as a balancer does.
+// A member's request is lost while the operators replace the fleet. Under load, the
+// instances of one zone are replaced one after another, then those of the other two
+// at once; a caller whose connection is refused goes to the next instance, as a
+// balancer does. Notes wait for their claims and for their answers all the while.
 func TestRollingReplacementLosesNothing(t *testing.T) {
 	f := startFleet(t, []string{"a", "b"}, 4, 50*time.Millisecond)
+	zone := make(map[string][]*instance)
+	for _, i := range f.instances {
+		zone[i.zone] = append(zone[i.zone], i)
+	}
 	c := f.storm(12, 60, func() {
-		for _, i := range f.instances {
-			i.signal(t, syscall.SIGTERM)
-			select {
-			case <-i.ended:
-			case <-time.After(patience):
-				t.Errorf("%s does not end", i.name)
-				return
-			}
-			require.Zero(t, i.process.ProcessState.ExitCode(), i.name)
-			f.start(i)
-			f.waitGeneration(i, 1)
+		for _, i := range zone["a"] {
+			f.replace(i)
 		}
+		f.replace(zone["b"][:2]...)
+		f.replace(zone["b"][2:]...)
 	})
 	require.Equal(t, counts{}, c)
 }
+
+// replace stops instances at once and starts them again once all have ended.
+func (f *fleet) replace(list ...*instance) {
+	for _, i := range list {
+		i.signal(f.t, syscall.SIGTERM)
+	}
+	for _, i := range list {
+		select {
+		case <-i.ended:
+		case <-time.After(patience):
+			f.t.Errorf("%s does not end", i.name)
+			return
+		}
+		require.Zero(f.t, i.process.ProcessState.ExitCode(), i.name)
+	}
+	for _, i := range list {
+		f.start(i)
+		f.waitGeneration(i, 1)
+	}
+}
