--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -98,11 +98,14 @@
 func proxyOptions(l *settings.Limits, m proxy.Metrics) proxy.Options {
 	return proxy.Options{
 		Metrics:     m,
+		MaxConns:    l.MaxConns,
 		MaxBody:     l.MaxBody,
 		MaxHeader:   l.MaxHeader,
 		ReadTimeout: time.Duration(l.ReadTimeout),
 		CallerIdle:  time.Duration(l.CallerIdle),
 		WriteStall:  time.Duration(l.WriteStall),
+		AcceptQuiet: time.Duration(l.AcceptQuiet),
+		AcceptMax:   time.Duration(l.AcceptMax),
 		DrainIdle:   time.Duration(l.DrainIdle),
 		DialTimeout: time.Duration(l.DialTimeout),
 		BackendIdle: time.Duration(l.BackendIdle),
--- a/internal/proxy/attempt_test.go
+++ b/internal/proxy/attempt_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/ebonydyke/ebonydyke/internal/core/reason"
 	"github.com/ebonydyke/ebonydyke/internal/proxy"
@@ -219,3 +220,52 @@
 	got := send(t, newCall(t, "GET", i.url+"/services/portal/x", "", nil))
 	require.ErrorContains(t, got.err, "unexpected EOF")
 }
+
+// Two hundred analysts ask at once while answers come late, out of order, cut and
+// after their deadlines, over connections that are given up and used again. Each
+// whole answer must be the one to its own request.
+func TestEveryCallerGetsItsOwnAnswer(t *testing.T) {
+	b := startRaw(t, func(nth int, r *http.Request, conn net.Conn) bool {
+		time.Sleep(time.Duration(nth*7%13) * 4 * time.Millisecond)
+		switch nth % 11 {
+		case 3:
+			return false
+		case 5:
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\ncut")
+			return false
+		case 7:
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\ncut\r\n")
+			return false
+		default:
+			answerOK(conn, r.Header.Get(proxy.HeaderRequestID)+" "+r.URL.Path)
+			return true
+		}
+	})
+	i := startInstance(t, fleetText(nil, []string{b.address}), proxy.Options{})
+	const callers, each = 200, 10
+	var whole, failed atomic.Int64
+	var group errgroup.Group
+	for caller := range callers {
+		group.Go(func() error {
+			for n := range each {
+				path := fmt.Sprintf("/caller-%d/%d", caller, n)
+				got, err := call(newCall(t, "GET", i.url+"/services/portal"+path, "", headers{proxy.HeaderDeadline: "40"}))
+				switch {
+				case err != nil:
+					return err
+				case got.err != nil || got.status != http.StatusOK:
+					failed.Add(1)
+				case got.body != got.header.Get(proxy.HeaderRequestID)+" "+path:
+					return fmt.Errorf("%s got %q", path, got.body)
+				default:
+					whole.Add(1)
+				}
+			}
+			return nil
+		})
+	}
+	require.NoError(t, group.Wait())
+	t.Logf("whole %d, failed %d", whole.Load(), failed.Load())
+	require.NotZero(t, whole.Load())
+	require.NotZero(t, failed.Load())
+}
--- a/internal/proxy/caller.go
+++ b/internal/proxy/caller.go
@@ -4,8 +4,12 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"sync"
 	"time"
+
+	"github.com/ebonydyke/ebonydyke/internal/core"
+	"github.com/ebonydyke/ebonydyke/internal/core/reason"
 )
 
 // past is a deadline that makes a blocked read or write return at once.
@@ -26,6 +30,10 @@
 	"Connection: close\r\nContent-Length: 0\r\n" +
 	HeaderOutcome + ": not-run\r\n" + HeaderReason + ": stopping\r\nRetry-After: 1\r\n\r\n"
 
+const overloadNotice = "HTTP/1.1 503 Service Unavailable\r\n" +
+	"Connection: close\r\nContent-Length: 0\r\n" +
+	HeaderOutcome + ": not-run\r\n" + HeaderReason + ": overloaded\r\nRetry-After: 1\r\n\r\n"
+
 // callerConn is a caller's connection.
 //
 // The HTTP library does not read a connection while it works on a request, so it
@@ -209,14 +217,33 @@
 	server *Server
 }
 
-// Accept waits for a caller.
+// Accept waits for a caller. One beyond the limit is told so and closed: each
+// connection holds buffers, and memory that runs out would cut all others.
 func (l callerListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := &callerConn{Conn: conn, server: l.server}
+		c.rest()
+		if l.server.connOpened(c) {
+			return c, nil
+		}
+		l.server.record(core.Finish{
+			Status:  http.StatusServiceUnavailable,
+			Outcome: reason.NotRun,
+			Reason:  reason.Overloaded,
+		})
+		go c.turnAway()
+	}
+}
+
+// turnAway ends a connection that has no place.
+func (c *callerConn) turnAway() {
+	_ = c.SetWriteDeadline(time.Now().Add(lingerTime))
+	if _, err := c.Conn.Write([]byte(overloadNotice)); err == nil {
+		c.linger()
 	}
-	c := &callerConn{Conn: conn, server: l.server}
-	c.rest()
-	l.server.connOpened(c)
-	return c, nil
+	_ = c.Conn.Close()
 }
--- a/internal/proxy/fleet_test.go
+++ b/internal/proxy/fleet_test.go
@@ -206,11 +206,20 @@
 
 func send(t testing.TB, req *http.Request) reply {
 	t.Helper()
-	resp, err := http.DefaultClient.Do(req)
+	got, err := call(req)
 	require.NoError(t, err)
+	return got
+}
+
+// call sends a request; an error means that no answer came at all.
+func call(req *http.Request) (reply, error) {
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return reply{}, err
+	}
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(resp.Body)
-	return reply{status: resp.StatusCode, header: resp.Header, body: string(body), err: err}
+	return reply{status: resp.StatusCode, header: resp.Header, body: string(body), err: err}, nil
 }
 
 // eventIDs lists the numbers of the body's events in their order.
--- a/internal/proxy/input_test.go
+++ b/internal/proxy/input_test.go
@@ -100,6 +100,29 @@
 	require.Equal(t, http.StatusRequestEntityTooLarge, resp.StatusCode)
 }
 
+// More callers connect than the instance has memory for. Those beyond the limit are
+// told so at once, and a place that becomes free is used again.
+func TestConnectionLimit(t *testing.T) {
+	_, addresses := startEngines(t, 1, time.Millisecond)
+	i := startInstance(t, fleetText(addresses, nil), proxy.Options{MaxConns: 2})
+	first, second := dial(t, i.address), dial(t, i.address)
+	b := &balancer{}
+	for _, conn := range []net.Conn{first, second} {
+		_, err := b.once(conn, newChat(t, i.url, false, nil))
+		require.NoError(t, err)
+	}
+	require.EqualValues(t, 2, b.whole.Load())
+	_, err := b.once(dial(t, i.address), newChat(t, i.url, false, nil))
+	require.NoError(t, err)
+	require.EqualValues(t, 1, b.refused.Load())
+	require.Equal(t, 1, i.refusals(reason.Overloaded))
+	require.NoError(t, first.Close())
+	require.Eventually(t, func() bool {
+		_, err := b.once(dial(t, i.address), newChat(t, i.url, false, nil))
+		return err == nil && b.whole.Load() == 3
+	}, waitFor, poll)
+}
+
 // A caller keeps a connection open and takes nothing of its answer, and another
 // takes it slowly. The first is cut and its engine freed; the second is let be.
 func TestSlowReaders(t *testing.T) {
--- a/internal/proxy/options.go
+++ b/internal/proxy/options.go
@@ -10,6 +10,8 @@
 type Options struct {
 	// Metrics is told what happens; nil counts nothing.
 	Metrics Metrics
+	// MaxConns is the largest number of callers' connections.
+	MaxConns int
 	// MaxBody is the largest request body in bytes.
 	MaxBody int
 	// MaxHeader is the largest header in bytes, of requests and of answers.
@@ -39,6 +41,7 @@
 
 // Defaults of Options.
 const (
+	DefaultMaxConns    = 8192
 	DefaultMaxBody     = 8 << 20
 	DefaultMaxHeader   = 32 << 10
 	DefaultReadTimeout = time.Minute
@@ -56,6 +59,7 @@
 	if o.Metrics == nil {
 		o.Metrics = noMetrics{}
 	}
+	setDefault(&o.MaxConns, DefaultMaxConns)
 	setDefault(&o.MaxBody, DefaultMaxBody)
 	setDefault(&o.MaxHeader, DefaultMaxHeader)
 	setDefault(&o.ReadTimeout, DefaultReadTimeout)
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -167,11 +167,16 @@
 	return s.served && len(s.conns) == 0
 }
 
-func (s *Server) connOpened(c *callerConn) {
+// connOpened takes a new connection in, if there is a place for it.
+func (s *Server) connOpened(c *callerConn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.conns[c] = struct{}{}
 	s.lastOpened = time.Now()
+	if len(s.conns) >= s.options.MaxConns {
+		return false
+	}
+	s.conns[c] = struct{}{}
+	return true
 }
 
 func (s *Server) connClosed(c *callerConn) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -47,6 +47,8 @@
 
 // Limits bound what callers and backend servers can take of one instance.
 type Limits struct {
+	// MaxConns is the largest number of callers' connections.
+	MaxConns int `json:"max_conns"`
 	// MaxBody is the largest request body, in bytes.
 	MaxBody int `json:"max_body"`
 	// MaxHeader is the largest header of a request or an answer, in bytes.
@@ -58,6 +60,12 @@
 	CallerIdle config.Duration `json:"caller_idle"`
 	// WriteStall is how long a caller may take no byte of its answer.
 	WriteStall config.Duration `json:"write_stall"`
+	// AcceptQuiet is how long no new connection must have come before a stopping
+	// instance closes its listener.
+	AcceptQuiet config.Duration `json:"accept_quiet"`
+	// AcceptMax bounds the wait for accept_quiet, for a balancer that never heeds
+	// readiness.
+	AcceptMax config.Duration `json:"accept_max"`
 	// DrainIdle is how long a caller's connection must have been silent before a
 	// stopping instance closes it.
 	DrainIdle config.Duration `json:"drain_idle"`
@@ -79,11 +87,14 @@
 		AdminListen: "127.0.0.1:7090",
 		AcceptDelay: config.Duration(10 * time.Second),
 		Limits: Limits{
+			MaxConns:    proxy.DefaultMaxConns,
 			MaxBody:     proxy.DefaultMaxBody,
 			MaxHeader:   proxy.DefaultMaxHeader,
 			ReadTimeout: config.Duration(proxy.DefaultReadTimeout),
 			CallerIdle:  config.Duration(proxy.DefaultCallerIdle),
 			WriteStall:  config.Duration(proxy.DefaultWriteStall),
+			AcceptQuiet: config.Duration(proxy.DefaultAcceptQuiet),
+			AcceptMax:   config.Duration(proxy.DefaultAcceptMax),
 			DrainIdle:   config.Duration(proxy.DefaultDrainIdle),
 			DialTimeout: config.Duration(proxy.DefaultDialTimeout),
 			BackendIdle: config.Duration(proxy.DefaultBackendIdle),
@@ -187,11 +198,14 @@
 		path  string
 		value int64
 	}{
+		{"max_conns", int64(l.MaxConns)},
 		{"max_body", int64(l.MaxBody)},
 		{"max_header", int64(l.MaxHeader)},
 		{"read_timeout", int64(l.ReadTimeout)},
 		{"caller_idle", int64(l.CallerIdle)},
 		{"write_stall", int64(l.WriteStall)},
+		{"accept_quiet", int64(l.AcceptQuiet)},
+		{"accept_max", int64(l.AcceptMax)},
 		{"drain_idle", int64(l.DrainIdle)},
 		{"dial_timeout", int64(l.DialTimeout)},
 		{"backend_idle", int64(l.BackendIdle)},
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -52,7 +52,7 @@
 s.json:8:19: accept_delay -1s, expected 0s or more
 s.json:9:26: max_body must be above 0
 s.json:9:43: duration: expected text such as "30s", found "fast"
-s.json:9:51: unknown field "max_headers", expected one of max_body, max_header, read_timeout, caller_idle, write_stall, drain_idle, dial_timeout, backend_idle, inactivity
+s.json:9:51: unknown field "max_headers", expected one of max_conns, max_body, max_header, read_timeout, caller_idle, write_stall, accept_quiet, accept_max, drain_idle, dial_timeout, backend_idle, inactivity
 s.json:10:20: log_verbosity 10, expected from 0 to 9
 s.json:11:3: unknown field "zones", expected one of name, zone, region, listen, peer_listen, admin_listen, platform, seeds, accept_delay, limits, log_verbosity
 `))
