--- a/cmd/ebonyctl/main.go
+++ b/cmd/ebonyctl/main.go
@@ -48,7 +48,7 @@
 	Diff     diffCommand     `cmd:"" help:"Show what applying a text would change."`
 	Status   statusCommand   `cmd:"" help:"Show which configuration is in force where."`
 	Explain  explainCommand  `cmd:"" help:"Explain where a chat's next turn would go."`
-	Backends backendsCommand `cmd:"" help:"List the usable backend servers and their loads."`
+	Backends backendsCommand `cmd:"" help:"List the backend servers, their loads and states."`
 	Drain    drainCommand    `cmd:"" help:"Begin the graceful shutdown of one instance."`
 	Send     sendCommand     `cmd:"" help:"Send one request."`
 
@@ -99,6 +99,11 @@
 // advice tells an operator what to do about an error.
 func advice(err error) string {
 	switch exitCode(err) {
+	case exitFailed:
+		if errors.Is(err, platform.ErrNotSent) {
+			return "The platform does not answer there: check --platform, or wait until it is back. Nothing was changed."
+		}
+		return ""
 	case exitLostRace:
 		return "Run `ebonyctl diff FILE`, take in what changed, and apply again with --base of the newer generation."
 	case exitUnknown:
