--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -55,6 +55,7 @@
 	due       dueQueue
 	configs   configState
 	members   memberState
+	claims    claimState
 	lifecycle lifecycleState
 	observed  observations
 	peers     peersState
@@ -73,6 +74,7 @@
 		reach:     make(reachability),
 		admission: newAdmissionState(),
 		requests:  make(map[RequestID]*request),
+		claims:    newClaimState(),
 		members:   memberState{heard: make(map[string]time.Time)},
 		peers:     peersState{byName: make(map[string]*peerState)},
 		polls:     pollState{heard: make(map[string]time.Time)},
--- a/internal/peer/encode.go
+++ b/internal/peer/encode.go
@@ -84,7 +84,7 @@
 		e.frame.ConfigWanted = &peerpb.ConfigWanted{Above: m.ConfigWanted.Above}
 	case m.Claim != nil:
 		c := m.Claim
-		e.frame.Claim = &peerpb.Claim{Hi: c.Key.Hi, Lo: c.Key.Lo, Token: c.Token, Set: uint32(c.Set)}
+		e.frame.Claim = &peerpb.Claim{Hi: c.Key.Hi, Lo: c.Key.Lo, Token: c.Token, Set: uint32(c.Set), Expires: c.Expires}
 	case m.ClaimReply != nil:
 		e.frame.ClaimReply = claimReply(m.ClaimReply)
 	}
