--- a/internal/proxy/input_test.go
+++ b/internal/proxy/input_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/ebonydyke/ebonydyke/internal/core/reason"
 	"github.com/ebonydyke/ebonydyke/internal/proxy"
+	"github.com/ebonydyke/ebonydyke/test/standin/balancer"
 )
 
 const chatHead = "POST /v1/chat/completions HTTP/1.1\r\nHost: fleet\r\nEbonydyke-Customer: branch-recife\r\n"
@@ -106,20 +107,20 @@
 	_, addresses := startEngines(t, 1, time.Millisecond)
 	i := startInstance(t, fleetText(addresses, nil), proxy.Options{MaxConns: 2})
 	first, second := dial(t, i.address), dial(t, i.address)
-	b := &balancer{}
+	b := &balancer.Balancer{}
 	for _, conn := range []net.Conn{first, second} {
-		_, err := b.once(conn, newChat(t, i.url, false, nil))
+		_, err := b.Send(conn, newChat(t, i.url, false, nil))
 		require.NoError(t, err)
 	}
-	require.EqualValues(t, 2, b.whole.Load())
-	_, err := b.once(dial(t, i.address), newChat(t, i.url, false, nil))
+	require.EqualValues(t, 2, b.Whole.Load())
+	_, err := b.Send(dial(t, i.address), newChat(t, i.url, false, nil))
 	require.NoError(t, err)
-	require.EqualValues(t, 1, b.refused.Load())
+	require.EqualValues(t, 1, b.Refused.Load())
 	require.Equal(t, 1, i.refusals(reason.Overloaded))
 	require.NoError(t, first.Close())
 	require.Eventually(t, func() bool {
-		_, err := b.once(dial(t, i.address), newChat(t, i.url, false, nil))
-		return err == nil && b.whole.Load() == 3
+		_, err := b.Send(dial(t, i.address), newChat(t, i.url, false, nil))
+		return err == nil && b.Whole.Load() == 3
 	}, waitFor, poll)
 }
 
--- a/test/sessions/sessions_test.go
+++ b/test/sessions/sessions_test.go
@@ -42,12 +42,7 @@
 
 func TestSessions(t *testing.T) {
 	readSources(t)
-	bin := t.TempDir()
-	build := exec.Command("go", "build", "-o", bin+string(filepath.Separator), "./cmd/...", "./test/standin")
-	build.Dir = filepath.Join("..", "..")
-	if out, err := build.CombinedOutput(); err != nil {
-		t.Fatalf("build: %v\n%s", err, out)
-	}
+	bin := buildPrograms(t)
 	examples, err := filepath.Abs(filepath.Join("..", "..", "examples"))
 	if err != nil {
 		t.Fatal(err)
@@ -59,7 +54,7 @@
 		Setup: func(env *testscript.Env) error {
 			env.Setenv("PATH", bin+string(filepath.ListSeparator)+env.Getenv("PATH"))
 			env.Setenv("EXAMPLES", examples)
-			ports := reservePorts(env, len(portNames))
+			ports := reservePorts(env.Defer, len(portNames))
 			var names []string
 			for i, name := range portNames {
 				env.Setenv(name, ports[i])
@@ -73,6 +68,18 @@
 	})
 }
 
+// buildPrograms builds every program and returns their directory.
+func buildPrograms(t *testing.T) string {
+	t.Helper()
+	bin := t.TempDir()
+	build := exec.Command("go", "build", "-o", bin+string(filepath.Separator), "./cmd/...", "./test/standin")
+	build.Dir = filepath.Join("..", "..")
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	return bin
+}
+
 // readSources opens the sources of the programs that are built here. The cache of
 // test results knows the files that a test opens, but not those that a compiler
 // started by it does: it would show the result of an older program.
@@ -104,7 +111,7 @@
 // reservePorts finds a block of free ports. Its first port stays bound until the
 // session ends and tells other sessions, also of other test processes, that the
 // block is taken: the rest is free until the session's processes bind it.
-func reservePorts(env *testscript.Env, n int) []string {
+func reservePorts(atEnd func(func()), n int) []string {
 	for {
 		first := lowPort + blockSize*rand.IntN(blocks)
 		mark, err := net.Listen("tcp", address(first))
@@ -113,7 +120,7 @@
 		}
 		ports := freePorts(first+1, n)
 		if len(ports) == n {
-			env.Defer(func() { _ = mark.Close() })
+			atEnd(func() { _ = mark.Close() })
 			return ports
 		}
 		_ = mark.Close()
