--- a/internal/core/claiming.go
+++ b/internal/core/claiming.go
@@ -93,18 +93,22 @@
 	}
 }
 
-// claim records the request's idempotency key before any byte of it is sent. It
-// calls claimGranted or claimRefused, now or on a later event.
-//
-// The request's deadline is kept under the end of the claim. An instance that is
-// frozen after the claim and wakes when the key is free again finds its deadline
-// over and sends nothing. What is left open is a freeze between the last look at
-// the clock and the bytes' leaving that lasts longer than the window.
-func (n *Node) claim(r *request) {
+// capDeadline keeps the deadline of a request under the end of its claim. An
+// instance that is frozen after the claim and wakes when the key is free again
+// finds the deadline over and sends nothing. What is left open is a freeze between
+// the last look at the clock and the bytes' leaving that lasts longer than the
+// window.
+func (n *Node) capDeadline(r *request) {
 	window := time.Duration(n.snapshot.Claims.Window)
 	if latest := n.now.Add(max(0, window-sendMargin)); r.deadline.After(latest) {
 		r.deadline = latest
 	}
+}
+
+// claim records the request's idempotency key before any byte of it is sent. It
+// calls claimGranted or claimRefused, now or on a later event.
+func (n *Node) claim(r *request) {
+	window := time.Duration(n.snapshot.Claims.Window)
 	w := &claimWaiter{
 		request: r.arrived.Request,
 		until:   n.now.Add(claimWait),
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -87,6 +87,9 @@
 		return
 	}
 	n.requests[e.Request] = r
+	if r.needsClaim() {
+		n.capDeadline(r)
+	}
 	n.schedule(r.deadline, r, (*Node).deadlinePassed)
 	if r.needsClaim() {
 		n.claim(r)
