Let no request wait for the log

The core's goroutine logged each final answer itself. A reader of the log that stops reading would have blocked it, and every request with it.

Ruled out: a goroutine for each line, which has no bound.

--- a/internal/proxy/engine.go
+++ b/internal/proxy/engine.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
-	"k8s.io/klog/v2"
 
 	"github.com/ebonydyke/ebonydyke/internal/core/membership"
 )
@@ -23,10 +22,11 @@
 // engineClient gives engines the orders that belong to no request's own call.
 type engineClient struct {
 	http  *fasthttp.Client
+	log   *logQueue
 	queue chan stream
 }
 
-func newEngineClient(o Options) *engineClient {
+func newEngineClient(o Options, log *logQueue) *engineClient {
 	c := &engineClient{
 		http: &fasthttp.Client{
 			MaxIdemponentCallAttempts: 1,
@@ -34,6 +34,7 @@
 			MaxIdleConnDuration:       o.BackendIdle,
 			MaxResponseBodySize:       maxReport,
 		},
+		log:   log,
 		queue: make(chan stream, cancelQueue),
 	}
 	for range cancelers {
@@ -47,7 +48,7 @@
 	select {
 	case c.queue <- s:
 	default:
-		klog.InfoS("cancellation dropped", "address", s.address, "stream", s.id)
+		c.log.put("cancellation dropped", "address", s.address, "stream", s.id)
 	}
 }
 
@@ -57,7 +58,7 @@
 		req.Header.SetMethod(fasthttp.MethodDelete)
 		req.SetRequestURI(streamURL(s))
 		if err := c.http.DoTimeout(req, resp, callTimeout); err != nil {
-			klog.InfoS("stream not cancelled", "address", s.address, "stream", s.id, "error", err)
+			c.log.put("stream not cancelled", "address", s.address, "stream", s.id, "error", err)
 		}
 		fasthttp.ReleaseRequest(req)
 		fasthttp.ReleaseResponse(resp)
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
-	"k8s.io/klog/v2"
 
 	"github.com/ebonydyke/ebonydyke/internal/core"
 	"github.com/ebonydyke/ebonydyke/internal/core/reason"
@@ -116,7 +115,7 @@
 	event.Request = x.id
 	if err != nil {
 		event.Detail = err.Error()
-		klog.InfoS("attempt failed", "request", x.id, "attempt", event.Attempt, "backend", x.answer.send.Backend,
+		x.server.log.put("attempt failed", "request", x.id, "attempt", event.Attempt, "backend", x.answer.send.Backend,
 			"outcome", event.Outcome, "error", event.Detail)
 	}
 	x.server.post(event)
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -30,6 +30,7 @@
 	engine   *engineClient
 	leaving  atomic.Bool
 	sequence atomic.Uint64
+	log      *logQueue
 	prefix   string
 
 	mu        sync.Mutex
@@ -46,13 +47,15 @@
 // New returns a server that posts its events with post.
 func New(post func(core.Event), o Options) *Server {
 	o.fill()
+	log := newLogQueue()
 	s := &Server{
 		post:      post,
 		options:   o,
 		kept:      newClient(o),
 		once:      newClient(o),
-		engine:    newEngineClient(o),
+		engine:    newEngineClient(o, log),
 		prefix:    strconv.FormatInt(time.Now().UnixNano(), 36),
+		log:       log,
 		exchanges: make(map[core.RequestID]*exchange),
 		conns:     make(map[*callerConn]struct{}),
 	}
@@ -206,7 +209,7 @@
 // record counts and logs a final answer of the fleet's own.
 func (s *Server) record(e core.Finish) {
 	s.options.Metrics.Refused(e.Reason)
-	klog.InfoS("request ended without an answer", "request", e.Request, "outcome", e.Outcome,
+	s.log.put("request ended without an answer", "request", e.Request, "outcome", e.Outcome,
 		"reason", e.Reason, "status", e.Status, "customer", e.Customer, "service", e.Service,
 		"backend", e.Backend, "attempt", e.Attempt)
 }
