Stretch rounds while an instance spends more than half of its bytes

Chats are ranked over all zones, so an instance of a large fleet has requests at most servers of all zones and its digests grow with them.

--- a/internal/core/budget.go
+++ b/internal/core/budget.go
@@ -1,6 +1,9 @@
 package core
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Counters of what the talk between instances leaves out or ignores.
 const (
@@ -30,10 +33,25 @@
 	shedLoads
 )
 
+// An instance aims at half of that: rounds grow longer, up to maxStretch times,
+// while it spends more.
+const (
+	controlAim   = controlRate / 2
+	maxStretch   = 2.0
+	stretchEvery = 10 * time.Second
+	// rateMemory is over what time the rate is taken.
+	rateMemory = 5 * time.Second
+)
+
 // controlBudget is a token bucket of bytes sent to peers and in polls.
 type controlBudget struct {
 	spent float64
 	at    time.Time
+	// rate is what was spent a second of late, and stretch what rounds are
+	// multiplied by to keep it down; it is set anew at next.
+	rate    float64
+	stretch float64
+	next    time.Time
 }
 
 // spend takes the bytes of a message. What must be sent is sent even when there
@@ -41,13 +59,26 @@
 func (b *controlBudget) spend(now time.Time, bytes int) {
 	b.refill(now)
 	b.spent = min(b.spent+float64(bytes), 2*controlBurst)
+	b.rate += float64(bytes) / rateMemory.Seconds()
 }
 
 func (b *controlBudget) refill(now time.Time) {
-	b.spent = max(0, b.spent-controlRate*now.Sub(b.at).Seconds())
+	passed := now.Sub(b.at).Seconds()
+	b.spent = max(0, b.spent-controlRate*passed)
+	b.rate *= math.Exp(-passed / rateMemory.Seconds())
 	b.at = now
 }
 
+// stretched is a round as long as the bytes allow.
+func (b *controlBudget) stretched(now time.Time, round time.Duration) time.Duration {
+	b.refill(now)
+	if !now.Before(b.next) {
+		b.next = now.Add(stretchEvery)
+		b.stretch = min(max(1, b.stretch*b.rate/controlAim), maxStretch)
+	}
+	return time.Duration(float64(round) * b.stretch)
+}
+
 func (b *controlBudget) level(now time.Time) shedLevel {
 	b.refill(now)
 	switch {
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -24,12 +24,12 @@
 	// forgetAfter is when a silent peer's loads are dropped: late enough that
 	// whoever took over its sums has spoken. Requests that are still at work then
 	// show in the backend servers' own reports.
-	forgetAfter = 8 * time.Second
+	forgetAfter = 12 * time.Second
 	// handover is how long what the former layout told still counts after a change.
 	// A slice's new head needs up to three rounds to gather its sums. Until then
 	// its servers must not look idle, or all would send there; counted twice, they
 	// get less work for so long, which does less harm.
-	handover = 3 * rowRound
+	handover = 3 * rowRound * maxStretch
 	// refreshEvery is the mean time between full digests to a peer.
 	refreshEvery = time.Minute
 	// layoutEvery is how often the list of instances is compared with the layout.
@@ -216,10 +216,11 @@
 }
 
 func (n *Node) round() time.Duration {
+	round := meshRound
 	if n.peers.layout.Rows() {
-		return rowRound
+		round = rowRound
 	}
-	return meshRound
+	return n.peers.budget.stretched(n.now, round)
 }
 
 // jitter spreads a duration by a tenth each way, so that instances started
--- a/internal/measure/control/fleet.go
+++ b/internal/measure/control/fleet.go
@@ -114,7 +114,7 @@
 	for i := range size.Backends {
 		f.members = append(f.members, membership.Instance{
 			Name: fmt.Sprintf("engine-%03d", i), Role: membership.Backend,
-			Service: serviceName(i % size.Services), Zone: zoneName(i % size.Zones),
+			Service: serviceName(i / size.Zones % size.Services), Zone: zoneName(i % size.Zones),
 			Address: fmt.Sprintf("10.1.%d.%d:8000", i/250, i%250), Incarnation: 1, State: membership.Live,
 		})
 	}
