--- a/internal/core/config/types.go
+++ b/internal/core/config/types.go
@@ -100,12 +100,9 @@
 
 // Claims sizes the ledger of idempotency keys.
 type Claims struct {
-	// Window is how long a key is remembered.
+	// Window is how long a key is remembered. The deadline of a request with a key
+	// is kept under it.
 	Window Duration `json:"window,omitempty"`
-	// Ranges is the number of hash ranges, each a log in the platform's store.
-	Ranges int `json:"ranges,omitempty"`
-	// Slots is the number of store values in the ring of one range.
-	Slots int `json:"slots,omitempty"`
 }
 
 // Envelope is what the platform's store holds under the configuration key.
