Hold links to the owners of ranges outside the layout

In rows an instance has no link to most owners of ranges of claims, so every forwarded claim was lost, waited a second and was then written by everybody. A message to an instance outside the layout now brings a link, kept for a minute after its last use; over it goes a heartbeat each 10 s and no loads. Without it TestClaimReachesAnOwnerOutsideTheLayout fails (Should be true).

--- a/internal/core/digests.go
+++ b/internal/core/digests.go
@@ -165,6 +165,7 @@
 	}
 	out := newLoadLists()
 	switch {
+	case n.outsider(p.name):
 	case !l.Rows():
 		out.own = n.ownLoads(nil)
 	case slices.Contains(l.Mates(), p.name):
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -76,7 +76,7 @@
 		requests:  make(map[RequestID]*request),
 		claims:    newClaimState(),
 		members:   memberState{heard: make(map[string]time.Time)},
-		peers:     peersState{byName: make(map[string]*peerState)},
+		peers:     newPeersState(),
 		polls:     pollState{heard: make(map[string]time.Time)},
 	}
 }
@@ -131,6 +131,9 @@
 	switch e := e.(type) {
 	case SendPeer:
 		n.peers.budget.spend(n.now, e.Message.WireEstimate())
+		if e.Message.Digest == nil {
+			n.askForLink(e.To)
+		}
 	case PollReport:
 		n.peers.budget.spend(n.now, sizePoll)
 	}
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -17,6 +17,10 @@
 	// rowRound is the same in rows: there the mean is larger, so a count ages
 	// better, and a load takes up to three hops.
 	rowRound = time.Second
+	// outsideRound is the pause between digests to a peer outside the layout.
+	outsideRound = 10 * time.Second
+	// askedFor is how long a link outside the layout is held after its last use.
+	askedFor = time.Minute
 	// heartbeat is the longest pause between digests to a peer.
 	heartbeat = 2 * time.Second
 	// silentAfter is when a peer's duties pass on: two heartbeats were missed.
@@ -61,9 +65,13 @@
 	heads   []string
 	columns [][]string
 	linked  []PeerAddress
-	byName  map[string]*peerState
-	budget  controlBudget
-	wanted  wantedState
+	// inLayout are the peers of the layout; asked are others, to which a link is
+	// held until a time because something was sent to them.
+	inLayout map[string]bool
+	asked    map[string]time.Time
+	byName   map[string]*peerState
+	budget   controlBudget
+	wanted   wantedState
 	// marks and floor tell which changes of the view a peer that connects needs.
 	marks []changeMark
 	floor uint64
@@ -79,6 +87,12 @@
 	at  time.Time
 }
 
+func newPeersState() peersState {
+	return peersState{
+		byName: make(map[string]*peerState), inLayout: make(map[string]bool), asked: make(map[string]time.Time),
+	}
+}
+
 // wantedState paces the requests for a newer configuration.
 type wantedState struct {
 	generation uint64
@@ -208,13 +222,22 @@
 	for _, name := range n.peerNames() {
 		p := n.peers.byName[name]
 		if p.connected && !n.now.Before(p.due) {
-			p.due = n.now.Add(n.jitter(n.round()))
+			p.due = n.now.Add(n.jitter(n.roundFor(name)))
 			n.sendDigest(p)
 		}
 	}
 	n.tickPolls()
 }
 
+// roundFor is the round of digests to a peer. One outside the layout hears no
+// loads, only often enough that the link is not taken for dead.
+func (n *Node) roundFor(name string) time.Duration {
+	if n.outsider(name) {
+		return outsideRound
+	}
+	return n.round()
+}
+
 func (n *Node) round() time.Duration {
 	round := meshRound
 	if n.peers.layout.Rows() {
@@ -252,6 +275,25 @@
 	n.linkPeers(l.Peers(n.silent))
 }
 
+// askForLink wants a link to an instance outside the layout: to the owner of a
+// range of claims, or to whoever asked it. The message that brings it about is
+// lost; its sender asks again or does without the owner.
+func (n *Node) askForLink(name string) {
+	if n.peers.inLayout[name] || n.view.Get(name) == nil {
+		return
+	}
+	if n.peers.asked[name].IsZero() {
+		n.peers.nextLayout = n.now
+	}
+	n.peers.asked[name] = n.now.Add(askedFor)
+}
+
+// outsider tells whether a peer is one that this instance knows of but that the
+// layout does not join to it.
+func (n *Node) outsider(name string) bool {
+	return !n.peers.inLayout[name] && n.view.Get(name) != nil
+}
+
 // fleet lists the entry instances that are not gone, sorted by name. Leaving ones
 // are among them: they still have requests at the backend servers.
 func (n *Node) fleet() []mesh.Member {
@@ -267,6 +309,14 @@
 
 // linkPeers asks for the links of the layout if they are not the ones held.
 func (n *Node) linkPeers(names []string) {
+	clear(n.peers.inLayout)
+	for _, name := range names {
+		n.peers.inLayout[name] = true
+	}
+	maps.DeleteFunc(n.peers.asked, func(_ string, until time.Time) bool { return n.now.After(until) })
+	names = slices.AppendSeq(names, maps.Keys(n.peers.asked))
+	slices.Sort(names)
+	names = slices.Compact(names)
 	var linked []PeerAddress
 	for _, name := range names {
 		n.peer(name)
@@ -373,7 +423,9 @@
 	if !hurry {
 		return
 	}
-	for _, p := range n.peers.byName {
-		p.due = n.now
+	for name, p := range n.peers.byName {
+		if !n.outsider(name) {
+			p.due = n.now
+		}
 	}
 }
--- a/internal/core/peers_test.go
+++ b/internal/core/peers_test.go
@@ -453,3 +453,32 @@
 	f.requireExact(append(others, "entry-30"), others)
 	return least
 }
+
+// TestClaimReachesAnOwnerOutsideTheLayout lets an instance of 30 ask the owner of
+// a range, to which the rows give it no link. The first message is lost; the link
+// must come, and the next message arrive, with no loads told over it.
+func TestClaimReachesAnOwnerOutsideTheLayout(t *testing.T) {
+	f := newPeerFleet(t, 30, 1)
+	f.run(3 * time.Second)
+	n := f.nodes["entry-00"]
+	i := slices.IndexFunc(f.names(), func(name string) bool { return n.outsider(name) && name != "entry-00" })
+	owner := f.names()[i]
+	ask := func() {
+		f.handle("entry-00", Ticked{})
+		n.effects = n.effects[:0]
+		n.sendClaim(owner, claims.Request{Set: claims.Claimed, Expires: unixSeconds(f.now.Add(time.Hour))})
+		if f.linked[pair("entry-00", owner)] {
+			f.inbox[owner] = append(f.inbox[owner], PeerReceived{From: "entry-00", Message: n.effects[0].(SendPeer).Message})
+		}
+	}
+	ask()
+	f.run(2 * time.Second)
+	require.True(t, f.linked[pair("entry-00", owner)])
+	require.Empty(t, f.nodes[owner].claims.ranges)
+	ask()
+	f.run(3 * time.Second)
+	require.NotEmpty(t, f.nodes[owner].claims.ranges)
+	f.requireExact(f.names(), f.names())
+	f.run(2 * time.Minute)
+	require.False(t, f.linked[pair("entry-00", owner)], "unused, the link must go")
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -36,8 +36,9 @@
 
 // Bounds on what others may hold open here.
 const (
-	// maxLinks is well over the links of an instance in the largest layout.
-	maxLinks = 128
+	// maxLinks is over the links of an instance in the largest layout and those of
+	// all others to the owner of a range of claims.
+	maxLinks = 512
 	// maxStrangers bounds the connections that have not said hello yet.
 	maxStrangers = 64
 )
