--- a/internal/measure/control/fleet.go
+++ b/internal/measure/control/fleet.go
@@ -220,12 +220,17 @@
 		return
 	}
 	f.requests++
-	f.handle(in, core.RequestArrived{
-		Request:  core.RequestID(fmt.Sprint("r", f.requests)),
+	id := fmt.Sprint("r", f.requests)
+	e := core.RequestArrived{
+		Request:  core.RequestID(id),
 		Customer: customerName(f.random.IntN(f.size.Customers)),
 		Service:  serviceName(f.random.IntN(f.size.Services)),
 		Chat:     fmt.Sprint("chat-", f.random.IntN(100_000)),
-	})
+	}
+	if f.size.Keyed > 0 && f.random.Float64() < f.size.Keyed {
+		e.NonIdempotent, e.Key = true, id
+	}
+	f.handle(in, e)
 	f.after(time.Duration(f.random.ExpFloat64()/f.size.Rate*float64(time.Second)), func() { f.arrive(in) })
 }
 
--- a/internal/measure/control/main.go
+++ b/internal/measure/control/main.go
@@ -27,7 +27,9 @@
 	Services  int     `json:"services"`
 	Customers int     `json:"customers"`
 	Rate      float64 `json:"requests_per_second_per_instance"`
-	Seed      uint64  `json:"seed"`
+	// Keyed is the share of requests that are non-idempotent and bring a key.
+	Keyed float64 `json:"keyed_share"`
+	Seed  uint64  `json:"seed"`
 }
 
 // sizes are today's fleet, one availability zone of the two-year fleet at
@@ -38,6 +40,7 @@
 	{Name: "zone-15", Instances: 15, Zones: 1, Backends: 38, Services: 27, Customers: 100, Rate: 37},
 	{Name: "zone-30", Instances: 30, Zones: 1, Backends: 76, Services: 27, Customers: 100, Rate: 37},
 	{Name: "zone-58", Instances: 58, Zones: 1, Backends: 148, Services: 27, Customers: 100, Rate: 37},
+	{Name: "zone-58-keyed", Instances: 58, Zones: 1, Backends: 148, Services: 27, Customers: 100, Rate: 37, Keyed: 0.077},
 	{Name: "zone-116", Instances: 116, Zones: 1, Backends: 296, Services: 27, Customers: 100, Rate: 37},
 	{Name: "fleet-116", Instances: 116, Zones: 2, Backends: 296, Services: 27, Customers: 100, Rate: 37},
 	{Name: "customers-600", Instances: 8, Zones: 1, Backends: 27, Services: 27, Customers: 600, Rate: 37},
