Keep the configuration from going back, and hear of it from peers

Every instance held a watch of its own, none passed its text on, one that started in an outage of the platform stayed without, and a store that came back older kept the old text for whoever started next.

Two instances a zone watch now; the others hear from peers and verify slowly; watchers write back what the store has lost; two edits under one generation settle on one.

--- /dev/null
+++ b/internal/core/configs_test.go
@@ -0,0 +1,251 @@
+package core_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/ebonydyke/ebonydyke/internal/core"
+	"github.com/ebonydyke/ebonydyke/internal/core/config"
+)
+
+// put writes a value to the configuration key, as an operator's tool or as a store
+// that comes back from a copy.
+func (f *fleet) put(generation uint64, edit, text string) {
+	value, err := json.Marshal(config.Envelope{Generation: generation, Edit: edit, Text: text})
+	if err != nil {
+		panic(err)
+	}
+	v := f.store.value(core.ConfigKey)
+	v.value = value
+	v.version++
+	f.store.wake(v)
+}
+
+// onGeneration counts the instances that have a generation in force, and gives
+// when the last of them took it.
+func (f *fleet) onGeneration(generation uint64) (count int, last time.Time) {
+	for _, m := range f.members {
+		if m.dead || m.generation != generation {
+			continue
+		}
+		count++
+		if m.takenAt.After(last) {
+			last = m.takenAt
+		}
+	}
+	return count, last
+}
+
+func configFleet(t *testing.T, seed uint64, n, zones int) (*fleet, string) {
+	t.Helper()
+	text := fleetText(claimWindow)
+	f := newFleet(seed, n, zones, text)
+	f.put(1, "first", text)
+	f.run(5 * time.Second)
+	count, _ := f.onGeneration(1)
+	require.Equal(t, n, count)
+	return f, text
+}
+
+func (f *fleet) requireAll(t *testing.T, generation uint64) {
+	t.Helper()
+	count, _ := f.onGeneration(generation)
+	require.Equal(t, len(f.members), count, "instances on generation %d", generation)
+	require.Zero(t, f.reverts)
+}
+
+// Operators change a limit at opening time and some instances go on with the old
+// one for minutes.
+func TestAnEditIsInForceEverywhereWithinSeconds(t *testing.T) {
+	for _, size := range []struct{ instances, zones, edits int }{{8, 3, 10}, {58, 3, 3}, {350, 6, 1}} {
+		f, text := configFleet(t, 11, size.instances, size.zones)
+		// Each watches at its start; those watches must be over.
+		f.run(31 * time.Second)
+		clear(f.calls)
+		var worst time.Duration
+		for i := range uint64(size.edits) {
+			accepted := f.now
+			f.put(2+i, fmt.Sprintf("edit-%d", i), text)
+			f.run(8 * time.Second)
+			f.requireAll(t, 2+i)
+			_, last := f.onGeneration(2 + i)
+			worst = max(worst, last.Sub(accepted))
+		}
+		seconds := float64(size.edits * 8)
+		t.Logf("%d instances: in force on the last %v after the write; platform calls a second: %.1f list, %.1f get, %.1f watch",
+			size.instances, worst, float64(f.calls["list"])/seconds, float64(f.calls["get"])/seconds, float64(f.calls["watch"])/seconds)
+		require.Less(t, worst, 15*time.Second)
+	}
+}
+
+// The store was restored from a copy, or is back after an outage without its last
+// write: the fleet must not go back, and an instance that starts then must not take
+// the old text.
+func TestAStoreThatComesBackOlderDoesNotRevert(t *testing.T) {
+	f, text := configFleet(t, 12, 8, 3)
+	f.put(2, "second", text)
+	f.run(10 * time.Second)
+	f.requireAll(t, 2)
+	f.store.down = true
+	f.run(time.Minute)
+	f.put(1, "first", text)
+	f.store.down = false
+	f.run(30 * time.Second)
+	f.requireAll(t, 2)
+	require.Contains(t, string(f.store.value(core.ConfigKey).value), `"generation":2`, "written back")
+	f.boot(f.members[0], "")
+	f.run(10 * time.Second)
+	f.requireAll(t, 2)
+
+	v := f.store.value(core.ConfigKey)
+	v.value, v.version = nil, 0
+	f.store.wake(v)
+	f.run(2 * time.Minute)
+	f.requireAll(t, 2)
+	require.Contains(t, string(f.store.value(core.ConfigKey).value), `"generation":2`, "an emptied store too")
+	t.Logf("%d write-backs by 8 instances", f.counters["config_write_backs/"])
+}
+
+// A replaced instance starts during an outage of the platform and refuses all
+// callers for want of a text that every neighbour has.
+func TestAnInstanceThatStartsInAnOutageAsksItsPeers(t *testing.T) {
+	f, text := configFleet(t, 13, 8, 3)
+	f.put(2, "second", text)
+	f.run(10 * time.Second)
+	f.store.down, f.listDown = true, true
+	f.run(time.Minute)
+	m := f.members[3]
+	m.dead = true
+	f.run(10 * time.Second)
+	f.boot(m, "")
+	started := f.now
+	f.run(15 * time.Second)
+	f.requireAll(t, 2)
+	t.Logf("in force %v after its start", m.takenAt.Sub(started))
+}
+
+// A zone is cut off and an edit comes meanwhile. Cut from the platform only, it
+// hears from its peers; cut from its peers only, from the platform; cut from both,
+// it goes on with what it has and takes the edit once it is healed.
+func TestAZoneCutOffTakesTheEditWhenItCan(t *testing.T) {
+	inZone := func(m *member) bool { return m.zone == "zone-0" }
+	across := func(a, b *member) bool { return inZone(a) != inZone(b) }
+	nowhere := func(_, _ *member) bool { return false }
+	f, text := configFleet(t, 14, 8, 3)
+
+	f.cutOff = inZone
+	f.put(2, "second", text)
+	f.run(15 * time.Second)
+	f.requireAll(t, 2)
+
+	f.cutOff, f.cut = func(*member) bool { return false }, across
+	f.run(10 * time.Second)
+	f.put(3, "third", text)
+	f.run(15 * time.Second)
+	f.requireAll(t, 3)
+
+	f.cutOff = inZone
+	f.run(10 * time.Second)
+	f.put(4, "fourth", text)
+	f.run(time.Minute)
+	count, _ := f.onGeneration(4)
+	require.Equal(t, 5, count)
+	f.cutOff, f.cut = func(*member) bool { return false }, nowhere
+	f.run(20 * time.Second)
+	f.requireAll(t, 4)
+}
+
+// Two edits under one generation, after a store went back and an operator who saw
+// only the store wrote again: half the fleet would stay on each. All settle on one.
+func TestTwoEditsUnderOneGenerationSettle(t *testing.T) {
+	for _, edits := range [][2]string{{"a", "b"}, {"b", "a"}} {
+		f, text := configFleet(t, 15, 8, 3)
+		f.put(2, edits[0], text)
+		f.run(10 * time.Second)
+		f.requireAll(t, 2)
+		f.put(2, edits[1], text)
+		f.run(3 * time.Minute)
+		f.requireAll(t, 2)
+		for _, m := range f.members {
+			require.Equal(t, "b", m.edit)
+		}
+		require.Contains(t, string(f.store.value(core.ConfigKey).value), `"edit":"b"`)
+		require.Positive(t, f.counters["config_conflicts/"])
+	}
+}
+
+// A text with a mistake, or a value that is no text, is refused whole and shown;
+// what was in force goes on, and the next good one is taken.
+func TestATextThatCannotBeTakenLeavesTheOldInForce(t *testing.T) {
+	f, text := configFleet(t, 16, 3, 1)
+	f.put(2, "bad", strings.Replace(text, `"plain"`, `"plane"`, 1))
+	f.run(10 * time.Second)
+	f.requireAll(t, 1)
+	for _, m := range f.members {
+		require.NotEmpty(t, m.node.Status().Findings)
+	}
+	v := f.store.value(core.ConfigKey)
+	v.value, v.version = []byte("{"), v.version+1
+	f.store.wake(v)
+	f.run(10 * time.Second)
+	f.requireAll(t, 1)
+	f.put(3, "good", text)
+	f.run(10 * time.Second)
+	f.requireAll(t, 3)
+	require.Empty(t, f.members[0].node.Status().Findings)
+}
+
+// Any order of edits, outages, cuts, restores, freezes and restarts: no instance
+// goes back, and once all is healed every one has the newest.
+func TestNoScheduleRevertsAConfiguration(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		text := fleetText(claimWindow)
+		f := newFleet(rapid.Uint64().Draw(t, "seed"), 4, 2, "")
+		generation := uint64(0)
+		for range rapid.IntRange(3, 15).Draw(t, "steps") {
+			m := f.members[rapid.IntRange(0, 3).Draw(t, "member")]
+			switch rapid.IntRange(0, 8).Draw(t, "what") {
+			case 0:
+				f.store.down = !f.store.down
+			case 1:
+				f.cut = func(a, b *member) bool { return a.zone != b.zone }
+			case 2:
+				f.cutOff = func(m *member) bool { return m.zone == "zone-0" }
+			case 3:
+				m.frozenTill = f.now.Add(20 * time.Second)
+			case 4:
+				f.boot(m, "")
+			case 5:
+				// An instance that has the newest must know it for the restore to be noticed.
+				if count, _ := f.onGeneration(generation); generation > 1 && count > 1 {
+					f.put(generation-1, fmt.Sprint(generation-1), text)
+				}
+			default:
+				if !f.store.down {
+					generation++
+					f.put(generation, fmt.Sprint(generation), text)
+				}
+			}
+			f.run(time.Duration(rapid.IntRange(1, 20_000).Draw(t, "pause")) * time.Millisecond)
+		}
+		f.store.down = false
+		f.cut, f.cutOff = func(_, _ *member) bool { return false }, func(*member) bool { return false }
+		f.run(3 * time.Minute)
+		if f.reverts > 0 {
+			t.Fatal("an instance went back")
+		}
+		newest := uint64(0)
+		for _, m := range f.members {
+			newest = max(newest, m.generation)
+		}
+		if count, _ := f.onGeneration(newest); count != len(f.members) {
+			t.Fatalf("%d of 4 on generation %d", count, newest)
+		}
+	})
+}
--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -24,6 +24,8 @@
 	// peerSilence is how long all other readers may say nothing before an
 	// instance reads the list as if it were one.
 	peerSilence = 5 * time.Second
+	// heardKeep is how long it is remembered when a peer was last heard.
+	heardKeep = time.Hour
 	// expireInterval is how often old tombstones are looked for.
 	expireInterval = time.Minute
 )
@@ -46,6 +48,10 @@
 	// zone are those of this zone, and readers its readers of the list.
 	zone    []string
 	readers []string
+	// watchers are the zone's watchers of the configuration.
+	watchers []string
+	// lastHeard is when any peer last sent anything.
+	lastHeard time.Time
 }
 
 func (n *Node) tickMembers() {
@@ -57,7 +63,7 @@
 		n.members.expireAt = n.now.Add(expireInterval)
 		n.view.Expire(n.now)
 		maps.DeleteFunc(n.members.heard, func(_ string, at time.Time) bool {
-			return n.now.Sub(at) > expireInterval
+			return n.now.Sub(at) > heardKeep
 		})
 	}
 }
@@ -88,16 +94,28 @@
 // readsList tells whether this instance reads the list at the short interval.
 func (n *Node) readsList() bool {
 	n.entries()
-	silent := true
-	for _, reader := range n.members.readers {
-		if reader == n.settings.Name {
+	return n.actsFor(n.members.readers)
+}
+
+// actsFor tells whether this instance does the duty of a few instances of its
+// zone: it is one of them, or hears from none of them and so would miss what they
+// learn. One to which it holds no link is heard through the others.
+func (n *Node) actsFor(duty []string) bool {
+	for _, name := range duty {
+		if name == n.settings.Name {
 			return true
 		}
-		if n.now.Sub(n.members.heard[reader]) < peerSilence {
-			silent = false
+	}
+	for _, name := range duty {
+		heard, linked := n.members.heard[name]
+		if !linked {
+			heard = n.members.lastHeard
+		}
+		if n.now.Sub(heard) < peerSilence {
+			return false
 		}
 	}
-	return silent
+	return true
 }
 
 func (n *Node) instancesListed(e InstancesListed) {
@@ -155,7 +173,10 @@
 }
 
 // peerHeard notes that a peer sent something.
-func (n *Node) peerHeard(peer string) { n.members.heard[peer] = n.now }
+func (n *Node) peerHeard(peer string) {
+	n.members.heard[peer] = n.now
+	n.members.lastHeard = n.now
+}
 
 // learn merges a fact from any source.
 func (n *Node) learn(f membership.Fact) {
@@ -236,6 +257,7 @@
 	slices.Sort(zone)
 	s.entries = names
 	s.zone = zone
+	s.watchers = n.rankWatchers(zone)
 	s.readers = rendezvous.Top(rendezvous.Hash("list/"+n.settings.Zone), zone, listReaders)
 	return names
 }
