--- a/cmd/ebonyctl/status.go
+++ b/cmd/ebonyctl/status.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"time"
@@ -27,32 +29,48 @@
 	StoreError string  `json:"store_error,omitempty"`
 	Instances  []asked `json:"instances"`
 	// Heard are live instances that were not asked, as their peers heard them.
-	Heard []core.PeerStatus `json:"heard"`
+	Heard []heard `json:"heard"`
 	// Behind names the instances that are not known to be on the newest.
 	Behind []string `json:"behind"`
 }
 
+// silentAfter is how long a peer may say nothing before the tool says so.
+const silentAfter = 10 * time.Second
+
+// heard is a live instance that was not asked.
+type heard struct {
+	core.PeerStatus
+	// Silent says that its peers hear nothing of it, although the platform lists it.
+	Silent bool `json:"silent,omitempty"`
+}
+
 // Run prints the status, once it is as wished.
 func (c *statusCommand) Run(global *cli) error {
-	ctx, cancel := global.context()
-	defer cancel()
+	// Each question has its own time limit: one that the end of the wait cut short
+	// would show an instance as not answering.
+	ctx := context.Background()
+	end := time.Now().Add(global.Timeout)
 	s := global.fleetStatus(ctx)
-	for c.Wait && !s.settled() && ctx.Err() == nil {
-		select {
-		case <-ctx.Done():
-		case <-time.After(statusInterval):
-			s = global.fleetStatus(ctx)
-		}
+	for c.Wait && !s.settled() && time.Now().Before(end) {
+		time.Sleep(statusInterval)
+		s = global.fleetStatus(ctx)
 	}
 	if err := global.printStatus(s); err != nil {
 		return err
 	}
+	if !s.answered() {
+		return errors.New("no instance answers: give the admin_listen addresses of running instances with --instances")
+	}
 	if c.Wait && !s.settled() {
 		return &exitError{exitNotEverywhere, fmt.Errorf("generation %d is not in force everywhere after %v; not on it: %v", s.Newest, global.Timeout, s.Behind)}
 	}
 	return nil
 }
 
+func (s *fleetStatus) answered() bool {
+	return slices.ContainsFunc(s.Instances, func(a asked) bool { return a.Status != nil })
+}
+
 func (s *fleetStatus) settled() bool { return s.Newest > 0 && len(s.Behind) == 0 }
 
 func (c *cli) fleetStatus(ctx context.Context) *fleetStatus {
@@ -92,30 +110,28 @@
 			live[in.Name] = live[in.Name] || in.State == membership.Live
 		}
 	}
-	latest := make(map[string]core.PeerStatus)
+	latest := make(map[string]heard)
 	for _, a := range s.Instances {
 		if a.Status == nil {
 			continue
 		}
 		for _, p := range a.Status.Peers {
-			if !known[p.Name] && live[p.Name] && p.Heard.After(latest[p.Name].Heard) {
-				latest[p.Name] = p
+			if p.Heard.After(latest[p.Name].Heard) {
+				latest[p.Name] = heard{PeerStatus: p, Silent: a.Status.At.Sub(p.Heard) > silentAfter}
 			}
 		}
 	}
-	for name := range live {
-		if live[name] && !known[name] {
-			p := latest[name]
-			p.Name = name
-			s.Heard = append(s.Heard, p)
+	for name, isLive := range live {
+		if !isLive || known[name] {
+			continue
 		}
-	}
-	slices.SortFunc(s.Heard, func(a, b core.PeerStatus) int {
-		if a.Name < b.Name {
-			return -1
+		p, ok := latest[name]
+		if !ok {
+			p = heard{PeerStatus: core.PeerStatus{Name: name}, Silent: true}
 		}
-		return 1
-	})
+		s.Heard = append(s.Heard, p)
+	}
+	slices.SortFunc(s.Heard, func(a, b heard) int { return cmp.Compare(a.Name, b.Name) })
 }
 
 func (s *fleetStatus) findBehind() {
@@ -148,7 +164,7 @@
 			fmt.Sprint(a.Status.InFlight), platformWord(a.Status))
 	}
 	for _, p := range s.Heard {
-		t.row(p.Name, "", generation(p.Generation), "heard of, not asked", "", "")
+		t.row(p.Name, "", generation(p.Generation), heardState(p), "", "")
 	}
 	t.flush()
 	for _, a := range s.Instances {
@@ -188,6 +204,17 @@
 	}
 }
 
+func heardState(p heard) string {
+	switch {
+	case !p.Silent:
+		return "heard of, not asked"
+	case p.Heard.IsZero():
+		return "listed, never heard of"
+	default:
+		return "silent since " + p.Heard.Format(time.RFC3339)
+	}
+}
+
 func platformWord(s *core.Status) string {
 	p := s.Platform
 	switch {
