Bound the platform's client, and give its stand-in faults

The client dialled anew for most calls (two idle connections), had no bound on connections, took a value over the limit cut short for whole, and would have followed a redirect with a write. The stand-in could not fail.

The stand-in now goes down, delays, loses answers before or after the effect, puts back an old value and freezes the list, by PUT /fault and POST /fault/restore. No leases: nothing uses them, since claims and the configuration rest on compare-and-swap alone.

--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -22,11 +22,27 @@
 // WatchWait is how long the platform holds a watch before it answers unchanged.
 const WatchWait = 30 * time.Second
 
-// maxValue is the largest value the platform holds, in bytes.
-const maxValue = 1 << 20
+// Bounds of the client.
+const (
+	// maxValue is the largest value the platform holds, in bytes.
+	maxValue = 1 << 20
+	// maxConns bounds the connections to the platform. The core makes at most a
+	// call for each range of the ledger and a few more at once.
+	maxConns = 64
+	// idleConns is how many of them are kept open: dialling for each call would cost
+	// more than the call.
+	idleConns   = 16
+	idleTimeout = 90 * time.Second
+	// dialTimeout lies under the time limit of a call, so that a platform that
+	// cannot be reached shows as such and not as a call of unknown outcome.
+	dialTimeout = time.Second
+)
 
 // Client calls the platform over HTTP. The standard client is used rather than
 // fasthttp because a call must be cancelled when its deadline passes.
+//
+// The standard client sends a GET again, but a PUT only if no byte of it had left:
+// a write that failed after that is the caller's to read back.
 type Client struct {
 	base string
 	http *http.Client
@@ -34,9 +50,19 @@
 
 // NewClient returns a client of the platform at the base URL.
 func NewClient(base string) *Client {
-	return &Client{base: base, http: &http.Client{}}
+	transport := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxConnsPerHost:     maxConns,
+		MaxIdleConnsPerHost: idleConns,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+	}
+	return &Client{base: base, http: &http.Client{Transport: transport, CheckRedirect: noRedirect}}
 }
 
+// noRedirect takes a redirect for the answer that it is: the platform has none.
+func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
 // Get reads a key.
 func (c *Client) Get(ctx context.Context, key string) ([]byte, uint64, error) {
 	return c.do(ctx, http.MethodGet, c.keyURL(key, nil), nil)
@@ -93,6 +119,9 @@
 	if err != nil {
 		return nil, 0, fmt.Errorf("platform: read answer: %w", err)
 	}
+	if len(value) > maxValue {
+		return nil, 0, fmt.Errorf("platform: answer over %d bytes", maxValue)
+	}
 	return value, versionOf(resp), statusError(resp.StatusCode)
 }
 
--- a/test/standin/platform/platform.go
+++ b/test/standin/platform/platform.go
@@ -18,33 +18,52 @@
 	value   []byte
 	version uint64
 	changed chan struct{}
+	// history holds every value, so that an old one can be put back.
+	history [][]byte
+}
+
+func (e *entry) set(value []byte) {
+	e.value = value
+	e.version++
+	e.history = append(e.history, value)
+	close(e.changed)
+	e.changed = make(chan struct{})
 }
 
 // Server is the stand-in.
 type Server struct {
-	mux *http.ServeMux
+	handler http.Handler
 
 	mu        sync.Mutex
 	keys      map[string]*entry
 	instances map[string]membership.Instance
+	faults    Faults
+	// changed is closed when the faults change.
+	changed chan struct{}
+	// frozen is the list that is shown while it is frozen.
+	frozen map[string]membership.Instance
 }
 
 // New returns an empty platform.
 func New() *Server {
+	mux := http.NewServeMux()
 	s := &Server{
-		mux:       http.NewServeMux(),
+		changed:   make(chan struct{}),
 		keys:      make(map[string]*entry),
 		instances: make(map[string]membership.Instance),
 	}
-	s.mux.HandleFunc("GET /v1/kv/{key...}", s.get)
-	s.mux.HandleFunc("PUT /v1/kv/{key...}", s.put)
-	s.mux.HandleFunc("GET /v1/instances", s.list)
-	s.mux.HandleFunc("PUT /v1/instances", s.register)
+	s.handler = s.faulty(mux)
+	mux.HandleFunc("GET /v1/kv/{key...}", s.get)
+	mux.HandleFunc("PUT /v1/kv/{key...}", s.put)
+	mux.HandleFunc("GET /v1/instances", s.list)
+	mux.HandleFunc("PUT /v1/instances", s.register)
+	mux.HandleFunc("PUT /fault", s.setFaults)
+	mux.HandleFunc("POST /fault/restore/{key...}", s.restore)
 	return s
 }
 
 // ServeHTTP answers one call.
-func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.handler.ServeHTTP(w, r) }
 
 func (s *Server) entry(key string) *entry {
 	e := s.keys[key]
@@ -76,8 +95,11 @@
 		http.Error(w, "wait: "+err.Error(), http.StatusBadRequest)
 		return
 	}
+	_, faultsChanged := s.currentFaults()
 	select {
 	case <-changed:
+	case <-faultsChanged:
+		panic(http.ErrAbortHandler)
 	case <-time.After(limit):
 		w.WriteHeader(http.StatusNotModified)
 		return
@@ -111,18 +133,25 @@
 		w.WriteHeader(http.StatusConflict)
 		return
 	}
-	e.value = value
-	e.version++
-	close(e.changed)
-	e.changed = make(chan struct{})
+	lost, takesEffect := s.loses()
+	if takesEffect {
+		e.set(value)
+	}
+	if lost {
+		panic(http.ErrAbortHandler)
+	}
 	reply(w, nil, e.version)
 }
 
 func (s *Server) list(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	list := make([]membership.Instance, 0, len(s.instances))
-	for _, in := range s.instances {
+	shown := s.instances
+	if s.faults.FreezeList {
+		shown = s.frozen
+	}
+	list := make([]membership.Instance, 0, len(shown))
+	for _, in := range shown {
 		list = append(list, in)
 	}
 	_ = json.NewEncoder(w).Encode(list)
