--- a/internal/core/placement.go
+++ b/internal/core/placement.go
@@ -17,8 +17,6 @@
 	// candidates are the usable backend servers, sorted by name.
 	candidates []routing.Candidate
 	index      map[string]int
-	// near counts the candidates in the own availability zone.
-	near int
 	// total is the sum of the candidates' loads, unreachable ones included.
 	total float64
 	// unreachable and lost count the unreachable candidates and their load.
@@ -27,13 +25,6 @@
 	budget      *retry.Budget
 }
 
-// nearPool is the number of backend servers in an availability zone from which on
-// its chats stay there. Smaller pools are ranked over all zones: a few servers a
-// zone cannot even out the load, and instances of several zones behind one balancer
-// would each have their own ranking for the same chat. In large pools the zone is
-// enough, and its instances know the loads in other zones only from late reports.
-const nearPool = 32
-
 // retryBurst is how many retries a service may spend before its successes have
 // earned any.
 const retryBurst = 10
@@ -72,18 +63,49 @@
 
 func (n *Node) choice(r *request, p *pool) routing.Choice {
 	chat := chatHash(r)
-	total, count := p.reachable()
-	hinted := n.hinted(r, p)
+	total, count := n.sharing(p)
 	return routing.Choice{
 		Chat:       chat,
-		Hinted:     hinted,
-		PreferNear: r.arrived.Chat == "" || p.near >= nearPool,
+		Hinted:     n.hinted(r, p),
+		PreferNear: r.arrived.Chat == "" || n.zonesApart(),
 		Tried:      r.tried,
 		Capacity:   float64(r.service.Capacity),
 		Limits:     routing.LimitsFor(r.service.SkewBound, total, count, chat, n.hints.kind(r)),
 	}
 }
 
+// zonesApart tells whether the fleet is so large that instances hear the loads of
+// their own zone's alone.
+//
+// Chats are then ranked in the own zone first, since a server that others fill
+// unseen looks idle from here; in a small fleet all zones are ranked as one, so
+// that a chat finds its prefix through any of them. A hint leads to any zone.
+func (n *Node) zonesApart() bool {
+	return n.peers.layout != nil && n.peers.layout.ZonesApart()
+}
+
+// sharing returns the load and the number of the backend servers among which load
+// is shared. Loads of other zones count only where they are known.
+func (n *Node) sharing(p *pool) (float64, int) {
+	if n.zonesApart() {
+		if total, count := p.reachableNear(); count > 0 {
+			return total, count
+		}
+	}
+	return p.reachable()
+}
+
+// reachableNear is reachable for the candidates of the own zone.
+func (p *pool) reachableNear() (total float64, count int) {
+	for i := range p.candidates {
+		if c := &p.candidates[i]; !c.Far && !c.Unreachable {
+			total += c.Load
+			count++
+		}
+	}
+	return total, count
+}
+
 // hinted returns the index of the candidate that the request's hint names. A hint
 // of an earlier incarnation is void: the cache went with the process.
 func (n *Node) hinted(r *request, p *pool) int {
@@ -181,9 +203,6 @@
 		p.index[c.Name] = i
 		c.Load = n.load.Estimate(c.Name)
 		p.total += c.Load
-		if !c.Far {
-			p.near++
-		}
 		if n.reach.unreachable(c.Name, n.now) {
 			p.setUnreachable(c, true)
 		}
