--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -203,13 +203,24 @@
 // silent tells whether a peer has not been heard for so long that others take
 // over its sums.
 func (n *Node) silent(name string) bool {
-	if name == n.settings.Name {
+	if name == n.settings.Name || !n.neighbour(name) {
 		return false
 	}
 	p := n.peers.byName[name]
 	return p != nil && n.now.Sub(p.heardAt) > silentAfter
 }
 
+// neighbour tells whether a peer belongs to this instance's layout.
+func (n *Node) neighbour(name string) bool {
+	return n.peers.inLayout[name]
+}
+
+// linkedTo tells whether a message to a peer can be sent now.
+func (n *Node) linkedTo(name string) bool {
+	p := n.peers.byName[name]
+	return p != nil && p.connected
+}
+
 // tickPeers sends the digests and polls that are due.
 func (n *Node) tickPeers() {
 	if !n.now.Before(n.peers.nextLayout) {
@@ -316,9 +327,8 @@
 	maps.DeleteFunc(n.peers.asked, func(_ string, until time.Time) bool { return n.now.After(until) })
 	names = slices.AppendSeq(names, maps.Keys(n.peers.asked))
 	slices.Sort(names)
-	names = slices.Compact(names)
 	var linked []PeerAddress
-	for _, name := range names {
+	for _, name := range slices.Compact(names) {
 		n.peer(name)
 		if in := n.view.Get(name); in != nil {
 			linked = append(linked, PeerAddress{Name: name, Address: in.Address})
