--- a/internal/core/mesh/mesh.go
+++ b/internal/core/mesh/mesh.go
@@ -19,8 +19,9 @@
 	"github.com/ebonydyke/ebonydyke/internal/core/rendezvous"
 )
 
-// FullMeshLimit is the size up to which all instances talk to each other.
-const FullMeshLimit = 16
+// FullMeshLimit is the number of instances, leaving ones aside, up to which all of
+// the fleet talk to each other.
+const FullMeshLimit = 10
 
 // bridgesPerPair is how many links two availability zones hold, so that one
 // frozen instance does not part them.
@@ -30,6 +31,11 @@
 type Member struct {
 	Name string
 	Zone string
+	// Leaving members still have requests in progress, so they are told and heard
+	// like the others, but they do not count towards the limit of the full mesh: a
+	// small fleet that is being replaced would change its layout twice for each
+	// instance, and each change costs some knowledge of loads.
+	Leaving bool
 }
 
 // Layout is the part of the fleet that one instance sees.
@@ -45,23 +51,31 @@
 	heads [][]string
 }
 
+// wholeFleet stands for all zones together; no zone has an empty name.
+const wholeFleet = ""
+
 // New lays out the fleet for self, which must be among the members.
 func New(self Member, members []Member) *Layout {
 	l := &Layout{self: self.Name}
 	zones := make(map[string][]string)
+	staying := make(map[string]int)
 	var all []string
 	for _, m := range members {
 		all = append(all, m.Name)
 		zones[m.Zone] = append(zones[m.Zone], m.Name)
+		if !m.Leaving {
+			staying[m.Zone]++
+			staying[wholeFleet]++
+		}
 	}
-	if len(all) <= FullMeshLimit {
+	if staying[wholeFleet] <= FullMeshLimit {
 		l.mates = without(all, self.Name)
 		return l
 	}
 	l.apart = true
 	l.bridges = bridges(self, zones)
 	zone := zones[self.Zone]
-	if len(zone) <= FullMeshLimit {
+	if staying[self.Zone] <= FullMeshLimit {
 		l.mates = without(zone, self.Name)
 		return l
 	}
--- a/internal/core/routing/routing.go
+++ b/internal/core/routing/routing.go
@@ -63,6 +63,7 @@
 const (
 	rankFar = 1 << iota
 	rankOverInner
+	rankWithheld
 	rankUnreachable
 	rankTried
 	rankLast
@@ -100,9 +101,12 @@
 		return rankLast + 1
 	}
 	rank := 0
-	if load > ch.Limits.Inner*(1-c.Withheld) {
+	if load > ch.Limits.Inner {
 		rank |= rankOverInner
 	}
+	if c.Withheld > 0 && load > ch.Limits.Inner*(1-c.Withheld) {
+		rank |= rankWithheld
+	}
 	if c.Unreachable {
 		rank |= rankUnreachable
 	}
