--- a/internal/core/claiming.go
+++ b/internal/core/claiming.go
@@ -32,8 +32,12 @@
 	// maxClaimEnds bounds the ends of claims that have not reached the store.
 	maxClaimEnds = 8192
 	// endDelay and endMaxDelay bound the delay between two tries to record an end.
-	endDelay    = 5 * time.Second
-	endMaxDelay = time.Minute
+	endDelay = 5 * time.Second
+	// endWait is how long the end of a claim waits in a range.
+	endWait = 15 * time.Second
+	// releaseDelay is the first delay of a release: the caller may be back soon.
+	releaseDelay = time.Second
+	endMaxDelay  = time.Minute
 	// linkKeep is how long a link to an owner is held after its last use.
 	linkKeep = 5 * time.Minute
 	// unloadAfter is how long the log of a range stays in memory unused.
@@ -344,18 +348,32 @@
 // sendEnd makes one try to record the end of a claim.
 func (n *Node) sendEnd(end *claimEnd) {
 	end.tries++
-	end.next = n.now.Add(n.backOff(endDelay, endMaxDelay, end.tries))
+	first := endDelay
+	if end.ask.Set == claims.Released {
+		first = releaseDelay
+	}
+	end.next = n.now.Add(n.backOff(first, endMaxDelay, end.tries))
 	i := end.ask.Key.Range()
 	owner := n.rangeOwner(i)
-	if owner != n.settings.Name && end.tries%2 == 1 && !n.suspected(owner) && n.linkedTo(owner) {
+	if n.endsAtOwner(owner, end) {
 		n.sendClaim(owner, end.ask)
 		return
 	}
-	if n.claimRange(i).Add(n.now, "", end.ask, end.next) {
+	rg := n.claimRange(i)
+	if !rg.Waits(end.ask.Token) && rg.Add(n.now, "", end.ask, n.now.Add(endWait)) {
 		n.pumpClaims(i)
 	}
 }
 
+// endsAtOwner tells whether the end of a claim is sent to the range's owner. That one
+// has the log in memory; with a slow store this instance could be long in reading it.
+func (n *Node) endsAtOwner(owner string, end *claimEnd) bool {
+	if owner == n.settings.Name || n.suspected(owner) || !n.linkedTo(owner) {
+		return false
+	}
+	return end.tries%2 == 1 || n.now.Sub(n.members.heard[owner]) < peerSilence
+}
+
 func (n *Node) endAnswered(reply claims.Reply) {
 	end := n.claims.ends[reply.Token]
 	if end != nil && end.ask.Set == reply.Set && reply.Verdict == claims.Granted {
@@ -377,7 +395,11 @@
 		n.emit(SendPeer{To: from, Message: PeerMessage{ClaimReply: &reply}})
 		return
 	}
-	if verdict := n.queueClaim(rg, from, ask, n.now.Add(claimWait)); verdict != claims.Granted {
+	wait := claimWait
+	if ask.Set != claims.Claimed {
+		wait = endWait
+	}
+	if verdict := n.queueClaim(rg, from, ask, n.now.Add(wait)); verdict != claims.Granted {
 		reply := claims.Reply{Key: ask.Key, Token: ask.Token, Set: ask.Set, Verdict: verdict}
 		n.emit(SendPeer{To: from, Message: PeerMessage{ClaimReply: &reply}})
 		return
--- a/internal/core/claiming_test.go
+++ b/internal/core/claiming_test.go
@@ -225,6 +225,7 @@
 // Any order of requests, freezes, kills, outages, cuts, lost answers and lists
 // that differ: no key runs twice, and no refusal says not-run of one that ran.
 func TestNoScheduleRunsAKeyTwice(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		window := rapid.SampledFrom([]time.Duration{20 * time.Second, claimWindow}).Draw(t, "window")
 		f := newFleet(rapid.Uint64().Draw(t, "seed"), 3, 2, fleetText(window))
@@ -272,6 +273,7 @@
 // At a thousand notes a second the store, which takes several hundred writes a
 // second for everything, would be overrun by a write a note.
 func TestGroupCommitKeepsTheStoreUnderAHundredWrites(t *testing.T) {
+	t.Parallel()
 	for _, size := range []struct{ instances, zones int }{{8, 3}, {58, 3}} {
 		f := newFleet(9, size.instances, size.zones, fleetText(claimWindow))
 		f.run(5 * time.Second)
--- a/internal/core/claims/log.go
+++ b/internal/core/claims/log.go
@@ -24,6 +24,8 @@
 	record  Record
 	verdict Verdict
 	first   State
+	// young says that the claim that came first was made a short time ago.
+	young bool
 }
 
 // decide tells what follows from the log for a request.
@@ -46,7 +48,7 @@
 	case req.Set == Claimed && own && last.State == Claimed:
 		return decision{verdict: Granted}
 	case req.Set == Claimed:
-		return decision{verdict: Duplicate, first: last.State}
+		return decision{verdict: Duplicate, first: last.State, young: last.State == Claimed && youngBy(last, req)}
 	case released, own && last.State == Done, req.Set == Done && !own:
 		return decision{verdict: Granted}
 	default:
@@ -54,6 +56,13 @@
 	}
 }
 
+// youngBy tells whether a claim is young at the time of a request. Both expire a
+// window after they were made; if the windows differ, only a wait does.
+func youngBy(last Record, req Request) bool {
+	age := time.Duration(int64(req.Expires)-int64(last.Expires)) * time.Second
+	return age < youngClaim
+}
+
 // with returns the tail with more records, as it is to be written.
 func (l *log) with(now time.Time, records []Record) Segment {
 	l.forget(now)
--- a/internal/core/claims/range.go
+++ b/internal/core/claims/range.go
@@ -20,6 +20,13 @@
 	// doneDelay is how long the record that a request was answered waits for other
 	// records to be written with.
 	doneDelay = 2 * time.Second
+	// duplicateWait is how long a duplicate of a claim that is younger than youngClaim
+	// waits for what becomes of that: its release may be under way, and its caller,
+	// told that it did not run, may be the one who asks again.
+	duplicateWait = 2 * time.Second
+	youngClaim    = 15 * time.Second
+	// duplicateMargin is how long before its own end it is refused at the latest.
+	duplicateMargin = 500 * time.Millisecond
 	// maxBatch is the number of records of one write. The last write of a segment may
 	// go beyond SegmentRecords by as many, so that a full one needs no short write.
 	maxBatch = 256
@@ -256,6 +263,8 @@
 		case now.Sub(r.syncedAt) >= syncAge && (d.verdict != Granted || e.req.Set != Claimed):
 			stale = true
 			rest = append(rest, e)
+		case d.young && now.Sub(e.added) < duplicateWait && now.Before(e.until.Add(-duplicateMargin)):
+			rest = append(rest, e)
 		default:
 			r.answer(e, d.verdict, d.first)
 		}
--- a/internal/core/configs_test.go
+++ b/internal/core/configs_test.go
@@ -63,6 +63,7 @@
 // Operators change a limit at opening time and some instances go on with the old
 // one for minutes.
 func TestAnEditIsInForceEverywhereWithinSeconds(t *testing.T) {
+	t.Parallel()
 	for _, size := range []struct{ instances, zones, edits int }{{8, 3, 10}, {58, 3, 3}, {350, 6, 1}} {
 		f, text := configFleet(t, 11, size.instances, size.zones)
 		// Each watches at its start; those watches must be over.
@@ -204,6 +205,7 @@
 // Any order of edits, outages, cuts, restores, freezes and restarts: no instance
 // goes back, and once all is healed every one has the newest.
 func TestNoScheduleRevertsAConfiguration(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		text := fleetText(claimWindow)
 		f := newFleet(rapid.Uint64().Draw(t, "seed"), 4, 2, "")
