--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -131,8 +131,8 @@
 	switch e := e.(type) {
 	case SendPeer:
 		n.peers.budget.spend(n.now, e.Message.WireEstimate())
-		if e.Message.Digest == nil {
-			n.askForLink(e.To)
+		if p := n.peers.byName[e.To]; p != nil {
+			p.lastSent = n.now
 		}
 	case PollReport:
 		n.peers.budget.spend(n.now, sizePoll)
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -19,8 +19,6 @@
 	rowRound = time.Second
 	// outsideRound is the pause between digests to a peer outside the layout.
 	outsideRound = 10 * time.Second
-	// askedFor is how long a link outside the layout is held after its last use.
-	askedFor = time.Minute
 	// heartbeat is the longest pause between digests to a peer.
 	heartbeat = 2 * time.Second
 	// silentAfter is when a peer's duties pass on: two heartbeats were missed.
@@ -65,13 +63,12 @@
 	heads   []string
 	columns [][]string
 	linked  []PeerAddress
-	// inLayout are the peers of the layout; asked are others, to which a link is
-	// held until a time because something was sent to them.
-	inLayout map[string]bool
-	asked    map[string]time.Time
-	byName   map[string]*peerState
-	budget   controlBudget
-	wanted   wantedState
+	// neighbours are the peers of the layout, sorted. Links are also held to owners
+	// of the ledger's ranges; those carry claims and hardly any digests.
+	neighbours []string
+	byName     map[string]*peerState
+	budget     controlBudget
+	wanted     wantedState
 	// marks and floor tell which changes of the view a peer that connects needs.
 	marks []changeMark
 	floor uint64
@@ -87,11 +84,7 @@
 	at  time.Time
 }
 
-func newPeersState() peersState {
-	return peersState{
-		byName: make(map[string]*peerState), inLayout: make(map[string]bool), asked: make(map[string]time.Time),
-	}
-}
+func newPeersState() peersState { return peersState{byName: make(map[string]*peerState)} }
 
 // wantedState paces the requests for a newer configuration.
 type wantedState struct {
@@ -117,9 +110,11 @@
 	forgotten   bool
 
 	// What it was told.
-	seq            uint64
-	sent           loadLists
-	sentAt         time.Time
+	seq    uint64
+	sent   loadLists
+	sentAt time.Time
+	// lastSent is when anything was last sent.
+	lastSent       time.Time
 	due            time.Time
 	refreshAt      time.Time
 	fullPending    bool
@@ -203,13 +198,25 @@
 // silent tells whether a peer has not been heard for so long that others take
 // over its sums.
 func (n *Node) silent(name string) bool {
-	if name == n.settings.Name {
+	if name == n.settings.Name || !n.neighbour(name) {
 		return false
 	}
 	p := n.peers.byName[name]
 	return p != nil && n.now.Sub(p.heardAt) > silentAfter
 }
 
+// neighbour tells whether a peer belongs to this instance's layout.
+func (n *Node) neighbour(name string) bool {
+	_, found := slices.BinarySearch(n.peers.neighbours, name)
+	return found
+}
+
+// linkedTo tells whether a message to a peer can be sent now.
+func (n *Node) linkedTo(name string) bool {
+	p := n.peers.byName[name]
+	return p != nil && p.connected
+}
+
 // tickPeers sends the digests and polls that are due.
 func (n *Node) tickPeers() {
 	if !n.now.Before(n.peers.nextLayout) {
@@ -221,16 +228,22 @@
 	n.hurryNews()
 	for _, name := range n.peerNames() {
 		p := n.peers.byName[name]
-		if p.connected && !n.now.Before(p.due) {
-			p.due = n.now.Add(n.jitter(n.roundFor(name)))
-			n.sendDigest(p)
+		if !p.connected || n.now.Before(p.due) {
+			continue
+		}
+		p.due = n.now.Add(n.jitter(n.roundFor(name)))
+		if idle := n.now.Sub(p.lastSent); n.outsider(name) && idle < outsideRound {
+			p.due = p.lastSent.Add(outsideRound)
+			continue
 		}
+		n.sendDigest(p)
 	}
 	n.tickPolls()
 }
 
-// roundFor is the round of digests to a peer. One outside the layout hears no
-// loads, only often enough that the link is not taken for dead.
+// roundFor is the round of digests to a peer. One outside the layout, to which
+// the link is held for claims, hears no loads, only often enough that an idle link
+// is not taken for dead.
 func (n *Node) roundFor(name string) time.Duration {
 	if n.outsider(name) {
 		return outsideRound
@@ -272,26 +285,14 @@
 		n.peers.heads = append(n.peers.heads, head)
 		n.peers.columns = append(n.peers.columns, columns)
 	}
-	n.linkPeers(l.Peers(n.silent))
-}
-
-// askForLink wants a link to an instance outside the layout: to the owner of a
-// range of claims, or to whoever asked it. The message that brings it about is
-// lost; its sender asks again or does without the owner.
-func (n *Node) askForLink(name string) {
-	if n.peers.inLayout[name] || n.view.Get(name) == nil {
-		return
-	}
-	if n.peers.asked[name].IsZero() {
-		n.peers.nextLayout = n.now
-	}
-	n.peers.asked[name] = n.now.Add(askedFor)
+	n.peers.neighbours = l.Peers(n.silent)
+	n.linkPeers(n.peers.neighbours)
 }
 
 // outsider tells whether a peer is one that this instance knows of but that the
 // layout does not join to it.
 func (n *Node) outsider(name string) bool {
-	return !n.peers.inLayout[name] && n.view.Get(name) != nil
+	return !n.neighbour(name) && n.view.Get(name) != nil
 }
 
 // fleet lists the entry instances that are not gone, sorted by name. Leaving ones
@@ -309,16 +310,10 @@
 
 // linkPeers asks for the links of the layout if they are not the ones held.
 func (n *Node) linkPeers(names []string) {
-	clear(n.peers.inLayout)
-	for _, name := range names {
-		n.peers.inLayout[name] = true
-	}
-	maps.DeleteFunc(n.peers.asked, func(_ string, until time.Time) bool { return n.now.After(until) })
-	names = slices.AppendSeq(names, maps.Keys(n.peers.asked))
-	slices.Sort(names)
-	names = slices.Compact(names)
 	var linked []PeerAddress
-	for _, name := range names {
+	names = slices.Concat(names, n.claimLinks())
+	slices.Sort(names)
+	for _, name := range slices.Compact(names) {
 		n.peer(name)
 		if in := n.view.Get(name); in != nil {
 			linked = append(linked, PeerAddress{Name: name, Address: in.Address})
