Let the bad frame's write lose the race with the link's end

TestBadFrameEndsTheLink failed once under the race detector: the other side had closed the session before Write returned, which is what the test wants of it.

--- a/internal/peer/links_test.go
+++ b/internal/peer/links_test.go
@@ -200,8 +200,8 @@
 	require.NoError(t, err)
 	_, err = session.OpenStream()
 	require.NoError(t, err)
-	_, err = stream.Write([]byte{6, 0x1a, 4, 0x2a, 2, 1, 1})
-	require.NoError(t, err)
+	// The other side may end the session before the write has returned.
+	_, _ = stream.Write([]byte{6, 0x1a, 4, 0x2a, 2, 1, 1})
 	eventually(t, "link ended", func() bool { return b.count(lost) == 1 })
 	require.Equal(t, uint64(1), b.Stats().Snapshot().BadFrames)
 	require.Zero(t, b.count(func(e core.Event) bool { _, ok := e.(core.PeerReceived); return ok }))
