--- a/internal/core/claiming.go
+++ b/internal/core/claiming.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/ebonydyke/ebonydyke/internal/core/claims"
-	"github.com/ebonydyke/ebonydyke/internal/core/membership"
 	"github.com/ebonydyke/ebonydyke/internal/core/rendezvous"
 )
 
@@ -34,8 +33,6 @@
 	// endDelay and endMaxDelay bound the delay between two tries to record an end.
 	endDelay    = 5 * time.Second
 	endMaxDelay = time.Minute
-	// linkKeep is how long a link to an owner is held after its last use.
-	linkKeep = 5 * time.Minute
 	// unloadAfter is how long the log of a range stays in memory unused.
 	unloadAfter = time.Minute
 )
@@ -64,8 +61,7 @@
 	ends map[uint64]*claimEnd
 	// suspects are the owners that did not answer, until when they are not asked.
 	suspects map[string]time.Time
-	// links are the owners to whom links were wanted, and when they last were.
-	links    map[string]time.Time
+	// wantedAt is when links to the owners were last asked for.
 	wantedAt time.Time
 	// owners caches the ranges' owners for the list of entries ranked.
 	owners [claims.Ranges]string
@@ -99,22 +95,25 @@
 		waiting:  make(map[uint64]*claimWaiter),
 		ends:     make(map[uint64]*claimEnd),
 		suspects: make(map[string]time.Time),
-		links:    make(map[string]time.Time),
 	}
 }
 
-// claim records the request's idempotency key before any byte of it is sent. It
-// calls claimGranted or claimRefused, now or on a later event.
-//
-// The request's deadline is kept under the end of the claim. An instance that is
-// frozen after the claim and wakes when the key is free again finds its deadline
-// over and sends nothing. What is left open is a freeze between the last look at
-// the clock and the bytes' leaving that lasts longer than the window.
-func (n *Node) claim(r *request) {
+// capDeadline keeps the deadline of a request under the end of its claim. An
+// instance that is frozen after the claim and wakes when the key is free again
+// finds the deadline over and sends nothing. What is left open is a freeze between
+// the last look at the clock and the bytes' leaving that lasts longer than the
+// window.
+func (n *Node) capDeadline(r *request) {
 	window := time.Duration(n.snapshot.Claims.Window)
 	if latest := n.now.Add(max(0, window-sendMargin)); r.deadline.After(latest) {
 		r.deadline = latest
 	}
+}
+
+// claim records the request's idempotency key before any byte of it is sent. It
+// calls claimGranted or claimRefused, now or on a later event.
+func (n *Node) claim(r *request) {
+	window := time.Duration(n.snapshot.Claims.Window)
 	w := &claimWaiter{
 		request: r.arrived.Request,
 		until:   n.now.Add(claimWait),
@@ -195,22 +194,11 @@
 	n.claims.wantedAt = n.now
 	for i := range claims.Ranges {
 		if owner := n.rangeOwner(i); owner != n.settings.Name {
-			n.claims.links[owner] = n.now
+			n.askForLink(owner)
 		}
 	}
 }
 
-// claimLinks are the owners to which links are held for claims, beside those of
-// the layout: a large fleet is no full mesh, and a claim that cannot be sent to the
-// owner costs the store a write of its own.
-func (n *Node) claimLinks() []string {
-	maps.DeleteFunc(n.claims.links, func(owner string, used time.Time) bool {
-		in := n.view.Get(owner)
-		return n.now.Sub(used) > linkKeep || in == nil || in.State == membership.Gone
-	})
-	return slices.Sorted(maps.Keys(n.claims.links))
-}
-
 // rangeOwner is the instance that writes for a range, if it can. Instances may
 // disagree about it for a while: then several write, and compare-and-swap decides.
 func (n *Node) rangeOwner(i int) string {
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -134,6 +134,9 @@
 		if p := n.peers.byName[e.To]; p != nil {
 			p.lastSent = n.now
 		}
+		if e.Message.Digest == nil {
+			n.askForLink(e.To)
+		}
 	case PollReport:
 		n.peers.budget.spend(n.now, sizePoll)
 	}
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -19,6 +19,8 @@
 	rowRound = time.Second
 	// outsideRound is the pause between digests to a peer outside the layout.
 	outsideRound = 10 * time.Second
+	// askedFor is how long a link outside the layout is held after its last use.
+	askedFor = time.Minute
 	// heartbeat is the longest pause between digests to a peer.
 	heartbeat = 2 * time.Second
 	// silentAfter is when a peer's duties pass on: two heartbeats were missed.
@@ -63,12 +65,13 @@
 	heads   []string
 	columns [][]string
 	linked  []PeerAddress
-	// neighbours are the peers of the layout, sorted. Links are also held to owners
-	// of the ledger's ranges; those carry claims and hardly any digests.
-	neighbours []string
-	byName     map[string]*peerState
-	budget     controlBudget
-	wanted     wantedState
+	// inLayout are the peers of the layout; asked are others, to which a link is
+	// held until a time because something was sent to them.
+	inLayout map[string]bool
+	asked    map[string]time.Time
+	byName   map[string]*peerState
+	budget   controlBudget
+	wanted   wantedState
 	// marks and floor tell which changes of the view a peer that connects needs.
 	marks []changeMark
 	floor uint64
@@ -84,7 +87,11 @@
 	at  time.Time
 }
 
-func newPeersState() peersState { return peersState{byName: make(map[string]*peerState)} }
+func newPeersState() peersState {
+	return peersState{
+		byName: make(map[string]*peerState), inLayout: make(map[string]bool), asked: make(map[string]time.Time),
+	}
+}
 
 // wantedState paces the requests for a newer configuration.
 type wantedState struct {
@@ -207,8 +214,7 @@
 
 // neighbour tells whether a peer belongs to this instance's layout.
 func (n *Node) neighbour(name string) bool {
-	_, found := slices.BinarySearch(n.peers.neighbours, name)
-	return found
+	return n.peers.inLayout[name]
 }
 
 // linkedTo tells whether a message to a peer can be sent now.
@@ -285,14 +291,26 @@
 		n.peers.heads = append(n.peers.heads, head)
 		n.peers.columns = append(n.peers.columns, columns)
 	}
-	n.peers.neighbours = l.Peers(n.silent)
-	n.linkPeers(n.peers.neighbours)
+	n.linkPeers(l.Peers(n.silent))
+}
+
+// askForLink wants a link to an instance outside the layout: to the owner of a
+// range of claims, or to whoever asked it. The message that brings it about is
+// lost; its sender asks again or does without the owner.
+func (n *Node) askForLink(name string) {
+	if n.peers.inLayout[name] || n.view.Get(name) == nil {
+		return
+	}
+	if n.peers.asked[name].IsZero() {
+		n.peers.nextLayout = n.now
+	}
+	n.peers.asked[name] = n.now.Add(askedFor)
 }
 
 // outsider tells whether a peer is one that this instance knows of but that the
 // layout does not join to it.
 func (n *Node) outsider(name string) bool {
-	return !n.neighbour(name) && n.view.Get(name) != nil
+	return !n.peers.inLayout[name] && n.view.Get(name) != nil
 }
 
 // fleet lists the entry instances that are not gone, sorted by name. Leaving ones
@@ -310,9 +328,14 @@
 
 // linkPeers asks for the links of the layout if they are not the ones held.
 func (n *Node) linkPeers(names []string) {
-	var linked []PeerAddress
-	names = slices.Concat(names, n.claimLinks())
+	clear(n.peers.inLayout)
+	for _, name := range names {
+		n.peers.inLayout[name] = true
+	}
+	maps.DeleteFunc(n.peers.asked, func(_ string, until time.Time) bool { return n.now.After(until) })
+	names = slices.AppendSeq(names, maps.Keys(n.peers.asked))
 	slices.Sort(names)
+	var linked []PeerAddress
 	for _, name := range slices.Compact(names) {
 		n.peer(name)
 		if in := n.view.Get(name); in != nil {
