--- a/internal/core/mesh/mesh.go
+++ b/internal/core/mesh/mesh.go
@@ -20,7 +20,7 @@
 )
 
 // FullMeshLimit is the size up to which all instances talk to each other.
-const FullMeshLimit = 10
+const FullMeshLimit = 16
 
 // bridgesPerPair is how many links two availability zones hold, so that one
 // frozen instance does not part them.
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -50,6 +50,7 @@
 	pools     map[string]*pool
 	poolOf    map[string]*pool
 	reach     reachability
+	hints     hintShares
 	admission admissionState
 	requests  map[RequestID]*request
 	due       dueQueue
@@ -72,6 +73,7 @@
 		pools:     make(map[string]*pool),
 		poolOf:    make(map[string]*pool),
 		reach:     make(reachability),
+		hints:     make(hintShares),
 		admission: newAdmissionState(),
 		requests:  make(map[RequestID]*request),
 		claims:    newClaimState(),
