--- a/internal/measure/control/main.go
+++ b/internal/measure/control/main.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"github.com/ebonydyke/ebonydyke/internal/core"
+	"github.com/ebonydyke/ebonydyke/internal/core/config"
+	"github.com/ebonydyke/ebonydyke/internal/peer"
 )
 
 // Size is a fleet to measure.
@@ -118,6 +120,7 @@
 	f.run(15 * time.Second)
 	r.SpreadSeconds, r.NotTaken = f.spreadSeconds(changed)
 	r.ReplaceBytes, r.ReplaceSkew = f.replaceOne()
+	r.OfferBytes = offerBytes(size)
 	r.MemoryPerNode = f.memoryPerNode()
 	return r
 }
@@ -146,6 +149,16 @@
 	return most, skew
 }
 
+// offerBytes is the size of the size's text as peers pass it on.
+func offerBytes(size Size) int {
+	offer := &core.ConfigOffer{Envelope: config.Envelope{Generation: 2, Text: text(size)}}
+	frame, err := peer.NewEncoder().Encode(core.PeerMessage{ConfigOffer: offer})
+	if err != nil {
+		panic(err) // A text that the link can't carry is a fault.
+	}
+	return len(frame) + peer.YamuxHeader
+}
+
 // memoryPerNode is the heap that the nodes hold, by letting go of them.
 func (f *fleet) memoryPerNode() uint64 {
 	for _, in := range f.instances {
--- a/internal/measure/control/result.go
+++ b/internal/measure/control/result.go
@@ -80,6 +80,8 @@
 	ReplaceBytes int `json:"replace_bytes"`
 	// ReplaceSkew is the worst skew in that time.
 	ReplaceSkew float64 `json:"replace_skew"`
+	// OfferBytes is what one configuration takes on its way to a peer.
+	OfferBytes int `json:"offer_bytes"`
 	// CoreShare is the processor time of a node as a share of one core.
 	CoreShare     float64 `json:"core_share"`
 	MemoryPerNode uint64  `json:"memory_per_node"`
@@ -188,14 +190,14 @@
 }
 
 func printHead(w io.Writer) {
-	_, _ = fmt.Fprintln(w, "size\tbytes/s busiest\tmean\tin\tout\tdigest\tconfig\tclaims\tmessages/s\tpolls/s\tlinks\tplatform reads/s\twrites/s\twatches/s\twaiting\tspread s\tnot taken\tcore %\tKB/node\tin flight\trefused\tskew worst\tp99\treplace B/s\tskew\t")
+	_, _ = fmt.Fprintln(w, "size\tbytes/s busiest\tmean\tin\tout\tdigest\tconfig\tclaims\tmessages/s\tpolls/s\tlinks\tplatform reads/s\twrites/s\twatches/s\twaiting\tspread s\tnot taken\tcore %\tKB/node\tin flight\trefused\tskew worst\tp99\treplace B/s\tskew\toffer bytes\t")
 }
 
 func (r Result) print(w io.Writer) {
-	_, _ = fmt.Fprintf(w, "%s\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.1f\t%.2f\t%d\t%.1f\t%.1f\t%.1f\t%d\t%.2f\t%d\t%.2f\t%d\t%.1f\t%d\t%.2f\t%.2f\t%.0f\t%.2f\t\n",
+	_, _ = fmt.Fprintf(w, "%s\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.1f\t%.2f\t%d\t%.1f\t%.1f\t%.1f\t%d\t%.2f\t%d\t%.2f\t%d\t%.1f\t%d\t%.2f\t%.2f\t%.0f\t%.2f\t%d\t\n",
 		r.Name, r.Busiest.Total, r.Mean.Total, r.Mean.BytesIn, r.Mean.BytesOut,
 		r.Kinds["digest"], r.Kinds["config-offer"]+r.Kinds["config-wanted"], r.Kinds["claim"]+r.Kinds["claim-reply"], r.Mean.Messages, r.Busiest.Polls, r.Busiest.Links,
 		r.PlatformReads, r.PlatformWrites, r.PlatformWatches, r.Waiting, r.SpreadSeconds, r.NotTaken,
 		100*r.CoreShare, r.MemoryPerNode/1024, r.InFlight, r.Refused, r.SkewWorst, r.SkewP99,
-		float64(r.ReplaceBytes)/replaceWindow.Seconds(), r.ReplaceSkew)
+		float64(r.ReplaceBytes)/replaceWindow.Seconds(), r.ReplaceSkew, r.OfferBytes)
 }
