Run a review elsewhere when the machine of its stream is gone

Cause: a stream that broke before its first event was resumed on a machine that refused every connection until the attempts were used up, though the review was idempotent and nothing of it had gone to the caller. The new test failed with 502 attempts-exhausted before the change and passes with it.

TestStaleConnectionIsNotUsed failed once in a full run: under load its server had not closed the connection 2 ms after its answer.

--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -227,7 +227,7 @@
 		n.giveUp(r, reason.CallerGone)
 	case !n.now.Before(r.deadline):
 		n.giveUp(r, reason.DeadlineExceeded)
-	case r.resumeAfter != "":
+	case r.resumable(outcome):
 		n.retryOrGiveUp(r, why, (*Node).resumeSoon)
 	case r.started, r.arrived.NonIdempotent && r.mayHaveRun:
 		n.giveUp(r, why)
@@ -239,6 +239,16 @@
 	}
 }
 
+// resumable tells whether the broken stream is to be resumed. When the server did
+// not even answer a resumption, a request that can run elsewhere does so: its
+// attempts are few, and the machine may be gone.
+func (r *request) resumable(outcome retry.Outcome) bool {
+	if r.resumeAfter == "" {
+		return false
+	}
+	return outcome == retry.Broken || r.started || r.arrived.NonIdempotent
+}
+
 // retryOrGiveUp makes another attempt if the attempts of the request and the
 // retry budget of the service allow one.
 func (n *Node) retryOrGiveUp(r *request, why reason.Reason, again func(*Node, *request)) {
--- a/internal/proxy/attempt_test.go
+++ b/internal/proxy/attempt_test.go
@@ -36,8 +36,11 @@
 // rawBackend is a backend server that counts the requests it read and hands each
 // connection's requests to serve. It closes the connection when serve says so.
 type rawBackend struct {
-	address string
-	seen    atomic.Int64
+	listener net.Listener
+	address  string
+	seen     atomic.Int64
+	// closed counts the connections that it closed.
+	closed atomic.Int64
 }
 
 type rawServe func(nth int, r *http.Request, conn net.Conn) (keep bool)
@@ -47,7 +50,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
-	b := &rawBackend{address: l.Addr().String()}
+	b := &rawBackend{listener: l, address: l.Addr().String()}
 	go func() {
 		for {
 			conn, err := l.Accept()
@@ -61,7 +64,10 @@
 }
 
 func (b *rawBackend) serve(conn net.Conn, serve rawServe) {
-	defer func() { _ = conn.Close() }()
+	defer func() {
+		_ = conn.Close()
+		b.closed.Add(1)
+	}()
 	in := bufio.NewReader(conn)
 	for {
 		r, err := http.ReadRequest(in)
@@ -122,10 +128,10 @@
 	text := fleetText(nil, []string{b.address})
 	text.Services[0].MaxAttempts = 1
 	i := startInstance(t, text, proxy.Options{})
-	for range 20 {
+	for n := range 20 {
 		got := send(t, newCall(t, "GET", i.url+"/services/portal/x", "", nil))
 		require.Equal(t, "answer", got.body)
-		time.Sleep(2 * time.Millisecond)
+		require.Eventually(t, func() bool { return b.closed.Load() == int64(n+1) }, waitFor, poll)
 	}
 }
 
--- a/internal/proxy/stream_test.go
+++ b/internal/proxy/stream_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"regexp"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -168,3 +170,27 @@
 	require.Contains(t, got.body, "text of caller 1")
 	require.NotContains(t, got.body, "text of caller 2")
 }
+
+// An engine's machine dies after it promised a stream and before the first event.
+// The stream can't be resumed there any more, and nothing of it went to the caller:
+// an idempotent review runs on another engine, with the attempts that are left.
+func TestStreamOfDeadMachineRunsElsewhere(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n" +
+		"Engine-Stream-Id: 1\r\nEngine-Incarnation: 1\r\n\r\n"
+	var machine atomic.Pointer[rawBackend]
+	dying := startRaw(t, func(_ int, _ *http.Request, conn net.Conn) bool {
+		_ = machine.Load().listener.Close()
+		_, _ = io.WriteString(conn, head)
+		return false
+	})
+	machine.Store(dying)
+	_, addresses := startEngines(t, 1, time.Millisecond)
+	i := startInstance(t, fleetText(append(addresses, dying.address), nil), proxy.Options{})
+	for n := 0; dying.seen.Load() == 0 && n < 100; n++ {
+		got := send(t, newChat(t, i.url, true, headers{proxy.HeaderChat: fmt.Sprintf("dossier-%d", n)}))
+		require.NoError(t, got.err)
+		require.Equal(t, wholeStream, eventIDs(got.body), got.body)
+		require.Equal(t, "engine-1", got.header.Get(proxy.HeaderBackend))
+	}
+	require.EqualValues(t, 1, dying.seen.Load())
+}
