--- a/internal/core/placement.go
+++ b/internal/core/placement.go
@@ -70,7 +70,7 @@
 		PreferNear: r.arrived.Chat == "" || n.zonesApart(),
 		Tried:      r.tried,
 		Capacity:   float64(r.service.Capacity),
-		Limits:     routing.LimitsFor(r.service.SkewBound, total, count, chat),
+		Limits:     routing.LimitsFor(r.service.SkewBound, total, count, chat, n.hints.kind(r)),
 	}
 }
 
@@ -113,7 +113,11 @@
 		return routing.None
 	}
 	hint, ok := routing.DecodeHint(r.arrived.Hint)
-	if !ok || !hint.Fresh(n.now) {
+	ok = ok && hint.Fresh(n.now)
+	if r.attempt == 0 {
+		n.hints.saw(r.arrived.Customer, ok)
+	}
+	if !ok {
 		return routing.None
 	}
 	i, ok := p.index[hint.Backend]
@@ -128,6 +132,44 @@
 	return routing.NewHint(c, n.now).Encode()
 }
 
+// hintShares tells the customers whose callers send hints back: for each, the
+// running share of turns that came with one. Without it a first turn, which any
+// backend server may take, looks like the return of a chat whose caller sends no
+// hints, which only its ranking leads back to its prefix. It holds at most one
+// number a customer of the configuration.
+type hintShares map[string]float64
+
+const (
+	// hintMemory is over how many turns the share runs.
+	hintMemory = 64
+	// hintingShare is the share from which on a customer counts as sending hints.
+	hintingShare = 0.25
+)
+
+func (m hintShares) saw(customer string, hinted bool) {
+	x := 0.0
+	if hinted {
+		x = 1
+	}
+	m[customer] += (x - m[customer]) / hintMemory
+}
+
+func (m hintShares) kind(r *request) routing.Kind {
+	if m[r.arrived.Customer] >= hintingShare {
+		return routing.First
+	}
+	return routing.Unhinted
+}
+
+// forget drops the customers that the configuration no longer names.
+func (m hintShares) forget(snapshot *config.Snapshot) {
+	for customer := range m {
+		if snapshot.Customer(customer) == nil {
+			delete(m, customer)
+		}
+	}
+}
+
 // chatHash ranks a request without a chat by its own id.
 func chatHash(r *request) uint64 {
 	if r.arrived.Chat == "" {
@@ -143,6 +185,7 @@
 		return
 	}
 	clear(n.poolOf)
+	n.hints.forget(n.snapshot)
 	for _, name := range n.snapshot.Services() {
 		n.rebuildPool(name)
 	}
