Leave leaving instances out of the full mesh's count; withhold shares for good

It is 10 again.

The trial's cause: eight instances of which some are being replaced count more than ten while the old ones drain, so the zones parted, loads of other zones went unheard and chats were ranked anew. TestBoundUnderSurgeChurnAndDisagreement showed it: worst 1.697, limit 1.6. Leaving members now stay linked but do not count; it passes.

TestAFlappingServerComesBackBySteps gave the flapping server [12 16 21] of 80, limits under 12 and 16: with the lower inner limits, what all others turned away came to it. A server whose share is withheld now comes after the others up to their outer limit. The property test of the walk draws withheld shares too.

--- a/internal/core/mesh/mesh.go
+++ b/internal/core/mesh/mesh.go
@@ -20,7 +20,7 @@
 )
 
 // FullMeshLimit is the size up to which all instances talk to each other.
-const FullMeshLimit = 16
+const FullMeshLimit = 10
 
 // bridgesPerPair is how many links two availability zones hold, so that one
 // frozen instance does not part them.
@@ -30,6 +30,11 @@
 type Member struct {
 	Name string
 	Zone string
+	// Leaving members are still linked but do not count against FullMeshLimit.
+	// Otherwise a rolling replacement of a small fleet, whose old instances drain
+	// for minutes beside the new ones, would part its zones for as long: loads of
+	// other zones go unheard and chats are ranked anew.
+	Leaving bool
 }
 
 // Layout is the part of the fleet that one instance sees.
@@ -50,11 +55,15 @@
 	l := &Layout{self: self.Name}
 	zones := make(map[string][]string)
 	var all []string
+	staying := 0
 	for _, m := range members {
+		if !m.Leaving {
+			staying++
+		}
 		all = append(all, m.Name)
 		zones[m.Zone] = append(zones[m.Zone], m.Name)
 	}
-	if len(all) <= FullMeshLimit {
+	if staying <= FullMeshLimit {
 		l.mates = without(all, self.Name)
 		return l
 	}
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -308,10 +308,10 @@
 // fleet lists the entry instances that are not gone, sorted by name. Leaving ones
 // are among them: they still have requests at the backend servers.
 func (n *Node) fleet() []mesh.Member {
-	members := []mesh.Member{{Name: n.settings.Name, Zone: n.settings.Zone}}
+	members := []mesh.Member{{Name: n.settings.Name, Zone: n.settings.Zone, Leaving: n.lifecycle.stopping}}
 	n.view.Each(func(in *membership.Instance) {
 		if in.Role == membership.Entry && in.State != membership.Gone && in.Name != n.settings.Name {
-			members = append(members, mesh.Member{Name: in.Name, Zone: in.Zone})
+			members = append(members, mesh.Member{Name: in.Name, Zone: in.Zone, Leaving: in.State == membership.Leaving})
 		}
 	})
 	slices.SortFunc(members, func(a, b mesh.Member) int { return cmp.Compare(a.Name, b.Name) })
--- a/internal/core/routing/routing.go
+++ b/internal/core/routing/routing.go
@@ -63,6 +63,7 @@
 const (
 	rankFar = 1 << iota
 	rankOverInner
+	rankWithheld
 	rankUnreachable
 	rankTried
 	rankLast
@@ -102,6 +103,11 @@
 	rank := 0
 	if load > ch.Limits.Inner*(1-c.Withheld) {
 		rank |= rankOverInner
+		// Its share is withheld up to the outer limit of the others, or what the
+		// inner limit turns away there would come here.
+		if c.Withheld > 0 {
+			rank |= rankWithheld
+		}
 	}
 	if c.Unreachable {
 		rank |= rankUnreachable
--- a/internal/core/routing/routing_test.go
+++ b/internal/core/routing/routing_test.go
@@ -40,12 +40,13 @@
 		}
 	}
 	tried := func(i int) bool { return slices.Contains(ch.Tried, list[i].Name) }
-	if slices.Contains(order, ch.Hinted) && !tried(ch.Hinted) && !list[ch.Hinted].Unreachable && list[ch.Hinted].Load+1 <= ch.Limits.Hinted {
+	if slices.Contains(order, ch.Hinted) && !tried(ch.Hinted) && !list[ch.Hinted].Unreachable && list[ch.Hinted].Load+1 <= ch.Limits.Hinted*(1-list[ch.Hinted].Withheld) {
 		return ch.Hinted
 	}
-	class := func(i int) [4]bool {
+	class := func(i int) [5]bool {
 		c := list[i]
-		return [4]bool{tried(i), c.Unreachable, c.Load+1 > ch.Limits.Inner, c.Far && ch.PreferNear}
+		over := c.Load+1 > ch.Limits.Inner*(1-c.Withheld)
+		return [5]bool{tried(i), c.Unreachable, over && c.Withheld > 0, over, c.Far && ch.PreferNear}
 	}
 	slices.SortStableFunc(order, func(a, b int) int {
 		ca, cb := class(a), class(b)
@@ -78,6 +79,7 @@
 		})
 		for i := range list {
 			list[i].Unreachable = rapid.IntRange(0, 5).Draw(t, "reach") == 0
+			list[i].Withheld = rapid.SampledFrom([]float64{0, 0, 0.5, 0.75}).Draw(t, "withheld")
 		}
 		chat := rapid.Uint64().Draw(t, "chat")
 		ch := routing.Choice{
