--- a/internal/core/mesh/mesh.go
+++ b/internal/core/mesh/mesh.go
@@ -19,7 +19,8 @@
 	"github.com/ebonydyke/ebonydyke/internal/core/rendezvous"
 )
 
-// FullMeshLimit is the size up to which all instances talk to each other.
+// FullMeshLimit is the number of instances, leaving ones aside, up to which all of
+// the fleet talk to each other.
 const FullMeshLimit = 10
 
 // bridgesPerPair is how many links two availability zones hold, so that one
@@ -30,10 +31,10 @@
 type Member struct {
 	Name string
 	Zone string
-	// Leaving members are still linked but do not count against FullMeshLimit.
-	// Otherwise a rolling replacement of a small fleet, whose old instances drain
-	// for minutes beside the new ones, would part its zones for as long: loads of
-	// other zones go unheard and chats are ranked anew.
+	// Leaving members still have requests in progress, so they are told and heard
+	// like the others, but they do not count towards the limit of the full mesh: a
+	// small fleet that is being replaced would change its layout twice for each
+	// instance, and each change costs some knowledge of loads.
 	Leaving bool
 }
 
@@ -50,27 +51,31 @@
 	heads [][]string
 }
 
+// wholeFleet stands for all zones together; no zone has an empty name.
+const wholeFleet = ""
+
 // New lays out the fleet for self, which must be among the members.
 func New(self Member, members []Member) *Layout {
 	l := &Layout{self: self.Name}
 	zones := make(map[string][]string)
+	staying := make(map[string]int)
 	var all []string
-	staying := 0
 	for _, m := range members {
-		if !m.Leaving {
-			staying++
-		}
 		all = append(all, m.Name)
 		zones[m.Zone] = append(zones[m.Zone], m.Name)
+		if !m.Leaving {
+			staying[m.Zone]++
+			staying[wholeFleet]++
+		}
 	}
-	if staying <= FullMeshLimit {
+	if staying[wholeFleet] <= FullMeshLimit {
 		l.mates = without(all, self.Name)
 		return l
 	}
 	l.apart = true
 	l.bridges = bridges(self, zones)
 	zone := zones[self.Zone]
-	if len(zone) <= FullMeshLimit {
+	if staying[self.Zone] <= FullMeshLimit {
 		l.mates = without(zone, self.Name)
 		return l
 	}
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -133,6 +133,9 @@
 	switch e := e.(type) {
 	case SendPeer:
 		n.peers.budget.spend(n.now, e.Message.WireEstimate())
+		if p := n.peers.byName[e.To]; p != nil {
+			p.lastSent = n.now
+		}
 		if e.Message.Digest == nil {
 			n.askForLink(e.To)
 		}
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -117,9 +117,11 @@
 	forgotten   bool
 
 	// What it was told.
-	seq            uint64
-	sent           loadLists
-	sentAt         time.Time
+	seq    uint64
+	sent   loadLists
+	sentAt time.Time
+	// lastSent is when anything was last sent.
+	lastSent       time.Time
 	due            time.Time
 	refreshAt      time.Time
 	fullPending    bool
@@ -232,16 +234,22 @@
 	n.hurryNews()
 	for _, name := range n.peerNames() {
 		p := n.peers.byName[name]
-		if p.connected && !n.now.Before(p.due) {
-			p.due = n.now.Add(n.jitter(n.roundFor(name)))
-			n.sendDigest(p)
+		if !p.connected || n.now.Before(p.due) {
+			continue
+		}
+		p.due = n.now.Add(n.jitter(n.roundFor(name)))
+		if idle := n.now.Sub(p.lastSent); n.outsider(name) && idle < outsideRound {
+			p.due = p.lastSent.Add(outsideRound)
+			continue
 		}
+		n.sendDigest(p)
 	}
 	n.tickPolls()
 }
 
-// roundFor is the round of digests to a peer. One outside the layout hears no
-// loads, only often enough that the link is not taken for dead.
+// roundFor is the round of digests to a peer. One outside the layout, to which
+// the link is held for claims, hears no loads, only often enough that an idle link
+// is not taken for dead.
 func (n *Node) roundFor(name string) time.Duration {
 	if n.outsider(name) {
 		return outsideRound
@@ -308,7 +316,7 @@
 // fleet lists the entry instances that are not gone, sorted by name. Leaving ones
 // are among them: they still have requests at the backend servers.
 func (n *Node) fleet() []mesh.Member {
-	members := []mesh.Member{{Name: n.settings.Name, Zone: n.settings.Zone, Leaving: n.lifecycle.stopping}}
+	members := []mesh.Member{{Name: n.settings.Name, Zone: n.settings.Zone}}
 	n.view.Each(func(in *membership.Instance) {
 		if in.Role == membership.Entry && in.State != membership.Gone && in.Name != n.settings.Name {
 			members = append(members, mesh.Member{Name: in.Name, Zone: in.Zone, Leaving: in.State == membership.Leaving})
--- a/internal/core/routing/routing.go
+++ b/internal/core/routing/routing.go
@@ -101,13 +101,11 @@
 		return rankLast + 1
 	}
 	rank := 0
-	if load > ch.Limits.Inner*(1-c.Withheld) {
+	if load > ch.Limits.Inner {
 		rank |= rankOverInner
-		// Its share is withheld up to the outer limit of the others, or what the
-		// inner limit turns away there would come here.
-		if c.Withheld > 0 {
-			rank |= rankWithheld
-		}
+	}
+	if c.Withheld > 0 && load > ch.Limits.Inner*(1-c.Withheld) {
+		rank |= rankWithheld
 	}
 	if c.Unreachable {
 		rank |= rankUnreachable
--- a/internal/core/routing/routing_test.go
+++ b/internal/core/routing/routing_test.go
@@ -45,8 +45,8 @@
 	}
 	class := func(i int) [5]bool {
 		c := list[i]
-		over := c.Load+1 > ch.Limits.Inner*(1-c.Withheld)
-		return [5]bool{tried(i), c.Unreachable, over && c.Withheld > 0, over, c.Far && ch.PreferNear}
+		withheld := c.Withheld > 0 && c.Load+1 > ch.Limits.Inner*(1-c.Withheld)
+		return [5]bool{tried(i), c.Unreachable, withheld, c.Load+1 > ch.Limits.Inner, c.Far && ch.PreferNear}
 	}
 	slices.SortStableFunc(order, func(a, b int) int {
 		ca, cb := class(a), class(b)
@@ -79,7 +79,7 @@
 		})
 		for i := range list {
 			list[i].Unreachable = rapid.IntRange(0, 5).Draw(t, "reach") == 0
-			list[i].Withheld = rapid.SampledFrom([]float64{0, 0, 0.5, 0.75}).Draw(t, "withheld")
+			list[i].Withheld = rapid.SampledFrom([]float64{0, 0, 0, 0.5, 0.75}).Draw(t, "withheld")
 		}
 		chat := rapid.Uint64().Draw(t, "chat")
 		ch := routing.Choice{
