--- a/internal/core/digests.go
+++ b/internal/core/digests.go
@@ -165,6 +165,7 @@
 	}
 	out := newLoadLists()
 	switch {
+	case n.outsider(p.name):
 	case !l.Rows():
 		out.own = n.ownLoads(nil)
 	case slices.Contains(l.Mates(), p.name):
@@ -245,7 +246,7 @@
 	if !n.freshDigest(p, d) {
 		return
 	}
-	p.heardAt, p.digestAt = n.now, n.now
+	p.heardAt = n.now
 	p.forgotten = false
 	n.takeLoads(p, d)
 	if d.Resync {
@@ -306,7 +307,7 @@
 		counts[i] = load.Count{Backend: backend, InFlight: p.heard.sum(backend)}
 	}
 	// Also without a change: the tracker ages the loads of peers that say nothing.
-	n.peerLoads(p.name, d.At, counts)
+	n.peerLoads(p.name, counts)
 }
 
 // takeList merges a list and adds the backend servers that it changed to touched.
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -50,6 +50,7 @@
 	pools     map[string]*pool
 	poolOf    map[string]*pool
 	reach     reachability
+	hints     hintShares
 	admission admissionState
 	requests  map[RequestID]*request
 	due       dueQueue
@@ -72,11 +73,12 @@
 		pools:     make(map[string]*pool),
 		poolOf:    make(map[string]*pool),
 		reach:     make(reachability),
+		hints:     make(hintShares),
 		admission: newAdmissionState(),
 		requests:  make(map[RequestID]*request),
 		claims:    newClaimState(),
 		members:   memberState{heard: make(map[string]time.Time)},
-		peers:     peersState{byName: make(map[string]*peerState)},
+		peers:     newPeersState(),
 		polls:     pollState{heard: make(map[string]time.Time)},
 	}
 }
@@ -131,6 +133,9 @@
 	switch e := e.(type) {
 	case SendPeer:
 		n.peers.budget.spend(n.now, e.Message.WireEstimate())
+		if e.Message.Digest == nil {
+			n.askForLink(e.To)
+		}
 	case PollReport:
 		n.peers.budget.spend(n.now, sizePoll)
 	}
--- a/internal/core/placement.go
+++ b/internal/core/placement.go
@@ -63,17 +63,49 @@
 
 func (n *Node) choice(r *request, p *pool) routing.Choice {
 	chat := chatHash(r)
-	total, count := p.reachable()
+	total, count := n.sharing(p)
 	return routing.Choice{
 		Chat:       chat,
 		Hinted:     n.hinted(r, p),
-		PreferNear: r.arrived.Chat == "",
+		PreferNear: r.arrived.Chat == "" || n.zonesApart(),
 		Tried:      r.tried,
 		Capacity:   float64(r.service.Capacity),
-		Limits:     routing.LimitsFor(r.service.SkewBound, total, count, chat),
+		Limits:     routing.LimitsFor(r.service.SkewBound, total, count, chat, n.hints.kind(r)),
 	}
 }
 
+// zonesApart tells whether the fleet is so large that instances hear the loads of
+// their own zone's alone.
+//
+// Chats are then ranked in the own zone first, since a server that others fill
+// unseen looks idle from here; in a small fleet all zones are ranked as one, so
+// that a chat finds its prefix through any of them. A hint leads to any zone.
+func (n *Node) zonesApart() bool {
+	return n.peers.layout != nil && n.peers.layout.ZonesApart()
+}
+
+// sharing returns the load and the number of the backend servers among which load
+// is shared. Loads of other zones count only where they are known.
+func (n *Node) sharing(p *pool) (float64, int) {
+	if n.zonesApart() {
+		if total, count := p.reachableNear(); count > 0 {
+			return total, count
+		}
+	}
+	return p.reachable()
+}
+
+// reachableNear is reachable for the candidates of the own zone.
+func (p *pool) reachableNear() (total float64, count int) {
+	for i := range p.candidates {
+		if c := &p.candidates[i]; !c.Far && !c.Unreachable {
+			total += c.Load
+			count++
+		}
+	}
+	return total, count
+}
+
 // hinted returns the index of the candidate that the request's hint names. A hint
 // of an earlier incarnation is void: the cache went with the process.
 func (n *Node) hinted(r *request, p *pool) int {
@@ -81,7 +113,11 @@
 		return routing.None
 	}
 	hint, ok := routing.DecodeHint(r.arrived.Hint)
-	if !ok || !hint.Fresh(n.now) {
+	ok = ok && hint.Fresh(n.now)
+	if r.attempt == 0 {
+		n.hints.saw(r.arrived.Customer, ok)
+	}
+	if !ok {
 		return routing.None
 	}
 	i, ok := p.index[hint.Backend]
@@ -96,6 +132,44 @@
 	return routing.NewHint(c, n.now).Encode()
 }
 
+// hintShares tells the customers whose callers send hints back: for each, the
+// running share of turns that came with one. Without it a first turn, which any
+// backend server may take, looks like the return of a chat whose caller sends no
+// hints, which only its ranking leads back to its prefix. It holds at most one
+// number a customer of the configuration.
+type hintShares map[string]float64
+
+const (
+	// hintMemory is over how many turns the share runs.
+	hintMemory = 64
+	// hintingShare is the share from which on a customer counts as sending hints.
+	hintingShare = 0.25
+)
+
+func (m hintShares) saw(customer string, hinted bool) {
+	x := 0.0
+	if hinted {
+		x = 1
+	}
+	m[customer] += (x - m[customer]) / hintMemory
+}
+
+func (m hintShares) kind(r *request) routing.Kind {
+	if m[r.arrived.Customer] >= hintingShare {
+		return routing.First
+	}
+	return routing.Unhinted
+}
+
+// forget drops the customers that the configuration no longer names.
+func (m hintShares) forget(snapshot *config.Snapshot) {
+	for customer := range m {
+		if snapshot.Customer(customer) == nil {
+			delete(m, customer)
+		}
+	}
+}
+
 // chatHash ranks a request without a chat by its own id.
 func chatHash(r *request) uint64 {
 	if r.arrived.Chat == "" {
@@ -111,6 +185,7 @@
 		return
 	}
 	clear(n.poolOf)
+	n.hints.forget(n.snapshot)
 	for _, name := range n.snapshot.Services() {
 		n.rebuildPool(name)
 	}
