--- a/internal/core/claiming.go
+++ b/internal/core/claiming.go
@@ -81,8 +81,10 @@
 	owner        string
 	forwardUntil time.Time
 	again        int
-	// written is set once the claim may be in the store.
+	// written is set once the claim may be in the store, and astray once it may get
+	// there later than its answer, since it was sent more than once.
 	written bool
+	astray  bool
 }
 
 // claimEnd is the end of a claim on its way to the store.
@@ -301,7 +303,7 @@
 func (n *Node) refuseClaim(w *claimWaiter, reply claims.Reply) {
 	delete(n.claims.waiting, w.ask.Token)
 	n.emit(Counted{Counter: counterClaims, Label: string(reply.Verdict), N: 1})
-	if w.written && reply.Verdict != claims.Duplicate {
+	if w.written && (reply.Verdict != claims.Duplicate || w.astray) {
 		n.recordEnd(w.ask, claims.Released)
 	}
 	if r := n.requests[w.request]; r != nil {
@@ -415,6 +417,7 @@
 // takeOver claims here what the owner of the range could not: it may be frozen,
 // unreachable, or in a zone that is cut off from the platform while this one is not.
 func (n *Node) takeOver(w *claimWaiter) {
+	w.astray = w.written
 	n.claims.suspects[w.owner] = n.now.Add(suspectTime)
 	n.emit(Counted{Counter: counterClaimTakeovers, N: 1})
 	n.claimHere(w)
@@ -434,6 +437,7 @@
 		n.takeOver(w)
 		return
 	}
+	w.astray = true
 	w.forwardUntil = n.now.Add(againWait)
 	n.sendClaim(w.owner, w.ask)
 }
