--- a/internal/core/admission/admission_test.go
+++ b/internal/core/admission/admission_test.go
@@ -9,6 +9,8 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	_ "github.com/ebonydyke/ebonydyke/test/fixedseed"
+
 	"github.com/ebonydyke/ebonydyke/internal/core/admission"
 )
 
--- a/internal/core/configs_test.go
+++ b/internal/core/configs_test.go
@@ -10,6 +10,8 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	_ "github.com/ebonydyke/ebonydyke/test/fixedseed"
+
 	"github.com/ebonydyke/ebonydyke/internal/core"
 	"github.com/ebonydyke/ebonydyke/internal/core/config"
 )
--- a/internal/core/load/load_test.go
+++ b/internal/core/load/load_test.go
@@ -8,6 +8,8 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	_ "github.com/ebonydyke/ebonydyke/test/fixedseed"
+
 	"github.com/ebonydyke/ebonydyke/internal/core/load"
 	"github.com/ebonydyke/ebonydyke/internal/core/membership"
 )
--- a/internal/core/requests_property_test.go
+++ b/internal/core/requests_property_test.go
@@ -9,6 +9,8 @@
 
 	"pgregory.net/rapid"
 
+	_ "github.com/ebonydyke/ebonydyke/test/fixedseed"
+
 	"github.com/ebonydyke/ebonydyke/internal/core"
 	"github.com/ebonydyke/ebonydyke/internal/core/config"
 	"github.com/ebonydyke/ebonydyke/internal/core/reason"
--- a/internal/peer/codec_test.go
+++ b/internal/peer/codec_test.go
@@ -13,6 +13,8 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	_ "github.com/ebonydyke/ebonydyke/test/fixedseed"
+
 	"github.com/ebonydyke/ebonydyke/internal/core"
 	"github.com/ebonydyke/ebonydyke/internal/core/claims"
 	"github.com/ebonydyke/ebonydyke/internal/core/config"
