Decide by a clock that counts pauses and never goes back

Cause, found by reading: the core's time was Go's time.Now, which compares by the steady clock. That stands still while a virtual machine is paused, so an instance that woke after the claim window would have found its claim fresh and sent a request that has run elsewhere. The wall clock alone would step back. Ruled out: the greater of the two, which stands still after a wrong step forward.

No paused machine was run. Lines that the executor logs no longer wait on the core's goroutine either.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -49,7 +49,9 @@
 		Post:        loop.Post,
 	})
 	counters.ReadControl(readControl(links))
-	server := proxy.New(loop.Post, proxyOptions(&s.Limits, counters))
+	options := proxyOptions(&s.Limits, counters)
+	options.Now = loop.Now
+	server := proxy.New(loop.Post, options)
 	exec := &executor{
 		ctx: ctx, post: loop.Post, platform: platform.NewClient(s.Platform),
 		proxy: server, links: links, stop: cancel,
--- a/internal/daemon/executor.go
+++ b/internal/daemon/executor.go
@@ -29,7 +29,8 @@
 	stop     context.CancelFunc
 }
 
-// Execute hands one effect on without waiting for its end.
+// Execute hands one effect on without waiting for its end. Lines of the log are
+// written by other goroutines: one whose reader stopped reading would stop the core.
 func (x *executor) Execute(effect core.Effect) {
 	switch e := effect.(type) {
 	case core.SendAttempt:
@@ -51,9 +52,9 @@
 	case core.SendPeer:
 		x.links.Send(e.To, e.Message)
 	case core.ConfigTaken:
-		klog.InfoS("configuration in force", "generation", e.Generation, "edit", e.Edit)
+		go klog.InfoS("configuration in force", "generation", e.Generation, "edit", e.Edit)
 	case core.ConfigRefused:
-		klog.InfoS("configuration refused", "generation", e.Generation, "findings", e.Findings.Error())
+		go klog.InfoS("configuration refused", "generation", e.Generation, "findings", e.Findings.Error())
 	case core.SetReady:
 		x.proxy.SetReady(e.Ready)
 	case core.CloseListener:
--- a/internal/daemon/loop.go
+++ b/internal/daemon/loop.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"time"
 
+	"github.com/ebonydyke/ebonydyke/internal/clock"
 	"github.com/ebonydyke/ebonydyke/internal/core"
 	"github.com/ebonydyke/ebonydyke/internal/metrics"
 )
@@ -23,6 +24,7 @@
 // Loop owns a core.
 type Loop struct {
 	node     *core.Node
+	clock    *clock.Clock
 	events   chan core.Event
 	inspects chan func(*core.Node)
 	exec     Executor
@@ -34,6 +36,7 @@
 func NewLoop(node *core.Node) *Loop {
 	return &Loop{
 		node:     node,
+		clock:    clock.New(),
 		events:   make(chan core.Event, eventQueue),
 		inspects: make(chan func(*core.Node)),
 		done:     make(chan struct{}),
@@ -43,6 +46,9 @@
 // CountIn counts what passes through the loop in m. It is called before Run.
 func (l *Loop) CountIn(m *metrics.Metrics) { l.meter = newMeter(m) }
 
+// Now is the time by which the core decides. What tells it times uses the same.
+func (l *Loop) Now() time.Time { return l.clock.Now() }
+
 // Post hands an event to the core. It waits while the queue is full, but not on
 // a loop that has ended: a goroutine that posts its last word must be able to end.
 func (l *Loop) Post(event core.Event) {
@@ -75,7 +81,7 @@
 
 func (l *Loop) handle(event core.Event) {
 	l.meter.event(event)
-	for _, effect := range l.node.Handle(time.Now(), event) {
+	for _, effect := range l.node.Handle(l.clock.Now(), event) {
 		l.meter.effect(effect)
 		l.exec.Execute(effect)
 	}
--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -92,7 +92,7 @@
 		a.lost(outcomeOf(c), "", err)
 		return false
 	}
-	a.load = loadOf(e.Backend, &a.resp.Header)
+	a.load = loadOf(e.Backend, &a.resp.Header, a.exchange.server.options.Now())
 	if resume {
 		return a.resumed()
 	}
--- a/internal/proxy/engine.go
+++ b/internal/proxy/engine.go
@@ -74,7 +74,7 @@
 
 // Report asks a backend server for its load.
 func (s *Server) Report(backend, address string) (membership.Report, error) {
-	report := membership.Report{Backend: backend, At: time.Now()}
+	report := membership.Report{Backend: backend, At: s.options.Now()}
 	status, body, err := s.engine.http.GetTimeout(nil, "http://"+address+"/load", callTimeout)
 	if err != nil {
 		return report, fmt.Errorf("proxy: load report of %s: %w", backend, err)
--- a/internal/proxy/headers.go
+++ b/internal/proxy/headers.go
@@ -115,12 +115,12 @@
 
 // loadOf reads what an answer's headers say of the backend server's load, or
 // returns nil if they say nothing that can be read.
-func loadOf(backend string, h *fasthttp.ResponseHeader) *membership.Report {
+func loadOf(backend string, h *fasthttp.ResponseHeader, now time.Time) *membership.Report {
 	inFlight, err := strconv.Atoi(string(h.Peek(HeaderLoad)))
 	if err != nil || inFlight < 0 {
 		return nil
 	}
-	report := &membership.Report{Backend: backend, State: membership.Live, InFlight: inFlight, At: time.Now()}
+	report := &membership.Report{Backend: backend, State: membership.Live, InFlight: inFlight, At: now}
 	report.Incarnation, _ = strconv.ParseUint(string(h.Peek(HeaderIncarnation)), 10, 64)
 	if string(h.Peek(HeaderState)) == string(membership.Leaving) {
 		report.State = membership.Leaving
--- a/internal/proxy/options.go
+++ b/internal/proxy/options.go
@@ -8,6 +8,8 @@
 
 // Options are the proxy's limits. The zero value of each stands for its default.
 type Options struct {
+	// Now is the time by which the core decides; time.Now when nil.
+	Now func() time.Time
 	// Metrics is told what happens; nil counts nothing.
 	Metrics Metrics
 	// MaxConns is the largest number of callers' connections.
@@ -56,6 +58,9 @@
 )
 
 func (o *Options) fill() {
+	if o.Now == nil {
+		o.Now = time.Now
+	}
 	if o.Metrics == nil {
 		o.Metrics = noMetrics{}
 	}
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -62,7 +62,7 @@
 		Key:      string(h.Peek(HeaderKey)),
 		Hint:     string(h.Peek(HeaderPlacement)),
 	}}
-	if refused := p.readHeaders(h); refused != nil {
+	if refused := p.readHeaders(h, s.options.Now()); refused != nil {
 		return nil, refused
 	}
 	if refused := p.readTarget(ctx); refused != nil {
@@ -74,7 +74,7 @@
 // readHeaders reads the headers that have a form of their own. One that cannot be
 // read is refused: to guess "idempotent" where a caller meant to say otherwise
 // could run its request twice.
-func (p *parsedRequest) readHeaders(h *fasthttp.RequestHeader) *badInput {
+func (p *parsedRequest) readHeaders(h *fasthttp.RequestHeader, now time.Time) *badInput {
 	for _, name := range []string{HeaderCustomer, HeaderChat, HeaderKey} {
 		if len(h.Peek(name)) > maxName {
 			return badRequestf("%s is longer than %d bytes", name, maxName)
@@ -97,7 +97,7 @@
 		if err != nil || ms <= 0 || ms > int(maxDeadline/time.Millisecond) {
 			return badRequestf("%s: %q, expected milliseconds above 0", HeaderDeadline, text)
 		}
-		p.arrived.Deadline = time.Now().Add(time.Duration(ms) * time.Millisecond)
+		p.arrived.Deadline = now.Add(time.Duration(ms) * time.Millisecond)
 	}
 	return nil
 }
