--- a/internal/core/digests.go
+++ b/internal/core/digests.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -28,7 +29,7 @@
 		d.Members = n.everyMember()
 	}
 	// A gap is asked about each round until it is filled, but not of a silent peer.
-	news = news || d.Full || (d.Resync && !p.forgotten) || len(d.Loads)+len(d.RowSums)+len(d.Totals)+len(d.Reports)+len(d.Facts)+len(d.Members) > 0
+	news = news || d.Full || d.saysSomething() || (d.Resync && !p.forgotten)
 	if !news && n.now.Sub(p.sentAt) < heartbeat-n.round() {
 		return
 	}
@@ -39,6 +40,12 @@
 	n.emit(SendPeer{To: p.name, Message: PeerMessage{Digest: d}})
 }
 
+// saysSomething tells whether any list of the digest has an entry.
+func (d *Digest) saysSomething() bool {
+	loads := len(d.Loads) + len(d.RowSums) + len(d.Totals) + len(d.Reports)
+	return loads+len(d.Facts)+len(d.Members) > 0
+}
+
 func (n *Node) generation() uint64 {
 	if n.snapshot == nil {
 		return 0
@@ -61,12 +68,7 @@
 			out = append(out, *in)
 		}
 	})
-	slices.SortFunc(out, func(a, b membership.Instance) int {
-		if a.Name < b.Name {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(out, func(a, b membership.Instance) int { return cmp.Compare(a.Name, b.Name) })
 	return out
 }
 
@@ -188,7 +190,7 @@
 	return out
 }
 
-// heads tells whether this instance adds up a slice.
+// headsSlice tells whether this instance adds up a slice.
 func (n *Node) headsSlice(slice int) bool { return n.peers.heads[slice] == n.settings.Name }
 
 // rowSumsFor adds up the row's own loads in the slices that p heads in its row.
