--- a/test/fleet/fleet_test.go
+++ b/test/fleet/fleet_test.go
@@ -125,10 +125,10 @@
 func TestZoneCutOffServesAndCatchesUp(t *testing.T) {
 	f := startFleet(t, []string{"a", "b"}, 2, 10*time.Millisecond)
 	cut := func(on bool) {
-		f.store["b"].setCut(on)
+		setCut(f.store["b"], on)
 		for _, zone := range []string{"a", "b"} {
 			for _, r := range f.links[zone] {
-				r.setCut(on)
+				setCut(r, on)
 			}
 		}
 	}
--- a/test/fleet/harness_test.go
+++ b/test/fleet/harness_test.go
@@ -18,7 +18,6 @@
 	"path/filepath"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -28,6 +27,7 @@
 	"github.com/ebonydyke/ebonydyke/internal/core"
 	"github.com/ebonydyke/ebonydyke/internal/core/config"
 	"github.com/ebonydyke/ebonydyke/internal/core/membership"
+	"github.com/ebonydyke/ebonydyke/test/relay"
 	"github.com/ebonydyke/ebonydyke/test/standin/platform"
 )
 
@@ -60,81 +60,22 @@
 	return m.Run()
 }
 
-// relay passes connections on to one address until it is cut.
-type relay struct {
-	listener net.Listener
-	target   string
-	cut      atomic.Bool
-
-	mu    sync.Mutex
-	conns []net.Conn
-}
-
-func newRelay(t *testing.T, target string) *relay {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+func newRelay(t *testing.T, target string) *relay.Relay {
+	r, err := relay.Start(target)
 	require.NoError(t, err)
-	r := &relay{listener: l, target: target}
-	t.Cleanup(func() {
-		_ = l.Close()
-		r.setCut(true)
-	})
-	go r.serve()
+	t.Cleanup(r.Close)
 	return r
 }
 
-func (r *relay) serve() {
-	for {
-		in, err := r.listener.Accept()
-		if err != nil {
-			return
-		}
-		go r.pass(in)
-	}
-}
-
-func (r *relay) pass(in net.Conn) {
-	defer func() { _ = in.Close() }()
-	if r.cut.Load() {
+// setCut ends the connections in progress and takes no others, or heals. One that
+// was being made meanwhile ends with its first byte.
+func setCut(r *relay.Relay, cut bool) {
+	if !cut {
+		r.Set(relay.None)
 		return
 	}
-	out, err := net.Dial("tcp", r.target)
-	if err != nil {
-		return
-	}
-	defer func() { _ = out.Close() }()
-	if !r.hold(in, out) {
-		return
-	}
-	go func() {
-		_, _ = io.Copy(out, in)
-		_ = out.Close()
-	}()
-	_, _ = io.Copy(in, out)
-}
-
-// hold notes a connection, so that a cut ends it, unless the cut came while it was
-// made: it would otherwise outlive the cut.
-func (r *relay) hold(in, out net.Conn) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.cut.Load() {
-		return false
-	}
-	r.conns = append(r.conns, in, out)
-	return true
-}
-
-// setCut ends the connections in progress and takes no others, or heals.
-func (r *relay) setCut(cut bool) {
-	r.cut.Store(cut)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if cut {
-		for _, c := range r.conns {
-			_ = c.Close()
-		}
-		r.conns = nil
-	}
+	r.Set(relay.Faults{Refuse: true})
+	r.Cut()
 }
 
 // runs counts how often each key was run, over all backend servers.
@@ -175,9 +116,9 @@
 	runs      *runs
 	instances []*instance
 	// store holds the relay by which each zone reaches the platform.
-	store map[string]*relay
+	store map[string]*relay.Relay
 	// links holds the relays of the peers' ports, by reaching zone and instance.
-	links map[string]map[string]*relay
+	links map[string]map[string]*relay.Relay
 	// callerTimeout is when a caller gives a request up.
 	callerTimeout time.Duration
 }
@@ -187,7 +128,7 @@
 func startFleet(t *testing.T, zones []string, each int, delay time.Duration) *fleet {
 	f := &fleet{
 		t: t, platform: platform.New(), runs: &runs{of: make(map[string]int)},
-		store: make(map[string]*relay), links: make(map[string]map[string]*relay),
+		store: make(map[string]*relay.Relay), links: make(map[string]map[string]*relay.Relay),
 		callerTimeout: patience,
 	}
 	for n := range each {
@@ -247,7 +188,7 @@
 // openZone gives a zone its own way to the platform, whose list names the
 // relays by which the zone reaches the other zones' instances.
 func (f *fleet) openZone(zone string) {
-	f.links[zone] = make(map[string]*relay)
+	f.links[zone] = make(map[string]*relay.Relay)
 	for _, i := range f.instances {
 		if i.zone != zone {
 			f.links[zone][i.name] = newRelay(f.t, i.peers)
@@ -272,7 +213,7 @@
 	for _, i := range f.instances {
 		address := i.peers
 		if r := f.links[zone][i.name]; r != nil {
-			address = r.listener.Addr().String()
+			address = r.Address()
 		}
 		list = append(list, membership.Instance{
 			Name: i.name, Role: membership.Entry, Zone: i.zone, Address: address,
@@ -321,7 +262,7 @@
 func (f *fleet) start(i *instance) {
 	text, err := json.Marshal(map[string]string{
 		"name": i.name, "zone": i.zone, "listen": i.callers, "peer_listen": i.peers,
-		"admin_listen": i.ops, "platform": "http://" + f.store[i.zone].listener.Addr().String(),
+		"admin_listen": i.ops, "platform": "http://" + f.store[i.zone].Address(),
 		"accept_delay": "200ms",
 	})
 	require.NoError(f.t, err)
