--- a/internal/core/config/snapshot.go
+++ b/internal/core/config/snapshot.go
@@ -1,6 +1,9 @@
 package config
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Defaults for what the operators' text leaves out.
 const (
@@ -95,22 +98,15 @@
 		fillService(&t.Services[i])
 	}
 	for i := range t.Customers {
-		setDefault(&t.Customers[i].Weight, DefaultWeight)
+		t.Customers[i].Weight = cmp.Or(t.Customers[i].Weight, DefaultWeight)
 	}
-	setDefault(&t.Claims.Window, DefaultWindow)
+	t.Claims.Window = cmp.Or(t.Claims.Window, DefaultWindow)
 }
 
 func fillService(s *Service) {
-	setDefault(&s.SkewBound, DefaultSkewBound)
-	setDefault(&s.Capacity, DefaultCapacity)
-	setDefault(&s.RetryShare, DefaultRetryShare)
-	setDefault(&s.MaxAttempts, DefaultMaxAttempts)
-	setDefault(&s.Deadline, DefaultDeadline)
-}
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
+	s.SkewBound = cmp.Or(s.SkewBound, DefaultSkewBound)
+	s.Capacity = cmp.Or(s.Capacity, DefaultCapacity)
+	s.RetryShare = cmp.Or(s.RetryShare, DefaultRetryShare)
+	s.MaxAttempts = cmp.Or(s.MaxAttempts, DefaultMaxAttempts)
+	s.Deadline = cmp.Or(s.Deadline, DefaultDeadline)
 }
--- a/internal/proxy/options.go
+++ b/internal/proxy/options.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/ebonydyke/ebonydyke/internal/core/reason"
@@ -64,25 +65,18 @@
 	if o.Metrics == nil {
 		o.Metrics = noMetrics{}
 	}
-	setDefault(&o.MaxConns, DefaultMaxConns)
-	setDefault(&o.MaxBody, DefaultMaxBody)
-	setDefault(&o.MaxHeader, DefaultMaxHeader)
-	setDefault(&o.ReadTimeout, DefaultReadTimeout)
-	setDefault(&o.CallerIdle, DefaultCallerIdle)
-	setDefault(&o.WriteStall, DefaultWriteStall)
-	setDefault(&o.AcceptQuiet, DefaultAcceptQuiet)
-	setDefault(&o.AcceptMax, DefaultAcceptMax)
-	setDefault(&o.DrainIdle, DefaultDrainIdle)
-	setDefault(&o.DialTimeout, DefaultDialTimeout)
-	setDefault(&o.BackendIdle, DefaultBackendIdle)
-	setDefault(&o.Inactivity, DefaultInactivity)
-}
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
+	o.MaxConns = cmp.Or(o.MaxConns, DefaultMaxConns)
+	o.MaxBody = cmp.Or(o.MaxBody, DefaultMaxBody)
+	o.MaxHeader = cmp.Or(o.MaxHeader, DefaultMaxHeader)
+	o.ReadTimeout = cmp.Or(o.ReadTimeout, DefaultReadTimeout)
+	o.CallerIdle = cmp.Or(o.CallerIdle, DefaultCallerIdle)
+	o.WriteStall = cmp.Or(o.WriteStall, DefaultWriteStall)
+	o.AcceptQuiet = cmp.Or(o.AcceptQuiet, DefaultAcceptQuiet)
+	o.AcceptMax = cmp.Or(o.AcceptMax, DefaultAcceptMax)
+	o.DrainIdle = cmp.Or(o.DrainIdle, DefaultDrainIdle)
+	o.DialTimeout = cmp.Or(o.DialTimeout, DefaultDialTimeout)
+	o.BackendIdle = cmp.Or(o.BackendIdle, DefaultBackendIdle)
+	o.Inactivity = cmp.Or(o.Inactivity, DefaultInactivity)
 }
 
 // Metrics counts what the proxy sees. Its methods are called from many goroutines.
