--- a/cmd/ebonyctl/main.go
+++ b/cmd/ebonyctl/main.go
@@ -13,7 +13,8 @@
 
 	"github.com/ebonydyke/ebonydyke/internal/core/config"
 	"github.com/ebonydyke/ebonydyke/internal/edit"
-	"github.com/ebonydyke/ebonydyke/internal/platform"
+	"github.com/ebonydyke/ebonydyke/internal/store"
+	"github.com/ebonydyke/ebonydyke/platform"
 )
 
 // Exit codes. Scripts rest on them: a code keeps its meaning.
@@ -56,7 +57,7 @@
 	err io.Writer
 }
 
-func (c *cli) store() platform.Store { return platform.NewClient(c.Platform) }
+func (c *cli) store() store.Store { return platform.NewClient(c.Platform) }
 
 func (c *cli) context() (context.Context, context.CancelFunc) {
 	return context.WithTimeout(context.Background(), c.Timeout)
@@ -100,7 +101,7 @@
 func advice(err error) string {
 	switch exitCode(err) {
 	case exitFailed:
-		if errors.Is(err, platform.ErrNotSent) {
+		if errors.Is(err, store.ErrNotDone) {
 			return "The platform does not answer there: check --platform, or wait until it is back. Nothing was changed."
 		}
 		return ""
--- a/cmd/ebonydyked/main.go
+++ b/cmd/ebonydyked/main.go
@@ -6,12 +6,10 @@
 
 import (
 	"errors"
-	"flag"
 	"fmt"
 	"log/slog"
 	"os"
 	"os/signal"
-	"strconv"
 	"syscall"
 
 	"github.com/alecthomas/kong"
@@ -50,31 +48,34 @@
 		return
 	}
 	logJSON(s.LogVerbosity)
-	if err := daemon.Run(stopOnSignal(), s); err != nil {
+	if err := daemon.Run(listenForSignals(), f.Settings, s); err != nil {
 		klog.ErrorS(err, "failed", "instance", s.Name)
 		os.Exit(exitFailed)
 	}
 	klog.InfoS("stopped", "instance", s.Name)
 }
 
-// logJSON makes klog write JSON lines to standard error, with the lines of V
+// logJSON makes klog write JSON lines to standard output, with the lines of V
 // levels up to verbosity.
 func logJSON(verbosity int) {
-	level := slog.Level(-verbosity)
-	klog.SetSlogLogger(slog.New(slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: level})))
-	set := flag.NewFlagSet("klog", flag.ContinueOnError)
-	klog.InitFlags(set)
-	_ = set.Set("v", strconv.Itoa(verbosity))
+	// The level of the handler lets all through: klog's own verbosity decides, and
+	// can change while the process runs.
+	level := slog.Level(-settings.MaxVerbosity)
+	klog.SetSlogLogger(slog.New(slog.NewJSONHandler(os.Stdout, &slog.HandlerOptions{Level: level})))
+	daemon.SetVerbosity(verbosity)
 }
 
-// stopOnSignal returns a channel that closes on the first signal to stop.
-func stopOnSignal() <-chan struct{} {
+// listenForSignals asks for the signals to stop and to read the settings again. A
+// hang-up that nobody asks for would end the process.
+func listenForSignals() daemon.Signals {
 	stop := make(chan struct{})
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
 		<-signals
 		close(stop)
 	}()
-	return stop
+	return daemon.Signals{Stop: stop, Reload: reload}
 }
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -67,9 +67,20 @@
 	mux.Handle("GET "+PathExplain, answers.bound(http.HandlerFunc(h.explain)))
 	mux.Handle("POST "+PathDrain, probes.bound(http.HandlerFunc(h.drain)))
 	// A page in an operator's browser must not be able to drain an instance.
-	guard := http.NewCrossOriginProtection()
+	return newServer(http.NewCrossOriginProtection().Handler(mux))
+}
+
+// NewReadyServer returns a server that answers readiness and nothing else.
+func NewReadyServer(instance Instance) *http.Server {
+	h := &handler{instance: instance}
+	mux := http.NewServeMux()
+	mux.Handle("GET "+PathReady, make(slots, maxProbes).bound(http.HandlerFunc(h.ready)))
+	return newServer(mux)
+}
+
+func newServer(h http.Handler) *http.Server {
 	return &http.Server{
-		Handler:        guard.Handler(mux),
+		Handler:        h,
 		ReadTimeout:    ioTimeout,
 		WriteTimeout:   ioTimeout,
 		IdleTimeout:    time.Minute,
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -2,42 +2,45 @@
 package clock
 
 import (
-	"sync"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
-// Clock is a time that never goes back and misses no pause.
+// Clock is a time that never goes back, misses no pause and follows no step of the
+// time of day.
 //
-// The steady clock of the system stands still while a virtual machine is paused: an
+// The steady clock of the system stands still while a machine is suspended: an
 // instance that woke would take a claim for its own whose window is over, and send a
-// request that has run elsewhere. The wall clock shows the pause, but steps back at
-// times, and deadlines would then seem far away. So time passes with the steady
-// clock, and whatever the wall clock has gained on it is added, and never taken off.
+// request that has run elsewhere. The time of day counts the suspension but is
+// stepped: a step ahead would end every request in progress as too late, one back
+// would hold them past their time. The kernel's boot-time clock counts suspensions
+// and is never stepped, so time passes with it alone.
 type Clock struct {
-	wall   func() time.Time
-	steady func() time.Duration
-	start  time.Time
-
-	mu     sync.Mutex
-	gained time.Duration
+	elapsed func() time.Duration
+	start   time.Time
 }
 
-// New returns a clock of the system.
+// New returns a clock of the system. It starts at the time of day.
 func New() *Clock {
-	start := time.Now()
-	return newClock(time.Now, func() time.Duration { return time.Since(start) })
+	begun := sinceBoot()
+	return newClock(time.Now(), func() time.Duration { return sinceBoot() - begun })
 }
 
-func newClock(wall func() time.Time, steady func() time.Duration) *Clock {
-	return &Clock{wall: wall, steady: steady, start: wall().Round(0)}
+func newClock(start time.Time, elapsed func() time.Duration) *Clock {
+	// Round(0) takes the steady clock's reading out of the time of day.
+	return &Clock{elapsed: elapsed, start: start.Round(0)}
 }
 
 // Now returns the time. It may be called from any goroutine.
-func (c *Clock) Now() time.Time {
-	steady := c.start.Add(c.steady())
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	// Round(0) takes the steady clock's reading out of the wall clock's.
-	c.gained = max(c.gained, c.wall().Round(0).Sub(steady))
-	return steady.Add(c.gained)
+func (c *Clock) Now() time.Time { return c.start.Add(c.elapsed()) }
+
+// sinceBoot reads the boot-time clock. The call fails only for a clock that the
+// kernel does not have, and every kernel in use has this one.
+func sinceBoot() time.Duration {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		panic("clock: no boot-time clock: " + err.Error())
+	}
+	return time.Duration(ts.Nano())
 }
--- a/internal/core/admission.go
+++ b/internal/core/admission.go
@@ -1,7 +1,6 @@
 package core
 
 import (
-	"net/http"
 	"slices"
 	"time"
 
@@ -12,7 +11,6 @@
 
 // refusal says why a request is refused and when its caller may come back.
 type refusal struct {
-	status     int
 	why        reason.Reason
 	retryAfter time.Duration
 }
@@ -43,34 +41,35 @@
 // admit decides whether a request may be placed at all: customers' limits, and
 // their shares once the service is saturated. It returns nil to let it in.
 func (n *Node) admit(r *request) *refusal {
-	customer := n.snapshot.Customer(r.arrived.Customer)
+	customer := r.customer
 	controller := n.admission.service(r.service.Name)
 	room := n.room(r.service)
 	if customer.MaxInFlight > 0 && n.admission.inFlight[customer.Name] >= customer.MaxInFlight {
-		return n.refusal(controller, room, http.StatusTooManyRequests, reason.CustomerLimit)
+		return n.refusal(controller, room, reason.CustomerLimit)
 	}
 	switch controller.Admit(customer.Name, customer.Weight, room, n.now, n.random) {
 	case admission.OverShare:
-		return n.refusal(controller, room, http.StatusTooManyRequests, reason.CustomerShare)
+		return n.refusal(controller, room, reason.CustomerShare)
 	case admission.Saturated:
-		return n.refusal(controller, room, http.StatusServiceUnavailable, reason.Saturated)
+		return n.refusal(controller, room, reason.Saturated)
 	}
 	n.admission.inFlight[customer.Name]++
 	return nil
 }
 
-func (n *Node) refusal(c *admission.Controller, room admission.Room, status int, why reason.Reason) *refusal {
-	return &refusal{status: status, why: why, retryAfter: c.RetryAfter(room, n.now, n.random)}
+func (n *Node) refusal(c *admission.Controller, room admission.Room, why reason.Reason) *refusal {
+	return &refusal{why: why, retryAfter: c.RetryAfter(room, n.now, n.random)}
 }
 
 // room is what this instance knows of a service's fill. A service without a backend
 // server has none to share: placement refuses its requests with a better reason.
 func (n *Node) room(service *config.Service) admission.Room {
-	load, count := n.pool(service.Name).reachable()
+	p := n.pool(service.Name)
+	load, count := p.reachable()
 	if count == 0 {
 		return admission.Unlimited
 	}
-	return admission.Room{Load: load, Capacity: float64(service.Capacity * count)}
+	return admission.Room{Load: load, Capacity: p.capacity(count)}
 }
 
 // admissionEnded is told once about each admitted request, when it ends.
--- a/internal/core/codec.go
+++ b/internal/core/codec.go
@@ -11,6 +11,7 @@
 var eventTypes = []Event{
 	RequestArrived{}, AttemptEnded{}, AnswerStarted{}, CallerGone{},
 	InstancesListed{}, BackendReported{}, ConfigOffered{}, StoreReplied{},
+	BackendsRead{}, LeaseReplied{},
 	PeerConnected{}, PeerLost{}, PeerReceived{}, StopRequested{}, Ticked{},
 }
 
--- a/internal/core/config/check.go
+++ b/internal/core/config/check.go
@@ -125,7 +125,7 @@
 		c.doc.Add("services", "%d services, expected at most %d", len(c.text.Services), MaxServices)
 		return
 	}
-	if len(c.text.Customers) == 0 {
+	if len(c.text.Customers) == 0 && len(c.text.Routes) == 0 {
 		c.doc.Add("customers", "no customers, expected at least one: requests of unknown customers are refused")
 	}
 	c.checkNames()
@@ -135,6 +135,7 @@
 	c.checkModels()
 	c.checkCycles()
 	c.checkCustomers()
+	c.checkRoutes()
 	c.checkClaims()
 }
 
@@ -235,6 +236,7 @@
 
 func (c *checker) checkCustomers() {
 	seen := make(map[string]int, len(c.text.Customers))
+	keys := make(map[string]string)
 	for i := range c.text.Customers {
 		customer := &c.text.Customers[i]
 		path := at("customers", i)
@@ -247,6 +249,24 @@
 		if customer.MaxInFlight < 0 {
 			c.doc.Add(path+".max_in_flight", "max_in_flight %d, expected 0 for no bound, or more", customer.MaxInFlight)
 		}
+		c.checkKeys(path+".api_keys", customer.APIKeys, keys)
+	}
+}
+
+// checkKeys finds empty keys and those that stand for two customers. The finding
+// does not repeat the key: findings are printed and logged.
+func (c *checker) checkKeys(path string, list []string, keys map[string]string) {
+	for i, key := range list {
+		where := at(path, i)
+		if key == "" {
+			c.doc.Add(where, "empty API key")
+			continue
+		}
+		if first, ok := keys[key]; ok {
+			c.doc.Add(where, "API key already given at %s", c.where(first))
+			continue
+		}
+		keys[key] = where
 	}
 }
 
--- /dev/null
+++ b/internal/core/config/check_routes.go
@@ -0,0 +1,67 @@
+package config
+
+import "strings"
+
+// checkRoutes finds routes that lead nowhere, or two that claim the same path.
+func (c *checker) checkRoutes() {
+	names := make(map[string]string, len(c.text.Routes))
+	places := make(map[[2]string]string, len(c.text.Routes))
+	for i := range c.text.Routes {
+		r := &c.text.Routes[i]
+		path := at("routes", i)
+		c.name(path+".name", r.Name)
+		if first, ok := names[r.Name]; ok && r.Name != "" {
+			c.doc.Add(path+".name", "route %q is already declared at %s", r.Name, c.where(first))
+		} else {
+			names[r.Name] = path + ".name"
+		}
+		place := [2]string{r.Host, r.Prefix}
+		if first, ok := places[place]; ok {
+			c.doc.Add(path+".prefix", "host and prefix are already those of the route at %s", c.where(first))
+		} else {
+			places[place] = path + ".name"
+		}
+		c.checkRoute(path, r)
+	}
+}
+
+func (c *checker) checkRoute(path string, r *Route) {
+	if r.Host == "" {
+		c.doc.Add(path+".host", "no host, expected the one that callers name")
+	}
+	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
+		c.doc.Add(path+".prefix", "prefix %q, expected a slash at both ends", r.Prefix)
+	}
+	if r.Kind != Idempotent && r.Kind != NonIdempotent && r.Kind != Stream {
+		c.doc.Add(path+".kind", "kind %q, expected %q, %q or %q", r.Kind, Idempotent, NonIdempotent, Stream)
+	}
+	if r.Resumable && r.Kind != Stream {
+		c.doc.Add(path+".resumable", "resumable on a route of kind %q, expected %q", r.Kind, Stream)
+	}
+	if r.Timeout <= 0 {
+		c.doc.Add(path+".timeout", "timeout must be above 0")
+	}
+	if r.Goal < 0 || r.PauseGoal < 0 {
+		c.doc.Add(path+".goal", "goals must not be under 0")
+	}
+	if r.MaxRuns < 1 || r.MaxRuns > MaxAttemptsLimit {
+		c.doc.Add(path+".max_runs", "max_runs %d, expected 1 to %d", r.MaxRuns, MaxAttemptsLimit)
+	}
+	c.checkSplit(path+".split", r.Split)
+}
+
+func (c *checker) checkSplit(path string, split []Share) {
+	sum := 0.0
+	for i, s := range split {
+		if _, ok := c.services[s.Service]; !ok {
+			c.doc.Add(at(path, i)+".service", "unknown service %q, expected a service of this text", s.Service)
+		}
+		if s.Weight < 0 {
+			c.doc.Add(at(path, i)+".weight", "weight %v, expected 0 or more", s.Weight)
+		}
+		sum += s.Weight
+	}
+	if sum <= 0 {
+		c.doc.Add(path, "no service with a weight above 0")
+	}
+}
--- a/internal/core/configs.go
+++ b/internal/core/configs.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"time"
@@ -89,7 +90,8 @@
 
 // rankWatchers ranks the watchers of the zone over its entries.
 func (n *Node) rankWatchers(zone []string) []string {
-	return rendezvous.Top(rendezvous.Hash("config/"+n.settings.Zone), zone, configWatchers)
+	watchers := cmp.Or(n.settings.ConfigWatchers, configWatchers)
+	return rendezvous.Top(rendezvous.Hash("config/"+n.settings.Zone), zone, watchers)
 }
 
 func (n *Node) storeReplied(e StoreReplied) {
@@ -184,7 +186,7 @@
 // edit would be based on it; so the watchers write back what is in force.
 func (n *Node) storeHolds(env config.Envelope) {
 	c := &n.configs
-	if n.snapshot == nil {
+	if n.snapshot == nil || n.settings.ConfigReadOnly {
 		return
 	}
 	older := env.Generation < n.snapshot.Generation ||
--- a/internal/core/effect.go
+++ b/internal/core/effect.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/ebonydyke/ebonydyke/internal/core/config"
+	"github.com/ebonydyke/ebonydyke/internal/core/membership"
 	"github.com/ebonydyke/ebonydyke/internal/core/reason"
 )
 
@@ -19,9 +20,15 @@
 	Attempt int       `json:"attempt"`
 	Backend string    `json:"backend"`
 	Address string    `json:"address"`
+	// Customer is whose request it is.
+	Customer string `json:"customer,omitempty"`
+	// Priority is the request's rank; 0 is the most urgent.
+	Priority int `json:"priority,omitempty"`
+	// Once says that the request may run at most once.
+	Once bool `json:"once,omitempty"`
 	// Deadline is when the outside gives the attempt up.
 	Deadline time.Time `json:"deadline"`
-	// ResumeAfter continues a broken stream after this event on the same backend server.
+	// ResumeAfter continues a broken stream after this event.
 	ResumeAfter string `json:"resume_after,omitempty"`
 	// Placement is the hint for the chat's next turn.
 	Placement string `json:"placement,omitempty"`
@@ -43,12 +50,13 @@
 	Service    string         `json:"service,omitempty"`
 	Backend    string         `json:"backend,omitempty"`
 	Attempt    int            `json:"attempt,omitempty"`
-	Status     int            `json:"status"`
 	Outcome    reason.Outcome `json:"outcome"`
 	Reason     reason.Reason  `json:"reason,omitempty"`
 	RetryAfter time.Duration  `json:"retry_after,omitempty"`
 	// First is what is known of the first request, on a duplicate.
 	First string `json:"first,omitempty"`
+	// PassOn says that the failure which a backend server answered is the answer.
+	PassOn bool `json:"pass_on,omitempty"`
 }
 
 // StoreGet reads a key of the platform's store.
@@ -72,7 +80,36 @@
 	Version uint64 `json:"version"`
 }
 
-// ListInstances reads the platform's instance list. It ends with InstancesListed.
+// ListBackends reads a page of the backend servers' entries, after the key After. It
+// ends with BackendsRead.
+type ListBackends struct {
+	Op    OpID   `json:"op"`
+	After string `json:"after,omitempty"`
+}
+
+// WatchBackends waits for a change of those entries after a revision. It ends with
+// BackendsRead.
+type WatchBackends struct {
+	Op    OpID   `json:"op"`
+	After uint64 `json:"after"`
+}
+
+// Register writes this instance's own entry under a lease, and takes the lease first
+// if there is none. It ends with LeaseReplied.
+type Register struct {
+	Op       OpID                `json:"op"`
+	Lease    uint64              `json:"lease,omitempty"`
+	TTL      time.Duration       `json:"ttl"`
+	Instance membership.Instance `json:"instance"`
+}
+
+// RenewLease renews the lease of that entry. It ends with LeaseReplied.
+type RenewLease struct {
+	Op    OpID   `json:"op"`
+	Lease uint64 `json:"lease"`
+}
+
+// ListInstances reads the instances' own entries. It ends with InstancesListed.
 type ListInstances struct {
 	Op OpID `json:"op"`
 }
@@ -148,6 +185,18 @@
 // EffectName names the effect in session files.
 func (StoreWatch) EffectName() string { return "store-watch" }
 
+// EffectName names the effect in session files.
+func (ListBackends) EffectName() string { return "list-backends" }
+
+// EffectName names the effect in session files.
+func (WatchBackends) EffectName() string { return "watch-backends" }
+
+// EffectName names the effect in session files.
+func (Register) EffectName() string { return "register" }
+
+// EffectName names the effect in session files.
+func (RenewLease) EffectName() string { return "renew-lease" }
+
 // EffectName names the effect in session files.
 func (ListInstances) EffectName() string { return "list-instances" }
 
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -27,6 +27,13 @@
 	// Service is the service's name; when empty, Model names it.
 	Service string `json:"service,omitempty"`
 	Model   string `json:"model,omitempty"`
+	// Host and Path lead to a route, and APIKey to the customer, of a caller who
+	// names neither service nor customer.
+	Host   string `json:"host,omitempty"`
+	Path   string `json:"path,omitempty"`
+	APIKey string `json:"api_key,omitempty"`
+	// Prompt describes the prompt of a generation, where the caller does.
+	Prompt *Prompt `json:"prompt,omitempty"`
 	// Chat identifies the chat, so that its next turn finds its cached prefix.
 	Chat string `json:"chat,omitempty"`
 	// NonIdempotent marks a request that may run at most once.
@@ -39,6 +46,25 @@
 	Hint string `json:"hint,omitempty"`
 }
 
+// Prompt is what a caller says of the prompt of a generation.
+type Prompt struct {
+	// Parts are the parts of the prompt in their order. Requests share parts; a part
+	// that an engine has cached is not read again if all before it are cached too.
+	Parts []PromptPart `json:"parts,omitempty"`
+	// Tokens are those of the whole prompt.
+	Tokens int `json:"tokens,omitempty"`
+	// MaxOutput is the most tokens that may be generated.
+	MaxOutput int `json:"max_output,omitempty"`
+	// OutputHint is the caller's guess of the tokens that will be; 0 is none.
+	OutputHint int `json:"output_hint,omitempty"`
+}
+
+// PromptPart is one part of a prompt.
+type PromptPart struct {
+	ID     string `json:"id"`
+	Tokens int    `json:"tokens"`
+}
+
 // AttemptEnded is the end of one attempt.
 type AttemptEnded struct {
 	Request RequestID     `json:"request"`
@@ -101,6 +127,8 @@
 	StoreUnchanged StoreStatus = "unchanged"
 	// StoreFailed means that the call surely took no effect.
 	StoreFailed StoreStatus = "failed"
+	// StoreHistoryLost means that a watch cannot go on where it asked to.
+	StoreHistoryLost StoreStatus = "history-lost"
 	// StoreUnknown means that a write may have taken effect.
 	StoreUnknown StoreStatus = "unknown"
 )
@@ -113,6 +141,25 @@
 	Value   []byte      `json:"value,omitempty"`
 }
 
+// BackendsRead is the end of a ListBackends or a WatchBackends.
+type BackendsRead struct {
+	Op      OpID           `json:"op"`
+	Status  StoreStatus    `json:"status"`
+	Entries []BackendEntry `json:"entries,omitempty"`
+	// More is the key after which a list goes on, if it does.
+	More string `json:"more,omitempty"`
+	// Revision is the store's, from which a watch goes on.
+	Revision uint64 `json:"revision,omitempty"`
+}
+
+// LeaseReplied is the end of a Register or a RenewLease.
+type LeaseReplied struct {
+	Op     OpID        `json:"op"`
+	Status StoreStatus `json:"status"`
+	// Lease is the lease that there is now, also if the entry was not written.
+	Lease uint64 `json:"lease,omitempty"`
+}
+
 // PeerConnected says that a link to another instance is up.
 type PeerConnected struct {
 	Peer        string `json:"peer"`
@@ -161,6 +208,12 @@
 // EventName names the event in session files.
 func (StoreReplied) EventName() string { return "store-replied" }
 
+// EventName names the event in session files.
+func (BackendsRead) EventName() string { return "backends-read" }
+
+// EventName names the event in session files.
+func (LeaseReplied) EventName() string { return "lease-replied" }
+
 // EventName names the event in session files.
 func (PeerConnected) EventName() string { return "peer-connected" }
 
--- a/internal/core/explain.go
+++ b/internal/core/explain.go
@@ -67,7 +67,7 @@
 		x.Refused = reason.UnknownService
 		return x
 	}
-	r := &request{service: service, arrived: RequestArrived{
+	r := &request{target: target{service: service}, arrived: RequestArrived{
 		Service: q.Service, Customer: q.Customer, Chat: q.Chat, Hint: q.Hint,
 	}}
 	x.Bound = service.SkewBound
@@ -99,7 +99,7 @@
 	total, count := n.sharing(p)
 	choice := n.choice(r, p)
 	x.Mean = total / float64(count)
-	x.Load, x.Capacity = total, float64(r.service.Capacity*count)
+	x.Load, x.Capacity = total, p.capacity(count)
 	x.Limit, x.Inner = choice.Limits.Outer, choice.Limits.Inner
 	if choice.Hinted != routing.None {
 		x.Hinted = p.candidates[choice.Hinted].Name
@@ -111,12 +111,12 @@
 	for i := range ranked {
 		x.Ranking = append(x.Ranking, RankedBackend{
 			BackendStatus: n.candidateStatus(&ranked[i]),
-			Why:           x.why(&ranked[i], choice.Capacity),
+			Why:           x.why(&ranked[i]),
 		})
 	}
 }
 
-func (x *Explanation) why(c *routing.Candidate, capacity float64) string {
+func (x *Explanation) why(c *routing.Candidate) string {
 	var words []string
 	if c.Name == x.Chosen {
 		words = append(words, "chosen")
@@ -125,7 +125,7 @@
 		words = append(words, "hinted")
 	}
 	switch load := c.Load + 1; {
-	case load > capacity:
+	case load > c.Capacity:
 		words = append(words, "at its capacity")
 	case load > x.Limit:
 		words = append(words, "at the bound")
--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -258,6 +258,7 @@
 	s.entries = names
 	s.zone = zone
 	s.watchers = n.rankWatchers(zone)
+	n.resizeBudgets()
 	s.readers = rendezvous.Top(rendezvous.Hash("list/"+n.settings.Zone), zone, listReaders)
 	return names
 }
--- a/internal/core/membership/listed.go
+++ b/internal/core/membership/listed.go
@@ -31,7 +31,8 @@
 	shown := make(map[string]bool, len(list))
 	for _, in := range list {
 		shown[in.Name] = true
-		if v.Merge(now, in) || v.show(now, in.Name) {
+		merged := v.Merge(now, in)
+		if v.show(now, in.Name) || merged {
 			changed = append(changed, in.Name)
 		}
 	}
@@ -51,7 +52,7 @@
 // show notes that a list has the instance, and undoes its absence.
 func (v *View) show(now time.Time, name string) bool {
 	r := v.records[name]
-	r.present, r.missed = now, 0
+	r.present, r.missed, r.listed = now, 0, true
 	if !r.absent {
 		return false
 	}
@@ -61,10 +62,17 @@
 	return v.set(now, r, in)
 }
 
+// inList tells whether a list that leaves the instance out says anything of it.
+// Backend servers that only the operators' text names, or that have an entry of
+// their own, are in no list.
+func (r *record) inList() bool {
+	return r.in.Role == Entry || r.in.Role == Backend && r.listed && !r.registered
+}
+
 // miss notes that a list lacks the instance, and tells whether it counts as gone
-// from now on. Backend servers that only the operators' text names are in no list.
+// from now on.
 func (r *record) miss(now time.Time, after time.Duration) bool {
-	if r.in.Role == "" || r.absent || r.in.State == Gone {
+	if !r.inList() || r.absent || r.in.State == Gone {
 		return false
 	}
 	r.missed++
@@ -80,7 +88,7 @@
 func (v *View) suspect(shown map[string]bool) bool {
 	live, missing := 0, 0
 	for name, r := range v.records {
-		if r.in.Role == "" || r.in.State != Live {
+		if !r.inList() || r.in.State != Live {
 			continue
 		}
 		live++
--- a/internal/core/membership/membership.go
+++ b/internal/core/membership/membership.go
@@ -51,6 +51,9 @@
 	Zone    string `json:"zone"`
 	// Address is the address for traffic; for an entry instance, for its peers.
 	Address string `json:"address"`
+	// Slots is the number of requests that a backend server says it works on at once;
+	// 0 if it does not say.
+	Slots int `json:"slots,omitempty"`
 	// Incarnation grows each time a process starts under this name.
 	Incarnation uint64 `json:"incarnation"`
 	State       State  `json:"state"`
--- a/internal/core/membership/view.go
+++ b/internal/core/membership/view.go
@@ -44,6 +44,8 @@
 	// missed counts the lists in a row without it; absent is the conclusion.
 	missed int
 	absent bool
+	// listed is set once a list showed it, registered once it had its own entry.
+	listed, registered bool
 	// seq is the number of its last change.
 	seq     uint64
 	returns returns
@@ -109,6 +111,32 @@
 	return v.Merge(now, in)
 }
 
+// Register takes an instance's own entry in the platform's store and tells whether
+// the view changed. An entry that is there undoes an absence.
+func (v *View) Register(now time.Time, in Instance) bool {
+	changed := v.Merge(now, in)
+	r := v.records[in.Name]
+	r.registered = true
+	if r.in.Incarnation == in.Incarnation {
+		changed = v.show(now, in.Name) || changed
+	}
+	return changed
+}
+
+// Unregister notes that an instance has no entry any more and tells whether the view
+// changed. That is an absence, which a later entry undoes: entries also lapse while
+// the store is away.
+func (v *View) Unregister(name string) bool {
+	r := v.records[name]
+	if r == nil || r.absent || r.in.State == Gone {
+		return false
+	}
+	r.absent = true
+	r.in.State = Gone
+	v.changed(r)
+	return true
+}
+
 // Report takes a backend server's own word on its state. A report without an
 // incarnation speaks of the one that the platform's list gave; fresh says that it
 // was asked for just now and cannot be an answer that was under way for long.
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -31,6 +31,15 @@
 	Incarnation uint64 `json:"incarnation"`
 	// Seed starts the node's own random source.
 	Seed uint64 `json:"seed"`
+	// ConfigWatchers is how many instances of a zone watch the configuration; the
+	// others hear of it from peers. 0 is the default.
+	ConfigWatchers int `json:"config_watchers,omitempty"`
+	// ConfigReadOnly keeps the instance from writing the configuration back to a
+	// store that lost it, where only the operators may write it.
+	ConfigReadOnly bool `json:"config_read_only,omitempty"`
+	// NoPolls keeps the instance from asking backend servers for their loads, where
+	// their answers tell them and a question costs what a request does.
+	NoPolls bool `json:"no_polls,omitempty"`
 	// AcceptDelay is how long a stopping instance goes on accepting, until the
 	// balancer has noticed.
 	AcceptDelay time.Duration `json:"accept_delay"`
@@ -56,11 +65,14 @@
 	due       dueQueue
 	configs   configState
 	members   memberState
-	claims    claimState
-	lifecycle lifecycleState
-	observed  observations
-	peers     peersState
-	polls     pollState
+	backends  backendsState
+	// registration is this instance's own entry.
+	registration registrationState
+	claims       claimState
+	lifecycle    lifecycleState
+	observed     observations
+	peers        peersState
+	polls        pollState
 }
 
 // New returns a node that knows nothing but its settings.
@@ -78,6 +90,7 @@
 		requests:  make(map[RequestID]*request),
 		claims:    newClaimState(),
 		members:   memberState{heard: make(map[string]time.Time)},
+		backends:  newBackendsState(),
 		peers:     newPeersState(),
 		polls:     pollState{heard: make(map[string]time.Time)},
 	}
@@ -111,6 +124,10 @@
 	case BackendReported:
 		n.pollEnded(e)
 		n.backendReported(e)
+	case BackendsRead:
+		n.backendsRead(e)
+	case LeaseReplied:
+		n.leaseReplied(e)
 	case ConfigOffered:
 		n.offerConfig(e.Envelope)
 	case StoreReplied:
@@ -160,4 +177,6 @@
 	n.tickPeers()
 	n.tickClaims()
 	n.tickLifecycle()
+	n.tickBackends()
+	n.tickRegistration()
 }
--- a/internal/core/placement.go
+++ b/internal/core/placement.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/ebonydyke/ebonydyke/internal/core/config"
 	"github.com/ebonydyke/ebonydyke/internal/core/membership"
@@ -25,9 +26,42 @@
 	budget      *retry.Budget
 }
 
-// retryBurst is how many retries a service may spend before its successes have
-// earned any.
-const retryBurst = 10
+const (
+	// defaultRetryBurst is how many retries a service may spend at one instance before
+	// any are earned, if the text does not say.
+	defaultRetryBurst = 10
+	// burstPart is the part of the fleet's allowance that the instances divide. The
+	// rest is for those that come and do not know the fleet yet.
+	burstPart = 0.8
+	// burstSpan is the span of time that the allowance is for.
+	burstSpan = 10 * time.Second
+	// leastFleet is the fewest instances that share the allowance: one that knows
+	// nobody may only not have heard of them.
+	leastFleet = 4
+)
+
+// resizeBudget sets this instance's part of a service's retries. Half of it may be
+// spent at once, and as much comes back within the span.
+func (n *Node) resizeBudget(b *retry.Budget, svc *config.Service) {
+	if svc.RetryBurst == 0 {
+		b.Resize(svc.RetryShare, defaultRetryBurst, 0)
+		return
+	}
+	part := burstPart * float64(svc.RetryBurst) / float64(max(leastFleet, len(n.entries())))
+	b.Resize(svc.RetryShare, part/2, part/2/burstSpan.Seconds())
+}
+
+// resizeBudgets follows a change of the fleet.
+func (n *Node) resizeBudgets() {
+	if n.snapshot == nil {
+		return
+	}
+	for name, p := range n.pools {
+		if svc := n.snapshot.Service(name); svc != nil && p.budget != nil {
+			n.resizeBudget(p.budget, svc)
+		}
+	}
+}
 
 func (n *Node) pool(service string) *pool {
 	p := n.pools[service]
@@ -47,6 +81,15 @@
 	return p.total - p.lost, len(p.candidates) - p.unreachable
 }
 
+// capacity is that of count of the pool's backend servers.
+func (p *pool) capacity(count int) float64 {
+	sum := 0.0
+	for i := range p.candidates {
+		sum += p.candidates[i].Capacity
+	}
+	return sum * float64(count) / float64(max(1, len(p.candidates)))
+}
+
 // place chooses the backend server of the request's next attempt.
 func (n *Node) place(r *request) (routing.Candidate, reason.Reason) {
 	p := n.pool(r.service.Name)
@@ -69,8 +112,7 @@
 		Hinted:     n.hinted(r, p),
 		PreferNear: r.arrived.Chat == "" || n.zonesApart(),
 		Tried:      r.tried,
-		Capacity:   float64(r.service.Capacity),
-		Limits:     routing.LimitsFor(r.service.SkewBound, total, count, chat, n.hints.kind(r)),
+		Limits:     routing.LimitsFor(r.service.SkewBound, total, count, chat, n.hints.kind(r)).Loosen(r.service.SkewSlack),
 	}
 }
 
@@ -195,8 +237,9 @@
 	svc := n.snapshot.Service(name)
 	p := &pool{index: make(map[string]int), budget: n.pool(name).budget}
 	if p.budget == nil {
-		p.budget = retry.NewBudget(svc.RetryShare, retryBurst)
+		p.budget = retry.NewBudget(svc.RetryShare, max(defaultRetryBurst, float64(svc.RetryBurst)))
 	}
+	n.resizeBudget(p.budget, svc)
 	p.candidates = n.candidates(svc)
 	for i := range p.candidates {
 		c := &p.candidates[i]
@@ -218,15 +261,17 @@
 		in := n.view.Get(b.Name)
 		switch {
 		case in == nil:
-			list = append(list, n.candidate(b.Name, b.Address, b.Zone, 0))
+			list = append(list, n.candidate(svc, membership.Instance{Name: b.Name, Address: b.Address, Zone: b.Zone}))
 		case in.State == membership.Live:
-			list = append(list, n.candidate(b.Name, b.Address, b.Zone, in.Incarnation))
+			list = append(list, n.candidate(svc, membership.Instance{
+				Name: b.Name, Address: b.Address, Zone: b.Zone, Incarnation: in.Incarnation,
+			}))
 		}
 	}
 	if svc.FromPlatform {
 		n.view.EachOf(svc.Name, func(in *membership.Instance) {
 			if in.Role == membership.Backend && in.State == membership.Live {
-				list = append(list, n.candidate(in.Name, in.Address, in.Zone, in.Incarnation))
+				list = append(list, n.candidate(svc, *in))
 			}
 		})
 	}
@@ -235,16 +280,31 @@
 	return slices.CompactFunc(list, func(a, b routing.Candidate) bool { return a.Name == b.Name })
 }
 
-func (n *Node) candidate(name, address, zone string, incarnation uint64) routing.Candidate {
+func (n *Node) candidate(svc *config.Service, in membership.Instance) routing.Candidate {
 	return routing.Candidate{
-		Name:        name,
-		Address:     address,
-		Zone:        zone,
-		Incarnation: incarnation,
-		Hash:        rendezvous.Hash(name),
-		Far:         zone != n.settings.Zone,
-		Withheld:    1 - n.view.Share(name, n.now),
+		Name:        in.Name,
+		Address:     in.Address,
+		Zone:        in.Zone,
+		Incarnation: in.Incarnation,
+		Hash:        rendezvous.Hash(in.Name),
+		Capacity:    capacityOf(svc, in),
+		Far:         in.Zone != n.settings.Zone,
+		Withheld:    1 - n.view.Share(in.Name, n.now),
+	}
+}
+
+// waitingPerSlot is how many requests may wait at a backend server for each that it
+// runs. With one, a request waits about as long as another one runs; more would
+// only be late together.
+const waitingPerSlot = 1
+
+// capacityOf is the load that a backend server must not exceed: by its own word on
+// its slots, or else by the text.
+func capacityOf(svc *config.Service, in membership.Instance) float64 {
+	if in.Slots > 0 {
+		return float64(in.Slots * (1 + waitingPerSlot))
 	}
+	return float64(svc.Capacity)
 }
 
 // backendAnswered takes what the end of an attempt says of the way to its backend
--- a/internal/core/polls.go
+++ b/internal/core/polls.go
@@ -81,6 +81,9 @@
 
 // tickPolls asks the owned backend servers that told nothing of late.
 func (n *Node) tickPolls() {
+	if n.settings.NoPolls {
+		return
+	}
 	if !n.now.Before(n.polls.nextOwners) {
 		n.polls.nextOwners = n.now.Add(ownersEvery)
 		n.ownPolls()
--- a/internal/core/reason/reason.go
+++ b/internal/core/reason/reason.go
@@ -33,8 +33,12 @@
 	TooLarge Reason = "too-large"
 	// UnknownService names a model or service that the configuration lacks.
 	UnknownService Reason = "unknown-service"
+	// UnknownRoute means that no route leads from the host and path to a service.
+	UnknownRoute Reason = "unknown-route"
 	// UnknownCustomer names a customer that the configuration lacks.
 	UnknownCustomer Reason = "unknown-customer"
+	// UnknownKey means that the API key is missing or not in the configuration.
+	UnknownKey Reason = "unknown-key"
 	// NoConfiguration means that no configuration is in force yet.
 	NoConfiguration Reason = "no-configuration"
 	// NoBackend means that the service has no usable backend server.
@@ -59,6 +63,10 @@
 	BackendRefused Reason = "backend-refused"
 	// BackendLost means that the backend server failed after bytes may have reached it.
 	BackendLost Reason = "backend-lost"
+	// BackendFailed means that the backend server answered with a failure of its own.
+	BackendFailed Reason = "backend-failed"
+	// BackendSpoiled means that an answer was not the backend server's own whole one.
+	BackendSpoiled Reason = "backend-spoiled"
 	// BrokenStream means that an answer was cut after it had begun.
 	BrokenStream Reason = "broken-stream"
 	// CallerGone means that the caller left before its answer was complete.
@@ -77,9 +85,9 @@
 
 // All lists every reason, for metrics and documentation.
 var All = []Reason{
-	BadRequest, TooLarge, UnknownService, UnknownCustomer, NoConfiguration,
+	BadRequest, TooLarge, UnknownService, UnknownRoute, UnknownCustomer, UnknownKey, NoConfiguration,
 	NoBackend, Saturated, CustomerShare, CustomerLimit, DependencyUnavailable,
 	DeadlineExceeded, RetryBudget, AttemptsExhausted, BackendUnreachable,
-	BackendRefused, BackendLost, BrokenStream, CallerGone, ClaimDuplicate,
+	BackendRefused, BackendLost, BackendFailed, BackendSpoiled, BrokenStream, CallerGone, ClaimDuplicate,
 	ClaimUnavailable, ClaimsFull, Stopping, Overloaded,
 }
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -1,30 +1,23 @@
 package core
 
 import (
-	"net/http"
 	"time"
 
 	"github.com/ebonydyke/ebonydyke/internal/core/claims"
-	"github.com/ebonydyke/ebonydyke/internal/core/config"
 	"github.com/ebonydyke/ebonydyke/internal/core/reason"
-	"github.com/ebonydyke/ebonydyke/internal/core/retry"
 )
 
-const (
-	// defaultRetryAfter is when a caller may come back if nothing else is known.
-	defaultRetryAfter = time.Second
-	// resumePause lies between two attempts to resume one stream.
-	resumePause = 500 * time.Millisecond
-	// statusCallerGone is for the log; nobody reads an answer with it.
-	statusCallerGone = 499
-)
+// defaultRetryAfter is when a caller may come back if nothing else is known.
+const defaultRetryAfter = time.Second
 
 // request is one request in progress at this instance.
 type request struct {
+	target
 	arrived  RequestArrived
-	service  *config.Service
 	deadline time.Time
-	attempt  int
+	// attempt counts the sendings, and runs those that a backend server may have
+	// started.
+	attempt, runs int
 	// running is set while the last attempt has not ended.
 	running bool
 	// backend and address are the last attempt's backend server.
@@ -39,6 +32,9 @@
 	retryAfter time.Duration
 	// tried are the backend servers that earlier attempts failed at.
 	tried []string
+	// failureHeld is set once the proxy holds a backend server's whole answer that
+	// says it failed: the caller's answer if no later attempt brings a better one.
+	failureHeld bool
 	// mayHaveRun is set once any attempt ended in a way that leaves open whether
 	// a backend server started the request; from then on no answer says not-run.
 	mayHaveRun bool
@@ -57,36 +53,29 @@
 }
 
 func (n *Node) requestArrived(e RequestArrived) {
-	if n.snapshot == nil {
-		n.refuse(e, "", http.StatusServiceUnavailable, reason.NoConfiguration)
-		return
-	}
-	service := n.serviceOf(e)
-	if service == nil {
-		n.refuse(e, "", http.StatusNotFound, reason.UnknownService)
+	t, unknown := n.resolve(&e)
+	if unknown != reason.None {
+		n.refuse(e, t, unknown)
 		return
 	}
-	if n.snapshot.Customer(e.Customer) == nil {
-		n.refuse(e, service.Name, http.StatusForbidden, reason.UnknownCustomer)
-		return
-	}
-	r := &request{arrived: e, service: service, deadline: e.Deadline}
-	if r.deadline.IsZero() {
-		r.deadline = n.now.Add(time.Duration(service.Deadline))
-	}
-	if !n.now.Before(r.deadline) {
-		n.refuse(e, service.Name, http.StatusGatewayTimeout, reason.DeadlineExceeded)
+	e.Customer = t.customer.Name
+	r := &request{target: t, arrived: e, deadline: n.deadlineOf(&e, t)}
+	switch {
+	case !n.now.Before(r.deadline):
+		n.refuse(e, t, reason.DeadlineExceeded)
 		return
-	}
-	if !n.dependenciesUsable(service) {
-		n.refuse(e, service.Name, http.StatusServiceUnavailable, reason.DependencyUnavailable)
+	case !n.dependenciesUsable(t.service):
+		n.refuse(e, t, reason.DependencyUnavailable)
 		return
 	}
 	if refused := n.admit(r); refused != nil {
-		n.refuseLater(e, service.Name, refused)
+		n.refuseLater(e, t, refused)
 		return
 	}
 	n.requests[e.Request] = r
+	if t.route != nil {
+		n.pool(t.service.Name).budget.Earn()
+	}
 	if r.needsClaim() {
 		n.capDeadline(r)
 	}
@@ -98,6 +87,22 @@
 	n.startAttempt(r, reason.None)
 }
 
+// deadlineOf is when a request must have its final answer: what its caller and its
+// route allow, whichever is sooner.
+func (n *Node) deadlineOf(e *RequestArrived, t target) time.Time {
+	if t.route == nil {
+		if !e.Deadline.IsZero() {
+			return e.Deadline
+		}
+		return n.now.Add(time.Duration(t.service.Deadline))
+	}
+	limit := n.now.Add(time.Duration(t.route.Timeout))
+	if !e.Deadline.IsZero() && e.Deadline.Before(limit) {
+		return e.Deadline
+	}
+	return limit
+}
+
 // needsClaim tells whether the key must be claimed before any byte is sent.
 func (r *request) needsClaim() bool {
 	return r.arrived.NonIdempotent && r.arrived.Key != ""
@@ -125,10 +130,10 @@
 	if r.ended {
 		return
 	}
-	finish := Finish{Status: http.StatusServiceUnavailable, Outcome: reason.NotRun, RetryAfter: defaultRetryAfter}
+	finish := Finish{Outcome: reason.NotRun, RetryAfter: defaultRetryAfter}
 	switch reply.Verdict {
 	case claims.Duplicate:
-		finish.Status, finish.Outcome, finish.Reason = http.StatusConflict, reason.Duplicate, reason.ClaimDuplicate
+		finish.Outcome, finish.Reason = reason.Duplicate, reason.ClaimDuplicate
 		finish.First = reply.First.String()
 		finish.RetryAfter = 0
 	case claims.Full:
@@ -139,183 +144,6 @@
 	n.finish(r, finish)
 }
 
-func (n *Node) serviceOf(e RequestArrived) *config.Service {
-	if e.Service != "" {
-		return n.snapshot.Service(e.Service)
-	}
-	return n.snapshot.Model(e.Model)
-}
-
-// startAttempt places the request and sends it, or gives it up.
-func (n *Node) startAttempt(r *request, why reason.Reason) {
-	c, refusal := n.place(r)
-	if refusal != reason.None {
-		if why != reason.None {
-			refusal = why
-		}
-		n.giveUp(r, refusal)
-		return
-	}
-	r.backend, r.address = c.Name, c.Address
-	r.resumeAfter = ""
-	r.placement = n.hintFor(&c)
-	n.send(r, SendAttempt{Why: why})
-}
-
-// resume asks the backend server that began a stream for the rest of it. This is
-// no second run: the stream's own id names the one that is in progress.
-func (n *Node) resume(r *request) {
-	n.send(r, SendAttempt{ResumeAfter: r.resumeAfter, Why: reason.BrokenStream})
-}
-
-func (n *Node) send(r *request, e SendAttempt) {
-	r.attempt++
-	r.running = true
-	n.loadSent(r.backend)
-	e.Request, e.Attempt, e.Deadline = r.arrived.Request, r.attempt, r.deadline
-	e.Backend, e.Address, e.Placement = r.backend, r.address, r.placement
-	n.emit(e)
-}
-
-func (n *Node) answerStarted(e AnswerStarted) {
-	if r := n.requests[e.Request]; r != nil && r.running && e.Attempt == r.attempt {
-		r.started = true
-	}
-}
-
-func (n *Node) attemptEnded(e AttemptEnded) {
-	if e.Load != nil {
-		n.backendSaid(*e.Load)
-	}
-	r := n.requests[e.Request]
-	if r == nil || e.Attempt != r.attempt || !r.running {
-		return
-	}
-	n.attemptOver(r)
-	n.backendAnswered(r.backend, e)
-	if e.Outcome == retry.Answered {
-		n.answered(r)
-		return
-	}
-	r.mayHaveRun = r.mayHaveRun || e.Outcome.MayHaveRun()
-	r.retryAfter = max(r.retryAfter, e.RetryAfter)
-	if e.Outcome == retry.Broken {
-		r.resumeAfter = e.LastEventID
-	}
-	n.afterFailure(r, e.Outcome)
-}
-
-// attemptOver takes the running attempt off its backend server's load.
-func (n *Node) attemptOver(r *request) {
-	r.running = false
-	n.loadEnded(r.backend)
-}
-
-func (n *Node) answered(r *request) {
-	n.pool(r.service.Name).budget.Success()
-	if r.claimed {
-		n.endClaim(r, claims.Done)
-	}
-	n.release(r)
-}
-
-// afterFailure decides what follows an attempt that brought no whole answer.
-func (n *Node) afterFailure(r *request, outcome retry.Outcome) {
-	why := outcome.Reason()
-	switch {
-	case r.gone:
-		n.giveUp(r, reason.CallerGone)
-	case !n.now.Before(r.deadline):
-		n.giveUp(r, reason.DeadlineExceeded)
-	case r.resumable(outcome):
-		n.retryOrGiveUp(r, why, (*Node).resumeSoon)
-	case r.started, r.arrived.NonIdempotent && r.mayHaveRun:
-		n.giveUp(r, why)
-	default:
-		n.retryOrGiveUp(r, why, func(n *Node, r *request) {
-			r.tried = append(r.tried, r.backend)
-			n.startAttempt(r, why)
-		})
-	}
-}
-
-// resumable tells whether the broken stream is to be resumed. When the server did
-// not even answer a resumption, a request that can run elsewhere does so: its
-// attempts are few, and the machine may be gone.
-func (r *request) resumable(outcome retry.Outcome) bool {
-	if r.resumeAfter == "" {
-		return false
-	}
-	return outcome == retry.Broken || r.started || r.arrived.NonIdempotent
-}
-
-// retryOrGiveUp makes another attempt if the attempts of the request and the
-// retry budget of the service allow one.
-func (n *Node) retryOrGiveUp(r *request, why reason.Reason, again func(*Node, *request)) {
-	switch {
-	case r.attempt >= r.service.MaxAttempts && r.attempt > 1:
-		n.giveUp(r, reason.AttemptsExhausted)
-	case r.attempt >= r.service.MaxAttempts:
-		n.giveUp(r, why)
-	case !n.pool(r.service.Name).budget.Take():
-		n.giveUp(r, reason.RetryBudget)
-	default:
-		again(n, r)
-	}
-}
-
-// resumeSoon resumes at once the first time, and later only after a pause: an
-// engine that does not answer needs time more than it needs requests.
-func (n *Node) resumeSoon(r *request) {
-	if r.attempt == 1 {
-		n.resume(r)
-		return
-	}
-	n.schedule(n.now.Add(resumePause), r, (*Node).resume)
-}
-
-// deadlinePassed ends a request whose time is over, whether or not its attempt
-// ever reports back. A frozen backend server would otherwise hold its caller.
-func (n *Node) deadlinePassed(r *request) {
-	if r.running {
-		r.mayHaveRun = true
-		n.attemptOver(r)
-		n.emit(CancelAttempt{Request: r.arrived.Request, Attempt: r.attempt})
-	}
-	n.giveUp(r, reason.DeadlineExceeded)
-}
-
-// giveUp ends a request without a whole answer of a backend server.
-func (n *Node) giveUp(r *request, why reason.Reason) {
-	outcome := reason.NotRun
-	if r.mayHaveRun {
-		outcome = reason.Unknown
-	} else if r.claimed {
-		n.endClaim(r, claims.Released)
-	}
-	n.finish(r, Finish{
-		Backend:    r.backend,
-		Attempt:    r.attempt,
-		Status:     giveUpStatus(outcome, why),
-		Outcome:    outcome,
-		Reason:     why,
-		RetryAfter: max(r.retryAfter, defaultRetryAfter),
-	})
-}
-
-func giveUpStatus(outcome reason.Outcome, why reason.Reason) int {
-	switch {
-	case why == reason.CallerGone:
-		return statusCallerGone
-	case why == reason.DeadlineExceeded:
-		return http.StatusGatewayTimeout
-	case outcome == reason.Unknown:
-		return http.StatusBadGateway
-	default:
-		return http.StatusServiceUnavailable
-	}
-}
-
 // finish gives a request its final answer.
 func (n *Node) finish(r *request, e Finish) {
 	n.release(r)
@@ -332,20 +160,22 @@
 }
 
 // refuse ends a request that never got as far as an attempt.
-func (n *Node) refuse(e RequestArrived, service string, status int, why reason.Reason) {
-	n.refuseLater(e, service, &refusal{status: status, why: why, retryAfter: defaultRetryAfter})
+func (n *Node) refuse(e RequestArrived, t target, why reason.Reason) {
+	n.refuseLater(e, t, &refusal{why: why, retryAfter: defaultRetryAfter})
 }
 
-func (n *Node) refuseLater(e RequestArrived, service string, r *refusal) {
-	n.emit(Finish{
+func (n *Node) refuseLater(e RequestArrived, t target, r *refusal) {
+	finish := Finish{
 		Request:    e.Request,
 		Customer:   e.Customer,
-		Service:    service,
-		Status:     r.status,
 		Outcome:    reason.NotRun,
 		Reason:     r.why,
 		RetryAfter: r.retryAfter,
-	})
+	}
+	if t.service != nil {
+		finish.Service = t.service.Name
+	}
+	n.emit(finish)
 }
 
 // callerGone stops the work for a caller that left. A running attempt still
--- a/internal/core/routing/routing.go
+++ b/internal/core/routing/routing.go
@@ -20,6 +20,8 @@
 	Hash uint64
 	// Load is the estimate of its requests in progress.
 	Load float64
+	// Capacity is the load that it must not exceed.
+	Capacity float64
 	// Far says that it stands in another availability zone than this instance.
 	Far bool
 	// Unreachable says that this instance could not connect to it lately.
@@ -50,10 +52,8 @@
 	PreferNear bool
 	// Tried are the names of backend servers that this request failed at. They come
 	// after all others: in a pool of one, a second attempt still has a place to go.
-	Tried []string
-	// Capacity is the load that no backend server may exceed.
-	Capacity float64
-	Limits   Limits
+	Tried  []string
+	Limits Limits
 }
 
 // None is the index of no candidate.
@@ -97,7 +97,7 @@
 // rank is over rankLast for a candidate that must not be chosen at all.
 func (ch *Choice) rank(c *Candidate) int {
 	load := c.Load + 1
-	if load > ch.Capacity || load > ch.Limits.Outer {
+	if load > c.Capacity || load > ch.Limits.Outer {
 		return rankLast + 1
 	}
 	rank := 0
@@ -121,7 +121,7 @@
 
 func (ch *Choice) hintTaken(c *Candidate) bool {
 	load := c.Load + 1
-	if load > ch.Limits.Hinted*(1-c.Withheld) || load > ch.Limits.Outer || load > ch.Capacity {
+	if load > ch.Limits.Hinted*(1-c.Withheld) || load > ch.Limits.Outer || load > c.Capacity {
 		return false
 	}
 	return !c.Unreachable && !slices.Contains(ch.Tried, c.Name)
@@ -177,6 +177,14 @@
 	}
 }
 
+// Loosen moves the outer limit by a number of requests that the promise allows
+// beyond the multiple of the mean. Where loads are small, that number is most of
+// what is allowed.
+func (l Limits) Loosen(slack int) Limits {
+	l.Outer += float64(slack)
+	return l
+}
+
 // Limit is the promised bound: that multiple of the mean once the new request is
 // counted, and never under one.
 func Limit(bound, total float64, n int) float64 {
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -103,6 +103,10 @@
 	switch e := event.(type) {
 	case StoreReplied:
 		n.observePlatform(e.Status != StoreFailed && e.Status != StoreUnknown)
+	case BackendsRead:
+		n.observePlatform(e.Status != StoreFailed && e.Status != StoreUnknown)
+	case LeaseReplied:
+		n.observePlatform(e.Status != StoreFailed && e.Status != StoreUnknown)
 	case InstancesListed:
 		n.observePlatform(!e.Failed)
 	case PeerReceived:
@@ -145,8 +149,21 @@
 func (n *Node) InFlight() int { return len(n.requests) }
 
 // Ready tells whether this instance should be given new requests: a configuration
-// is in force and no graceful shutdown has begun.
-func (n *Node) Ready() bool { return n.snapshot != nil && !n.lifecycle.stopping }
+// is in force, some backend server is known, and no graceful shutdown has begun.
+func (n *Node) Ready() bool {
+	return n.snapshot != nil && n.knowsBackends() && !n.lifecycle.stopping
+}
+
+// knowsBackends tells whether any backend server is known to this instance. Between
+// its configuration and the first list of entries it would refuse everything.
+func (n *Node) knowsBackends() bool {
+	for _, p := range n.pools {
+		if len(p.candidates) > 0 {
+			return true
+		}
+	}
+	return false
+}
 
 // Status returns what the instance tells its operators.
 func (n *Node) Status() Status {
--- a/internal/daemon/metered.go
+++ b/internal/daemon/metered.go
@@ -11,6 +11,7 @@
 	callSwap  = "swap"
 	callWatch = "watch"
 	callList  = "list"
+	callLease = "lease"
 )
 
 // meter counts what passes between the core and the executor, so that neither
@@ -46,6 +47,14 @@
 		m.calls[e.Op] = callWatch
 	case core.ListInstances:
 		m.calls[e.Op] = callList
+	case core.ListBackends:
+		m.calls[e.Op] = callList
+	case core.WatchBackends:
+		m.calls[e.Op] = callWatch
+	case core.Register:
+		m.calls[e.Op] = callLease
+	case core.RenewLease:
+		m.calls[e.Op] = callLease
 	}
 }
 
@@ -57,6 +66,10 @@
 	switch e := event.(type) {
 	case core.StoreReplied:
 		m.ended(e.Op, string(e.Status))
+	case core.BackendsRead:
+		m.ended(e.Op, string(e.Status))
+	case core.LeaseReplied:
+		m.ended(e.Op, string(e.Status))
 	case core.InstancesListed:
 		result := string(core.StoreOK)
 		if e.Failed {
--- /dev/null
+++ b/internal/daemon/storecalls.go
@@ -0,0 +1,343 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/ebonydyke/ebonydyke/internal/core"
+	"github.com/ebonydyke/ebonydyke/internal/core/config"
+	"github.com/ebonydyke/ebonydyke/internal/core/membership"
+	"github.com/ebonydyke/ebonydyke/internal/settings"
+	"github.com/ebonydyke/ebonydyke/internal/store"
+	"github.com/ebonydyke/ebonydyke/platform"
+)
+
+// Time limits of calls on the store.
+const (
+	// callTimeout is far above an answer's usual few milliseconds, and short enough
+	// that a connection on which an answer was lost is given up soon.
+	callTimeout = 2 * time.Second
+	// watchWait is how long the store holds a watch. A connection can go silent
+	// without a reset; a watch on it hears nothing until its time limit, so the wait
+	// bounds how late a change is then heard. At 3 s a silent connection is left
+	// within 3.8 s, and an idle watch costs one call in that time.
+	watchWait = 3 * time.Second
+	// watchSlack is what a watch may take beyond its wait before its connection is
+	// taken for dead: many times the store's usual answer.
+	watchSlack = 800 * time.Millisecond
+)
+
+// instancePrefix is that of the instances' own entries in the store.
+const instancePrefix = "ebonydyke/instances/"
+
+// storeCalls carries out the core's calls on the store, each in a goroutine of its
+// own, and posts their ends.
+type storeCalls struct {
+	ctx    context.Context
+	post   func(core.Event)
+	client *platform.Client
+	// operators is set where the operators write a configuration of the platform's
+	// own form; it names its key and translates its value.
+	operators *operatorConfig
+	// watched is where the watch of the configuration goes on. It belongs to the one
+	// call on that key that is under way.
+	watched struct {
+		version, revision uint64
+	}
+}
+
+// operatorConfig is the configuration that the platform's operators write.
+type operatorConfig struct {
+	bounds atomic.Pointer[platform.Bounds]
+	// edits counts the changes of the bounds: a configuration that is translated anew
+	// under its old generation takes the place of the former translation.
+	edits atomic.Uint64
+}
+
+func newStoreCalls(ctx context.Context, post func(core.Event), s *settings.Settings) *storeCalls {
+	calls := &storeCalls{ctx: ctx, post: post, client: platform.NewClient(s.Platform)}
+	if s.Dialect == settings.Platform {
+		calls.operators = &operatorConfig{}
+		calls.operators.bounds.Store(boundsOf(s.Bounds))
+	}
+	return calls
+}
+
+func boundsOf(b settings.Bounds) *platform.Bounds {
+	return &platform.Bounds{
+		Skew: b.SkewBound, SkewSlack: b.SkewSlack, RetryShare: b.RetryShare, RetryBurst: b.RetryBurst,
+	}
+}
+
+// setBounds takes changed bounds and translates the configuration by them.
+func (s *storeCalls) setBounds(b settings.Bounds) {
+	if s.operators == nil || *s.operators.bounds.Load() == *boundsOf(b) {
+		return
+	}
+	s.operators.bounds.Store(boundsOf(b))
+	s.operators.edits.Add(1)
+	go s.offerAgain()
+}
+
+func (s *storeCalls) offerAgain() {
+	ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
+	defer cancel()
+	value, _, err := s.client.Get(ctx, platform.ConfigKey)
+	if err != nil {
+		klog.InfoS("changed bounds wait for the next configuration", "error", err)
+		return
+	}
+	envelope, err := s.operators.decode(value)
+	if err != nil {
+		klog.ErrorS(err, "configuration not understood", "key", platform.ConfigKey)
+		return
+	}
+	s.post(core.ConfigOffered{Envelope: envelope})
+}
+
+// decode translates the operators' configuration.
+func (o *operatorConfig) decode(value []byte) (config.Envelope, error) {
+	envelope, err := platform.DecodeConfig(value, *o.bounds.Load())
+	envelope.Edit = fmt.Sprintf("operators-%04d", o.edits.Load())
+	return envelope, err
+}
+
+func (s *storeCalls) get(e core.StoreGet) {
+	ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
+	defer cancel()
+	item, revision, err := s.client.Read(ctx, s.keyOf(e.Key))
+	if e.Key == core.ConfigKey {
+		s.watched.version, s.watched.revision = item.Revision, revision
+	}
+	s.replied(e.Op, e.Key, item, err)
+}
+
+// replied posts the end of a read.
+func (s *storeCalls) replied(op core.OpID, key string, item store.Item, err error) {
+	value, err := s.translate(key, item.Value, err)
+	if err != nil && !errors.Is(err, store.ErrAbsent) {
+		klog.V(1).InfoS("store not read", "key", key, "error", err)
+	}
+	s.post(core.StoreReplied{Op: op, Status: storeStatus(err), Version: item.Revision, Value: value})
+}
+
+func (s *storeCalls) keyOf(key string) string {
+	if key == core.ConfigKey && s.operators != nil {
+		return platform.ConfigKey
+	}
+	return key
+}
+
+// translate gives a value of the operators' own form as an envelope.
+func (s *storeCalls) translate(key string, value []byte, err error) ([]byte, error) {
+	if err != nil || key != core.ConfigKey || s.operators == nil {
+		return value, err
+	}
+	envelope, err := s.operators.decode(value)
+	if err != nil {
+		klog.ErrorS(err, "configuration not understood", "key", platform.ConfigKey)
+		return nil, err
+	}
+	text, err := json.Marshal(envelope)
+	if err != nil {
+		return nil, fmt.Errorf("daemon: encode the configuration: %w", err)
+	}
+	return text, nil
+}
+
+func (s *storeCalls) swap(e core.StoreSwap) {
+	ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
+	defer cancel()
+	version, err := s.client.Swap(ctx, e.Key, e.Version, e.Value)
+	s.post(core.StoreReplied{Op: e.Op, Status: storeStatus(err), Version: version})
+}
+
+// watch waits until a key's version differs from the one that is known.
+func (s *storeCalls) watch(e core.StoreWatch) {
+	after := e.Version
+	if s.watched.version == e.Version {
+		after = max(after, s.watched.revision)
+	}
+	if after == 0 {
+		s.get(core.StoreGet{Op: e.Op, Key: e.Key})
+		return
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, watchWait+watchSlack)
+	defer cancel()
+	key := s.keyOf(e.Key)
+	page, err := s.client.Watch(ctx, key, after, watchWait)
+	switch {
+	case errors.Is(err, store.ErrHistoryLost):
+		s.get(core.StoreGet{Op: e.Op, Key: e.Key})
+		return
+	case err != nil:
+		s.replied(e.Op, e.Key, store.Item{}, err)
+		return
+	}
+	if page.Revision < after {
+		// The store went back: it was restored from a copy, or came back empty. A watch
+		// would wait for a revision that lies far ahead.
+		s.get(core.StoreGet{Op: e.Op, Key: e.Key})
+		return
+	}
+	s.watched.version, s.watched.revision = e.Version, page.Revision
+	newest, found := newestOf(page.Items, key)
+	switch {
+	case !found:
+		s.post(core.StoreReplied{Op: e.Op, Status: core.StoreUnchanged})
+	case newest.Deleted:
+		s.watched.version = 0
+		s.replied(e.Op, e.Key, store.Item{}, store.ErrAbsent)
+	default:
+		s.watched.version = newest.Revision
+		s.replied(e.Op, e.Key, newest, nil)
+	}
+}
+
+// newestOf returns the last of a key's changes.
+func newestOf(changes []store.Item, key string) (newest store.Item, found bool) {
+	for _, c := range changes {
+		if c.Key == key && c.Revision >= newest.Revision {
+			newest, found = c, true
+		}
+	}
+	return newest, found
+}
+
+func (s *storeCalls) listBackends(e core.ListBackends) {
+	ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
+	defer cancel()
+	page, err := s.client.Range(ctx, platform.BackendPrefix, e.After, false)
+	s.backendsRead(e.Op, page, err)
+}
+
+func (s *storeCalls) watchBackends(e core.WatchBackends) {
+	ctx, cancel := context.WithTimeout(s.ctx, watchWait+watchSlack)
+	defer cancel()
+	page, err := s.client.Watch(ctx, platform.BackendPrefix, e.After, watchWait)
+	s.backendsRead(e.Op, page, err)
+}
+
+func (s *storeCalls) backendsRead(op core.OpID, page store.Page, err error) {
+	out := core.BackendsRead{Op: op, Status: storeStatus(err), Revision: page.Revision}
+	if err != nil {
+		klog.V(1).InfoS("backend servers' entries not read", "error", err)
+	}
+	for _, i := range page.Items {
+		out.Entries = append(out.Entries, backendEntry(i))
+		out.Revision = max(out.Revision, i.Revision)
+	}
+	if page.More && len(page.Items) > 0 {
+		out.More = page.Items[len(page.Items)-1].Key
+	}
+	s.post(out)
+}
+
+func backendEntry(i store.Item) core.BackendEntry {
+	entry := core.BackendEntry{Name: platform.BackendName(i.Key), Revision: i.Revision}
+	if i.Deleted {
+		return entry
+	}
+	backend, err := platform.DecodeBackend(i)
+	if err != nil {
+		klog.InfoS("entry names no backend server", "error", err, "revision", i.Revision)
+		entry.Unreadable = true
+		return entry
+	}
+	entry.Backend = &backend
+	return entry
+}
+
+func (s *storeCalls) listInstances(e core.ListInstances) {
+	ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
+	defer cancel()
+	members, err := s.instances(ctx)
+	if err != nil {
+		klog.V(1).InfoS("instances' entries not read", "error", err)
+	}
+	s.post(core.InstancesListed{Op: e.Op, Failed: err != nil, Members: members})
+}
+
+// instances reads every instance's entry. Stale reads do: who has come or gone a
+// moment ago is told by the instances themselves, and they cost a tenth.
+func (s *storeCalls) instances(ctx context.Context) ([]membership.Instance, error) {
+	var members []membership.Instance
+	for after := ""; ; {
+		page, err := s.client.Range(ctx, instancePrefix, after, true)
+		if err != nil {
+			return nil, err
+		}
+		for _, i := range page.Items {
+			var in membership.Instance
+			if err := json.Unmarshal(i.Value, &in); err != nil || in.Role != membership.Entry {
+				klog.InfoS("entry names no instance", "key", i.Key, "error", err)
+				continue
+			}
+			members = append(members, in)
+		}
+		if !page.More || len(page.Items) == 0 {
+			return members, nil
+		}
+		after = page.Items[len(page.Items)-1].Key
+	}
+}
+
+func (s *storeCalls) register(e core.Register) {
+	ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
+	defer cancel()
+	lease, err := s.holdEntry(ctx, e)
+	if err != nil {
+		klog.InfoS("not registered in the store", "error", err)
+	}
+	s.post(core.LeaseReplied{Op: e.Op, Status: storeStatus(err), Lease: lease})
+}
+
+func (s *storeCalls) holdEntry(ctx context.Context, e core.Register) (lease uint64, err error) {
+	value, err := json.Marshal(e.Instance)
+	if err != nil {
+		return e.Lease, fmt.Errorf("daemon: encode the own entry: %w", err)
+	}
+	lease = e.Lease
+	if lease == 0 {
+		granted, err := s.client.Grant(ctx, e.TTL)
+		if err != nil {
+			return 0, err
+		}
+		lease = granted.ID
+	}
+	return lease, s.client.Hold(ctx, instancePrefix+e.Instance.Name, value, lease)
+}
+
+func (s *storeCalls) renewLease(e core.RenewLease) {
+	ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
+	defer cancel()
+	err := s.client.Keep(ctx, e.Lease)
+	if err != nil {
+		klog.InfoS("lease not renewed", "lease", e.Lease, "error", err)
+	}
+	s.post(core.LeaseReplied{Op: e.Op, Status: storeStatus(err), Lease: e.Lease})
+}
+
+// storeStatus maps an error of the store to what the core may conclude.
+func storeStatus(err error) core.StoreStatus {
+	switch {
+	case err == nil:
+		return core.StoreOK
+	case errors.Is(err, store.ErrAbsent):
+		return core.StoreAbsent
+	case errors.Is(err, store.ErrConflict):
+		return core.StoreConflict
+	case errors.Is(err, store.ErrHistoryLost):
+		return core.StoreHistoryLost
+	case errors.Is(err, store.ErrNotDone):
+		return core.StoreFailed
+	default:
+		return core.StoreUnknown
+	}
+}
--- a/internal/edit/edit.go
+++ b/internal/edit/edit.go
@@ -11,7 +11,7 @@
 
 	"github.com/ebonydyke/ebonydyke/internal/core"
 	"github.com/ebonydyke/ebonydyke/internal/core/config"
-	"github.com/ebonydyke/ebonydyke/internal/platform"
+	"github.com/ebonydyke/ebonydyke/internal/store"
 )
 
 // Ends of an edit that did not come into the store.
@@ -43,10 +43,10 @@
 
 // Read returns what the store holds and its version. A store without a text
 // gives generation 0.
-func Read(ctx context.Context, store platform.Store) (config.Envelope, uint64, error) {
+func Read(ctx context.Context, s store.Store) (config.Envelope, uint64, error) {
 	var env config.Envelope
-	value, version, err := store.Get(ctx, core.ConfigKey)
-	if errors.Is(err, platform.ErrAbsent) {
+	value, version, err := s.Get(ctx, core.ConfigKey)
+	if errors.Is(err, store.ErrAbsent) {
 		return env, 0, nil
 	}
 	if err != nil {
@@ -61,8 +61,8 @@
 // Apply writes the edit over the generation it is based on and returns the
 // generation that it got. Other errors than this package's mean that nothing was
 // written.
-func Apply(ctx context.Context, store platform.Store, e Edit) (uint64, error) {
-	stored, version, err := Read(ctx, store)
+func Apply(ctx context.Context, s store.Store, e Edit) (uint64, error) {
+	stored, version, err := Read(ctx, s)
 	if err != nil {
 		return 0, err
 	}
@@ -80,7 +80,7 @@
 	if err != nil {
 		return 0, fmt.Errorf("encode: %w", err)
 	}
-	return env.Generation, e.write(ctx, store, version, value)
+	return env.Generation, e.write(ctx, s, version, value)
 }
 
 // mayFollow tells whether the edit may be written over what the store holds.
@@ -103,16 +103,16 @@
 // reading: it is sent again, the same value over the same version. Whichever copy
 // comes first takes effect, the other meets a conflict, and only then does reading
 // back tell whose edit it was.
-func (e Edit) write(ctx context.Context, store platform.Store, version uint64, value []byte) error {
+func (e Edit) write(ctx context.Context, s store.Store, version uint64, value []byte) error {
 	unclear := false
 	for {
-		_, err := store.Swap(ctx, core.ConfigKey, version, value)
+		_, err := s.Swap(ctx, core.ConfigKey, version, value)
 		switch {
 		case err == nil:
 			return nil
-		case errors.Is(err, platform.ErrConflict):
-			return e.readBack(ctx, store, unclear)
-		case errors.Is(err, platform.ErrNotSent) && !unclear:
+		case errors.Is(err, store.ErrConflict):
+			return e.readBack(ctx, s, unclear)
+		case errors.Is(err, store.ErrNotDone) && !unclear:
 			return fmt.Errorf("write: nothing was written: %w", err)
 		}
 		unclear = true
@@ -125,8 +125,8 @@
 }
 
 // readBack tells whose edit caused a conflict.
-func (e Edit) readBack(ctx context.Context, store platform.Store, unclear bool) error {
-	stored, _, err := Read(ctx, store)
+func (e Edit) readBack(ctx context.Context, s store.Store, unclear bool) error {
+	stored, _, err := Read(ctx, s)
 	switch {
 	case err == nil && stored.Edit == e.ID:
 		return nil
--- a/internal/jsonc/decode.go
+++ b/internal/jsonc/decode.go
@@ -26,6 +26,9 @@
 		d.decodeStruct(value, into)
 	case reflect.Slice:
 		d.decodeSlice(value, into)
+	case reflect.Pointer:
+		into.Set(reflect.New(into.Type().Elem()))
+		d.decode(value, into.Elem())
 	default:
 		d.decodeLiteral(value, into)
 	}
--- a/internal/peer/decode.go
+++ b/internal/peer/decode.go
@@ -250,7 +250,7 @@
 		}
 		out.Members = append(out.Members, membership.Instance{
 			Name: name, Role: role, Service: service, Zone: zone, Address: m.Address,
-			Incarnation: m.Incarnation, State: states[m.State],
+			Slots: int(m.Slots), Incarnation: m.Incarnation, State: states[m.State],
 		})
 	}
 	return nil
--- a/internal/peer/encode.go
+++ b/internal/peer/encode.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
@@ -208,6 +209,7 @@
 		Service:     e.id(in.Service),
 		Zone:        e.id(in.Zone),
 		Address:     in.Address,
+		Slots:       uint32(min(max(0, in.Slots), math.MaxInt32)),
 		Incarnation: in.Incarnation,
 		State:       stateCodes[in.State],
 	}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -32,6 +32,9 @@
 	helloTimeout = 3 * time.Second
 	minBackoff   = 100 * time.Millisecond
 	maxBackoff   = 5 * time.Second
+	// servedPause is how often a holder looks whether the link that another one made
+	// is still there.
+	servedPause = time.Second
 )
 
 // Bounds on what others may hold open here.
@@ -142,6 +145,9 @@
 	})
 	group.Go(func() error { return l.accept(ctx, group) })
 	for _, seed := range l.cfg.Seeds {
+		if seed == l.cfg.Listener.Addr().String() {
+			continue
+		}
 		group.Go(func() error { return l.hold(ctx, "", seed) })
 	}
 	group.Go(func() error { return l.reconcile(ctx, group) })
@@ -194,18 +200,15 @@
 	return l.wanted
 }
 
-func (l *Links) linked(name string) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.links[name] != nil
-}
-
 // hold keeps a link to the peer at address until ctx ends. Failures are spread
 // by a jittered back-off, so that a healed zone is not met by all at once.
 //
 // Of each pair the lesser name dials, so that the pair has one link and no byte
 // goes twice. The other waits, and dials only if no link comes: an instance that
-// started while the platform is away is in nobody's list but its own.
+// started while the platform is away is in nobody's list but its own. A seed, whose
+// name is not known, is dialled only while there is no link at all: a second link to
+// a peer takes the place of its first, and two holders of the same peer would end
+// each other's links for ever.
 func (l *Links) hold(ctx context.Context, name, address string) error {
 	backoff := minBackoff
 	for {
@@ -213,9 +216,12 @@
 			if !sleep(ctx, l.cfg.DialWait) {
 				return nil
 			}
-			if l.linked(name) {
-				continue
+		}
+		if l.served(name) {
+			if !sleep(ctx, servedPause) {
+				return nil
 			}
+			continue
 		}
 		began := time.Now()
 		err := l.dial(ctx, name, address)
@@ -233,6 +239,17 @@
 	}
 }
 
+// served tells whether nothing is to be dialled: the peer has a link, or for a seed
+// any peer has.
+func (l *Links) served(name string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if name == "" {
+		return len(l.links) > 0
+	}
+	return l.links[name] != nil
+}
+
 // sleep waits and tells whether ctx goes on.
 func sleep(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -13,7 +12,6 @@
 
 	"github.com/ebonydyke/ebonydyke/internal/core"
 	"github.com/ebonydyke/ebonydyke/internal/core/membership"
-	"github.com/ebonydyke/ebonydyke/internal/core/reason"
 	"github.com/ebonydyke/ebonydyke/internal/core/retry"
 )
 
@@ -33,6 +31,8 @@
 var (
 	errStreamLost = errors.New("proxy: the engine does not know the stream")
 	errRefused    = errors.New("proxy: refused by the backend server")
+	errFailed     = errors.New("proxy: the backend server answered with a failure")
+	errForeign    = errors.New("proxy: not the backend server's answer to this request")
 )
 
 // stream identifies a resumable stream of one incarnation of an engine.
@@ -49,7 +49,11 @@
 	send     core.SendAttempt
 	call     *call
 	resp     *fasthttp.Response
+	head     Head
 	load     *membership.Report
+	// failure is the backend server's own answer that says it failed, held until it
+	// is known that no other attempt brings a better one.
+	failure *heldAnswer
 	// events is nil when the answer is framed by HTTP alone.
 	events   *eventReader
 	sequence sequence
@@ -71,12 +75,12 @@
 // it reports the attempt's end and returns false.
 func (a *answer) open(e core.SendAttempt) bool {
 	a.send = e
-	req, resume := a.request(e)
+	req, resume := a.request(&e)
 	defer fasthttp.ReleaseRequest(req)
 	x := a.exchange
 	c := &call{
-		deadline:   e.Deadline,
-		once:       x.request.arrived.NonIdempotent,
+		deadline:   x.server.localTime(e.Deadline),
+		once:       e.Once,
 		inactivity: x.server.options.Inactivity,
 	}
 	client := x.server.kept
@@ -92,7 +96,10 @@
 		a.lost(outcomeOf(c), "", err)
 		return false
 	}
-	a.load = loadOf(e.Backend, &a.resp.Header, a.exchange.server.options.Now())
+	options := &x.server.options
+	a.head = options.Dialect.ReadHead(&a.resp.Header, x.request, &e, options.Now())
+	c.unframed = a.head.Unframed
+	a.load = a.head.Load
 	if resume {
 		return a.resumed()
 	}
@@ -100,51 +107,91 @@
 }
 
 // request builds the request that begins or resumes the answer.
-func (a *answer) request(e core.SendAttempt) (req *fasthttp.Request, resume bool) {
-	if e.ResumeAfter == "" || a.stream.id == "" {
-		a.abandon()
-		a.sequence = sequence{}
-		return a.exchange.newRequest(e), false
-	}
-	req = fasthttp.AcquireRequest()
-	req.SetRequestURI(streamURL(a.stream))
-	req.Header.Set(HeaderLastEventID, e.ResumeAfter)
-	req.Header.Set(HeaderRequestID, string(a.exchange.id))
-	return req, true
+func (a *answer) request(e *core.SendAttempt) (req *fasthttp.Request, resume bool) {
+	if e.ResumeAfter != "" && a.stream.id != "" {
+		req = fasthttp.AcquireRequest()
+		req.SetRequestURI(streamURL(a.stream))
+		req.Header.Set(HeaderLastEventID, e.ResumeAfter)
+		req.Header.Set(HeaderRequestID, string(a.exchange.id))
+		return req, true
+	}
+	a.abandon()
+	if e.ResumeAfter == "" {
+		a.sequence = sequence{last: a.exchange.request.Since}
+	}
+	return a.exchange.newRequest(e), false
 }
 
 func streamURL(s stream) string {
 	return "http://" + s.address + "/v1/streams/" + url.PathEscape(s.id)
 }
 
-// started takes the header of a first attempt and waits for the first byte.
+// started takes the header of an attempt that is no resumption in place, and waits
+// for the first byte, unless the caller has that already.
 func (a *answer) started() bool {
-	if notStarted(a.resp) {
-		wait := retryAfterOf(&a.resp.Header)
+	switch a.head.Verdict {
+	case NotStarted:
 		_, err := io.CopyN(io.Discard, a.call, maxRefusalBody)
 		a.closeCall(errors.Is(err, io.EOF))
-		a.end(core.AttemptEnded{Outcome: retry.Refused, RetryAfter: wait}, errRefused)
+		a.end(core.AttemptEnded{Outcome: retry.Refused, RetryAfter: a.head.RetryAfter}, errRefused)
+		return false
+	case Failure:
+		a.holdFailure()
+		return false
+	case Foreign:
+		a.lost(retry.Spoiled, "", errForeign)
 		return false
 	}
-	if a.isEventStream() {
-		a.stream = stream{
-			address:     a.send.Address,
-			id:          string(a.resp.Header.Peek(HeaderStreamID)),
-			incarnation: string(a.resp.Header.Peek(HeaderIncarnation)),
-		}
+	if a.head.Events {
+		a.stream = stream{address: a.send.Address, id: a.head.StreamID, incarnation: a.head.Incarnation}
 		a.events = newEventReader(a.call)
+		if a.begun {
+			return true
+		}
 		return a.fill(a.firstEvent())
 	}
+	if a.begun {
+		a.lost(retry.Spoiled, "", errForeign)
+		return false
+	}
 	return a.fill(a.firstBytes())
 }
 
+// heldAnswer is a whole answer that is kept until it is known to be the last word.
+type heldAnswer struct {
+	header fasthttp.ResponseHeader
+	body   []byte
+	send   core.SendAttempt
+}
+
+// holdFailure reads a failure to its end and reports it. One that is cut, or too
+// large to hold, is a broken answer.
+func (a *answer) holdFailure() {
+	body, err := io.ReadAll(io.LimitReader(a.call, wholeBody+1))
+	if err != nil || len(body) > wholeBody {
+		a.lost(retry.Broken, "", fmt.Errorf("%w, and it is not whole: %w", errFailed, err))
+		return
+	}
+	held := &heldAnswer{body: body, send: a.send}
+	a.resp.Header.CopyTo(&held.header)
+	a.failure = held
+	a.closeCall(true)
+	a.end(core.AttemptEnded{Outcome: retry.Failed}, errFailed)
+}
+
+// write makes the held answer the caller's.
+func (h *heldAnswer) write(x *exchange) {
+	out := &x.ctx.Response
+	x.server.options.Dialect.WriteHead(&out.Header, &h.header, x.request, &h.send)
+	out.SetStatusCode(h.header.StatusCode())
+	out.SetBodyRaw(h.body)
+}
+
 // resumed checks that the stream goes on where it broke: the same stream of the
 // same incarnation. Anything else would splice two outputs.
 func (a *answer) resumed() bool {
-	h := &a.resp.Header
-	same := a.resp.StatusCode() == fasthttp.StatusOK && a.isEventStream() &&
-		string(h.Peek(HeaderStreamID)) == a.stream.id &&
-		string(h.Peek(HeaderIncarnation)) == a.stream.incarnation
+	same := a.resp.StatusCode() == fasthttp.StatusOK && a.head.Events &&
+		a.head.StreamID == a.stream.id && a.head.Incarnation == a.stream.incarnation
 	if !same {
 		a.stream = stream{}
 		a.lost(retry.Broken, "", errStreamLost)
@@ -157,10 +204,6 @@
 	return a.fill(a.firstEvent())
 }
 
-func (a *answer) isEventStream() bool {
-	return a.exchange.request.stream && bytes.HasPrefix(a.resp.Header.ContentType(), []byte(eventStream))
-}
-
 // fill takes the first piece of the answer, or reports the attempt as broken.
 func (a *answer) fill(err error) bool {
 	if err != nil {
@@ -176,6 +219,10 @@
 func (a *answer) firstEvent() error {
 	for {
 		e, err := a.nextEvent()
+		if errors.Is(err, io.EOF) {
+			a.wholeNow()
+			return nil
+		}
 		if err != nil {
 			return err
 		}
@@ -186,17 +233,18 @@
 	}
 }
 
-// nextEvent reads the next event that is new.
+// nextEvent reads the next event that is new. Where the framing marks the end, it
+// returns io.EOF there.
 func (a *answer) nextEvent() (streamEvent, error) {
 	for {
 		e, err := a.events.next()
-		if errors.Is(err, io.EOF) {
+		if errors.Is(err, io.EOF) && (a.head.Marked || a.events.partial()) {
 			return e, errNoEndMark
 		}
 		if err != nil {
 			return e, err
 		}
-		fresh, err := a.sequence.check(e)
+		fresh, err := a.sequence.check(e, a.head.Marked)
 		if err != nil {
 			return e, err
 		}
@@ -208,7 +256,7 @@
 
 func (a *answer) take(e streamEvent) {
 	a.pending = e.text
-	if e.end {
+	if e.end && a.head.Marked {
 		a.wholeNow()
 	}
 }
@@ -225,10 +273,28 @@
 		a.wholeNow()
 		return nil
 	}
+	if a.head.Whole && length < 0 {
+		return a.wholeBody()
+	}
 	a.buffer = make([]byte, copyBuffer)
 	return a.copyBytes()
 }
 
+// wholeBody reads a body of unknown length up to its end, or up to the size from
+// which on it is passed on as it comes.
+func (a *answer) wholeBody() error {
+	body, err := io.ReadAll(io.LimitReader(a.call, wholeBody))
+	if err != nil {
+		return fmt.Errorf("proxy: short answer: %w", err)
+	}
+	a.pending = body
+	if len(body) < wholeBody {
+		a.wholeNow()
+	}
+	a.buffer = make([]byte, copyBuffer)
+	return nil
+}
+
 func (a *answer) copyBytes() error {
 	n, err := a.call.Read(a.buffer)
 	a.pending = a.buffer[:n]
@@ -250,12 +316,8 @@
 func (a *answer) begin() {
 	x := a.exchange
 	out := &x.ctx.Response
-	copyResponseHeaders(&out.Header, &a.resp.Header)
+	x.server.options.Dialect.WriteHead(&out.Header, &a.resp.Header, x.request, &a.send)
 	out.SetStatusCode(a.resp.StatusCode())
-	out.Header.Set(HeaderRequestID, string(x.id))
-	out.Header.Set(HeaderBackend, a.send.Backend)
-	out.Header.Set(HeaderOutcome, string(reason.Answered))
-	out.Header.Set(HeaderPlacement, a.send.Placement)
 	a.begun = true
 	if !a.whole {
 		x.server.post(core.AnswerStarted{Request: x.id, Attempt: a.send.Attempt})
@@ -292,6 +354,10 @@
 		return a.copyBytes()
 	}
 	e, err := a.nextEvent()
+	if errors.Is(err, io.EOF) {
+		a.wholeNow()
+		return nil
+	}
 	if err != nil {
 		return err
 	}
@@ -316,9 +382,13 @@
 	}
 }
 
-// resumePoint is the number after which the stream can go on, or nothing.
+// resumePoint is the number after which the stream can go on, or nothing. A stream
+// of an engine that gives it no name can go on by its events' numbers.
 func (a *answer) resumePoint() string {
-	if a.stream.id == "" {
+	if a.events == nil {
+		return ""
+	}
+	if a.head.Marked && a.stream.id == "" || !a.head.Marked && a.sequence.last == 0 {
 		return ""
 	}
 	return strconv.FormatUint(a.sequence.last, 10)
@@ -328,7 +398,8 @@
 	a.abandon()
 	a.failed = finishReason(e)
 	if a.events != nil {
-		a.pending = errorEvent(a.exchange.message(e), e)
+		x := a.exchange
+		a.pending = x.server.options.Dialect.BrokenEvent(x.request, &e)
 	}
 }
 
@@ -352,7 +423,7 @@
 	switch {
 	case a.whole:
 		a.closeCall(a.readEnd())
-		x.server.options.Metrics.Answered(x.request.service(), a.first, time.Since(x.begun))
+		x.server.options.Metrics.Answered(x.request.target(), a.first, time.Since(x.begun))
 	case a.failed == nil:
 		x.server.post(core.CallerGone{Request: x.id})
 		a.abandon()
--- a/internal/proxy/caller.go
+++ b/internal/proxy/caller.go
@@ -4,7 +4,6 @@
 	"errors"
 	"io"
 	"net"
-	"net/http"
 	"sync"
 	"time"
 
@@ -23,13 +22,6 @@
 	readAhead = 4096
 )
 
-// retireNotice is the answer to a request that crosses the closing of an idle
-// connection. Callers that have no request out take it for a closed connection,
-// as RFC 9110 says of status 408.
-const retireNotice = "HTTP/1.1 408 Request Timeout\r\n" +
-	"Connection: close\r\nContent-Length: 0\r\n" +
-	HeaderOutcome + ": not-run\r\n" + HeaderReason + ": stopping\r\nRetry-After: 1\r\n\r\n"
-
 const overloadNotice = "HTTP/1.1 503 Service Unavailable\r\n" +
 	"Connection: close\r\nContent-Length: 0\r\n" +
 	HeaderOutcome + ": not-run\r\n" + HeaderReason + ": overloaded\r\nRetry-After: 1\r\n\r\n"
@@ -163,11 +155,15 @@
 	return c.retired
 }
 
-// leave ends an idle connection. A request may be on its way at this moment: it
-// is answered by the notice, which says truthfully that it did not run.
+// leave ends an idle connection. A request may be on its way at this moment: where
+// the dialect has a notice, it says truthfully that the request did not run.
 func (c *callerConn) leave() {
+	notice := c.server.options.Dialect.RetireNotice()
+	if len(notice) == 0 {
+		return
+	}
 	_ = c.SetWriteDeadline(time.Now().Add(lingerTime))
-	if _, err := c.Conn.Write([]byte(retireNotice)); err == nil {
+	if _, err := c.Conn.Write(notice); err == nil {
 		c.linger()
 	}
 }
@@ -230,11 +226,7 @@
 		if l.server.connOpened(c) {
 			return c, nil
 		}
-		l.server.record(core.Finish{
-			Status:  http.StatusServiceUnavailable,
-			Outcome: reason.NotRun,
-			Reason:  reason.Overloaded,
-		})
+		l.server.record(&core.Finish{Outcome: reason.NotRun, Reason: reason.Overloaded}, "")
 		go c.turnAway()
 	}
 }
--- a/internal/proxy/events.go
+++ b/internal/proxy/events.go
@@ -69,6 +69,9 @@
 	}
 }
 
+// partial tells whether the reading ended inside an event.
+func (r *eventReader) partial() bool { return len(r.text) > 0 }
+
 // line adds one line to the text and returns it without its end.
 func (r *eventReader) line() ([]byte, error) {
 	start := len(r.text)
@@ -105,15 +108,15 @@
 }
 
 // check tells whether the event is new. An event seen before is a repeat, to be
-// dropped; a number left out is an error, for the caller would lack a part of
-// its answer without any sign of it.
-func (s *sequence) check(e streamEvent) (bool, error) {
+// dropped. Where every number is given, one left out is an error, for the caller
+// would lack a part of its answer without any sign of it.
+func (s *sequence) check(e streamEvent, everyNumber bool) (bool, error) {
 	switch {
 	case e.id == 0:
 		return true, nil
 	case e.id <= s.last:
 		return false, nil
-	case e.id > s.last+1:
+	case everyNumber && e.id > s.last+1:
 		return false, fmt.Errorf("%w: %d after %d", errEventGap, e.id, s.last)
 	default:
 		s.last = e.id
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -21,7 +21,7 @@
 	server  *Server
 	ctx     *fasthttp.RequestCtx
 	id      core.RequestID
-	request *parsedRequest
+	request *Request
 	begun   time.Time
 	effects chan core.Effect
 	answer  *answer
@@ -37,12 +37,12 @@
 	over bool
 }
 
-func newExchange(s *Server, ctx *fasthttp.RequestCtx, p *parsedRequest) *exchange {
+func newExchange(s *Server, ctx *fasthttp.RequestCtx, r *Request) *exchange {
 	x := &exchange{
 		server:  s,
 		ctx:     ctx,
-		id:      p.arrived.Request,
-		request: p,
+		id:      r.Arrived.Request,
+		request: r,
 		begun:   time.Now(),
 		effects: make(chan core.Effect, effectQueue),
 		unwatch: func() {},
@@ -57,7 +57,7 @@
 	if c, ok := x.ctx.Conn().(*callerConn); ok {
 		x.unwatch = c.watch(func() { x.server.post(core.CallerGone{Request: x.id}) })
 	}
-	x.server.post(x.request.arrived)
+	x.server.post(x.request.Arrived)
 	for effect := range x.effects {
 		switch e := effect.(type) {
 		case core.SendAttempt:
@@ -127,40 +127,24 @@
 	x.server.forget(x.id)
 }
 
-// finish writes the fleet's own final answer.
+// finish writes the final answer: the failure that a backend server answered, or the
+// fleet's own.
 func (x *exchange) finish(e core.Finish) {
 	x.answer.abandon()
 	x.leave()
-	out := &x.ctx.Response
-	out.SetStatusCode(e.Status)
-	out.Header.SetContentType("application/json")
-	out.Header.Set(HeaderRequestID, string(x.id))
-	out.Header.Set(HeaderOutcome, string(e.Outcome))
-	out.Header.Set(HeaderReason, string(e.Reason))
-	if e.First != "" {
-		out.Header.Set(HeaderFirst, e.First)
-	}
-	if e.RetryAfter > 0 {
-		out.Header.Set("Retry-After", seconds(e.RetryAfter))
+	if e.PassOn && x.answer.failure != nil {
+		x.answer.failure.write(x)
+		return
 	}
-	out.SetBodyRaw(encodeError(x.message(e), e.Outcome, e.Reason))
-}
-
-func (x *exchange) message(e core.Finish) string {
-	return fmt.Sprintf("request %s: %s: %s", x.id, e.Outcome, e.Reason)
+	x.server.options.Dialect.WriteFinal(&x.ctx.Response, x.request, &e)
 }
 
 // newRequest builds the request of one attempt.
-func (x *exchange) newRequest(e core.SendAttempt) *fasthttp.Request {
+func (x *exchange) newRequest(e *core.SendAttempt) *fasthttp.Request {
 	req := fasthttp.AcquireRequest()
-	from := &x.ctx.Request
-	copyRequestHeaders(&req.Header, &from.Header)
-	req.Header.Set(HeaderRequestID, string(x.id))
-	target := "http://" + e.Address + x.request.path
-	if query := x.ctx.URI().QueryString(); len(query) > 0 {
-		target += "?" + string(query)
-	}
-	req.SetRequestURI(target)
+	left := e.Deadline.Sub(x.server.options.Now())
+	x.server.options.Dialect.WriteAttempt(req, &x.ctx.Request, e, left)
+	req.SetRequestURI("http://" + e.Address + x.request.Target)
 	if body := x.ctx.PostBody(); len(body) > 0 {
 		req.SetBodyRaw(body)
 	}
@@ -176,21 +160,6 @@
 	return retry.NotSent
 }
 
-// notStarted tells whether the backend server says that it did not start the
-// request. Only its explicit word counts: a bare 503 may come from a server that
-// failed half way, so it is passed on as the answer.
-func notStarted(resp *fasthttp.Response) bool {
-	return resp.StatusCode() >= fasthttp.StatusBadRequest &&
-		string(resp.Header.Peek(HeaderNotStarted)) == "true"
-}
-
-// errorEvent is the end of a stream that could not be completed. The missing
-// final chunk says the same to callers that do not read events.
-func errorEvent(message string, e core.Finish) []byte {
-	text := encodeError(message, e.Outcome, e.Reason)
-	return fmt.Appendf(nil, "event: error\ndata: %s\n\n", text)
-}
-
 // finishReason is for the error that ends a broken answer's body.
 func finishReason(e core.Finish) error {
 	why := e.Reason
--- a/internal/proxy/headers.go
+++ b/internal/proxy/headers.go
@@ -73,11 +73,11 @@
 // copyRequestHeaders sets the headers of a request to a backend server.
 func copyRequestHeaders(to, from *fasthttp.RequestHeader) {
 	from.CopyTo(to)
-	named := namedByConnection(from.Peek("Connection"))
+	named := NamedByConnection(from.Peek("Connection"))
 	for _, key := range from.PeekKeys() {
 		name := string(key)
 		private := strings.HasPrefix(name, fleetPrefix) && !forwarded[name] || strings.HasPrefix(name, enginePrefix)
-		if hopByHop[name] || named[name] || private {
+		if HopByHop(name, named) || private {
 			to.Del(name)
 		}
 	}
@@ -87,21 +87,31 @@
 	}
 }
 
-// copyResponseHeaders passes a backend server's headers on to the caller.
+// copyResponseHeaders passes a backend server's headers on to the caller, but for
+// those of the fleet and its engines.
 func copyResponseHeaders(to, from *fasthttp.ResponseHeader) {
-	named := namedByConnection(from.Peek("Connection"))
+	CopyEndToEnd(to, from)
+	for _, key := range from.PeekKeys() {
+		if name := string(key); strings.HasPrefix(name, fleetPrefix) || strings.HasPrefix(name, enginePrefix) {
+			to.Del(name)
+		}
+	}
+}
+
+// CopyEndToEnd copies the headers of an answer that do not concern one connection
+// only. The length is left out: the copy is framed anew.
+func CopyEndToEnd(to, from *fasthttp.ResponseHeader) {
+	named := NamedByConnection(from.Peek("Connection"))
 	for key, value := range from.All() {
-		name := string(key)
-		if hopByHop[name] || named[name] || name == "Content-Length" ||
-			strings.HasPrefix(name, fleetPrefix) || strings.HasPrefix(name, enginePrefix) {
+		if name := string(key); HopByHop(name, named) || name == "Content-Length" {
 			continue
 		}
 		to.AddBytesKV(key, value)
 	}
 }
 
-// namedByConnection lists the headers that a Connection header makes hop-by-hop.
-func namedByConnection(value []byte) map[string]bool {
+// NamedByConnection lists the headers that a Connection header makes hop-by-hop.
+func NamedByConnection(value []byte) map[string]bool {
 	if len(value) == 0 {
 		return nil
 	}
@@ -128,11 +138,23 @@
 	return report
 }
 
-// retryAfterOf reads a Retry-After of seconds.
-func retryAfterOf(h *fasthttp.ResponseHeader) time.Duration {
-	seconds, err := strconv.Atoi(string(h.Peek("Retry-After")))
-	if err != nil || seconds < 0 {
+// maxRetryAfter is the longest wait that a backend server is believed to ask for.
+const maxRetryAfter = time.Hour
+
+// RetryAfterOf reads a Retry-After of seconds, whole ones or with a fraction.
+func RetryAfterOf(h *fasthttp.ResponseHeader) time.Duration {
+	seconds, err := strconv.ParseFloat(string(h.Peek("Retry-After")), 64)
+	if err != nil || !(seconds >= 0) {
 		return 0
 	}
-	return time.Duration(seconds) * time.Second
+	return time.Duration(min(seconds, maxRetryAfter.Seconds()) * float64(time.Second))
 }
+
+// isEventStream tells whether an answer's body is a stream of server-sent events.
+func isEventStream(h *fasthttp.ResponseHeader) bool {
+	return bytes.HasPrefix(h.ContentType(), []byte(eventStream))
+}
+
+// HopByHop tells whether a header concerns one connection only, by its own name or
+// because the message's Connection header names it.
+func HopByHop(name string, named map[string]bool) bool { return hopByHop[name] || named[name] }
--- /dev/null
+++ b/internal/proxy/native.go
@@ -0,0 +1,267 @@
+package proxy
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/ebonydyke/ebonydyke/internal/core"
+	"github.com/ebonydyke/ebonydyke/internal/core/reason"
+)
+
+const (
+	chatPath      = "/v1/chat/completions"
+	servicePrefix = "/services/"
+)
+
+// Limits of what a caller may say in its headers.
+const (
+	maxDeadline = 24 * time.Hour
+	maxPriority = 9
+	maxName     = 256
+)
+
+// Native is the fleet's own interface: chat completions by model name, and plain
+// services under /services/NAME/.
+type Native struct{}
+
+// ReadRequest reads a chat or a call on a plain service.
+func (Native) ReadRequest(ctx *fasthttp.RequestCtx, id core.RequestID, now time.Time) (*Request, *Rejection) {
+	h := &ctx.Request.Header
+	if !h.IsHTTP11() {
+		// An HTTP/1.0 answer of unknown length ends with its connection, so its
+		// caller could not tell a cut answer from a whole one.
+		return nil, &Rejection{http.StatusHTTPVersionNotSupported, reason.BadRequest, "HTTP/1.1 is needed"}
+	}
+	r := &Request{Arrived: core.RequestArrived{
+		Request:  id,
+		Customer: string(h.Peek(HeaderCustomer)),
+		Chat:     string(h.Peek(HeaderChat)),
+		Key:      string(h.Peek(HeaderKey)),
+		Hint:     string(h.Peek(HeaderPlacement)),
+	}}
+	if rejected := readNativeHeaders(r, h, now); rejected != nil {
+		return nil, rejected
+	}
+	if rejected := readNativeTarget(r, ctx); rejected != nil {
+		return nil, rejected
+	}
+	return r, nil
+}
+
+// readNativeHeaders reads the headers that have a form of their own. One that cannot
+// be read is refused: to guess "idempotent" where a caller meant to say otherwise
+// could run its request twice.
+func readNativeHeaders(r *Request, h *fasthttp.RequestHeader, now time.Time) *Rejection {
+	for _, name := range []string{HeaderCustomer, HeaderChat, HeaderKey} {
+		if len(h.Peek(name)) > maxName {
+			return BadRequestf("%s is longer than %d bytes", name, maxName)
+		}
+	}
+	switch text := string(h.Peek(HeaderIdempotent)); text {
+	case "", "true":
+	case "false":
+		r.Arrived.NonIdempotent = true
+	default:
+		return BadRequestf("%s: %q, expected true or false", HeaderIdempotent, text)
+	}
+	if text := string(h.Peek(HeaderPriority)); text != "" {
+		if n, err := strconv.Atoi(text); err != nil || n < 0 || n > maxPriority {
+			return BadRequestf("%s: %q, expected 0 to %d", HeaderPriority, text, maxPriority)
+		}
+	}
+	if text := string(h.Peek(HeaderDeadline)); text != "" {
+		ms, err := strconv.Atoi(text)
+		if err != nil || ms <= 0 || ms > int(maxDeadline/time.Millisecond) {
+			return BadRequestf("%s: %q, expected milliseconds above 0", HeaderDeadline, text)
+		}
+		r.Arrived.Deadline = now.Add(time.Duration(ms) * time.Millisecond)
+	}
+	return nil
+}
+
+func readNativeTarget(r *Request, ctx *fasthttp.RequestCtx) *Rejection {
+	// The path goes on as it came: decoding it here could turn a part of it into
+	// a query or another path at the backend server.
+	path := string(ctx.URI().PathOriginal())
+	if path == chatPath {
+		return readChat(r, ctx)
+	}
+	rest, ok := strings.CutPrefix(path, servicePrefix)
+	if !ok {
+		return &Rejection{http.StatusNotFound, reason.UnknownService, "no such path"}
+	}
+	name, target, _ := strings.Cut(rest, "/")
+	if name == "" {
+		return BadRequestf("the path names no service")
+	}
+	r.Arrived.Service = name
+	r.Target = "/" + target + queryOf(ctx)
+	return nil
+}
+
+// queryOf is the query as it came, with its mark.
+func queryOf(ctx *fasthttp.RequestCtx) string {
+	query := ctx.URI().QueryString()
+	if len(query) == 0 {
+		return ""
+	}
+	return "?" + string(query)
+}
+
+func readChat(r *Request, ctx *fasthttp.RequestCtx) *Rejection {
+	if !ctx.IsPost() {
+		return &Rejection{http.StatusMethodNotAllowed, reason.BadRequest, "a chat is sent by POST"}
+	}
+	var chat struct {
+		Model  string `json:"model"`
+		Stream bool   `json:"stream"`
+	}
+	if err := json.Unmarshal(ctx.PostBody(), &chat); err != nil {
+		return BadRequestf("the body is no JSON of a chat: %v", err)
+	}
+	if chat.Model == "" {
+		return BadRequestf("the body names no model")
+	}
+	r.Arrived.Model = chat.Model
+	r.Target = chatPath + queryOf(ctx)
+	r.stream = chat.Stream
+	return nil
+}
+
+// WriteAttempt drops the headers that concern the fleet or one connection only.
+func (Native) WriteAttempt(to, from *fasthttp.Request, e *core.SendAttempt, _ time.Duration) {
+	copyRequestHeaders(&to.Header, &from.Header)
+	to.Header.Set(HeaderRequestID, string(e.Request))
+}
+
+// ReadHead takes every answer for the backend server's own, unless it says that it
+// did not start the request: backend servers of this interface mark nothing else.
+func (Native) ReadHead(h *fasthttp.ResponseHeader, r *Request, e *core.SendAttempt, now time.Time) Head {
+	head := Head{
+		Load:   loadOf(e.Backend, h, now),
+		Events: r.stream && isEventStream(h),
+		Marked: true,
+	}
+	if notStarted(h) {
+		head.Verdict = NotStarted
+		head.RetryAfter = RetryAfterOf(h)
+		return head
+	}
+	if head.Events {
+		head.StreamID = string(h.Peek(HeaderStreamID))
+		head.Incarnation = string(h.Peek(HeaderIncarnation))
+	}
+	return head
+}
+
+// WriteHead passes a head on with what the fleet says of it.
+func (Native) WriteHead(to, from *fasthttp.ResponseHeader, _ *Request, e *core.SendAttempt) {
+	copyResponseHeaders(to, from)
+	to.Set(HeaderRequestID, string(e.Request))
+	to.Set(HeaderBackend, e.Backend)
+	to.Set(HeaderOutcome, string(reason.Answered))
+	to.Set(HeaderPlacement, e.Placement)
+}
+
+// WriteFinal says in headers and body what the caller may conclude.
+func (Native) WriteFinal(out *fasthttp.Response, _ *Request, e *core.Finish) {
+	out.SetStatusCode(nativeStatus(e))
+	out.Header.SetContentType("application/json")
+	out.Header.Set(HeaderRequestID, string(e.Request))
+	out.Header.Set(HeaderOutcome, string(e.Outcome))
+	out.Header.Set(HeaderReason, string(e.Reason))
+	if e.First != "" {
+		out.Header.Set(HeaderFirst, e.First)
+	}
+	if e.RetryAfter > 0 {
+		out.Header.Set("Retry-After", seconds(e.RetryAfter))
+	}
+	out.SetBodyRaw(encodeError(message(e), e.Outcome, e.Reason))
+}
+
+// statusCallerGone is for the log; nobody reads an answer with it.
+const statusCallerGone = 499
+
+// nativeStatus is the status of a final answer.
+func nativeStatus(e *core.Finish) int {
+	switch {
+	case e.Outcome == reason.Duplicate:
+		return http.StatusConflict
+	case e.Reason == reason.CallerGone:
+		return statusCallerGone
+	case e.Reason == reason.DeadlineExceeded:
+		return http.StatusGatewayTimeout
+	case e.Outcome == reason.Unknown:
+		return http.StatusBadGateway
+	case e.Reason == reason.UnknownService || e.Reason == reason.UnknownRoute:
+		return http.StatusNotFound
+	case e.Reason == reason.UnknownCustomer:
+		return http.StatusForbidden
+	case e.Reason == reason.CustomerLimit || e.Reason == reason.CustomerShare:
+		return http.StatusTooManyRequests
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
+
+// WriteRejection answers a request that never reached the core.
+func (Native) WriteRejection(out *fasthttp.Response, id core.RequestID, rejected *Rejection) {
+	out.SetStatusCode(rejected.Status)
+	out.Header.SetContentType("application/json")
+	out.Header.Set(HeaderRequestID, string(id))
+	out.Header.Set(HeaderOutcome, string(reason.NotRun))
+	out.Header.Set(HeaderReason, string(rejected.Why))
+	out.SetBodyRaw(encodeError(rejected.Text, reason.NotRun, rejected.Why))
+}
+
+// BrokenEvent is the end of a stream that could not be completed. The missing final
+// chunk says the same to callers that do not read events.
+func (Native) BrokenEvent(_ *Request, e *core.Finish) []byte {
+	text := encodeError(message(e), e.Outcome, e.Reason)
+	return fmt.Appendf(nil, "event: error\ndata: %s\n\n", text)
+}
+
+// retireNotice is the answer to a request that crosses the closing of an idle
+// connection. Callers that have no request out take it for a closed connection,
+// as RFC 9110 says of status 408.
+const retireNotice = "HTTP/1.1 408 Request Timeout\r\n" +
+	"Connection: close\r\nContent-Length: 0\r\n" +
+	HeaderOutcome + ": not-run\r\n" + HeaderReason + ": stopping\r\nRetry-After: 1\r\n\r\n"
+
+// RetireNotice tells a caller that its request did not run.
+func (Native) RetireNotice() []byte { return []byte(retireNotice) }
+
+// notStarted tells whether the backend server says that it did not start the
+// request. Only its explicit word counts: a bare 503 may come from a server that
+// failed half way, so it is passed on as the answer.
+func notStarted(h *fasthttp.ResponseHeader) bool {
+	return h.StatusCode() >= fasthttp.StatusBadRequest && string(h.Peek(HeaderNotStarted)) == "true"
+}
+
+func message(e *core.Finish) string {
+	return fmt.Sprintf("request %s: %s: %s", e.Request, e.Outcome, e.Reason)
+}
+
+// errorBody is the JSON body of an answer that the fleet makes itself.
+type errorBody struct {
+	Error struct {
+		Message string         `json:"message"`
+		Type    reason.Outcome `json:"type"`
+		Code    reason.Reason  `json:"code"`
+	} `json:"error"`
+}
+
+func encodeError(message string, outcome reason.Outcome, why reason.Reason) []byte {
+	var body errorBody
+	body.Error.Message = message
+	body.Error.Type = outcome
+	body.Error.Code = why
+	text, _ := json.Marshal(body)
+	return text
+}
--- a/internal/proxy/options.go
+++ b/internal/proxy/options.go
@@ -9,6 +9,8 @@
 
 // Options are the proxy's limits. The zero value of each stands for its default.
 type Options struct {
+	// Dialect is how callers and backend servers speak; Native when nil.
+	Dialect Dialect
 	// Now is the time by which the core decides; time.Now when nil.
 	Now func() time.Time
 	// Metrics is told what happens; nil counts nothing.
@@ -62,6 +64,9 @@
 	if o.Now == nil {
 		o.Now = time.Now
 	}
+	if o.Dialect == nil {
+		o.Dialect = Native{}
+	}
 	if o.Metrics == nil {
 		o.Metrics = noMetrics{}
 	}
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -199,7 +199,7 @@
 			s.options.Metrics.Retried(e.Why)
 		}
 	case core.Finish:
-		s.record(e)
+		s.record(&e, "")
 	}
 	if x != nil {
 		x.deliver(effect)
@@ -207,11 +207,17 @@
 }
 
 // record counts and logs a final answer of the fleet's own.
-func (s *Server) record(e core.Finish) {
+func (s *Server) record(e *core.Finish, detail string) {
 	s.options.Metrics.Refused(e.Reason)
 	s.log.put("request ended without an answer", "request", e.Request, "outcome", e.Outcome,
-		"reason", e.Reason, "status", e.Status, "customer", e.Customer, "service", e.Service,
-		"backend", e.Backend, "attempt", e.Attempt)
+		"reason", e.Reason, "customer", e.Customer, "service", e.Service,
+		"backend", e.Backend, "attempt", e.Attempt, "retryAfter", e.RetryAfter, "detail", detail)
+}
+
+// localTime gives a time of the core's clock as one that a connection's deadline can
+// be set to: with the steady clock's reading, which no step of the time of day moves.
+func (s *Server) localTime(t time.Time) time.Time {
+	return time.Now().Add(t.Sub(s.options.Now()))
 }
 
 func (s *Server) register(x *exchange) {
@@ -235,11 +241,11 @@
 		ctx.SetConnectionClose()
 	}
 	id := s.nextID()
-	parsed, refused := s.parse(ctx, id)
-	if refused != nil {
-		s.refuse(ctx, id, refused)
+	request, rejected := s.options.Dialect.ReadRequest(ctx, id, s.options.Now())
+	if rejected != nil {
+		s.reject(ctx, id, rejected)
 		return
 	}
-	x := newExchange(s, ctx, parsed)
+	x := newExchange(s, ctx, request)
 	x.run()
 }
--- a/internal/proxy/transport.go
+++ b/internal/proxy/transport.go
@@ -72,6 +72,9 @@
 type call struct {
 	resp     *fasthttp.Response
 	deadline time.Time
+	// unframed takes the connection's orderly end for the end of an answer without a
+	// length.
+	unframed bool
 	// once keeps the connection out of the pool, before and after.
 	once bool
 	// inactivity bounds the silence between two reads of the answer's body.
@@ -230,7 +233,7 @@
 	switch {
 	case err == nil:
 		return n, nil
-	case errors.Is(err, io.EOF) && c.framed():
+	case errors.Is(err, io.EOF) && (c.framed() || c.unframed):
 		return n, io.EOF
 	case errors.Is(err, io.EOF):
 		return n, errUnframed
@@ -259,7 +262,7 @@
 		return
 	}
 	intact := c.detach()
-	reuse := whole && intact && !c.once && c.in != nil && c.in.Buffered() == 0 &&
+	reuse := whole && intact && !c.once && c.framed() && c.in != nil && c.in.Buffered() == 0 &&
 		c.resp != nil && !c.resp.ConnectionClose()
 	if c.resp != nil {
 		_ = c.resp.CloseBodyStream()
--- a/internal/settings/docs_test.go
+++ b/internal/settings/docs_test.go
@@ -31,12 +31,16 @@
 	want := string(text)
 	defaults := settings.Default()
 	want = fillTable(t, want, "settings.go", defaults)
+	want = fillTable(t, want, "settings.go", defaults.Bounds)
 	want = fillTable(t, want, "settings.go", defaults.Limits)
 	filled := config.Defaults()
 	const types = "../core/config/types.go"
 	want = fillTable(t, want, types, filled)
 	want = fillTable(t, want, types, filled.Services[0])
 	want = fillTable(t, want, types, config.BackendServer{})
+	want = fillTable(t, want, types, config.Engine{})
+	want = fillTable(t, want, types, config.Route{})
+	want = fillTable(t, want, types, config.Share{})
 	want = fillTable(t, want, types, filled.Customers[0])
 	want = fillTable(t, want, types, filled.Claims)
 	if *rewrite {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -30,7 +30,13 @@
 	// AdminListen is the address for operators and metrics, as IP:port. Nothing on
 	// it asks who calls, so keep it on loopback or on a network of operators.
 	AdminListen string `json:"admin_listen"`
-	// Platform is the base URL of the platform's service.
+	// Dialect is how callers and backend servers speak: "native", the fleet's own
+	// interface, or "platform", that of the users' platform.
+	Dialect Dialect `json:"dialect"`
+	// ReadyListen is an address that answers readiness alone, as IP:port, for a
+	// balancer that must not reach admin_listen; none if it is left out.
+	ReadyListen string `json:"ready_listen"`
+	// Platform is the base URL of the platform's store.
 	Platform string `json:"platform"`
 	// Seeds are peer addresses, as IP:port, to ask for the configuration and the
 	// members when the platform is away at the start.
@@ -38,12 +44,43 @@
 	// AcceptDelay is how long a stopping instance goes on accepting: longer than
 	// the balancer takes to notice that it is not ready.
 	AcceptDelay config.Duration `json:"accept_delay"`
+	// StopGrace is how long after a signal to stop the process is killed. What is
+	// still in progress shortly before is cut in order. 0 is no bound.
+	StopGrace config.Duration `json:"stop_grace"`
+	// ConfigWatchers is how many instances of a zone watch the configuration in the
+	// store; the others hear of it from peers. 0 is the default of two.
+	ConfigWatchers int `json:"config_watchers"`
+	// Bounds are the promises that a configuration of the platform's own form does
+	// not hold.
+	Bounds Bounds `json:"bounds"`
 	// Limits bound what callers and backend servers can take of the instance.
 	Limits Limits `json:"limits"`
 	// LogVerbosity is the level of detail of the log, from 0 to 9.
 	LogVerbosity int `json:"log_verbosity"`
 }
 
+// Dialect names an interface towards callers and backend servers.
+type Dialect string
+
+// The dialects.
+const (
+	Native   Dialect = "native"
+	Platform Dialect = "platform"
+)
+
+// Bounds are the promises for services whose text does not hold them.
+type Bounds struct {
+	// SkewBound is the multiple of the mean load that no backend server may exceed.
+	SkewBound float64 `json:"skew_bound"`
+	// SkewSlack is the number of requests allowed beyond that multiple.
+	SkewSlack int `json:"skew_slack"`
+	// RetryShare is the number of retries that one request earns.
+	RetryShare float64 `json:"retry_share"`
+	// RetryBurst is the number of retries that the whole fleet may spend before any
+	// are earned.
+	RetryBurst int `json:"retry_burst"`
+}
+
 // Limits bound what callers and backend servers can take of one instance.
 type Limits struct {
 	// MaxConns is the largest number of callers' connections.
@@ -84,7 +121,9 @@
 func Default() Settings {
 	return Settings{
 		AdminListen: "127.0.0.1:7090",
+		Dialect:     Native,
 		AcceptDelay: config.Duration(10 * time.Second),
+		Bounds:      Bounds{SkewBound: config.DefaultSkewBound, RetryShare: config.DefaultRetryShare},
 		Limits: Limits{
 			MaxConns:    proxy.DefaultMaxConns,
 			MaxBody:     proxy.DefaultMaxBody,
@@ -144,6 +183,19 @@
 	if u, err := url.Parse(s.Platform); err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
 		doc.Add("platform", "platform %q, expected a URL such as http://10.0.0.1:7000", s.Platform)
 	}
+	if s.Dialect != Native && s.Dialect != Platform {
+		doc.Add("dialect", "dialect %q, expected %q or %q", s.Dialect, Native, Platform)
+	}
+	if s.ReadyListen != "" {
+		checkAddress(doc, "ready_listen", s.ReadyListen)
+	}
+	if s.StopGrace < 0 {
+		doc.Add("stop_grace", "stop_grace %v, expected 0s or more", time.Duration(s.StopGrace))
+	}
+	if s.ConfigWatchers < 0 {
+		doc.Add("config_watchers", "config_watchers %d, expected 0 or more", s.ConfigWatchers)
+	}
+	checkBounds(doc, &s.Bounds)
 	if s.AcceptDelay < 0 {
 		doc.Add("accept_delay", "accept_delay %v, expected 0s or more", time.Duration(s.AcceptDelay))
 	}
@@ -172,6 +224,7 @@
 	seen := make(map[string]string)
 	for _, a := range []struct{ path, address string }{
 		{"listen", s.Listen}, {"peer_listen", s.PeerListen}, {"admin_listen", s.AdminListen},
+		{"ready_listen", s.ReadyListen},
 	} {
 		addr, err := netip.ParseAddrPort(a.address)
 		if err != nil || addr.Port() == 0 {
@@ -184,6 +237,21 @@
 	}
 }
 
+func checkBounds(doc *jsonc.Document, b *Bounds) {
+	if b.SkewBound <= 1 {
+		doc.Add("bounds.skew_bound", "skew_bound %v, expected above 1", b.SkewBound)
+	}
+	if b.SkewSlack < 0 {
+		doc.Add("bounds.skew_slack", "skew_slack %d, expected 0 or more", b.SkewSlack)
+	}
+	if b.RetryShare <= 0 || b.RetryShare > 1 {
+		doc.Add("bounds.retry_share", "retry_share %v, expected above 0 and at most 1", b.RetryShare)
+	}
+	if b.RetryBurst < 0 {
+		doc.Add("bounds.retry_burst", "retry_burst %d, expected 0 or more", b.RetryBurst)
+	}
+}
+
 func checkLimits(doc *jsonc.Document, l *Limits) {
 	for _, limit := range []struct {
 		path  string
--- /dev/null
+++ b/test/standin/platform/calls.go
@@ -0,0 +1,235 @@
+package platform
+
+import (
+	"encoding/json"
+	"io"
+	"maps"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// pageItems is the number of items on a page of a range, far fewer than the real
+// store's so that small tests meet a second page.
+const pageItems = 4
+
+// leastTTL is the shortest time to live of a lease.
+const leastTTL = time.Second
+
+func (s *Server) get(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	e := s.keys[r.FormValue("key")]
+	if e == nil {
+		reply(w, http.StatusNotFound, map[string]uint64{"storeRevision": s.revision})
+		return
+	}
+	reply(w, http.StatusOK, struct {
+		entry
+		StoreRevision uint64 `json:"storeRevision"`
+	}{*e, s.revision})
+}
+
+func (s *Server) list(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	prefix, after := r.FormValue("prefix"), r.FormValue("after")
+	var answer struct {
+		Items         []entry `json:"items"`
+		HasMore       bool    `json:"hasMore"`
+		StoreRevision uint64  `json:"storeRevision"`
+	}
+	answer.StoreRevision = s.revision
+	answer.Items = []entry{}
+	for _, key := range slices.Sorted(maps.Keys(s.keys)) {
+		if !strings.HasPrefix(key, prefix) || key <= after {
+			continue
+		}
+		if len(answer.Items) == pageItems {
+			answer.HasMore = true
+			break
+		}
+		answer.Items = append(answer.Items, *s.keys[key])
+	}
+	reply(w, http.StatusOK, answer)
+}
+
+// watch answers once a key under the prefix has changed after the given revision.
+func (s *Server) watch(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseUint(r.FormValue("after"), 10, 64)
+	wait, waitErr := strconv.Atoi(r.FormValue("waitMs"))
+	if err != nil || waitErr != nil || wait < 0 || wait > 30_000 {
+		http.Error(w, "after, waitMs: expected numbers", http.StatusBadRequest)
+		return
+	}
+	until := time.After(time.Duration(wait) * time.Millisecond)
+	for {
+		found, revision, lost, changed := s.changesAfter(r.FormValue("prefix"), after)
+		if lost {
+			reply(w, http.StatusGone, map[string]uint64{"storeRevision": revision})
+			return
+		}
+		if len(found) > 0 {
+			reply(w, http.StatusOK, map[string]any{"events": found, "storeRevision": revision})
+			return
+		}
+		select {
+		case <-changed:
+			if f, _ := s.currentFaults(); f.Down || f.Silent {
+				panic(http.ErrAbortHandler)
+			}
+		case <-until:
+			reply(w, http.StatusOK, map[string]any{"events": []change{}, "storeRevision": revision})
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (s *Server) changesAfter(prefix string, after uint64) (found []change, revision uint64, lost bool, changed <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	if after < s.oldest {
+		return nil, s.revision, true, s.changed
+	}
+	for _, c := range s.history {
+		if c.Revision > after && strings.HasPrefix(c.Key, prefix) {
+			found = append(found, c)
+		}
+	}
+	return found, s.revision, false, s.changed
+}
+
+// transaction is the body of a txn.
+type transaction struct {
+	Expected []struct {
+		Key      string `json:"key"`
+		Revision uint64 `json:"revision"`
+	} `json:"expectedRevision"`
+	Puts []struct {
+		Key   string `json:"key"`
+		Value []byte `json:"value"`
+		Lease uint64 `json:"lease"`
+	} `json:"puts"`
+	Remove []string `json:"remove"`
+}
+
+func (s *Server) txn(w http.ResponseWriter, r *http.Request) {
+	var t transaction
+	if err := json.NewDecoder(r.Body).Decode(&t); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	lost, takesEffect := s.loses()
+	if !takesEffect {
+		panic(http.ErrAbortHandler)
+	}
+	status := s.apply(&t)
+	if lost {
+		panic(http.ErrAbortHandler)
+	}
+	switch status {
+	case http.StatusPreconditionFailed:
+		reply(w, status, map[string]any{"items": s.current(&t)})
+	default:
+		reply(w, status, map[string]uint64{"revision": s.revision})
+	}
+}
+
+// apply carries out all of a transaction or nothing. It is called with the lock held.
+func (s *Server) apply(t *transaction) int {
+	for _, p := range t.Puts {
+		if !systemMayWrite(p.Key) {
+			return http.StatusForbidden
+		}
+		if p.Lease != 0 && s.leases[p.Lease] == nil {
+			return http.StatusNotFound
+		}
+	}
+	for _, e := range t.Expected {
+		var revision uint64
+		if found := s.keys[e.Key]; found != nil {
+			revision = found.Revision
+		}
+		if revision != e.Revision {
+			return http.StatusPreconditionFailed
+		}
+	}
+	for _, p := range t.Puts {
+		s.put(p.Key, p.Value, p.Lease)
+	}
+	for _, key := range t.Remove {
+		s.remove(key)
+	}
+	return http.StatusOK
+}
+
+func (s *Server) current(t *transaction) []entry {
+	items := []entry{}
+	for _, e := range t.Expected {
+		if found := s.keys[e.Key]; found != nil {
+			items = append(items, *found)
+		}
+	}
+	return items
+}
+
+func (s *Server) grant(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		TTLMs int64 `json:"ttlMs"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ttl := max(leastTTL, time.Duration(body.TTLMs)*time.Millisecond)
+	s.lastLease++
+	s.leases[s.lastLease] = &lease{ttl: ttl, ends: time.Now().Add(ttl)}
+	reply(w, http.StatusOK, map[string]uint64{"lease": s.lastLease, "ttlMs": uint64(ttl.Milliseconds())})
+}
+
+func (s *Server) keep(w http.ResponseWriter, r *http.Request) {
+	id, _ := strconv.ParseUint(r.PathValue("id"), 10, 64)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	l := s.leases[id]
+	if l == nil {
+		reply(w, http.StatusNotFound, map[string]uint64{})
+		return
+	}
+	l.ends = time.Now().Add(l.ttl)
+	reply(w, http.StatusOK, map[string]int64{"ttlMs": l.ttl.Milliseconds()})
+}
+
+func (s *Server) endLease(w http.ResponseWriter, r *http.Request) {
+	id, _ := strconv.ParseUint(r.PathValue("id"), 10, 64)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dropLease(id)
+	reply(w, http.StatusOK, map[string]uint64{})
+}
+
+// operatorPut writes a key as the operators and the backend servers do.
+func (s *Server) operatorPut(_ http.ResponseWriter, r *http.Request) {
+	value, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	s.Put(r.PathValue("key"), value)
+}
+
+func (s *Server) operatorDelete(_ http.ResponseWriter, r *http.Request) {
+	s.Delete(r.PathValue("key"))
+}
