Keep sessions at their home and copy their prompts; close idle connections in time

The walk left a session's home at about 1.2 times the mean, and whichever engine took the request read the whole prompt anew.

- A request with a described prompt stays at its home over 0.55 to 0.75 of the room that the bound leaves.
Home is the first in the session's ranking.
- An engine that may lack the prompt is told where to copy it: the last known holder, the session's former home (the next in rank after an engine that just joined, the one that leaves), or a holder of the parts before the session's.

Idle ones now close once the listener has, and what could outlive the process is refused.

Ruled out: that the balancer still sent new connections (all 7 came on kept ones).

--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -32,7 +32,9 @@
 	}
 	r.backend, r.address = c.Name, c.Address
 	r.resumeAfter = ""
-	r.placement = n.hintFor(&c)
+	r.placement = n.hintFor(c)
+	e.Source = n.source(r, n.pool(r.service.Name), c)
+	n.promptSent(r)
 	n.send(r, e)
 }
 
--- a/internal/core/effect.go
+++ b/internal/core/effect.go
@@ -24,6 +24,9 @@
 	Customer string `json:"customer,omitempty"`
 	// Priority is the request's rank; 0 is the most urgent.
 	Priority int `json:"priority,omitempty"`
+	// Source is the address of an engine from which this one can copy the cached parts
+	// of the prompt.
+	Source string `json:"source,omitempty"`
 	// Once says that the request may run at most once.
 	Once bool `json:"once,omitempty"`
 	// Deadline is when the outside gives the attempt up.
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -14,6 +14,7 @@
 	"github.com/ebonydyke/ebonydyke/internal/core/config"
 	"github.com/ebonydyke/ebonydyke/internal/core/load"
 	"github.com/ebonydyke/ebonydyke/internal/core/membership"
+	"github.com/ebonydyke/ebonydyke/internal/core/prefix"
 )
 
 // TickInterval is how often the daemon sends a Ticked event.
@@ -43,6 +44,8 @@
 	// AcceptDelay is how long a stopping instance goes on accepting, until the
 	// balancer has noticed.
 	AcceptDelay time.Duration `json:"accept_delay"`
+	// StopGrace is how long after the order to stop the process is killed; 0 is never.
+	StopGrace time.Duration `json:"stop_grace,omitempty"`
 }
 
 // Node is the state of one instance. It belongs to one goroutine.
@@ -60,6 +63,7 @@
 	poolOf    map[string]*pool
 	reach     reachability
 	hints     hintShares
+	prefixes  *prefix.Holders
 	admission admissionState
 	requests  map[RequestID]*request
 	due       dueQueue
@@ -86,6 +90,7 @@
 		poolOf:    make(map[string]*pool),
 		reach:     make(reachability),
 		hints:     make(hintShares),
+		prefixes:  prefix.New(),
 		admission: newAdmissionState(),
 		requests:  make(map[RequestID]*request),
 		claims:    newClaimState(),
--- a/internal/core/placement.go
+++ b/internal/core/placement.go
@@ -24,6 +24,11 @@
 	unreachable int
 	lost        float64
 	budget      *retry.Budget
+	// leaving are the backend servers that get no new work but still hold caches.
+	leaving []routing.Candidate
+	// joined is when each usable backend server came, zero for those that were there
+	// when this instance first looked.
+	joined map[string]time.Time
 }
 
 const (
@@ -91,28 +96,32 @@
 }
 
 // place chooses the backend server of the request's next attempt.
-func (n *Node) place(r *request) (routing.Candidate, reason.Reason) {
+func (n *Node) place(r *request) (*routing.Candidate, reason.Reason) {
 	p := n.pool(r.service.Name)
 	if len(p.candidates) == 0 {
-		return routing.Candidate{}, reason.NoBackend
+		return nil, reason.NoBackend
 	}
 	choice := n.choice(r, p)
 	i := routing.Pick(p.candidates, &choice)
 	if i == routing.None {
-		return routing.Candidate{}, reason.Saturated
+		return nil, reason.Saturated
 	}
-	return p.candidates[i], reason.None
+	return &p.candidates[i], reason.None
 }
 
 func (n *Node) choice(r *request, p *pool) routing.Choice {
 	chat := chatHash(r)
 	total, count := n.sharing(p)
+	kind := n.hints.kind(r)
+	if r.arrived.Prompt != nil {
+		kind = routing.Session
+	}
 	return routing.Choice{
 		Chat:       chat,
 		Hinted:     n.hinted(r, p),
 		PreferNear: r.arrived.Chat == "" || n.zonesApart(),
 		Tried:      r.tried,
-		Limits:     routing.LimitsFor(r.service.SkewBound, total, count, chat, n.hints.kind(r)).Loosen(r.service.SkewSlack),
+		Limits:     routing.LimitsFor(r.service.SkewBound, total, count, chat, kind).Loosen(r.service.SkewSlack, kind),
 	}
 }
 
@@ -235,17 +244,19 @@
 
 func (n *Node) rebuildPool(name string) {
 	svc := n.snapshot.Service(name)
-	p := &pool{index: make(map[string]int), budget: n.pool(name).budget}
+	old := n.pool(name)
+	p := &pool{index: make(map[string]int), budget: old.budget, joined: make(map[string]time.Time)}
 	if p.budget == nil {
 		p.budget = retry.NewBudget(svc.RetryShare, max(defaultRetryBurst, float64(svc.RetryBurst)))
 	}
 	n.resizeBudget(p.budget, svc)
-	p.candidates = n.candidates(svc)
+	p.candidates, p.leaving = n.candidates(svc)
 	for i := range p.candidates {
 		c := &p.candidates[i]
 		p.index[c.Name] = i
 		c.Load = n.load.Estimate(c.Name)
 		p.total += c.Load
+		p.joined[c.Name] = old.joinedAt(c.Name, n.now)
 		if n.reach.unreachable(c.Name, n.now) {
 			p.setUnreachable(c, true)
 		}
@@ -254,9 +265,18 @@
 	n.pools[name] = p
 }
 
-// candidates lists the usable backend servers of a service, sorted by name.
-func (n *Node) candidates(svc *config.Service) []routing.Candidate {
-	var list []routing.Candidate
+// joinedAt is when a backend server joined the pool: now, unless it was there before
+// or the pool is new.
+func (p *pool) joinedAt(name string, now time.Time) time.Time {
+	if at, ok := p.joined[name]; ok || len(p.candidates) == 0 {
+		return at
+	}
+	return now
+}
+
+// candidates lists the usable backend servers of a service, and those that are
+// leaving, each sorted by name.
+func (n *Node) candidates(svc *config.Service) (list, leaving []routing.Candidate) {
 	for _, b := range svc.BackendServers {
 		in := n.view.Get(b.Name)
 		switch {
@@ -270,14 +290,19 @@
 	}
 	if svc.FromPlatform {
 		n.view.EachOf(svc.Name, func(in *membership.Instance) {
-			if in.Role == membership.Backend && in.State == membership.Live {
+			switch {
+			case in.Role != membership.Backend:
+			case in.State == membership.Live:
 				list = append(list, n.candidate(svc, *in))
+			case in.State == membership.Leaving:
+				leaving = append(leaving, n.candidate(svc, *in))
 			}
 		})
 	}
 	byName := func(a, b routing.Candidate) int { return cmp.Compare(a.Name, b.Name) }
 	slices.SortStableFunc(list, byName)
-	return slices.CompactFunc(list, func(a, b routing.Candidate) bool { return a.Name == b.Name })
+	slices.SortStableFunc(leaving, byName)
+	return slices.CompactFunc(list, func(a, b routing.Candidate) bool { return a.Name == b.Name }), leaving
 }
 
 func (n *Node) candidate(svc *config.Service, in membership.Instance) routing.Candidate {
--- /dev/null
+++ b/internal/core/prefix/prefix_test.go
@@ -0,0 +1,50 @@
+package prefix_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/ebonydyke/ebonydyke/internal/core/prefix"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+func holders(h *prefix.Holders, id string, now time.Time) []string {
+	var list []string
+	h.Each(id, now, func(backend string) bool {
+		list = append(list, backend)
+		return true
+	})
+	return list
+}
+
+func TestTheLastUsersAreRemembered(t *testing.T) {
+	h := prefix.New()
+	for i, backend := range []string{"a", "b", "a", "c", "d"} {
+		h.Used("p", backend, start.Add(time.Duration(i)*time.Second))
+	}
+	now := start.Add(5 * time.Second)
+	require.Equal(t, []string{"d", "c", "a"}, holders(h, "p", now))
+	require.True(t, h.Holds("p", "a", now))
+	require.False(t, h.Holds("p", "b", now))
+	require.False(t, h.Holds("q", "a", now))
+	h.Forget("c")
+	require.Equal(t, []string{"d", "a"}, holders(h, "p", now))
+}
+
+func TestPartsAreForgotten(t *testing.T) {
+	h := prefix.New()
+	h.Used("p", "a", start)
+	late := start.Add(prefix.Memory + time.Second)
+	require.False(t, h.Holds("p", "a", late))
+	require.Empty(t, holders(h, "p", late))
+	for i := range 2 * prefix.MaxParts {
+		h.Used(fmt.Sprint(i), "a", start)
+	}
+	require.False(t, h.Holds(fmt.Sprint(2*prefix.MaxParts-1), "a", start), "over the bound")
+	h.Used("new", "a", late)
+	require.True(t, h.Holds("new", "a", late), "room again once the others are old")
+}
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -7,8 +7,12 @@
 	"github.com/ebonydyke/ebonydyke/internal/core/reason"
 )
 
-// defaultRetryAfter is when a caller may come back if nothing else is known.
-const defaultRetryAfter = time.Second
+const (
+	// defaultRetryAfter is when a caller may come back if nothing else is known.
+	defaultRetryAfter = time.Second
+	// elsewhereAfter is when it may if another instance would take it at once.
+	elsewhereAfter = 50 * time.Millisecond
+)
 
 // request is one request in progress at this instance.
 type request struct {
@@ -64,6 +68,9 @@
 	case !n.now.Before(r.deadline):
 		n.refuse(e, t, reason.DeadlineExceeded)
 		return
+	case n.tooLateFor(r.deadline):
+		n.refuse(e, t, reason.Stopping)
+		return
 	case !n.dependenciesUsable(t.service):
 		n.refuse(e, t, reason.DependencyUnavailable)
 		return
@@ -161,7 +168,11 @@
 
 // refuse ends a request that never got as far as an attempt.
 func (n *Node) refuse(e RequestArrived, t target, why reason.Reason) {
-	n.refuseLater(e, t, &refusal{why: why, retryAfter: defaultRetryAfter})
+	wait := defaultRetryAfter
+	if why == reason.Stopping {
+		wait = elsewhereAfter
+	}
+	n.refuseLater(e, t, &refusal{why: why, retryAfter: wait})
 }
 
 func (n *Node) refuseLater(e RequestArrived, t target, r *refusal) {
--- a/internal/core/routes_test.go
+++ b/internal/core/routes_test.go
@@ -41,12 +41,15 @@
 	now  time.Time
 	out  []core.Effect
 	sent int
+	// watching is the watch of the entries that is under way, if a test saw it begin.
+	watching core.OpID
 }
 
 // newRouted returns a node that knows routedText and n servers of each service.
 func newRouted(t *testing.T, n int) *routed {
 	t.Helper()
-	r := &routed{t: t, now: epoch, node: core.New(core.Settings{Name: "entry-0", Zone: "zone-0", Incarnation: 1, Seed: 7, NoPolls: true})}
+	r := &routed{t: t, now: epoch, node: core.New(core.Settings{Name: "entry-0", Zone: "zone-0", Incarnation: 1, Seed: 7, NoPolls: true,
+		AcceptDelay: 2500 * time.Millisecond, StopGrace: 8 * time.Second})}
 	r.handle(core.ConfigOffered{Envelope: config.Envelope{Generation: 1, Edit: "first", Text: routedText}})
 	require.Empty(t, find[core.ConfigRefused](r.out))
 	calls := r.tick()
--- a/internal/core/routing/routing.go
+++ b/internal/core/routing/routing.go
@@ -139,6 +139,10 @@
 	// The limits of a first turn, which has no prefix to find, are spread lower and
 	// so keep room for the turns that return.
 	firstLow, firstHigh = 0.0, 0.3
+	// A session's requests stay at their home over most of the room: read anywhere
+	// else, a long prompt costs more than its request is worth. What is left is for
+	// loads that are half a second old.
+	sessionLow, sessionHigh = 0.55, 0.75
 )
 
 // Kind is what a request stands to lose when it is placed elsewhere.
@@ -150,6 +154,9 @@
 	Unhinted Kind = iota
 	// First is a chat without a hint of a caller that does send them.
 	First
+	// Session is a request whose prompt's parts lead it, like all others of its
+	// session, to one backend server.
+	Session
 )
 
 // LimitsFor returns the limits of one decision: total requests in progress at n
@@ -165,8 +172,12 @@
 	mean := (total + 1) / float64(n)
 	room := max(0, (bound-1)*mean-margin*math.Sqrt(mean))
 	low, high := unhintedLow, unhintedHigh
-	if kind == First {
+	switch kind {
+	case First:
 		low, high = firstLow, firstHigh
+	case Session:
+		low, high = sessionLow, sessionHigh
+		room = (bound - 1) * mean
 	}
 	spread := float64(chat>>11) / (1 << 53)
 	even := math.Ceil(mean)
@@ -180,8 +191,11 @@
 // Loosen moves the outer limit by a number of requests that the promise allows
 // beyond the multiple of the mean. Where loads are small, that number is most of
 // what is allowed.
-func (l Limits) Loosen(slack int) Limits {
+func (l Limits) Loosen(slack int, kind Kind) Limits {
 	l.Outer += float64(slack)
+	if kind == Session {
+		l.Inner += math.Floor(sessionLow * float64(slack))
+	}
 	return l
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -95,6 +95,7 @@
 		// claim tokens, and each would take the other's claim for its own.
 		Seed:           rand.Uint64(),
 		AcceptDelay:    time.Duration(s.AcceptDelay),
+		StopGrace:      time.Duration(s.StopGrace),
 		ConfigWatchers: s.ConfigWatchers,
 		ConfigReadOnly: s.Dialect == settings.Platform,
 		NoPolls:        s.Dialect == settings.Platform,
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -136,6 +136,7 @@
 		time.Sleep(drainInterval)
 	}
 	_ = l.Close()
+	go s.Drain()
 }
 
 // quiet tells whether no connection has come for long enough, or connections have
@@ -150,9 +151,9 @@
 	return time.Since(s.lastOpened) >= s.options.AcceptQuiet
 }
 
-// Drain waits until the listener and the last connection are closed. Requests in progress and those
-// that still arrive on open connections are served; no timer cuts one. Only a
-// connection that has been silent for DrainIdle is closed from this end.
+// Drain waits until the listener and the last connection are closed. Requests in
+// progress and those that still arrive on open connections are served; no timer cuts
+// one. Only a connection that has been silent for DrainIdle is closed from this end.
 func (s *Server) Drain() {
 	for !s.closeIdle() {
 		time.Sleep(drainInterval)
