Log each decision with its inputs, and each change of belief

A complaint can be traced from a request's id: which attempts were made, what each choice rested on (load, mean, limit, age of the report, generation, revision), how each ended, and what the instance believed of its servers, peers, zones and store meanwhile.

--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -6,6 +6,7 @@
 	"github.com/ebonydyke/ebonydyke/internal/core/claims"
 	"github.com/ebonydyke/ebonydyke/internal/core/reason"
 	"github.com/ebonydyke/ebonydyke/internal/core/retry"
+	"github.com/ebonydyke/ebonydyke/internal/core/routing"
 )
 
 // resumePause lies between two attempts to resume one stream at one engine.
@@ -34,10 +35,26 @@
 	r.resumeAfter = ""
 	r.placement = n.hintFor(c)
 	e.Source = n.source(r, n.pool(r.service.Name), c)
+	e.Basis = n.basis(r, c)
 	n.promptSent(r)
 	n.send(r, e)
 }
 
+// basis is what the choice of c rested on.
+func (n *Node) basis(r *request, c *routing.Candidate) Basis {
+	p := n.pool(r.service.Name)
+	total, count := n.sharing(p)
+	b := Basis{
+		Generation: n.snapshot.Generation, Revision: n.backends.known[c.Name],
+		Load: c.Load, Mean: total / float64(max(1, count)), Limit: n.choice(r, p).Limits.Inner,
+		ReportAge: -1,
+	}
+	if at, ok := n.load.Heard(c.Name); ok {
+		b.ReportAge = n.now.Sub(at)
+	}
+	return b
+}
+
 // resume asks the backend server that began a stream for the rest of it. This is
 // no second run: the stream's own id names the one that is in progress.
 func (n *Node) resume(r *request) {
--- a/internal/core/effect.go
+++ b/internal/core/effect.go
@@ -37,6 +37,24 @@
 	Placement string `json:"placement,omitempty"`
 	// Why is the reason of a repeated attempt.
 	Why reason.Reason `json:"why,omitempty"`
+	// Basis is what the choice rested on.
+	Basis Basis `json:"basis,omitzero"`
+}
+
+// Basis is what the choice of a backend server rested on, for the log.
+type Basis struct {
+	// Generation is the configuration's.
+	Generation uint64 `json:"generation,omitempty"`
+	// Revision is that of the backend server's entry.
+	Revision uint64 `json:"revision,omitempty"`
+	// Load is the estimate of the backend server's requests in progress, Mean that of
+	// the service, and Limit the one up to which this request's session stays.
+	Load  float64 `json:"load,omitempty"`
+	Mean  float64 `json:"mean,omitempty"`
+	Limit float64 `json:"limit,omitempty"`
+	// ReportAge is how long ago the backend server last told its load; negative if it
+	// never did.
+	ReportAge time.Duration `json:"report_age,omitempty"`
 }
 
 // CancelAttempt stops an attempt whose answer nobody waits for.
--- a/internal/core/load/load.go
+++ b/internal/core/load/load.go
@@ -115,6 +115,15 @@
 	return 0
 }
 
+// Heard returns when a backend server last told its load, if it did of late.
+func (t *Tracker) Heard(name string) (time.Time, bool) {
+	b := t.backends[name]
+	if b == nil || b.heard.IsZero() {
+		return time.Time{}, false
+	}
+	return b.heard, true
+}
+
 // EachOwn calls f for every backend server with own requests, in no order.
 func (t *Tracker) EachOwn(f func(backend string, inFlight int)) {
 	for name, b := range t.backends {
--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -204,6 +204,7 @@
 		return
 	}
 	for _, name := range names {
+		n.learnedMember(name)
 		if in := n.view.Get(name); in == nil || in.Role == membership.Entry {
 			n.members.entries = nil
 		}
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -163,6 +163,7 @@
 // peerConnected starts afresh with a peer: what was sent over an earlier link may
 // be lost, so the first digest is full.
 func (n *Node) peerConnected(e PeerConnected) {
+	n.emit(Learned{Subject: OfLink, Name: e.Peer, State: "up", Incarnation: e.Incarnation})
 	p := n.peer(e.Peer)
 	p.connected = true
 	p.incarnation = max(p.incarnation, e.Incarnation)
@@ -179,6 +180,7 @@
 // peerLost only notes that nothing can be sent. The peer may be alive behind a
 // cut: its loads age like those of any silent peer, and nobody is declared dead.
 func (n *Node) peerLost(e PeerLost) {
+	n.emit(Learned{Subject: OfLink, Name: e.Peer, State: "down"})
 	if p := n.peers.byName[e.Peer]; p != nil {
 		p.connected = false
 	}
--- a/internal/core/placement.go
+++ b/internal/core/placement.go
@@ -348,7 +348,11 @@
 	if p == nil {
 		return
 	}
-	p.setUnreachable(&p.candidates[p.index[backend]], unreachable)
+	c := &p.candidates[p.index[backend]]
+	if c.Unreachable != unreachable {
+		n.emit(Learned{Subject: OfBackend, Name: backend, State: reachWord(!unreachable), Address: c.Address})
+	}
+	p.setUnreachable(c, unreachable)
 }
 
 func (p *pool) setUnreachable(c *routing.Candidate, unreachable bool) {
--- a/internal/core/sessions_test.go
+++ b/internal/core/sessions_test.go
@@ -13,12 +13,12 @@
 )
 
 // review sends a request of a session whose prompt shares its first two parts.
-func (r *routed) review(path, session string) core.SendAttempt {
+func (r *routed) review(session string) core.SendAttempt {
 	r.t.Helper()
 	r.sent++
 	own := fmt.Sprintf("own-%d", r.sent)
 	return one[core.SendAttempt](r.t, r.handle(core.RequestArrived{
-		Request: core.RequestID(own), Host: "h.example", Path: path, APIKey: "key-1", Chat: session,
+		Request: core.RequestID(own), Host: "h.example", Path: "/review/", APIKey: "key-1", Chat: session,
 		Prompt: &core.Prompt{Tokens: 11_500, Parts: []core.PromptPart{
 			{ID: "system", Tokens: 500}, {ID: session, Tokens: 10_000}, {ID: own, Tokens: 1_000},
 		}},
@@ -30,10 +30,10 @@
 // up to the session's limit, the engine that takes the rest copies the prompt.
 func TestSessionsStayAtHomeAndTakeTheirPromptAlong(t *testing.T) {
 	r := newRouted(t, 12)
-	home := r.review("/review/", "dossier").Backend
+	home := r.review("dossier").Backend
 	moved := ""
 	for range 8 {
-		sent := r.review("/review/", "dossier")
+		sent := r.review("dossier")
 		if sent.Backend != home {
 			moved = sent.Backend
 			require.NotEmpty(t, sent.Source, "a prompt read again")
@@ -43,7 +43,7 @@
 	}
 	require.NotEmpty(t, moved, "the session fills its engine beyond its limit")
 	again := newRouted(t, 12)
-	require.Equal(t, home, again.review("/review/", "dossier").Backend, "another instance finds the same home")
+	require.Equal(t, home, again.review("dossier").Backend, "another instance finds the same home")
 }
 
 // A release replaces an engine: the new one is there first, then the old one leaves.
@@ -51,12 +51,12 @@
 // that leaves, which still answers.
 func TestANewHomeCopiesFromTheOneThatLeaves(t *testing.T) {
 	r := newRouted(t, 6)
-	sent := r.review("/review/", "dossier")
+	sent := r.review("dossier")
 	r.end(sent, retry.Answered)
 	leaving := r.entryOf(sent.Backend, 200)
 	leaving.Backend.State = "leaving"
 	r.watch(core.BackendsRead{Status: core.StoreOK, Entries: []core.BackendEntry{leaving}, Revision: 200})
-	next := r.review("/review/", "dossier")
+	next := r.review("dossier")
 	require.NotEqual(t, sent.Backend, next.Backend)
 	require.Equal(t, sent.Address, next.Source)
 }
@@ -65,11 +65,11 @@
 // that leaves by its rank.
 func TestAnInstanceThatNeverSawASessionFindsItsFormerHome(t *testing.T) {
 	r := newRouted(t, 6)
-	home := newRouted(t, 6).review("/review/", "dossier")
+	home := newRouted(t, 6).review("dossier")
 	leaving := r.entryOf(home.Backend, 200)
 	leaving.Backend.State = "leaving"
 	r.watch(core.BackendsRead{Status: core.StoreOK, Entries: []core.BackendEntry{leaving}, Revision: 200})
-	require.Equal(t, home.Address, r.review("/review/", "dossier").Source)
+	require.Equal(t, home.Address, r.review("dossier").Source)
 }
 
 // entryOf is an engine's entry as newRouted wrote it, under a new revision.
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -114,10 +114,18 @@
 	}
 }
 
+func reachWord(reachable bool) string {
+	if reachable {
+		return "reachable"
+	}
+	return "unreachable"
+}
+
 func (n *Node) observePlatform(reachable bool) {
 	p := &n.observed.platform
 	if !p.Known || p.Reachable != reachable {
 		p.Known, p.Reachable, p.Since = true, reachable, n.now
+		n.emit(Learned{Subject: OfStore, State: reachWord(reachable)})
 	}
 	p.LastCall = n.now
 }
--- a/internal/daemon/executor.go
+++ b/internal/daemon/executor.go
@@ -50,9 +50,12 @@
 	case core.SendPeer:
 		x.links.Send(e.To, e.Message)
 	case core.ConfigTaken:
-		go klog.InfoS("configuration in force", "generation", e.Generation, "edit", e.Edit)
+		x.proxy.Log("configuration in force", "generation", e.Generation, "edit", e.Edit)
 	case core.ConfigRefused:
-		go klog.InfoS("configuration refused", "generation", e.Generation, "findings", e.Findings.Error())
+		x.proxy.Log("configuration refused", "generation", e.Generation, "findings", e.Findings.Error())
+	case core.Learned:
+		x.proxy.Log("learned", "subject", e.Subject, "name", e.Name, "state", e.State, "service", e.Service,
+			"address", e.Address, "revision", e.Revision, "incarnation", e.Incarnation, "cause", e.Cause)
 	case core.SetReady:
 		x.proxy.SetReady(e.Ready)
 	case core.CloseListener:
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -115,9 +115,10 @@
 	event.Request = x.id
 	if err != nil {
 		event.Detail = err.Error()
-		x.server.log.put("attempt failed", "request", x.id, "attempt", event.Attempt, "backend", x.answer.send.Backend,
-			"outcome", event.Outcome, "error", event.Detail)
 	}
+	x.server.log.put("attempt ended", "request", x.id, "attempt", event.Attempt, "backend", x.answer.send.Backend,
+		"outcome", event.Outcome, "sinceArrivalMs", time.Since(x.begun).Milliseconds(),
+		"firstMs", x.answer.first.Milliseconds(), "lastEvent", x.answer.sequence.last, "error", event.Detail)
 	x.server.post(event)
 }
 
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -199,6 +199,7 @@
 		if e.Why != reason.None {
 			s.options.Metrics.Retried(e.Why)
 		}
+		s.logAttempt(&e)
 	case core.Finish:
 		s.record(&e, "")
 	}
@@ -207,12 +208,26 @@
 	}
 }
 
+// Log writes a line without holding up the caller; lines beyond what can be written
+// are dropped and counted.
+func (s *Server) Log(text string, keysAndValues ...any) { s.log.put(text, keysAndValues...) }
+
+// logAttempt tells where a request goes and what that choice rested on.
+func (s *Server) logAttempt(e *core.SendAttempt) {
+	b := &e.Basis
+	s.log.put("attempt", "request", e.Request, "attempt", e.Attempt, "backend", e.Backend, "address", e.Address,
+		"why", e.Why, "customer", e.Customer, "leftMs", e.Deadline.Sub(s.options.Now()).Milliseconds(),
+		"resumeAfter", e.ResumeAfter, "source", e.Source, "generation", b.Generation, "revision", b.Revision,
+		"load", b.Load, "mean", b.Mean, "limit", b.Limit, "reportAgeMs", b.ReportAge.Milliseconds())
+}
+
 // record counts and logs a final answer of the fleet's own.
 func (s *Server) record(e *core.Finish, detail string) {
 	s.options.Metrics.Refused(e.Reason)
 	s.log.put("request ended without an answer", "request", e.Request, "outcome", e.Outcome,
 		"reason", e.Reason, "customer", e.Customer, "service", e.Service,
-		"backend", e.Backend, "attempt", e.Attempt, "retryAfter", e.RetryAfter, "detail", detail)
+		"backend", e.Backend, "attempt", e.Attempt, "retryAfterMs", e.RetryAfter.Milliseconds(),
+		"passedOn", e.PassOn, "detail", detail)
 }
 
 // localTime gives a time of the core's clock as one that a connection's deadline can
