Bound silence and dials where a request can go on; fill homes by prompt length

Three causes of late and lost requests around a zone that is cut off silently, and one of prompts moved for nothing:

- each server of the cut zone cost a request that wait: two failures within 2 s mark the whole zone, one connection heals it.
- a repeatable request waited on a silent server until its deadline: bounds on the first bytes and on the pauses of a stream, where a run is left.
- sessions left their home at twice the mean though the promise is twice the mean and three: they fill 0.45 to 0.85 of the room by the tokens that others share, so that short prompts make way before long ones.

--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -40,12 +40,43 @@
 	n.send(r, e)
 }
 
+// When a silent backend server is given up for another, on requests that may go on
+// elsewhere. A server that hangs, or whose way is cut without a sign, would otherwise
+// hold its caller until the deadline.
+const (
+	// firstGoals is how many times the goal the first bytes may take, and leastFirst
+	// the least wait: an engine that reads a long prompt for another request is silent
+	// for a few hundred milliseconds.
+	firstGoals = 2
+	leastFirst = 250 * time.Millisecond
+	// leastFirstStream is the same for a stream, whose engine may queue it.
+	leastFirstStream = 1200 * time.Millisecond
+	// stallPauses is how many times the pause that is still on time a stream may stop,
+	// and leastStall the least: callers leave after eight such pauses.
+	stallPauses = 3
+	leastStall  = 700 * time.Millisecond
+)
+
+// patience gives the bounds on a backend server's silence. Where the request must not
+// run elsewhere, or no run is left, there are none: silence is then no reason to end
+// an answer that may still come.
+func (r *request) patience() (first, stall time.Duration) {
+	if r.route == nil || !r.policy.repeatable || r.runs+1 >= r.policy.maxRuns {
+		return 0, 0
+	}
+	first = max(leastFirst, firstGoals*time.Duration(r.route.Goal))
+	if !r.policy.resumable {
+		return first, 0
+	}
+	return max(first, leastFirstStream), max(leastStall, stallPauses*time.Duration(r.route.PauseGoal))
+}
+
 // basis is what the choice of c rested on.
 func (n *Node) basis(r *request, c *routing.Candidate) Basis {
 	p := n.pool(r.service.Name)
 	total, count := n.sharing(p)
 	b := Basis{
-		Generation: n.snapshot.Generation, Revision: n.backends.known[c.Name],
+		Generation: n.snapshot.Generation, Revision: n.backends.known[c.Name], Session: r.arrived.Chat,
 		Load: c.Load, Mean: total / float64(max(1, count)), Limit: n.choice(r, p).Limits.Inner,
 		ReportAge: -1,
 	}
@@ -68,6 +99,7 @@
 	e.Request, e.Attempt, e.Deadline = r.arrived.Request, r.attempt, r.deadline
 	e.Backend, e.Address, e.Placement = r.backend, r.address, r.placement
 	e.Customer, e.Priority, e.Once = r.arrived.Customer, r.policy.priority, !r.policy.repeatable
+	e.FirstWithin, e.Stall = r.patience()
 	n.emit(e)
 }
 
--- a/internal/core/effect.go
+++ b/internal/core/effect.go
@@ -27,6 +27,11 @@
 	// Source is the address of an engine from which this one can copy the cached parts
 	// of the prompt.
 	Source string `json:"source,omitempty"`
+	// FirstWithin bounds the wait for the first bytes of the answer, and Stall the
+	// silence between two later ones, where the request can go on elsewhere; 0 is no
+	// bound but the deadline.
+	FirstWithin time.Duration `json:"first_within,omitempty"`
+	Stall       time.Duration `json:"stall,omitempty"`
 	// Once says that the request may run at most once.
 	Once bool `json:"once,omitempty"`
 	// Deadline is when the outside gives the attempt up.
@@ -47,6 +52,8 @@
 	Generation uint64 `json:"generation,omitempty"`
 	// Revision is that of the backend server's entry.
 	Revision uint64 `json:"revision,omitempty"`
+	// Session is what the request's ranking of the backend servers goes by.
+	Session string `json:"session,omitempty"`
 	// Load is the estimate of the backend server's requests in progress, Mean that of
 	// the service, and Limit the one up to which this request's session stays.
 	Load  float64 `json:"load,omitempty"`
--- a/internal/core/placement.go
+++ b/internal/core/placement.go
@@ -112,17 +112,19 @@
 func (n *Node) choice(r *request, p *pool) routing.Choice {
 	chat := chatHash(r)
 	total, count := n.sharing(p)
-	kind := n.hints.kind(r)
-	if r.arrived.Prompt != nil {
-		kind = routing.Session
-	}
-	return routing.Choice{
+	svc := r.service
+	choice := routing.Choice{
 		Chat:       chat,
 		Hinted:     n.hinted(r, p),
 		PreferNear: r.arrived.Chat == "" || n.zonesApart(),
 		Tried:      r.tried,
-		Limits:     routing.LimitsFor(r.service.SkewBound, total, count, chat, kind).Loosen(r.service.SkewSlack, kind),
 	}
+	if r.arrived.Prompt != nil {
+		choice.Limits = routing.SessionLimits(svc.SkewBound, total, svc.SkewSlack, count, sessionPart(r.arrived.Prompt))
+	} else {
+		choice.Limits = routing.LimitsFor(svc.SkewBound, total, count, chat, n.hints.kind(r)).Loosen(svc.SkewSlack)
+	}
+	return choice
 }
 
 // zonesApart tells whether the fleet is so large that instances hear the loads of
@@ -335,11 +337,45 @@
 // backendAnswered takes what the end of an attempt says of the way to its backend
 // server. It is called before the request's next attempt is placed.
 func (n *Node) backendAnswered(backend string, e AttemptEnded) {
+	zone := n.zoneOf(backend)
 	if e.Outcome == retry.NotSent {
-		n.reach.failed(backend, n.now)
+		n.reach.failed(backend, zone, n.now)
 		n.setReach(backend, true)
-	} else if n.reach.connected(backend) {
+		n.suspectZone(zone)
+		return
+	}
+	if n.reach.connected(backend) {
 		n.setReach(backend, false)
+		for _, other := range n.reach.healed(zone) {
+			n.setReach(other, false)
+		}
+	}
+}
+
+// zoneOf is the availability zone of a usable backend server, or "".
+func (n *Node) zoneOf(backend string) string {
+	p := n.poolOf[backend]
+	if p == nil {
+		return ""
+	}
+	return p.candidates[p.index[backend]].Zone
+}
+
+// suspectZone leaves all servers of a zone alone for a moment once several of them
+// could not be connected to. Their own zone is no such case: a server there that
+// cannot be reached is down, and the others are not.
+func (n *Node) suspectZone(zone string) {
+	if zone == "" || zone == n.settings.Zone || !n.reach.zoneCut(zone, n.now) {
+		return
+	}
+	for _, p := range n.pools {
+		for i := range p.candidates {
+			c := &p.candidates[i]
+			if c.Zone == zone && !c.Unreachable {
+				n.reach.suspect(c.Name, zone, n.now)
+				n.setReach(c.Name, true)
+			}
+		}
 	}
 }
 
--- a/internal/core/routes_test.go
+++ b/internal/core/routes_test.go
@@ -226,3 +226,56 @@
 	require.LessOrEqual(t, retries, 1000*20/100+6)
 	require.Greater(t, retries, 1000*19/100)
 }
+
+// A zone is cut off. Two requests find out, each by a connection that is not made;
+// the third must not try the zone's next server: it would wait for nothing again.
+// Once a server of the zone answers, all of them get work at once.
+func TestAZoneThatIsCutIsLeftAsAWhole(t *testing.T) {
+	r := newRouted(t, 12)
+	zones := make(map[string]string)
+	for i := range 12 {
+		zones[fmt.Sprintf("engine-%d", i)] = fmt.Sprintf("zone-%d", i%3)
+	}
+	failed := 0
+	for i := 0; failed < 2; i++ {
+		sent := r.review(fmt.Sprint("session-", i))
+		for zones[sent.Backend] == "zone-1" {
+			failed++
+			again := find[core.SendAttempt](r.end(sent, retry.NotSent))
+			require.NotEmpty(t, again)
+			sent = again[0]
+		}
+		r.end(sent, retry.Answered)
+	}
+	for i := range 40 {
+		sent := r.review(fmt.Sprint("other-", i))
+		require.NotEqual(t, "zone-1", zones[sent.Backend])
+		r.end(sent, retry.Answered)
+	}
+	r.pass(time.Second)
+	served := make(map[string]bool)
+	for i := range 200 {
+		sent := r.review(fmt.Sprint("later-", i))
+		served[sent.Backend] = true
+		r.end(sent, retry.Answered)
+	}
+	require.Len(t, served, 12, "the zone is back")
+}
+
+// A progress check meets a server that hangs. It goes on elsewhere long before its
+// time is over; a note that may run once is given its whole time.
+func TestSilenceIsBoundedWhereTheRequestCanGoOn(t *testing.T) {
+	r := newRouted(t, 3)
+	check := one[core.SendAttempt](t, r.ask("/progress/1", "key-1"))
+	require.Positive(t, check.FirstWithin)
+	require.Less(t, check.FirstWithin, 400*time.Millisecond)
+	question := one[core.SendAttempt](t, r.ask("/question/1", "key-1"))
+	require.Positive(t, question.Stall)
+	for _, path := range []string{"/record/1", "/review/1"} {
+		once := one[core.SendAttempt](t, r.ask(path, "key-1"))
+		require.Zero(t, once.FirstWithin)
+		require.Zero(t, once.Stall)
+	}
+	last := one[core.SendAttempt](t, r.end(check, retry.Unknown))
+	require.Zero(t, last.FirstWithin, "no run is left after this one")
+}
--- a/internal/core/routing/routing.go
+++ b/internal/core/routing/routing.go
@@ -139,10 +139,6 @@
 	// The limits of a first turn, which has no prefix to find, are spread lower and
 	// so keep room for the turns that return.
 	firstLow, firstHigh = 0.0, 0.3
-	// A session's requests stay at their home over most of the room: read anywhere
-	// else, a long prompt costs more than its request is worth. What is left is for
-	// loads that are half a second old.
-	sessionLow, sessionHigh = 0.55, 0.75
 )
 
 // Kind is what a request stands to lose when it is placed elsewhere.
@@ -154,9 +150,6 @@
 	Unhinted Kind = iota
 	// First is a chat without a hint of a caller that does send them.
 	First
-	// Session is a request whose prompt's parts lead it, like all others of its
-	// session, to one backend server.
-	Session
 )
 
 // LimitsFor returns the limits of one decision: total requests in progress at n
@@ -172,12 +165,8 @@
 	mean := (total + 1) / float64(n)
 	room := max(0, (bound-1)*mean-margin*math.Sqrt(mean))
 	low, high := unhintedLow, unhintedHigh
-	switch kind {
-	case First:
+	if kind == First {
 		low, high = firstLow, firstHigh
-	case Session:
-		low, high = sessionLow, sessionHigh
-		room = (bound - 1) * mean
 	}
 	spread := float64(chat>>11) / (1 << 53)
 	even := math.Ceil(mean)
@@ -191,14 +180,26 @@
 // Loosen moves the outer limit by a number of requests that the promise allows
 // beyond the multiple of the mean. Where loads are small, that number is most of
 // what is allowed.
-func (l Limits) Loosen(slack int, kind Kind) Limits {
+func (l Limits) Loosen(slack int) Limits {
 	l.Outer += float64(slack)
-	if kind == Session {
-		l.Inner += math.Floor(sessionLow * float64(slack))
-	}
 	return l
 }
 
+// SessionLimits returns the limits for a request whose prompt leads it, like all
+// others of its session, to one backend server: total requests in progress at n
+// backend servers, the promised multiple of their mean and the slack beyond it, and
+// the part of the room that these leave which the session may fill.
+//
+// The other limits keep away from the bound because loads there are the aim. Here the
+// aim is that a prompt is read once, and only the promise itself ends the stay; what
+// is left of the room is for loads that are half a second old.
+func SessionLimits(bound, total float64, slack, n int, part float64) Limits {
+	mean := (total + 1) / float64(n)
+	room := (bound-1)*mean + float64(slack)
+	inner := max(1, math.Floor(mean+part*room))
+	return Limits{Inner: inner, Hinted: inner, Outer: Limit(bound, total, n) + float64(slack)}
+}
+
 // Limit is the promised bound: that multiple of the mean once the new request is
 // counted, and never under one.
 func Limit(bound, total float64, n int) float64 {
--- a/internal/core/sessions.go
+++ b/internal/core/sessions.go
@@ -16,6 +16,26 @@
 // be found in their former homes only.
 const recentlyJoined = 20 * time.Second
 
+// The part of the room over the mean load that a session may fill at its home. A
+// long prompt is worth most of it: to copy ten thousand tokens takes as much of the
+// engines' links as to copy forty short ones, so the short ones make way first.
+const (
+	leastSessionPart = 0.45
+	mostSessionPart  = 0.85
+	// longPrompt is the number of shared tokens from which a session gets the most.
+	longPrompt = 8_000
+)
+
+// sessionPart is the part for a prompt, by the tokens that others can share.
+func sessionPart(prompt *Prompt) float64 {
+	shared := 0
+	for _, part := range prompt.Parts[:len(prompt.Parts)-1] {
+		shared += part.Tokens
+	}
+	long := min(1, float64(shared)/longPrompt)
+	return leastSessionPart + (mostSessionPart-leastSessionPart)*long
+}
+
 // source returns the address from which a chosen engine can copy the cached parts of
 // the request's prompt, or "" if it needs none.
 //
--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -16,6 +16,10 @@
 )
 
 const (
+	// maxDialDoublings bounds how often the wait for a connection is doubled. The first
+	// attempt of a request waits shortly, for another server most likely answers; if the
+	// whole network is slow, the later ones have the time.
+	maxDialDoublings = 3
 	// wholeBody is the largest answer that is read to its end before the caller
 	// gets its first byte, so that a cut one can still be asked for again.
 	wholeBody  = 64 << 10
@@ -81,7 +85,12 @@
 	c := &call{
 		deadline:   x.server.localTime(e.Deadline),
 		once:       e.Once,
+		first:      e.FirstWithin,
 		inactivity: x.server.options.Inactivity,
+		dial:       x.server.options.DialTimeout << min(e.Attempt-1, maxDialDoublings),
+	}
+	if e.Stall > 0 {
+		c.inactivity = e.Stall
 	}
 	client := x.server.kept
 	if c.once {
--- a/internal/proxy/options.go
+++ b/internal/proxy/options.go
@@ -36,7 +36,8 @@
 	// DrainIdle is how long a caller's connection must have been silent before a
 	// stopping instance closes it.
 	DrainIdle time.Duration
-	// DialTimeout bounds the opening of a connection to a backend server.
+	// DialTimeout bounds the opening of a connection to a backend server, for a
+	// request's first attempt; it doubles with each further one.
 	DialTimeout time.Duration
 	// BackendIdle is how long a connection to a backend server is kept unused.
 	BackendIdle time.Duration
--- a/internal/proxy/transport.go
+++ b/internal/proxy/transport.go
@@ -77,8 +77,16 @@
 	unframed bool
 	// once keeps the connection out of the pool, before and after.
 	once bool
+	// first bounds the wait for the first bytes of the answer, if not 0.
+	first time.Duration
 	// inactivity bounds the silence between two reads of the answer's body.
 	inactivity time.Duration
+	// dial bounds the opening of a connection.
+	dial time.Duration
+	// begun is set once a byte of the answer's body has come.
+	begun bool
+	// firstAt is when the first bytes must have come, once it is worked out.
+	firstAt time.Time
 
 	host *fasthttp.HostClient
 	// give returns the connection to the pool, or closes it.
@@ -166,7 +174,7 @@
 		if left <= 0 {
 			return fasthttp.ErrTimeout
 		}
-		cc, err := hc.AcquireConn(left, false)
+		cc, err := hc.AcquireConn(min(left, c.dial), false)
 		if err != nil {
 			return fmt.Errorf("proxy: connect: %w", err)
 		}
@@ -199,7 +207,7 @@
 
 // exchangeHeaders writes the whole request and reads the answer up to its body.
 func (c *call) exchangeHeaders(req *fasthttp.Request, resp *fasthttp.Response) error {
-	if err := c.conn.SetDeadline(c.deadline); err != nil {
+	if err := c.conn.SetDeadline(c.firstDeadline()); err != nil {
 		return fmt.Errorf("proxy: set deadline: %w", err)
 	}
 	out := c.host.AcquireWriter(c.conn)
@@ -230,6 +238,7 @@
 		return 0, fmt.Errorf("proxy: set deadline: %w", err)
 	}
 	n, err := body.Read(p)
+	c.begun = c.begun || n > 0
 	switch {
 	case err == nil:
 		return n, nil
@@ -247,14 +256,32 @@
 // framed tells whether the answer's end can be told from a cut connection.
 func (c *call) framed() bool { return c.length >= -1 }
 
-func (c *call) readDeadline() time.Time {
-	quiet := time.Now().Add(c.inactivity)
-	if quiet.Before(c.deadline) {
-		return quiet
+// firstDeadline is when the first bytes of the answer must have come. It is worked
+// out once, when the request is sent.
+func (c *call) firstDeadline() time.Time {
+	if c.first > 0 && c.firstAt.IsZero() {
+		c.firstAt = earlier(time.Now().Add(c.first), c.deadline)
+	}
+	if c.first > 0 {
+		return c.firstAt
 	}
 	return c.deadline
 }
 
+func (c *call) readDeadline() time.Time {
+	if c.first > 0 && !c.begun {
+		return c.firstDeadline()
+	}
+	return earlier(time.Now().Add(c.inactivity), c.deadline)
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // close ends the call. Only an answer that was read to its marked end, with
 // nothing after it, leaves the connection fit for another request.
 func (c *call) close(whole bool) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -105,7 +105,8 @@
 	// DrainIdle is how long a caller's connection must have been silent before a
 	// stopping instance closes it.
 	DrainIdle config.Duration `json:"drain_idle"`
-	// DialTimeout bounds the opening of a connection to a backend server.
+	// DialTimeout bounds the opening of a connection to a backend server, for a
+	// request's first attempt; it doubles with each further one.
 	DialTimeout config.Duration `json:"dial_timeout"`
 	// BackendIdle is how long an unused connection to a backend server is kept.
 	BackendIdle config.Duration `json:"backend_idle"`
