Let a few instances follow the store for all, and give a session one home

- Two followers a zone watch; digests pass on what changed, in the order of the store's revisions and with the bounds between which nothing is missing, so that an instance knows how far it is complete.
One that is behind its peers for 1.5 s, or hears for 8 s of nobody whom the store answers, asks the store itself.
- Sessions rank all zones as one.
Loads of other zones are known by the servers' own words, which now come with an answer's head and are passed on if they surprise.

--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -76,7 +76,7 @@
 	p := n.pool(r.service.Name)
 	total, count := n.sharing(p)
 	b := Basis{
-		Generation: n.snapshot.Generation, Revision: n.backends.known[c.Name], Session: r.arrived.Chat,
+		Generation: n.snapshot.Generation, Revision: n.backends.known(c.Name), Session: r.arrived.Chat,
 		Load: c.Load, Mean: total / float64(max(1, count)), Limit: n.choice(r, p).Limits.Inner,
 		ReportAge: -1,
 	}
@@ -104,15 +104,14 @@
 }
 
 func (n *Node) answerStarted(e AnswerStarted) {
+	n.answerSaid(e.Load)
 	if r := n.requests[e.Request]; r != nil && r.running && e.Attempt == r.attempt {
 		r.started = true
 	}
 }
 
 func (n *Node) attemptEnded(e AttemptEnded) {
-	if e.Load != nil {
-		n.backendSaid(*e.Load)
-	}
+	n.answerSaid(e.Load)
 	r := n.requests[e.Request]
 	if r == nil || e.Attempt != r.attempt || !r.running {
 		return
--- a/internal/core/backends.go
+++ b/internal/core/backends.go
@@ -41,6 +41,9 @@
 	Unreadable bool `json:"unreadable,omitempty"`
 }
 
+// removed tells whether the entry is no more.
+func (e BackendEntry) removed() bool { return e.Backend == nil && !e.Unreadable }
+
 // backendsState follows the entries.
 //
 // Revisions only grow: an entry's older state is never taken after a newer one,
@@ -54,15 +57,28 @@
 	page     string
 	seen     map[string]bool
 	listedAt uint64
+	// relist asks for a whole list although a revision is known.
+	relist bool
 	// revision is where the watch goes on; 0 asks for a whole list.
 	revision uint64
 	// newest is the highest revision that the store has named.
 	newest uint64
-	// known are the newest revisions seen of each entry, removals included.
-	known    map[string]uint64
+	// entries are the newest seen of each name, removals included.
+	entries map[string]BackendEntry
+	// changes counts the entries that were taken.
+	changes int
+	// complete is the revision up to which nothing was missed: by an own list and watch,
+	// or by what peers passed on.
+	complete uint64
 	failures int
 	retryAt  time.Time
 	failedAt time.Time
+	// heardAt is when a read or a watch last succeeded.
+	heardAt time.Time
+	// othersHeardAt is the same for the other instances, by what they say.
+	othersHeardAt time.Time
+	// behindPeers is since when peers have been ahead of this instance.
+	behindPeers time.Time
 	// behindSince is when the store began to name lower revisions than before.
 	behindSince time.Time
 	// lapsed are entries that may be back, and when they count as gone.
@@ -70,18 +86,26 @@
 }
 
 func newBackendsState() backendsState {
-	return backendsState{known: make(map[string]uint64), lapsed: make(map[string]time.Time)}
+	return backendsState{entries: make(map[string]BackendEntry), lapsed: make(map[string]time.Time)}
 }
 
-// tickBackends keeps one call on the entries, once a service draws on them.
+// known is the newest revision seen of a backend server's entry.
+func (b *backendsState) known(name string) uint64 { return b.entries[name].Revision }
+
+// tickBackends keeps one call on the entries, once a service draws on them, if this
+// instance is one of those that follow the store for the others.
 func (n *Node) tickBackends() {
 	b := &n.backends
 	n.dropLapsed()
 	if n.snapshot == nil || !n.snapshot.FromPlatform() || b.call != 0 || n.now.Before(b.retryAt) {
 		return
 	}
+	if !n.followsStore() {
+		return
+	}
 	b.call = n.nextOp()
-	b.listing = b.revision == 0
+	b.revision = max(b.revision, b.complete)
+	b.listing = b.relist || b.revision == 0
 	if b.listing {
 		n.emit(ListBackends{Op: b.call, After: b.page})
 		return
@@ -110,7 +134,9 @@
 	}
 	n.takeEntries(e.Entries)
 	b.revision = max(b.revision, e.Revision)
+	b.complete = max(b.complete, b.revision)
 	b.newest = max(b.newest, e.Revision)
+	b.heardAt = n.now
 }
 
 // storeWentBack tells whether an answer names a lower revision than one before. An
@@ -126,9 +152,9 @@
 		b.behindSince = n.now
 	}
 	if n.now.Sub(b.behindSince) >= wentBackAfter {
-		clear(b.known)
+		clear(b.entries)
 		b.restart()
-		b.newest = 0
+		b.newest, b.complete = 0, 0
 	}
 	return true
 }
@@ -148,6 +174,7 @@
 // restart asks for a whole list.
 func (b *backendsState) restart() {
 	b.revision, b.page, b.seen, b.listedAt = 0, "", nil, 0
+	b.relist = true
 }
 
 // backendsListed takes a page of the list. Pages are no snapshot: the watch goes on
@@ -168,16 +195,18 @@
 	}
 	listedAt, seen := b.listedAt, b.seen
 	b.restart()
-	b.revision = listedAt
+	b.revision, b.relist = listedAt, false
 	b.newest = max(b.newest, listedAt)
+	b.complete = max(b.complete, listedAt)
+	b.heardAt = n.now
 	n.takeEntries(b.unlisted(seen, listedAt))
 }
 
 // unlisted gives the removals that a whole list tells by leaving entries out.
 func (b *backendsState) unlisted(seen map[string]bool, listedAt uint64) []BackendEntry {
 	var gone []BackendEntry
-	for _, name := range slices.Sorted(maps.Keys(b.known)) {
-		if !seen[name] && b.known[name] <= listedAt {
+	for _, name := range slices.Sorted(maps.Keys(b.entries)) {
+		if e := b.entries[name]; !seen[name] && !e.removed() && e.Revision <= listedAt {
 			gone = append(gone, BackendEntry{Name: name, Revision: listedAt})
 		}
 	}
@@ -188,10 +217,13 @@
 func (n *Node) takeEntries(entries []BackendEntry) {
 	var changed []string
 	for _, e := range entries {
-		if e.Revision < n.backends.known[e.Name] {
+		if e.Revision < n.backends.known(e.Name) {
 			continue
 		}
-		n.backends.known[e.Name] = e.Revision
+		if e.Revision > n.backends.known(e.Name) {
+			n.backends.changes++
+		}
+		n.backends.entries[e.Name] = e
 		if n.takeEntry(e) {
 			changed = append(changed, e.Name)
 		}
--- a/internal/core/budget.go
+++ b/internal/core/budget.go
@@ -103,6 +103,7 @@
 	sizeReport  = 16
 	sizeFact    = 16
 	sizeMember  = 60
+	sizeEntry   = 70
 	sizeClaim   = 34
 	deflateGain = 8
 	// sizePoll is half of what a poll of a report takes in both directions: its
@@ -121,7 +122,7 @@
 				size += sizeList + sizeLoad*len(list)
 			}
 		}
-		size += sizeReport*len(d.Reports) + sizeFact*len(d.Facts) + sizeMember*len(d.Members)
+		size += sizeReport*len(d.Reports) + sizeFact*len(d.Facts) + sizeMember*len(d.Members) + sizeEntry*len(d.Entries)
 	}
 	switch {
 	case m.ConfigOffer != nil:
--- a/internal/core/configs.go
+++ b/internal/core/configs.go
@@ -82,9 +82,12 @@
 }
 
 // watchesConfig tells whether this instance is one of its zone's watchers, or has
-// to do as if, since it hears from none of them.
+// to do as if, since it hears from none of them or they cannot follow the store.
 func (n *Node) watchesConfig() bool {
 	n.entries()
+	if n.snapshot != nil && n.snapshot.FromPlatform() {
+		return n.followsStore()
+	}
 	return n.actsFor(n.members.watchers)
 }
 
--- a/internal/core/digests.go
+++ b/internal/core/digests.go
@@ -24,6 +24,7 @@
 	n.addLoads(p, d)
 	n.addReports(p, d)
 	n.addMembers(p, d)
+	n.addEntries(p, d)
 	if p.membersPending {
 		p.membersPending = false
 		d.Members = n.everyMember()
@@ -43,7 +44,7 @@
 // saysSomething tells whether any list of the digest has an entry.
 func (d *Digest) saysSomething() bool {
 	loads := len(d.Loads) + len(d.RowSums) + len(d.Totals) + len(d.Reports)
-	return loads+len(d.Facts)+len(d.Members) > 0
+	return loads+len(d.Facts)+len(d.Members)+len(d.Entries) > 0
 }
 
 func (n *Node) generation() uint64 {
@@ -269,6 +270,7 @@
 		n.backendSaid(r)
 		n.heardBackend(r.Backend)
 	}
+	n.peerEntries(p, d)
 	n.heardGeneration(from, d.Generation)
 }
 
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -85,6 +85,8 @@
 type AnswerStarted struct {
 	Request RequestID `json:"request"`
 	Attempt int       `json:"attempt"`
+	// Load is what the answer's head said of the backend server's load, if anything.
+	Load *membership.Report `json:"load,omitempty"`
 }
 
 // CallerGone says that the caller left before its answer was complete.
--- a/internal/core/fleet_test.go
+++ b/internal/core/fleet_test.go
@@ -3,7 +3,9 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 
@@ -234,6 +236,12 @@
 	case core.ListInstances:
 		f.calls["list"]++
 		f.reply(m, 5*time.Millisecond, core.InstancesListed{Op: e.Op, Failed: f.listDown || f.cutOff(m), Members: f.list})
+	case core.ListBackends:
+		f.calls["list-backends"]++
+		f.store.listBackends(m, e)
+	case core.WatchBackends:
+		f.calls["watch-backends"]++
+		f.store.watchBackends(m, e)
 	case core.SendPeer:
 		f.send(m, e)
 	case core.SetPeers:
@@ -351,6 +359,10 @@
 	keys  map[string]*fakeValue
 	down  bool
 	delay time.Duration
+	// entries are the changes of the backend servers' entries, numbered from 1 on.
+	entries []core.BackendEntry
+	// watchers are told of each change of the entries.
+	watchers []func()
 	// loseAnswer and loseWrite are the shares of writes whose answer is lost after,
 	// or before, they took effect; lateWrite those that take effect only later.
 	loseAnswer, loseWrite, lateWrite float64
@@ -465,3 +477,61 @@
 	v.waiters = append(v.waiters, func() { answer(core.StoreOK) })
 	f.after(30*time.Second, func() { answer(core.StoreUnchanged) })
 }
+
+// putEntry changes a backend server's entry; without one it is removed.
+func (s *fakeStore) putEntry(name string, in *membership.Instance) {
+	s.entries = append(s.entries, core.BackendEntry{Name: name, Revision: uint64(len(s.entries) + 1), Backend: in})
+	watchers := s.watchers
+	s.watchers = nil
+	for _, w := range watchers {
+		w()
+	}
+}
+
+func (s *fakeStore) listBackends(m *member, e core.ListBackends) {
+	if s.away(m) {
+		s.fleet.reply(m, storeTimeout, core.BackendsRead{Op: e.Op, Status: core.StoreFailed})
+		return
+	}
+	newest := make(map[string]core.BackendEntry)
+	for _, entry := range s.entries {
+		newest[entry.Name] = entry
+	}
+	read := core.BackendsRead{Op: e.Op, Status: core.StoreOK, Revision: uint64(len(s.entries))}
+	for _, name := range slices.Sorted(maps.Keys(newest)) {
+		if newest[name].Backend != nil {
+			read.Entries = append(read.Entries, newest[name])
+		}
+	}
+	s.fleet.reply(m, s.latency(), read)
+}
+
+func (s *fakeStore) watchBackends(m *member, e core.WatchBackends) {
+	if s.away(m) {
+		s.fleet.reply(m, storeTimeout, core.BackendsRead{Op: e.Op, Status: core.StoreFailed})
+		return
+	}
+	done := false
+	answer := func() {
+		if done {
+			return
+		}
+		done = true
+		read := core.BackendsRead{Op: e.Op, Status: core.StoreOK, Revision: uint64(len(s.entries))}
+		for _, entry := range s.entries {
+			if entry.Revision > e.After {
+				read.Entries = append(read.Entries, entry)
+			}
+		}
+		if s.away(m) {
+			read = core.BackendsRead{Op: e.Op, Status: core.StoreUnknown}
+		}
+		s.fleet.reply(m, s.latency(), read)
+	}
+	if e.After < uint64(len(s.entries)) {
+		answer()
+		return
+	}
+	s.watchers = append(s.watchers, answer)
+	s.fleet.after(3*time.Second, answer)
+}
--- a/internal/core/learned.go
+++ b/internal/core/learned.go
@@ -52,6 +52,6 @@
 	}
 	n.emit(Learned{
 		Subject: subject, Name: name, State: string(in.State), Service: in.Service, Address: in.Address,
-		Revision: n.backends.known[name], Incarnation: in.Incarnation,
+		Revision: n.backends.known(name), Incarnation: in.Incarnation,
 	})
 }
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -118,7 +118,6 @@
 	case RequestArrived:
 		n.requestArrived(e)
 	case AttemptEnded:
-		n.attemptHeard(e)
 		n.attemptEnded(e)
 	case AnswerStarted:
 		n.answerStarted(e)
--- a/internal/core/peermsg.go
+++ b/internal/core/peermsg.go
@@ -51,6 +51,16 @@
 	Full bool `json:"full,omitempty"`
 	// Reports are backend servers' reports that the sender polled itself.
 	Reports []membership.Report `json:"reports,omitempty"`
+	// EntriesUpTo is the store's revision up to which the sender has missed none of the
+	// backend servers' entries.
+	EntriesUpTo uint64 `json:"entries_up_to,omitempty"`
+	// StoreAge is how long ago the store last answered any instance, as far as the
+	// sender knows; 0 is never.
+	StoreAge time.Duration `json:"store_age,omitempty"`
+	// Entries are all that changed after the revision EntriesFrom, up to EntriesTo.
+	Entries     []BackendEntry `json:"entries,omitempty"`
+	EntriesFrom uint64         `json:"entries_from,omitempty"`
+	EntriesTo   uint64         `json:"entries_to,omitempty"`
 	// Facts are changes of membership that the sender learnt.
 	Facts []membership.Fact `json:"facts,omitempty"`
 	// Members are instances that the receiver may not have seen in a list.
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -79,6 +79,7 @@
 	generation uint64
 	leaving    bool
 	viewSeq    uint64
+	changes    int
 }
 
 // changeMark is the number of the view's last change at a time.
@@ -115,6 +116,10 @@
 	leaving     bool
 	wantFull    bool
 	forgotten   bool
+	// entriesClaimed is how far it has the backend servers' entries, once entriesKnown
+	// is set.
+	entriesClaimed uint64
+	entriesKnown   bool
 
 	// What it was told.
 	seq    uint64
@@ -129,6 +134,8 @@
 	toldGeneration uint64
 	toldLeaving    bool
 	toldSeq        uint64
+	entriesTold    uint64
+	entriesToldAt  time.Time
 	reports        map[string]membership.Report
 }
 
@@ -172,6 +179,7 @@
 	p.leaving = false
 	p.sent = newLoadLists()
 	p.toldGeneration, p.toldLeaving = 0, false
+	p.entriesKnown, p.entriesToldAt = false, time.Time{}
 	p.fullPending = true
 	p.due = n.now
 	p.toldSeq = n.toldChanges()
@@ -420,9 +428,12 @@
 		n.emit(Counted{Counter: counterShed, Label: "fact", N: 1})
 	}
 	for _, in := range changes {
-		if in.State == membership.Live {
+		switch {
+		case in.State == membership.Live && n.backends.entries[in.Name].Backend != nil:
+			// Its entry is passed on as such.
+		case in.State == membership.Live:
 			d.Members = append(d.Members, in)
-		} else {
+		default:
 			d.Facts = append(d.Facts, membership.Fact{Name: in.Name, Incarnation: in.Incarnation, State: in.State})
 		}
 	}
@@ -433,6 +444,8 @@
 func (n *Node) hurryNews() {
 	generation, leaving, seq := n.generation(), n.lifecycle.stopping, n.view.Seq()
 	hurry := generation != n.peers.generation || leaving != n.peers.leaving
+	hurry = hurry || n.backends.changes != n.peers.changes
+	n.peers.changes = n.backends.changes
 	if seq != n.peers.viewSeq {
 		changes, _ := n.view.Changes(n.peers.viewSeq, maxDigestFacts)
 		hurry = hurry || slices.ContainsFunc(changes, func(in membership.Instance) bool {
--- a/internal/core/placement.go
+++ b/internal/core/placement.go
@@ -120,6 +120,10 @@
 		Tried:      r.tried,
 	}
 	if r.arrived.Prompt != nil {
+		// One home in the whole fleet: a home in each zone would read every prompt once
+		// a zone. Loads of other zones are known by the servers' own words.
+		choice.PreferNear = false
+		total, count = p.reachable()
 		choice.Limits = routing.SessionLimits(svc.SkewBound, total, svc.SkewSlack, count, sessionPart(r.arrived.Prompt))
 	} else {
 		choice.Limits = routing.LimitsFor(svc.SkewBound, total, count, chat, n.hints.kind(r)).Loosen(svc.SkewSlack)
--- a/internal/core/polls.go
+++ b/internal/core/polls.go
@@ -46,11 +46,18 @@
 	}
 }
 
-// attemptHeard notes an answer that told the backend server's load.
-func (n *Node) attemptHeard(e AttemptEnded) {
-	if e.Load != nil {
-		n.heardBackend(e.Load.Backend)
+// answerSaid takes what an answer's head says of its backend server, if anything.
+// What the peers may not know is passed on: in a large fleet an instance meets a
+// server once in many seconds, but some instance of its zone does each moment.
+func (n *Node) answerSaid(report *membership.Report) {
+	if report == nil {
+		return
+	}
+	n.heardBackend(report.Backend)
+	if n.settings.NoPolls && n.surprising(*report) {
+		n.tellReport(*report)
 	}
+	n.backendSaid(*report)
 }
 
 // pollEnded passes the answer to a poll on to the peers that hear loads, if it
@@ -61,13 +68,20 @@
 		return
 	}
 	n.heardBackend(backend)
-	if !n.surprising(e.Report) {
+	if n.surprising(e.Report) {
+		n.tellReport(e.Report)
+	}
+}
+
+// tellReport queues a report for the peers that hear loads from this instance.
+func (n *Node) tellReport(report membership.Report) {
+	if n.peers.layout == nil {
 		return
 	}
-	for _, name := range n.peerNames() {
-		p := n.peers.byName[name]
-		if p.connected && !slices.Contains(n.peers.layout.Bridges(), name) {
-			p.reports[backend] = e.Report
+	bridges := n.peers.layout.Bridges()
+	for name, p := range n.peers.byName {
+		if p.connected && !slices.Contains(bridges, name) {
+			p.reports[report.Backend] = report
 		}
 	}
 }
--- /dev/null
+++ b/internal/core/relay_test.go
@@ -0,0 +1,111 @@
+package core_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/ebonydyke/ebonydyke/internal/core/membership"
+)
+
+// entriesText has a service whose backend servers have entries of their own.
+const entriesText = `{
+  "services": [{"name": "engines", "kind": "model", "from_platform": true}],
+  "customers": [{"name": "branch"}],
+}`
+
+// newEntries starts a fleet of instances before a number of engines with entries.
+func newEntries(seed uint64, instances, zones, engines int) *fleet {
+	f := newFleet(seed, instances, zones, entriesText)
+	for i := range engines {
+		f.store.putEntry(fmt.Sprintf("engine-%d", i), engineEntry(i, membership.Live))
+	}
+	f.run(15 * time.Second)
+	return f
+}
+
+func engineEntry(i int, state membership.State) *membership.Instance {
+	return &membership.Instance{
+		Name: fmt.Sprintf("engine-%d", i), Role: membership.Backend, Service: "engines",
+		Zone: fmt.Sprintf("zone-%d", i%3), Address: "127.0.0.1:9", Slots: 64, Incarnation: 1, State: state,
+	}
+}
+
+// usable counts the engines that an instance would use.
+func (m *member) usable() int {
+	status := m.node.Status()
+	if len(status.Services) == 0 {
+		return 0
+	}
+	live := 0
+	for _, b := range status.Services[0].Backends {
+		if b.State == membership.Live {
+			live++
+		}
+	}
+	return live
+}
+
+// heardBy is how long it takes until every instance that counts uses so many engines.
+func (f *fleet) heardBy(t *testing.T, engines int, counts func(*member) bool) time.Duration {
+	t.Helper()
+	for took := time.Duration(0); took < time.Minute; took += 50 * time.Millisecond {
+		all := true
+		for _, m := range f.members {
+			all = all && (m.dead || !counts(m) || m.usable() == engines)
+		}
+		if all {
+			return took
+		}
+		f.run(50 * time.Millisecond)
+	}
+	require.Fail(t, "not heard by all")
+	return 0
+}
+
+func everyone(*member) bool { return true }
+
+// An engine leaves. Two instances a zone follow the store, and all others must stop
+// sending there as soon: within the two seconds that its operators allow, with a call
+// or two for the change and not one an instance.
+func TestAFewFollowTheStoreForAll(t *testing.T) {
+	for _, size := range []struct{ instances, zones, calls int }{{8, 3, 40}, {48, 3, 40}} {
+		t.Run(fmt.Sprint(size.instances), func(t *testing.T) {
+			f := newEntries(1, size.instances, size.zones, 12)
+			require.Zero(t, f.heardBy(t, 12, everyone))
+			before := f.calls["watch-backends"] + f.calls["list-backends"]
+			f.store.putEntry("engine-3", engineEntry(3, membership.Leaving))
+			took := f.heardBy(t, 11, everyone)
+			require.Less(t, took, 500*time.Millisecond)
+			f.store.putEntry("engine-4", nil)
+			require.Less(t, f.heardBy(t, 10, everyone), 500*time.Millisecond)
+			f.run(10 * time.Second)
+			calls := f.calls["watch-backends"] + f.calls["list-backends"] - before
+			t.Logf("%d instances: heard by all after %v; %d calls in ten seconds", size.instances, took, calls)
+			require.Less(t, calls, size.calls)
+		})
+	}
+}
+
+// The followers of one zone are cut off from the store, the others are not. What
+// changes meanwhile must reach the zone by the other zones' followers at once, and by
+// its own other instances when those are cut off as well.
+func TestOthersFollowWhenTheFollowersCannot(t *testing.T) {
+	f := newEntries(2, 8, 2, 12)
+	cut := map[string]bool{"entry-0": true, "entry-1": true, "entry-2": true, "entry-3": true, "entry-4": true}
+	f.cutOff = func(m *member) bool { return cut[m.name] }
+	f.run(4 * time.Second)
+	f.store.putEntry("engine-3", engineEntry(3, membership.Leaving))
+	require.Less(t, f.heardBy(t, 11, everyone), time.Second, "the cut off ones as well, by the others")
+}
+
+// An instance starts anew in a fleet that has run for long, while the store is down:
+// it learns every engine from a peer.
+func TestANewcomerLearnsTheEntriesFromAPeer(t *testing.T) {
+	f := newEntries(3, 8, 2, 100)
+	f.store.down = true
+	f.boot(f.members[0], entriesText)
+	require.Less(t, f.heardBy(t, 100, everyone), 15*time.Second)
+}
--- a/internal/daemon/executor.go
+++ b/internal/daemon/executor.go
@@ -22,6 +22,9 @@
 // Execute hands one effect on without waiting for its end. Lines of the log are
 // written by other goroutines: one whose reader stopped reading would stop the core.
 func (x *executor) Execute(effect core.Effect) {
+	if x.callStore(effect) {
+		return
+	}
 	switch e := effect.(type) {
 	case core.SendAttempt:
 		x.proxy.Deliver(e.Request, e)
@@ -29,22 +32,6 @@
 		x.proxy.Deliver(e.Request, e)
 	case core.Finish:
 		x.proxy.Deliver(e.Request, e)
-	case core.StoreGet:
-		go x.store.get(e)
-	case core.StoreSwap:
-		go x.store.swap(e)
-	case core.StoreWatch:
-		go x.store.watch(e)
-	case core.ListInstances:
-		go x.store.listInstances(e)
-	case core.ListBackends:
-		go x.store.listBackends(e)
-	case core.WatchBackends:
-		go x.store.watchBackends(e)
-	case core.Register:
-		go x.store.register(e)
-	case core.RenewLease:
-		go x.store.renewLease(e)
 	case core.SetPeers:
 		x.links.Set(e.Peers)
 	case core.SendPeer:
@@ -67,6 +54,31 @@
 	}
 }
 
+// callStore begins a call on the store, if the effect is one.
+func (x *executor) callStore(effect core.Effect) bool {
+	switch e := effect.(type) {
+	case core.StoreGet:
+		go x.store.get(e)
+	case core.StoreSwap:
+		go x.store.swap(e)
+	case core.StoreWatch:
+		go x.store.watch(e)
+	case core.ListInstances:
+		go x.store.listInstances(e)
+	case core.ListBackends:
+		go x.store.listBackends(e)
+	case core.WatchBackends:
+		go x.store.watchBackends(e)
+	case core.Register:
+		go x.store.register(e)
+	case core.RenewLease:
+		go x.store.renewLease(e)
+	default:
+		return false
+	}
+	return true
+}
+
 // drained ends the process once the last answer is with its caller. The core
 // knows that answers were read to their end; their last bytes may still be here.
 func (x *executor) drained() {
--- a/internal/peer/codec_test.go
+++ b/internal/peer/codec_test.go
@@ -134,6 +134,9 @@
 	case membership.State:
 		v.SetString(string(membership.Leaving))
 		return
+	case time.Duration:
+		v.Set(reflect.ValueOf(1500 * time.Millisecond))
+		return
 	case membership.Role:
 		v.SetString(string(membership.Entry))
 		return
@@ -149,6 +152,9 @@
 	case reflect.Slice:
 		v.Set(reflect.MakeSlice(v.Type(), 1, 1))
 		fill(t, v.Index(0))
+	case reflect.Pointer:
+		v.Set(reflect.New(v.Type().Elem()))
+		fill(t, v.Elem())
 	case reflect.String:
 		v.SetString("word")
 	case reflect.Bool:
--- a/internal/peer/decode.go
+++ b/internal/peer/decode.go
@@ -145,6 +145,10 @@
 		Full:        hasFlag(in, peerpb.DigestFlag_DIGEST_FLAG_FULL),
 		Resync:      hasFlag(in, peerpb.DigestFlag_DIGEST_FLAG_RESYNC),
 		WantMembers: hasFlag(in, peerpb.DigestFlag_DIGEST_FLAG_WANT_MEMBERS),
+		StoreAge:    time.Duration(in.StoreAge) * time.Millisecond,
+		EntriesUpTo: in.EntriesUpTo,
+		EntriesFrom: in.EntriesFrom,
+		EntriesTo:   in.EntriesTo,
 	}
 	if err := d.allLoads(out, in); err != nil {
 		return nil, err
@@ -158,6 +162,9 @@
 	if err := d.members(out, in); err != nil {
 		return nil, err
 	}
+	if err := d.entries(out, in); err != nil {
+		return nil, err
+	}
 	return out, nil
 }
 
@@ -232,26 +239,53 @@
 
 func (d *Decoder) members(out *core.Digest, in *peerpb.Digest) error {
 	for _, m := range in.Members {
-		name, err := d.name(m.Name)
-		if err != nil {
-			return err
-		}
-		service, err := d.name(m.Service)
+		member, err := d.member(m)
 		if err != nil {
 			return err
 		}
-		zone, err := d.name(m.Zone)
+		out.Members = append(out.Members, member)
+	}
+	return nil
+}
+
+func (d *Decoder) member(m *peerpb.Member) (membership.Instance, error) {
+	name, err := d.name(m.Name)
+	if err != nil {
+		return membership.Instance{}, err
+	}
+	service, err := d.name(m.Service)
+	if err != nil {
+		return membership.Instance{}, err
+	}
+	zone, err := d.name(m.Zone)
+	if err != nil {
+		return membership.Instance{}, err
+	}
+	role := membership.Backend
+	if m.Entry {
+		role = membership.Entry
+	}
+	return membership.Instance{
+		Name: name, Role: role, Service: service, Zone: zone, Address: m.Address,
+		Slots: int(m.Slots), Incarnation: m.Incarnation, State: states[m.State],
+	}, nil
+}
+
+func (d *Decoder) entries(out *core.Digest, in *peerpb.Digest) error {
+	for _, from := range in.Entries {
+		name, err := d.name(from.Name)
 		if err != nil {
 			return err
 		}
-		role := membership.Backend
-		if m.Entry {
-			role = membership.Entry
+		entry := core.BackendEntry{Name: name, Revision: from.Revision, Unreadable: from.Unreadable}
+		if from.Backend != nil {
+			backend, err := d.member(from.Backend)
+			if err != nil {
+				return err
+			}
+			entry.Backend = &backend
 		}
-		out.Members = append(out.Members, membership.Instance{
-			Name: name, Role: role, Service: service, Zone: zone, Address: m.Address,
-			Slots: int(m.Slots), Incarnation: m.Incarnation, State: states[m.State],
-		})
+		out.Entries = append(out.Entries, entry)
 	}
 	return nil
 }
--- a/internal/peer/encode.go
+++ b/internal/peer/encode.go
@@ -150,6 +150,11 @@
 	for _, in := range d.Members {
 		out.Members = append(out.Members, e.member(in))
 	}
+	out.EntriesUpTo, out.EntriesFrom, out.EntriesTo = d.EntriesUpTo, d.EntriesFrom, d.EntriesTo
+	out.StoreAge = uint32(min(d.StoreAge.Milliseconds(), math.MaxUint32))
+	for _, entry := range d.Entries {
+		out.Entries = append(out.Entries, e.entry(entry))
+	}
 	return out
 }
 
@@ -215,6 +220,14 @@
 	}
 }
 
+func (e *Encoder) entry(from core.BackendEntry) *peerpb.Entry {
+	out := &peerpb.Entry{Name: e.id(from.Name), Revision: from.Revision, Unreadable: from.Unreadable}
+	if from.Backend != nil {
+		out.Backend = e.member(*from.Backend)
+	}
+	return out
+}
+
 // configOffer deflates the text: a customers' list repeats itself, and each of a
 // thousand changes a day goes to every instance.
 func configOffer(offer *core.ConfigOffer) (*peerpb.ConfigOffer, error) {
--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -329,7 +329,8 @@
 	out.SetStatusCode(a.resp.StatusCode())
 	a.begun = true
 	if !a.whole {
-		x.server.post(core.AnswerStarted{Request: x.id, Attempt: a.send.Attempt})
+		x.server.post(core.AnswerStarted{Request: x.id, Attempt: a.send.Attempt, Load: a.load})
+		a.load = nil
 	}
 	size := -1
 	if length := a.resp.Header.ContentLength(); length >= 0 && a.events == nil {
