Add a fault soak of real processes; retry the configuration within a second

cmd/ebonysoak runs the daemon as processes before a store and backend servers of its own and strikes them from outside: kills, stops, pauses, hang-ups, a store that is down, silent, busy, slow, loses answers or writes and forgets its history, relays that delay, refuse or go silent, backend servers that crash, leave, fail, cut or mix up answers, configurations in series. Callers keep their connections until the process is gone. In the calm after it every instance must be in step.

What it found: after a series of failed calls the configuration was asked for again only after up to 15 s, where two are allowed; now after at most 1 s.

--- /dev/null
+++ b/cmd/ebonysoak/main.go
@@ -0,0 +1,96 @@
+// Command ebonysoak strikes a fleet of real processes with faults and checks the
+// promises from outside. It ends with 1 if one did not hold.
+package main
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/ebonydyke/ebonydyke/internal/soak"
+)
+
+type cli struct {
+	Seed      uint64        `default:"1" help:"First seed."`
+	Seeds     int           `default:"1" help:"Number of seeds, one soak after the other."`
+	Instances int           `default:"6" help:"Processes of the fleet."`
+	Backends  int           `default:"9" help:"Backend servers."`
+	Callers   int           `default:"24" help:"Callers at once."`
+	Duration  time.Duration `default:"12s" help:"How long faults come."`
+	Logs      string        `default:"out/soak" help:"Folder for the processes' logs."`
+	Binary    string        `help:"The daemon; built from this tree if left out."`
+}
+
+func main() {
+	var c cli
+	kong.Parse(&c, kong.Description("A fault soak of real processes."))
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	broken, err := c.run(ctx)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+	}
+	if err != nil || broken {
+		os.Exit(1)
+	}
+}
+
+func (c *cli) run(ctx context.Context) (broken bool, err error) {
+	binary, err := c.build()
+	if err != nil {
+		return false, err
+	}
+	for seed := c.Seed; seed < c.Seed+uint64(c.Seeds) && ctx.Err() == nil; seed++ {
+		logs := filepath.Join(c.Logs, fmt.Sprint("seed-", seed))
+		if err := os.RemoveAll(logs); err != nil {
+			return broken, err
+		}
+		if err := os.MkdirAll(logs, 0o700); err != nil {
+			return broken, err
+		}
+		result, err := soak.Run(ctx, soak.Options{
+			Binary: binary, Seed: seed, Instances: c.Instances, Backends: c.Backends, Callers: c.Callers,
+			Duration: c.Duration, Logs: logs,
+		})
+		if err != nil {
+			return broken, fmt.Errorf("seed %d: %w", seed, err)
+		}
+		broken = broken || len(result.Violations) > 0
+		print(seed, result)
+	}
+	return broken, nil
+}
+
+func print(seed uint64, r *soak.Result) {
+	fmt.Printf("seed %d: %d promises broken", seed, len(r.Violations))
+	for _, what := range slices.Sorted(maps.Keys(r.Counts)) {
+		fmt.Printf(", %s %d", what, r.Counts[what])
+	}
+	fmt.Println()
+	for _, v := range r.Violations {
+		fmt.Println("  " + v.String())
+	}
+}
+
+func (c *cli) build() (string, error) {
+	if c.Binary != "" {
+		return c.Binary, nil
+	}
+	binary, err := filepath.Abs("bin/ebonydyked")
+	if err != nil {
+		return "", err
+	}
+	out, err := exec.Command("go", "build", "-o", binary, "./cmd/ebonydyked").CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("build: %w\n%s", err, out)
+	}
+	return binary, nil
+}
--- a/internal/core/configs.go
+++ b/internal/core/configs.go
@@ -21,9 +21,11 @@
 	// configReadInterval is how often the others read it to verify what they heard
 	// from peers. It is spread by half to either side.
 	configReadInterval = time.Minute
-	// configRetryDelay and configMaxDelay bound the back-off after failed calls.
-	configRetryDelay = time.Second
-	configMaxDelay   = 15 * time.Second
+	// configRetryDelay and configMaxDelay bound the back-off after failed calls. The
+	// operators count on a text's being in force within two seconds once the store has
+	// been stable for three, so the pause after many failures must lie under that.
+	configRetryDelay = 250 * time.Millisecond
+	configMaxDelay   = time.Second
 	// writeBackDelay is how long a watcher waits before it writes back what the
 	// store has lost, so that most find that another has done it. It is spread.
 	writeBackDelay = time.Second
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -104,6 +104,7 @@
 
 func newLinks(s *settings.Settings, incarnation uint64, l net.Listener, post func(core.Event)) *peer.Links {
 	return peer.New(peer.Config{
+		Fleet:       s.Fleet,
 		Name:        s.Name,
 		Zone:        s.Zone,
 		Incarnation: incarnation,
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -29,9 +29,10 @@
 
 // Reasons why a connection does not become a link.
 var (
-	errWrongPeer = errors.New("peer: another instance answers at this address")
-	errOlder     = errors.New("peer: a later incarnation has a link")
-	errFull      = errors.New("peer: too many links")
+	errWrongPeer  = errors.New("peer: another instance answers at this address")
+	errOtherFleet = errors.New("peer: an instance of another fleet")
+	errOlder      = errors.New("peer: a later incarnation has a link")
+	errFull       = errors.New("peer: too many links")
 )
 
 // link is one connection after both sides said hello.
@@ -76,6 +77,12 @@
 		}
 		return err
 	}
+	if peer.Fleet != l.cfg.Fleet {
+		// An address that another fleet now uses. What its instances say of entries and
+		// configurations has higher numbers by chance, and would be believed for ever.
+		l.stats.stranger()
+		return errOtherFleet
+	}
 	if peer.Name == l.cfg.Name || (name != "" && peer.Name != name) {
 		return errWrongPeer
 	}
@@ -109,7 +116,7 @@
 		return nil, err
 	}
 	frame, err := NewEncoder().hello(&peerpb.Hello{
-		Version: protocolVersion, Name: l.cfg.Name, Zone: l.cfg.Zone, Incarnation: l.cfg.Incarnation,
+		Version: protocolVersion, Name: l.cfg.Name, Zone: l.cfg.Zone, Incarnation: l.cfg.Incarnation, Fleet: l.cfg.Fleet,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -48,6 +48,8 @@
 
 // Config says who this instance is to its peers.
 type Config struct {
+	// Fleet names the fleet; links to instances of another one are refused.
+	Fleet       string
 	Name        string
 	Zone        string
 	Incarnation uint64
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -18,6 +18,9 @@
 type Settings struct {
 	// Name identifies the instance in the fleet; no two running instances may share one.
 	Name string `json:"name"`
+	// Fleet is a name that all instances of a fleet share and no other fleet has;
+	// instances of another one are refused as peers.
+	Fleet string `json:"fleet"`
 	// Zone is the availability zone that the instance stands in.
 	Zone string `json:"zone"`
 	// Region is the region of the zone; it may be left out where there is only one.
--- /dev/null
+++ b/internal/soak/world.go
@@ -0,0 +1,342 @@
+// Package soak runs the real programs as processes before backend servers and a store
+// of its own, and strikes them from outside with whatever may come, while callers go
+// on: connections that are delayed, reset or silent, processes that are killed, paused,
+// stopped and restarted, a store that is away, busy, slow or forgetful, backend servers
+// that fail, leave and come. It checks the promises from what callers and backend
+// servers see, never from what the programs say of themselves.
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/ebonydyke/ebonydyke/test/relay"
+	"github.com/ebonydyke/ebonydyke/test/standin/platform"
+)
+
+// Options say how large a soak is and how long it lasts.
+type Options struct {
+	// Binary is the daemon.
+	Binary string
+	// Seed draws the faults. What the processes make of them differs from run to run.
+	Seed uint64
+	// Instances and Backends are the numbers of processes and of backend servers.
+	Instances, Backends int
+	// Callers is the number of callers at once.
+	Callers int
+	// Duration is how long faults come.
+	Duration time.Duration
+	// Logs is a folder for the processes' logs.
+	Logs string
+}
+
+// Result is what a soak found.
+type Result struct {
+	Violations []Violation
+	Counts     map[string]int
+}
+
+// World is one soak.
+type World struct {
+	options   Options
+	ledger    *ledger
+	store     *platform.Server
+	instances []*instance
+	// versions draws the steps between the versions of the configuration; version is
+	// the next, and keyed are those that were written.
+	versions *rand.Rand
+	version  int
+	// given are the addresses of the instances.
+	given map[string]bool
+	keyed []int
+	// disturbedAt is when the store was last away, slow or cut off from an instance.
+	disturbedAt atomic.Int64
+
+	mu       sync.Mutex
+	backends []*backend
+	born     int
+}
+
+// instance is one process of the fleet.
+type instance struct {
+	world                *World
+	name, zone           string
+	listen, peers, admin string
+	settings             string
+	store                *relay.Relay
+	// disturbedAt is when a fault last struck it, in nanoseconds of the soak.
+	disturbedAt atomic.Int64
+
+	mu      sync.Mutex
+	process *exec.Cmd
+	ended   chan struct{}
+	// starts counts the processes under this name.
+	starts int
+}
+
+// calmSince tells whether nothing has disturbed the way from the store to the
+// instances for so long, and some more: an instance that was cut off may not have heard.
+func (w *World) calmSince(span time.Duration) bool {
+	const settle = 4 * time.Second
+	return w.ledger.elapsed()-time.Duration(w.disturbedAt.Load()) > span+settle
+}
+
+func (i *instance) disturbed() {
+	i.disturbedAt.Store(int64(i.world.ledger.elapsed()))
+	i.world.disturbedAt.Store(int64(i.world.ledger.elapsed()))
+}
+
+// disturbedSince tells whether a fault struck the instance after a time, or shortly
+// before it.
+func (i *instance) disturbedSince(at time.Duration) bool {
+	const settle = 2 * time.Second
+	last := time.Duration(i.disturbedAt.Load())
+	return last > 0 && last > at-settle
+}
+
+// Run runs one soak to its end. Only processes that it started are ended.
+func Run(ctx context.Context, o Options) (*Result, error) {
+	w := &World{
+		options: o, ledger: newLedger(), store: platform.New(),
+		versions: rand.New(rand.NewPCG(o.Seed, 1<<32)), version: 1, given: make(map[string]bool),
+	}
+	if err := w.start(); err != nil {
+		w.stop()
+		return nil, err
+	}
+	defer w.stop()
+	calling, stopCalling := context.WithCancel(ctx)
+	defer stopCalling()
+	var callers sync.WaitGroup
+	for n := range o.Callers {
+		callers.Go(func() { w.caller(calling, n) })
+	}
+	callers.Go(func() { w.probe(calling) })
+	striking, cancel := context.WithTimeout(ctx, o.Duration)
+	defer cancel()
+	w.strike(striking)
+	w.checkAfterwards(ctx)
+	stopCalling()
+	callers.Wait()
+	// What is still on its way may yet run, or break a promise.
+	time.Sleep(time.Second)
+	w.ledger.mu.Lock()
+	defer w.ledger.mu.Unlock()
+	return &Result{Violations: w.ledger.violations, Counts: w.ledger.counts}, nil
+}
+
+func (w *World) start() error {
+	server := httptest.NewServer(w.store)
+	w.configure()
+	for n := range w.options.Backends {
+		if err := w.addBackend(fmt.Sprintf("zone-%d", n%3)); err != nil {
+			return err
+		}
+	}
+	for n := range w.options.Instances {
+		i := &instance{world: w, name: fmt.Sprintf("entry-%d", n), zone: fmt.Sprintf("zone-%d", n%3)}
+		w.instances = append(w.instances, i)
+		if err := i.prepare(strings.TrimPrefix(server.URL, "http://"), w.options.Logs); err != nil {
+			return err
+		}
+		if err := i.start(w.options.Binary); err != nil {
+			return err
+		}
+	}
+	return w.waitReady()
+}
+
+// configure writes the operators' configuration anew: the version rises, and a route
+// and a key beside the steady ones come and go.
+func (w *World) configure() {
+	route := func(name, prefix, kind string, more map[string]any) map[string]any {
+		r := map[string]any{
+			"name": name, "host": "soak.example", "prefix": prefix, "routeKind": kind, "timeoutMs": routeTimeout.Milliseconds(),
+			"latencyGoalMs": 300, "gapGoalMs": 250, "priority": 1, "service": "work", "maxAttempts": 1,
+		}
+		for k, v := range more {
+			r[k] = v
+		}
+		return r
+	}
+	routes := []any{
+		route("once", "/once/", "unsafe", nil),
+		route("safe", "/safe/", "safe", map[string]any{"maxAttempts": 2}),
+		route("stream", "/stream/", "streaming", map[string]any{"maxAttempts": 2, "resumable": true}),
+		route("review", "/review/", "streaming", nil),
+		route(fmt.Sprint("spare-", w.version), fmt.Sprintf("/spare-%d/", w.version), "safe", nil),
+	}
+	text, _ := json.Marshal(map[string]any{
+		"version": w.version, "routes": routes, "services": []any{map[string]any{"name": "work"}},
+		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		"tenants": []any{map[string]any{"name": "t1", "apiKeys": []string{callerKey, fmt.Sprint("key-", w.version)}}},
+	})
+	w.store.Put("op/config", text)
+	w.keyed = append(w.keyed, w.version)
+	w.version += 1 + w.versions.IntN(3)
+}
+
+func (w *World) addBackend(zone string) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.born++
+	b, err := w.newBackend(fmt.Sprintf("i-%d", w.born), zone)
+	if err != nil {
+		return err
+	}
+	w.backends = append(w.backends, b)
+	b.register("ready")
+	return nil
+}
+
+func (i *instance) prepare(storeAddress, logs string) error {
+	var err error
+	if i.store, err = relay.Start(storeAddress); err != nil {
+		return err
+	}
+	for _, a := range []*string{&i.listen, &i.peers, &i.admin} {
+		if *a, err = i.world.freeAddress(); err != nil {
+			return err
+		}
+	}
+	text, _ := json.Marshal(map[string]any{
+		"dialect": "platform", "fleet": fmt.Sprint("soak-", os.Getpid()), "name": i.name, "zone": i.zone, "listen": i.listen, "peer_listen": i.peers, "admin_listen": i.admin,
+		"platform": "http://" + i.store.Address(), "accept_delay": "1s", "stop_grace": "8s",
+		"bounds": map[string]any{"skew_bound": 2, "skew_slack": 3, "retry_share": 0.2, "retry_burst": 50},
+		"limits": map[string]any{"accept_quiet": "100ms", "accept_max": "500ms", "drain_idle": "300ms", "dial_timeout": "200ms"},
+	})
+	i.settings = filepath.Join(logs, i.name+".json")
+	return os.WriteFile(i.settings, text, 0o600)
+}
+
+// The ports of instances lie under the range from which the system takes those of
+// outgoing connections, so that none of these takes one before its instance starts.
+// Each soak draws from a block of its own: ports of killed instances are free for a
+// moment.
+const (
+	lowPort    = 16_000
+	portBlock  = 190
+	portBlocks = 20
+)
+
+// freeAddress draws an address on which nothing listens and that no other instance
+// was given: instances bind theirs only later.
+func (w *World) freeAddress() (string, error) {
+	low := lowPort + os.Getpid()%portBlocks*portBlock
+	for range 1000 {
+		address := fmt.Sprintf("127.0.0.1:%d", low+rand.IntN(portBlock))
+		if w.given[address] {
+			continue
+		}
+		l, err := net.Listen("tcp", address)
+		if err == nil {
+			w.given[address] = true
+			return address, l.Close()
+		}
+	}
+	return "", errors.New("soak: no free port")
+}
+
+// start starts the process, or starts it again.
+func (i *instance) start(binary string) error {
+	log, err := os.OpenFile(i.settings+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = log.Close() }()
+	process := exec.Command(binary, "--settings", i.settings)
+	process.Stdout, process.Stderr = log, log
+	if err := process.Start(); err != nil {
+		return err
+	}
+	ended := make(chan struct{})
+	go func() {
+		_ = process.Wait()
+		close(ended)
+	}()
+	i.mu.Lock()
+	i.process, i.ended = process, ended
+	i.starts++
+	i.mu.Unlock()
+	i.disturbed()
+	return nil
+}
+
+// signal sends a signal to the instance's own process, by the handle it was started
+// with: once it has ended, its number may be another's.
+func (i *instance) signal(s syscall.Signal) {
+	i.mu.Lock()
+	process := i.process
+	i.mu.Unlock()
+	if process == nil {
+		return
+	}
+	if err := process.Process.Signal(s); err != nil && !errors.Is(err, os.ErrProcessDone) {
+		i.world.ledger.count("signal failed")
+	}
+}
+
+// waitEnd waits for the process's end, and kills it after the grace time as the
+// platform does.
+func (i *instance) waitEnd(grace time.Duration) (killed bool) {
+	i.mu.Lock()
+	ended := i.ended
+	i.mu.Unlock()
+	select {
+	case <-ended:
+		return false
+	case <-time.After(grace):
+		i.signal(syscall.SIGKILL)
+		<-ended
+		return true
+	}
+}
+
+// waitReady waits until every instance answers a request.
+func (w *World) waitReady() error {
+	for _, i := range w.instances {
+		ready := false
+		for end := time.Now().Add(15 * time.Second); !ready && time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+			resp, err := http.Get("http://" + i.admin + "/readyz")
+			if err == nil {
+				ready = resp.StatusCode == http.StatusOK
+				_ = resp.Body.Close()
+			}
+		}
+		if !ready {
+			return fmt.Errorf("soak: %s is not ready; its log is %s.log", i.name, i.settings)
+		}
+	}
+	return nil
+}
+
+// stop ends whatever the soak has started.
+func (w *World) stop() {
+	for _, i := range w.instances {
+		i.signal(syscall.SIGCONT)
+		i.signal(syscall.SIGKILL)
+		if i.ended != nil {
+			<-i.ended
+		}
+		if i.store != nil {
+			i.store.Close()
+		}
+	}
+	for _, b := range w.backends {
+		b.end()
+	}
+}
