--- a/cmd/ebonysoak/main.go
+++ b/cmd/ebonysoak/main.go
@@ -33,8 +33,8 @@
 	var c cli
 	kong.Parse(&c, kong.Description("A fault soak of real processes."))
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
-	defer stop()
 	broken, err := c.run(ctx)
+	stop()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 	}
--- a/internal/core/fleet_test.go
+++ b/internal/core/fleet_test.go
@@ -3,9 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
-	"maps"
 	"math/rand/v2"
-	"slices"
 	"strings"
 	"time"
 
@@ -477,61 +475,3 @@
 	v.waiters = append(v.waiters, func() { answer(core.StoreOK) })
 	f.after(30*time.Second, func() { answer(core.StoreUnchanged) })
 }
-
-// putEntry changes a backend server's entry; without one it is removed.
-func (s *fakeStore) putEntry(name string, in *membership.Instance) {
-	s.entries = append(s.entries, core.BackendEntry{Name: name, Revision: uint64(len(s.entries) + 1), Backend: in})
-	watchers := s.watchers
-	s.watchers = nil
-	for _, w := range watchers {
-		w()
-	}
-}
-
-func (s *fakeStore) listBackends(m *member, e core.ListBackends) {
-	if s.away(m) {
-		s.fleet.reply(m, storeTimeout, core.BackendsRead{Op: e.Op, Status: core.StoreFailed})
-		return
-	}
-	newest := make(map[string]core.BackendEntry)
-	for _, entry := range s.entries {
-		newest[entry.Name] = entry
-	}
-	read := core.BackendsRead{Op: e.Op, Status: core.StoreOK, Revision: uint64(len(s.entries))}
-	for _, name := range slices.Sorted(maps.Keys(newest)) {
-		if newest[name].Backend != nil {
-			read.Entries = append(read.Entries, newest[name])
-		}
-	}
-	s.fleet.reply(m, s.latency(), read)
-}
-
-func (s *fakeStore) watchBackends(m *member, e core.WatchBackends) {
-	if s.away(m) {
-		s.fleet.reply(m, storeTimeout, core.BackendsRead{Op: e.Op, Status: core.StoreFailed})
-		return
-	}
-	done := false
-	answer := func() {
-		if done {
-			return
-		}
-		done = true
-		read := core.BackendsRead{Op: e.Op, Status: core.StoreOK, Revision: uint64(len(s.entries))}
-		for _, entry := range s.entries {
-			if entry.Revision > e.After {
-				read.Entries = append(read.Entries, entry)
-			}
-		}
-		if s.away(m) {
-			read = core.BackendsRead{Op: e.Op, Status: core.StoreUnknown}
-		}
-		s.fleet.reply(m, s.latency(), read)
-	}
-	if e.After < uint64(len(s.entries)) {
-		answer()
-		return
-	}
-	s.watchers = append(s.watchers, answer)
-	s.fleet.after(3*time.Second, answer)
-}
--- a/internal/core/load/load.go
+++ b/internal/core/load/load.go
@@ -181,6 +181,11 @@
 	b.peak.add(b.known(), now)
 	b.peers += float64(inFlight-old) * p.weight
 	b.peak.add(b.known(), now)
+	if inFlight > old {
+		// A report that came before this digest counted these requests as unseen. Both
+		// would count them until the next report, for seconds at a quiet server.
+		b.unseen = max(0, b.unseen-float64(inFlight-old)*p.weight)
+	}
 	if inFlight == 0 {
 		delete(p.loads, c.Backend)
 	} else {
--- a/internal/core/load/load_test.go
+++ b/internal/core/load/load_test.go
@@ -164,3 +164,20 @@
 	}
 	return list
 }()
+
+// Two instances send to one engine at the same moment. The answer's head tells the
+// first that the engine has two; half a second later the second one's digest tells of
+// the same request. Counted twice, the engine would look fuller than it is, and the
+// next turn of its chats would go elsewhere.
+func TestAReportAndALaterDigestCountOnce(t *testing.T) {
+	tracker := load.NewTracker()
+	now := time.Unix(1_800_000_000, 0)
+	tracker.Sent("engine", now)
+	tracker.Report(membership.Report{Backend: "engine", InFlight: 2, At: now.Add(20 * time.Millisecond)}, now.Add(20*time.Millisecond))
+	require.InDelta(t, 2, tracker.Estimate("engine"), 0)
+	tracker.Digest("entry-2", now.Add(500*time.Millisecond), true, []load.Count{{Backend: "engine", InFlight: 1}}, now.Add(500*time.Millisecond))
+	require.InDelta(t, 2, tracker.Estimate("engine"), 0)
+	tracker.Digest("entry-2", now.Add(time.Second), false, []load.Count{{Backend: "engine", InFlight: 0}}, now.Add(time.Second))
+	tracker.Ended("engine", now.Add(time.Second))
+	require.Zero(t, tracker.Estimate("engine"))
+}
--- a/internal/core/relay_test.go
+++ b/internal/core/relay_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/ebonydyke/ebonydyke/internal/core"
 	"github.com/ebonydyke/ebonydyke/internal/core/membership"
 )
 
@@ -109,3 +112,61 @@
 	f.boot(f.members[0], entriesText)
 	require.Less(t, f.heardBy(t, 100, everyone), 15*time.Second)
 }
+
+// putEntry changes a backend server's entry; without one it is removed.
+func (s *fakeStore) putEntry(name string, in *membership.Instance) {
+	s.entries = append(s.entries, core.BackendEntry{Name: name, Revision: uint64(len(s.entries) + 1), Backend: in})
+	watchers := s.watchers
+	s.watchers = nil
+	for _, w := range watchers {
+		w()
+	}
+}
+
+func (s *fakeStore) listBackends(m *member, e core.ListBackends) {
+	if s.away(m) {
+		s.fleet.reply(m, storeTimeout, core.BackendsRead{Op: e.Op, Status: core.StoreFailed})
+		return
+	}
+	newest := make(map[string]core.BackendEntry)
+	for _, entry := range s.entries {
+		newest[entry.Name] = entry
+	}
+	read := core.BackendsRead{Op: e.Op, Status: core.StoreOK, Revision: uint64(len(s.entries))}
+	for _, name := range slices.Sorted(maps.Keys(newest)) {
+		if newest[name].Backend != nil {
+			read.Entries = append(read.Entries, newest[name])
+		}
+	}
+	s.fleet.reply(m, s.latency(), read)
+}
+
+func (s *fakeStore) watchBackends(m *member, e core.WatchBackends) {
+	if s.away(m) {
+		s.fleet.reply(m, storeTimeout, core.BackendsRead{Op: e.Op, Status: core.StoreFailed})
+		return
+	}
+	done := false
+	answer := func() {
+		if done {
+			return
+		}
+		done = true
+		read := core.BackendsRead{Op: e.Op, Status: core.StoreOK, Revision: uint64(len(s.entries))}
+		for _, entry := range s.entries {
+			if entry.Revision > e.After {
+				read.Entries = append(read.Entries, entry)
+			}
+		}
+		if s.away(m) {
+			read = core.BackendsRead{Op: e.Op, Status: core.StoreUnknown}
+		}
+		s.fleet.reply(m, s.latency(), read)
+	}
+	if e.After < uint64(len(s.entries)) {
+		answer()
+		return
+	}
+	s.watchers = append(s.watchers, answer)
+	s.fleet.after(3*time.Second, answer)
+}
