Reset abandoned connections, so that a healed cut delivers nothing late

The way to the server was cut without a sign; giving an attempt up closed its connection in order, so the kernel kept the request's bytes and delivered them when the cut healed. An abandoned connection is now reset.

--- a/internal/proxy/transport.go
+++ b/internal/proxy/transport.go
@@ -44,6 +44,18 @@
 	return n, err
 }
 
+// reset closes the connection and drops what the other side has not received.
+//
+// An orderly close leaves the bytes of an abandoned request with the kernel, which
+// delivers them once a cut on the way heals: the backend server then begins to work
+// for a caller who left long ago, or runs what was refused. A reset takes them back.
+func (c *backendConn) reset() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Conn.Close()
+}
+
 // reusable tells whether an idle connection is open and silent.
 //
 // A backend server may close a kept connection at any time, and a late answer to
@@ -120,7 +132,7 @@
 	defer c.mu.Unlock()
 	c.cancelled = true
 	if c.conn != nil {
-		_ = c.conn.Close()
+		c.conn.reset()
 	}
 }
 
@@ -288,7 +300,11 @@
 	if c.give == nil {
 		return
 	}
+	conn := c.conn
 	intact := c.detach()
+	if !whole {
+		conn.reset()
+	}
 	reuse := whole && intact && !c.once && c.framed() && c.in != nil && c.in.Buffered() == 0 &&
 		c.resp != nil && !c.resp.ConnectionClose()
 	if c.resp != nil {
