--- a/internal/proxy/transport.go
+++ b/internal/proxy/transport.go
@@ -53,7 +53,7 @@
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
 	}
-	_ = c.Conn.Close()
+	_ = c.Close()
 }
 
 // reusable tells whether an idle connection is open and silent.
--- a/test/run.sh
+++ b/test/run.sh
@@ -32,7 +32,7 @@
 port() { echo "127.0.0.1:$((first + $1))"; }
 platform=$(port 0) engine_a=$(port 1) engine_b=$(port 2) portal=$(port 3)
 
-start() { "$@" 2>>"$work/log" & pids+=($!); }
+start() { "$@" >>"$work/log" 2>&1 & pids+=($!); }
 settings() { # number listen peer_listen admin_listen
   cat >"$work/entry-$1.json" <<JSON
 {
