Keep the platform's words in platform/, the stand-in's too

Cause: the stand-in for the platform lay under test/, so the soak and the fleet harness spelled header and key names themselves, a second copy of what platform/ decodes.

The stand-in is platform/standin now; what a backend server, a caller and the operator of a deployment say to the platform are functions there, and the soak and the tests call them. No product code changes.

--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"encoding/json"
 	"fmt"
 	"hash/fnv"
 	"math/rand/v2"
@@ -13,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/ebonydyke/ebonydyke/platform/standin"
 	"github.com/ebonydyke/ebonydyke/test/relay"
 )
 
@@ -53,7 +53,7 @@
 	world  *World
 	name   string
 	zone   string
-	born   int64
+	born   time.Time
 	server *http.Server
 	relay  *relay.Relay
 
@@ -76,7 +76,7 @@
 		return nil, err
 	}
 	b := &backend{
-		world: w, name: name, zone: zone, relay: r, born: time.Now().UnixMilli(),
+		world: w, name: name, zone: zone, relay: r, born: time.Now(),
 		random: rand.New(rand.NewPCG(w.options.Seed, uint64(len(name)))),
 	}
 	b.server = &http.Server{Handler: b, IdleTimeout: 3 * time.Second}
@@ -85,12 +85,11 @@
 }
 
 // register writes the backend server's own entry.
-func (b *backend) register(state string) {
-	entry, _ := json.Marshal(map[string]any{
-		"service": "work", "address": b.relay.Address(), "zone": b.zone, "version": "v1", "slots": backendSlots,
-		"state": state, "coldRemainingMs": 0, "sequence": 1, "born": b.born,
+func (b *backend) register(leaving bool) {
+	b.world.store.Register(standin.Backend{
+		Name: b.name, Service: "work", Zone: b.zone, Address: b.relay.Address(), Slots: backendSlots,
+		Leaving: leaving, Born: b.born,
 	})
-	b.world.store.Put("servers/"+b.name, entry)
 }
 
 // end stops the backend server at once, as a crash does.
@@ -107,41 +106,39 @@
 
 // ServeHTTP answers one request as the platform's backend servers do.
 func (b *backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	id := r.Header.Get("Attempt-Id")
-	if r.Header.Get("Expect-Instance") != b.name {
-		w.Header().Set("Instance-Id", b.name)
-		w.WriteHeader(http.StatusMisdirectedRequest)
+	attempt := standin.ReadAttempt(r)
+	if attempt.Expected != b.name {
+		standin.Misdirected(w, b.name)
 		return
 	}
-	b.checkArrival(id, r)
-	w.Header().Set("Attempt-Id", id)
-	w.Header().Set("Server-Load", fmt.Sprintf("%d,0,%d", b.running.Load(), backendSlots))
+	b.checkArrival(attempt)
+	standin.WriteID(w, attempt.ID)
+	standin.WriteLoad(w, int(b.running.Load()), backendSlots)
 	if b.running.Add(1) > 2*backendSlots {
 		b.running.Add(-1)
-		w.Header().Set("Not-Executed", "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
+		standin.NotStarted(w)
 		return
 	}
 	defer b.running.Add(-1)
 	kind, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
-	b.world.ledger.ran(id, kind == kindOnce || kind == kindReview)
-	w.Header().Set("Server-Seal", sealOf(id))
-	b.work(w, r, id, kind)
+	b.world.ledger.ran(attempt.ID, kind == kindOnce || kind == kindReview)
+	standin.WriteSeal(w, sealOf(attempt.ID))
+	b.work(w, r, attempt, kind)
 }
 
 // checkArrival checks what holds of every request that reaches a backend server.
-func (b *backend) checkArrival(id string, r *http.Request) {
+func (b *backend) checkArrival(attempt standin.Attempt) {
 	l := b.world.ledger
-	if r.Header.Get("Authorization") != "" || r.Header.Get("Tenant") == "" {
-		l.broken("the key is not passed on", id, "at "+b.name)
+	if attempt.Key != "" || attempt.Customer == "" {
+		l.broken("the key is not passed on", attempt.ID, "at "+b.name)
 	}
 	left := time.Duration(b.leftAt.Load())
 	if left > 0 && l.elapsed() > left+drainBound && b.world.calmSince(l.elapsed()-left) {
-		l.broken("a leaver gets no new work", id, fmt.Sprintf("%s, %v after", b.name, l.elapsed()-left))
+		l.broken("a leaver gets no new work", attempt.ID, fmt.Sprintf("%s, %v after", b.name, l.elapsed()-left))
 	}
 }
 
-func (b *backend) work(w http.ResponseWriter, r *http.Request, id, kind string) {
+func (b *backend) work(w http.ResponseWriter, r *http.Request, attempt standin.Attempt, kind string) {
 	switch sickness(b.sick.Load()) {
 	case failing:
 		if b.chance(0.5) {
@@ -150,7 +147,7 @@
 		}
 	case foreign:
 		if b.chance(0.2) {
-			w.Header().Set("Attempt-Id", "another-request")
+			standin.WriteID(w, "another-request")
 			_, _ = fmt.Fprint(w, bodyOf("another-request"))
 			return
 		}
@@ -162,11 +159,11 @@
 		panic(http.ErrAbortHandler)
 	}
 	if kind == kindStream || kind == kindReview {
-		b.stream(w, r, id)
+		b.stream(w, r, attempt)
 		return
 	}
 	time.Sleep(10 * time.Millisecond)
-	body := bodyOf(id)
+	body := bodyOf(attempt.ID)
 	if sickness(b.sick.Load()) == cutting && b.chance(0.5) {
 		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 		_, _ = fmt.Fprint(w, body[:len(body)/2])
@@ -175,9 +172,10 @@
 	_, _ = fmt.Fprint(w, body)
 }
 
-func (b *backend) stream(w http.ResponseWriter, r *http.Request, id string) {
+func (b *backend) stream(w http.ResponseWriter, r *http.Request, attempt standin.Attempt) {
+	id := attempt.ID
 	w.Header().Set("Content-Type", "text/event-stream")
-	first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	first, _ := strconv.Atoi(attempt.ResumeAfter)
 	for i := first + 1; i <= eventsOf(id); i++ {
 		if sickness(b.sick.Load()) == cutting && b.chance(0.1) {
 			_, _ = fmt.Fprintf(w, "id: %d\nda", i)
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -11,6 +11,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/ebonydyke/ebonydyke/platform/standin"
 )
 
 const (
@@ -21,6 +23,7 @@
 	routeTimeout = 4 * time.Second
 	heldSlack    = time.Second
 	callerKey    = "key-steady"
+	host         = "soak.example"
 )
 
 var kinds = []string{kindOnce, kindSafe, kindStream, kindReview}
@@ -47,16 +50,12 @@
 func (w *World) call(ctx context.Context, client *http.Client, i *instance, kind, id string) {
 	ctx, cancel := context.WithTimeout(ctx, callerTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+i.listen+"/"+kind+"/x", strings.NewReader(id))
+	req, err := standin.NewRequest(ctx, standin.Call{
+		Address: i.listen, Host: host, Path: "/" + kind + "/x", ID: id, Key: callerKey, Wait: callerTimeout,
+	})
 	if err != nil {
 		return
 	}
-	req.Host = "soak.example"
-	// The standard client sends a request again by itself if it may; these must not be.
-	req.GetBody = nil
-	req.Header.Set("Attempt-Id", id)
-	req.Header.Set("Authorization", "Bearer "+callerKey)
-	req.Header.Set("Deadline-Ms", strconv.FormatInt(callerTimeout.Milliseconds(), 10))
 	begun := w.ledger.elapsed()
 	resp, err := client.Do(req)
 	w.checkHeld(i, id, begun, err)
@@ -93,8 +92,8 @@
 // checkSuccess checks that a success is the whole answer to this very request. One
 // that breaks off visibly is none.
 func (w *World) checkSuccess(kind, id string, resp *http.Response) {
-	if resp.Header.Get("Server-Seal") != sealOf(id) {
-		w.ledger.broken("the own answer", id, "another seal")
+	if standin.SealOf(resp) != sealOf(id) {
+		w.ledger.broken("the own answer", id, "another server's mark")
 		return
 	}
 	if kind == kindStream || kind == kindReview {
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"github.com/ebonydyke/ebonydyke/internal/core/config"
+	"github.com/ebonydyke/ebonydyke/platform/standin"
 	"github.com/ebonydyke/ebonydyke/test/relay"
-	"github.com/ebonydyke/ebonydyke/test/standin/platform"
 )
 
 const (
@@ -118,14 +118,14 @@
 
 // storeFault is one of the store's faults for a while.
 func (w *World) storeFault(b blow) {
-	faults := []platform.Faults{
+	faults := []standin.Faults{
 		{Down: true}, {Silent: true}, {Busy: true}, {Busy: true, Many: true},
 		{Delay: config.Duration(300 * time.Millisecond)}, {LoseAnswers: 5}, {LoseWrites: 5},
 	}
 	w.disturbedAt.Store(int64(w.ledger.elapsed()))
 	w.store.SetFaults(faults[b.random.IntN(len(faults))])
 	time.Sleep(b.length)
-	w.store.SetFaults(platform.Faults{})
+	w.store.SetFaults(standin.Faults{})
 	w.disturbedAt.Store(int64(w.ledger.elapsed()))
 }
 
@@ -171,7 +171,7 @@
 	server.leftAt.Store(-1)
 	server.end()
 	time.Sleep(b.length)
-	w.store.Delete("servers/" + server.name)
+	w.store.Unregister(server.name)
 	w.replace(server)
 }
 
@@ -181,10 +181,10 @@
 	if server == nil {
 		return
 	}
-	server.register("draining")
+	server.register(true)
 	server.leftAt.Store(int64(w.ledger.elapsed()))
 	time.Sleep(drainServe)
-	w.store.Delete("servers/" + server.name)
+	w.store.Unregister(server.name)
 	server.end()
 	w.replace(server)
 }
--- a/internal/soak/probe.go
+++ b/internal/soak/probe.go
@@ -4,13 +4,16 @@
 	"context"
 	"fmt"
 	"net/http"
-	"strings"
 	"time"
+
+	"github.com/ebonydyke/ebonydyke/platform/standin"
 )
 
 const (
 	// probeInterval is how often some instance is asked which configuration it follows.
 	probeInterval = 50 * time.Millisecond
+	// probeTimeout is how long a probe says that it waits: half of its route's time.
+	probeTimeout = routeTimeout / 2
 	// settleTime is how long the world is left alone before it is checked in calm, and
 	// applyBound how long a configuration may then take to be in force.
 	settleTime = 5 * time.Second
@@ -73,14 +76,12 @@
 // follows asks an instance with the key of one version and returns the status, 0 if
 // there was no answer.
 func (w *World) follows(ctx context.Context, client *http.Client, i *instance, version int, id string) int {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+i.listen+"/safe/x", strings.NewReader(id))
+	req, err := standin.NewRequest(ctx, standin.Call{
+		Address: i.listen, Host: host, Path: "/" + kindSafe + "/x", ID: id, Key: fmt.Sprint("key-", version), Wait: probeTimeout,
+	})
 	if err != nil {
 		return 0
 	}
-	req.Host = "soak.example"
-	req.Header.Set("Attempt-Id", id)
-	req.Header.Set("Authorization", fmt.Sprint("Bearer key-", version))
-	req.Header.Set("Deadline-Ms", "2000")
 	resp, err := client.Do(req)
 	if err != nil {
 		return 0
@@ -124,7 +125,7 @@
 	defer w.mu.Unlock()
 	for _, b := range w.backends {
 		if b.leftAt.Load() == 0 {
-			b.register("draining")
+			b.register(true)
 			b.leftAt.Store(int64(w.ledger.elapsed()))
 			return
 		}
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -24,8 +24,8 @@
 	"syscall"
 	"time"
 
+	"github.com/ebonydyke/ebonydyke/platform/standin"
 	"github.com/ebonydyke/ebonydyke/test/relay"
-	"github.com/ebonydyke/ebonydyke/test/standin/platform"
 )
 
 // Options say how large a soak is and how long it lasts.
@@ -54,7 +54,7 @@
 type World struct {
 	options   Options
 	ledger    *ledger
-	store     *platform.Server
+	store     *standin.Server
 	instances []*instance
 	// versions draws the steps between the versions of the configuration; version is
 	// the next, and keyed are those that were written.
@@ -111,7 +111,7 @@
 // Run runs one soak to its end. Only processes that it started are ended.
 func Run(ctx context.Context, o Options) (*Result, error) {
 	w := &World{
-		options: o, ledger: newLedger(), store: platform.New(),
+		options: o, ledger: newLedger(), store: standin.New(),
 		versions: rand.New(rand.NewPCG(o.Seed, 1<<32)), version: 1, given: make(map[string]bool),
 	}
 	if err := w.start(); err != nil {
@@ -163,29 +163,23 @@
 // configure writes the operators' configuration anew: the version rises, and a route
 // and a key beside the steady ones come and go.
 func (w *World) configure() {
-	route := func(name, prefix, kind string, more map[string]any) map[string]any {
-		r := map[string]any{
-			"name": name, "host": "soak.example", "prefix": prefix, "routeKind": kind, "timeoutMs": routeTimeout.Milliseconds(),
-			"latencyGoalMs": 300, "gapGoalMs": 250, "priority": 1, "service": "work", "maxAttempts": 1,
+	route := func(name, kind string, runs int, resumable bool) standin.Route {
+		return standin.Route{
+			Name: name, Host: host, Prefix: "/" + name + "/", Service: "work", Kind: kind,
+			MaxRuns: runs, Resumable: resumable, Timeout: routeTimeout,
 		}
-		for k, v := range more {
-			r[k] = v
-		}
-		return r
-	}
-	routes := []any{
-		route("once", "/once/", "unsafe", nil),
-		route("safe", "/safe/", "safe", map[string]any{"maxAttempts": 2}),
-		route("stream", "/stream/", "streaming", map[string]any{"maxAttempts": 2, "resumable": true}),
-		route("review", "/review/", "streaming", nil),
-		route(fmt.Sprint("spare-", w.version), fmt.Sprintf("/spare-%d/", w.version), "safe", nil),
 	}
-	text, _ := json.Marshal(map[string]any{
-		"version": w.version, "routes": routes, "services": []any{map[string]any{"name": "work"}},
-		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"tenants": []any{map[string]any{"name": "t1", "apiKeys": []string{callerKey, fmt.Sprint("key-", w.version)}}},
+	w.store.Configure(standin.Config{
+		Version: w.version, Services: []string{"work"}, Customer: "t1",
+		Keys: []string{callerKey, fmt.Sprint("key-", w.version)},
+		Routes: []standin.Route{
+			route(kindOnce, standin.Once, 1, false),
+			route(kindSafe, standin.Repeatable, 2, false),
+			route(kindStream, standin.Stream, 2, true),
+			route(kindReview, standin.Stream, 1, false),
+			route(fmt.Sprint("spare-", w.version), standin.Repeatable, 1, false),
+		},
 	})
-	w.store.Put("op/config", text)
 	w.keyed = append(w.keyed, w.version)
 	w.version += 1 + w.versions.IntN(3)
 }
@@ -199,7 +193,7 @@
 		return err
 	}
 	w.backends = append(w.backends, b)
-	b.register("ready")
+	b.register(false)
 	return nil
 }
 
--- a/test/fleet/harness_test.go
+++ b/test/fleet/harness_test.go
@@ -27,8 +27,8 @@
 	"github.com/ebonydyke/ebonydyke/internal/core"
 	"github.com/ebonydyke/ebonydyke/internal/core/config"
 	"github.com/ebonydyke/ebonydyke/internal/core/membership"
+	"github.com/ebonydyke/ebonydyke/platform/standin"
 	"github.com/ebonydyke/ebonydyke/test/relay"
-	"github.com/ebonydyke/ebonydyke/test/standin/platform"
 )
 
 const (
@@ -112,7 +112,7 @@
 // fleet is a platform, backend servers and instances in availability zones.
 type fleet struct {
 	t         *testing.T
-	platform  *platform.Server
+	platform  *standin.Server
 	runs      *runs
 	instances []*instance
 	// store holds the relay by which each zone reaches the platform.
@@ -127,7 +127,7 @@
 // after delay.
 func startFleet(t *testing.T, zones []string, each int, delay time.Duration) *fleet {
 	f := &fleet{
-		t: t, platform: platform.New(), runs: &runs{of: make(map[string]int)},
+		t: t, platform: standin.New(), runs: &runs{of: make(map[string]int)},
 		store: make(map[string]*relay.Relay), links: make(map[string]map[string]*relay.Relay),
 		callerTimeout: patience,
 	}
@@ -197,12 +197,8 @@
 			f.links[zone][i.name] = newRelay(f.t, i.peers)
 		}
 	}
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path == "/kv-range" && r.FormValue("prefix") == instancePrefix {
-			f.list(w, zone)
-			return
-		}
-		f.platform.ServeHTTP(w, r)
+	server := httptest.NewServer(standin.ReplaceRange(f.platform, instancePrefix, func() map[string][]byte {
+		return f.entries(zone)
 	}))
 	f.t.Cleanup(func() {
 		server.CloseClientConnections()
@@ -211,12 +207,9 @@
 	f.store[zone] = newRelay(f.t, strings.TrimPrefix(server.URL, "http://"))
 }
 
-func (f *fleet) list(w http.ResponseWriter, zone string) {
-	type item struct {
-		Key   string `json:"key"`
-		Value []byte `json:"value"`
-	}
-	var items []item
+// entries are the instances' entries as a zone sees them.
+func (f *fleet) entries(zone string) map[string][]byte {
+	entries := make(map[string][]byte)
 	for _, i := range f.instances {
 		address := i.peers
 		if r := f.links[zone][i.name]; r != nil {
@@ -227,9 +220,9 @@
 			Incarnation: 1, State: membership.Live,
 		})
 		require.NoError(f.t, err)
-		items = append(items, item{Key: instancePrefix + i.name, Value: value})
+		entries[instancePrefix+i.name] = value
 	}
-	_ = json.NewEncoder(w).Encode(map[string]any{"items": items, "hasMore": false, "storeRevision": 1})
+	return entries
 }
 
 // text declares a plain service with one backend server a zone.
--- a/test/standin/main.go
+++ b/test/standin/main.go
@@ -8,9 +8,9 @@
 
 	"github.com/alecthomas/kong"
 
+	platform "github.com/ebonydyke/ebonydyke/platform/standin"
 	"github.com/ebonydyke/ebonydyke/test/standin/engine"
 	"github.com/ebonydyke/ebonydyke/test/standin/plain"
-	"github.com/ebonydyke/ebonydyke/test/standin/platform"
 )
 
 type cli struct {
