One process per soak instance; stand-ins that end by an ignored interrupt

Cause: two faults on one instance (a kill inside a planned stop's wait) each started it again. The first of the two processes was nobody's: no later fault struck it, it outlived the soak and kept calling its dead store's address, by then another soak's. Second cause, found on the way: a shell's background hands on an ignored interrupt, the sessions end their stand-ins by an interrupt, and three copies of the sessions' test run that way hung without end.

Ruled out: a signal to a process by a number already another's (handles are used).

--- a/cmd/ebonysoak/main.go
+++ b/cmd/ebonysoak/main.go
@@ -11,6 +11,7 @@
 	"os/signal"
 	"path/filepath"
 	"slices"
+	"syscall"
 	"time"
 
 	"github.com/alecthomas/kong"
@@ -32,7 +33,7 @@
 func main() {
 	var c cli
 	kong.Parse(&c, kong.Description("A fault soak of real processes."))
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	broken, err := c.run(ctx)
 	stop()
 	if err != nil {
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -81,14 +81,15 @@
 func (w *World) killInstance(b blow) {
 	i := w.anyInstance(b)
 	i.disturbed()
-	i.signal(syscall.SIGKILL)
-	i.waitEnd(grace)
+	struck := i.running()
+	struck.signal(w.ledger, syscall.SIGKILL)
+	<-struck.ended
 	time.Sleep(b.length / 4)
-	w.restart(i)
+	w.restart(i, struck)
 }
 
-func (w *World) restart(i *instance) {
-	if err := i.start(w.options.Binary); err != nil {
+func (w *World) restart(i *instance, ended *process) {
+	if err := i.start(w.options.Binary, ended); err != nil {
 		w.ledger.broken("a process starts again", i.name, err.Error())
 	}
 }
@@ -97,24 +98,28 @@
 func (w *World) stopInstance(b blow) {
 	i := w.anyInstance(b)
 	i.disturbed()
-	i.signal(syscall.SIGCONT)
-	i.signal(syscall.SIGTERM)
-	if i.waitEnd(grace) && !i.disturbedSince(w.ledger.elapsed()-grace/2) {
+	struck := i.running()
+	struck.signal(w.ledger, syscall.SIGCONT)
+	struck.signal(w.ledger, syscall.SIGTERM)
+	if struck.waitEnd(w.ledger, grace) && !i.disturbedSince(w.ledger.elapsed()-grace/2) {
 		w.ledger.broken("a planned stop ends in time", i.name, "killed after the grace time")
 	}
-	w.restart(i)
+	w.restart(i, struck)
 }
 
 func (w *World) pauseInstance(b blow) {
 	i := w.anyInstance(b)
 	i.disturbed()
-	i.signal(syscall.SIGSTOP)
+	struck := i.running()
+	struck.signal(w.ledger, syscall.SIGSTOP)
 	time.Sleep(b.length)
-	i.signal(syscall.SIGCONT)
+	struck.signal(w.ledger, syscall.SIGCONT)
 	i.disturbed()
 }
 
-func (w *World) reloadInstance(b blow) { w.anyInstance(b).signal(syscall.SIGHUP) }
+func (w *World) reloadInstance(b blow) {
+	w.anyInstance(b).running().signal(w.ledger, syscall.SIGHUP)
+}
 
 // storeFault is one of the store's faults for a while.
 func (w *World) storeFault(b blow) {
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -82,12 +82,17 @@
 	disturbedAt atomic.Int64
 
 	mu      sync.Mutex
-	process *exec.Cmd
-	ended   chan struct{}
+	current *process
 	// starts counts the processes under this name.
 	starts int
 }
 
+// process is one process of an instance; ended is closed at its end.
+type process struct {
+	handle *os.Process
+	ended  chan struct{}
+}
+
 // calmSince tells whether nothing has disturbed the way from the store to the
 // instances for so long, and some more: an instance that was cut off may not have heard.
 func (w *World) calmSince(span time.Duration) bool {
@@ -153,7 +158,7 @@
 		if err := i.prepare(strings.TrimPrefix(server.URL, "http://"), w.options.Logs); err != nil {
 			return err
 		}
-		if err := i.start(w.options.Binary); err != nil {
+		if err := i.start(w.options.Binary, nil); err != nil {
 			return err
 		}
 	}
@@ -245,57 +250,60 @@
 	return "", errors.New("soak: no free port")
 }
 
-// start starts the process, or starts it again.
-func (i *instance) start(binary string) error {
+// start starts a process in place of one that has ended, nil for the first. Where two
+// faults ended the same process, the first to come has replaced it: a second one would
+// make the first nobody's, out of reach of later faults and of the soak's end.
+func (i *instance) start(binary string, ended *process) error {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.current != ended {
+		return nil
+	}
 	log, err := os.OpenFile(i.settings+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
 	defer func() { _ = log.Close() }()
-	process := exec.Command(binary, "--settings", i.settings)
-	process.Stdout, process.Stderr = log, log
-	if err := process.Start(); err != nil {
+	command := exec.Command(binary, "--settings", i.settings)
+	command.Stdout, command.Stderr = log, log
+	if err := command.Start(); err != nil {
 		return err
 	}
-	ended := make(chan struct{})
+	started := &process{handle: command.Process, ended: make(chan struct{})}
 	go func() {
-		_ = process.Wait()
-		close(ended)
+		_ = command.Wait()
+		close(started.ended)
 	}()
-	i.mu.Lock()
-	i.process, i.ended = process, ended
+	i.current = started
 	i.starts++
-	i.mu.Unlock()
 	i.disturbed()
 	return nil
 }
 
-// signal sends a signal to the instance's own process, by the handle it was started
-// with: once it has ended, its number may be another's.
-func (i *instance) signal(s syscall.Signal) {
+// running is the instance's present process, which may have ended.
+func (i *instance) running() *process {
 	i.mu.Lock()
-	process := i.process
-	i.mu.Unlock()
-	if process == nil {
-		return
-	}
-	if err := process.Process.Signal(s); err != nil && !errors.Is(err, os.ErrProcessDone) {
-		i.world.ledger.count("signal failed")
+	defer i.mu.Unlock()
+	return i.current
+}
+
+// signal sends a signal by the handle that the process was started with: once it has
+// ended, its number may be another's.
+func (p *process) signal(l *ledger, s syscall.Signal) {
+	if err := p.handle.Signal(s); err != nil && !errors.Is(err, os.ErrProcessDone) {
+		l.count("signal failed")
 	}
 }
 
 // waitEnd waits for the process's end, and kills it after the grace time as the
 // platform does.
-func (i *instance) waitEnd(grace time.Duration) (killed bool) {
-	i.mu.Lock()
-	ended := i.ended
-	i.mu.Unlock()
+func (p *process) waitEnd(l *ledger, grace time.Duration) (killed bool) {
 	select {
-	case <-ended:
+	case <-p.ended:
 		return false
 	case <-time.After(grace):
-		i.signal(syscall.SIGKILL)
-		<-ended
+		p.signal(l, syscall.SIGKILL)
+		<-p.ended
 		return true
 	}
 }
@@ -321,10 +329,9 @@
 // stop ends whatever the soak has started.
 func (w *World) stop() {
 	for _, i := range w.instances {
-		i.signal(syscall.SIGCONT)
-		i.signal(syscall.SIGKILL)
-		if i.ended != nil {
-			<-i.ended
+		if p := i.running(); p != nil {
+			p.signal(w.ledger, syscall.SIGKILL)
+			<-p.ended
 		}
 		if i.store != nil {
 			i.store.Close()
--- a/test/standin/main.go
+++ b/test/standin/main.go
@@ -2,8 +2,14 @@
 package main
 
 import (
+	"context"
+	"errors"
+	"fmt"
 	"net"
 	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"github.com/alecthomas/kong"
@@ -44,12 +50,22 @@
 // Run serves a plain service.
 func (p plainCommand) Run(c *cli) error { return serve(c.Listen, &plain.Server{Name: p.Name}) }
 
+// serve serves until a signal. The signals are asked for: a shell's background hands
+// on an ignored interrupt, which would leave the stand-in running.
 func serve(address string, h http.Handler) error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return err
 	}
-	return http.Serve(l, h)
+	server := &http.Server{Handler: h}
+	context.AfterFunc(ctx, func() { _ = server.Close() })
+	fmt.Println("listening on", l.Addr())
+	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
 }
 
 func main() {
