End a soak's daemons when its terminal closes

Cause: a soak whose terminal closed ended by SIGHUP, which its daemons take for a reload: seventeen went on. Found by three soaks started from a script that ended. Ruled out: the two restarts of one instance mended before (each process was its instance's own).

--- a/cmd/ebonysoak/main.go
+++ b/cmd/ebonysoak/main.go
@@ -33,7 +33,9 @@
 func main() {
 	var c cli
 	kong.Parse(&c, kong.Description("A fault soak of real processes."))
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	// A closed terminal is among them: the daemons take SIGHUP for a reload, and would
+	// outlive a soak that it ended.
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
 	broken, err := c.run(ctx)
 	stop()
 	if err != nil {
