--- a/internal/core/claiming_test.go
+++ b/internal/core/claiming_test.go
@@ -272,6 +272,29 @@
 	})
 }
 
+// An instance wakes for a moment, freezes again just as it is asked for a note, and
+// wakes after the window; another instance was asked for the same note a millisecond
+// before it froze. The one that woke sent its note though its claim was long void, and
+// the note ran twice. Found by the schedules above, and played as they drew it.
+func TestAskedBeforeAFreezeLongerThanTheWindow(t *testing.T) {
+	const window = 20 * time.Second
+	f := newFleet(0, 3, 2, fleetText(window))
+	f.run(time.Second)
+	sleeper, other := f.members[0], f.members[1]
+	for range 2 {
+		sleeper.frozenTill = f.now.Add(time.Millisecond)
+		f.run(time.Millisecond)
+	}
+	f.ask(other, "key-2")
+	f.run(time.Millisecond)
+	sleeper.frozenTill = f.now.Add(50_993 * time.Millisecond)
+	f.run(time.Millisecond)
+	f.ask(sleeper, "key-2")
+	f.run(time.Millisecond)
+	f.run(2 * time.Minute)
+	require.Equal(t, tally{}, f.tally(window))
+}
+
 // At a thousand notes a second the store, which takes several hundred writes a
 // second for everything, would be overrun by a write a note.
 func TestGroupCommitKeepsTheStoreUnderAHundredWrites(t *testing.T) {
