Bound what callers send by the operators' configuration

Cause: the configuration's limits on headers and bodies were ignored; the settings template's wider ones held, and a change of the limits was in force nowhere.

The two times (header, idle) stay the settings' own, wider than any the callers know of: a connection is never closed under a caller that may still use it.

--- a/internal/core/config/check.go
+++ b/internal/core/config/check.go
@@ -108,6 +108,8 @@
 		c.positive(at("customers", i)+".weight", c.text.Customers[i].Weight)
 	}
 	c.positive("claims.window", float64(c.text.Claims.Window))
+	c.positive("limits.max_header", float64(c.text.Limits.MaxHeader))
+	c.positive("limits.max_body", float64(c.text.Limits.MaxBody))
 }
 
 // positive finds a value of 0 or less that stands in the text.
--- a/internal/core/config/snapshot.go
+++ b/internal/core/config/snapshot.go
@@ -26,7 +26,9 @@
 	// Edit is the envelope's.
 	Edit string
 	// Claims sizes the ledger.
-	Claims    Claims
+	Claims Claims
+	// Limits bound what callers may send.
+	Limits    CallerLimits
 	services  map[string]*Service
 	models    map[string]*Service
 	customers map[string]*Customer
@@ -94,6 +96,7 @@
 		Generation: env.Generation,
 		Edit:       env.Edit,
 		Claims:     t.Claims,
+		Limits:     t.Limits,
 		services:   make(map[string]*Service, len(t.Services)),
 		models:     make(map[string]*Service),
 		customers:  make(map[string]*Customer, len(t.Customers)),
--- a/internal/core/config/types.go
+++ b/internal/core/config/types.go
@@ -52,6 +52,8 @@
 	Routes []Route `json:"routes,omitempty"`
 	// Claims sizes the ledger of idempotency keys.
 	Claims Claims `json:"claims"`
+	// Limits bound what callers may send, under what the instances' own settings allow.
+	Limits CallerLimits `json:"limits"`
 }
 
 // RouteKind says what may be repeated of the requests on a route.
@@ -180,6 +182,15 @@
 	Window Duration `json:"window,omitempty"`
 }
 
+// CallerLimits bound what callers may send; 0 is no bound but that of the instance's own
+// settings, which also bounds what is read before anything is known of a request.
+type CallerLimits struct {
+	// MaxHeader bounds a request's first line and headers, in bytes.
+	MaxHeader int `json:"max_header,omitempty"`
+	// MaxBody bounds a request's body, in bytes.
+	MaxBody int `json:"max_body,omitempty"`
+}
+
 // Envelope is what the platform's store holds under the configuration key.
 type Envelope struct {
 	// Generation grows by one with each accepted edit.
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -32,6 +32,9 @@
 	Host   string `json:"host,omitempty"`
 	Path   string `json:"path,omitempty"`
 	APIKey string `json:"api_key,omitempty"`
+	// HeaderBytes and BodyBytes are the sizes of the request.
+	HeaderBytes int `json:"header_bytes,omitempty"`
+	BodyBytes   int `json:"body_bytes,omitempty"`
 	// Prompt describes the prompt of a generation, where the caller does.
 	Prompt *Prompt `json:"prompt,omitempty"`
 	// Chat identifies the chat, so that its next turn finds its cached prefix.
--- a/internal/core/reason/reason.go
+++ b/internal/core/reason/reason.go
@@ -31,6 +31,8 @@
 	BadRequest Reason = "bad-request"
 	// TooLarge is a request over the size or header limits.
 	TooLarge Reason = "too-large"
+	// HeaderTooLarge is a request whose headers are over the configuration's limit.
+	HeaderTooLarge Reason = "header-too-large"
 	// UnknownService names a model or service that the configuration lacks.
 	UnknownService Reason = "unknown-service"
 	// UnknownRoute means that no route leads from the host and path to a service.
@@ -85,7 +87,7 @@
 
 // All lists every reason, for metrics and documentation.
 var All = []Reason{
-	BadRequest, TooLarge, UnknownService, UnknownRoute, UnknownCustomer, UnknownKey, NoConfiguration,
+	BadRequest, TooLarge, HeaderTooLarge, UnknownService, UnknownRoute, UnknownCustomer, UnknownKey, NoConfiguration,
 	NoBackend, Saturated, CustomerShare, CustomerLimit, DependencyUnavailable,
 	DeadlineExceeded, RetryBudget, AttemptsExhausted, BackendUnreachable,
 	BackendRefused, BackendLost, BackendFailed, BackendSpoiled, BrokenStream, CallerGone, ClaimDuplicate,
--- a/internal/core/resolve.go
+++ b/internal/core/resolve.go
@@ -43,12 +43,33 @@
 	if n.snapshot == nil {
 		return target{}, reason.NoConfiguration
 	}
+	t, unknown := n.resolveTarget(e)
+	if unknown == reason.None {
+		unknown = overLimit(e, n.snapshot.Limits)
+	}
+	return t, unknown
+}
+
+func (n *Node) resolveTarget(e *RequestArrived) (target, reason.Reason) {
 	if e.Host != "" {
 		return n.resolveRoute(e)
 	}
 	return n.resolveNamed(e)
 }
 
+// overLimit says which limit of the configuration a request is over, if any. Whoever
+// is unknown hears that first.
+func overLimit(e *RequestArrived, limits config.CallerLimits) reason.Reason {
+	switch {
+	case limits.MaxHeader > 0 && e.HeaderBytes > limits.MaxHeader:
+		return reason.HeaderTooLarge
+	case limits.MaxBody > 0 && e.BodyBytes > limits.MaxBody:
+		return reason.TooLarge
+	default:
+		return reason.None
+	}
+}
+
 // resolveNamed resolves a request that names its service and its customer.
 func (n *Node) resolveNamed(e *RequestArrived) (target, reason.Reason) {
 	t := target{service: n.serviceOf(e)}
--- a/internal/core/routes_test.go
+++ b/internal/core/routes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -142,6 +143,29 @@
 	require.Equal(t, reason.UnknownRoute, one[core.Finish](t, out).Reason)
 }
 
+// An operator lowers what callers may send, and every instance was started with wider
+// settings of its own. From the new text on a body over it is refused as not run, an
+// answer that tells the caller why; strangers still hear first that they are unknown.
+func TestLimitsOfTheConfigurationBoundCallers(t *testing.T) {
+	r := newRouted(t, 3)
+	limited := strings.Replace(routedText, `"services"`, `"limits": {"max_header": 1000, "max_body": 5000}, "services"`, 1)
+	big := core.RequestArrived{Host: "h.example", Path: "/record/7", APIKey: "key-1", HeaderBytes: 1000, BodyBytes: 5001}
+	big.Request = "r-before"
+	one[core.SendAttempt](t, r.handle(big))
+
+	r.handle(core.ConfigOffered{Envelope: config.Envelope{Generation: 2, Edit: "limits", Text: limited}})
+	big.Request = "r-after"
+	f := one[core.Finish](t, r.handle(big))
+	require.Equal(t, reason.NotRun, f.Outcome)
+	require.Equal(t, reason.TooLarge, f.Reason)
+	big.Request, big.HeaderBytes = "r-header", 1001
+	require.Equal(t, reason.HeaderTooLarge, one[core.Finish](t, r.handle(big)).Reason)
+	big.Request, big.APIKey = "r-stranger", "key-9"
+	require.Equal(t, reason.UnknownKey, one[core.Finish](t, r.handle(big)).Reason)
+	within := core.RequestArrived{Request: "r-within", Host: "h.example", Path: "/record/7", APIKey: "key-1", HeaderBytes: 1000, BodyBytes: 5000}
+	one[core.SendAttempt](t, r.handle(within))
+}
+
 // A server of the portal answers every second progress check with a failure. The
 // caller gets the answer of another server, and the failure itself only if that one
 // fails too; a record fetch, which may run once, is never sent again after it.
--- a/internal/proxy/native.go
+++ b/internal/proxy/native.go
@@ -203,6 +203,10 @@
 		return http.StatusNotFound
 	case e.Reason == reason.UnknownCustomer:
 		return http.StatusForbidden
+	case e.Reason == reason.HeaderTooLarge:
+		return http.StatusRequestHeaderFieldsTooLarge
+	case e.Reason == reason.TooLarge:
+		return http.StatusRequestEntityTooLarge
 	case e.Reason == reason.CustomerLimit || e.Reason == reason.CustomerShare:
 		return http.StatusTooManyRequests
 	default:
--- a/internal/proxy/native_test.go
+++ b/internal/proxy/native_test.go
@@ -28,6 +28,8 @@
 		{reason.NotRun, reason.ClaimsFull, http.StatusServiceUnavailable},
 		{reason.NotRun, reason.UnknownService, http.StatusNotFound},
 		{reason.NotRun, reason.UnknownCustomer, http.StatusForbidden},
+		{reason.NotRun, reason.HeaderTooLarge, http.StatusRequestHeaderFieldsTooLarge},
+		{reason.NotRun, reason.TooLarge, http.StatusRequestEntityTooLarge},
 		{reason.NotRun, reason.DeadlineExceeded, http.StatusGatewayTimeout},
 		{reason.Unknown, reason.DeadlineExceeded, http.StatusGatewayTimeout},
 		{reason.Unknown, reason.BackendLost, http.StatusBadGateway},
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -48,6 +48,12 @@
 	s.reject(ctx, s.nextID(), rejected)
 }
 
+// headerBytes is the size of a request's first line and headers as they came.
+func headerBytes(h *fasthttp.RequestHeader) int {
+	const protocol = len("  HTTP/1.1\r\n")
+	return len(h.Method()) + len(h.RequestURI()) + protocol + len(h.RawHeaders())
+}
+
 // seconds rounds up, so that nobody comes back too early.
 func seconds(d time.Duration) string {
 	return strconv.Itoa(int(math.Ceil(d.Seconds())))
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -262,6 +262,8 @@
 		s.reject(ctx, id, rejected)
 		return
 	}
+	request.Arrived.HeaderBytes = headerBytes(&ctx.Request.Header)
+	request.Arrived.BodyBytes = len(ctx.Request.Body())
 	x := newExchange(s, ctx, request)
 	x.run()
 }
--- a/internal/settings/docs_test.go
+++ b/internal/settings/docs_test.go
@@ -43,6 +43,7 @@
 	want = fillTable(t, want, types, config.Share{})
 	want = fillTable(t, want, types, filled.Customers[0])
 	want = fillTable(t, want, types, filled.Claims)
+	want = fillTable(t, want, types, filled.Limits)
 	if *rewrite {
 		require.NoError(t, os.WriteFile(page, []byte(want), 0o644))
 		return
