Take a settings change made during the start; need no restart for one taken back

Cause, found by writing the missing test of the reload: the follower compared its first look with the file as it stood then, not with what the process had read, so a change in between was never taken; a change that waits for a restart was compared with the last file, so that taking it back asked for a restart as well; and a file that could not be read was logged at a level that is off, each second.

Before: TestAChangeDuringTheStartIsTaken and TestAChangeTakenBackNeedsNoRestart fail. After: both pass under the race detector, with TestChangedSettingsAreTaken, which is the behaviour as it was.

--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -21,8 +21,13 @@
 type reloader struct {
 	path   string
 	signal <-chan os.Signal
-	text   []byte
-	now    *settings.Settings
+	// text is the file as last looked at; nothing at first, so that a change between
+	// the process's own reading of it and the first look is seen.
+	text []byte
+	// unreadable is set while the file cannot be read, which is logged once.
+	unreadable bool
+	// started are the settings that the process started with, now those of the file.
+	started, now *settings.Settings
 	// apply takes settings that have changed and had no findings.
 	apply func(*settings.Settings)
 }
@@ -30,9 +35,7 @@
 // newReloader returns a reloader of a file that was read as s. Without a path there
 // is nothing to follow.
 func newReloader(path string, signal <-chan os.Signal, s *settings.Settings, apply func(*settings.Settings)) *reloader {
-	r := &reloader{path: path, signal: signal, now: s, apply: apply}
-	r.text, _ = r.read()
-	return r
+	return &reloader{path: path, signal: signal, started: s, now: s, apply: apply}
 }
 
 // run follows the file until ctx ends.
@@ -52,21 +55,21 @@
 	}
 }
 
-func (r *reloader) read() ([]byte, error) {
-	if r.path == "" {
-		return nil, nil
-	}
-	return os.ReadFile(r.path)
-}
-
 // reload reads the file if it has changed. One that cannot be read or has findings
 // changes nothing: the instance goes on with what it has.
 func (r *reloader) reload() {
-	text, err := r.read()
+	if r.path == "" {
+		return
+	}
+	text, err := os.ReadFile(r.path)
 	if err != nil {
-		klog.V(1).InfoS("settings not read again", "file", r.path, "error", err)
+		if !r.unreadable {
+			klog.ErrorS(err, "settings not read again, the old ones stay", "file", r.path)
+		}
+		r.unreadable = true
 		return
 	}
+	r.unreadable = false
 	if bytes.Equal(text, r.text) {
 		return
 	}
@@ -76,7 +79,15 @@
 		klog.ErrorS(err, "changed settings refused, the old ones stay", "file", r.path)
 		return
 	}
-	taken, waiting := changes(r.now, s)
+	r.take(s)
+}
+
+// take applies settings that differ from those in force.
+func (r *reloader) take(s *settings.Settings) {
+	if reflect.DeepEqual(r.now, s) {
+		return
+	}
+	taken, waiting := r.changes(s)
 	klog.InfoS("settings reloaded", "taken", taken, "needRestart", waiting)
 	r.now = s
 	r.apply(s)
@@ -85,18 +96,19 @@
 // live are the settings that a running instance takes.
 var live = map[string]bool{"bounds": true, "log_verbosity": true, "stop_grace": true}
 
-// changes names the settings that differ: those that are taken now, and those that
-// wait for the next start.
-func changes(old, s *settings.Settings) (taken, waiting []string) {
-	a, b := reflect.ValueOf(*old), reflect.ValueOf(*s)
-	for i := range a.NumField() {
-		if reflect.DeepEqual(a.Field(i).Interface(), b.Field(i).Interface()) {
-			continue
-		}
-		name, _, _ := strings.Cut(a.Type().Field(i).Tag.Get("json"), ",")
-		if live[name] {
+// changes names the settings of s that differ: from those in force where they are
+// taken now, and from those of the start where they wait for the next one.
+func (r *reloader) changes(s *settings.Settings) (taken, waiting []string) {
+	started, now, next := reflect.ValueOf(*r.started), reflect.ValueOf(*r.now), reflect.ValueOf(*s)
+	differ := func(old reflect.Value, i int) bool {
+		return !reflect.DeepEqual(old.Field(i).Interface(), next.Field(i).Interface())
+	}
+	for i := range next.NumField() {
+		name, _, _ := strings.Cut(next.Type().Field(i).Tag.Get("json"), ",")
+		switch {
+		case live[name] && differ(now, i):
 			taken = append(taken, name)
-		} else {
+		case !live[name] && differ(started, i):
 			waiting = append(waiting, name)
 		}
 	}
--- /dev/null
+++ b/internal/daemon/reload_test.go
@@ -0,0 +1,107 @@
+package daemon
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/ebonydyke/ebonydyke/internal/core/config"
+	"github.com/ebonydyke/ebonydyke/internal/settings"
+)
+
+const reloadText = `{
+  "name": "entry-1",
+  "zone": "recife-a",
+  "listen": "0.0.0.0:7080",
+  "peer_listen": "10.20.1.5:7081",
+  "platform": "http://10.20.0.1:7000",
+  "stop_grace": "8s",
+}`
+
+// reloaded is a reloader of a file and what it has applied.
+type reloaded struct {
+	*reloader
+	t       *testing.T
+	applied []*settings.Settings
+}
+
+func newReloaded(t *testing.T) *reloaded {
+	t.Helper()
+	r := &reloaded{t: t}
+	path := filepath.Join(t.TempDir(), "settings.json")
+	require.NoError(t, os.WriteFile(path, []byte(reloadText), 0o600))
+	s, err := settings.Read(path)
+	require.NoError(t, err)
+	r.reloader = newReloader(path, nil, s, func(s *settings.Settings) { r.applied = append(r.applied, s) })
+	return r
+}
+
+// write changes the file and lets the reloader look at it.
+func (r *reloaded) write(old, text string) {
+	r.t.Helper()
+	changed := strings.Replace(reloadText, old, text, 1)
+	require.NoError(r.t, os.WriteFile(r.path, []byte(changed), 0o600))
+	r.reload()
+}
+
+// The platform rewrites the settings of a running instance, with a signal or without
+// one. What it can take while it runs is taken; a file that it cannot read, or that
+// has findings, leaves everything as it is, and the next good one is taken.
+func TestChangedSettingsAreTaken(t *testing.T) {
+	r := newReloaded(t)
+	r.reload()
+	require.Empty(t, r.applied, "nothing has changed")
+
+	r.write(`"8s"`, `"20s"`)
+	require.Len(t, r.applied, 1)
+	require.Equal(t, config.Duration(20*time.Second), r.applied[0].StopGrace)
+
+	r.write(`"8s"`, `"a while"`)
+	r.write("{", "")
+	require.NoError(t, os.Remove(r.path))
+	r.reload()
+	require.Len(t, r.applied, 1)
+
+	r.write(`"8s"`, `"9s"`)
+	require.Len(t, r.applied, 2)
+	require.Equal(t, config.Duration(9*time.Second), r.applied[1].StopGrace)
+}
+
+// The file is rewritten between the moment when the process read it at its start and
+// the moment when it begins to follow it. That change was never taken: the first look
+// was compared with the changed file, not with what had been read.
+func TestAChangeDuringTheStartIsTaken(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "settings.json")
+	require.NoError(t, os.WriteFile(path, []byte(reloadText), 0o600))
+	s, err := settings.Read(path)
+	require.NoError(t, err)
+	changed := strings.Replace(reloadText, `"8s"`, `"20s"`, 1)
+	require.NoError(t, os.WriteFile(path, []byte(changed), 0o600))
+	var applied []*settings.Settings
+	r := newReloader(path, nil, s, func(s *settings.Settings) { applied = append(applied, s) })
+
+	r.reload()
+
+	require.Len(t, applied, 1)
+	require.Equal(t, config.Duration(20*time.Second), applied[0].StopGrace)
+}
+
+// An address is changed, which waits for the next start, and changed back. An operator
+// was then told that a restart is needed, though the process runs by the file.
+func TestAChangeTakenBackNeedsNoRestart(t *testing.T) {
+	r := newReloaded(t)
+	started := r.started
+	r.write("7080", "7085")
+	taken, waiting := r.changes(r.now)
+	require.Empty(t, taken)
+	require.Equal(t, []string{"listen"}, waiting)
+
+	r.write("7080", "7080")
+	_, waiting = r.changes(r.now)
+	require.Empty(t, waiting)
+	require.Same(t, started, r.started)
+}
