Show a large fleet on one screen

ebonyctl status printed a row for each instance: of 91, the few that are behind or without the platform scrolled away.

--- a/cmd/ebonyctl/status.go
+++ b/cmd/ebonyctl/status.go
@@ -17,6 +17,7 @@
 const statusInterval = 200 * time.Millisecond
 
 type statusCommand struct {
+	All  bool `help:"List every instance, in a large fleet as well."`
 	Wait bool `help:"Wait until every known instance has the newest configuration in force."`
 }
 
@@ -55,7 +56,7 @@
 		time.Sleep(statusInterval)
 		s = global.fleetStatus(ctx)
 	}
-	if err := global.printStatus(s); err != nil {
+	if err := global.printStatus(s, c.All); err != nil {
 		return err
 	}
 	if !s.answered() {
@@ -150,23 +151,47 @@
 	}
 }
 
-func (c *cli) printStatus(s *fleetStatus) error {
+func (c *cli) printStatus(s *fleetStatus, all bool) error {
 	if c.JSON {
 		return c.printJSON(s)
 	}
+	if all || len(s.Instances)+len(s.Heard) <= oneScreen {
+		c.printInstances(s, func(*asked) bool { return true }, func(*heard) bool { return true })
+	} else {
+		c.printZones(s)
+	}
+	c.printConfiguration(s)
+	return nil
+}
+
+// printInstances prints a row for each instance that is asked for.
+func (c *cli) printInstances(s *fleetStatus, wanted func(*asked) bool, wantedHeard func(*heard) bool) {
 	t := c.table("INSTANCE", "ZONE", "GENERATION", "STATE", "IN FLIGHT", "PLATFORM")
 	for _, a := range s.Instances {
-		if a.Status == nil {
-			t.row(a.Address, "", "", "no answer", "", "")
-			continue
+		if wanted(&a) {
+			t.row(instanceRow(&a)...)
 		}
-		t.row(a.Status.Instance, a.Status.Zone, generation(a.Status.Generation), state(a.Status),
-			fmt.Sprint(a.Status.InFlight), platformWord(a.Status))
 	}
 	for _, p := range s.Heard {
-		t.row(p.Name, "", generation(p.Generation), heardState(p), "", "")
+		if wantedHeard(&p) {
+			t.row(p.Name, "", generation(p.Generation), heardState(p), "", "")
+		}
 	}
 	t.flush()
+}
+
+func instanceRow(a *asked) []string {
+	if a.Status == nil {
+		return []string{a.Address, "", "", "no answer", "", ""}
+	}
+	return []string{
+		a.Status.Instance, a.Status.Zone, generation(a.Status.Generation), state(a.Status),
+		fmt.Sprint(a.Status.InFlight), platformWord(a.Status),
+	}
+}
+
+// printConfiguration prints what the store and the instances say of the configuration.
+func (c *cli) printConfiguration(s *fleetStatus) {
 	for _, a := range s.Instances {
 		if a.Status != nil && len(a.Status.Findings) > 0 {
 			c.printf("%s refused a newer configuration:\n%v\n", a.Status.Instance, a.Status.Findings)
@@ -183,7 +208,6 @@
 	if s.Stored < s.Newest && s.StoreError == "" {
 		c.printf("the store went back: generation %d is in force\n", s.Newest)
 	}
-	return nil
 }
 
 func generation(g uint64) string {
--- /dev/null
+++ b/cmd/ebonyctl/status_test.go
@@ -0,0 +1,66 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/ebonydyke/ebonydyke/internal/core"
+)
+
+// fleetOf is the status of a fleet of three zones that is all on generation 7.
+func fleetOf(n int) *fleetStatus {
+	s := &fleetStatus{Newest: 7, Stored: 7}
+	for i := range n {
+		s.Instances = append(s.Instances, asked{Address: fmt.Sprintf("10.0.0.%d:7090", i), Status: &core.Status{
+			Instance: fmt.Sprintf("entry-%02d", i), Zone: fmt.Sprint("zone-", i%3), Generation: 7, InFlight: 10,
+			Platform: core.PlatformStatus{Known: true, Reachable: true},
+		}})
+	}
+	return s
+}
+
+func printed(t *testing.T, s *fleetStatus, all bool) string {
+	t.Helper()
+	var out bytes.Buffer
+	c := &cli{out: &out}
+	s.findBehind()
+	require.NoError(t, c.printStatus(s, all))
+	return out.String()
+}
+
+// An operator of 91 instances looks for the three that are not well. A row for each of
+// the others pushed them off the screen.
+func TestStatusOfALargeFleetFitsOnAScreen(t *testing.T) {
+	s := fleetOf(91)
+	s.Instances[4].Status.Generation = 5
+	s.Instances[5].Status.Platform = core.PlatformStatus{Known: true, Since: time.Unix(0, 0).UTC()}
+	s.Instances[6].Status = nil
+	out := printed(t, s, false)
+	require.LessOrEqual(t, strings.Count(out, "\n"), oneScreen)
+	for _, line := range []string{
+		`zone-0 +30 +30 +0 +0 +300`, `zone-1 +30 +30 +1 +0 +300`, `zone-2 +30 +30 +0 +1 +300`,
+		`entry-04 +zone-1 +generation 5 +serving +10 +reachable`,
+		`entry-05 +zone-2 +generation 7 +serving +10 +unreachable since 1970-01-01T00:00:00Z`,
+		`10.0.0.6:7090 +no answer`,
+		`store: generation 7`,
+	} {
+		require.Regexp(t, line, out)
+	}
+	require.NotContains(t, out, "entry-07")
+
+	all := printed(t, s, true)
+	require.Contains(t, all, "entry-90")
+	require.NotContains(t, all, "BEHIND")
+}
+
+// A small fleet keeps its rows.
+func TestStatusOfASmallFleetListsAll(t *testing.T) {
+	out := printed(t, fleetOf(8), false)
+	require.Contains(t, out, "entry-07")
+	require.Contains(t, out, "generation 7 is in force on all 8 known instances")
+}
