Keep a plain service's last word no longer than before where zones stand apart

A service that once said it was full was refused by whoever heard of it, and who refuses hears nothing new.

Change: reports are kept so for engines alone. TestAShortFullnessOfAPlainServiceIsOver fails without it (saturated) and passes.

--- a/internal/core/load/load.go
+++ b/internal/core/load/load.go
@@ -13,7 +13,7 @@
 // instance cut off from its peers falls back on the last report and what it sent
 // since.
 //
-// Where the peers are a part of the fleet alone, unseen is most of the load, and the
+// Where the peers are a part of the fleet alone and requests take long, unseen is most of the load, and the
 // peak would hide it. A report is then set against what is known at its moment, and
 // unseen, which may be negative, stays until the next report. Set against the peak,
 // estimates at 91 instances in three zones lay 2.1 under a mean of 4.9 and those of
@@ -61,8 +61,6 @@
 	peers     map[string]*peer
 	nextSweep time.Time
 	changed   []string
-	// partial says that the peers are a part of the fleet.
-	partial bool
 }
 
 type backend struct {
@@ -71,6 +69,8 @@
 	unseen float64
 	peak   peak
 	report membership.Report
+	// partial says that at the last report the peers were a part of the fleet.
+	partial bool
 	// heard is when the report came; zero when there is none.
 	heard time.Time
 }
@@ -89,9 +89,6 @@
 	return &Tracker{backends: make(map[string]*backend), peers: make(map[string]*peer)}
 }
 
-// SetPartial says whether the peers whose digests come are a part of the fleet alone.
-func (t *Tracker) SetPartial(partial bool) { t.partial = partial }
-
 func (t *Tracker) backend(name string) *backend {
 	b := t.backends[name]
 	if b == nil {
@@ -193,7 +190,7 @@
 	b.peak.add(b.known(), now)
 	b.peers += float64(inFlight-old) * p.weight
 	b.peak.add(b.known(), now)
-	if inFlight > old && !t.partial {
+	if inFlight > old && !b.partial {
 		// A report that came before this digest counted these requests as unseen. Both
 		// would count them until the next report, for seconds at a quiet server.
 		b.unseen = max(0, b.unseen-float64(inFlight-old)*p.weight)
@@ -246,22 +243,25 @@
 // The same report may come from an answer's header, a poll and several peers, in
 // any order. One that is not newer by the server's own clock, or of an earlier
 // incarnation, is dropped; a clock set back is believed after a silence.
-func (t *Tracker) Report(r membership.Report, now time.Time) bool {
+//
+// It is partial where the peers are a part of the fleet and the server's requests take
+// long enough for a report to be worth more than their counts.
+func (t *Tracker) Report(r membership.Report, partial bool, now time.Time) bool {
 	b := t.backend(r.Backend)
 	if !b.heard.IsZero() && !newer(r, b, now) {
 		return false
 	}
-	b.report, b.heard = r, now
+	b.report, b.heard, b.partial = r, now, partial
 	b.peak.add(b.known(), now)
-	unseen := t.unseen(b, float64(r.InFlight))
+	unseen := b.beyond(float64(r.InFlight))
 	changed := unseen != b.unseen
 	b.unseen = unseen
 	return changed
 }
 
-// unseen is what a report says beyond what is known.
-func (t *Tracker) unseen(b *backend, reported float64) float64 {
-	if t.partial {
+// beyond is what a report says beyond what is known.
+func (b *backend) beyond(reported float64) float64 {
+	if b.partial {
 		return reported - b.known()
 	}
 	return max(0, reported-b.peak.max())
--- a/internal/core/loads.go
+++ b/internal/core/loads.go
@@ -20,11 +20,17 @@
 // loadReported takes the load that a backend server names itself, from an answer's
 // header, a poll or a peer's digest.
 func (n *Node) loadReported(r membership.Report) {
-	if n.poolOf[r.Backend] != nil && n.load.Report(r, n.now) {
+	p := n.poolOf[r.Backend]
+	if p != nil && n.load.Report(r, p.model && !n.hearsAll(), n.now) {
 		n.loadChanged(r.Backend)
 	}
 }
 
+// hearsAll tells whether the loads of the whole fleet come to this instance.
+func (n *Node) hearsAll() bool {
+	return n.peers.layout == nil || n.peers.layout.HearsAll()
+}
+
 // peerLoads takes the loads in a peer's digest that changed. Digests that came late
 // or twice were dropped before, by their sequence numbers, so each counts as of now.
 func (n *Node) peerLoads(peer string, counts []load.Count) {
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -293,7 +293,6 @@
 		n.peers.members = members
 		n.peers.layoutAt = n.now
 		n.peers.layout = mesh.New(mesh.Member{Name: n.settings.Name, Zone: n.settings.Zone}, members)
-		n.load.SetPartial(!n.peers.layout.HearsAll())
 		n.pollOwnersChanged()
 	}
 	l := n.peers.layout
--- a/internal/core/placement.go
+++ b/internal/core/placement.go
@@ -18,6 +18,10 @@
 	// candidates are the usable backend servers, sorted by name.
 	candidates []routing.Candidate
 	index      map[string]int
+	// model says that the servers are engines, whose requests take about a second. Those
+	// of a plain service take milliseconds: what a server said of all zones is long over
+	// when the next request comes, and a service that seemed full refused for seconds.
+	model bool
 	// total is the sum of the candidates' loads, unreachable ones included.
 	total float64
 	// unreachable and lost count the unreachable candidates and their load.
@@ -251,7 +255,10 @@
 func (n *Node) rebuildPool(name string) {
 	svc := n.snapshot.Service(name)
 	old := n.pool(name)
-	p := &pool{index: make(map[string]int), budget: old.budget, joined: make(map[string]time.Time)}
+	p := &pool{
+		index: make(map[string]int), model: svc.Kind == config.Model,
+		budget: old.budget, joined: make(map[string]time.Time),
+	}
 	if p.budget == nil {
 		p.budget = retry.NewBudget(svc.RetryShare, max(defaultRetryBurst, float64(svc.RetryBurst)))
 	}
--- a/internal/core/zones_test.go
+++ b/internal/core/zones_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/ebonydyke/ebonydyke/internal/core"
 	"github.com/ebonydyke/ebonydyke/internal/core/membership"
+	"github.com/ebonydyke/ebonydyke/internal/core/reason"
 )
 
 // In a fleet too large for all to hear each other, an instance that ranks chats
@@ -52,3 +53,50 @@
 		require.NotEmpty(t, backend, "the other zone serves on")
 	}
 }
+
+// Each of the portal's servers once told that it was full, a hundred requests
+// ago: they take some milliseconds. An instance that hears a third of the fleet kept
+// that word as the load of the other zones and refused every request for seconds.
+func TestAShortFullnessOfAPlainServiceIsOver(t *testing.T) {
+	r := newRouted(t, 3)
+	r.listFleet(12)
+	for i := range 3 {
+		r.handle(core.BackendReported{Report: membership.Report{
+			Backend: fmt.Sprint("portal-", i), Incarnation: 1, InFlight: 12, At: r.now, State: membership.Live,
+		}})
+	}
+	require.Equal(t, reason.Saturated, one[core.Finish](t, r.ask("/record/7", "key-1")).Reason, "full")
+
+	r.mateTells(1, 5)
+	r.mateTells(2, 0)
+	one[core.SendAttempt](t, r.ask("/record/7", "key-1"))
+}
+
+// listFleet lets the platform list n instances in two zones.
+func (r *routed) listFleet(n int) {
+	r.t.Helper()
+	var list []membership.Instance
+	for i := range n {
+		list = append(list, membership.Instance{
+			Name: fmt.Sprint("entry-", i), Role: membership.Entry, Zone: fmt.Sprint("zone-", i%2),
+			Address: "127.0.0.1:1", Incarnation: 1, State: membership.Live,
+		})
+	}
+	for range 600 {
+		for _, asked := range find[core.ListInstances](r.tick()) {
+			r.handle(core.InstancesListed{Op: asked.Op, Members: list})
+			r.pass(2 * time.Second)
+			return
+		}
+	}
+	r.t.Fatal("the list of instances is not asked for")
+}
+
+// mateTells lets an instance of the own zone tell its requests at each portal server.
+func (r *routed) mateTells(seq uint64, inFlight int) {
+	d := &core.Digest{Incarnation: 1, Seq: seq, At: r.now}
+	for i := range 3 {
+		d.Loads = append(d.Loads, core.BackendLoad{Backend: fmt.Sprint("portal-", i), InFlight: inFlight})
+	}
+	r.handle(core.PeerReceived{From: "entry-2", Message: core.PeerMessage{Digest: d}})
+}
