--- a/internal/core/sessions.go
+++ b/internal/core/sessions.go
@@ -27,7 +27,7 @@
 	// hears of it, and whoever leaves it crowds on the second home. Before loads where
 	// zones stand apart were mended (package load), the bound was broken at 91 instances
 	// in calm seconds on one day of eight with the whole part, on one of eight with this
-	// one and on three of eight with 0.55; since then on none of ten with this one.
+	// one and on three of eight with 0.55; since then on none of nineteen with this one.
 	largeFleetPart = 0.75
 	// longPrompt is the number of shared tokens from which a session gets the most.
 	longPrompt = 8_000
