Let the peers hear of a turn's end before the next turn

Peers tell loads each half second; if a round falls into the first turn, the other instance holds its engine for busy until the next one, and the bound of one sends the chat elsewhere. That is allowed: the promise is the bound, and no caller writes again within half a second of its answer. Whether the round falls so depends on the moments at which the processes started.

--- a/test/run.sh
+++ b/test/run.sh
@@ -93,6 +93,9 @@
 echo "\$ ebonyctl send --chat dossier-17 ...    # first turn, through entry-1"
 turn "$(port 4)" | tee "$work/first"
 echo
+# Whoever reads an answer writes again later than the peers hear of its end, which
+# takes a round of half a second.
+sleep 1
 echo "\$ ebonyctl send --chat dossier-17 ...    # second turn, through entry-2"
 turn "$(port 7)" | tee "$work/second" | tail -n 1
 grep -q '^data: \[DONE\]' "$work/first"
