--- a/api/peerpb/generated_test.go
+++ b/api/peerpb/generated_test.go
@@ -10,7 +10,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// make generate must run after each edit of peer.proto: it records the digest of the source that
+// make generate must run after each edit of peer.proto: it records the hash of the source that
 // the code was generated from.
 func TestGeneratedCodeIsUpToDate(t *testing.T) {
 	source, err := os.ReadFile("peer.proto")
--- a/cmd/ebonyctl/status.go
+++ b/cmd/ebonyctl/status.go
@@ -110,8 +110,8 @@
 			continue
 		}
 		queried[r.Status.Instance] = true
-		for _, in := range r.Status.Instances {
-			live[in.Name] = live[in.Name] || in.State == membership.Live
+		for _, instance := range r.Status.Instances {
+			live[instance.Name] = live[instance.Name] || instance.State == membership.Live
 		}
 	}
 	latest := make(map[string]unqueriedInstance)
--- a/internal/core/admission.go
+++ b/internal/core/admission.go
@@ -46,28 +46,28 @@
 func (n *Node) admit(r *request) *refusal {
 	customer := r.customer
 	controller := n.admission.service(r.service.Name)
-	room := n.room(r.service)
+	utilization := n.utilization(r.service)
 	if customer.MaxInFlight > 0 && n.admission.inFlight[customer.Name] >= customer.MaxInFlight {
-		return n.refusal(r, controller, room, reason.CustomerLimit)
+		return n.refusal(r, controller, utilization, reason.CustomerLimit)
 	}
-	switch controller.Admit(customer.Name, customer.Weight, room, n.now, n.random) {
+	switch controller.Admit(customer.Name, customer.Weight, utilization, n.now, n.random) {
 	case admission.OverShare:
-		return n.refusal(r, controller, room, reason.CustomerShare)
+		return n.refusal(r, controller, utilization, reason.CustomerShare)
 	case admission.Saturated:
-		return n.refusal(r, controller, room, reason.Saturated)
+		return n.refusal(r, controller, utilization, reason.Saturated)
 	}
 	n.admission.inFlight[customer.Name]++
 	return nil
 }
 
-func (n *Node) refusal(r *request, c *admission.Controller, room admission.Utilization, why reason.Reason) *refusal {
-	return &refusal{reason: why, retryAfter: c.RetryAfter(room, r.saturatedRetryAfter(), n.now, n.random)}
+func (n *Node) refusal(r *request, c *admission.Controller, u admission.Utilization, why reason.Reason) *refusal {
+	return &refusal{reason: why, retryAfter: c.RetryAfter(u, r.saturatedRetryAfter(), n.now, n.random)}
 }
 
-// room returns the load and the capacity of a service as far as this instance knows them. A
+// utilization returns the load and the capacity of a service as far as this instance knows them. A
 // service without a backend server has no limit here: placement refuses its requests with a
 // more specific reason.
-func (n *Node) room(service *config.Service) admission.Utilization {
+func (n *Node) utilization(service *config.Service) admission.Utilization {
 	p := n.pool(service.Name)
 	load, count := p.reachableLoad()
 	if count == 0 {
@@ -76,9 +76,9 @@
 	return admission.Utilization{Load: load, Capacity: p.capacity(count)}
 }
 
-// fill returns the load and the capacity on which a refusal for lack of capacity was based,
-// or the zero value for any other reason.
-func (n *Node) fill(service string, why reason.Reason) Utilization {
+// refusalUtilization returns the load and the capacity on which a refusal for lack of capacity
+// was based, or the zero value for any other reason.
+func (n *Node) refusalUtilization(service string, why reason.Reason) Utilization {
 	if why != reason.Saturated && why != reason.CustomerShare {
 		return Utilization{}
 	}
@@ -105,7 +105,7 @@
 	}
 	for _, name := range n.snapshot.Services() {
 		if c := n.admission.services[name]; c != nil {
-			c.Tick(n.room(n.snapshot.Service(name)), n.now)
+			c.Tick(n.utilization(n.snapshot.Service(name)), n.now)
 		}
 	}
 	for name, c := range n.admission.services {
--- a/internal/core/admission/admission_test.go
+++ b/internal/core/admission/admission_test.go
@@ -34,7 +34,7 @@
 	return admission.Utilization{Load: float64(len(p.running)), Capacity: float64(p.capacity)}
 }
 
-func (p *pool) ask(customer string, weight float64) admission.Verdict {
+func (p *pool) request(customer string, weight float64) admission.Verdict {
 	v := p.c.Admit(customer, weight, p.utilization(), p.now, p.random)
 	if v == admission.Admitted {
 		p.running = append(p.running, customer)
@@ -55,7 +55,7 @@
 func TestAllAdmittedBelowSaturation(t *testing.T) {
 	p := newPool(100)
 	for i := range 89 {
-		require.Equal(t, admission.Admitted, p.ask("large", 1), i)
+		require.Equal(t, admission.Admitted, p.request("large", 1), i)
 		p.c.Tick(p.utilization(), p.now)
 	}
 }
@@ -78,7 +78,7 @@
 				if i >= 2 && p.random.Float64() < 0.5 {
 					continue
 				}
-				if p.ask(name, 1) != admission.Admitted {
+				if p.request(name, 1) != admission.Admitted {
 					refused[name]++
 				}
 			}
@@ -108,7 +108,7 @@
 		p.step(4)
 		for range 8 {
 			for _, name := range []string{"a", "b", "c"} {
-				p.ask(name, weights[name])
+				p.request(name, weights[name])
 			}
 		}
 	}
@@ -127,7 +127,7 @@
 			p.step(rapid.IntRange(0, 4).Draw(t, "ends"))
 			for range rapid.IntRange(0, 6).Draw(t, "asks") {
 				name := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "name")
-				p.ask(name, rapid.Float64Range(0, 9).Draw(t, "weight"))
+				p.request(name, rapid.Float64Range(0, 9).Draw(t, "weight"))
 			}
 			require.LessOrEqual(t, len(p.running), p.capacity)
 		}
@@ -147,7 +147,7 @@
 		for range 300 {
 			p.step(ends)
 			for range 2 * ends {
-				p.ask("surging", 1)
+				p.request("surging", 1)
 			}
 		}
 		least = time.Hour
@@ -199,8 +199,8 @@
 	names := make([]string, n)
 	for i := range names {
 		names[i] = fmt.Sprint("customer-", i)
-		p.ask(names[i], 1+float64(i%7))
-		p.ask(names[i], 1+float64(i%7))
+		p.request(names[i], 1+float64(i%7))
+		p.request(names[i], 1+float64(i%7))
 	}
 	return p, names
 }
--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -264,7 +264,7 @@
 		Outcome:        outcome,
 		Reason:         why,
 		RetryAfter:     max(r.retryAfter, n.retryAfterFor(r.target, why)),
-		Utilization:    n.fill(r.service.Name, why),
+		Utilization:    n.refusalUtilization(r.service.Name, why),
 		ForwardFailure: r.hasFailureResponse && !r.responseStarted && !r.callerGone,
 	})
 }
--- a/internal/core/backends.go
+++ b/internal/core/backendentries.go
@@ -65,8 +65,8 @@
 	relist bool
 	// watchRevision is the revision from which the watch continues; 0 requests a full list.
 	watchRevision uint64
-	// storeRevision is the highest revision that the store has returned.
-	storeRevision uint64
+	// highestRevision is the highest revision that the store has returned.
+	highestRevision uint64
 	// entries holds the newest known entry of each name, including removed ones.
 	entries map[string]BackendEntry
 	// changes counts the merged entries that had a newer revision than before.
@@ -95,9 +95,9 @@
 // conveys reports whether peers learn a backend server's state from its entry, which they can
 // request. The entry does not show that the server is leaving or gone if only the server
 // itself has reported that.
-func (b *backendsState) conveys(in membership.Member) bool {
-	e, known := b.entries[in.Name]
-	return known && (in.State == membership.Live || e.Backend != nil && e.Backend.State == in.State)
+func (b *backendsState) conveys(member membership.Member) bool {
+	e, known := b.entries[member.Name]
+	return known && (member.State == membership.Live || e.Backend != nil && e.Backend.State == member.State)
 }
 
 // knownRevision returns the newest known revision of a backend server's entry.
@@ -171,7 +171,7 @@
 	n.mergeEntries(e.Entries)
 	b.watchRevision = max(b.watchRevision, e.Revision)
 	b.completeRevision = max(b.completeRevision, b.watchRevision)
-	b.storeRevision = max(b.storeRevision, e.Revision)
+	b.highestRevision = max(b.highestRevision, e.Revision)
 }
 
 // storeRolledBack reports whether an answer has a lower revision than an earlier one. Such an
@@ -179,7 +179,7 @@
 // changes, and the entries are read as if for the first time.
 func (n *Node) storeRolledBack(revision uint64) bool {
 	b := &n.backends
-	if revision >= b.storeRevision {
+	if revision >= b.highestRevision {
 		b.rolledBackSince = time.Time{}
 		return false
 	}
@@ -189,7 +189,7 @@
 	if n.now.Sub(b.rolledBackSince) >= rollbackConfirmTime {
 		clear(b.entries)
 		b.restartList()
-		b.storeRevision, b.completeRevision, b.newestEntryRevision = 0, 0, 0
+		b.highestRevision, b.completeRevision, b.newestEntryRevision = 0, 0, 0
 	}
 	return true
 }
@@ -232,7 +232,7 @@
 	listedAt, seen := b.listRevision, b.listedNames
 	b.restartList()
 	b.watchRevision, b.relist = listedAt, false
-	b.storeRevision = max(b.storeRevision, listedAt)
+	b.highestRevision = max(b.highestRevision, listedAt)
 	b.completeRevision = max(b.completeRevision, listedAt)
 	n.mergeEntries(b.unlisted(seen, listedAt))
 }
@@ -287,7 +287,7 @@
 // mayHaveLapsed reports whether a removed entry may only have expired in an outage of the store.
 // A server that announced that it leaves gets no grace period.
 func (n *Node) mayHaveLapsed(name string) bool {
-	if in := n.view.Get(name); in == nil || in.State != membership.Live {
+	if member := n.view.Get(name); member == nil || member.State != membership.Live {
 		return false
 	}
 	at := n.follow.failedAt
--- a/internal/core/budget/budget.go
+++ b/internal/core/bytebudget/bytebudget.go
@@ -1,6 +1,6 @@
-// Package budget limits the bytes that an instance sends as control traffic. It sets the interval
-// between rounds of digests and the content that is left out of them.
-package budget
+// Package bytebudget limits the bytes that an instance sends as control traffic. It sets the
+// interval between rounds of digests and the content that is left out of them.
+package bytebudget
 
 import (
 	"math"
--- a/internal/core/budget/budget_test.go
+++ b/internal/core/bytebudget/bytebudget_test.go
@@ -1,4 +1,4 @@
-package budget
+package bytebudget
 
 import (
 	"testing"
--- a/internal/core/claiming_test.go
+++ b/internal/core/claiming_test.go
@@ -33,7 +33,7 @@
 func requireCleanTally(t *testing.T, f *fleet) {
 	t.Helper()
 	c := f.countViolations(claimWindow)
-	t.Logf("lost %d, doubled %d, untrue refusals %d", c.lost, c.duplicated, c.falselyNotRun)
+	t.Logf("lost %d, run twice %d, falsely refused as not run %d", c.lost, c.duplicated, c.falselyNotRun)
 	require.Equal(t, violations{}, c)
 }
 
@@ -206,7 +206,7 @@
 }
 
 // A zone with the owners of half the partitions is cut off from the platform. Requests in
-// the other zone must still run, and the zone that is cut off must refuse with a true
+// the other zone must still run, and the zone that is cut off must refuse with the correct
 // outcome.
 func TestZoneWithoutPlatformDoesNotAffectOtherZone(t *testing.T) {
 	f := newClaimFleet(8)
--- a/internal/core/claims/range.go
+++ b/internal/core/claims/partition.go
@@ -39,7 +39,7 @@
 	maxStateAge = time.Second
 )
 
-// Status is the result of a store call, in the words of the core's events.
+// Status is the result of a store call. Its values are those of core.StoreStatus.
 type Status string
 
 // Results of a store call.
--- a/internal/core/claims/range_test.go
+++ b/internal/core/claims/partition_test.go
@@ -43,26 +43,26 @@
 
 // runCalls makes the calls of a partition until there are none left and returns its
 // answers.
-func runCalls(s *fakeStore, r *claims.Partition, now time.Time) []claims.Answer {
+func runCalls(s *fakeStore, p *claims.Partition, now time.Time) []claims.Answer {
 	var answers []claims.Answer
 	for range 1000 {
-		call := r.NextCall(now)
-		answers = append(answers, r.TakeAnswers()...)
+		call := p.NextCall(now)
+		answers = append(answers, p.TakeAnswers()...)
 		if call == nil {
 			break
 		}
-		r.HandleResult(now, s.handle(call))
+		p.HandleResult(now, s.handle(call))
 	}
-	return append(answers, r.TakeAnswers()...)
+	return append(answers, p.TakeAnswers()...)
 }
 
 // requestVerdict makes one request and returns its verdict.
-func requestVerdict(t *testing.T, s *fakeStore, r *claims.Partition, now time.Time, req claims.Request) claims.Verdict {
+func requestVerdict(t *testing.T, s *fakeStore, p *claims.Partition, now time.Time, req claims.Request) claims.Verdict {
 	t.Helper()
-	require.True(t, r.Add(now, "", req, now.Add(3*time.Second)))
-	answers := runCalls(s, r, now)
+	require.True(t, p.Add(now, "", req, now.Add(3*time.Second)))
+	answers := runCalls(s, p, now)
 	for wait := time.Duration(0); len(answers) == 0 && wait < 3*time.Second; wait += 500 * time.Millisecond {
-		answers = runCalls(s, r, now.Add(wait))
+		answers = runCalls(s, p, now.Add(wait))
 	}
 	require.Len(t, answers, 1)
 	return answers[0].Reply.Verdict
@@ -70,15 +70,15 @@
 
 // fillClaims claims n keys, beginning with first, one batch a write, and returns the time
 // after the last write.
-func fillClaims(t *testing.T, s *fakeStore, r *claims.Partition, now time.Time, first, n uint64, window time.Duration) time.Time {
+func fillClaims(t *testing.T, s *fakeStore, p *claims.Partition, now time.Time, first, n uint64, window time.Duration) time.Time {
 	t.Helper()
 	for key := first; key < first+n; {
 		batch := min(claims.SegmentRecords, first+n-key)
 		for range batch {
-			require.True(t, r.Add(now, "", newRequest(key, key, claims.Claimed, now.Add(window)), now.Add(time.Second)))
+			require.True(t, p.Add(now, "", newRequest(key, key, claims.Claimed, now.Add(window)), now.Add(time.Second)))
 			key++
 		}
-		for _, a := range runCalls(s, r, now) {
+		for _, a := range runCalls(s, p, now) {
 			require.Equal(t, claims.Granted, a.Reply.Verdict)
 		}
 		now = now.Add(claims.WriteInterval)
@@ -90,9 +90,9 @@
 // claim and no expired one, without reading the whole ring.
 func TestLoadAfterRingWrapsAround(t *testing.T) {
 	s := &fakeStore{}
-	r := newPartition()
+	p := newPartition()
 	const segments = claims.Slots + claims.Slots/2
-	now := fillClaims(t, s, r, start, 1, segments*claims.SegmentRecords, 10*time.Second)
+	now := fillClaims(t, s, p, start, 1, segments*claims.SegmentRecords, 10*time.Second)
 	last := uint64(segments * claims.SegmentRecords)
 
 	fresh := newPartition()
@@ -102,20 +102,20 @@
 	require.Less(t, s.reads, claims.Slots)
 	now = now.Add(2 * time.Minute)
 	require.Equal(t, claims.Granted, requestVerdict(t, s, fresh, now, newRequest(last, 8, claims.Claimed, now.Add(time.Minute))))
-	require.Equal(t, claims.Duplicate, requestVerdict(t, s, r, now.Add(time.Second), newRequest(last, 9, claims.Claimed, now.Add(time.Minute))),
+	require.Equal(t, claims.Duplicate, requestVerdict(t, s, p, now.Add(time.Second), newRequest(last, 9, claims.Claimed, now.Add(time.Minute))),
 		"the old owner's tail is stale")
 }
 
 // A ledger that is too small for its load must refuse claims rather than drop valid ones.
 func TestFullLedgerRefusesClaims(t *testing.T) {
 	s := &fakeStore{}
-	r := newPartition()
-	now := fillClaims(t, s, r, start, 1, claims.Slots*claims.SegmentRecords, time.Hour)
+	p := newPartition()
+	now := fillClaims(t, s, p, start, 1, claims.Slots*claims.SegmentRecords, time.Hour)
 	now = now.Add(time.Second)
-	require.Equal(t, claims.Full, requestVerdict(t, s, r, now, newRequest(1<<40, 1, claims.Claimed, now.Add(time.Hour))))
+	require.Equal(t, claims.Full, requestVerdict(t, s, p, now, newRequest(1<<40, 1, claims.Claimed, now.Add(time.Hour))))
 	require.Equal(t, claims.Full, requestVerdict(t, s, newPartition(), now, newRequest(1<<40, 1, claims.Claimed, now.Add(time.Hour))))
 	now = start.Add(2 * time.Hour)
-	require.Equal(t, claims.Granted, requestVerdict(t, s, r, now, newRequest(1<<40, 1, claims.Claimed, now.Add(time.Hour))))
+	require.Equal(t, claims.Granted, requestVerdict(t, s, p, now, newRequest(1<<40, 1, claims.Claimed, now.Add(time.Hour))))
 }
 
 // The store is restored from an old copy that lacks a claim, and the request with its key
@@ -124,16 +124,16 @@
 // see docs/design/claims.md).
 func TestClaimsRefusedAfterStoreLosesRecords(t *testing.T) {
 	s := &fakeStore{}
-	r := newPartition()
-	require.Equal(t, claims.Granted, requestVerdict(t, s, r, start, newRequest(1, 1, claims.Claimed, start.Add(time.Minute))))
+	p := newPartition()
+	require.Equal(t, claims.Granted, requestVerdict(t, s, p, start, newRequest(1, 1, claims.Claimed, start.Add(time.Minute))))
 	copied := *s
 	now := start.Add(time.Second)
-	require.Equal(t, claims.Granted, requestVerdict(t, s, r, now, newRequest(2, 2, claims.Claimed, now.Add(time.Minute))))
+	require.Equal(t, claims.Granted, requestVerdict(t, s, p, now, newRequest(2, 2, claims.Claimed, now.Add(time.Minute))))
 	*s = copied
 	now = now.Add(time.Second)
-	require.Equal(t, claims.Unavailable, requestVerdict(t, s, r, now, newRequest(2, 3, claims.Claimed, now.Add(time.Minute))))
+	require.Equal(t, claims.Unavailable, requestVerdict(t, s, p, now, newRequest(2, 3, claims.Claimed, now.Add(time.Minute))))
 	now = now.Add(2 * time.Minute)
-	require.Equal(t, claims.Granted, requestVerdict(t, s, r, now, newRequest(2, 4, claims.Claimed, now.Add(time.Minute))))
+	require.Equal(t, claims.Granted, requestVerdict(t, s, p, now, newRequest(2, 4, claims.Claimed, now.Add(time.Minute))))
 }
 
 func TestClaimTransitions(t *testing.T) {
@@ -168,9 +168,9 @@
 // executeOnNewPartition executes one request on a new partition and reports whether it was
 // granted.
 func executeOnNewPartition(s *fakeStore, now time.Time, req claims.Request) bool {
-	r := newPartition()
-	r.Add(now.Add(-3*time.Second), "", req, now.Add(time.Second))
-	answers := runCalls(s, r, now)
+	p := newPartition()
+	p.Add(now.Add(-3*time.Second), "", req, now.Add(time.Second))
+	answers := runCalls(s, p, now)
 	return len(answers) == 1 && answers[0].Reply.Verdict == claims.Granted
 }
 
@@ -193,20 +193,20 @@
 // and the next claim must share one write. A second release or claim of the key waits, and
 // the release of another token does not free the key.
 func TestReleaseAndNextClaimShareAWrite(t *testing.T) {
-	s, r := &fakeStore{}, newPartition()
+	s, p := &fakeStore{}, newPartition()
 	expires, until := start.Add(time.Hour), start.Add(time.Minute)
-	require.Equal(t, claims.Granted, requestVerdict(t, s, r, start, newRequest(1, 10, claims.Claimed, expires)))
-	require.Equal(t, claims.Granted, requestVerdict(t, s, r, start, newRequest(2, 20, claims.Claimed, expires)))
+	require.Equal(t, claims.Granted, requestVerdict(t, s, p, start, newRequest(1, 10, claims.Claimed, expires)))
+	require.Equal(t, claims.Granted, requestVerdict(t, s, p, start, newRequest(2, 20, claims.Claimed, expires)))
 	before := s.versions[0]
 
 	for _, req := range []claims.Request{
 		newRequest(1, 10, claims.Released, expires), newRequest(1, 11, claims.Claimed, expires), newRequest(1, 12, claims.Claimed, expires),
 		newRequest(2, 99, claims.Released, expires), newRequest(2, 21, claims.Claimed, expires),
 	} {
-		require.True(t, r.Add(start, "", req, until))
+		require.True(t, p.Add(start, "", req, until))
 	}
 	verdicts := make(map[uint64]claims.Verdict)
-	for _, a := range runCalls(s, r, start) {
+	for _, a := range runCalls(s, p, start) {
 		verdicts[a.Reply.Token] = a.Reply.Verdict
 	}
 	require.Equal(t, before+1, s.versions[0], "one write")
--- a/internal/core/coldstart_test.go
+++ b/internal/core/coldstart_test.go
@@ -99,18 +99,18 @@
 	f := newColdFleet(1, instances, 5, 12)
 	f.run(14 * time.Second)
 	require.Equal(t, instances, f.servingCount(12))
-	t.Logf("start of all instances: %d member changes sent", f.calls["member-told"])
+	t.Logf("start of all instances: %d member changes sent", f.calls["member-changes"])
 	// Some instances join too late for the first lists of others, which receive them in
 	// digests.
-	require.Less(t, f.calls["member-told"], 10*instances)
+	require.Less(t, f.calls["member-changes"], 10*instances)
 	clear(f.calls)
 	for _, m := range f.instances {
 		f.boot(m, "")
 	}
 	f.run(10 * time.Second)
 	require.Equal(t, instances, f.servingCount(12))
-	t.Logf("restart of all instances: %d member changes sent", f.calls["member-told"])
-	require.Less(t, f.calls["member-told"], instances)
+	t.Logf("restart of all instances: %d member changes sent", f.calls["member-changes"])
+	require.Less(t, f.calls["member-changes"], instances)
 }
 
 // Guards against an instance that stays excluded from the fleet after a planned restart. It
@@ -123,9 +123,9 @@
 	f.deliver(restarted, core.StopRequested{})
 	f.run(2 * time.Second)
 	live := func(m *fakeInstance) bool {
-		for _, in := range m.node.Status().Instances {
-			if in.Name == restarted.name {
-				return in.State == membership.Live
+		for _, instance := range m.node.Status().Instances {
+			if instance.Name == restarted.name {
+				return instance.State == membership.Live
 			}
 		}
 		return false
--- a/internal/core/config/types.go
+++ b/internal/core/config/types.go
@@ -56,7 +56,7 @@
 	Limits CallerLimits `json:"limits"`
 }
 
-// RouteKind says whether the requests on a route may be repeated.
+// RouteKind specifies whether the requests on a route may be repeated.
 type RouteKind string
 
 // The kinds of route.
--- a/internal/core/configs_test.go
+++ b/internal/core/configs_test.go
@@ -114,7 +114,7 @@
 }
 
 // A replaced instance starts while the platform is unreachable. It would refuse all requests
-// for lack of a configuration that every neighbour has.
+// for lack of a configuration that every peer has.
 func TestInstanceStartedInOutageGetsConfigurationFromPeers(t *testing.T) {
 	f, text := configFleet(t, 13, 8, 3)
 	f.putConfig(2, "second", text)
--- a/internal/core/digests.go
+++ b/internal/core/digests.go
@@ -6,9 +6,9 @@
 	"slices"
 	"time"
 
-	"github.com/ebonydyke/ebonydyke/internal/core/budget"
+	"github.com/ebonydyke/ebonydyke/internal/core/bytebudget"
+	"github.com/ebonydyke/ebonydyke/internal/core/loadsum"
 	"github.com/ebonydyke/ebonydyke/internal/core/membership"
-	"github.com/ebonydyke/ebonydyke/internal/core/sums"
 )
 
 // sendDigest sends a peer a digest if there are changes or the heartbeat is due.
@@ -46,7 +46,7 @@
 // addFacts adds changes of other instances and of backend servers. A peer in another zone that
 // gets only loads receives the facts from other instances.
 func (n *Node) addFacts(p *peerState, d *Digest) {
-	if n.neighbour(p.name) && !n.receivesFacts(p.name) {
+	if n.inLayout(p.name) && !n.receivesFacts(p.name) {
 		p.sentFactsSeq, p.sentMembersSeq = n.view.Seq(), n.view.Seq()
 		return
 	}
@@ -87,9 +87,9 @@
 // the platform's list, since their absence is this instance's own inference.
 func (n *Node) knownMembers() []membership.Member {
 	var members []membership.Member
-	n.view.Each(func(in *membership.Member) {
-		if in.State != membership.Gone {
-			members = append(members, *in)
+	n.view.Each(func(member *membership.Member) {
+		if member.State != membership.Gone {
+			members = append(members, *member)
 		}
 	})
 	slices.SortFunc(members, func(a, b membership.Member) int { return cmp.Compare(a.Name, b.Name) })
@@ -99,8 +99,8 @@
 // addLoads adds the loads that changed since the last digest, or all loads if the digest is
 // full.
 func (n *Node) addLoads(p *peerState, d *Digest) {
-	level := n.peers.budget.Level(n.now)
-	if level == budget.NoLoads {
+	level := n.peers.byteBudget.Level(n.now)
+	if level == bytebudget.NoLoads {
 		return
 	}
 	if p.fullDigestDue.IsZero() {
@@ -110,7 +110,7 @@
 	}
 	if !n.now.Before(p.fullDigestDue) {
 		p.fullDigestDue = n.now.Add(n.jitter(fullDigestInterval))
-		if level == budget.SendAll {
+		if level == bytebudget.SendAll {
 			p.fullPending = true
 		} else {
 			n.emit(Counted{Counter: counterShed, Label: "refresh", N: 1})
@@ -121,7 +121,7 @@
 		current.RetainSent(p.sent)
 	}
 	d.Full, p.fullPending = p.fullPending, false
-	changes := current.Diff(p.sent, d.Full, level == budget.NoSmallChanges)
+	changes := current.Diff(p.sent, d.Full, level == bytebudget.NoSmallChanges)
 	d.Loads, d.RowSums, d.Totals = changes.Own, changes.RowSums, changes.Totals
 	if changes.Shed > 0 {
 		n.emit(Counted{Counter: counterShed, Label: "load", N: changes.Shed})
@@ -129,9 +129,9 @@
 }
 
 // loadsFor returns the loads to be sent to a peer.
-func (n *Node) loadsFor(p *peerState) sums.Loads {
+func (n *Node) loadsFor(p *peerState) loadsum.Loads {
 	if n.outsideLayout(p.name) {
-		return sums.NewLoads()
+		return loadsum.NewLoads()
 	}
 	return n.peers.sums.LoadsFor(p.name)
 }
@@ -140,7 +140,7 @@
 	if len(p.pendingReports) == 0 {
 		return
 	}
-	if n.peers.budget.Level(n.now) == budget.NoLoads {
+	if n.peers.byteBudget.Level(n.now) == bytebudget.NoLoads {
 		n.emit(Counted{Counter: counterShed, Label: "report", N: len(p.pendingReports)})
 	} else {
 		for _, backend := range slices.Sorted(maps.Keys(p.pendingReports)) {
@@ -158,13 +158,13 @@
 	}
 	p.receivedAt = n.now
 	p.loadsDropped = false
-	if in := n.view.Get(from); len(d.RowSums) > 0 && in != nil && in.Zone != n.settings.Zone {
+	if member := n.view.Get(from); len(d.RowSums) > 0 && member != nil && member.Zone != n.settings.Zone {
 		// The other zone sends its loads because it needs the loads of all zones. This zone
 		// then sends its own as well.
 		n.peers.crossZoneLoads = true
 	}
 	// This is needed even without changes, because the tracker ages the loads of silent peers.
-	n.applyPeerLoads(p.name, p.received.Apply(sums.Changes{Own: d.Loads, RowSums: d.RowSums, Totals: d.Totals}, d.Full))
+	n.applyPeerLoads(p.name, p.received.Apply(loadsum.Changes{Own: d.Loads, RowSums: d.RowSums, Totals: d.Totals}, d.Full))
 	if d.Resync {
 		p.fullPending = true
 	}
@@ -175,8 +175,8 @@
 		p.leaving = true
 		n.recordPeerLeaving(from)
 	}
-	for _, in := range d.Members {
-		p.receivedMembers[in.Name] = in.Incarnation
+	for _, member := range d.Members {
+		p.receivedMembers[member.Name] = member.Incarnation
 	}
 	n.mergeMembers(d.Members)
 	for _, f := range d.Facts {
@@ -221,8 +221,8 @@
 // sent on. The fact uses the incarnation in the platform's list, which may differ from the
 // process's own.
 func (n *Node) recordPeerLeaving(name string) {
-	if in := n.view.Get(name); in != nil {
-		n.mergeFact(membership.Fact{Name: name, Incarnation: in.Incarnation, State: membership.Leaving})
+	if member := n.view.Get(name); member != nil {
+		n.mergeFact(membership.Fact{Name: name, Incarnation: member.Incarnation, State: membership.Leaving})
 	}
 }
 
--- a/internal/core/relay_test.go
+++ b/internal/core/entryexchange_test.go
@@ -111,9 +111,9 @@
 	require.Less(t, f.timeUntilUsed(t, 100, everyMember), 15*time.Second)
 }
 
-// putEntry sets a backend server's entry, or removes it if in is nil.
-func (s *fakeStore) putEntry(name string, in *membership.Member) {
-	s.entries = append(s.entries, core.BackendEntry{Name: name, Revision: uint64(len(s.entries) + 1), Backend: in})
+// putEntry sets a backend server's entry, or removes it if member is nil.
+func (s *fakeStore) putEntry(name string, member *membership.Member) {
+	s.entries = append(s.entries, core.BackendEntry{Name: name, Revision: uint64(len(s.entries) + 1), Backend: member})
 	watchers := s.watchers
 	s.watchers = nil
 	for _, w := range watchers {
--- a/internal/core/faults_test.go
+++ b/internal/core/faults_test.go
@@ -50,8 +50,9 @@
 // scenarioResult is the result of a scenario.
 type scenarioResult struct {
 	submitted, ran, refused int
-	// falseDuplicates counts requests that were refused as duplicates of a claim that was about to be
-	// released; blockedKeys counts keys for which that was still so after all faults had ended.
+	// falseDuplicates counts requests that were refused as duplicates of a claim that was about to
+	// be released; blockedKeys counts keys for which that was still so after all faults had
+	// ended.
 	falseDuplicates, blockedKeys int
 	violations
 }
@@ -187,7 +188,7 @@
 
 // The store replies late for an hour, as after an outage of the platform. Requests wait longer for
 // their claims, but none may be lost, run twice or be falsely refused, also if the owner of some
-// key ranges freezes meanwhile.
+// partitions freezes meanwhile.
 func TestStoreSlowForAnHour(t *testing.T) {
 	t.Parallel()
 	result := runScenario(t, 40, 3600, faults[1], faults[5])
--- a/internal/core/fleet_test.go
+++ b/internal/core/fleet_test.go
@@ -353,7 +353,7 @@
 		return
 	}
 	if d := e.Message.Digest; d != nil {
-		f.calls["member-told"] += len(d.Members) + len(d.Facts)
+		f.calls["member-changes"] += len(d.Members) + len(d.Facts)
 	}
 	f.reply(to, time.Millisecond, core.PeerReceived{From: m.name, Message: e.Message})
 }
--- a/internal/core/followers.go
+++ b/internal/core/followers.go
@@ -34,8 +34,8 @@
 	// isolationTimeout is the time without messages from any peer after which an instance
 	// considers itself cut off: two heartbeats.
 	isolationTimeout = 2 * heartbeatInterval
-	// lossReportInterval is the interval at which a peer is told again of a follower that is
-	// still lost.
+	// lossReportInterval is the interval at which a follower that is still lost is reported to
+	// a peer again.
 	lossReportInterval = time.Second
 	// meshFollowerInterval and rowFollowerInterval are the maximum intervals between a
 	// follower's digests, in a full mesh and in a larger fleet.
@@ -165,7 +165,7 @@
 	return known && n.now.Sub(at) < followerLossTimeout
 }
 
-// detectLostFollowers records neighbouring followers that are silent for longer than a follower
+// detectLostFollowers records followers in the layout that are silent for longer than a follower
 // may be, and this instance itself if its calls to the store fail. A follower that is killed or
 // cut off must be replaced before the changes that it misses are overdue in the fleet. Peers
 // that receive only loads are left out: while instances join and leave, the two ends may
@@ -194,8 +194,8 @@
 	n.follow.lostAt[name] = later(n.follow.lostAt[name], at)
 }
 
-// sendsFollowerDigests reports whether this instance's neighbours expect its digests at the
-// follower interval.
+// sendsFollowerDigests reports whether the peers in this instance's layout expect its digests at
+// the follower interval.
 func (n *Node) sendsFollowerDigests() bool { return n.follow.rank < n.follow.wanted || n.follows() }
 
 // followerDigestInterval returns the maximum interval between a follower's digests.
@@ -206,7 +206,7 @@
 	return meshFollowerInterval
 }
 
-// followerTimeout returns the silence after which a neighbouring follower counts as lost:
+// followerTimeout returns the silence after which a follower in the layout counts as lost:
 // two intervals, since one digest may be late.
 func (n *Node) followerTimeout() time.Duration { return 2 * n.followerDigestInterval() }
 
--- a/internal/core/followers_test.go
+++ b/internal/core/followers_test.go
@@ -76,7 +76,7 @@
 }
 
 // The store is down for some seconds and loses the leases of all engines. Engines that are
-// alive renew them within two seconds after its return. The followers saw the outage and wait
+// alive renew them within two seconds after its return. The followers detected the outage and wait
 // for that. They must not report the engines as gone meanwhile, or most of the fleet would
 // refuse requests that it could serve.
 func TestEnginesStayInUseAfterLeaseLossInOutage(t *testing.T) {
--- a/internal/core/layout.go
+++ b/internal/core/layout.go
@@ -10,21 +10,21 @@
 	"github.com/ebonydyke/ebonydyke/internal/core/mesh"
 )
 
-// neighbour reports whether a peer is in this instance's layout.
-func (n *Node) neighbour(name string) bool {
+// inLayout reports whether a peer is in this instance's layout.
+func (n *Node) inLayout(name string) bool {
 	return n.peers.inLayout[name]
 }
 
 // inOwnZone reports whether another instance is in this instance's availability zone.
 func (n *Node) inOwnZone(name string) bool {
-	in := n.view.Get(name)
-	return in != nil && in.Zone == n.settings.Zone
+	member := n.view.Get(name)
+	return member != nil && member.Zone == n.settings.Zone
 }
 
 // receivesFacts reports whether a peer in the layout is sent facts in addition to loads. If all of
 // them were, each fact would reach each zone over dozens of links.
 func (n *Node) receivesFacts(name string) bool {
-	return n.neighbour(name) && (!n.multiHop() || n.inOwnZone(name) || slices.Contains(n.peers.bridges, name))
+	return n.inLayout(name) && (!n.multiHop() || n.inOwnZone(name) || slices.Contains(n.peers.bridges, name))
 }
 
 // refreshLayout updates the layout after changes to the list of instances or to the set of
@@ -56,9 +56,9 @@
 	return true
 }
 
-// requestLink requests a link to an instance outside the layout: to the owner of a claim range,
-// or to an instance that sent this one a claim. The message that triggers the request is lost.
-// Its sender retries or continues without the owner.
+// requestLink requests a link to an instance outside the layout: to the owner of a partition of
+// the claims ledger, or to an instance that sent this one a claim. The message that triggers the
+// request is lost. Its sender retries or continues without the owner.
 func (n *Node) requestLink(name string) {
 	if n.peers.inLayout[name] || n.view.Get(name) == nil {
 		return
@@ -78,9 +78,9 @@
 // included, because they still have requests in progress at the backend servers.
 func (n *Node) layoutMembers() []mesh.Member {
 	members := []mesh.Member{{Name: n.settings.Name, Zone: n.settings.Zone}}
-	n.view.Each(func(in *membership.Member) {
-		if in.Role == membership.RoleInstance && in.State != membership.Gone && in.Name != n.settings.Name {
-			members = append(members, mesh.Member{Name: in.Name, Zone: in.Zone, Leaving: in.State == membership.Leaving})
+	n.view.Each(func(member *membership.Member) {
+		if member.Role == membership.RoleInstance && member.State != membership.Gone && member.Name != n.settings.Name {
+			members = append(members, mesh.Member{Name: member.Name, Zone: member.Zone, Leaving: member.State == membership.Leaving})
 		}
 	})
 	slices.SortFunc(members, func(a, b mesh.Member) int { return cmp.Compare(a.Name, b.Name) })
@@ -105,8 +105,8 @@
 	var linked []PeerAddress
 	for _, name := range slices.Compact(names) {
 		n.peer(name)
-		if in := n.view.Get(name); in != nil {
-			linked = append(linked, PeerAddress{Name: name, Address: in.Address})
+		if member := n.view.Get(name); member != nil {
+			linked = append(linked, PeerAddress{Name: name, Address: member.Address})
 		}
 	}
 	if slices.Equal(linked, n.peers.linked) {
--- a/internal/core/load/load.go
+++ b/internal/core/load/load.go
@@ -49,8 +49,8 @@
 	// fadeSteps is the number of steps in which counts fade, so that a silent peer costs work
 	// only at each step. A power of two keeps all sums exact.
 	fadeSteps = 4
-	// clockResetAfter is the time without accepted messages after which a sender's clock that was set
-	// back is accepted.
+	// clockResetAfter is the time without accepted messages after which a sender's clock that was
+	// set back is accepted.
 	clockResetAfter = 10 * time.Second
 	// sweepInterval is the interval at which reports and peers are aged.
 	sweepInterval = 500 * time.Millisecond
@@ -66,7 +66,8 @@
 
 // The bases; see the package comment.
 const (
-	// FromCounts uses the own and peers' counts, plus the excess of the last report over their peak.
+	// FromCounts uses the own and peers' counts, plus the excess of the last report over their
+	// peak.
 	FromCounts Basis = iota
 	// FromReports uses the last report plus the changes of the counts since.
 	FromReports
--- a/internal/core/sums/lists.go
+++ b/internal/core/loadsum/loads.go
@@ -1,4 +1,4 @@
-package sums
+package loadsum
 
 import (
 	"maps"
@@ -72,8 +72,8 @@
 	return out
 }
 
-// isSmallChange reports whether a change is at most a tenth of the load. A change to zero is never
-// isSmallChange.
+// isSmallChange reports whether a change is at most a tenth of the load. A change to zero never
+// counts as small.
 func isSmallChange(v, old int) bool {
 	return v != 0 && max(v-old, old-v)*10 <= max(v, old)
 }
--- a/internal/core/sums/sums.go
+++ b/internal/core/loadsum/loadsum.go
@@ -1,4 +1,4 @@
-// Package sums computes which loads an instance sends to each of its peers and adds up the
+// Package loadsum computes which loads an instance sends to each of its peers and adds up the
 // loads that it receives from them, according to the layout.
 //
 // In a full mesh each instance sends its own loads to all others. In a larger fleet a load
@@ -6,7 +6,7 @@
 // server's shard; the shard's aggregators in the zone's rows exchange their row sums; the
 // aggregators in different zones exchange their zone sums; and each aggregator sends the
 // totals to its row peers. The steps use separate lists, so that no load is counted twice.
-package sums
+package loadsum
 
 import (
 	"maps"
@@ -64,7 +64,7 @@
 func (e *Exchange) LoadsFor(peer string) Loads {
 	out := NewLoads()
 	switch {
-	case !e.layout.Hierarchical():
+	case !e.layout.MultiHop():
 		out.Own = e.ownLoads(everyShard)
 	case !slices.Contains(e.layout.RowPeers(), peer):
 		out.RowSums = e.rowSumsFor(peer)
@@ -88,7 +88,7 @@
 func (e *Exchange) ownLoads(inShard func(int) bool) map[string]int {
 	out := make(map[string]int)
 	e.own(func(backend string, inFlight int) {
-		if !e.layout.Hierarchical() || inShard(e.layout.ShardOf(backend)) {
+		if !e.layout.MultiHop() || inShard(e.layout.ShardOf(backend)) {
 			out[backend] = inFlight
 		}
 	})
@@ -114,9 +114,9 @@
 func (e *Exchange) zoneSumsFor(peer string) map[string]int {
 	inShard := func(shard int) bool { return slices.Contains(e.otherZones[shard].Receivers, peer) }
 	out := e.rowSums(inShard)
-	for shard, columns := range e.otherRows {
+	for shard, aggregators := range e.otherRows {
 		if inShard(shard) {
-			e.addSums(out, shard, columns)
+			e.addSums(out, shard, aggregators)
 		}
 	}
 	return out
--- a/internal/core/sums/sums_test.go
+++ b/internal/core/loadsum/loadsum_test.go
@@ -1,4 +1,4 @@
-package sums
+package loadsum
 
 import (
 	"fmt"
@@ -95,10 +95,10 @@
 				f.round()
 			}
 			for _, m := range f.members {
-				hierarchical := f.layouts[m.Name].Hierarchical()
+				multiHop := f.layouts[m.Name].MultiHop()
 				for i := range engines {
 					backend := fmt.Sprint("engine-", i)
-					want := f.total(backend, func(zone string) bool { return crossZone || !hierarchical || zone == m.Zone })
+					want := f.total(backend, func(zone string) bool { return crossZone || !multiHop || zone == m.Zone })
 					require.Equal(t, want, f.known(m.Name, backend), "%s at %s, %v, cross-zone %t", backend, m.Name, size, crossZone)
 				}
 			}
--- a/internal/core/news.go
+++ b/internal/core/memberchanges.go
@@ -55,9 +55,9 @@
 // sent as full records, because the receiver may not have read the list since. In a large fleet
 // they are delayed, and most receivers have read the list by then.
 func (n *Node) addMembers(p *peerState, d *Digest) {
-	for _, in := range n.changesSince(p.sentFactsSeq) {
-		if in.State != membership.Live && !n.backends.conveys(in) {
-			d.Facts = append(d.Facts, membership.Fact{Name: in.Name, Incarnation: in.Incarnation, State: in.State})
+	for _, member := range n.changesSince(p.sentFactsSeq) {
+		if member.State != membership.Live && !n.backends.conveys(member) {
+			d.Facts = append(d.Facts, membership.Fact{Name: member.Name, Incarnation: member.Incarnation, State: member.State})
 		}
 	}
 	p.sentFactsSeq = n.view.Seq()
@@ -67,9 +67,9 @@
 	if n.multiHop() {
 		p.membersDue = n.now.Add(n.jitter(memberRecordInterval))
 	}
-	for _, in := range n.changesSince(p.sentMembersSeq) {
-		if in.State == membership.Live && !n.backends.conveys(in) && p.receivedMembers[in.Name] < in.Incarnation {
-			d.Members = append(d.Members, in)
+	for _, member := range n.changesSince(p.sentMembersSeq) {
+		if member.State == membership.Live && !n.backends.conveys(member) && p.receivedMembers[member.Name] < member.Incarnation {
+			d.Members = append(d.Members, member)
 		}
 	}
 	p.sentMembersSeq = n.view.Seq()
@@ -95,8 +95,8 @@
 	n.peers.checkedEntryChanges = n.backends.changes
 	if seq != n.peers.checkedSeq {
 		changes, _ := n.view.Changes(n.peers.checkedSeq, maxDigestFacts)
-		urgent = urgent || slices.ContainsFunc(changes, func(in membership.Member) bool {
-			return in.State != membership.Live
+		urgent = urgent || slices.ContainsFunc(changes, func(member membership.Member) bool {
+			return member.State != membership.Live
 		})
 	}
 	n.peers.checkedGeneration, n.peers.checkedLeaving, n.peers.checkedSeq = generation, leaving, seq
--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -179,9 +179,9 @@
 // instance has not seen in the platform's list, but never remove any.
 func (n *Node) mergeMembers(list []membership.Member) {
 	var changed []string
-	for _, in := range list {
-		if n.view.MergeFromPeer(n.now, in) {
-			changed = append(changed, in.Name)
+	for _, member := range list {
+		if n.view.MergeFromPeer(n.now, member) {
+			changed = append(changed, member.Name)
 		}
 	}
 	n.membersChanged(changed)
@@ -195,7 +195,7 @@
 	}
 	n.logMemberStates(names)
 	for _, name := range names {
-		if in := n.view.Get(name); in == nil || in.Role == membership.RoleInstance {
+		if member := n.view.Get(name); member == nil || member.Role == membership.RoleInstance {
 			n.members.instanceNames = nil
 		}
 	}
@@ -209,8 +209,8 @@
 	var services []string
 	for _, name := range names {
 		service := n.snapshot.ServiceOfBackend(name)
-		if in := n.view.Get(name); service == "" && in != nil {
-			service = in.Service
+		if member := n.view.Get(name); service == "" && member != nil {
+			service = member.Service
 		}
 		if n.snapshot.Service(service) != nil {
 			services = append(services, service)
@@ -226,8 +226,8 @@
 }
 
 // liveInstances returns the sorted names of the live instances, including this one. The owners of
-// claim ranges, report polls and store watches are ranked over this list. The caller must not
-// modify it.
+// claim partitions and of report polls are determined from this list, and the followers of the
+// store are ranked with it. The caller must not modify it.
 func (n *Node) liveInstances() []string {
 	s := &n.members
 	if s.instanceNames != nil {
@@ -235,12 +235,12 @@
 	}
 	names := []string{n.settings.Name}
 	live := []mesh.Member{{Name: n.settings.Name, Zone: n.settings.Zone}}
-	n.view.Each(func(in *membership.Member) {
-		if in.Role != membership.RoleInstance || in.State != membership.Live || in.Name == n.settings.Name {
+	n.view.Each(func(member *membership.Member) {
+		if member.Role != membership.RoleInstance || member.State != membership.Live || member.Name == n.settings.Name {
 			return
 		}
-		names = append(names, in.Name)
-		live = append(live, mesh.Member{Name: in.Name, Zone: in.Zone})
+		names = append(names, member.Name)
+		live = append(live, mesh.Member{Name: member.Name, Zone: member.Zone})
 	})
 	slices.Sort(names)
 	s.instanceNames = names
--- a/internal/core/membership/view_test.go
+++ b/internal/core/membership/view_test.go
@@ -36,27 +36,27 @@
 		for i := range rapid.IntRange(1, 60).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
 			name := fmt.Sprintf("engine-%d", rapid.IntRange(0, 2).Draw(t, "name"))
-			in := engine(name, uint64(rapid.IntRange(1, 3).Draw(t, "incarnation")), state.Draw(t, "state"))
+			member := engine(name, uint64(rapid.IntRange(1, 3).Draw(t, "incarnation")), state.Draw(t, "state"))
 			switch rapid.IntRange(0, 3).Draw(t, "source") {
 			case 0:
-				v.Merge(now, in)
+				v.Merge(now, member)
 			case 1:
-				v.ApplyList(now, []membership.Member{in})
+				v.ApplyList(now, []membership.Member{member})
 			case 2:
-				v.ApplyFact(now, in.Fact())
-				if want[name].Name == "" && in.State == membership.Live {
+				v.ApplyFact(now, member.Fact())
+				if want[name].Name == "" && member.State == membership.Live {
 					continue
 				}
 			case 3:
-				v.ApplyReport(now, membership.Report{Backend: name, Incarnation: in.Incarnation, State: in.State}, i%2 == 0)
+				v.ApplyReport(now, membership.Report{Backend: name, Incarnation: member.Incarnation, State: member.State}, i%2 == 0)
 			}
-			want[name] = preferred(want[name], in)
-			for name, in := range want {
+			want[name] = preferred(want[name], member)
+			for name, member := range want {
 				got := v.Get(name)
 				require.NotNil(t, got)
-				require.Equal(t, in.Incarnation, got.Incarnation)
-				if in.State != membership.Live {
-					require.NotEqual(t, membership.Live, got.State, "%s came back within incarnation %d", name, in.Incarnation)
+				require.Equal(t, member.Incarnation, got.Incarnation)
+				if member.State != membership.Live {
+					require.NotEqual(t, membership.Live, got.State, "%s came back within incarnation %d", name, member.Incarnation)
 				}
 			}
 		}
--- a/internal/core/mesh/mesh.go
+++ b/internal/core/mesh/mesh.go
@@ -45,11 +45,11 @@
 type Layout struct {
 	self     string
 	rowPeers []string
-	// hierarchical is set if the fleet is not a full mesh.
-	hierarchical bool
-	// homeZone is this instance's zone, and row the number of its row there.
-	homeZone *zone
-	row      int
+	// multiHop is set if the fleet is not a full mesh.
+	multiHop bool
+	// ownZone is this instance's zone, and row the number of its row there.
+	ownZone *zone
+	row     int
 	// otherZones holds the other zones by name.
 	otherZones map[string]*zone
 	// shardCount is the number of shards: the average row length, rounded down, of the zone with
@@ -86,7 +86,7 @@
 		l.rowPeers = without(all, self.Name)
 		return l
 	}
-	l.hierarchical = true
+	l.multiHop = true
 	l.otherZones = make(map[string]*zone)
 	for name, list := range inZone {
 		z := &zone{rows: zoneRows(list, active[name])}
@@ -96,16 +96,16 @@
 	for _, z := range l.otherZones {
 		z.assignAggregators(l.shardCount)
 	}
-	l.setHomeZone(self.Zone)
+	l.setOwnZone(self.Zone)
 	return l
 }
 
-// setHomeZone sets this instance's own zone and removes it from the other zones.
-func (l *Layout) setHomeZone(name string) {
-	l.homeZone = l.otherZones[name]
+// setOwnZone sets this instance's own zone and removes it from the other zones.
+func (l *Layout) setOwnZone(name string) {
+	l.ownZone = l.otherZones[name]
 	delete(l.otherZones, name)
-	l.row = slices.IndexFunc(l.homeZone.rows, func(row []string) bool { return slices.Contains(row, l.self) })
-	l.rowPeers = without(l.homeZone.rows[l.row], l.self)
+	l.row = slices.IndexFunc(l.ownZone.rows, func(row []string) bool { return slices.Contains(row, l.self) })
+	l.rowPeers = without(l.ownZone.rows[l.row], l.self)
 }
 
 // assignAggregators assigns each shard an aggregator in each row.
@@ -201,13 +201,13 @@
 // other instances.
 func (l *Layout) RowPeers() []string { return l.rowPeers }
 
-// Hierarchical reports whether the fleet is too large for a full mesh, so that loads are
+// MultiHop reports whether the fleet is too large for a full mesh, so that loads are
 // aggregated on their way.
-func (l *Layout) Hierarchical() bool { return l.hierarchical }
+func (l *Layout) MultiHop() bool { return l.multiHop }
 
 // MultipleRows reports whether this instance's zone has more than one row. If not, row peers send
 // each other all their loads.
-func (l *Layout) MultipleRows() bool { return l.hierarchical && len(l.homeZone.rows) > 1 }
+func (l *Layout) MultipleRows() bool { return l.multiHop && len(l.ownZone.rows) > 1 }
 
 // ShardCount returns the number of shards; 0 in a full mesh.
 func (l *Layout) ShardCount() int { return l.shardCount }
@@ -219,15 +219,15 @@
 
 // Aggregator returns the instance that aggregates a shard in this instance's row.
 func (l *Layout) Aggregator(shard int, silent func(string) bool) string {
-	return l.homeZone.aggregator(l.row, shard, silent)
+	return l.ownZone.aggregator(l.row, shard, silent)
 }
 
 // OtherRowAggregators returns the aggregators of a shard in the other rows of this zone.
 func (l *Layout) OtherRowAggregators(shard int, silent func(string) bool) []string {
 	var out []string
-	for i := range l.homeZone.rows {
+	for i := range l.ownZone.rows {
 		if i != l.row {
-			out = append(out, l.homeZone.aggregator(i, shard, silent))
+			out = append(out, l.ownZone.aggregator(i, shard, silent))
 		}
 	}
 	return out
@@ -242,7 +242,7 @@
 // of that zone; if that zone has fewer rows, one of its rows sends to several.
 func (l *Layout) RemoteAggregators(shard int, silent func(string) bool) RemoteAggregators {
 	var c RemoteAggregators
-	rows := len(l.homeZone.rows)
+	rows := len(l.ownZone.rows)
 	for _, z := range l.otherZones {
 		c.Senders = append(c.Senders, z.aggregator(l.row%len(z.rows), shard, silent))
 		for i := l.row; i < len(z.rows); i += rows {
@@ -257,7 +257,7 @@
 // Bridges returns the instances in other zones with which this instance exchanges facts.
 func (l *Layout) Bridges(silent func(string) bool) []string {
 	var out []string
-	if !l.hierarchical || l.row != 0 {
+	if !l.multiHop || l.row != 0 {
 		return out
 	}
 	for s := range min(bridgesPerZonePair, l.shardCount) {
--- a/internal/core/mesh/mesh_test.go
+++ b/internal/core/mesh/mesh_test.go
@@ -44,7 +44,7 @@
 
 // countReaching returns the number of instances whose loads at a backend server reach l.
 func countReaching(t *testing.T, all map[string]*Layout, l *Layout, backend string) int {
-	if !l.Hierarchical() {
+	if !l.MultiHop() {
 		return 1 + len(l.rowPeers)
 	}
 	s := l.ShardOf(backend)
@@ -95,7 +95,7 @@
 		most := 0
 		for name, l := range all {
 			peers := l.Peers(noneSilent)
-			require.Equal(t, size.n > FullMeshLimit, l.Hierarchical())
+			require.Equal(t, size.n > FullMeshLimit, l.MultiHop())
 			most = max(most, len(peers))
 			for _, p := range peers {
 				require.Contains(t, all[p].Peers(noneSilent), name)
@@ -140,7 +140,7 @@
 		replaced := slices.Clone(members)
 		replaced[i] = Member{Name: fmt.Sprint("fresh-", i), Zone: "zone-0"}
 		for name, l := range layouts(replaced) {
-			if old := before[name]; old != nil && !slices.Equal(l.homeZone.rows[l.row], old.homeZone.rows[old.row]) {
+			if old := before[name]; old != nil && !slices.Equal(l.ownZone.rows[l.row], old.ownZone.rows[old.row]) {
 				changed++
 			}
 		}
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -12,11 +12,11 @@
 	"time"
 
 	"github.com/ebonydyke/ebonydyke/internal/core/config"
-	"github.com/ebonydyke/ebonydyke/internal/core/health"
 	"github.com/ebonydyke/ebonydyke/internal/core/load"
+	"github.com/ebonydyke/ebonydyke/internal/core/loadsum"
 	"github.com/ebonydyke/ebonydyke/internal/core/membership"
+	"github.com/ebonydyke/ebonydyke/internal/core/outlier"
 	"github.com/ebonydyke/ebonydyke/internal/core/prefix"
-	"github.com/ebonydyke/ebonydyke/internal/core/sums"
 )
 
 // TickInterval is the interval between Ticked events from the daemon.
@@ -41,7 +41,7 @@
 	// responses already carry the load and a poll costs as much as a request.
 	NoPolls bool `json:"no_polls,omitempty"`
 	// AcceptDelay is how long a stopping instance keeps accepting connections, so that
-	// the load balancer has time to notice that it is not ready.
+	// the load balancer has time to detect that it is not ready.
 	AcceptDelay time.Duration `json:"accept_delay"`
 	// StopGrace is the time from the stop request until the process is killed; 0 means
 	// that it is not killed.
@@ -97,7 +97,7 @@
 		reach:         newReachability(),
 		hints:         make(hintShares),
 		prefixes:      prefix.New(),
-		outliers:      outlierState{tracker: health.New()},
+		outliers:      outlierState{tracker: outlier.New()},
 		admission:     newAdmissionState(),
 		requests:      make(map[RequestID]*request),
 		claims:        newClaimTracker(),
@@ -107,7 +107,7 @@
 		peers:         newPeersState(),
 		polls:         pollState{reportedAt: make(map[string]time.Time)},
 	}
-	n.peers.sums = sums.New(s.Name, n.load.EachOwn, func(peer string) sums.Loads { return n.peer(peer).received })
+	n.peers.sums = loadsum.New(s.Name, n.load.EachOwn, func(peer string) loadsum.Loads { return n.peer(peer).received })
 	return n
 }
 
@@ -168,7 +168,7 @@
 	switch e := e.(type) {
 	case SendPeer:
 		if !e.Message.isReply() {
-			n.peers.budget.Spend(n.now, e.Message.WireEstimate(), e.Message.Digest.loadsEstimate())
+			n.peers.byteBudget.Spend(n.now, e.Message.WireEstimate(), e.Message.Digest.loadsEstimate())
 		}
 		if p := n.peers.byName[e.To]; p != nil {
 			p.lastSentAt = n.now
@@ -177,7 +177,7 @@
 			n.requestLink(e.To)
 		}
 	case PollReport:
-		n.peers.budget.Spend(n.now, sizePoll, sizePoll)
+		n.peers.byteBudget.Spend(n.now, sizePoll, sizePoll)
 	}
 	n.effects = append(n.effects, e)
 }
--- a/internal/core/health/health.go
+++ b/internal/core/outlier/outlier.go
@@ -1,10 +1,10 @@
-// Package health detects outliers: backend servers whose responses fail more often than those of
+// Package outlier detects outliers: backend servers whose responses fail more often than those of
 // the other servers of their service.
 //
 // It does not use active health checks. They cost as much as a request, pass at servers that fail
 // every other request, and fail at servers that work. An instance gets few responses from each
 // server, so the peers' counts are added to its own.
-package health
+package outlier
 
 import (
 	"slices"
--- a/internal/core/health/health_test.go
+++ b/internal/core/outlier/outlier_test.go
@@ -1,4 +1,4 @@
-package health_test
+package outlier_test
 
 import (
 	"fmt"
@@ -7,7 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/ebonydyke/ebonydyke/internal/core/health"
+	"github.com/ebonydyke/ebonydyke/internal/core/outlier"
 )
 
 var start = time.Unix(1_800_000_000, 0)
@@ -24,14 +24,14 @@
 // as an outlier after its third failure, and again for longer if it still fails when the mark has
 // expired. The other engines stay unmarked.
 func TestServerWithMoreFailuresIsOutlier(t *testing.T) {
-	tracker, names, now := health.New(), pool(12), start
+	tracker, names, now := outlier.New(), pool(12), start
 	round := func(failing bool) []string {
 		now = now.Add(time.Second)
 		for i, name := range names {
 			if tracker.IsOutlier(name, now) {
 				continue
 			}
-			c := health.Count{Answers: 6}
+			c := outlier.Count{Answers: 6}
 			if i == 3 && failing {
 				c.Failures = 3
 			}
@@ -54,11 +54,11 @@
 // because of requests that fail at any server. Avoiding some of the servers would only add load
 // to the others.
 func TestNoOutlierIfAllFailEqually(t *testing.T) {
-	tracker, names := health.New(), pool(12)
+	tracker, names := outlier.New(), pool(12)
 	for second := range 20 {
 		now := start.Add(time.Duration(second) * time.Second)
 		for i, name := range names {
-			tracker.Add(name, health.Count{Answers: 6, Failures: 2 + (i+second)%3}, now)
+			tracker.Add(name, outlier.Count{Answers: 6, Failures: 2 + (i+second)%3}, now)
 		}
 		require.Empty(t, tracker.DetectOutliers(names, now))
 	}
@@ -67,12 +67,12 @@
 // Failures outside the window, too few failures, and failures of a service's only server must not
 // mark an outlier.
 func TestInsufficientDataMarksNoOutlier(t *testing.T) {
-	tracker, names := health.New(), pool(3)
-	tracker.Add(names[0], health.Count{Answers: 2, Failures: 2}, start)
-	tracker.Add(names[1], health.Count{Answers: 9}, start)
+	tracker, names := outlier.New(), pool(3)
+	tracker.Add(names[0], outlier.Count{Answers: 2, Failures: 2}, start)
+	tracker.Add(names[1], outlier.Count{Answers: 9}, start)
 	require.Empty(t, tracker.DetectOutliers(names, start))
-	tracker.Add(names[0], health.Count{Answers: 2, Failures: 2}, start.Add(time.Minute))
+	tracker.Add(names[0], outlier.Count{Answers: 2, Failures: 2}, start.Add(time.Minute))
 	require.Empty(t, tracker.DetectOutliers(names, start.Add(time.Minute)))
-	tracker.Add(names[2], health.Count{Answers: 9, Failures: 9}, start.Add(time.Minute))
+	tracker.Add(names[2], outlier.Count{Answers: 9, Failures: 9}, start.Add(time.Minute))
 	require.Empty(t, tracker.DetectOutliers(names[2:], start.Add(time.Minute)))
 }
--- a/internal/core/sick.go
+++ b/internal/core/outliers.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/ebonydyke/ebonydyke/internal/core/health"
+	"github.com/ebonydyke/ebonydyke/internal/core/outlier"
 	"github.com/ebonydyke/ebonydyke/internal/core/retry"
 )
 
@@ -25,7 +25,7 @@
 // outlierState is the state of the outlier detection: it finds backend servers that fail more
 // often than the others of their service.
 type outlierState struct {
-	tracker   *health.Tracker
+	tracker   *outlier.Tracker
 	checkedAt time.Time
 }
 
@@ -43,7 +43,7 @@
 func (n *Node) countLate(r *request, attempt int) {
 	if r.running && r.attempt == attempt && !r.responseStarted && !r.outcomeCounted {
 		r.outcomeCounted = true
-		n.countAnswer(r.backend, health.Count{Answers: 1, Failures: 1})
+		n.countAnswer(r.backend, outlier.Count{Answers: 1, Failures: 1})
 	}
 }
 
@@ -54,7 +54,7 @@
 		return
 	}
 	r.outcomeCounted = true
-	c := health.Count{Answers: 1}
+	c := outlier.Count{Answers: 1}
 	if outcome != retry.Answered {
 		c.Failures = 1
 	}
@@ -62,7 +62,7 @@
 }
 
 // countAnswer adds counts of responses to the tracker and to the counts for the peers.
-func (n *Node) countAnswer(backend string, c health.Count) {
+func (n *Node) countAnswer(backend string, c outlier.Count) {
 	n.outliers.tracker.Add(backend, c, n.now)
 	for _, p := range n.peers.byName {
 		if p.connected {
@@ -118,7 +118,7 @@
 func (n *Node) peerAnswers(d *Digest) {
 	for _, a := range d.Answers {
 		if n.poolByBackend[a.Backend] != nil && a.Answers >= 0 && a.Failures >= 0 {
-			n.outliers.tracker.Add(a.Backend, health.Count{Answers: a.Answers, Failures: a.Failures}, n.now)
+			n.outliers.tracker.Add(a.Backend, outlier.Count{Answers: a.Answers, Failures: a.Failures}, n.now)
 		}
 	}
 }
--- a/internal/core/peermsg.go
+++ b/internal/core/peermsg.go
@@ -45,11 +45,11 @@
 	// is missing from this list or the next two is unchanged since the last digest to this
 	// peer, or has no requests if Full is set.
 	Loads []load.Count `json:"loads,omitempty"`
-	// RowSums are the requests in progress of the sender's row, sent to the heads of the same
-	// slice in other rows, or those of its zone, sent to an instance in another zone.
+	// RowSums are the requests in progress of the sender's row, sent to the aggregators of the
+	// same shard in other rows, or those of its zone, sent to an instance in another zone.
 	RowSums []load.Count `json:"row_sums,omitempty"`
 	// Totals are the loads that the sender knows and the receiver may not, sent to the sender's
-	// mates in its row. The receiver does not include them in its own sums, so loads cannot
+	// row peers. The receiver does not include them in its own sums, so loads cannot
 	// circulate.
 	Totals []load.Count `json:"totals,omitempty"`
 	// Full is set if the lists are complete.
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -5,11 +5,11 @@
 	"slices"
 	"time"
 
-	"github.com/ebonydyke/ebonydyke/internal/core/budget"
-	"github.com/ebonydyke/ebonydyke/internal/core/health"
+	"github.com/ebonydyke/ebonydyke/internal/core/bytebudget"
+	"github.com/ebonydyke/ebonydyke/internal/core/loadsum"
 	"github.com/ebonydyke/ebonydyke/internal/core/membership"
 	"github.com/ebonydyke/ebonydyke/internal/core/mesh"
-	"github.com/ebonydyke/ebonydyke/internal/core/sums"
+	"github.com/ebonydyke/ebonydyke/internal/core/outlier"
 )
 
 // Intervals and timeouts of the communication between instances.
@@ -43,10 +43,10 @@
 	peerLoadsTimeout = 12 * time.Second
 	// layoutHandoverPeriod is how long loads received under the previous layout still count
 	// after a layout change. For some seconds instances compute their layouts from different
-	// lists, and the new head of a slice needs up to four rounds to collect its sums. During
-	// that time the slice's servers must not look idle, or all instances would send requests to
-	// them. Some loads are counted twice meanwhile. Their servers then get too few requests,
-	// which is the lesser harm.
+	// lists, and the new aggregator of a shard needs up to four rounds to collect its sums.
+	// During that time the shard's servers must not look idle, or all instances would send
+	// requests to them. Some loads are counted twice meanwhile. Their servers then get too few
+	// requests, which is the lesser harm.
 	layoutHandoverPeriod = 6 * time.Second
 	// fullDigestInterval is the mean interval between full digests to a peer.
 	fullDigestInterval = time.Minute
@@ -85,7 +85,7 @@
 	layoutChangedAt time.Time
 	surge           surgeDetector
 	// sums aggregates the loads according to the layout.
-	sums *sums.Exchange
+	sums *loadsum.Exchange
 	// bridges are the instances of other zones that exchange facts with this one, in addition
 	// to loads.
 	bridges []string
@@ -101,8 +101,8 @@
 	byName   map[string]*peerState
 	// names caches the sorted keys of byName. It is nil after a change.
 	names []string
-	// budget limits the bytes sent to peers.
-	budget budget.Budget
+	// byteBudget limits the bytes sent to peers.
+	byteBudget bytebudget.Budget
 	// configRequests paces the requests for a newer configuration.
 	configRequests requestPacer
 	// entryRequests paces the requests for missing entries.
@@ -162,7 +162,7 @@
 	incarnation uint64
 	lastSeq     uint64
 	receivedAt  time.Time
-	received    sums.Loads
+	received    loadsum.Loads
 	leaving     bool
 	// wantFull is set while the peer is to be asked for a full digest.
 	wantFull bool
@@ -171,7 +171,7 @@
 
 	// State sent to the peer.
 	seq          uint64
-	sent         sums.Loads
+	sent         loadsum.Loads
 	digestSentAt time.Time
 	// lastSentAt is the time of the last message of any kind.
 	lastSentAt    time.Time
@@ -196,7 +196,7 @@
 	receivedMembers map[string]uint64
 	lossesDue       time.Time
 	pendingReports  map[string]membership.Report
-	pendingAnswers  map[string]health.Count
+	pendingAnswers  map[string]outlier.Count
 }
 
 func (n *Node) peer(name string) *peerState {
@@ -204,8 +204,8 @@
 	if p == nil {
 		p = &peerState{
 			name: name, addedAt: n.now, receivedAt: n.now,
-			received: sums.NewLoads(), sent: sums.NewLoads(), pendingReports: make(map[string]membership.Report),
-			pendingAnswers: make(map[string]health.Count), receivedMembers: make(map[string]uint64),
+			received: loadsum.NewLoads(), sent: loadsum.NewLoads(), pendingReports: make(map[string]membership.Report),
+			pendingAnswers: make(map[string]outlier.Count), receivedMembers: make(map[string]uint64),
 		}
 		n.peers.byName[name] = p
 		n.peers.names = nil
@@ -233,7 +233,7 @@
 	p.lastSeq = 0
 	p.receivedAt = n.now
 	p.leaving = false
-	p.sent = sums.NewLoads()
+	p.sent = loadsum.NewLoads()
 	p.sentGeneration, p.sentLeaving, p.sentEntriesUpTo = 0, false, 0
 	p.fullPending = true
 	p.digestDue = n.now
@@ -248,15 +248,15 @@
 // incarnation. An instance that had left is live again, even if its entry in the store is still
 // the earlier process's.
 func (n *Node) updatePeerIncarnation(e PeerConnected) {
-	in := n.view.Get(e.Peer)
-	if in == nil || in.Role != membership.RoleInstance || in.Incarnation >= e.Incarnation {
+	member := n.view.Get(e.Peer)
+	if member == nil || member.Role != membership.RoleInstance || member.Incarnation >= e.Incarnation {
 		return
 	}
-	if in.State == membership.Live {
+	if member.State == membership.Live {
 		n.view.UpdateIncarnation(e.Peer, e.Incarnation)
 		return
 	}
-	started := *in
+	started := *member
 	started.Incarnation, started.State = e.Incarnation, membership.Live
 	n.mergeMembers([]membership.Member{started})
 }
@@ -294,7 +294,7 @@
 
 // peerSilent reports whether a peer has sent nothing for so long that others take over its sums.
 func (n *Node) peerSilent(name string) bool {
-	if name == n.settings.Name || !n.neighbour(name) {
+	if name == n.settings.Name || !n.inLayout(name) {
 		return false
 	}
 	p := n.peers.byName[name]
@@ -344,7 +344,7 @@
 
 // digestInterval returns the interval between digests to a peer in the layout, as short as the byte
 // budget allows. For an instance that follows the store it does not exceed the interval that
-// its neighbours expect, so that its loss is detected quickly.
+// the peers in its layout expect, so that its loss is detected quickly.
 func (n *Node) digestInterval() time.Duration {
 	shortest, longest := meshDigestInterval, meshMaxDigestInterval
 	switch {
@@ -353,7 +353,7 @@
 	case n.multiHop():
 		shortest, longest = rowDigestInterval, rowMaxDigestInterval
 	}
-	round := n.peers.budget.RoundInterval(n.now, shortest, longest)
+	round := n.peers.byteBudget.RoundInterval(n.now, shortest, longest)
 	if n.sendsFollowerDigests() {
 		return min(round, n.followerDigestInterval())
 	}
@@ -390,7 +390,7 @@
 }
 
 func (n *Node) dropLoads(p *peerState) {
-	p.received = sums.NewLoads()
+	p.received = loadsum.NewLoads()
 	p.loadsDropped = true
 	// The peer's next digest may be incremental, so a full one is requested.
 	p.wantFull = true
--- a/internal/core/peers_test.go
+++ b/internal/core/peers_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/ebonydyke/ebonydyke/internal/core/budget"
+	"github.com/ebonydyke/ebonydyke/internal/core/bytebudget"
 	"github.com/ebonydyke/ebonydyke/internal/core/claims"
 	"github.com/ebonydyke/ebonydyke/internal/core/config"
 	"github.com/ebonydyke/ebonydyke/internal/core/load"
@@ -59,10 +59,10 @@
 	f.requireExactLoads(f.names(), f.names())
 }
 
-// The head that aggregates a slice for its row freezes, so the slice's servers would look idle
-// and get too many requests. Another instance of the row must take the slice over, no load may
-// count twice, and all sums must agree again after the head resumes.
-func TestFrozenHeadIsReplaced(t *testing.T) {
+// The aggregator of a shard in a row freezes, so the shard's servers would look idle and get too
+// many requests. Another instance of the row must take the shard over, no load may count twice,
+// and all sums must agree again after the aggregator resumes.
+func TestFrozenAggregatorIsReplaced(t *testing.T) {
 	f := newPeerFleet(t, 30, 1)
 	f.run(3 * time.Second)
 	f.addRandomLoads(rand.New(rand.NewPCG(3, 3)), 6)
@@ -151,8 +151,8 @@
 		f.run(100 * time.Millisecond)
 	}
 	sent := float64(f.bytes["entry-00"]-before) / seconds
-	require.Less(t, sent, budget.Rate)
-	require.Greater(t, sent, budget.Rate/2)
+	require.Less(t, sent, bytebudget.Rate)
+	require.Greater(t, sent, bytebudget.Rate/2)
 	f.handle("entry-00", StopRequested{})
 	f.run(200 * time.Millisecond)
 	for _, name := range f.names()[1:] {
@@ -259,13 +259,13 @@
 	clear(f.bytes)
 	f.run(5 * time.Second)
 	for _, name := range f.names() {
-		require.Less(t, f.bytes[name], 5*int(budget.Rate), name)
+		require.Less(t, f.bytes[name], 5*int(bytebudget.Rate), name)
 	}
 }
 
-// One of 30 instances is replaced, which moves other instances to different rows and slices to
-// different heads. If a slice's sums were dropped before the new head has collected its own,
-// the slice's servers would look idle and get all requests for a second or two.
+// One of 30 instances is replaced, which moves other instances to different rows and shards to
+// different aggregators. If a shard's sums were dropped before the new aggregator has collected
+// its own, the shard's servers would look idle and get all requests for a second or two.
 func TestInstanceReplacementKeepsLoadsVisible(t *testing.T) {
 	for _, zones := range []int{1, 3} {
 		least := 1.0
@@ -320,7 +320,7 @@
 	return least
 }
 
-// An instance of 30 sends a claim to a range owner to which the layout gives it no link. The
+// An instance of 30 sends a claim to a partition owner to which the layout gives it no link. The
 // first message is lost. A link must then be opened and the next message arrive, and no loads
 // may be sent over that link.
 func TestClaimReachesOwnerOutsideLayout(t *testing.T) {
@@ -377,5 +377,5 @@
 		require.Equal(t, revision, f.nodes[name].backends.shareableRevision(), name)
 		sum += f.bytes[name]
 	}
-	require.Less(t, float64(sum)/30/19, budget.Rate, "bytes per second and instance, with ten changes per second")
+	require.Less(t, float64(sum)/30/19, bytebudget.Rate, "bytes per second and instance, with ten changes per second")
 }
--- a/internal/core/placement.go
+++ b/internal/core/placement.go
@@ -61,7 +61,7 @@
 // are ranked together, so that a chat reaches its cached prefix through an instance of any
 // zone. A placement hint may name a server in any zone.
 func (n *Node) multiHop() bool {
-	return n.peers.layout != nil && n.peers.layout.Hierarchical()
+	return n.peers.layout != nil && n.peers.layout.MultiHop()
 }
 
 // loadTotals returns the total load and the number of the backend servers from which the
--- a/internal/core/pools.go
+++ b/internal/core/pools.go
@@ -176,24 +176,24 @@
 // sorted by name.
 func (n *Node) candidates(svc *config.Service) (list, leaving []routing.Candidate) {
 	for _, b := range svc.BackendServers {
-		in := n.view.Get(b.Name)
+		member := n.view.Get(b.Name)
 		switch {
-		case in == nil:
+		case member == nil:
 			list = append(list, n.candidate(svc, membership.Member{Name: b.Name, Address: b.Address, Zone: b.Zone}))
-		case in.State == membership.Live:
+		case member.State == membership.Live:
 			list = append(list, n.candidate(svc, membership.Member{
-				Name: b.Name, Address: b.Address, Zone: b.Zone, Incarnation: in.Incarnation,
+				Name: b.Name, Address: b.Address, Zone: b.Zone, Incarnation: member.Incarnation,
 			}))
 		}
 	}
 	if svc.FromPlatform {
-		n.view.EachOfService(svc.Name, func(in *membership.Member) {
+		n.view.EachOfService(svc.Name, func(member *membership.Member) {
 			switch {
-			case in.Role != membership.RoleBackend:
-			case in.State == membership.Live:
-				list = append(list, n.candidate(svc, *in))
-			case in.State == membership.Leaving:
-				leaving = append(leaving, n.candidate(svc, *in))
+			case member.Role != membership.RoleBackend:
+			case member.State == membership.Live:
+				list = append(list, n.candidate(svc, *member))
+			case member.State == membership.Leaving:
+				leaving = append(leaving, n.candidate(svc, *member))
 			}
 		})
 	}
@@ -203,17 +203,17 @@
 	return slices.CompactFunc(list, func(a, b routing.Candidate) bool { return a.Name == b.Name }), leaving
 }
 
-func (n *Node) candidate(svc *config.Service, in membership.Member) routing.Candidate {
+func (n *Node) candidate(svc *config.Service, member membership.Member) routing.Candidate {
 	return routing.Candidate{
-		Name:          in.Name,
-		Address:       in.Address,
-		Zone:          in.Zone,
-		Incarnation:   in.Incarnation,
-		Hash:          rendezvous.Hash(in.Name),
-		Capacity:      capacityOf(svc, in),
-		Slots:         float64(in.Slots),
-		OtherZone:     in.Zone != n.settings.Zone,
-		WithheldShare: 1 - n.view.LoadShare(in.Name, n.now),
+		Name:          member.Name,
+		Address:       member.Address,
+		Zone:          member.Zone,
+		Incarnation:   member.Incarnation,
+		Hash:          rendezvous.Hash(member.Name),
+		Capacity:      capacityOf(svc, member),
+		Slots:         float64(member.Slots),
+		OtherZone:     member.Zone != n.settings.Zone,
+		WithheldShare: 1 - n.view.LoadShare(member.Name, n.now),
 	}
 }
 
@@ -224,9 +224,9 @@
 
 // capacityOf returns the load that a backend server must not exceed, computed from the slots
 // that it reports or else taken from the configuration.
-func capacityOf(svc *config.Service, in membership.Member) float64 {
-	if in.Slots > 0 {
-		return float64(in.Slots * (1 + queuePerSlot))
+func capacityOf(svc *config.Service, member membership.Member) float64 {
+	if member.Slots > 0 {
+		return float64(member.Slots * (1 + queuePerSlot))
 	}
 	return float64(svc.Capacity)
 }
--- a/internal/core/prefix/prefix.go
+++ b/internal/core/prefix/prefix.go
@@ -15,9 +15,9 @@
 	TTL = time.Minute
 	// MaxParts bounds the number of tracked parts, at about 150 bytes each.
 	MaxParts = 4096
-	// holders is the number of backend servers tracked per part. A popular part is in more
+	// maxHolders is the number of backend servers tracked per part. A popular part is in more
 	// caches than that, but one source to copy from is enough.
-	holders = 3
+	maxHolders = 3
 )
 
 // Index tracks the backend servers that hold each part.
@@ -29,7 +29,7 @@
 // part holds the backend servers that have a part in their caches.
 type part struct {
 	// backends holds the backend servers, most recently used first.
-	backends [holders]holder
+	backends [maxHolders]holder
 }
 
 // holder is one backend server and the time of its last use of a part.
@@ -53,7 +53,7 @@
 		x.parts[id] = p
 	}
 	i := 0
-	for i < holders-1 && p.backends[i].backend != backend {
+	for i < maxHolders-1 && p.backends[i].backend != backend {
 		i++
 	}
 	copy(p.backends[1:i+1], p.backends[:i])
--- a/internal/core/prefix/prefix_test.go
+++ b/internal/core/prefix/prefix_test.go
@@ -12,7 +12,7 @@
 
 var start = time.Unix(1_800_000_000, 0)
 
-func holders(h *prefix.Index, id string, now time.Time) []string {
+func holdersOf(h *prefix.Index, id string, now time.Time) []string {
 	var list []string
 	h.EachHolder(id, now, func(backend string) bool {
 		list = append(list, backend)
@@ -28,12 +28,12 @@
 		h.Record("p", backend, start.Add(time.Duration(i)*time.Second))
 	}
 	now := start.Add(5 * time.Second)
-	require.Equal(t, []string{"d", "c", "a"}, holders(h, "p", now))
+	require.Equal(t, []string{"d", "c", "a"}, holdersOf(h, "p", now))
 	require.True(t, h.Holds("p", "a", now))
 	require.False(t, h.Holds("p", "b", now))
 	require.False(t, h.Holds("q", "a", now))
 	h.Forget("c")
-	require.Equal(t, []string{"d", "a"}, holders(h, "p", now))
+	require.Equal(t, []string{"d", "a"}, holdersOf(h, "p", now))
 }
 
 // Parts must expire after TTL and be limited to MaxParts, or the index would grow without bound.
@@ -42,7 +42,7 @@
 	h.Record("p", "a", start)
 	expired := start.Add(prefix.TTL + time.Second)
 	require.False(t, h.Holds("p", "a", expired))
-	require.Empty(t, holders(h, "p", expired))
+	require.Empty(t, holdersOf(h, "p", expired))
 	for i := range 2 * prefix.MaxParts {
 		h.Record(fmt.Sprint(i), "a", start)
 	}
--- a/internal/core/reach.go
+++ b/internal/core/reachability.go
@@ -20,7 +20,7 @@
 // but at least two and at most three of them, failed within zoneFailureWindow and no server
 // of the zone has answered since. Without this rule, each of the zone's servers would cost a
 // request a failed connection before it is avoided. If only some of the servers crash,
-// however, the others must stay in use, or their sessions would crowd onto other zones and be
+// however, the others must stay in use, or their sessions would overload other zones and be
 // prefilled again there.
 const (
 	zoneMinFailures   = 2
@@ -235,7 +235,7 @@
 }
 
 // setUnreachable marks a usable backend server as unreachable or reachable, and emits a
-// Learned effect if that is a change.
+// StateChanged effect if that is a change.
 func (n *Node) setUnreachable(backend string, unreachable bool) {
 	p := n.poolByBackend[backend]
 	if p == nil {
--- a/internal/core/reason/reason.go
+++ b/internal/core/reason/reason.go
@@ -79,7 +79,7 @@
 	ClaimDuplicate Reason = "claim-duplicate"
 	// ClaimUnavailable means that the claim could not be recorded with certainty.
 	ClaimUnavailable Reason = "claim-unavailable"
-	// ClaimsFull means that the ledger has no room until older claims expire.
+	// ClaimsFull means that the ledger accepts no claims until older ones expire.
 	ClaimsFull Reason = "claims-full"
 	// Stopping means that this instance is shutting down and accepts no more requests.
 	Stopping Reason = "stopping"
--- a/internal/core/registration.go
+++ b/internal/core/registration.go
@@ -61,9 +61,9 @@
 	if s.attached || s.call != 0 || e.OwnLease == 0 {
 		return
 	}
-	for _, in := range e.Members {
-		in.Incarnation = n.settings.Incarnation
-		if in == n.ownEntry() {
+	for _, member := range e.Members {
+		member.Incarnation = n.settings.Incarnation
+		if member == n.ownEntry() {
 			s.lease, s.attached = e.OwnLease, true
 		}
 	}
--- a/internal/core/rendezvous/rendezvous.go
+++ b/internal/core/rendezvous/rendezvous.go
@@ -22,8 +22,8 @@
 // Unit maps a hash to a number in [0, 1), so that hashes are spread evenly.
 func Unit(hash uint64) float64 { return float64(hash>>11) / (1 << 53) }
 
-// Score returns the weight of a name for a key, given both hashes; the highest weight wins. The
-// weight depends on nothing else, so removing a name moves only its own keys.
+// Score returns the score of a name for a key, given both hashes; the highest score ranks first.
+// The score depends on nothing else, so removing a name moves only its own keys.
 func Score(key, name uint64) uint64 {
 	x := key ^ (name * 0x9e3779b97f4a7c15)
 	x ^= x >> 30
@@ -53,7 +53,7 @@
 	return top
 }
 
-// ranksAbove reports whether a name ranks ranksAbove another.
+// ranksAbove reports whether a name ranks above another.
 func ranksAbove(score uint64, name string, otherScore uint64, other string) bool {
 	if score != otherScore {
 		return score > otherScore
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -230,7 +230,7 @@
 	}
 	if t.service != nil {
 		finish.Service = t.service.Name
-		finish.Utilization = n.fill(t.service.Name, r.reason)
+		finish.Utilization = n.refusalUtilization(t.service.Name, r.reason)
 	}
 	n.emit(finish)
 }
--- a/internal/core/requests_property_test.go
+++ b/internal/core/requests_property_test.go
@@ -60,7 +60,7 @@
 	generation uint64
 }
 
-// A caller that is told not-run sends a non-idempotent request again. If an attempt of the
+// A caller sends a non-idempotent request again if its outcome is not-run. If an attempt of the
 // first one may have run after all, the request runs twice. The test plays attempt ends
 // (late, duplicate, of earlier attempts), disconnecting callers, deadlines, configurations
 // and a stop in any order. The outcome is not-run only if no attempt may have run, a
--- a/internal/core/routes_test.go
+++ b/internal/core/routes_test.go
@@ -68,12 +68,12 @@
 }
 
 func entry(kind, service string, i int, revision uint64) core.BackendEntry {
-	in := membership.Member{
+	member := membership.Member{
 		Name: fmt.Sprintf("%s-%d", kind, i), Role: membership.RoleBackend, Service: service,
 		Zone: fmt.Sprintf("zone-%d", i%3), Address: fmt.Sprintf("10.0.0.%d:8080", i+1), Slots: 6,
 		Incarnation: 1, State: membership.Live,
 	}
-	return core.BackendEntry{Name: in.Name, Revision: revision, Backend: &in}
+	return core.BackendEntry{Name: member.Name, Revision: revision, Backend: &member}
 }
 
 func (r *nodeDriver) handle(e core.Event) []core.Effect {
--- a/internal/core/routing/routing.go
+++ b/internal/core/routing/routing.go
@@ -29,7 +29,7 @@
 	Unreachable bool
 	// WithheldShare is the fraction, under 1, of its share of requests that a flapping
 	// backend server does not receive yet. It lowers the rank and refuses nothing: it has
-	// no effect unless other backend servers have room.
+	// no effect unless other backend servers have free capacity.
 	WithheldShare float64
 }
 
@@ -141,10 +141,10 @@
 	// boundMargin is the distance of all limits but the outer one from the bound, in square
 	// roots of the mean load. Loads fluctuate by about one square root of the mean.
 	boundMargin = 0.4
-	// The inner limits of chats without a hint are spread over this part of the room
+	// The inner limits of chats without a hint are spread over this part of the headroom
 	// between the mean and the margin.
 	unhintedLow, unhintedHigh = 0.3, 1.0
-	// The inner limits of first turns are spread lower, which leaves room for returning
+	// The inner limits of first turns are spread lower, which leaves headroom for returning
 	// turns: a first turn has no cached prefix to reuse.
 	firstLow, firstHigh = 0.0, 0.3
 )
@@ -171,7 +171,7 @@
 // neither all stop using one backend server at once nor all move to the same next one.
 func ChatLimits(bound, total float64, n int, chat uint64, kind Kind) Limits {
 	mean := (total + 1) / float64(n)
-	room := max(0, (bound-1)*mean-boundMargin*math.Sqrt(mean))
+	headroom := max(0, (bound-1)*mean-boundMargin*math.Sqrt(mean))
 	low, high := unhintedLow, unhintedHigh
 	if kind == First {
 		low, high = firstLow, firstHigh
@@ -179,8 +179,8 @@
 	spread := rendezvous.Unit(chat)
 	ceilMean := math.Ceil(mean)
 	return Limits{
-		Inner:  max(1, ceilMean, math.Floor(mean+room*(low+(high-low)*spread))),
-		Hinted: max(1, ceilMean, math.Floor(mean+room)),
+		Inner:  max(1, ceilMean, math.Floor(mean+headroom*(low+(high-low)*spread))),
+		Hinted: max(1, ceilMean, math.Floor(mean+headroom)),
 		Outer:  Bound(bound, total, n),
 	}
 }
@@ -207,16 +207,16 @@
 // SessionLimits returns the limits for a request whose prompt prefix directs it, like all
 // others of its session, to one backend server. total is the number of requests in
 // progress at n backend servers, bound the guaranteed multiple of their mean, slack the
-// number of requests permitted beyond it, and part the fraction of the resulting room that
-// the session may fill.
+// number of requests permitted beyond it, and fraction the part of the resulting headroom
+// that the session may fill.
 //
 // Other limits keep a distance from the bound because they balance the load. Here the goal
 // is to process a prompt only once, so a session stays until the bound itself is reached.
-// The rest of the room allows for load reports that are half a second old.
-func SessionLimits(bound, total float64, slack, n int, part float64) Limits {
+// The rest of the headroom allows for load reports that are half a second old.
+func SessionLimits(bound, total float64, slack, n int, fraction float64) Limits {
 	mean := (total + 1) / float64(n)
-	room := (bound-1)*mean + float64(slack)
-	inner := max(1, math.Floor(mean+part*room))
+	headroom := (bound-1)*mean + float64(slack)
+	inner := max(1, math.Floor(mean+fraction*headroom))
 	return Limits{Inner: inner, Hinted: inner, Outer: Bound(bound, total, n) + float64(slack)}
 }
 
--- a/internal/core/sessions.go
+++ b/internal/core/sessions.go
@@ -17,8 +17,8 @@
 const recentJoinWindow = 5 * time.Second
 
 // The fraction of the headroom above the mean load that a session may fill at its preferred
-// engine. A lower fraction is no safer: requests that skip a full preferred engine crowd onto
-// the next engine in the ranking, which has to prefill their prompts again.
+// engine. A lower fraction is no safer: requests that skip a full preferred engine
+// concentrate on the next engine in the ranking, which has to prefill their prompts again.
 const (
 	defaultSessionHeadroom = 0.85
 	// In a fleet so large that loads take a second or more to propagate, each request draws
--- a/internal/core/sessions_test.go
+++ b/internal/core/sessions_test.go
@@ -37,7 +37,7 @@
 		sent := r.sendReview("dossier")
 		if sent.Backend != preferred {
 			moved = sent.Backend
-			require.NotEmpty(t, sent.Source, "the prompt is prefilled other")
+			require.NotEmpty(t, sent.Source, "the prompt is prefilled again")
 			break
 		}
 		require.Empty(t, sent.Source)
@@ -105,7 +105,7 @@
 	t.Fatal("no session moved to the new engine")
 }
 
-// entryWithRevision returns an engine's entry as newRouted created it, with a new revision.
+// entryWithRevision returns an engine's entry as newNodeDriver created it, with a new revision.
 func (r *nodeDriver) entryWithRevision(backend string, revision uint64) core.BackendEntry {
 	var i int
 	_, err := fmt.Sscanf(backend, "engine-%d", &i)
--- a/internal/core/startwait.go
+++ b/internal/core/startwait.go
@@ -31,7 +31,7 @@
 // starting reports whether this instance is still reading its configuration or its
 // backend servers for the first time, and no read has ended without them. It must not
 // serve from only the first page of the list of backend servers, because it would place
-// sessions on servers other than their homes.
+// sessions on engines other than their preferred ones.
 func (n *Node) starting() bool {
 	if n.snapshot == nil {
 		return !n.configs.readWithoutConfig
--- a/internal/core/learned.go
+++ b/internal/core/statechanges.go
@@ -67,8 +67,8 @@
 	}
 	groups := make(map[kind][]string)
 	for _, name := range names {
-		if in := n.view.Get(name); in != nil {
-			k := kind{subjectOf(in), in.State}
+		if member := n.view.Get(name); member != nil {
+			k := kind{subjectOf(member), member.State}
 			groups[k] = append(groups[k], name)
 		}
 	}
@@ -83,18 +83,18 @@
 
 // logMemberState logs the new state of an instance or backend server.
 func (n *Node) logMemberState(name string) {
-	in := n.view.Get(name)
-	if in == nil {
+	member := n.view.Get(name)
+	if member == nil {
 		return
 	}
 	n.emit(StateChanged{
-		Subject: subjectOf(in), Name: name, State: string(in.State), Service: in.Service, Address: in.Address,
-		Revision: n.backends.knownRevision(name), Incarnation: in.Incarnation,
+		Subject: subjectOf(member), Name: name, State: string(member.State), Service: member.Service, Address: member.Address,
+		Revision: n.backends.knownRevision(name), Incarnation: member.Incarnation,
 	})
 }
 
-func subjectOf(in *membership.Member) Subject {
-	if in.Role == membership.RoleInstance {
+func subjectOf(member *membership.Member) Subject {
+	if member.Role == membership.RoleInstance {
 		return SubjectInstance
 	}
 	return SubjectBackend
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -60,7 +60,7 @@
 	Kind config.Kind `json:"kind"`
 	// Mean is the mean load of the usable backend servers.
 	Mean float64 `json:"mean"`
-	// Backends are the usable backend servers, followed by those that are draining.
+	// Backends are the usable backend servers, followed by those that are leaving.
 	Backends []BackendStatus `json:"backends"`
 }
 
@@ -218,24 +218,24 @@
 	}
 }
 
-// leavingBackends lists a service's draining backend servers. They finish their requests in
+// leavingBackends lists a service's leaving backend servers. They finish their requests in
 // flight and get no new ones.
 func (n *Node) leavingBackends(service *config.Service) []BackendStatus {
 	var list []BackendStatus
-	add := func(in *membership.Member, zone, address string) {
-		if in == nil || in.State != membership.Leaving {
+	add := func(member *membership.Member, zone, address string) {
+		if member == nil || member.State != membership.Leaving {
 			return
 		}
 		list = append(list, BackendStatus{
-			Name: in.Name, Zone: zone, Address: address, State: in.State,
-			Load: n.load.Estimate(in.Name), Own: n.load.Own(in.Name),
+			Name: member.Name, Zone: zone, Address: address, State: member.State,
+			Load: n.load.Estimate(member.Name), Own: n.load.Own(member.Name),
 		})
 	}
 	for _, b := range service.BackendServers {
 		add(n.view.Get(b.Name), b.Zone, b.Address)
 	}
 	if service.FromPlatform {
-		n.view.EachOfService(service.Name, func(in *membership.Member) { add(in, in.Zone, in.Address) })
+		n.view.EachOfService(service.Name, func(member *membership.Member) { add(member, member.Zone, member.Address) })
 	}
 	slices.SortFunc(list, func(a, b BackendStatus) int { return cmp.Compare(a.Name, b.Name) })
 	return slices.CompactFunc(list, func(a, b BackendStatus) bool { return a.Name == b.Name })
@@ -243,9 +243,9 @@
 
 func (n *Node) instanceStatuses() []InstanceStatus {
 	var list []InstanceStatus
-	n.view.Each(func(in *membership.Member) {
-		if in.Role == membership.RoleInstance && in.Name != n.settings.Name {
-			list = append(list, InstanceStatus{Name: in.Name, Zone: in.Zone, Address: in.Address, State: in.State})
+	n.view.Each(func(member *membership.Member) {
+		if member.Role == membership.RoleInstance && member.Name != n.settings.Name {
+			list = append(list, InstanceStatus{Name: member.Name, Zone: member.Zone, Address: member.Address, State: member.State})
 		}
 	})
 	slices.SortFunc(list, func(a, b InstanceStatus) int { return cmp.Compare(a.Name, b.Name) })
--- a/internal/core/surge_test.go
+++ b/internal/core/surge_test.go
@@ -27,7 +27,7 @@
 
 // In a fleet of 30 instances, the instance that aggregates the loads of an engine for its row
 // receives a rise with the next ticks instead of after a round of one second.
-func TestSliceHeadsReceiveSurgeBeforeNextRound(t *testing.T) {
+func TestAggregatorsReceiveSurgeBeforeNextRound(t *testing.T) {
 	f := newPeerFleet(t, 30, 1)
 	f.run(10 * time.Second)
 	for _, name := range f.names() {
@@ -39,9 +39,9 @@
 	}
 	f.run(4 * TickInterval)
 	for _, name := range f.names() {
-		head := f.nodes[name].peers.sums.Aggregator("engine-0")
-		if head != name {
-			require.Equal(t, 40, f.nodes[head].peer(name).received.Own["engine-0"], name)
+		aggregator := f.nodes[name].peers.sums.Aggregator("engine-0")
+		if aggregator != name {
+			require.Equal(t, 40, f.nodes[aggregator].peer(name).received.Own["engine-0"], name)
 		}
 	}
 }
--- a/internal/core/zoneloads_test.go
+++ b/internal/core/zoneloads_test.go
@@ -96,14 +96,14 @@
 // engines with over twice the mean load: an engine that prefills one prompt after the other
 // sends no answers, and so reports no load.
 func TestSilentEngineStaysWithinLoadBound(t *testing.T) {
-	const mean, crowd = 4, 16
+	const mean, overload = 4, 16
 	f := newColdEngineFleet(t, 80, 4)
 	names := f.names()
 	r := rand.New(rand.NewPCG(1, 1))
 	for i := range coldEngineCount {
 		requests := mean
 		if i == 0 {
-			requests = crowd
+			requests = overload
 		}
 		for range requests {
 			f.nodes[names[r.IntN(len(names))]].countRequestSent(fmt.Sprint("engine-", i))
@@ -119,7 +119,7 @@
 			Request: RequestID(name), Customer: "farm", Service: "engines", Chat: session,
 			Prompt: &Prompt{Tokens: 9000, Parts: []PromptPart{{ID: session, Tokens: 8500}, {ID: name, Tokens: 500}}},
 		})
-		require.NotEqual(t, "engine-0", sent.Backend, "%d requests there, %d at each other engine; %s estimates %.1f", crowd, mean, name, sent.Selection.Load)
+		require.NotEqual(t, "engine-0", sent.Backend, "%d requests there, %d at each other engine; %s estimates %.1f", overload, mean, name, sent.Selection.Load)
 	}
 }
 
--- a/internal/core/zones_test.go
+++ b/internal/core/zoneplacement_test.go
@@ -96,7 +96,7 @@
 	require.NoError(t, err)
 }
 
-// Guards against a misleading log line. When requests crowded on an engine, the attempt's
+// Guards against a misleading log line. When requests concentrated on an engine, the attempt's
 // line showed the mean over the engines of the own zone, on which no decision had been based,
 // and did not show from which requests the load was computed.
 func TestAttemptReportsLoadParts(t *testing.T) {
--- a/internal/daemon/loop.go
+++ b/internal/daemon/loop.go
@@ -12,8 +12,8 @@
 	"github.com/ebonydyke/ebonydyke/internal/metrics"
 )
 
-// eventQueue is the capacity of the queue of events for the core.
-const eventQueue = 4096
+// eventQueueSize is the capacity of the queue of events for the core.
+const eventQueueSize = 4096
 
 // Executor carries out effects. It is called on the goroutine that owns the core and must not
 // block.
@@ -37,7 +37,7 @@
 	return &Loop{
 		node:        node,
 		clock:       clock.New(),
-		events:      make(chan core.Event, eventQueue),
+		events:      make(chan core.Event, eventQueueSize),
 		inspections: make(chan func(*core.Node)),
 		done:        make(chan struct{}),
 	}
--- a/internal/daemon/storecalls.go
+++ b/internal/daemon/storecalls.go
@@ -54,22 +54,22 @@
 	instance string
 	// watchWait is how long the store holds a watch.
 	watchWait time.Duration
-	// operators is set if the operators write the configuration in the platform's format. The
+	// translator is set if the operators write the configuration in the platform's format. The
 	// configuration is then read from platform.ConfigKey and translated.
-	operators *operatorConfig
-	// configWatch is the position of the configuration watch: the version that is known and the store
-	// revision from which to continue. Only the one pending call on the key uses it.
+	translator *configTranslator
+	// configWatch is the position of the configuration watch: the version that is known and the
+	// store revision from which to continue. Only the one pending call on the key uses it.
 	configWatch struct {
 		version, revision uint64
 	}
 }
 
-// operatorConfig translates the configuration that the operators write in the platform's format.
-type operatorConfig struct {
+// configTranslator translates the configuration that the operators write in the platform's format.
+type configTranslator struct {
 	bounds atomic.Pointer[platform.Bounds]
-	// edits counts the changes of the bounds. It is part of the configuration's edit ID, so that a
-	// new translation of the same generation replaces the previous one.
-	edits atomic.Uint64
+	// boundsChanges counts the changes of the bounds. It is part of the configuration's edit ID, so
+	// that a new translation of the same generation replaces the previous one.
+	boundsChanges atomic.Uint64
 }
 
 func newStoreCalls(ctx context.Context, post func(core.Event), s *settings.Settings) *storeCalls {
@@ -78,8 +78,8 @@
 		watchWait: watchWait(time.Duration(s.PlatformSettle)),
 	}
 	if s.Dialect == settings.DialectPlatform {
-		calls.operators = &operatorConfig{}
-		calls.operators.bounds.Store(boundsOf(s.Bounds))
+		calls.translator = &configTranslator{}
+		calls.translator.bounds.Store(boundsOf(s.Bounds))
 	}
 	return calls
 }
@@ -92,11 +92,11 @@
 
 // setBounds sets the bounds and, if they have changed, translates the configuration again.
 func (s *storeCalls) setBounds(b settings.Bounds) {
-	if s.operators == nil || *s.operators.bounds.Load() == *boundsOf(b) {
+	if s.translator == nil || *s.translator.bounds.Load() == *boundsOf(b) {
 		return
 	}
-	s.operators.bounds.Store(boundsOf(b))
-	s.operators.edits.Add(1)
+	s.translator.bounds.Store(boundsOf(b))
+	s.translator.boundsChanges.Add(1)
 	go s.reofferConfig()
 }
 
@@ -108,7 +108,7 @@
 		klog.InfoS("failed to read the configuration; changed bounds apply from the next configuration", "error", err)
 		return
 	}
-	offer, err := s.operators.decode(value)
+	offer, err := s.translator.decode(value)
 	if err != nil {
 		klog.ErrorS(err, "failed to decode the configuration", "key", platform.ConfigKey)
 		return
@@ -118,14 +118,14 @@
 
 // decode translates the operators' configuration. The envelope holds the original, because each
 // instance translates it with its own bounds.
-func (o *operatorConfig) decode(value []byte) (core.ConfigOffer, error) {
+func (o *configTranslator) decode(value []byte) (core.ConfigOffer, error) {
 	text, version, err := platform.DecodeConfig(value, *o.bounds.Load())
 	if err != nil {
 		return core.ConfigOffer{}, err
 	}
 	return core.ConfigOffer{
 		Envelope: config.Envelope{
-			Generation: version, Edit: fmt.Sprintf("operators-%04d", o.edits.Load()), Text: string(value),
+			Generation: version, Edit: fmt.Sprintf("operators-%04d", o.boundsChanges.Load()), Text: string(value),
 		},
 		Text: &text,
 	}, nil
@@ -135,7 +135,7 @@
 // passes the events to post. The goroutines that receive the offers translate them, so that the
 // core is not blocked meanwhile.
 func (s *storeCalls) translateOffers(post func(core.Event)) func(core.Event) {
-	if s.operators == nil {
+	if s.translator == nil {
 		return post
 	}
 	return func(e core.Event) {
@@ -144,7 +144,7 @@
 			post(e)
 			return
 		}
-		offer, err := s.operators.decode([]byte(received.Message.ConfigOffer.Envelope.Text))
+		offer, err := s.translator.decode([]byte(received.Message.ConfigOffer.Envelope.Text))
 		if err != nil {
 			klog.ErrorS(err, "failed to decode the configuration", "peer", received.From)
 			return
@@ -167,7 +167,7 @@
 // postReadResult posts the result of a read.
 func (s *storeCalls) postReadResult(op core.OpID, key string, item store.Item, err error) {
 	reply := core.StoreReplied{Op: op, Version: item.Revision, Value: item.Value}
-	if err == nil && key == core.ConfigKey && s.operators != nil {
+	if err == nil && key == core.ConfigKey && s.translator != nil {
 		reply.Value = nil
 		reply.Config, err = s.translate(item.Value)
 	}
@@ -179,7 +179,7 @@
 }
 
 func (s *storeCalls) keyOf(key string) string {
-	if key == core.ConfigKey && s.operators != nil {
+	if key == core.ConfigKey && s.translator != nil {
 		return platform.ConfigKey
 	}
 	return key
@@ -187,7 +187,7 @@
 
 // translate returns the operators' configuration as an offer.
 func (s *storeCalls) translate(value []byte) (*core.ConfigOffer, error) {
-	offer, err := s.operators.decode(value)
+	offer, err := s.translator.decode(value)
 	if err != nil {
 		klog.ErrorS(err, "failed to decode the configuration", "key", platform.ConfigKey)
 		return nil, err
@@ -319,13 +319,13 @@
 			return listed, err
 		}
 		for _, i := range page.Items {
-			var in membership.Member
-			if err := json.Unmarshal(i.Value, &in); err != nil || in.Role != membership.RoleInstance {
+			var member membership.Member
+			if err := json.Unmarshal(i.Value, &member); err != nil || member.Role != membership.RoleInstance {
 				klog.InfoS("invalid entry of an instance", "key", i.Key, "error", err)
 				continue
 			}
-			listed.Members = append(listed.Members, in)
-			if in.Name == s.instance {
+			listed.Members = append(listed.Members, member)
+			if member.Name == s.instance {
 				listed.OwnLease = i.Lease
 			}
 		}
--- a/internal/measure/measure_test.go
+++ b/internal/measure/measure_test.go
@@ -34,8 +34,8 @@
 
 // Guards against overloaded engines in steady traffic. Rendezvous hashing without a bound
 // gives the busiest engine more than 1.5 times the mean load. There is no churn or surge;
-// each of the eight routers sees a small part of the traffic and learns the rest half a
-// second late.
+// each of the eight routers receives a small part of the traffic and the loads of the rest
+// half a second late.
 func TestBoundHoldsInSteadyTraffic(t *testing.T) {
 	t.Parallel()
 	for seed := uint64(1); seed <= 2; seed++ {
--- a/internal/measure/scenarios.go
+++ b/internal/measure/scenarios.go
@@ -35,7 +35,7 @@
 	full.Policies = []string{"rendezvous", "bound-exact", "ours", "ours-hint"}
 	rush := skew
 	rush.Name, rush.Capacity, rush.Churn = "rush", 36, false
-	return []Scenario{reuse, skew, steady, low, large, full, rush, coldLenderScenario(seed), coldFeedstockScenario(seed)}
+	return []Scenario{reuse, skew, steady, low, large, full, rush, coldSessionsScenario(seed), coldFeedstockScenario(seed)}
 }
 
 // CurveBounds lists the bounds at which the curve compares reuse with skew.
--- a/internal/measure/sessions.go
+++ b/internal/measure/sessions.go
@@ -24,8 +24,8 @@
 	Output float64
 }
 
-// The sigma of the log-normal sizes. The users' sheet gives the kinds below values of 0.4
-// to 0.7 (shared), 1.0 to 1.4 (fresh) and 0.44 to 1.4 (output).
+// The sigma of the log-normal sizes. The users' workload sheet gives the kinds below
+// values of 0.4 to 0.7 (shared), 1.0 to 1.4 (fresh) and 0.44 to 1.4 (output).
 const (
 	sharedSigma = 0.6
 	freshSigma  = 1.0
@@ -103,15 +103,15 @@
 }
 
 // sessionStartupTime is how long instances run before their first request: operators start
-// them before the balancer sends traffic.
+// them before the load balancer sends traffic.
 const sessionStartupTime = 14 * time.Second
 
-// coldLenderScenario returns the scenario of a large fleet in three availability zones whose
+// coldSessionsScenario returns the scenario of a large fleet in three availability zones whose
 // requests are dossier reviews, questions about dossiers and short screenings. Instances,
-// engines, rates, sessions, tokens and the engines' memory are those of the users' sheet.
-// An engine prefills 61,800 tokens a second and decodes one token per step of 3.09 ms. A
-// step takes twice as long with 190 requests. The load report is 200 ms old.
-func coldLenderScenario(seed uint64) Scenario {
+// engines, rates, sessions, tokens and the engines' memory are those of the users'
+// workload sheet. An engine prefills 61,800 tokens a second and decodes one token per step of
+// 3.09 ms. A step takes twice as long with 190 requests. The load report is 200 ms old.
+func coldSessionsScenario(seed uint64) Scenario {
 	return Scenario{
 		Name: "sessions-cold", Seed: seed, Servers: 90, Routers: 91, Zones: 3, TargetLoad: 6, Capacity: 64,
 		Bound: 2, Slack: 3, CacheTokens: 268_979,
@@ -128,7 +128,7 @@
 
 // coldFeedstockScenario returns the scenario of a large fleet in four availability zones whose
 // requests are digester histories, mix checks and notes to families. The figures are those
-// of the users' sheet. An engine prefills 38,400 tokens a second and decodes one token per
+// of the users' workload sheet. An engine prefills 38,400 tokens a second and decodes one token per
 // step of 5.23 ms, almost independent of its load. The load report is 100 ms old.
 func coldFeedstockScenario(seed uint64) Scenario {
 	return Scenario{
--- a/internal/measure/world.go
+++ b/internal/measure/world.go
@@ -58,7 +58,7 @@
 // at different times, so their views of the membership differ for seconds.
 const listLag = 2 * time.Second
 
-// router is one instance of the fleet, as the balancer addresses it. Its process may be
+// router is one instance of the fleet, as the load balancer addresses it. Its process may be
 // replaced.
 type router struct {
 	index int
@@ -154,8 +154,8 @@
 	w.startTurn(t, srv, retryAfter)
 }
 
-// chooseRouter chooses the router for a turn as the platform's balancer does, without regard
-// to chats, customers and availability zones.
+// chooseRouter chooses the router for a turn as the platform's load balancer does, without
+// regard to chats, customers and availability zones.
 func (w *world) chooseRouter(t *turn) *router {
 	for i := uint64(0); ; i++ {
 		x := uint64(t.chat.number)*1_000_003 + uint64(t.number)*7919 + uint64(t.refusals)*104729 + i
--- a/internal/metrics/control.go
+++ b/internal/metrics/control.go
@@ -23,11 +23,12 @@
 // ControlStats holds the counters of the traffic with peers since the process started.
 type ControlStats struct {
 	Traffic []Traffic
-	// Dropped counts by kind the messages that had no link to the peer or met a full queue.
+	// Dropped counts by kind the messages dropped because the peer had no link or its queue was
+	// full.
 	Dropped map[string]uint64
-	// UnknownPeers counts connections rejected before they identified themselves as a peer of
-	// this fleet.
-	UnknownPeers uint64
+	// RejectedConns counts the rejected connections: those that sent no valid hello, came from
+	// another fleet, or exceeded the limit on connections without a completed handshake.
+	RejectedConns uint64
 	// BadFrames counts links closed because of bytes that are not a valid frame.
 	BadFrames uint64
 }
@@ -72,6 +73,6 @@
 	for kind, n := range stats.Dropped {
 		out <- prometheus.MustNewConstMetric(c.dropped, prometheus.CounterValue, float64(n), kind)
 	}
-	out <- prometheus.MustNewConstMetric(c.rejected, prometheus.CounterValue, float64(stats.UnknownPeers), "stranger")
+	out <- prometheus.MustNewConstMetric(c.rejected, prometheus.CounterValue, float64(stats.RejectedConns), "stranger")
 	out <- prometheus.MustNewConstMetric(c.rejected, prometheus.CounterValue, float64(stats.BadFrames), "bad-frame")
 }
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -87,22 +87,22 @@
 	}, f))
 }
 
-// Refused counts a request that the fleet itself answered, as a refusal or a failure.
+// Refused implements proxy.Metrics.
 func (m *Metrics) Refused(r reason.Reason) { m.refusals.WithLabelValues(string(r)).Inc() }
 
-// Retried counts an attempt after the first of a request.
+// Retried implements proxy.Metrics.
 func (m *Metrics) Retried(r reason.Reason) { m.retries.WithLabelValues(string(r)).Inc() }
 
-// Answered records the time to the first byte and to the end of a complete response.
+// Answered implements proxy.Metrics.
 func (m *Metrics) Answered(service string, firstByte, total time.Duration) {
 	m.firstByte.WithLabelValues(service).Observe(firstByte.Seconds())
 	m.responseTime.WithLabelValues(service).Observe(total.Seconds())
 }
 
-// CallerBytes adds n to the bytes of response bodies sent to callers.
+// CallerBytes implements proxy.Metrics.
 func (m *Metrics) CallerBytes(n int) { m.callerBytes.Add(float64(n)) }
 
-// Dialled counts an attempt to open a connection to a backend server.
+// Dialled implements proxy.Metrics.
 func (m *Metrics) Dialled(r proxy.DialReason) { m.dials.WithLabelValues(string(r)).Inc() }
 
 // SetGeneration sets the generation of the configuration in force.
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -20,10 +20,10 @@
 const (
 	// maxHello bounds the hello, the first frame of a connection, in bytes.
 	maxHello = 1 << 10
-	// controlQueue has room for a few rounds of digests, or for the claims of one second at high
-	// load.
-	controlQueue = 256
-	bulkQueue    = 4
+	// controlQueueSize is enough for a few rounds of digests, or for the claims of one second
+	// at high load.
+	controlQueueSize = 256
+	bulkQueueSize    = 4
 	// writeTimeout is the time after which a link is closed if the peer accepts no bytes.
 	writeTimeout = 5 * time.Second
 )
@@ -96,8 +96,8 @@
 	defer func() { _ = session.Close() }()
 	k := &link{
 		owner: l, peer: peer, session: session, conn: conn,
-		control: make(chan core.PeerMessage, controlQueue),
-		bulk:    make(chan core.PeerMessage, bulkQueue),
+		control: make(chan core.PeerMessage, controlQueueSize),
+		bulk:    make(chan core.PeerMessage, bulkQueueSize),
 		done:    make(chan struct{}),
 	}
 	old, err := l.register(k)
--- a/internal/peer/links_test.go
+++ b/internal/peer/links_test.go
@@ -146,7 +146,7 @@
 	for i := range 4000 {
 		big.Digest.Loads = append(big.Digest.Loads, load.Count{Backend: fmt.Sprint("server-", i), InFlight: i})
 	}
-	for range 10 * controlQueue {
+	for range 10 * controlQueueSize {
 		a.Send("z", big)
 	}
 	require.NotZero(t, a.Stats().Snapshot().Dropped[DigestKind])
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -31,8 +31,8 @@
 	helloTimeout = 3 * time.Second
 	minBackoff   = 100 * time.Millisecond
 	maxBackoff   = 5 * time.Second
-	// linkCheckInterval is the interval at which the goroutine that keeps a peer connected checks an
-	// existing link that it did not dial itself.
+	// linkCheckInterval is the interval at which the goroutine that keeps a peer connected checks
+	// an existing link that it did not dial itself.
 	linkCheckInterval = time.Second
 )
 
--- a/internal/proxy/attempt_test.go
+++ b/internal/proxy/attempt_test.go
@@ -176,8 +176,8 @@
 		{"refused once", no, engine.Fault{Kind: engine.Refuse}, 200, reason.Answered, reason.None, 1},
 		{"refused always", no, engine.Fault{Kind: engine.Refuse, Times: 9}, 503, reason.NotRun, reason.AttemptsExhausted, 0},
 		{"bare 503", no, engine.Fault{Kind: engine.Busy}, 503, reason.Answered, reason.None, 0},
-		{"swallowed, idempotent", yes, engine.Fault{Kind: engine.NoResponse}, 200, reason.Answered, reason.None, 1},
-		{"swallowed, not idempotent", no, engine.Fault{Kind: engine.NoResponse}, 502, reason.Unknown, reason.BackendLost, 1},
+		{"no response, idempotent", yes, engine.Fault{Kind: engine.NoResponse}, 200, reason.Answered, reason.None, 1},
+		{"no response, not idempotent", no, engine.Fault{Kind: engine.NoResponse}, 502, reason.Unknown, reason.BackendLost, 1},
 		{"cut body, idempotent", yes, engine.Fault{Kind: engine.Cut, After: 5}, 200, reason.Answered, reason.None, 1},
 		{"cut body, not idempotent", no, engine.Fault{Kind: engine.Cut, After: 5}, 502, reason.Unknown, reason.BrokenStream, 1},
 	}
--- a/internal/proxy/reuse.go
+++ b/internal/proxy/connreuse.go
@@ -130,7 +130,7 @@
 	return now.Sub(time.Unix(0, z.lastRead.Load()))
 }
 
-// zoneActivities holds the last contact with each zone. Entries are never removed, because
+// zoneActivities holds the activity of each zone. Entries are never removed, because
 // operators configure few zones.
 type zoneActivities struct {
 	mu     sync.Mutex
@@ -145,10 +145,10 @@
 func (z *zoneActivities) get(name string) *zoneActivity {
 	z.mu.Lock()
 	defer z.mu.Unlock()
-	contact := z.byName[name]
-	if contact == nil {
-		contact = &zoneActivity{}
-		z.byName[name] = contact
+	activity := z.byName[name]
+	if activity == nil {
+		activity = &zoneActivity{}
+		z.byName[name] = activity
 	}
-	return contact
+	return activity
 }
--- a/internal/proxy/drain_test.go
+++ b/internal/proxy/drain_test.go
@@ -42,13 +42,13 @@
 // lost. A request may be refused only if its caller paused for longer than drainIdle.
 func requireNoLoss(t *testing.T, b *balancer.Balancer) {
 	t.Helper()
-	silences := b.IdleTimes()
-	t.Logf("whole %d, refused %d after silences of %v at most, lost %d %v",
-		b.Completed.Load(), b.Refused.Load(), silences, b.Lost.Load(), b.Losses())
+	idleTimes := b.IdleTimes()
+	t.Logf("whole %d, refused %d after idle times of %v at most, lost %d %v",
+		b.Completed.Load(), b.Refused.Load(), idleTimes, b.Lost.Load(), b.Losses())
 	require.Zero(t, b.Lost.Load(), "requests lost")
-	require.Len(t, silences, int(b.Refused.Load()), "requests refused by the stop, all of them known")
-	for _, silence := range silences {
-		require.Greater(t, silence, drainIdle, "a request refused by the stop")
+	require.Len(t, idleTimes, int(b.Refused.Load()), "every refused request must have a recorded idle time")
+	for _, idle := range idleTimes {
+		require.Greater(t, idle, drainIdle, "a request was refused although its caller paused only briefly")
 	}
 	require.NotZero(t, b.Completed.Load())
 }
--- a/internal/proxy/heldanswer.go
+++ b/internal/proxy/heldresponse.go
@@ -19,7 +19,7 @@
 }
 
 // holdFailure reads a failure response to its end and reports it. A response that is
-// cut, or too large to buffer, is reported as broken.
+// cut off, or too large to buffer, is reported as broken.
 func (r *callerResponse) holdFailure() {
 	body, err := io.ReadAll(io.LimitReader(r.call, maxBufferedBody+1))
 	if err != nil || len(body) > maxBufferedBody {
--- a/internal/proxy/options.go
+++ b/internal/proxy/options.go
@@ -95,8 +95,9 @@
 	Refused(reason.Reason)
 	// Retried counts an attempt beyond a request's first.
 	Retried(reason.Reason)
-	// Answered records a whole response with its times to the first and last byte.
-	Answered(service string, first, whole time.Duration)
+	// Answered records a whole response with the times from the request's arrival to the
+	// response's first and last byte.
+	Answered(service string, firstByte, total time.Duration)
 	// CallerBytes counts bytes of response bodies that are sent to callers.
 	CallerBytes(n int)
 	// Dialled counts an attempt to open a connection to a backend server.
--- a/internal/proxy/answerbody.go
+++ b/internal/proxy/responsebody.go
@@ -158,7 +158,7 @@
 	return nil
 }
 
-// handleBreak reports that the response was cut after it had started, and executes the
+// handleBreak reports that the response was cut off after it had started, and executes the
 // effects that the core returns: either the same stream is resumed, or the response
 // ends with an error.
 func (r *callerResponse) handleBreak(err error) {
--- a/internal/proxy/stream_test.go
+++ b/internal/proxy/stream_test.go
@@ -40,7 +40,7 @@
 		{"frozen after three", engine.Fault{Kind: engine.Freeze, After: 3}, wholeStreamIDs, 1},
 		{"event lost", engine.Fault{Kind: engine.Skip, After: 4}, wholeStreamIDs, 1},
 		{"event repeated", engine.Fault{Kind: engine.Repeat, After: 4}, wholeStreamIDs, 0},
-		{"no end mark", engine.Fault{Kind: engine.NoEndMarker}, wholeStreamIDs, 1},
+		{"no end mark", engine.Fault{Kind: engine.NoEndMark}, wholeStreamIDs, 1},
 		{"restarted after three", engine.Fault{Kind: engine.Restart, After: 3}, nil, 0},
 		{"cut without end", engine.Fault{Kind: engine.Cut, After: 3, Times: 100}, nil, 2},
 	}
@@ -130,7 +130,7 @@
 		fault engine.Fault
 	}{
 		{"before the first event", 0, engine.Fault{Kind: engine.Freeze}},
-		{"in the answer", 10, engine.Fault{}},
+		{"during the response", 10, engine.Fault{}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/proxy/transport.go
+++ b/internal/proxy/transport.go
@@ -32,7 +32,7 @@
 	// allowUnframed is set if an orderly close of the connection ends a response without a
 	// length.
 	allowUnframed bool
-	// zone records the last contact with the backend server's availability zone.
+	// zone records when bytes arrive from the backend server's availability zone.
 	zone *zoneActivity
 	now  func() time.Time
 	// dialReason is the reason why a connection was opened for the call; "" if a pooled
@@ -214,8 +214,8 @@
 }
 
 // Read reads the response body. It returns io.EOF only at the end that the framing of
-// the response marks, or at the close of the connection if unframed is set; any other
-// end is an error.
+// the response marks, or at the close of the connection if allowUnframed is set; any
+// other end is an error.
 func (c *call) Read(p []byte) (int, error) {
 	body := c.resp.BodyStream()
 	if body == nil {
--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -12,7 +12,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/ebonydyke/ebonydyke/platform/standin"
+	"github.com/ebonydyke/ebonydyke/platform/fakeplatform"
 	"github.com/ebonydyke/ebonydyke/test/relay"
 )
 
@@ -88,7 +88,7 @@
 
 // register writes the backend server's entry to the store.
 func (b *backend) register(leaving bool) {
-	b.world.store.Register(standin.Backend{
+	b.world.store.Register(fakeplatform.Backend{
 		Name: b.name, Service: "work", Zone: b.zone, Address: b.relay.Address(), Slots: backendSlots,
 		Draining: leaving, StartedAt: b.startedAt,
 	})
@@ -109,28 +109,28 @@
 
 // ServeHTTP responds to a request as the platform's backend servers do.
 func (b *backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	attempt := standin.ReadAttempt(r)
+	attempt := fakeplatform.ReadAttempt(r)
 	if attempt.Expected != b.name {
-		standin.WriteMisdirected(w, b.name)
+		fakeplatform.WriteMisdirected(w, b.name)
 		return
 	}
 	b.checkArrival(attempt)
-	standin.SetRequestID(w, attempt.ID)
-	standin.SetLoad(w, int(b.inFlight.Load()), backendSlots)
+	fakeplatform.SetRequestID(w, attempt.ID)
+	fakeplatform.SetLoad(w, int(b.inFlight.Load()), backendSlots)
 	if b.inFlight.Add(1) > 2*backendSlots {
 		b.inFlight.Add(-1)
-		standin.WriteNotStarted(w)
+		fakeplatform.WriteNotStarted(w)
 		return
 	}
 	defer b.inFlight.Add(-1)
 	kind, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
 	b.world.recorder.recordRun(attempt.ID, kind == kindOnce || kind == kindReview)
-	standin.SetSeal(w, expectedMark(attempt.ID))
+	fakeplatform.SetSeal(w, expectedSeal(attempt.ID))
 	b.respond(w, r, attempt, kind)
 }
 
 // checkArrival checks the guarantees for every request that reaches a backend server.
-func (b *backend) checkArrival(attempt standin.Attempt) {
+func (b *backend) checkArrival(attempt fakeplatform.Attempt) {
 	r := b.world.recorder
 	if attempt.Key != "" || attempt.Customer == "" {
 		r.recordViolation("the key is not passed on", attempt.ID, "at "+b.name)
@@ -141,7 +141,7 @@
 	}
 }
 
-func (b *backend) respond(w http.ResponseWriter, r *http.Request, attempt standin.Attempt, kind string) {
+func (b *backend) respond(w http.ResponseWriter, r *http.Request, attempt fakeplatform.Attempt, kind string) {
 	switch backendFault(b.fault.Load()) {
 	case failing:
 		if b.chance(0.5) {
@@ -150,7 +150,7 @@
 		}
 	case swapping:
 		if b.chance(0.2) {
-			standin.SetRequestID(w, "another-request")
+			fakeplatform.SetRequestID(w, "another-request")
 			_, _ = fmt.Fprint(w, expectedBody("another-request"))
 			return
 		}
@@ -175,7 +175,7 @@
 	_, _ = fmt.Fprint(w, body)
 }
 
-func (b *backend) stream(w http.ResponseWriter, r *http.Request, attempt standin.Attempt) {
+func (b *backend) stream(w http.ResponseWriter, r *http.Request, attempt fakeplatform.Attempt) {
 	id := attempt.ID
 	w.Header().Set("Content-Type", "text/event-stream")
 	first, _ := strconv.Atoi(attempt.ResumeAfter)
@@ -199,8 +199,9 @@
 // The functions below derive the content of the correct response from the request's id, so
 // that the caller detects any other.
 
-// expectedMark returns the value of the response header Server-Seal.
-func expectedMark(id string) string { return strconv.FormatUint(hashID(id), 36) }
+// expectedSeal returns the value of the response header that marks a response as produced by
+// the backend server itself.
+func expectedSeal(id string) string { return strconv.FormatUint(hashID(id), 36) }
 
 // expectedBody returns the body of a response that is not a stream.
 func expectedBody(id string) string { return strings.Repeat("answer to "+id+"\n", 20) }
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -12,7 +12,7 @@
 	"strings"
 	"time"
 
-	"github.com/ebonydyke/ebonydyke/platform/standin"
+	"github.com/ebonydyke/ebonydyke/platform/fakeplatform"
 )
 
 const (
@@ -51,7 +51,7 @@
 func (w *World) call(ctx context.Context, client *http.Client, i *instance, kind, id string) {
 	ctx, cancel := context.WithTimeout(ctx, callerTimeout)
 	defer cancel()
-	req, err := standin.NewRequest(ctx, standin.Call{
+	req, err := fakeplatform.NewRequest(ctx, fakeplatform.Call{
 		Address: i.listen, Host: routeHost, Path: "/" + kind + "/x", ID: id, Key: callerKey, Timeout: callerTimeout,
 	})
 	if err != nil {
@@ -94,7 +94,7 @@
 // checkSuccess checks that a successful response is complete and belongs to this request.
 // A response that ends with a read error is counted, not reported as a violation.
 func (w *World) checkSuccess(kind, id string, resp *http.Response) {
-	if standin.SealOf(resp) != expectedMark(id) {
+	if fakeplatform.SealOf(resp) != expectedSeal(id) {
 		w.recorder.recordViolation("the own answer", id, "another server's mark")
 		return
 	}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -9,7 +9,7 @@
 
 	"github.com/ebonydyke/ebonydyke/internal/core/config"
 	"github.com/ebonydyke/ebonydyke/test/relay"
-	"github.com/ebonydyke/ebonydyke/test/standin/gate"
+	"github.com/ebonydyke/ebonydyke/test/standin/faultinject"
 )
 
 const (
@@ -128,14 +128,14 @@
 
 // storeFault makes the store unavailable, silent, busy, slow or lossy for the duration.
 func (w *World) storeFault(p faultParams) {
-	faults := []gate.Faults{
+	faults := []faultinject.Faults{
 		{Down: true}, {Silent: true}, {Busy: true}, {Busy: true, TooManyRequests: true},
 		{Delay: config.Duration(300 * time.Millisecond)}, {LoseAnswers: 5}, {LoseWrites: 5},
 	}
 	w.disturbedAt.Store(int64(w.recorder.elapsed()))
 	w.store.SetFaults(faults[p.random.IntN(len(faults))])
 	time.Sleep(p.duration)
-	w.store.SetFaults(gate.Faults{})
+	w.store.SetFaults(faultinject.Faults{})
 	w.disturbedAt.Store(int64(w.recorder.elapsed()))
 }
 
--- a/internal/soak/probe.go
+++ b/internal/soak/probe.go
@@ -6,7 +6,7 @@
 	"net/http"
 	"time"
 
-	"github.com/ebonydyke/ebonydyke/platform/standin"
+	"github.com/ebonydyke/ebonydyke/platform/fakeplatform"
 )
 
 const (
@@ -79,7 +79,7 @@
 // requestWithKey sends a request with the key of a version to an instance and returns the
 // status, or 0 if there was no response.
 func (w *World) requestWithKey(ctx context.Context, client *http.Client, i *instance, version int, id string) int {
-	req, err := standin.NewRequest(ctx, standin.Call{
+	req, err := fakeplatform.NewRequest(ctx, fakeplatform.Call{
 		Address: i.listen, Host: routeHost, Path: "/" + kindSafe + "/x", ID: id, Key: fmt.Sprint("key-", version), Timeout: probeTimeout,
 	})
 	if err != nil {
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -24,7 +24,7 @@
 	"syscall"
 	"time"
 
-	"github.com/ebonydyke/ebonydyke/platform/standin"
+	"github.com/ebonydyke/ebonydyke/platform/fakeplatform"
 	"github.com/ebonydyke/ebonydyke/test/relay"
 )
 
@@ -55,7 +55,7 @@
 type World struct {
 	options   Options
 	recorder  *recorder
-	store     *standin.Server
+	store     *fakeplatform.Server
 	instances []*instance
 	// versionSteps is the random source of the steps between configuration versions.
 	// nextVersion is the next one, and writtenVersions lists those that were written.
@@ -120,7 +120,7 @@
 // Run runs one soak. It ends only processes that it has started.
 func Run(ctx context.Context, o Options) (*Result, error) {
 	w := &World{
-		options: o, recorder: newRecorder(), store: standin.New(),
+		options: o, recorder: newRecorder(), store: fakeplatform.New(),
 		versionSteps: rand.New(rand.NewPCG(o.Seed, 1<<32)), nextVersion: 1, assignedAddresses: make(map[string]bool),
 	}
 	if err := w.start(); err != nil {
@@ -173,21 +173,21 @@
 // writeNextConfig writes the next version of the operators' configuration. The new version has
 // its own key and its own spare route in place of those of the previous version.
 func (w *World) writeNextConfig() {
-	route := func(name, kind string, runs int, resumable bool) standin.Route {
-		return standin.Route{
+	route := func(name, kind string, runs int, resumable bool) fakeplatform.Route {
+		return fakeplatform.Route{
 			Name: name, Host: routeHost, Prefix: "/" + name + "/", Service: "work", Kind: kind,
 			MaxRuns: runs, Resumable: resumable, Timeout: routeTimeout,
 		}
 	}
-	w.store.Configure(standin.Config{
+	w.store.Configure(fakeplatform.Config{
 		Version: w.nextVersion, Services: []string{"work"}, Customer: "t1",
 		Keys: []string{callerKey, fmt.Sprint("key-", w.nextVersion)},
-		Routes: []standin.Route{
-			route(kindOnce, standin.NonIdempotent, 1, false),
-			route(kindSafe, standin.Idempotent, 2, false),
-			route(kindStream, standin.Stream, 2, true),
-			route(kindReview, standin.Stream, 1, false),
-			route(fmt.Sprint("spare-", w.nextVersion), standin.Idempotent, 1, false),
+		Routes: []fakeplatform.Route{
+			route(kindOnce, fakeplatform.NonIdempotent, 1, false),
+			route(kindSafe, fakeplatform.Idempotent, 2, false),
+			route(kindStream, fakeplatform.Stream, 2, true),
+			route(kindReview, fakeplatform.Stream, 1, false),
+			route(fmt.Sprint("spare-", w.nextVersion), fakeplatform.Idempotent, 1, false),
 		},
 	})
 	w.writtenVersions = append(w.writtenVersions, w.nextVersion)
--- a/test/fleet/harness_test.go
+++ b/test/fleet/harness_test.go
@@ -27,7 +27,7 @@
 	"github.com/ebonydyke/ebonydyke/internal/core"
 	"github.com/ebonydyke/ebonydyke/internal/core/config"
 	"github.com/ebonydyke/ebonydyke/internal/core/membership"
-	"github.com/ebonydyke/ebonydyke/platform/standin"
+	"github.com/ebonydyke/ebonydyke/platform/fakeplatform"
 	"github.com/ebonydyke/ebonydyke/test/relay"
 )
 
@@ -112,7 +112,7 @@
 // fleet is a platform, backend servers and instances in availability zones.
 type fleet struct {
 	t         *testing.T
-	platform  *standin.Server
+	platform  *fakeplatform.Server
 	runs      *runs
 	instances []*instance
 	// storeRelays holds, by zone, the relay through which the zone connects to the platform.
@@ -128,7 +128,7 @@
 // delay.
 func startFleet(t *testing.T, zones []string, perZone int, delay time.Duration) *fleet {
 	f := &fleet{
-		t: t, platform: standin.New(), runs: &runs{byKey: make(map[string]int)},
+		t: t, platform: fakeplatform.New(), runs: &runs{byKey: make(map[string]int)},
 		storeRelays: make(map[string]*relay.Relay), peerRelays: make(map[string]map[string]*relay.Relay),
 		callerTimeout: waitTimeout,
 	}
@@ -199,7 +199,7 @@
 			f.peerRelays[zone][i.name] = newRelay(f.t, i.peerAddr)
 		}
 	}
-	server := httptest.NewServer(standin.ReplaceRange(f.platform, instancePrefix, func() map[string][]byte {
+	server := httptest.NewServer(fakeplatform.ReplaceRange(f.platform, instancePrefix, func() map[string][]byte {
 		return f.instanceEntries(zone)
 	}))
 	f.t.Cleanup(func() {
--- a/test/standin/engine/engine.go
+++ b/test/standin/engine/engine.go
@@ -14,7 +14,7 @@
 
 	"github.com/ebonydyke/ebonydyke/internal/core/membership"
 	"github.com/ebonydyke/ebonydyke/internal/proxy"
-	"github.com/ebonydyke/ebonydyke/test/standin/web"
+	"github.com/ebonydyke/ebonydyke/test/standin/jsonhttp"
 )
 
 // DefaultCacheChats is the default size of the prefix cache, in chats.
@@ -96,7 +96,7 @@
 	var request struct {
 		Stream bool `json:"stream"`
 	}
-	if !web.ReadJSON(w, r, &request) {
+	if !jsonhttp.ReadJSON(w, r, &request) {
 		return
 	}
 	f := s.faults.Next()
@@ -206,7 +206,7 @@
 		if err != nil {
 			panic(http.ErrAbortHandler)
 		}
-		if f.Kind == NoEndMarker && n > st.tokens {
+		if f.Kind == NoEndMark && n > st.tokens {
 			return
 		}
 		if f.Kind == Skip && n == f.After {
--- a/test/standin/engine/fault.go
+++ b/test/standin/engine/fault.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"github.com/ebonydyke/ebonydyke/test/standin/web"
+	"github.com/ebonydyke/ebonydyke/test/standin/jsonhttp"
 )
 
 // FaultKind is the kind of an injected fault.
@@ -21,8 +21,8 @@
 	Skip FaultKind = "skip"
 	// Repeat sends the event with number After twice.
 	Repeat FaultKind = "repeat"
-	// NoEndMarker ends the response with correct framing but without the end marker.
-	NoEndMarker FaultKind = "no-end"
+	// NoEndMark ends the response with correct framing but without the end mark.
+	NoEndMark FaultKind = "no-end"
 	// NoResponse reads the whole request, runs it and closes the connection without a response.
 	NoResponse FaultKind = "swallow"
 	// DelayResponse delays the response by Delay.
@@ -73,7 +73,7 @@
 // ServeHTTP sets the fault from the JSON body of the request.
 func (s *FaultInjector) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	var f Fault
-	if !web.ReadJSON(w, r, &f) {
+	if !jsonhttp.ReadJSON(w, r, &f) {
 		return
 	}
 	s.Set(f)
--- a/test/standin/gate/gate.go
+++ b/test/standin/faultinject/faultinject.go
@@ -1,6 +1,6 @@
-// Package gate injects faults into the calls of a fake server: the server is unreachable, slow or
-// loses responses, for all callers or some.
-package gate
+// Package faultinject injects faults into the calls of a fake server: the server is unreachable,
+// slow or loses responses and writes, for all callers or some.
+package faultinject
 
 import (
 	"net"
@@ -10,7 +10,7 @@
 	"time"
 
 	"github.com/ebonydyke/ebonydyke/internal/core/config"
-	"github.com/ebonydyke/ebonydyke/test/standin/web"
+	"github.com/ebonydyke/ebonydyke/test/standin/jsonhttp"
 )
 
 // Faults is a set of faults. A new set replaces the previous one completely.
@@ -20,7 +20,7 @@
 	// Silent sends no response to any new call and keeps its connection open. Pending watches
 	// are closed.
 	Silent bool `json:"silent,omitempty"`
-	// Busy refuses every call with status 503, or with 429 if Many is set as well.
+	// Busy refuses every call with status 503, or with 429 if TooManyRequests is set as well.
 	Busy            bool `json:"busy,omitempty"`
 	TooManyRequests bool `json:"many,omitempty"`
 	// OnlyFrom limits Down, Silent and Busy to callers from these IP addresses.
@@ -41,7 +41,7 @@
 	changed chan struct{}
 }
 
-// New returns a gate without faults.
+// New returns an injector without faults.
 func New() *Injector { return &Injector{changed: make(chan struct{})} }
 
 // SetFaults replaces all faults.
@@ -56,7 +56,7 @@
 // ServeHTTP replaces all faults by those in the JSON body of the request.
 func (g *Injector) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	var f Faults
-	if web.ReadJSON(w, r, &f) {
+	if jsonhttp.ReadJSON(w, r, &f) {
 		g.SetFaults(f)
 	}
 }
@@ -134,8 +134,8 @@
 		}
 		panic(http.ErrAbortHandler)
 	case f.TooManyRequests:
-		web.WriteJSON(w, http.StatusTooManyRequests, map[string]string{"error": "too many calls"})
+		jsonhttp.WriteJSON(w, http.StatusTooManyRequests, map[string]string{"error": "too many calls"})
 	default:
-		web.WriteJSON(w, http.StatusServiceUnavailable, map[string]string{"error": "busy"})
+		jsonhttp.WriteJSON(w, http.StatusServiceUnavailable, map[string]string{"error": "busy"})
 	}
 }
--- a/test/standin/web/web.go
+++ b/test/standin/jsonhttp/jsonhttp.go
@@ -1,5 +1,5 @@
-// Package web reads and writes the JSON bodies of the fake servers' calls.
-package web
+// Package jsonhttp reads and writes the JSON bodies of the fake servers' calls.
+package jsonhttp
 
 import (
 	"encoding/json"
--- a/test/standin/main.go
+++ b/test/standin/main.go
@@ -15,7 +15,7 @@
 
 	"github.com/alecthomas/kong"
 
-	platform "github.com/ebonydyke/ebonydyke/platform/standin"
+	"github.com/ebonydyke/ebonydyke/platform/fakeplatform"
 	"github.com/ebonydyke/ebonydyke/test/standin/engine"
 	"github.com/ebonydyke/ebonydyke/test/standin/plain"
 )
@@ -31,7 +31,7 @@
 type platformCommand struct{}
 
 // Run runs the fake platform.
-func (platformCommand) Run(c *cli) error { return serve(c.Listen, platform.New()) }
+func (platformCommand) Run(c *cli) error { return serve(c.Listen, fakeplatform.New()) }
 
 type engineCommand struct {
 	Name     string        `required:""`
