Log where a configuration came from, and which one a refusal rests on

Cause: to tell "not in force in time" from "came back older", the logs lacked how a version reached an instance and which version refused a request; both were guessed from times. Change: `configuration applied` and `configuration refused` have a `source` (the store, a peer's name, the settings), `request refused or failed` has the `generation`. No decision changes.

--- a/internal/core/configs.go
+++ b/internal/core/configs.go
@@ -132,16 +132,16 @@
 
 func (n *Node) applyStoredConfig(e StoreReplied) {
 	if e.Config != nil {
-		n.offerConfig(*e.Config)
+		n.offerConfig(*e.Config, SourceStore)
 		n.compareStoredConfig(e.Config.Envelope)
 		return
 	}
 	var env config.Envelope
 	if err := json.Unmarshal(e.Value, &env); err != nil {
-		n.rejectConfig(env, config.Findings{{File: ConfigKey, Line: 1, Column: 1, Message: err.Error()}})
+		n.rejectConfig(env, config.Findings{{File: ConfigKey, Line: 1, Column: 1, Message: err.Error()}}, SourceStore)
 		return
 	}
-	n.offerConfig(ConfigOffer{Envelope: env})
+	n.offerConfig(ConfigOffer{Envelope: env}, SourceStore)
 	n.compareStoredConfig(env)
 }
 
@@ -152,7 +152,7 @@
 // Two edits with the same generation occur only if the store went back to an older state and an
 // operator who saw only the store then wrote to it. All instances converge on the edit with the
 // greater ID, in whichever order they receive them.
-func (n *Node) offerConfig(offer ConfigOffer) {
+func (n *Node) offerConfig(offer ConfigOffer, source ConfigSource) {
 	env := offer.Envelope
 	if n.snapshot != nil && env.Generation <= n.snapshot.Generation {
 		if env.Generation < n.snapshot.Generation || env.Edit == n.snapshot.Edit {
@@ -170,14 +170,14 @@
 	if err != nil {
 		var findings config.Findings
 		errors.As(err, &findings)
-		n.rejectConfig(env, findings)
+		n.rejectConfig(env, findings, source)
 		return
 	}
 	n.snapshot = snapshot
 	n.configs.inForce, n.configs.findings = env, nil
 	n.configs.storeBehind = false
 	n.rebuildPools()
-	n.emit(ConfigApplied{Generation: env.Generation, Edit: env.Edit})
+	n.emit(ConfigApplied{Generation: env.Generation, Edit: env.Edit, Source: source})
 }
 
 // check parses and validates the offered configuration.
@@ -189,9 +189,9 @@
 }
 
 // rejectConfig keeps the configuration in force and records the findings for the status.
-func (n *Node) rejectConfig(env config.Envelope, findings config.Findings) {
+func (n *Node) rejectConfig(env config.Envelope, findings config.Findings, source ConfigSource) {
 	n.configs.rejected, n.configs.findings = env, findings
-	n.emit(ConfigRefused{Generation: env.Generation, Findings: findings})
+	n.emit(ConfigRefused{Generation: env.Generation, Findings: findings, Source: source})
 }
 
 // compareStoredConfig compares the configuration in the store with the one in force.
--- a/internal/core/effect.go
+++ b/internal/core/effect.go
@@ -92,6 +92,9 @@
 	RetryAfter time.Duration  `json:"retry_after,omitempty"`
 	// First identifies the original request if the outcome is a duplicate.
 	First string `json:"first,omitempty"`
+	// Generation is that of the configuration in force when the request was refused, 0 if
+	// there was none or the refusal does not depend on it.
+	Generation uint64 `json:"generation,omitempty"`
 	// Utilization is the utilization of the service if the request was refused for lack of
 	// capacity.
 	Utilization Utilization `json:"fill,omitzero"`
@@ -190,8 +193,9 @@
 
 // ConfigApplied reports that this instance applied a configuration.
 type ConfigApplied struct {
-	Generation uint64 `json:"generation"`
-	Edit       string `json:"edit"`
+	Generation uint64       `json:"generation"`
+	Edit       string       `json:"edit"`
+	Source     ConfigSource `json:"source"`
 }
 
 // ConfigRefused reports that a configuration failed validation and that the previous one
@@ -199,8 +203,22 @@
 type ConfigRefused struct {
 	Generation uint64          `json:"generation"`
 	Findings   config.Findings `json:"findings"`
+	Source     ConfigSource    `json:"source"`
 }
 
+// ConfigSource says where a configuration came from: the name of the peer that sent it, or
+// one of the constants below.
+type ConfigSource string
+
+// The sources that are no peers.
+const (
+	// SourceStore is the platform's store.
+	SourceStore ConfigSource = "the store"
+	// SourceSettings is a configuration given to this process itself, or one that was read
+	// again because its settings changed.
+	SourceSettings ConfigSource = "the settings"
+)
+
 // SetReady sets whether the load balancer may send new requests to this instance.
 type SetReady struct {
 	Ready bool `json:"ready"`
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -147,7 +147,7 @@
 	case LeaseReplied:
 		n.leaseReplied(e)
 	case ConfigOffered:
-		n.offerConfig(ConfigOffer(e))
+		n.offerConfig(ConfigOffer(e), SourceSettings)
 	case StoreReplied:
 		n.storeReplied(e)
 	case PeerConnected:
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -278,7 +278,7 @@
 	}
 	switch {
 	case m.ConfigOffer != nil:
-		n.offerConfig(*m.ConfigOffer)
+		n.offerConfig(*m.ConfigOffer, ConfigSource(e.From))
 	case m.ConfigWanted != nil:
 		n.sendConfig(e.From, m.ConfigWanted)
 	case m.EntriesOffer != nil:
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -227,6 +227,7 @@
 		Outcome:    reason.NotRun,
 		Reason:     r.reason,
 		RetryAfter: r.retryAfter,
+		Generation: n.generation(),
 	}
 	if t.service != nil {
 		finish.Service = t.service.Name
--- a/internal/daemon/executor.go
+++ b/internal/daemon/executor.go
@@ -37,9 +37,9 @@
 	case core.SendPeer:
 		x.links.Send(e.To, e.Message)
 	case core.ConfigApplied:
-		x.proxy.Log("configuration applied", "generation", e.Generation, "edit", e.Edit)
+		x.proxy.Log("configuration applied", "generation", e.Generation, "edit", e.Edit, "source", e.Source)
 	case core.ConfigRefused:
-		x.proxy.Log("configuration refused", "generation", e.Generation, "findings", e.Findings.Error())
+		x.proxy.Log("configuration refused", "generation", e.Generation, "findings", e.Findings.Error(), "source", e.Source)
 	case core.StateChanged:
 		x.proxy.Log("learned", "subject", e.Subject, "name", e.Name, "names", e.Names, "state", e.State, "service", e.Service,
 			"address", e.Address, "revision", e.Revision, "incarnation", e.Incarnation, "cause", e.Cause)
