--- /dev/null
+++ b/internal/core/changebound_test.go
@@ -0,0 +1,218 @@
+package core_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/ebonydyke/ebonydyke/internal/core/membership"
+)
+
+// deployment is a size of the fleet with the bounds that its operators ask for.
+type deployment struct {
+	instances, zones int
+	// bound is the time after the acknowledgement of a change from which no instance in touch
+	// may act on the state before it.
+	bound time.Duration
+	// settle is how long an instance must have been without trouble of its own to be in touch.
+	settle time.Duration
+}
+
+var (
+	smallDeployment  = deployment{instances: 8, zones: 3, bound: 2 * time.Second, settle: 3 * time.Second}
+	fourZones        = deployment{instances: 9, zones: 4, bound: 2 * time.Second, settle: 3 * time.Second}
+	mediumDeployment = deployment{instances: 60, zones: 4, bound: 3 * time.Second, settle: 4 * time.Second}
+	singleZone       = deployment{instances: 60, zones: 1, bound: 3 * time.Second, settle: 4 * time.Second}
+)
+
+func (d deployment) String() string { return fmt.Sprintf("%d in %d zones", d.instances, d.zones) }
+
+// storeChange is a change that the store has acknowledged: a configuration, or an engine that
+// begins to leave.
+type storeChange struct {
+	at         time.Time
+	generation uint64
+	engine     int
+}
+
+// lackedBy reports whether an instance does not have the change.
+func (s storeChange) lackedBy(m *fakeInstance) bool {
+	if s.generation > 0 {
+		return m.generation < s.generation
+	}
+	return !m.leavingEngines[engineName(s.engine)]
+}
+
+func engineName(i int) string { return fmt.Sprintf("engine-%d", i) }
+
+// changeBoundFleet makes changes in the store and checks all the time that no instance in touch
+// lacks a change for longer than the bound.
+type changeBoundFleet struct {
+	*fleet
+	bounds     deployment
+	changes    []storeChange
+	generation uint64
+	engines    int
+	// troubled holds the instances in trouble, and wellSince the end of the others' last trouble.
+	troubled  map[*fakeInstance]bool
+	wellSince map[*fakeInstance]time.Time
+	// longest is the longest time for which an instance in touch lacked a change, and late
+	// describes the cases beyond the bound.
+	longest time.Duration
+	late    []string
+}
+
+// boundEngines is the number of engines that can leave during a test.
+const boundEngines = 100
+
+func newChangeBoundFleet(t *testing.T, d deployment, seed uint64) *changeBoundFleet {
+	t.Helper()
+	c := &changeBoundFleet{
+		fleet: newFleet(seed, d.instances, d.zones, entriesText), bounds: d, generation: 1,
+		troubled: make(map[*fakeInstance]bool), wellSince: make(map[*fakeInstance]time.Time),
+	}
+	c.store.watchHold, c.store.silentCut = d.settle-time.Second, true
+	c.putConfig(1, "first", entriesText)
+	for i := range boundEngines {
+		c.store.putEntry(engineName(i), engineEntry(i, membership.Live))
+	}
+	c.fleet.run(20 * time.Second)
+	c.requireGeneration(t, 1)
+	return c
+}
+
+// change makes one change in the store.
+func (c *changeBoundFleet) change() {
+	change := storeChange{at: c.now}
+	if c.engines < boundEngines-1 && c.random.IntN(2) == 0 {
+		change.engine = c.engines
+		c.store.putEntry(engineName(c.engines), engineEntry(c.engines, membership.Leaving))
+		c.engines++
+	} else {
+		c.generation++
+		change.generation = c.generation
+		c.putConfig(c.generation, "edit", entriesText)
+	}
+	c.changes = append(c.changes, change)
+}
+
+// runWithChanges advances virtual time by d, with a change each 0.1 to 1.5 seconds, and checks the
+// bound in small steps.
+func (c *changeBoundFleet) runWithChanges(d time.Duration) {
+	const step = 20 * time.Millisecond
+	nextChange := c.now
+	for end := c.now.Add(d); c.now.Before(end); {
+		if !c.now.Before(nextChange) {
+			c.change()
+			nextChange = c.now.Add(time.Duration(100+c.random.IntN(1400)) * time.Millisecond)
+		}
+		c.run(step)
+		c.check()
+	}
+}
+
+func (c *changeBoundFleet) inTouch(m *fakeInstance) bool {
+	return !c.troubled[m] && c.now.Sub(c.wellSince[m]) >= c.bounds.settle
+}
+
+func (c *changeBoundFleet) check() {
+	for _, m := range c.instances {
+		if !c.inTouch(m) {
+			continue
+		}
+		first := slices.IndexFunc(c.changes, func(s storeChange) bool { return s.lackedBy(m) })
+		if first < 0 {
+			continue
+		}
+		lackedFor := c.now.Sub(c.changes[first].at)
+		c.longest = max(c.longest, lackedFor)
+		if lackedFor > c.bounds.bound {
+			c.late = append(c.late, fmt.Sprintf("%s lacks change %d of %d after %v", m.name, first, len(c.changes), lackedFor))
+		}
+	}
+}
+
+// trouble affects some instances for a time. Whatever it does to others, an instance that it does
+// not affect stays in touch.
+type trouble struct {
+	name string
+	// apply is called at the beginning and at the end, for all affected instances.
+	apply func(c *changeBoundFleet, affected map[*fakeInstance]bool, lasts time.Duration)
+	lift  func(c *changeBoundFleet)
+}
+
+var troubles = []trouble{
+	{"frozen", func(c *changeBoundFleet, affected map[*fakeInstance]bool, lasts time.Duration) {
+		for m := range affected {
+			m.frozenUntil = c.now.Add(lasts)
+		}
+	}, func(*changeBoundFleet) {}},
+	{"cut off from the store without a sign", func(c *changeBoundFleet, affected map[*fakeInstance]bool, _ time.Duration) {
+		c.platformCut = func(m *fakeInstance) bool { return affected[m] }
+	}, (*changeBoundFleet).heal},
+	{"cut off from the store and the other instances", func(c *changeBoundFleet, affected map[*fakeInstance]bool, _ time.Duration) {
+		c.platformCut = func(m *fakeInstance) bool { return affected[m] }
+		c.linkCut = func(a, b *fakeInstance) bool { return affected[a] || affected[b] }
+	}, (*changeBoundFleet).heal},
+	{"killed and restarted", func(c *changeBoundFleet, affected map[*fakeInstance]bool, lasts time.Duration) {
+		for _, m := range c.instances {
+			if !affected[m] {
+				continue
+			}
+			m.dead = true
+			c.schedule(lasts, func() { c.boot(m, "") })
+		}
+	}, func(*changeBoundFleet) {}},
+}
+
+func (c *changeBoundFleet) heal() { c.platformCut, c.linkCut = noInstance, noLinkCut }
+
+// suffer applies a trouble to instances while changes are made, and goes on until all are in touch.
+func (c *changeBoundFleet) suffer(tr trouble, affected map[*fakeInstance]bool, lasts time.Duration) {
+	tr.apply(c, affected, lasts)
+	c.troubled = affected
+	c.runWithChanges(lasts)
+	tr.lift(c)
+	c.troubled = make(map[*fakeInstance]bool)
+	for m := range affected {
+		c.wellSince[m] = c.now
+	}
+	c.runWithChanges(c.bounds.settle + c.bounds.bound + time.Duration(c.random.IntN(1000))*time.Millisecond)
+}
+
+// pick returns the followers of the store and further instances, drawn at random, up to count.
+func (c *changeBoundFleet) pick(count int) map[*fakeInstance]bool {
+	picked := make(map[*fakeInstance]bool)
+	for name := range c.followers() {
+		picked[c.instance(name)] = true
+	}
+	for _, i := range c.random.Perm(len(c.instances)) {
+		if len(picked) < count {
+			picked[c.instances[i]] = true
+		}
+	}
+	return picked
+}
+
+// Guards against changes that come late or never at instances in touch, because all followers of
+// the store fail together, or with them those that would replace the followers.
+func TestChangeReachesInstancesInTouch(t *testing.T) {
+	for _, d := range []deployment{smallDeployment, fourZones, mediumDeployment, singleZone} {
+		for _, affected := range []int{0, d.instances * 3 / 4} {
+			for _, tr := range troubles {
+				t.Run(fmt.Sprintf("%v, followers and %d others %s", d, affected, tr.name), func(t *testing.T) {
+					t.Parallel()
+					c := newChangeBoundFleet(t, d, 31)
+					for range 4 {
+						c.suffer(tr, c.pick(affected), time.Duration(1500+c.random.IntN(4500))*time.Millisecond)
+					}
+					t.Logf("longest time without a change: %v of %v", c.longest, c.bounds.bound)
+					require.Empty(t, c.late)
+				})
+			}
+		}
+	}
+}
--- a/internal/core/entryexchange_test.go
+++ b/internal/core/entryexchange_test.go
@@ -144,27 +144,20 @@
 		s.fleet.reply(m, storeTimeout, core.BackendsRead{Op: e.Op, Status: core.StoreFailed})
 		return
 	}
-	answered := false
+	held := s.hold(m, core.BackendsRead{Op: e.Op, Status: core.StoreUnknown})
 	answer := func() {
-		if answered {
-			return
-		}
-		answered = true
 		read := core.BackendsRead{Op: e.Op, Status: core.StoreOK, Revision: uint64(len(s.entries))}
 		for _, entry := range s.entries {
 			if entry.Revision > e.After {
 				read.Entries = append(read.Entries, entry)
 			}
 		}
-		if s.unreachableFrom(m) {
-			read = core.BackendsRead{Op: e.Op, Status: core.StoreUnknown}
-		}
-		s.fleet.reply(m, s.latency(), read)
+		held.answer(read)
 	}
 	if e.After < uint64(len(s.entries)) {
 		answer()
 		return
 	}
 	s.watchers = append(s.watchers, answer)
-	s.fleet.schedule(3*time.Second, answer)
+	s.fleet.schedule(min(s.watchHold, 3*time.Second), answer)
 }
--- a/internal/core/fakestore_test.go
+++ b/internal/core/fakestore_test.go
@@ -25,6 +25,10 @@
 	entries []core.BackendEntry
 	// watchers are called on each change of the entries.
 	watchers []func()
+	// watchHold is how long a watch waits for a change, and silentCut is set if an instance that
+	// is cut off learns of it at the time limit of its call only.
+	watchHold time.Duration
+	silentCut bool
 	// lostReplyShare is the share of writes that take effect but whose reply is lost,
 	// lostWriteShare the share that never take effect, and lateWriteShare the share that take
 	// effect after the reply.
@@ -119,32 +123,58 @@
 	}
 }
 
-// watch replies once the value changes, or after 30 s without a change.
+// watch replies once the value changes, or after watchHold without a change.
 func (s *fakeStore) watch(m *fakeInstance, e core.StoreWatch) {
-	f := s.fleet
 	if s.unreachableFrom(m) {
-		f.reply(m, storeTimeout, core.StoreReplied{Op: e.Op, Status: core.StoreFailed})
+		s.fleet.reply(m, storeTimeout, core.StoreReplied{Op: e.Op, Status: core.StoreFailed})
 		return
 	}
 	v := s.value(e.Key)
-	done := false
-	reply := func(status core.StoreStatus) {
-		if done {
-			return
-		}
-		done = true
-		switch {
-		case s.unreachableFrom(m):
-			status = core.StoreUnknown
-		case v.version == 0:
+	reply := func(status core.StoreStatus) core.Event {
+		if v.version == 0 {
 			status = core.StoreAbsent
 		}
-		f.reply(m, s.latency(), core.StoreReplied{Op: e.Op, Status: status, Version: v.version, Value: v.value})
+		return core.StoreReplied{Op: e.Op, Status: status, Version: v.version, Value: v.value}
 	}
+	held := s.hold(m, core.StoreReplied{Op: e.Op, Status: core.StoreUnknown})
 	if v.version != e.Version {
-		reply(core.StoreOK)
+		held.answer(reply(core.StoreOK))
 		return
 	}
-	v.waiters = append(v.waiters, func() { reply(core.StoreOK) })
-	f.schedule(30*time.Second, func() { reply(core.StoreUnchanged) })
+	v.waiters = append(v.waiters, func() { held.answer(reply(core.StoreOK)) })
+	s.fleet.schedule(s.watchHold, func() { held.answer(reply(core.StoreUnchanged)) })
+}
+
+// heldCall is a call that the store holds. It ends with the first answer that reaches the
+// instance. An answer to an instance that is cut off is lost, and the instance learns nothing
+// before the call's time limit.
+type heldCall struct {
+	store    *fakeStore
+	instance *fakeInstance
+	failed   core.Event
+	ended    bool
+}
+
+// hold starts a held call, which ends with the event failed at its time limit.
+func (s *fakeStore) hold(m *fakeInstance, failed core.Event) *heldCall {
+	held := &heldCall{store: s, instance: m}
+	held.failed = failed
+	s.fleet.schedule(s.watchHold+watchSlack, func() { held.end(0, failed) })
+	return held
+}
+
+func (c *heldCall) answer(event core.Event) {
+	switch {
+	case !c.store.unreachableFrom(c.instance):
+		c.end(c.store.latency(), event)
+	case !c.store.silentCut:
+		c.end(c.store.latency(), c.failed)
+	}
+}
+
+func (c *heldCall) end(delay time.Duration, event core.Event) {
+	if !c.ended {
+		c.ended = true
+		c.store.fleet.reply(c.instance, delay, event)
+	}
 }
--- a/internal/core/fleet_test.go
+++ b/internal/core/fleet_test.go
@@ -64,6 +64,8 @@
 	generation uint64
 	edit       string
 	takenAt    time.Time
+	// leavingEngines holds the engines that the instance knows to leave.
+	leavingEngines map[string]bool
 }
 
 // callerRequest is one request of a caller and its result.
@@ -124,7 +126,9 @@
 func newStoppedFleet(seed uint64, n, zones int) *fleet {
 	f := &fleet{
 		now: epoch, random: rand.New(rand.NewPCG(seed, 1)),
-		store:       fakeStore{keys: make(map[string]*fakeValue), registrations: make(map[string]registration)},
+		store: fakeStore{
+			keys: make(map[string]*fakeValue), registrations: make(map[string]registration), watchHold: defaultWatchHold,
+		},
 		linkCut:     func(_, _ *fakeInstance) bool { return false },
 		platformCut: func(*fakeInstance) bool { return false },
 		requests:    make(map[core.RequestID]*callerRequest), runs: make(map[string][]*callerRequest),
@@ -161,6 +165,7 @@
 	m.incarnation++
 	m.dead, m.peers, m.wantedPeers = false, make(map[string]bool), nil
 	m.generation = 0
+	m.leavingEngines = make(map[string]bool)
 	for _, other := range f.instances {
 		delete(other.peers, m.name)
 	}
@@ -274,6 +279,12 @@
 			f.rollbacks++
 		}
 		m.generation, m.edit, m.takenAt = e.Generation, e.Edit, f.now
+	case core.StateChanged:
+		if e.Subject == core.SubjectBackend && e.State != string(membership.Live) {
+			for _, name := range append(e.Names, e.Name) {
+				m.leavingEngines[name] = true
+			}
+		}
 	case core.Counted:
 		f.counters[e.Counter+"/"+e.Label] += e.N
 	}
@@ -412,4 +423,11 @@
 	return count
 }
 
-const storeTimeout = 2 * time.Second
+// Time limits of an instance's calls to the store, as the daemon sets them.
+const (
+	storeTimeout = 2 * time.Second
+	watchSlack   = 500 * time.Millisecond
+)
+
+// defaultWatchHold is how long the store holds a watch unless a test says otherwise.
+const defaultWatchHold = 30 * time.Second
