--- a/tools/verdict/main.go
+++ b/tools/verdict/main.go
@@ -147,10 +147,12 @@
 	return slices.ContainsFunc(v.failed, func(id [2]string) bool { return id[0] == pkg && id[1] != "" })
 }
 
-// isKnownRed reports whether a test is listed or is the parent of a listed test.
+// isKnownRed reports whether a test is listed, or is the parent or a subtest of a listed test.
 func (v *verdict) isKnownRed(test string) bool {
 	for known := range v.knownRed {
-		if known == test || test != "" && strings.HasPrefix(known, test+"/") {
+		subtest := strings.HasPrefix(test, known+"/")
+		parent := test != "" && strings.HasPrefix(known, test+"/")
+		if known == test || subtest || parent {
 			return true
 		}
 	}
--- a/tools/verdict/main_test.go
+++ b/tools/verdict/main_test.go
@@ -40,6 +40,11 @@
 	require.True(t, passed)
 	require.Contains(t, out, "KNOWN RED (failed) TestB/one: flaky clock: issue 7\n1 passed, 0 failed, 2 known red, 0 skipped\n")
 
+	passed, _ = evaluate(t, "TestB: all of it: issue 7\n", testEvents)
+	require.True(t, passed, "a listed test includes its subtests")
+	passed, _ = evaluate(t, "Test: other: issue 8\n", testEvents)
+	require.False(t, passed, "a common prefix is not enough")
+
 	passed, _ = evaluate(t, "TestC: other: issue 8", testEvents)
 	require.False(t, passed, "only failures of listed tests are ignored")
 
