Send peers the edit that replaces another one of the same generation

What callers saw: after a store went back and an operator wrote to it unseen, some instances kept the other edit of the same generation for 5 to 15 minutes. Only with a native configuration; versions of the platform's form never repeat. Cause: a digest tells a generation and not the edit, so only instances that watch the store learned of the second one. Change: whoever replaces an edit by another of its generation offers it to the peers of its layout, which do the same.

--- a/internal/core/configs.go
+++ b/internal/core/configs.go
@@ -154,6 +154,7 @@
 // greater ID, in whichever order they receive them.
 func (n *Node) offerConfig(offer ConfigOffer, source ConfigSource) {
 	env := offer.Envelope
+	conflict := n.snapshot != nil && env.Generation == n.snapshot.Generation && env.Edit != n.snapshot.Edit
 	if n.snapshot != nil && env.Generation <= n.snapshot.Generation {
 		if env.Generation < n.snapshot.Generation || env.Edit == n.snapshot.Edit {
 			return
@@ -178,6 +179,19 @@
 	n.configs.storeBehind = false
 	n.rebuildPools()
 	n.emit(ConfigApplied{Generation: env.Generation, Edit: env.Edit, Source: source})
+	if conflict && !n.settings.ConfigReadOnly {
+		n.sendConfigToPeers()
+	}
+}
+
+// sendConfigToPeers sends the configuration in force to all peers of the layout. It replaced
+// another edit of the same generation, which digests do not tell apart.
+func (n *Node) sendConfigToPeers() {
+	for _, name := range n.peerNames() {
+		if n.inLayout(name) {
+			n.emit(SendPeer{To: name, Message: PeerMessage{ConfigOffer: &ConfigOffer{Envelope: n.configs.inForce}}})
+		}
+	}
 }
 
 // check parses and validates the offered configuration.
