--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -240,10 +240,10 @@
 func (s *Server) recordFinish(e *core.Finish, detail string) {
 	s.options.Metrics.Refused(e.Reason)
 	s.log.put("request refused or failed", "request", e.Request, "outcome", e.Outcome,
-		"reason", e.Reason, "generation", e.Generation, "customer", e.Customer, "service", e.Service,
+		"reason", e.Reason, "customer", e.Customer, "service", e.Service,
 		"backend", e.Backend, "attempt", e.Attempt, "retryAfterMs", e.RetryAfter.Milliseconds(),
 		"passedOn", e.ForwardFailure, "load", e.Utilization.Load, "capacity", e.Utilization.Capacity, "servers", e.Utilization.Servers,
-		"detail", detail)
+		"generation", e.Generation, "detail", detail)
 }
 
 // connDeadline converts a time of the core's clock to a connection deadline. The result has
