Repeat calls of an outage while vanished entries still count as lapsed

What callers would see: after an outage of the store longer than the leases of the engines' entries, an instance of the largest fleet drops all engines for two seconds and refuses. Cause: a removal counts as a lapse within two seconds after a failed call; with a bound of four seconds an instance that asks in vain repeated its call after 2.5 s (found by reading; the outage test at 18 instances has a shorter delay and cannot show it). Change: the delay is at most 1.8 s at any bound.

--- a/internal/core/staleness.go
+++ b/internal/core/staleness.go
@@ -23,6 +23,9 @@
 	minPatience, maxPatience = 500 * time.Millisecond, 2 * time.Second
 	// patienceFactor is the patience as a multiple of the time that the store took lately.
 	patienceFactor = 4
+	// maxRetryDelay is the maximum delay before a call is repeated. A removal that an instance reads
+	// later than that after a failed call is not taken for a lapsed entry any more.
+	maxRetryDelay = lapseOutageWindow - 200*time.Millisecond
 	// settleMargin is the time left at the end of StoreSettle for a call and its result.
 	settleMargin = 500 * time.Millisecond
 	// verifyStages is the number of stages in which instances begin to ask the store, and
@@ -191,6 +194,6 @@
 	if n.follow.cause != followsWhileStale || failures <= 1 {
 		return n.backoffDelay(first, limit, failures)
 	}
-	delay := n.settings.StoreSettle - settleMargin - n.storePatience(failures)
+	delay := min(n.settings.StoreSettle-settleMargin-n.storePatience(failures), maxRetryDelay)
 	return max(first, delay-time.Duration(n.random.Int64N(int64(first))))
 }
