--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -40,23 +40,26 @@
 // Drain starts the graceful shutdown.
 func (v coreView) Drain() { v.loop.Post(core.StopRequested{}) }
 
-// inFlight returns the number of requests in flight, or NaN if the core does not respond within
-// scrapeTimeout.
-func (v coreView) inFlight() float64 {
-	ctx, cancel := context.WithTimeout(context.Background(), scrapeTimeout)
-	defer cancel()
-	n, err := Inspect(ctx, v.loop, (*core.Node).InFlight)
-	if err != nil {
-		return math.NaN()
+// gauge returns a function that reads a value from the core. It returns NaN if the core does not
+// respond within scrapeTimeout.
+func (v coreView) gauge(read func(*core.Node) float64) func() float64 {
+	return func() float64 {
+		ctx, cancel := context.WithTimeout(context.Background(), scrapeTimeout)
+		defer cancel()
+		value, err := Inspect(ctx, v.loop, read)
+		if err != nil {
+			return math.NaN()
+		}
+		return value
 	}
-	return float64(n)
 }
 
 // serveAdmin serves the operators' interface on l until ctx is done. That includes the graceful
 // shutdown, so that operators can observe it.
 func serveAdmin(ctx context.Context, l net.Listener, loop *Loop, m *metrics.Metrics) error {
 	v := coreView{loop: loop}
-	m.RegisterInFlight(v.inFlight)
+	m.RegisterInFlight(v.gauge(func(n *core.Node) float64 { return float64(n.InFlight()) }))
+	m.RegisterStaleness(v.gauge(func(n *core.Node) float64 { return n.Staleness().Seconds() }))
 	return serveHTTP(ctx, l, admin.NewServer(v, m.Gatherer()))
 }
 
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -87,6 +87,14 @@
 	}, f))
 }
 
+// RegisterStaleness registers the gauge of the age, in seconds, of what the instance knows of the
+// store. It is read from f at each scrape.
+func (m *Metrics) RegisterStaleness(f func() float64) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "ebonydyke_store_staleness_seconds", Help: "Age of what this instance knows of the platform's store.",
+	}, f))
+}
+
 // Refused implements proxy.Metrics.
 func (m *Metrics) Refused(r reason.Reason) { m.refusals.WithLabelValues(string(r)).Inc() }
 
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -24,6 +24,7 @@
 	m.PlatformCall("get", "ok")
 	m.Count("shed", "load", 1)
 	m.RegisterInFlight(func() float64 { return 1 })
+	m.RegisterStaleness(func() float64 { return 1 })
 	m.RegisterControl(func() metrics.ControlStats {
 		return metrics.ControlStats{
 			Traffic: []metrics.Traffic{{Kind: "digest", Direction: metrics.Sent}},
