Test the bound on changes under more troubles, and under series of them that overlap

Two troubles leave the affected instances in touch, so that the bound holds for them as well: cut off from the other instances only, and heard by the others but not hearing them.

--- a/internal/core/changebound_test.go
+++ b/internal/core/changebound_test.go
@@ -127,31 +127,39 @@
 // not affect stays in touch.
 type trouble struct {
 	name string
-	// apply is called at the beginning and at the end, for all affected instances.
+	// apply begins the trouble for the affected instances.
 	apply func(c *changeBoundFleet, affected map[*fakeInstance]bool, lasts time.Duration)
-	lift  func(c *changeBoundFleet)
+	// staysInTouch is set if the affected instances still reach the store, so that the bound
+	// holds for them as well.
+	staysInTouch bool
 }
 
 var troubles = []trouble{
-	{"frozen", func(c *changeBoundFleet, affected map[*fakeInstance]bool, lasts time.Duration) {
+	{name: "frozen", apply: func(c *changeBoundFleet, affected map[*fakeInstance]bool, lasts time.Duration) {
 		for m := range affected {
 			m.frozenUntil = c.now.Add(lasts)
 		}
-	}, func(*changeBoundFleet) {}},
-	{"cut off from the store without a sign", func(c *changeBoundFleet, affected map[*fakeInstance]bool, _ time.Duration) {
+	}},
+	{name: "cut off from the store without a sign", apply: func(c *changeBoundFleet, affected map[*fakeInstance]bool, _ time.Duration) {
 		c.platformCut = func(m *fakeInstance) bool { return affected[m] }
-	}, (*changeBoundFleet).heal},
-	{"cut off from the store and the other instances", func(c *changeBoundFleet, affected map[*fakeInstance]bool, _ time.Duration) {
+	}},
+	{name: "cut off from the store and the other instances", apply: func(c *changeBoundFleet, affected map[*fakeInstance]bool, _ time.Duration) {
 		c.platformCut = func(m *fakeInstance) bool { return affected[m] }
 		c.linkCut = func(a, b *fakeInstance) bool { return affected[a] || affected[b] }
-	}, (*changeBoundFleet).heal},
-	{"told nothing any more on open connections to the store", func(c *changeBoundFleet, affected map[*fakeInstance]bool, _ time.Duration) {
+	}},
+	{name: "cut off from the other instances only", staysInTouch: true, apply: func(c *changeBoundFleet, affected map[*fakeInstance]bool, _ time.Duration) {
+		c.linkCut = func(a, b *fakeInstance) bool { return affected[a] || affected[b] }
+	}},
+	{name: "heard by the others but not hearing them", staysInTouch: true, apply: func(c *changeBoundFleet, affected map[*fakeInstance]bool, _ time.Duration) {
+		c.linkCut = func(_, to *fakeInstance) bool { return affected[to] }
+	}},
+	{name: "told nothing any more on open connections to the store", apply: func(c *changeBoundFleet, affected map[*fakeInstance]bool, _ time.Duration) {
 		c.store.silencedAt = c.now
 		for _, m := range c.instances {
 			affected[m] = true
 		}
-	}, func(*changeBoundFleet) {}},
-	{"killed and restarted", func(c *changeBoundFleet, affected map[*fakeInstance]bool, lasts time.Duration) {
+	}},
+	{name: "killed and restarted", apply: func(c *changeBoundFleet, affected map[*fakeInstance]bool, lasts time.Duration) {
 		for _, m := range c.instances {
 			if !affected[m] {
 				continue
@@ -159,25 +167,25 @@
 			m.dead = true
 			c.schedule(lasts, func() { c.boot(m, "") })
 		}
-	}, func(*changeBoundFleet) {}},
+	}},
 }
 
-func (c *changeBoundFleet) heal() { c.platformCut, c.linkCut = noInstance, noLinkCut }
-
 // suffer applies a trouble to instances while changes are made, and goes on until all are in touch.
 func (c *changeBoundFleet) suffer(tr trouble, affected map[*fakeInstance]bool, lasts time.Duration) {
 	tr.apply(c, affected, lasts)
-	c.troubled = affected
+	if !tr.staysInTouch {
+		c.troubled = affected
+	}
 	if len(affected) == len(c.instances) {
 		// What befalls all of them is over at once.
 		lasts = 0
 	}
 	c.runWithChanges(lasts)
-	tr.lift(c)
-	c.troubled = make(map[*fakeInstance]bool)
-	for m := range affected {
+	c.platformCut, c.linkCut = noInstance, noLinkCut
+	for m := range c.troubled {
 		c.wellSince[m] = c.now
 	}
+	c.troubled = make(map[*fakeInstance]bool)
 	c.runWithChanges(c.storeSettle + c.changeBound + time.Duration(c.random.IntN(1000))*time.Millisecond)
 }
 
@@ -221,3 +229,89 @@
 		}
 	}
 }
+
+// troubleSeries applies troubles that overlap, to instances drawn at random.
+type troubleSeries struct {
+	*changeBoundFleet
+	storeCuts, linkCuts map[*fakeInstance]int
+	// sufferings counts the present troubles of each instance by which it is not in touch.
+	sufferings map[*fakeInstance]int
+}
+
+func newTroubleSeries(t *testing.T, size fleetSize, seed uint64) *troubleSeries {
+	s := &troubleSeries{
+		changeBoundFleet: newChangeBoundFleet(t, size, seed),
+		storeCuts:        make(map[*fakeInstance]int), linkCuts: make(map[*fakeInstance]int),
+		sufferings: make(map[*fakeInstance]int),
+	}
+	s.platformCut = func(m *fakeInstance) bool { return s.storeCuts[m] > 0 }
+	s.linkCut = func(a, b *fakeInstance) bool { return s.linkCuts[a] > 0 || s.linkCuts[b] > 0 }
+	return s
+}
+
+// begin begins a random trouble of some instances, and ends it after some seconds.
+func (s *troubleSeries) begin() {
+	kind := s.random.IntN(5)
+	share := s.random.Float64()
+	lasts := time.Duration(300+s.random.IntN(5000)) * time.Millisecond
+	for _, m := range s.instances {
+		if s.random.Float64() > share {
+			continue
+		}
+		switch kind {
+		case 0:
+			m.frozenUntil = s.now.Add(lasts)
+			s.sufferFor(m, lasts)
+		case 1:
+			s.countDuring(s.storeCuts, m, lasts)
+			s.sufferFor(m, lasts)
+		case 2:
+			s.countDuring(s.storeCuts, m, lasts)
+			s.countDuring(s.linkCuts, m, lasts)
+			s.sufferFor(m, lasts)
+		case 3:
+			s.countDuring(s.linkCuts, m, lasts)
+		case 4:
+			m.dead = true
+			s.schedule(lasts, func() { s.boot(m, "") })
+			s.sufferFor(m, lasts)
+		}
+	}
+}
+
+func (s *troubleSeries) countDuring(counts map[*fakeInstance]int, m *fakeInstance, lasts time.Duration) {
+	counts[m]++
+	s.schedule(lasts, func() { counts[m]-- })
+}
+
+// sufferFor marks an instance as not in touch until the end of a trouble.
+func (s *troubleSeries) sufferFor(m *fakeInstance, lasts time.Duration) {
+	s.sufferings[m]++
+	s.troubled[m] = true
+	s.schedule(lasts, func() {
+		s.sufferings[m]--
+		if s.sufferings[m] == 0 {
+			delete(s.troubled, m)
+			s.wellSince[m] = s.now
+		}
+	})
+}
+
+// Guards against changes that come late or never at instances in touch while troubles of others
+// overlap in any order.
+func TestChangeReachesInstancesInTouchDuringSeriesOfTroubles(t *testing.T) {
+	for _, size := range []fleetSize{{8, 3}, {9, 4}, {60, 4}} {
+		t.Run(size.String(), func(t *testing.T) {
+			t.Parallel()
+			for seed := range *boundSeeds {
+				s := newTroubleSeries(t, size, uint64(seed))
+				for range 20 {
+					s.begin()
+					s.runWithChanges(time.Duration(200+s.random.IntN(3000)) * time.Millisecond)
+				}
+				t.Logf("seed %d: longest time without a change: %v of %v", seed, s.longest, s.changeBound)
+				require.Empty(t, s.late, "seed %d", seed)
+			}
+		})
+	}
+}
