--- a/internal/core/changebound_test.go
+++ b/internal/core/changebound_test.go
@@ -13,7 +13,7 @@
 )
 
 // boundSeeds is the number of seeds of the test of the bound, for long runs by hand.
-var boundSeeds = flag.Int("bound-seeds", 1, "number of seeds of TestChangeReachesInstancesInTouch")
+var boundSeeds = flag.Int("bound-seeds", 1, "number of seeds of TestChangeReachesHealthyInstances")
 
 // fleetSize is a number of instances and of zones.
 type fleetSize struct{ instances, zones int }
@@ -38,17 +38,17 @@
 
 func engineName(i int) string { return fmt.Sprintf("engine-%d", i) }
 
-// changeBoundFleet makes changes in the store and checks all the time that no instance in touch
+// changeBoundFleet makes changes in the store and checks all the time that no healthy instance
 // lacks a change for longer than the bound.
 type changeBoundFleet struct {
 	*fleet
 	changes    []storeChange
 	generation uint64
 	engines    int
-	// troubled holds the instances in trouble, and wellSince the end of the others' last trouble.
-	troubled  map[*fakeInstance]bool
-	wellSince map[*fakeInstance]time.Time
-	// longest is the longest time for which an instance in touch lacked a change, and late
+	// faulty holds the instances with a fault, and recoveredAt the end of the others' last fault.
+	faulty      map[*fakeInstance]bool
+	recoveredAt map[*fakeInstance]time.Time
+	// longest is the longest time for which an healthy instance lacked a change, and late
 	// describes the cases beyond the bound.
 	longest time.Duration
 	late    []string
@@ -61,7 +61,7 @@
 	t.Helper()
 	c := &changeBoundFleet{
 		fleet: newFleet(seed, size.instances, size.zones, entriesText), generation: 1,
-		troubled: make(map[*fakeInstance]bool), wellSince: make(map[*fakeInstance]time.Time),
+		faulty: make(map[*fakeInstance]bool), recoveredAt: make(map[*fakeInstance]time.Time),
 	}
 	c.putConfig(1, "first", entriesText)
 	for i := range boundEngines {
@@ -102,13 +102,13 @@
 	}
 }
 
-func (c *changeBoundFleet) inTouch(m *fakeInstance) bool {
-	return !c.troubled[m] && c.now.Sub(c.wellSince[m]) >= c.storeSettle
+func (c *changeBoundFleet) healthy(m *fakeInstance) bool {
+	return !c.faulty[m] && c.now.Sub(c.recoveredAt[m]) >= c.storeSettle
 }
 
 func (c *changeBoundFleet) check() {
 	for _, m := range c.instances {
-		if !c.inTouch(m) {
+		if !c.healthy(m) {
 			continue
 		}
 		first := slices.IndexFunc(c.changes, func(s storeChange) bool { return s.lackedBy(m) })
@@ -123,18 +123,18 @@
 	}
 }
 
-// trouble affects some instances for a time. Whatever it does to others, an instance that it does
-// not affect stays in touch.
-type trouble struct {
+// instanceFault affects some instances for a time. Whatever it does to others, an instance that it
+// does not affect stays healthy.
+type instanceFault struct {
 	name string
-	// apply begins the trouble for the affected instances.
+	// apply begins the fault of the affected instances.
 	apply func(c *changeBoundFleet, affected map[*fakeInstance]bool, lasts time.Duration)
-	// staysInTouch is set if the affected instances still reach the store, so that the bound
+	// staysHealthy is set if the affected instances still reach the store, so that the bound
 	// holds for them as well.
-	staysInTouch bool
+	staysHealthy bool
 }
 
-var troubles = []trouble{
+var instanceFaults = []instanceFault{
 	{name: "frozen", apply: func(c *changeBoundFleet, affected map[*fakeInstance]bool, lasts time.Duration) {
 		for m := range affected {
 			m.frozenUntil = c.now.Add(lasts)
@@ -147,10 +147,10 @@
 		c.platformCut = func(m *fakeInstance) bool { return affected[m] }
 		c.linkCut = func(a, b *fakeInstance) bool { return affected[a] || affected[b] }
 	}},
-	{name: "cut off from the other instances only", staysInTouch: true, apply: func(c *changeBoundFleet, affected map[*fakeInstance]bool, _ time.Duration) {
+	{name: "cut off from the other instances only", staysHealthy: true, apply: func(c *changeBoundFleet, affected map[*fakeInstance]bool, _ time.Duration) {
 		c.linkCut = func(a, b *fakeInstance) bool { return affected[a] || affected[b] }
 	}},
-	{name: "heard by the others but not hearing them", staysInTouch: true, apply: func(c *changeBoundFleet, affected map[*fakeInstance]bool, _ time.Duration) {
+	{name: "heard by the others but not hearing them", staysHealthy: true, apply: func(c *changeBoundFleet, affected map[*fakeInstance]bool, _ time.Duration) {
 		c.linkCut = func(_, to *fakeInstance) bool { return affected[to] }
 	}},
 	{name: "told nothing any more on open connections to the store", apply: func(c *changeBoundFleet, affected map[*fakeInstance]bool, _ time.Duration) {
@@ -170,11 +170,11 @@
 	}},
 }
 
-// suffer applies a trouble to instances while changes are made, and goes on until all are in touch.
-func (c *changeBoundFleet) suffer(tr trouble, affected map[*fakeInstance]bool, lasts time.Duration) {
-	tr.apply(c, affected, lasts)
-	if !tr.staysInTouch {
-		c.troubled = affected
+// injectFault applies a fault to instances while changes are made, and goes on until all are healthy.
+func (c *changeBoundFleet) injectFault(fault instanceFault, affected map[*fakeInstance]bool, lasts time.Duration) {
+	fault.apply(c, affected, lasts)
+	if !fault.staysHealthy {
+		c.faulty = affected
 	}
 	if len(affected) == len(c.instances) {
 		// What befalls all of them is over at once.
@@ -182,10 +182,10 @@
 	}
 	c.runWithChanges(lasts)
 	c.platformCut, c.linkCut = noInstance, noLinkCut
-	for m := range c.troubled {
-		c.wellSince[m] = c.now
+	for m := range c.faulty {
+		c.recoveredAt[m] = c.now
 	}
-	c.troubled = make(map[*fakeInstance]bool)
+	c.faulty = make(map[*fakeInstance]bool)
 	c.runWithChanges(c.storeSettle + c.changeBound + time.Duration(c.random.IntN(1000))*time.Millisecond)
 }
 
@@ -203,26 +203,26 @@
 	return picked
 }
 
-func testChangeBound(t *testing.T, size fleetSize, tr trouble, affected int, seed uint64) {
+func testChangeBound(t *testing.T, size fleetSize, fault instanceFault, affected int, seed uint64) {
 	t.Helper()
 	c := newChangeBoundFleet(t, size, seed)
 	for range 4 {
-		c.suffer(tr, c.pick(affected), time.Duration(1500+c.random.IntN(4500))*time.Millisecond)
+		c.injectFault(fault, c.pick(affected), time.Duration(1500+c.random.IntN(4500))*time.Millisecond)
 	}
 	t.Logf("seed %d: longest time without a change: %v of %v", seed, c.longest, c.changeBound)
 	require.Empty(t, c.late, "seed %d", seed)
 }
 
-// Guards against changes that come late or never at instances in touch, because all followers of
+// Guards against changes that come late or never at healthy instances, because all followers of
 // the store fail together, or with them those that would replace the followers.
-func TestChangeReachesInstancesInTouch(t *testing.T) {
+func TestChangeReachesHealthyInstances(t *testing.T) {
 	for _, size := range []fleetSize{{8, 3}, {9, 4}, {60, 4}, {60, 1}} {
 		for _, affected := range []int{0, size.instances * 3 / 4} {
-			for _, tr := range troubles {
-				t.Run(fmt.Sprintf("%v, followers and %d others %s", size, affected, tr.name), func(t *testing.T) {
+			for _, fault := range instanceFaults {
+				t.Run(fmt.Sprintf("%v, followers and %d others %s", size, affected, fault.name), func(t *testing.T) {
 					t.Parallel()
 					for seed := range *boundSeeds {
-						testChangeBound(t, size, tr, affected, uint64(31+seed))
+						testChangeBound(t, size, fault, affected, uint64(31+seed))
 					}
 				})
 			}
@@ -230,27 +230,27 @@
 	}
 }
 
-// troubleSeries applies troubles that overlap, to instances drawn at random.
-type troubleSeries struct {
+// faultSeries applies faults that overlap, to instances drawn at random.
+type faultSeries struct {
 	*changeBoundFleet
 	storeCuts, linkCuts map[*fakeInstance]int
-	// sufferings counts the present troubles of each instance by which it is not in touch.
-	sufferings map[*fakeInstance]int
+	// activeFaults counts the present faults of each instance by which it is not healthy.
+	activeFaults map[*fakeInstance]int
 }
 
-func newTroubleSeries(t *testing.T, size fleetSize, seed uint64) *troubleSeries {
-	s := &troubleSeries{
+func newFaultSeries(t *testing.T, size fleetSize, seed uint64) *faultSeries {
+	s := &faultSeries{
 		changeBoundFleet: newChangeBoundFleet(t, size, seed),
 		storeCuts:        make(map[*fakeInstance]int), linkCuts: make(map[*fakeInstance]int),
-		sufferings: make(map[*fakeInstance]int),
+		activeFaults: make(map[*fakeInstance]int),
 	}
 	s.platformCut = func(m *fakeInstance) bool { return s.storeCuts[m] > 0 }
 	s.linkCut = func(a, b *fakeInstance) bool { return s.linkCuts[a] > 0 || s.linkCuts[b] > 0 }
 	return s
 }
 
-// begin begins a random trouble of some instances, and ends it after some seconds.
-func (s *troubleSeries) begin() {
+// begin begins a random fault of some instances, and ends it after some seconds.
+func (s *faultSeries) begin() {
 	kind := s.random.IntN(5)
 	share := s.random.Float64()
 	lasts := time.Duration(300+s.random.IntN(5000)) * time.Millisecond
@@ -261,50 +261,50 @@
 		switch kind {
 		case 0:
 			m.frozenUntil = s.now.Add(lasts)
-			s.sufferFor(m, lasts)
+			s.markFaulty(m, lasts)
 		case 1:
 			s.countDuring(s.storeCuts, m, lasts)
-			s.sufferFor(m, lasts)
+			s.markFaulty(m, lasts)
 		case 2:
 			s.countDuring(s.storeCuts, m, lasts)
 			s.countDuring(s.linkCuts, m, lasts)
-			s.sufferFor(m, lasts)
+			s.markFaulty(m, lasts)
 		case 3:
 			s.countDuring(s.linkCuts, m, lasts)
 		case 4:
 			m.dead = true
 			s.schedule(lasts, func() { s.boot(m, "") })
-			s.sufferFor(m, lasts)
+			s.markFaulty(m, lasts)
 		}
 	}
 }
 
-func (s *troubleSeries) countDuring(counts map[*fakeInstance]int, m *fakeInstance, lasts time.Duration) {
+func (s *faultSeries) countDuring(counts map[*fakeInstance]int, m *fakeInstance, lasts time.Duration) {
 	counts[m]++
 	s.schedule(lasts, func() { counts[m]-- })
 }
 
-// sufferFor marks an instance as not in touch until the end of a trouble.
-func (s *troubleSeries) sufferFor(m *fakeInstance, lasts time.Duration) {
-	s.sufferings[m]++
-	s.troubled[m] = true
+// markFaulty marks an instance as not healthy until the end of a fault.
+func (s *faultSeries) markFaulty(m *fakeInstance, lasts time.Duration) {
+	s.activeFaults[m]++
+	s.faulty[m] = true
 	s.schedule(lasts, func() {
-		s.sufferings[m]--
-		if s.sufferings[m] == 0 {
-			delete(s.troubled, m)
-			s.wellSince[m] = s.now
+		s.activeFaults[m]--
+		if s.activeFaults[m] == 0 {
+			delete(s.faulty, m)
+			s.recoveredAt[m] = s.now
 		}
 	})
 }
 
-// Guards against changes that come late or never at instances in touch while troubles of others
+// Guards against changes that come late or never at healthy instances while faults of others
 // overlap in any order.
-func TestChangeReachesInstancesInTouchDuringSeriesOfTroubles(t *testing.T) {
+func TestChangeReachesHealthyInstancesDuringFaultSeries(t *testing.T) {
 	for _, size := range []fleetSize{{8, 3}, {9, 4}, {60, 4}} {
 		t.Run(size.String(), func(t *testing.T) {
 			t.Parallel()
 			for seed := range *boundSeeds {
-				s := newTroubleSeries(t, size, uint64(seed))
+				s := newFaultSeries(t, size, uint64(seed))
 				for range 20 {
 					s.begin()
 					s.runWithChanges(time.Duration(200+s.random.IntN(3000)) * time.Millisecond)
