Three instances follow the store, whatever the number of zones

One a zone was to serve a zone that is cut off from the others; that is each instance's own matter now. Change: three followers. The ranking is kept for the stages in which others ask.

--- a/internal/core/changebound_test.go
+++ b/internal/core/changebound_test.go
@@ -150,6 +150,9 @@
 	{name: "cut off from the other instances only", staysHealthy: true, apply: func(c *changeBoundFleet, affected map[*fakeInstance]bool, _ time.Duration) {
 		c.linkCut = func(a, b *fakeInstance) bool { return affected[a] || affected[b] }
 	}},
+	{name: "cut off from the others but not from each other", staysHealthy: true, apply: func(c *changeBoundFleet, affected map[*fakeInstance]bool, _ time.Duration) {
+		c.linkCut = func(a, b *fakeInstance) bool { return affected[a] != affected[b] }
+	}},
 	{name: "heard by the others but not hearing them", staysHealthy: true, apply: func(c *changeBoundFleet, affected map[*fakeInstance]bool, _ time.Duration) {
 		c.linkCut = func(_, to *fakeInstance) bool { return affected[to] }
 	}},
--- a/internal/core/followers.go
+++ b/internal/core/followers.go
@@ -12,10 +12,9 @@
 // A few instances, the followers, watch the store and send its changes to all others. If every
 // instance had a watch, each change would cost one call per instance.
 const (
-	// minFollowers is the minimum number of followers. With more zones there is one per zone,
-	// so that a zone that is cut off from the others, but not from the store, still receives
-	// changes.
-	minFollowers = 3
+	// followerCount is the number of followers. Two may fail, or pause between calls, and changes
+	// are still passed on at once. Where none can be heard, instances ask the store themselves.
+	followerCount = 3
 	// isolationTimeout is the time without messages from any peer after which an instance
 	// considers itself cut off: two heartbeats.
 	isolationTimeout = 2 * heartbeatInterval
@@ -43,11 +42,8 @@
 // followState holds which instances follow the store and how fresh this instance's knowledge of it
 // is.
 type followState struct {
-	// ranking lists the instances in the order in which they become followers. rank is this
-	// instance's position in it, and wanted the number of followers.
-	ranking []string
-	rank    int
-	wanted  int
+	// rank is this instance's position in the order in which instances follow the store.
+	rank int
 	// cause is the reason why this instance follows the store, notFollowing if it does not.
 	cause followCause
 	// configAsOf and entriesAsOf are the times as of which this instance's own calls show the
@@ -109,19 +105,21 @@
 	n.emit(StateChanged{Subject: SubjectStore, State: state, Cause: "age of what this instance knows of it"})
 }
 
+// isFollower reports whether this instance is one of the fleet's followers.
+func (n *Node) isFollower() bool { return n.follow.rank < followerCount }
+
 // follows reports whether this instance reads and watches the store.
 func (n *Node) follows() bool { return n.follow.cause != notFollowing }
 
 // chooseFollowCause returns the reason for this instance to follow the store: callers wait, it is
 // one of the fleet's followers, or its knowledge is too old.
 func (n *Node) chooseFollowCause() followCause {
-	f := &n.follow
 	switch {
 	case n.callersWaiting():
 		return followsForCallers
 	case n.joining():
 		return notFollowing
-	case f.rank < f.wanted:
+	case n.isFollower():
 		return followsByRank
 	case n.mustVerify():
 		return followsWhileStale
@@ -133,8 +131,7 @@
 // sendsFollowerDigests reports whether the peers in this instance's layout expect its digests at
 // the follower interval. An instance that asks the store in vain has nothing to tell.
 func (n *Node) sendsFollowerDigests() bool {
-	f := &n.follow
-	return f.rank < f.wanted || n.follows() && n.now.Sub(n.ownAsOf()) < n.maxStaleness()
+	return n.isFollower() || n.follows() && n.now.Sub(n.ownAsOf()) < n.maxStaleness()
 }
 
 // followerDigestInterval returns the maximum interval between a follower's digests.
@@ -217,8 +214,9 @@
 	return w.pause
 }
 
-// rankFollowers ranks the instances. The first instances of all zones come before the second
-// ones, so that the followers are spread over as many zones as possible.
+// rankFollowers determines this instance's rank among the given ones. The first instances of all
+// zones come before the second ones, so that the followers are spread over as many zones as
+// possible.
 func (n *Node) rankFollowers(instances []mesh.Member) {
 	type candidate struct {
 		name    string
@@ -239,11 +237,5 @@
 	slices.SortFunc(ranking, func(a, b candidate) int {
 		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.zoneKey, b.zoneKey), cmp.Compare(a.name, b.name))
 	})
-	f := &n.follow
-	f.ranking = f.ranking[:0]
-	for _, c := range ranking {
-		f.ranking = append(f.ranking, c.name)
-	}
-	f.rank = slices.Index(f.ranking, n.settings.Name)
-	f.wanted = max(minFollowers, len(zones))
+	n.follow.rank = slices.IndexFunc(ranking, func(c candidate) bool { return c.name == n.settings.Name })
 }
--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -97,7 +97,7 @@
 // changes that they learn of.
 func (n *Node) readsListOften() bool {
 	n.liveInstances()
-	return n.follow.rank < n.follow.wanted || n.isolated()
+	return n.isFollower() || n.isolated()
 }
 
 // readAttempted reports whether at least one read of the list has completed, successfully or not.
--- a/internal/core/staleness.go
+++ b/internal/core/staleness.go
@@ -77,7 +77,7 @@
 // can tell the others before they ask as well.
 func (n *Node) verifyDelay() time.Duration {
 	stage := 0
-	for size := 2 * n.follow.wanted; size <= n.follow.rank && stage < verifyStages-1; size *= 2 {
+	for size := 2 * followerCount; size <= n.follow.rank && stage < verifyStages-1; size *= 2 {
 		stage++
 	}
 	return time.Duration(stage) * n.settings.ChangeBound / verifyStageShare
--- a/internal/core/staleness_test.go
+++ b/internal/core/staleness_test.go
@@ -122,16 +122,15 @@
 // Guards against a fleet that all asks the store at once when its followers fail.
 func TestInstancesVerifyInStages(t *testing.T) {
 	n := New(Settings{Name: "a", ChangeBound: 2 * time.Second})
-	n.follow.wanted = 3
 	var last time.Duration
 	stages := make(map[time.Duration]int)
-	for n.follow.rank = 3; n.follow.rank < 350; n.follow.rank++ {
+	for n.follow.rank = followerCount; n.follow.rank < 350; n.follow.rank++ {
 		delay := n.verifyDelay()
 		require.GreaterOrEqual(t, delay, last)
 		stages[delay]++
 		last = delay
 	}
-	require.Equal(t, 3, stages[0])
+	require.Equal(t, followerCount, stages[0])
 	require.Len(t, stages, verifyStages)
 	require.LessOrEqual(t, n.maxStaleness()+last, n.settings.ChangeBound-n.settings.ChangeBound/10)
 }
