Ask the store in time also while the list of instances stays unanswered

What callers would see: an instance whose second read of the list at its start gets no answer follows nobody's rank and asked the store for nothing until that read ended, up to two seconds later. Cause: joining came before the age of its knowledge. Now it only delays following by rank.

--- a/internal/core/followers.go
+++ b/internal/core/followers.go
@@ -117,9 +117,7 @@
 	switch {
 	case n.callersWaiting():
 		return followsForCallers
-	case n.joining():
-		return notFollowing
-	case n.isFollower():
+	case n.isFollower() && !n.joining():
 		return followsByRank
 	case n.mustVerify():
 		return followsWhileStale
