--- a/internal/peer/links_test.go
+++ b/internal/peer/links_test.go
@@ -113,6 +113,11 @@
 	})
 	require.Equal(t, 1, a.countEvents(isConnected))
 	require.Equal(t, 1, b.countEvents(isConnected))
+	// The sender counts a message after it has written it, so the receiver may have it before.
+	eventually(t, "sender's counts", func() bool {
+		out := a.Stats().Snapshot().Out
+		return out[ClaimKind].Messages > 0 && out[ConfigOfferKind].Messages > 0
+	})
 	sent, got := a.Stats().Snapshot().Out, b.Stats().Snapshot().In
 	for _, k := range []Kind{ClaimKind, ConfigOfferKind} {
 		require.Equal(t, uint64(1), sent[k].Messages, k)
