Log what identifies a request's content, and whether a backend server ended

The logs of the incident could not say which requests were the same, nor tell a server that ended from a connection that was reset, a lost answer or a cut.

- Each request has a hash of method, host, target and body, the same at every instance; "attempt" and "request refused or failed" show it.
- When a connection to a server closes early, the proxy dials the server's address once; "attempt ended" says serverEnded if the dial is refused.
A server that is frozen or cut off refuses nothing, one that lives accepts.

No decision reads either yet.

--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -109,6 +109,7 @@
 	e.Request, e.Attempt, e.Deadline = r.arrived.Request, r.attempt, r.deadline
 	e.Backend, e.Address, e.Placement = r.backend, r.address, r.placement
 	e.Zone = n.zoneOf(r.backend)
+	e.Content = r.arrived.Content
 	e.Customer, e.Priority, e.AtMostOnce = r.arrived.Customer, r.policy.priority, !r.policy.repeatable
 	e.FirstByteTimeout, e.StallTimeout = r.responseTimeouts()
 	n.emit(e)
--- a/internal/core/effect.go
+++ b/internal/core/effect.go
@@ -25,6 +25,8 @@
 	Zone string `json:"zone,omitempty"`
 	// Customer is the customer that the request belongs to.
 	Customer string `json:"customer,omitempty"`
+	// Content is the content hash of the request, for logging.
+	Content uint64 `json:"content,omitempty"`
 	// Priority is the request's priority; 0 is the highest.
 	Priority int `json:"priority,omitempty"`
 	// Source is the address of an engine from which this engine can copy the cached
@@ -82,8 +84,10 @@
 // Finish ends a request without a complete response from a backend server. It sends the
 // caller an error response, or ends the stream with an error if the response has begun.
 type Finish struct {
-	Request    RequestID      `json:"request"`
-	Customer   string         `json:"customer,omitempty"`
+	Request  RequestID `json:"request"`
+	Customer string    `json:"customer,omitempty"`
+	// Content is the content hash of the request, for logging.
+	Content    uint64         `json:"content,omitempty"`
 	Service    string         `json:"service,omitempty"`
 	Backend    string         `json:"backend,omitempty"`
 	Attempt    int            `json:"attempt,omitempty"`
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -35,6 +35,9 @@
 	// HeaderBytes and BodyBytes are the sizes of the request's headers and body.
 	HeaderBytes int `json:"header_bytes,omitempty"`
 	BodyBytes   int `json:"body_bytes,omitempty"`
+	// Content is a hash of the request's method, target and body, by which the same request is
+	// recognized when its caller sends it again; 0 if there is none.
+	Content uint64 `json:"content,omitempty"`
 	// Prompt describes the prompt of a generation; nil if the caller did not describe it.
 	Prompt *Prompt `json:"prompt,omitempty"`
 	// Chat identifies the chat, so that its next turn can reuse its cached prefix.
@@ -77,6 +80,9 @@
 	Load *membership.Report `json:"load,omitempty"`
 	// RetryAfter is the delay that the backend server requested when it refused the attempt.
 	RetryAfter time.Duration `json:"retry_after,omitempty"`
+	// ServerEnded is set if the backend server's process ended while it held the request: the
+	// connection closed early, and the server's machine then refused another one.
+	ServerEnded bool `json:"server_ended,omitempty"`
 	// LastEventID is the ID of the last complete event of a broken, resumable stream.
 	LastEventID string `json:"last_event_id,omitempty"`
 	// Detail is the error text, used only for logging.
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -201,6 +201,7 @@
 func (n *Node) finish(r *request, e Finish) {
 	n.release(r)
 	e.Request, e.Customer, e.Service = r.arrived.Request, r.arrived.Customer, r.service.Name
+	e.Content = r.arrived.Content
 	n.emit(e)
 }
 
@@ -224,6 +225,7 @@
 	finish := Finish{
 		Request:    e.Request,
 		Customer:   e.Customer,
+		Content:    e.Content,
 		Outcome:    reason.NotRun,
 		Reason:     r.reason,
 		RetryAfter: r.retryAfter,
--- /dev/null
+++ b/internal/proxy/endcheck_test.go
@@ -0,0 +1,60 @@
+package proxy
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+
+	"github.com/ebonydyke/ebonydyke/internal/core"
+)
+
+// Guards against blaming a request for the end of a server that only closed a connection, lost
+// a response or stopped reading, and against missing the end of one.
+func TestServerEndIsToldFromOtherFailures(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	alive := listener.Addr().String()
+	gone, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	ended := gone.Addr().String()
+	require.NoError(t, gone.Close())
+
+	var c endChecker
+	for _, err := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE, errUnframed, errNoEndMark} {
+		err = fmt.Errorf("proxy: read response: %w", err)
+		require.True(t, c.ended(ended, err), "%v", err)
+		require.False(t, c.ended(alive, err), "%v", err)
+	}
+	for _, err := range []error{os.ErrDeadlineExceeded, errInactive, errCallCancelled, net.ErrClosed, errMismatched, errBackendFailure} {
+		require.False(t, c.ended(ended, err), "%v", err)
+	}
+	require.NoError(t, listener.Close())
+}
+
+// Guards against returns of a request that are not recognized because a header differs, and
+// against two requests that are taken for one.
+func TestContentHash(t *testing.T) {
+	hash := func(method, host, target, body, deadline string) uint64 {
+		req := fasthttp.AcquireRequest()
+		defer fasthttp.ReleaseRequest(req)
+		req.Header.SetMethod(method)
+		req.Header.Set("Deadline", deadline)
+		req.SetBodyString(body)
+		return contentHash(req, &Request{Arrived: core.RequestArrived{Host: host}, Target: target})
+	}
+	first := hash("POST", "a.example", "/x", "body", "100")
+	require.Equal(t, first, hash("POST", "a.example", "/x", "body", "200"))
+	for _, other := range []uint64{
+		hash("PUT", "a.example", "/x", "body", "100"), hash("POST", "b.example", "/x", "body", "100"),
+		hash("POST", "a.example", "/x?q", "body", "100"), hash("POST", "a.example", "/xb", "ody", "100"),
+		hash("POST", "a.example", "/x", "bodY", "100"), hash("POST", "", "a.example/x", "body", "100"),
+	} {
+		require.NotEqual(t, first, other)
+	}
+}
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -113,14 +113,16 @@
 	}
 }
 
-// attemptEnded logs the end of an attempt and posts it to the core.
+// attemptEnded logs the end of an attempt and posts it to the core. If the connection closed
+// early, it first checks whether the backend server has ended.
 func (x *exchange) attemptEnded(event core.AttemptEnded, err error) {
 	event.Request = x.id
 	if err != nil {
 		event.Detail = err.Error()
+		event.ServerEnded = event.Outcome.MayHaveRun() && x.server.ends.ended(x.response.attempt.Address, err)
 	}
 	x.server.log.put("attempt ended", "request", x.id, "attempt", event.Attempt, "backend", x.response.attempt.Backend,
-		"outcome", event.Outcome, "status", x.response.status, "sinceArrivalMs", time.Since(x.startedAt).Milliseconds(),
+		"outcome", event.Outcome, "serverEnded", event.ServerEnded, "status", x.response.status, "sinceArrivalMs", time.Since(x.startedAt).Milliseconds(),
 		"firstMs", x.response.timeToFirstByte.Milliseconds(), "lastEvent", x.response.sequence.last, "dialled", x.response.dialReason, "error", event.Detail)
 	x.server.post(event)
 }
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -4,6 +4,7 @@
 package proxy
 
 import (
+	"fmt"
 	"net"
 	"strconv"
 	"sync"
@@ -28,6 +29,7 @@
 	backends *fasthttp.Client
 	zones    *zoneActivities
 	engine   *engineClient
+	ends     endChecker
 	// notReady is set while the load balancer must not send new requests.
 	notReady atomic.Bool
 	// lastRequestID and requestIDPrefix form the request IDs.
@@ -220,13 +222,21 @@
 func (s *Server) logAttempt(e *core.SendAttempt) {
 	b := &e.Selection
 	s.log.put("attempt", "request", e.Request, "attempt", e.Attempt, "backend", e.Backend, "address", e.Address,
-		"why", e.RetryReason, "customer", e.Customer, "leftMs", e.Deadline.Sub(s.options.Now()).Milliseconds(),
+		"why", e.RetryReason, "customer", e.Customer, "content", hexContent(e.Content), "leftMs", e.Deadline.Sub(s.options.Now()).Milliseconds(),
 		"resumeAfter", e.ResumeAfter, "source", e.Source, "generation", b.Generation, "revision", b.Revision,
 		"session", b.Session, "load", b.Load, "own", b.Parts.Own, "peers", b.Parts.Peers, "unseen", b.Parts.Unseen,
 		"average", b.Parts.Average, "mean", b.Mean, "limit", b.Limit, "reportAgeMs", ageMillis(b.ReportAge),
 		"waitedMs", b.Waited.Milliseconds())
 }
 
+// hexContent returns a request's content hash as it is logged, "" if there is none.
+func hexContent(content uint64) string {
+	if content == 0 {
+		return ""
+	}
+	return fmt.Sprintf("%016x", content)
+}
+
 // ageMillis returns age in milliseconds, or -1 if there is no report (a negative age).
 // Rounding a negative age could yield 0, which means a report of this moment.
 func ageMillis(age time.Duration) int64 {
@@ -240,7 +250,7 @@
 func (s *Server) recordFinish(e *core.Finish, detail string) {
 	s.options.Metrics.Refused(e.Reason)
 	s.log.put("request refused or failed", "request", e.Request, "outcome", e.Outcome,
-		"reason", e.Reason, "customer", e.Customer, "service", e.Service,
+		"reason", e.Reason, "customer", e.Customer, "content", hexContent(e.Content), "service", e.Service,
 		"backend", e.Backend, "attempt", e.Attempt, "retryAfterMs", e.RetryAfter.Milliseconds(),
 		"passedOn", e.ForwardFailure, "load", e.Utilization.Load, "capacity", e.Utilization.Capacity, "servers", e.Utilization.Servers,
 		"generation", e.Generation, "detail", detail)
@@ -280,6 +290,7 @@
 	}
 	request.Arrived.HeaderBytes = headerBytes(&ctx.Request.Header)
 	request.Arrived.BodyBytes = len(ctx.Request.Body())
+	request.Arrived.Content = contentHash(&ctx.Request, request)
 	x := newExchange(s, ctx, request)
 	x.run()
 }
