--- /dev/null
+++ b/internal/core/poisonfleet_test.go
@@ -0,0 +1,223 @@
+package core_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/ebonydyke/ebonydyke/internal/core"
+	"github.com/ebonydyke/ebonydyke/internal/core/membership"
+	"github.com/ebonydyke/ebonydyke/internal/core/retry"
+)
+
+const (
+	// poisonEngines is the number of engines of a poisonFleet.
+	poisonEngines = 12
+	// poisonContact is the time after its last fault from which an instance is healthy, and after
+	// the third end of a server from which the sends of a poison request are counted.
+	poisonContact = 3 * time.Second
+	// maxPoisonSends is the number of sends that the operators allow then.
+	maxPoisonSends = 3
+)
+
+// poisonFleet runs a fleet whose engines end when they run a poison request, and start again some
+// seconds later under another name.
+type poisonFleet struct {
+	*fleet
+	engines map[string]*fakeEngine
+	started int
+	// poison holds the contents that end the engines, and contents the content of each request.
+	poison   map[uint64]bool
+	contents map[core.RequestID]uint64
+	// ends holds the times at which engines ended under each poison content, and sends the sends
+	// of each content.
+	ends  map[uint64][]time.Time
+	sends map[uint64][]poisonSend
+	// served counts the requests of each content that were answered, and refused those that were
+	// refused as poison.
+	served, refused map[uint64]int
+	// recoveredAt is the end of an instance's last fault, or the end of the test while the fault
+	// lasts.
+	recoveredAt map[*fakeInstance]time.Time
+}
+
+// poisonSend is one arrival of a request at an engine.
+type poisonSend struct {
+	at time.Time
+	by *fakeInstance
+	// healthy is set if the instance had no fault for poisonContact.
+	healthy bool
+}
+
+// fakeEngine is one start of an engine.
+type fakeEngine struct {
+	name string
+	// index selects the zone.
+	index   int
+	ended   bool
+	running map[core.RequestID]runningAttempt
+}
+
+// runningAttempt is an attempt that an engine holds.
+type runningAttempt struct {
+	instance *fakeInstance
+	attempt  core.SendAttempt
+}
+
+func newPoisonFleet(size fleetSize, seed uint64) *poisonFleet {
+	f := &poisonFleet{
+		fleet: newFleet(seed, size.instances, size.zones, entriesText), engines: make(map[string]*fakeEngine),
+		poison: make(map[uint64]bool), contents: make(map[core.RequestID]uint64),
+		ends: make(map[uint64][]time.Time), sends: make(map[uint64][]poisonSend),
+		served: make(map[uint64]int), refused: make(map[uint64]int), recoveredAt: make(map[*fakeInstance]time.Time),
+	}
+	f.serve = f.runAttempt
+	f.putConfig(1, "first", entriesText)
+	for i := range poisonEngines {
+		f.startEngine(i)
+	}
+	f.run(20 * time.Second)
+	return f
+}
+
+// startEngine starts an engine in the zone of an index, under a new name.
+func (f *poisonFleet) startEngine(index int) {
+	f.started++
+	e := &fakeEngine{name: fmt.Sprintf("engine-%d", f.started), index: index, running: make(map[core.RequestID]runningAttempt)}
+	f.engines[e.name] = e
+	f.store.putEntry(e.name, f.entryOf(e, membership.Live))
+}
+
+func (f *poisonFleet) entryOf(e *fakeEngine, state membership.State) *membership.Member {
+	member := engineEntry(e.index, state)
+	member.Name = e.name
+	return member
+}
+
+// end ends an engine at once. Its entry lapses later than its successor starts.
+func (f *poisonFleet) end(e *fakeEngine) {
+	if e.ended {
+		return
+	}
+	e.ended = true
+	for _, id := range sortedRequests(e.running) {
+		f.breakAttempt(e.running[id], true)
+	}
+	e.running = nil
+	f.schedule(f.between(2000, 4500), func() { f.store.putEntry(e.name, nil) })
+	f.schedule(f.between(1500, 4000), func() { f.startEngine(e.index) })
+}
+
+// breakAttempt ends an attempt by the end of its connection.
+func (f *poisonFleet) breakAttempt(r runningAttempt, serverEnded bool) {
+	f.reply(r.instance, 2*time.Millisecond, core.AttemptEnded{
+		Request: r.attempt.Request, Attempt: r.attempt.Attempt, Outcome: retry.Unknown, ServerEnded: serverEnded,
+	})
+}
+
+func (f *poisonFleet) between(fromMs, toMs int) time.Duration {
+	return time.Duration(fromMs+f.random.IntN(toMs-fromMs)) * time.Millisecond
+}
+
+// runAttempt runs an attempt at its engine.
+func (f *poisonFleet) runAttempt(m *fakeInstance, a core.SendAttempt) {
+	e := f.engines[a.Backend]
+	if e == nil || e.ended {
+		f.reply(m, time.Millisecond, core.AttemptEnded{Request: a.Request, Attempt: a.Attempt, Outcome: retry.NotSent})
+		return
+	}
+	content := f.contents[a.Request]
+	f.sends[content] = append(f.sends[content], poisonSend{at: f.now, by: m, healthy: f.healthy(m)})
+	e.running[a.Request] = runningAttempt{m, a}
+	if f.poison[content] {
+		f.schedule(f.between(10, 400), func() {
+			if _, held := e.running[a.Request]; held {
+				f.ends[content] = append(f.ends[content], f.now)
+				f.end(e)
+			}
+		})
+		return
+	}
+	f.schedule(f.between(50, 2000), func() {
+		if _, held := e.running[a.Request]; !held {
+			return
+		}
+		delete(e.running, a.Request)
+		f.served[content]++
+		f.requests[a.Request].answered = true
+		f.reply(m, time.Millisecond, core.AttemptEnded{Request: a.Request, Attempt: a.Attempt, Outcome: retry.Answered})
+	})
+}
+
+// healthy reports whether an instance has had no fault for poisonContact.
+func (f *poisonFleet) healthy(m *fakeInstance) bool {
+	return f.now.Sub(f.recoveredAt[m]) >= poisonContact
+}
+
+// request sends a request with a content to an instance that serves.
+func (f *poisonFleet) request(content uint64) *callerRequest {
+	m := f.instances[f.random.IntN(len(f.instances))]
+	for m.dead || m.generation == 0 {
+		m = f.instances[f.random.IntN(len(f.instances))]
+	}
+	s := &callerRequest{id: core.RequestID(fmt.Sprintf("r%d", len(f.requests))), at: f.now, instance: m, incarnation: m.incarnation}
+	f.requests[s.id], f.contents[s.id] = s, content
+	f.deliver(m, core.RequestArrived{
+		Request: s.id, Customer: "branch", Service: "engines", Content: content, Deadline: f.now.Add(10 * time.Second),
+	})
+	return s
+}
+
+// repeat sends a request again and again for a time, each time after the last one has ended.
+func (f *poisonFleet) repeat(content uint64, lasts time.Duration) {
+	until := f.now.Add(lasts)
+	var again func()
+	again = func() {
+		if !f.now.Before(until) {
+			return
+		}
+		s := f.request(content)
+		var wait func()
+		wait = func() {
+			switch {
+			case s.answered || !s.ended.IsZero():
+				if s.reason == poisonReason {
+					f.refused[content]++
+				}
+				f.schedule(f.between(200, 800), again)
+			case s.instance.dead || s.instance.incarnation != s.incarnation:
+				f.schedule(f.between(200, 800), again)
+			default:
+				f.schedule(20*time.Millisecond, wait)
+			}
+		}
+		wait()
+	}
+	again()
+}
+
+// lateSends returns the number of sends of a poison content by healthy instances later than
+// poisonContact after the third end of an engine under it.
+func (f *poisonFleet) lateSends(content uint64) int {
+	if len(f.ends[content]) < 3 {
+		return 0
+	}
+	from := f.ends[content][2].Add(poisonContact)
+	late := 0
+	for _, s := range f.sends[content] {
+		if s.healthy && s.at.After(from) {
+			late++
+		}
+	}
+	return late
+}
+
+// requirePoisonStopped checks the operators' bound on the sends of a poison request.
+func (f *poisonFleet) requirePoisonStopped(t *testing.T, content uint64) {
+	t.Helper()
+	late, ends := f.lateSends(content), len(f.ends[content])
+	t.Logf("content %d: %d sends, %d engines ended, %d sends late", content, len(f.sends[content]), ends, late)
+	if late > maxPoisonSends {
+		t.Errorf("content %d was sent %d times after three engines had ended under it, %d ended in all", content, late, ends)
+	}
+}
