--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -24,6 +24,10 @@
 }
 
 func (n *Node) placeAndSend(r *request, e SendAttempt) {
+	if n.stopsPoison(r) {
+		n.giveUp(r, reason.PoisonRequest)
+		return
+	}
 	c, refusal := n.place(r)
 	if refusal != reason.None {
 		if refusal == reason.NoBackend {
@@ -41,6 +45,7 @@
 	e.Source = n.copySource(r, n.pool(r.service.Name), c)
 	e.Selection = n.selectionInputs(r, c)
 	n.recordPrompt(r)
+	n.recordTrial(r)
 	n.send(r, e)
 }
 
@@ -100,7 +105,7 @@
 
 func (n *Node) send(r *request, e SendAttempt) {
 	r.attempt++
-	r.running, r.outcomeCounted = true, false
+	r.running, r.outcomeCounted, r.sentAt = true, false, n.now
 	if late := r.lateAfter(); late > 0 {
 		attempt := r.attempt
 		n.schedule(n.now.Add(late), r, func(n *Node, r *request) { n.countLate(r, attempt) })
@@ -109,7 +114,7 @@
 	e.Request, e.Attempt, e.Deadline = r.arrived.Request, r.attempt, r.deadline
 	e.Backend, e.Address, e.Placement = r.backend, r.address, r.placement
 	e.Zone = n.zoneOf(r.backend)
-	e.Content = r.arrived.Content
+	e.Content = uint64(r.key)
 	e.Customer, e.Priority, e.AtMostOnce = r.arrived.Customer, r.policy.priority, !r.policy.repeatable
 	e.FirstByteTimeout, e.StallTimeout = r.responseTimeouts()
 	n.emit(e)
@@ -132,6 +137,7 @@
 	n.attemptDone(r)
 	n.countOutcome(r, e.Outcome)
 	n.updateReachability(r.backend, e)
+	n.updatePoison(r, e)
 	if e.Outcome == retry.Answered {
 		n.requestAnswered(r)
 		return
@@ -264,7 +270,7 @@
 		Attempt:        r.attempt,
 		Outcome:        outcome,
 		Reason:         why,
-		RetryAfter:     max(r.retryAfter, n.retryAfterFor(r.target, why)),
+		RetryAfter:     max(r.retryAfter, n.retryAfterOf(r, why)),
 		Utilization:    n.refusalUtilization(r.service.Name, why),
 		ForwardFailure: r.hasFailureResponse && !r.responseStarted && !r.callerGone,
 	})
--- a/internal/core/backendentries.go
+++ b/internal/core/backendentries.go
@@ -284,6 +284,7 @@
 	switch {
 	case e.Backend != nil:
 		delete(n.backends.lapsed, e.Name)
+		n.voidPlannedEnd(e.Backend)
 		return n.view.Register(n.now, *e.Backend)
 	case !e.Unreadable && n.mayHaveLapsed(e.Name):
 		n.backends.lapsed[e.Name] = n.now.Add(lapseGracePeriod)
--- a/internal/core/digests.go
+++ b/internal/core/digests.go
@@ -49,16 +49,18 @@
 func (n *Node) addFacts(p *peerState, d *Digest) {
 	if n.inLayout(p.name) && !n.receivesFacts(p.name) {
 		p.sentFactsSeq, p.sentMembersSeq = n.view.Seq(), n.view.Seq()
+		clear(p.pendingPoison)
 		return
 	}
 	n.addMembers(p, d)
 	n.addAnswers(p, d)
+	n.addPoison(p, d)
 }
 
 // hasChanges reports whether any list of the digest has an entry.
 func (d *Digest) hasChanges() bool {
 	loads := len(d.Loads) + len(d.RowSums) + len(d.Totals) + len(d.Reports)
-	return loads+len(d.Facts)+len(d.Members)+len(d.Answers) > 0
+	return loads+len(d.Facts)+len(d.Members)+len(d.Answers)+len(d.Poison) > 0
 }
 
 // heartbeatDelay returns the time since its last digest after which a peer is sent one even without
@@ -167,6 +169,7 @@
 	n.applyPeerLoads(p.name, p.received.Apply(loadsum.Changes{Own: d.Loads, RowSums: d.RowSums, Totals: d.Totals}, d.Full))
 	if d.Resync {
 		p.fullPending = true
+		n.queueAllPoison(p)
 	}
 	if d.WantMembers {
 		p.membersPending = true
@@ -186,6 +189,7 @@
 		n.applyBackendReport(r)
 		n.recordBackendReport(r.Backend)
 	}
+	n.mergePoison(from, d.Poison)
 	n.recordPeerKnowledge(p, d)
 	n.requestMissingEntries(from, d)
 	n.peerAnswers(d)
--- a/internal/core/effect.go
+++ b/internal/core/effect.go
@@ -25,7 +25,7 @@
 	Zone string `json:"zone,omitempty"`
 	// Customer is the customer that the request belongs to.
 	Customer string `json:"customer,omitempty"`
-	// Content is the content hash of the request, for logging.
+	// Content identifies the customer's requests with the same content, for logging.
 	Content uint64 `json:"content,omitempty"`
 	// Priority is the request's priority; 0 is the highest.
 	Priority int `json:"priority,omitempty"`
@@ -86,7 +86,7 @@
 type Finish struct {
 	Request  RequestID `json:"request"`
 	Customer string    `json:"customer,omitempty"`
-	// Content is the content hash of the request, for logging.
+	// Content identifies the customer's requests with the same content, for logging.
 	Content    uint64         `json:"content,omitempty"`
 	Service    string         `json:"service,omitempty"`
 	Backend    string         `json:"backend,omitempty"`
--- a/internal/core/fleet_test.go
+++ b/internal/core/fleet_test.go
@@ -47,6 +47,8 @@
 	storeCost float64
 	// changeBound and storeSettle are the instances' settings with the same names.
 	changeBound, storeSettle time.Duration
+	// onChange is called for each StateChanged if it is set.
+	onChange func(m *fakeInstance, e core.StateChanged)
 	// rollbacks counts the cases in which an instance replaced its generation by an older one.
 	rollbacks int
 }
@@ -296,6 +298,9 @@
 		}
 		m.generation, m.edit, m.takenAt = e.Generation, e.Edit, f.now
 	case core.StateChanged:
+		if f.onChange != nil {
+			f.onChange(m, e)
+		}
 		if e.Subject == core.SubjectBackend && e.State != string(membership.Live) {
 			for _, name := range append(e.Names, e.Name) {
 				m.leavingEngines[name] = true
@@ -381,6 +386,7 @@
 	}
 	if d := e.Message.Digest; d != nil {
 		f.calls["member-changes"] += len(d.Members) + len(d.Facts)
+		f.calls["poison-bytes"] += core.PeerMessage{Digest: &core.Digest{Poison: d.Poison}}.WireEstimate() - core.PeerMessage{Digest: &core.Digest{}}.WireEstimate()
 	}
 	f.reply(to, time.Millisecond, core.PeerReceived{From: m.name, Message: e.Message})
 }
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -81,6 +81,7 @@
 	prefixes      *prefix.Index
 	outliers      outlierState
 	admission     admissionState
+	poison        poisonState
 	requests      map[RequestID]*request
 	// startWaiters are the requests that arrived before this instance could serve them.
 	startWaiters []startWaiter
@@ -114,6 +115,7 @@
 		prefixes:      prefix.New(),
 		outliers:      outlierState{tracker: outlier.New()},
 		admission:     newAdmissionState(),
+		poison:        newPoisonState(),
 		requests:      make(map[RequestID]*request),
 		claims:        newClaimTracker(),
 		members:       memberState{peerContactAt: make(map[string]time.Time)},
@@ -210,6 +212,7 @@
 	n.tickPlacement()
 	n.tickOutliers()
 	n.tickAdmission()
+	n.tickPoison()
 	n.tickPeers()
 	n.tickClaims()
 	n.tickLifecycle()
--- a/internal/core/peermsg.go
+++ b/internal/core/peermsg.go
@@ -7,6 +7,7 @@
 	"github.com/ebonydyke/ebonydyke/internal/core/config"
 	"github.com/ebonydyke/ebonydyke/internal/core/load"
 	"github.com/ebonydyke/ebonydyke/internal/core/membership"
+	"github.com/ebonydyke/ebonydyke/internal/core/poison"
 )
 
 // PeerMessage is a message from one instance to another. At most one field is set besides
@@ -70,6 +71,8 @@
 	Facts []membership.Fact `json:"facts,omitempty"`
 	// Members are instances that the receiver may not have seen in the platform's list.
 	Members []membership.Member `json:"members,omitempty"`
+	// Poison are records of requests under which backend servers ended.
+	Poison []poison.Record `json:"poison,omitempty"`
 }
 
 // BackendAnswers holds the answer counts of one backend server.
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -10,6 +10,7 @@
 	"github.com/ebonydyke/ebonydyke/internal/core/membership"
 	"github.com/ebonydyke/ebonydyke/internal/core/mesh"
 	"github.com/ebonydyke/ebonydyke/internal/core/outlier"
+	"github.com/ebonydyke/ebonydyke/internal/core/poison"
 )
 
 // Intervals and timeouts of the communication between instances.
@@ -202,6 +203,8 @@
 	sentAsOf       time.Time
 	pendingReports map[string]membership.Report
 	pendingAnswers map[string]outlier.Count
+	// pendingPoison are the requests whose poison records the peer is to be sent.
+	pendingPoison map[poison.Key]bool
 }
 
 // setIncarnation records the incarnation of the peer's process. A newer process has another clock,
@@ -220,6 +223,7 @@
 			name: name, addedAt: n.now, receivedAt: n.now,
 			received: loadsum.NewLoads(), sent: loadsum.NewLoads(), pendingReports: make(map[string]membership.Report),
 			pendingAnswers: make(map[string]outlier.Count), receivedMembers: make(map[string]uint64),
+			pendingPoison: make(map[poison.Key]bool),
 		}
 		n.peers.byName[name] = p
 		n.peers.names = nil
@@ -254,6 +258,7 @@
 	p.digestDue = n.now
 	p.sentFactsSeq = n.knownSeqOnConnect()
 	p.sentMembersSeq = p.sentFactsSeq
+	n.queueAllPoison(p)
 	if n.multiHop() {
 		p.membersDue = n.now.Add(n.jitter(memberRecordInterval))
 	}
--- a/internal/core/placement.go
+++ b/internal/core/placement.go
@@ -15,6 +15,9 @@
 	}
 	choice := n.routingChoice(r, p)
 	i := routing.Pick(p.candidates, &choice)
+	if r.trial {
+		i = p.leastLoaded(r.tried)
+	}
 	if i == routing.None {
 		return nil, reason.Saturated
 	}
--- /dev/null
+++ b/internal/core/poison/exchange.go
@@ -0,0 +1,87 @@
+package poison
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// Keys returns the requests that have a record, sorted.
+func (t *Tracker) Keys() []Key { return slices.Sorted(maps.Keys(t.records)) }
+
+// Select returns up to limit of the given requests, those first under which most servers ended.
+func (t *Tracker) Select(keys []Key, limit int) []Key {
+	slices.SortFunc(keys, func(a, b Key) int {
+		return cmp.Or(cmp.Compare(t.ends(b), t.ends(a)), cmp.Compare(a, b))
+	})
+	return keys[:min(limit, len(keys))]
+}
+
+// ends returns the number of ends that count for a request.
+func (t *Tracker) ends(key Key) int {
+	if r := t.records[key]; r != nil {
+		return r.count()
+	}
+	return 0
+}
+
+// Suspicious reports whether more than one server ended under a request.
+func (t *Tracker) Suspicious(key Key) bool { return t.ends(key) > 1 }
+
+// Record returns the record of a request for other instances, and whether there is one.
+func (t *Tracker) Record(key Key, now time.Time) (Record, bool) {
+	r := t.records[key]
+	if r == nil {
+		return Record{}, false
+	}
+	out := Record{Key: key, Trials: r.trials, ChangeAge: now.Sub(r.changedAt), UseAge: now.Sub(r.lastUse())}
+	for _, server := range sortedServers(r.ends) {
+		if r.ends[server] {
+			out.Ends = append(out.Ends, server)
+		} else {
+			out.Voided = append(out.Voided, server)
+		}
+	}
+	return out, true
+}
+
+// Merge merges a record of another instance and reports whether it brought anything new. A record
+// that this instance would have forgotten is ignored.
+func (t *Tracker) Merge(in Record, now time.Time) bool {
+	if in.Key == 0 || in.ChangeAge > blockedRetention && in.UseAge > blockedRetention {
+		return false
+	}
+	at := now.Add(-in.ChangeAge)
+	changed := false
+	for _, server := range in.Ends {
+		changed = t.add(in.Key, server, at, now) || changed
+	}
+	for _, server := range in.Voided {
+		changed = t.merge(in.Key, server) || changed
+	}
+	r := t.records[in.Key]
+	if r == nil {
+		return changed
+	}
+	r.usedAt = later(r.usedAt, now.Add(-in.UseAge))
+	if in.Trials > r.trials {
+		r.trials, changed = in.Trials, true
+		r.changedAt = later(r.changedAt, at)
+	}
+	return changed
+}
+
+// merge merges a voided end and reports whether it is new. A voided end is recorded even if the end
+// itself is not known yet, because the two may arrive in any order.
+func (t *Tracker) merge(key Key, server Server) bool {
+	r := t.record(key)
+	counts, known := r.ends[server]
+	if known && !counts || len(r.ends) >= maxServers && !known {
+		return false
+	}
+	r.ends[server] = false
+	t.blocked = nil
+	t.evict(key)
+	return true
+}
--- /dev/null
+++ b/internal/core/poison/poison_test.go
@@ -0,0 +1,218 @@
+package poison
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var epoch = time.Date(2027, 1, 15, 8, 0, 0, 0, time.UTC)
+
+func server(i int) Server { return Server{Name: fmt.Sprint("s", i), Incarnation: 1} }
+
+// endAll records that servers ended under a request, one a second.
+func endAll(t *Tracker, key Key, servers ...int) {
+	for i, s := range servers {
+		t.Ended(key, server(s), epoch.Add(time.Duration(i)*time.Second))
+	}
+}
+
+// Guards against requests of one customer that are taken for another's, and against a request
+// without content that is blamed for any end.
+func TestKeysTellCustomersApart(t *testing.T) {
+	require.NotZero(t, KeyOf("a", 7))
+	require.NotEqual(t, KeyOf("a", 7), KeyOf("b", 7))
+	require.NotEqual(t, KeyOf("a", 7), KeyOf("a", 8))
+	require.Zero(t, KeyOf("a", 0))
+	tracker := NewTracker()
+	require.False(t, tracker.Ended(0, server(1), epoch))
+	require.Zero(t, tracker.Len())
+}
+
+// Guards against an end that counts twice, reported by two instances or repeated.
+func TestEachServerCountsOnce(t *testing.T) {
+	tracker := NewTracker()
+	endAll(tracker, 1, 1, 2, 1, 2, 1)
+	require.False(t, tracker.Blocked(1))
+	record, ok := tracker.Record(1, epoch)
+	require.True(t, ok)
+	require.False(t, tracker.Merge(record, epoch))
+	require.False(t, tracker.Blocked(1))
+	restarted := Server{Name: "s1", Incarnation: 2}
+	require.True(t, tracker.Ended(1, restarted, epoch))
+	require.True(t, tracker.Blocked(1))
+}
+
+// Guards against blocking requests that were on the same servers as the one to blame.
+func TestNeighboursAreExplained(t *testing.T) {
+	tracker := NewTracker()
+	endAll(tracker, 1, 1, 2, 3, 4)
+	endAll(tracker, 2, 1, 2, 3)
+	endAll(tracker, 3, 3, 4, 5)
+	endAll(tracker, 4, 6, 7, 8)
+	require.Equal(t, []Key{1, 4}, tracker.BlockedKeys())
+}
+
+// Guards against a poison request among many that is sent on as long as others explain its servers.
+func TestExplainedEndsCountByHalf(t *testing.T) {
+	tracker := NewTracker()
+	endAll(tracker, 1, 1, 2, 3, 4)
+	endAll(tracker, 2, 1, 2, 5)
+	require.Equal(t, []Key{1}, tracker.BlockedKeys())
+	tracker.Ended(2, server(6), epoch)
+	require.Equal(t, []Key{1, 2}, tracker.BlockedKeys())
+}
+
+// Guards against a request that stays unblocked because another one explains the same servers:
+// its next end shows that it is the one to blame.
+func TestNextEndDecidesBetweenEqualSuspects(t *testing.T) {
+	tracker := NewTracker()
+	endAll(tracker, 1, 1, 2, 3)
+	endAll(tracker, 2, 1, 2, 3)
+	require.Len(t, tracker.BlockedKeys(), 1)
+	tracker.Ended(2, server(4), epoch.Add(time.Minute))
+	require.Equal(t, []Key{2}, tracker.BlockedKeys())
+}
+
+// Guards against requests that are blocked on the word of instances that were wrong: the server
+// lives, left as planned, or the request ran to its end.
+func TestVoidedEndsDoNotCount(t *testing.T) {
+	tracker := NewTracker()
+	endAll(tracker, 1, 1, 2, 3)
+	late, _ := tracker.Record(1, epoch)
+	require.Equal(t, []Key{1}, tracker.Void(server(2), epoch))
+	require.False(t, tracker.Blocked(1))
+	require.False(t, tracker.Merge(late, epoch), "an old record does not bring the end back")
+	require.False(t, tracker.Blocked(1))
+	tracker.Ended(9, server(2), epoch)
+	require.Zero(t, tracker.ends(9), "a voided end counts for no request")
+
+	tracker = NewTracker()
+	endAll(tracker, 1, 1, 2, 3)
+	endAll(tracker, 2, 1, 2, 3)
+	require.True(t, tracker.Blocked(1))
+	require.Equal(t, []Key{1, 2}, tracker.Completed(1, epoch))
+	require.Empty(t, tracker.BlockedKeys(), "the neighbour is not blamed in its place")
+}
+
+// Guards against instances that decide differently because records arrive in another order, twice
+// or in part.
+func TestRecordsMergeInAnyOrder(t *testing.T) {
+	for seed := range uint64(50) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		trackers := []*Tracker{NewTracker(), NewTracker(), NewTracker()}
+		var records []Record
+		for range 60 {
+			tracker := trackers[random.IntN(len(trackers))]
+			key := Key(1 + random.IntN(6))
+			switch random.IntN(12) {
+			case 0:
+				tracker.Completed(key, epoch)
+			case 1:
+				tracker.Void(server(random.IntN(20)), epoch)
+			default:
+				tracker.Ended(key, server(random.IntN(20)), epoch)
+			}
+			if record, ok := tracker.Record(key, epoch); ok {
+				records = append(records, record)
+			}
+		}
+		for _, tracker := range trackers {
+			for _, key := range tracker.Keys() {
+				record, _ := tracker.Record(key, epoch)
+				records = append(records, record)
+			}
+		}
+		// A voided end of one request may void that of another, so records go round until none changes.
+		for changed := true; changed; {
+			changed = false
+			for _, tracker := range trackers {
+				for _, i := range random.Perm(len(records)) {
+					changed = tracker.Merge(records[i], epoch) || changed
+				}
+				for _, key := range tracker.Keys() {
+					record, _ := tracker.Record(key, epoch)
+					records = append(records, record)
+				}
+			}
+		}
+		for _, tracker := range trackers[1:] {
+			require.Equal(t, trackers[0].BlockedKeys(), tracker.BlockedKeys(), "seed %d", seed)
+		}
+	}
+}
+
+// Guards against a blocked request that is sent again and again, and against one that is never
+// tried again after a new version of the service.
+func TestTrialsAreFew(t *testing.T) {
+	tracker := NewTracker()
+	endAll(tracker, 1, 1, 2, 3)
+	now := epoch.Add(2 * time.Second)
+	for range trialDelays {
+		due, delay, ok := tracker.TrialDue(1)
+		require.True(t, ok)
+		require.Equal(t, now.Add(delay), due)
+		now = due
+		tracker.Trial(1, now)
+	}
+	_, _, ok := tracker.TrialDue(1)
+	require.False(t, ok)
+	other := NewTracker()
+	record, _ := tracker.Record(1, now)
+	require.True(t, other.Merge(record, now))
+	_, _, ok = other.TrialDue(1)
+	require.False(t, ok, "an instance that learns of the request knows of its trials")
+	require.LessOrEqual(t, len(trialDelays)+1, MaxEnds, "two instances that try at once stay within the operators' bound")
+}
+
+// Guards against records that stay for ever, and against a blocked request that is forgotten while
+// it keeps coming.
+func TestRecordsAreForgotten(t *testing.T) {
+	tracker := NewTracker()
+	endAll(tracker, 1, 1, 2, 3)
+	endAll(tracker, 2, 4)
+	now := epoch
+	for range 30 {
+		now = now.Add(20 * time.Minute)
+		tracker.Used(1, now)
+		tracker.Expire(now)
+		require.Equal(t, []Key{1}, tracker.Keys())
+	}
+	record, _ := tracker.Record(1, now)
+	newcomer := NewTracker()
+	require.True(t, newcomer.Merge(record, now), "a newcomer learns what is still in use")
+	for _, tr := range []*Tracker{tracker, newcomer} {
+		tr.Expire(now.Add(blockedRetention + time.Second))
+		require.Zero(t, tr.Len())
+		require.Empty(t, tr.ended)
+	}
+	record.UseAge, record.ChangeAge = 2*blockedRetention, 2*blockedRetention
+	require.False(t, tracker.Merge(record, now), "an old record does not come back")
+}
+
+// Guards against memory that grows with the number of requests that servers held when they ended,
+// and against blocked requests that are forgotten for them.
+func TestRecordsAreBounded(t *testing.T) {
+	tracker := NewTracker()
+	const blocked = 100
+	for key := Key(1); key <= blocked; key++ {
+		for i := range MaxEnds {
+			tracker.Ended(key, server(int(key)*10+i), epoch)
+		}
+	}
+	for key := range 5 * maxRecords {
+		tracker.Ended(Key(1000+key), server(5000+key%7), epoch.Add(time.Second))
+	}
+	require.Equal(t, maxRecords, tracker.Len())
+	require.Len(t, tracker.BlockedKeys(), blocked)
+	require.Positive(t, tracker.TakeEvicted())
+	for i := range 5 * maxServers {
+		tracker.Ended(1, server(9000+i), epoch)
+	}
+	record, _ := tracker.Record(1, epoch)
+	require.Len(t, record.Ends, maxServers)
+	require.Len(t, tracker.Select(tracker.Keys(), 10), 10)
+}
--- a/internal/core/poisonfleet_test.go
+++ b/internal/core/poisonfleet_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/ebonydyke/ebonydyke/internal/core"
 	"github.com/ebonydyke/ebonydyke/internal/core/membership"
+	"github.com/ebonydyke/ebonydyke/internal/core/reason"
 	"github.com/ebonydyke/ebonydyke/internal/core/retry"
 )
 
@@ -34,7 +37,7 @@
 	ends  map[uint64][]time.Time
 	sends map[uint64][]poisonSend
 	// served counts the requests of each content that were answered, and refused those that were
-	// refused as poison.
+	// refused as poison without a run.
 	served, refused map[uint64]int
 	// recoveredAt is the end of an instance's last fault, or the end of the test while the fault
 	// lasts.
@@ -56,6 +59,9 @@
 	index   int
 	ended   bool
 	running map[core.RequestID]runningAttempt
+	// rejecting is set while a device on the path resets the engine's connections and refuses new
+	// ones, although the engine runs.
+	rejecting bool
 }
 
 // runningAttempt is an attempt that an engine holds.
@@ -108,6 +114,35 @@
 	f.schedule(f.between(1500, 4000), func() { f.startEngine(e.index) })
 }
 
+// resetConnections breaks the attempts that an engine holds. The engine goes on; it refuses new
+// connections for a time if it is positive.
+func (f *poisonFleet) resetConnections(e *fakeEngine, refusing time.Duration) {
+	for _, id := range sortedRequests(e.running) {
+		f.breakAttempt(e.running[id], refusing > 0)
+	}
+	clear(e.running)
+	if refusing > 0 {
+		e.rejecting = true
+		f.schedule(refusing, func() { e.rejecting = false })
+	}
+}
+
+// leave announces that an engine leaves and ends it later, whatever it still holds.
+func (f *poisonFleet) leave(e *fakeEngine) {
+	f.store.putEntry(e.name, f.entryOf(e, membership.Leaving))
+	f.schedule(2500*time.Millisecond, func() { f.end(e) })
+}
+
+// anyEngine returns a random engine that runs.
+func (f *poisonFleet) anyEngine() *fakeEngine {
+	names := slices.Sorted(maps.Keys(f.engines))
+	for {
+		if e := f.engines[names[f.random.IntN(len(names))]]; !e.ended {
+			return e
+		}
+	}
+}
+
 // breakAttempt ends an attempt by the end of its connection.
 func (f *poisonFleet) breakAttempt(r runningAttempt, serverEnded bool) {
 	f.reply(r.instance, 2*time.Millisecond, core.AttemptEnded{
@@ -122,7 +157,7 @@
 // runAttempt runs an attempt at its engine.
 func (f *poisonFleet) runAttempt(m *fakeInstance, a core.SendAttempt) {
 	e := f.engines[a.Backend]
-	if e == nil || e.ended {
+	if e == nil || e.ended || e.rejecting {
 		f.reply(m, time.Millisecond, core.AttemptEnded{Request: a.Request, Attempt: a.Attempt, Outcome: retry.NotSent})
 		return
 	}
@@ -160,6 +195,11 @@
 	for m.dead || m.generation == 0 {
 		m = f.instances[f.random.IntN(len(f.instances))]
 	}
+	return f.requestAt(m, content)
+}
+
+// requestAt sends a request with a content to an instance.
+func (f *poisonFleet) requestAt(m *fakeInstance, content uint64) *callerRequest {
 	s := &callerRequest{id: core.RequestID(fmt.Sprintf("r%d", len(f.requests))), at: f.now, instance: m, incarnation: m.incarnation}
 	f.requests[s.id], f.contents[s.id] = s, content
 	f.deliver(m, core.RequestArrived{
@@ -176,26 +216,25 @@
 		if !f.now.Before(until) {
 			return
 		}
-		s := f.request(content)
-		var wait func()
-		wait = func() {
-			switch {
-			case s.answered || !s.ended.IsZero():
-				if s.reason == poisonReason {
-					f.refused[content]++
-				}
-				f.schedule(f.between(200, 800), again)
-			case s.instance.dead || s.instance.incarnation != s.incarnation:
-				f.schedule(f.between(200, 800), again)
-			default:
-				f.schedule(20*time.Millisecond, wait)
-			}
-		}
-		wait()
+		f.whenEnded(f.request(content), func(bool) { again() })
 	}
 	again()
 }
 
+// whenEnded calls next some time after a request has ended or its instance has died, and tells it
+// whether the request was answered.
+func (f *poisonFleet) whenEnded(s *callerRequest, next func(served bool)) {
+	lost := s.instance.dead || s.instance.incarnation != s.incarnation
+	if !s.answered && s.ended.IsZero() && !lost {
+		f.schedule(20*time.Millisecond, func() { f.whenEnded(s, next) })
+		return
+	}
+	if s.reason == poisonReason && s.outcome == reason.NotRun {
+		f.refused[f.contents[s.id]]++
+	}
+	f.schedule(f.between(200, 800), func() { next(s.answered) })
+}
+
 // lateSends returns the number of sends of a poison content by healthy instances later than
 // poisonContact after the third end of an engine under it.
 func (f *poisonFleet) lateSends(content uint64) int {
--- a/internal/core/poisonrequest_test.go
+++ b/internal/core/poisonrequest_test.go
@@ -1,6 +1,7 @@
 package core_test
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"testing"
@@ -34,3 +35,270 @@
 		})
 	}
 }
+
+// applyFault applies a fault to instances for a time. They are healthy again poisonContact after
+// its end, unless the fault leaves them healthy.
+func (f *poisonFleet) applyFault(fault instanceFault, affected map[*fakeInstance]bool, lasts time.Duration) {
+	c := &changeBoundFleet{fleet: f.fleet}
+	fault.apply(c, affected, lasts)
+	for m := range affected {
+		if !fault.staysHealthy {
+			f.recoveredAt[m] = f.now.Add(lasts)
+		}
+	}
+	f.schedule(lasts, func() {
+		f.platformCut, f.linkCut = noInstance, noLinkCut
+		f.store.silencedAt = time.Time{}
+	})
+}
+
+// testPoisonBesideFault sends two poison requests while half of the instances have a fault, three
+// times.
+func testPoisonBesideFault(t *testing.T, size fleetSize, fault instanceFault, seed uint64) {
+	t.Helper()
+	f := newPoisonFleet(size, seed)
+	f.poison[1], f.poison[2] = true, true
+	f.repeat(1, 40*time.Second)
+	f.schedule(3*time.Second, func() { f.repeat(2, 30*time.Second) })
+	for range 3 {
+		affected := make(map[*fakeInstance]bool)
+		for _, i := range f.random.Perm(len(f.instances))[:len(f.instances)/2] {
+			affected[f.instances[i]] = true
+		}
+		f.applyFault(fault, affected, f.between(1000, 6000))
+		f.run(9 * time.Second)
+	}
+	f.run(20 * time.Second)
+	f.requirePoisonStopped(t, 1)
+	f.requirePoisonStopped(t, 2)
+}
+
+// testPoisonBesideFaults runs testPoisonBesideFault with the faults that do or do not leave the
+// affected instances healthy.
+func testPoisonBesideFaults(t *testing.T, staysHealthy bool) {
+	t.Helper()
+	for _, size := range []fleetSize{{8, 3}, {9, 4}, {60, 4}, {60, 1}} {
+		for _, fault := range instanceFaults {
+			if fault.staysHealthy != staysHealthy {
+				continue
+			}
+			t.Run(size.String()+", "+fault.name, func(t *testing.T) {
+				t.Parallel()
+				for seed := range *boundSeeds {
+					testPoisonBesideFault(t, size, fault, uint64(21+seed))
+				}
+			})
+		}
+	}
+}
+
+// Guards against a poison request that is sent on because instances are frozen, cut off or
+// restarted while servers end under it, and do not learn of that in time.
+func TestPoisonRequestIsNotSentOnBesideFaults(t *testing.T) {
+	testPoisonBesideFaults(t, false)
+}
+
+// Guards against a poison request that each of several instances sends on that reach the store but
+// do not hear the others.
+func TestPoisonRequestIsNotSentOnBySeparatedInstances(t *testing.T) {
+	testPoisonBesideFaults(t, true)
+}
+
+// allowedFalseRefusals returns the number of requests that may be refused as poison although they
+// end no server: as many as the operators allow for proper requests that are denied.
+func allowedFalseRefusals(requests int) int { return 5 + requests/500 }
+
+// Guards against refusing requests that only ran on the servers that ended under others.
+func TestNeighboursOfPoisonRequestsAreServed(t *testing.T) {
+	for _, size := range []fleetSize{{8, 3}, {60, 4}} {
+		for _, returning := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%v, contents that always return: %v", size, returning), func(t *testing.T) {
+				t.Parallel()
+				for seed := range *boundSeeds {
+					f := newPoisonFleet(size, uint64(31+seed))
+					for content := uint64(1); content <= 3; content++ {
+						f.poison[content] = true
+						f.repeat(content, 30*time.Second)
+					}
+					f.innocentCallers(returning, 30*time.Second)
+					f.run(50 * time.Second)
+					for content := uint64(1); content <= 3; content++ {
+						f.requirePoisonStopped(t, content)
+					}
+					f.requireInnocentsServed(t)
+				}
+			})
+		}
+	}
+}
+
+// sendsBy returns the number of sends of a content by an instance.
+func (f *poisonFleet) sendsBy(m *fakeInstance, content uint64) int {
+	n := 0
+	for _, s := range f.sends[content] {
+		if s.by == m {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against an instance that does not learn of poison requests when it starts or when a cut
+// ends, and sends them on.
+func TestBlockedRequestsAreLearnedAnew(t *testing.T) {
+	for _, size := range []fleetSize{{8, 3}, {60, 4}} {
+		t.Run(size.String(), func(t *testing.T) {
+			t.Parallel()
+			f := newPoisonFleet(size, 51)
+			cutOff, restarted := f.instances[1], f.instances[2]
+			f.linkCut = func(a, b *fakeInstance) bool { return a == cutOff || b == cutOff }
+			f.platformCut = func(m *fakeInstance) bool { return m == cutOff }
+			f.run(time.Second)
+			f.poison[1] = true
+			for len(f.ends[1]) < 3 {
+				f.requestAt(f.instances[3], 1)
+				f.run(time.Second)
+			}
+			f.linkCut, f.platformCut = noLinkCut, noInstance
+			restarted.dead = true
+			f.boot(restarted, entriesText)
+			f.run(poisonContact)
+			for _, m := range []*fakeInstance{cutOff, restarted} {
+				s := f.requestAt(m, 1)
+				f.run(time.Second)
+				require.Equal(t, poisonReason, s.reason, m.name)
+				require.Equal(t, reason.NotRun, s.outcome, m.name)
+				require.Zero(t, f.sendsBy(m, 1), m.name)
+			}
+		})
+	}
+}
+
+// Guards against a request that stays blocked although it no longer ends the servers that run it.
+func TestHarmlessRequestIsServedAgain(t *testing.T) {
+	for _, size := range []fleetSize{{8, 3}, {60, 4}} {
+		t.Run(size.String(), func(t *testing.T) {
+			t.Parallel()
+			f := newPoisonFleet(size, 61)
+			f.poison[1] = true
+			f.repeat(1, time.Minute)
+			f.run(5 * time.Second)
+			require.GreaterOrEqual(t, len(f.ends[1]), 3)
+			f.poison[1] = false
+			f.run(30 * time.Second)
+			served, refused := f.served[1], f.refused[1]
+			require.Positive(t, served)
+			f.run(25 * time.Second)
+			require.Greater(t, f.served[1], served+10)
+			require.Equal(t, refused, f.refused[1], "it is blocked no longer at any instance")
+		})
+	}
+}
+
+// peerBytesPerSecond is what an instance may send to its peers.
+const peerBytesPerSecond = 2300
+
+// Guards against a hundred poison requests that take memory and control traffic without bound, or
+// of which one is sent on.
+func TestManyPoisonRequestsAreStopped(t *testing.T) {
+	f := newPoisonFleet(fleetSize{8, 3}, 71)
+	const poisons = 100
+	for content := uint64(1); content <= poisons; content++ {
+		f.poison[content] = true
+		f.schedule(time.Duration(content)*700*time.Millisecond, func() { f.repeat(content, 90*time.Second) })
+	}
+	before := f.calls["poison-bytes"]
+	f.run(3 * time.Minute)
+	for content := uint64(1); content <= poisons; content++ {
+		require.LessOrEqual(t, f.lateSends(content), maxPoisonSends, "content %d", content)
+	}
+	perSecond := (f.calls["poison-bytes"] - before) / len(f.instances) / 180
+	t.Logf("%d bytes a second of poison records sent by an instance", perSecond)
+	require.Less(t, perSecond, peerBytesPerSecond/2)
+}
+
+// firstInnocent is the lowest content of requests that end no server.
+const firstInnocent = 100
+
+// innocentCallers starts sixty callers. Each sends the same content all the time, or a new one
+// that comes again twice if it fails.
+func (f *poisonFleet) innocentCallers(returning bool, lasts time.Duration) {
+	until := f.now.Add(lasts)
+	for content := range uint64(60) {
+		if returning {
+			f.repeat(firstInnocent+content, lasts)
+		} else {
+			f.callWithNewContents(firstInnocent+content*10_000, until)
+		}
+	}
+}
+
+// callWithNewContents sends requests one after the other, each with another content.
+func (f *poisonFleet) callWithNewContents(content uint64, until time.Time) {
+	var next func(content uint64, tries int)
+	next = func(content uint64, tries int) {
+		if !f.now.Before(until) {
+			return
+		}
+		f.whenEnded(f.request(content), func(served bool) {
+			if served || tries == 2 {
+				next(content+1, 0)
+				return
+			}
+			next(content, tries+1)
+		})
+	}
+	next(content, 0)
+}
+
+// requireInnocentsServed checks how many requests were refused as poison that end no server.
+func (f *poisonFleet) requireInnocentsServed(t *testing.T) {
+	t.Helper()
+	served, refused := 0, 0
+	for content, n := range f.served {
+		if content >= firstInnocent {
+			served += n
+		}
+	}
+	for content, n := range f.refused {
+		if content >= firstInnocent {
+			refused += n
+		}
+	}
+	t.Logf("%d requests served, %d refused as poison", served, refused)
+	if refused > allowedFalseRefusals(served+refused) {
+		t.Errorf("%d requests were refused as poison that end no server, of %d", refused, served+refused)
+	}
+}
+
+// Guards against blaming requests for servers that ended for another reason, left as planned, or
+// are alive behind connections that were reset or refused.
+func TestOrdinaryFailuresBlameNoRequest(t *testing.T) {
+	for _, failure := range []struct {
+		name string
+		fail func(f *poisonFleet)
+	}{
+		{"crashes", func(f *poisonFleet) { f.end(f.anyEngine()) }},
+		{"planned shutdowns", func(f *poisonFleet) { f.leave(f.anyEngine()) }},
+		{"resets", func(f *poisonFleet) { f.resetConnections(f.anyEngine(), 0) }},
+		{"rejecting cuts", func(f *poisonFleet) { f.resetConnections(f.anyEngine(), 4*time.Second) }},
+	} {
+		for _, size := range []fleetSize{{8, 3}, {60, 4}} {
+			for _, returning := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s, %v, contents that always return: %v", failure.name, size, returning), func(t *testing.T) {
+					t.Parallel()
+					for seed := range *boundSeeds {
+						f := newPoisonFleet(size, uint64(41+seed))
+						f.innocentCallers(returning, 60*time.Second)
+						for range 20 {
+							f.run(f.between(500, 4000))
+							failure.fail(f)
+						}
+						f.run(30 * time.Second)
+						f.requireInnocentsServed(t)
+					}
+				})
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/poisonrequests.go
@@ -0,0 +1,314 @@
+package core
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/ebonydyke/ebonydyke/internal/core/membership"
+	"github.com/ebonydyke/ebonydyke/internal/core/poison"
+	"github.com/ebonydyke/ebonydyke/internal/core/reason"
+	"github.com/ebonydyke/ebonydyke/internal/core/rendezvous"
+	"github.com/ebonydyke/ebonydyke/internal/core/retry"
+	"github.com/ebonydyke/ebonydyke/internal/core/routing"
+)
+
+const (
+	// maxDigestPoison is the maximum number of poison records in a digest.
+	maxDigestPoison = 32
+	// poisonExpiryInterval is the interval between checks for records to be forgotten.
+	poisonExpiryInterval = 10 * time.Second
+	// blockedRetryAfter is the Retry-After delay of a blocked request that is not to be sent again
+	// as long as it keeps coming.
+	blockedRetryAfter = 10 * time.Minute
+)
+
+// counterPoison counts events of poison requests by the labels below.
+const (
+	counterPoison      = "poison_requests"
+	labelServerEnded   = "server-ended"
+	labelServerAlive   = "server-alive"
+	labelBlocked       = "blocked"
+	labelUnblocked     = "unblocked"
+	labelTrial         = "trial"
+	labelRecordEvicted = "record-evicted"
+)
+
+// poisonState holds what this instance knows of requests under which backend servers ended.
+type poisonState struct {
+	tracker *poison.Tracker
+	// answeredAt maps servers that seemed to have ended, and answered later, to the time of that
+	// answer.
+	answeredAt map[poison.Server]time.Time
+	// blocked are the blocked requests that were last logged.
+	blocked  []poison.Key
+	expireAt time.Time
+}
+
+func newPoisonState() poisonState {
+	return poisonState{tracker: poison.NewTracker(), answeredAt: make(map[poison.Server]time.Time)}
+}
+
+// refusesPoison reports whether a request is to be refused on arrival because it is blocked. When
+// a trial is due, the request becomes that trial.
+func (n *Node) refusesPoison(r *request) bool {
+	if !n.poison.tracker.Blocked(r.key) {
+		return false
+	}
+	n.poison.tracker.Used(r.key, n.now)
+	due, ever := n.poisonTrialDue(r.key)
+	r.trial = ever && !n.now.Before(due) && n.hearsAllPeers()
+	return !r.trial
+}
+
+// hearsAllPeers reports whether no instance of the layout is silent. An instance that is cut off
+// from others starts no trial, because it does not learn of theirs.
+func (n *Node) hearsAllPeers() bool {
+	for name := range n.peers.inLayout {
+		if !n.peerConnectedTo(name) || n.peerSilent(name) {
+			return false
+		}
+	}
+	return true
+}
+
+// poisonTrialDue returns the time from which this instance may send a blocked request once more,
+// and whether it may at all. The instances' times are spread over half of the delay, so that two
+// that receive the request at the same moment do not both start the trial.
+func (n *Node) poisonTrialDue(key poison.Key) (time.Time, bool) {
+	due, delay, ever := n.poison.tracker.TrialDue(key)
+	share := rendezvous.Unit(rendezvous.HashPair(n.settings.Name, hexKey(key)))
+	return due.Add(time.Duration(share * float64(delay) / 2)), ever
+}
+
+// stopsPoison reports whether a request must not be sent, or not be sent again. A trial is one run.
+func (n *Node) stopsPoison(r *request) bool {
+	return n.poison.tracker.Blocked(r.key) && (!r.trial || r.runs > 0)
+}
+
+// recordTrial records the first attempt of a trial and tells the other instances.
+func (n *Node) recordTrial(r *request) {
+	if !r.trial || r.attempt > 0 {
+		return
+	}
+	n.poison.tracker.Trial(r.key, n.now)
+	n.emit(Counted{Counter: counterPoison, Label: labelTrial, N: 1})
+	n.queuePoison("", r.key)
+}
+
+// leastLoaded returns the index of the reachable backend server with the lowest load that was not
+// tried yet, or routing.None. A trial goes there, so that few other requests are lost if it ends
+// one more server.
+func (p *pool) leastLoaded(tried []string) int {
+	best := routing.None
+	for i := range p.candidates {
+		c := &p.candidates[i]
+		if c.Unreachable || slices.Contains(tried, c.Name) {
+			continue
+		}
+		if best == routing.None || c.Load < p.candidates[best].Load {
+			best = i
+		}
+	}
+	return best
+}
+
+// poisonRetryAfter returns the Retry-After delay of a blocked request: the time until its next trial.
+func (n *Node) poisonRetryAfter(key poison.Key) time.Duration {
+	due, ever := n.poisonTrialDue(key)
+	if !ever {
+		return blockedRetryAfter
+	}
+	return max(due.Sub(n.now), defaultRetryAfter)
+}
+
+// retryAfterOf returns the Retry-After delay for a request that ends for reason why.
+func (n *Node) retryAfterOf(r *request, why reason.Reason) time.Duration {
+	if why == reason.PoisonRequest {
+		return n.poisonRetryAfter(r.key)
+	}
+	return n.retryAfterFor(r.target, why)
+}
+
+// updatePoison updates the poison records from the outcome of an attempt.
+func (n *Node) updatePoison(r *request, e AttemptEnded) {
+	server := n.serverStart(r.backend)
+	switch {
+	case e.ServerEnded:
+		n.serverEnded(r.key, server)
+	case e.Outcome == retry.Answered, e.Outcome == retry.Failed:
+		n.recordAnswerOf(server, r.sentAt)
+		n.poisonChanged("", n.poison.tracker.Completed(r.key, n.now)...)
+	}
+}
+
+// serverStart returns the current start of a backend server.
+func (n *Node) serverStart(backend string) poison.Server {
+	server := poison.Server{Name: backend}
+	if member := n.view.Get(backend); member != nil {
+		server.Incarnation = member.Incarnation
+	}
+	return server
+}
+
+// serverEnded records that a backend server ended while it held a request. The end of a server that
+// was leaving or whose entry had been removed was planned, and the request has no part in it.
+func (n *Node) serverEnded(key poison.Key, server poison.Server) {
+	member := n.view.Get(server.Name)
+	if member != nil && member.State != membership.Live {
+		return
+	}
+	if !n.poison.tracker.Ended(key, server, n.now) {
+		return
+	}
+	n.emit(Counted{Counter: counterPoison, Label: labelServerEnded, N: 1})
+	n.poisonChanged("", key)
+}
+
+// voidPlannedEnd voids the end of a server whose entry says that it was leaving.
+func (n *Node) voidPlannedEnd(member *membership.Member) {
+	if member.State == membership.Leaving {
+		server := poison.Server{Name: member.Name, Incarnation: member.Incarnation}
+		n.poisonChanged("", n.poison.tracker.Void(server, n.now)...)
+	}
+}
+
+// recordAnswerOf records an answer from a server that seemed to have ended, to an attempt sent
+// after that. A device on the path may have reset its connections and refused new ones.
+func (n *Node) recordAnswerOf(server poison.Server, sentAt time.Time) {
+	if at, ended := n.poison.tracker.EndedAt(server); ended && sentAt.After(at) && n.poison.answeredAt[server].IsZero() {
+		n.poison.answeredAt[server] = n.now
+	}
+}
+
+// tickPoison forgets old records, and voids the ends of servers that turned out to be alive.
+func (n *Node) tickPoison() {
+	n.voidAlive()
+	if n.now.Before(n.poison.expireAt) {
+		return
+	}
+	n.poison.expireAt = n.now.Add(poisonExpiryInterval)
+	n.poison.tracker.Expire(n.now)
+	n.logBlocked()
+	if evicted := n.poison.tracker.TakeEvicted(); evicted > 0 {
+		n.emit(Counted{Counter: counterPoison, Label: labelRecordEvicted, N: evicted})
+	}
+}
+
+// voidAlive voids the ends of servers that answered later. A server may start again under the same
+// name, and its answers then say nothing about its former start. So an answer counts only once the
+// store must have told of a new start.
+func (n *Node) voidAlive() {
+	if len(n.poison.answeredAt) == 0 {
+		return
+	}
+	for _, server := range slices.SortedFunc(maps.Keys(n.poison.answeredAt), poison.CompareServers) {
+		if n.now.Sub(n.poison.answeredAt[server]) < n.settings.ChangeBound {
+			continue
+		}
+		delete(n.poison.answeredAt, server)
+		if member := n.view.Get(server.Name); member == nil || member.Incarnation != server.Incarnation {
+			continue
+		}
+		n.emit(Counted{Counter: counterPoison, Label: labelServerAlive, N: 1})
+		n.poisonChanged("", n.poison.tracker.Void(server, n.now)...)
+	}
+}
+
+// poisonChanged queues changed records for the peers other than the one from which they came, and
+// logs which requests are blocked now.
+func (n *Node) poisonChanged(from string, keys ...poison.Key) {
+	if len(keys) == 0 {
+		return
+	}
+	for _, key := range keys {
+		n.queuePoison(from, key)
+	}
+	n.logBlocked()
+}
+
+// queuePoison queues a record for all peers other than the one from which it came. In a full mesh a
+// record that came from a peer has reached all others, unless their links are down. It is then
+// forwarded only if several servers ended under the request.
+func (n *Node) queuePoison(from string, key poison.Key) {
+	if from != "" && !n.multiHop() && !n.poison.tracker.Suspicious(key) {
+		return
+	}
+	for name, p := range n.peers.byName {
+		if name != from {
+			p.pendingPoison[key] = true
+		}
+	}
+	n.sendDigestsNow()
+}
+
+// queueAllPoison queues all records for a peer that connects or has missed a digest.
+func (n *Node) queueAllPoison(p *peerState) {
+	for _, key := range n.poison.tracker.Keys() {
+		p.pendingPoison[key] = true
+	}
+}
+
+// addPoison adds the records that the peer is to be sent, those of the most suspicious requests first.
+func (n *Node) addPoison(p *peerState, d *Digest) {
+	if len(p.pendingPoison) == 0 {
+		return
+	}
+	for _, key := range n.poison.tracker.Select(slices.Collect(maps.Keys(p.pendingPoison)), maxDigestPoison) {
+		delete(p.pendingPoison, key)
+		if record, ok := n.poison.tracker.Record(key, n.now); ok {
+			d.Poison = append(d.Poison, record)
+		}
+	}
+}
+
+// mergePoison merges the records that a peer has sent.
+func (n *Node) mergePoison(from string, records []poison.Record) {
+	for _, record := range records {
+		if n.poison.tracker.Merge(record, n.now) {
+			n.poisonChanged(from, record.Key)
+		}
+		for _, server := range record.Ends {
+			if member := n.view.Get(server.Name); member != nil && n.backends.conveys(*member) {
+				n.voidPlannedEnd(member)
+			}
+		}
+	}
+}
+
+// logBlocked logs the requests that are blocked since the last call, and those that no longer are.
+func (n *Node) logBlocked() {
+	blocked := n.poison.tracker.BlockedKeys()
+	if slices.Equal(blocked, n.poison.blocked) {
+		return
+	}
+	for _, key := range blocked {
+		if !slices.Contains(n.poison.blocked, key) {
+			n.logPoison(key, labelBlocked)
+		}
+	}
+	for _, key := range n.poison.blocked {
+		if !slices.Contains(blocked, key) {
+			n.logPoison(key, labelUnblocked)
+		}
+	}
+	n.poison.blocked = blocked
+}
+
+func (n *Node) logPoison(key poison.Key, state string) {
+	record, _ := n.poison.tracker.Record(key, n.now)
+	var names []string
+	for _, server := range record.Ends {
+		names = append(names, server.Name)
+	}
+	n.emit(Counted{Counter: counterPoison, Label: state, N: 1})
+	n.emit(StateChanged{
+		Subject: SubjectRequest, Name: hexKey(key), State: state,
+		Cause: fmt.Sprintf("backend servers that ended under it: %s; trials: %d", strings.Join(names, " "), record.Trials),
+	})
+}
+
+// hexKey returns a key as it is logged.
+func hexKey(key poison.Key) string { return fmt.Sprintf("%016x", uint64(key)) }
--- a/internal/core/reason/reason.go
+++ b/internal/core/reason/reason.go
@@ -81,6 +81,9 @@
 	ClaimUnavailable Reason = "claim-unavailable"
 	// ClaimsFull means that the ledger accepts no claims until older ones expire.
 	ClaimsFull Reason = "claims-full"
+	// PoisonRequest means that several backend servers ended under requests of this customer with
+	// the same content.
+	PoisonRequest Reason = "poison-request"
 	// Stopping means that this instance is shutting down and accepts no more requests.
 	Stopping Reason = "stopping"
 	// Overloaded means that a bounded queue of this instance is full.
@@ -93,5 +96,5 @@
 	NoBackend, Saturated, CustomerShare, CustomerLimit, DependencyUnavailable,
 	DeadlineExceeded, RetryBudget, AttemptsExhausted, BackendUnreachable,
 	BackendRefused, BackendLost, BackendFailed, BackendSpoiled, BrokenStream, CallerGone, ClaimDuplicate,
-	ClaimUnavailable, ClaimsFull, Stopping, Overloaded,
+	ClaimUnavailable, ClaimsFull, PoisonRequest, Stopping, Overloaded,
 }
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/ebonydyke/ebonydyke/internal/core/claims"
+	"github.com/ebonydyke/ebonydyke/internal/core/poison"
 	"github.com/ebonydyke/ebonydyke/internal/core/reason"
 )
 
@@ -54,11 +55,16 @@
 	deadline time.Time
 	// waited is how long the request was queued while this instance started.
 	waited time.Duration
+	// key identifies the requests of the customer with the same content.
+	key poison.Key
+	// trial is set if the request is blocked as poison and is sent once nevertheless.
+	trial bool
 	// attempt counts the attempts, and runs the attempts in which a backend server may
 	// have started the request.
 	attempt, runs int
-	// running is set while an attempt is in progress.
+	// running is set while an attempt is in progress, which was sent at sentAt.
 	running bool
+	sentAt  time.Time
 	// backend and address identify the backend server of the last attempt.
 	backend string
 	address string
@@ -107,7 +113,9 @@
 		return
 	}
 	e.Customer = t.customer.Name
-	r := &request{target: t, arrived: e, waited: n.now.Sub(at), deadline: deadlineOf(&e, t, at)}
+	r := &request{
+		target: t, arrived: e, key: poison.KeyOf(e.Customer, e.Content), waited: n.now.Sub(at), deadline: deadlineOf(&e, t, at),
+	}
 	switch {
 	case !n.now.Before(r.deadline):
 		n.refuse(e, t, reason.DeadlineExceeded)
@@ -118,6 +126,9 @@
 	case !n.dependenciesUsable(t.service):
 		n.refuse(e, t, reason.DependencyUnavailable)
 		return
+	case n.refusesPoison(r):
+		n.refuseWith(e, t, &refusal{reason: reason.PoisonRequest, retryAfter: n.poisonRetryAfter(r.key)})
+		return
 	}
 	if refused := n.admit(r); refused != nil {
 		n.refuseWith(e, t, refused)
@@ -201,7 +212,7 @@
 func (n *Node) finish(r *request, e Finish) {
 	n.release(r)
 	e.Request, e.Customer, e.Service = r.arrived.Request, r.arrived.Customer, r.service.Name
-	e.Content = r.arrived.Content
+	e.Content = uint64(r.key)
 	n.emit(e)
 }
 
@@ -225,7 +236,7 @@
 	finish := Finish{
 		Request:    e.Request,
 		Customer:   e.Customer,
-		Content:    e.Content,
+		Content:    uint64(poison.KeyOf(e.Customer, e.Content)),
 		Outcome:    reason.NotRun,
 		Reason:     r.reason,
 		RetryAfter: r.retryAfter,
--- a/internal/core/statechanges.go
+++ b/internal/core/statechanges.go
@@ -23,6 +23,8 @@
 	SubjectStore Subject = "store"
 	// SubjectZone is an availability zone.
 	SubjectZone Subject = "zone"
+	// SubjectRequest is the requests of a customer with the same content.
+	SubjectRequest Subject = "request content"
 )
 
 // StateChanged reports that this instance's view of an object has changed. It is written to the
--- a/internal/core/wiresize.go
+++ b/internal/core/wiresize.go
@@ -11,17 +11,21 @@
 // Approximate sizes in bytes of the encoding in package peer. A test in that package
 // compares the estimate with the encoded size.
 const (
-	sizeFrame    = 12 + 1 + 2
-	sizeDigest   = 5
-	sizeList     = 3
-	sizeLoad     = 2
-	sizeReport   = 16
-	sizeFact     = 16
-	sizeMember   = 60
-	sizeEntry    = 70
-	sizeAnswers  = 8
-	sizeClaim    = 34
-	deflateRatio = 8
+	sizeFrame   = 12 + 1 + 2
+	sizeDigest  = 5
+	sizeList    = 3
+	sizeLoad    = 2
+	sizeReport  = 16
+	sizeFact    = 16
+	sizeMember  = 60
+	sizeEntry   = 70
+	sizeAnswers = 8
+	sizeClaim   = 34
+	// sizePoison is the size of a poison record without its servers, and sizeServerStart that of a
+	// server in it.
+	sizePoison      = 14
+	sizeServerStart = 12
+	deflateRatio    = 8
 	// sizePoll is half of the bytes that polling a load report takes in both directions:
 	// about 400 bytes of HTTP headers and a short body.
 	sizePoll = 200
@@ -34,6 +38,9 @@
 	if d := m.Digest; d != nil {
 		size += sizeDigest + d.loadsEstimate()
 		size += sizeFact*len(d.Facts) + sizeMember*len(d.Members) + sizeAnswers*len(d.Answers)
+		for _, r := range d.Poison {
+			size += sizePoison + sizeServerStart*(len(r.Ends)+len(r.Voided))
+		}
 	}
 	switch {
 	case m.ConfigOffer != nil:
--- a/internal/peer/decode.go
+++ b/internal/peer/decode.go
@@ -17,6 +17,7 @@
 	"github.com/ebonydyke/ebonydyke/internal/core/config"
 	"github.com/ebonydyke/ebonydyke/internal/core/load"
 	"github.com/ebonydyke/ebonydyke/internal/core/membership"
+	"github.com/ebonydyke/ebonydyke/internal/core/poison"
 )
 
 // errFrame means that the received bytes are not a valid frame.
@@ -168,6 +169,9 @@
 	if err := d.answers(out, in); err != nil {
 		return nil, err
 	}
+	if err := d.poison(out, in); err != nil {
+		return nil, err
+	}
 	return out, nil
 }
 
@@ -287,6 +291,36 @@
 	return nil
 }
 
+func (d *Decoder) poison(out *core.Digest, in *peerpb.Digest) error {
+	for _, r := range in.Poison {
+		ends, err := d.serverStarts(r.Ends)
+		if err != nil {
+			return err
+		}
+		voided, err := d.serverStarts(r.Voided)
+		if err != nil {
+			return err
+		}
+		out.Poison = append(out.Poison, poison.Record{
+			Key: poison.Key(r.Key), Ends: ends, Voided: voided, Trials: int(r.Trials),
+			ChangeAge: time.Duration(r.ChangeAge) * time.Millisecond, UseAge: time.Duration(r.UseAge) * time.Millisecond,
+		})
+	}
+	return nil
+}
+
+func (d *Decoder) serverStarts(in []*peerpb.ServerStart) ([]poison.Server, error) {
+	var out []poison.Server
+	for _, s := range in {
+		name, err := d.name(s.Name)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, poison.Server{Name: name, Incarnation: s.Incarnation})
+	}
+	return out, nil
+}
+
 func (d *Decoder) entries(in []*peerpb.Entry) ([]core.BackendEntry, error) {
 	var out []core.BackendEntry
 	for _, e := range in {
--- a/internal/peer/encode.go
+++ b/internal/peer/encode.go
@@ -18,6 +18,7 @@
 	"github.com/ebonydyke/ebonydyke/internal/core/claims"
 	"github.com/ebonydyke/ebonydyke/internal/core/load"
 	"github.com/ebonydyke/ebonydyke/internal/core/membership"
+	"github.com/ebonydyke/ebonydyke/internal/core/poison"
 )
 
 // Limits of a link. Both ends enforce them.
@@ -170,10 +171,33 @@
 			Backend: e.id(a.Backend), Answers: uint32(max(0, a.Answers)), Failures: uint32(max(0, a.Failures)),
 		})
 	}
-	out.StoreAge = uint32(min(d.Staleness.Milliseconds(), math.MaxUint32))
+	for _, r := range d.Poison {
+		out.Poison = append(out.Poison, e.poisonRecord(r))
+	}
+	out.StoreAge = millis(d.Staleness)
+	return out
+}
+
+func (e *Encoder) poisonRecord(r poison.Record) *peerpb.PoisonRecord {
+	return &peerpb.PoisonRecord{
+		Key: uint64(r.Key), Ends: e.serverStarts(r.Ends), Voided: e.serverStarts(r.Voided),
+		Trials: uint32(max(0, r.Trials)), ChangeAge: millis(r.ChangeAge), UseAge: millis(r.UseAge),
+	}
+}
+
+func (e *Encoder) serverStarts(servers []poison.Server) []*peerpb.ServerStart {
+	var out []*peerpb.ServerStart
+	for _, server := range servers {
+		out = append(out, &peerpb.ServerStart{Name: e.id(server.Name), Incarnation: server.Incarnation})
+	}
 	return out
 }
 
+// millis returns a duration in milliseconds, within the range of the wire.
+func millis(d time.Duration) uint32 {
+	return uint32(min(max(0, d.Milliseconds()), math.MaxUint32))
+}
+
 func (e *Encoder) entriesOffer(offer *core.EntriesOffer) *peerpb.EntriesOffer {
 	return &peerpb.EntriesOffer{From: offer.From, To: offer.To, Entries: e.entries(offer.Entries)}
 }
