Acquit the neighbours of several poison requests that run side by side

Now all with enough ends are blamed and the one that is needed least is acquitted, until each of the rest is needed.

--- a/internal/core/poison/tracker.go
+++ b/internal/core/poison/tracker.go
@@ -184,37 +184,52 @@
 
 // solve determines the blocked requests: the fewest that explain the ended servers.
 //
-// All requests that a server held when it ended are suspects, but few of them are to blame. The
-// request under which most servers ended is blamed first, and the servers that it explains are held
-// against the others by half. A request that merely ran beside it on three servers is therefore not
-// blocked. If two requests explain equally many, the one that reached MaxEnds first is blamed. If
-// it is the other one, the next server that ends under it shows that.
+// All requests that a server held when it ended are suspects, but few of them are to blame. At
+// first all with enough ends are blamed. Then the one that explains least beyond the others is
+// acquitted, again and again, until each of the rest is needed. A request that merely ran beside
+// another one, or beside several, is therefore not blocked. If two explain the same servers, the
+// one that reached MaxEnds last is acquitted. If it is the one to blame, the next server that ends
+// under it shows that.
 func (t *Tracker) solve() {
 	if t.blocked != nil {
 		return
 	}
 	t.blocked = make(map[Key]bool)
-	suspects := t.suspects()
-	explained := make(map[Server]bool)
+	blamed := make(map[Server]int)
+	for _, key := range t.suspects() {
+		t.blocked[key] = true
+		t.addBlame(blamed, key, 1)
+	}
 	for {
-		worst, most := Key(0), unexplainedWeight*MaxEnds-1
-		for _, key := range suspects {
-			if t.blocked[key] {
-				continue
-			}
-			n := t.weight(key, explained)
-			if n > most || n == most && worst != 0 && t.records[key].reachedAt.Before(t.records[worst].reachedAt) {
-				worst, most = key, n
-			}
-		}
-		if worst == 0 {
+		least := t.leastNeeded(blamed)
+		if least == 0 {
 			return
 		}
-		t.blocked[worst] = true
-		for server, counts := range t.records[worst].ends {
-			explained[server] = explained[server] || counts
+		delete(t.blocked, least)
+		t.addBlame(blamed, least, -1)
+	}
+}
+
+// addBlame adds n to the number of blamed requests of each server that ended under a request.
+func (t *Tracker) addBlame(blamed map[Server]int, key Key, n int) {
+	for server, counts := range t.records[key].ends {
+		if counts {
+			blamed[server] += n
+		}
+	}
+}
+
+// leastNeeded returns the blamed request whose ends weigh least, given the number of blamed
+// requests of each server. It returns 0 if all of them weigh enough to be blocked.
+func (t *Tracker) leastNeeded(blamed map[Server]int) Key {
+	least, lowest := Key(0), unexplainedWeight*MaxEnds
+	for _, key := range slices.Sorted(maps.Keys(t.blocked)) {
+		n := t.weight(key, blamed)
+		if n < lowest || n == lowest && least != 0 && !t.records[key].reachedAt.Before(t.records[least].reachedAt) {
+			least, lowest = key, n
 		}
 	}
+	return least
 }
 
 // suspects returns the requests with enough ends to be blocked, sorted, so that all instances
@@ -230,14 +245,14 @@
 	return keys
 }
 
-// weight returns the weight of the ends that count for a request, given the servers that the
-// requests blamed so far explain.
-func (t *Tracker) weight(key Key, explained map[Server]bool) int {
+// weight returns the weight of the ends that count for a blamed request, given the number of blamed
+// requests of each server.
+func (t *Tracker) weight(key Key, blamed map[Server]int) int {
 	sum := 0
 	for server, counts := range t.records[key].ends {
 		switch {
 		case !counts:
-		case explained[server]:
+		case blamed[server] > 1:
 			sum += explainedWeight
 		default:
 			sum += unexplainedWeight
