A refused connection no longer makes a whole zone count as cut off

Cause: a refused connection and one without an answer counted alike as a sign of a cut. A machine that refuses is reachable. Now it counts as contact with the zone, and a server that ended under a request is left at once for the backoff of an unreachable one.

--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -83,6 +83,9 @@
 	// ServerEnded is set if the backend server's process ended while it held the request: the
 	// connection closed early, and the server's machine then refused another one.
 	ServerEnded bool `json:"server_ended,omitempty"`
+	// ConnectionRefused is set if nothing was sent because the backend server's machine refused the
+	// connection: the machine is reachable, but the server does not run there.
+	ConnectionRefused bool `json:"connection_refused,omitempty"`
 	// LastEventID is the ID of the last complete event of a broken, resumable stream.
 	LastEventID string `json:"last_event_id,omitempty"`
 	// Detail is the error text, used only for logging.
--- a/internal/core/reachability.go
+++ b/internal/core/reachability.go
@@ -174,7 +174,15 @@
 // attempt. It is called before the request's next attempt is placed.
 func (n *Node) updateReachability(backend string, e AttemptEnded) {
 	zone := n.zoneOf(backend)
-	if e.Outcome == retry.NotSent {
+	switch {
+	case e.ServerEnded, e.ConnectionRefused:
+		// The server has ended, but its machine refuses connections and so is reachable. Its
+		// neighbours are not to be avoided with it.
+		n.reach.lastAnswers[zone] = n.now
+		n.reach.recordFailure(backend, zone, n.now)
+		n.setUnreachable(backend, true)
+		return
+	case e.Outcome == retry.NotSent:
 		n.reach.recordFailure(backend, zone, n.now)
 		n.setUnreachable(backend, true)
 		n.checkZoneReachability(zone)
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -1,8 +1,10 @@
 package proxy
 
 import (
+	"errors"
 	"fmt"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -119,6 +121,7 @@
 	event.Request = x.id
 	if err != nil {
 		event.Detail = err.Error()
+		event.ConnectionRefused = event.Outcome == retry.NotSent && errors.Is(err, syscall.ECONNREFUSED)
 		event.ServerEnded = event.Outcome.MayHaveRun() && x.server.ends.ended(x.response.attempt.Address, err)
 	}
 	x.server.log.put("attempt ended", "request", x.id, "attempt", event.Attempt, "backend", x.response.attempt.Backend,
