Soak: backend servers end on marked requests, which come again and again

Each five seconds another content begins. Checked: an instance without a recent fault sends it at most three times later than 3 s after the third end, and no other request is refused for it.

--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -125,6 +125,9 @@
 	defer b.inFlight.Add(-1)
 	kind, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
 	b.world.recorder.recordRun(attempt.ID, kind == kindOnce || kind == kindReview)
+	if content, marked := poisonContent(r.URL.Path); marked {
+		b.runPoison(content, attempt.ID)
+	}
 	fakeplatform.SetSeal(w, expectedSeal(attempt.ID))
 	b.respond(w, r, attempt, kind)
 }
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -68,6 +68,11 @@
 	// nanoseconds since the start of the soak.
 	disturbedAt atomic.Int64
 
+	// poison holds the observations of requests that end backend servers.
+	poison *poisonRecorder
+	// replacing counts the ended backend servers that are yet to be replaced.
+	replacing sync.WaitGroup
+
 	mu              sync.Mutex
 	backends        []*backend
 	backendsStarted int
@@ -120,7 +125,7 @@
 // Run runs one soak. It ends only processes that it has started.
 func Run(ctx context.Context, o Options) (*Result, error) {
 	w := &World{
-		options: o, recorder: newRecorder(), store: fakeplatform.New(),
+		options: o, recorder: newRecorder(), poison: newPoisonRecorder(), store: fakeplatform.New(),
 		versionSteps: rand.New(rand.NewPCG(o.Seed, 1<<32)), nextVersion: 1, assignedAddresses: make(map[string]bool),
 	}
 	if err := w.start(); err != nil {
@@ -135,12 +140,14 @@
 		callers.Go(func() { w.runCaller(callCtx, n) })
 	}
 	callers.Go(func() { w.probeVersions(callCtx) })
+	callers.Go(func() { w.sendPoisonRequests(callCtx) })
 	faultCtx, cancel := context.WithTimeout(ctx, o.Duration)
 	defer cancel()
 	w.injectFaults(faultCtx)
 	w.checkRecovery(ctx)
 	stopCalling()
 	callers.Wait()
+	w.replacing.Wait()
 	// Requests in transit may still run and violate a guarantee.
 	time.Sleep(time.Second)
 	w.recorder.mu.Lock()
