--- a/internal/proxy/endcheck.go
+++ b/internal/proxy/endcheck.go
@@ -21,6 +21,7 @@
 // machine also refuses new connections to the address. A server that is frozen or cut off
 // refuses nothing.
 type endChecker struct {
+	countDial func(DialReason)
 	// dials merges the checks of all requests that the end of one server breaks.
 	dials singleflight.Group
 }
@@ -32,6 +33,7 @@
 		return false
 	}
 	_, dialErr, _ := c.dials.Do(address, func() (any, error) {
+		c.countDial(EndCheck)
 		conn, err := net.DialTimeout("tcp", address, endCheckTimeout)
 		if err != nil {
 			return nil, err
--- a/internal/proxy/endcheck_test.go
+++ b/internal/proxy/endcheck_test.go
@@ -25,7 +25,8 @@
 	ended := gone.Addr().String()
 	require.NoError(t, gone.Close())
 
-	var c endChecker
+	dials := 0
+	c := endChecker{countDial: func(DialReason) { dials++ }}
 	for _, err := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE, errUnframed, errNoEndMark} {
 		err = fmt.Errorf("proxy: read response: %w", err)
 		require.True(t, c.ended(ended, err), "%v", err)
@@ -34,6 +35,7 @@
 	for _, err := range []error{os.ErrDeadlineExceeded, errInactive, errCallCancelled, net.ErrClosed, errMismatched, errBackendFailure} {
 		require.False(t, c.ended(ended, err), "%v", err)
 	}
+	require.Equal(t, 12, dials, "only connections that the other end closed are checked")
 	require.NoError(t, listener.Close())
 }
 
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -57,6 +57,7 @@
 		options:         o,
 		backends:        newClient(o),
 		zones:           newZoneActivities(),
+		ends:            endChecker{countDial: o.Metrics.Dialled},
 		engine:          newEngineClient(o, log),
 		requestIDPrefix: strconv.FormatInt(time.Now().UnixNano(), 36),
 		log:             log,
