--- a/internal/core/poison/poison_test.go
+++ b/internal/core/poison/poison_test.go
@@ -216,3 +216,19 @@
 	require.Len(t, record.Ends, maxServers)
 	require.Len(t, tracker.Select(tracker.Keys(), 10), 10)
 }
+
+// BenchmarkBlockedAfterEnd measures an end and the decision that follows it, with as many records as
+// are kept, each of them a suspect.
+func BenchmarkBlockedAfterEnd(b *testing.B) {
+	tracker := NewTracker()
+	for key := range Key(maxRecords) {
+		endAll(tracker, key+1, int(key), int(key)+1, int(key)+2)
+	}
+	next := 1 << 20
+	for b.Loop() {
+		next++
+		tracker.Ended(1, Server{Name: "s", Incarnation: uint64(next)}, epoch)
+		tracker.Blocked(1)
+		delete(tracker.records[1].ends, Server{Name: "s", Incarnation: uint64(next)})
+	}
+}
