--- a/internal/core/poisonrequest_test.go
+++ b/internal/core/poisonrequest_test.go
@@ -52,6 +52,25 @@
 	})
 }
 
+// Guards against a poison request that many callers of a customer send at the same time: several
+// instances would start a trial at once.
+func TestPoisonRequestOfManyCallersIsNotSentOn(t *testing.T) {
+	for _, size := range []fleetSize{{8, 3}, {60, 4}} {
+		t.Run(size.String(), func(t *testing.T) {
+			t.Parallel()
+			for seed := range *boundSeeds {
+				f := newPoisonFleet(size, uint64(81+seed))
+				f.poison[1] = true
+				for range 10 {
+					f.repeat(1, 60*time.Second)
+				}
+				f.run(70 * time.Second)
+				f.requirePoisonStopped(t, 1)
+			}
+		})
+	}
+}
+
 // testPoisonBesideFault sends two poison requests while half of the instances have a fault, three
 // times.
 func testPoisonBesideFault(t *testing.T, size fleetSize, fault instanceFault, seed uint64) {
