Count an end for the process to which the request was sent

A server may start again under its name, and the instance learn of that before the broken attempt is reported: the end was then counted for the new process, which lives, and the old one's end was lost. The process is now noted at the send.

--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -105,7 +105,8 @@
 
 func (n *Node) send(r *request, e SendAttempt) {
 	r.attempt++
-	r.running, r.outcomeCounted, r.sentAt = true, false, n.now
+	r.running, r.outcomeCounted = true, false
+	r.sentAt, r.start = n.now, n.serverStart(r.backend)
 	if late := r.lateAfter(); late > 0 {
 		attempt := r.attempt
 		n.schedule(n.now.Add(late), r, func(n *Node, r *request) { n.countLate(r, attempt) })
--- a/internal/core/endedservers_test.go
+++ b/internal/core/endedservers_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/ebonydyke/ebonydyke/internal/core"
+	"github.com/ebonydyke/ebonydyke/internal/core/poison"
 	"github.com/ebonydyke/ebonydyke/internal/core/retry"
 )
 
@@ -49,3 +50,28 @@
 	again := r.sendReview("session")
 	require.Equal(t, first.Backend, again.Backend, "it is tried again after a while")
 }
+
+// Guards against blaming a request for the end of a process that started under the same name only
+// after the request's own server had ended.
+func TestEndCountsForTheProcessThatHeldTheRequest(t *testing.T) {
+	r := newNodeDriver(t, 12)
+	r.handle(core.PeerConnected{Peer: "entry-1", Incarnation: 1})
+	sent := onlyEffect[core.SendAttempt](t, r.handle(core.RequestArrived{
+		Request: "marked", Host: "h.example", Path: "/review/x", APIKey: "key-1", Content: 7,
+	}))
+	restarted := entry("engine", "engines", 0, 200)
+	restarted.Name, restarted.Backend.Name, restarted.Backend.Incarnation = sent.Backend, sent.Backend, 2
+	r.handle(core.PeerReceived{From: "entry-1", Message: core.PeerMessage{
+		EntriesOffer: &core.EntriesOffer{From: 100, To: 200, Entries: []core.BackendEntry{restarted}},
+	}})
+	r.handle(core.AttemptEnded{Request: sent.Request, Attempt: sent.Attempt, Outcome: retry.Unknown, ServerEnded: true})
+	var ends []poison.Server
+	for _, e := range effectsOf[core.SendPeer](r.advance(time.Second)) {
+		if e.Message.Digest != nil {
+			for _, record := range e.Message.Digest.Poison {
+				ends = append(ends, record.Ends...)
+			}
+		}
+	}
+	require.Equal(t, []poison.Server{{Name: sent.Backend, Incarnation: 1}}, ends)
+}
--- a/internal/core/poisonfleet_test.go
+++ b/internal/core/poisonfleet_test.go
@@ -42,6 +42,8 @@
 	// recoveredAt is the end of an instance's last fault, or the end of the test while the fault
 	// lasts.
 	recoveredAt map[*fakeInstance]time.Time
+	// sameNames makes engines start again under the name that they had.
+	sameNames bool
 }
 
 // poisonSend is one arrival of a request at an engine.
@@ -56,9 +58,10 @@
 type fakeEngine struct {
 	name string
 	// index selects the zone.
-	index   int
-	ended   bool
-	running map[core.RequestID]runningAttempt
+	index       int
+	incarnation uint64
+	ended       bool
+	running     map[core.RequestID]runningAttempt
 	// rejecting is set while a device on the path resets the engine's connections and refuses new
 	// ones, although the engine runs.
 	rejecting bool
@@ -80,27 +83,38 @@
 	f.serve = f.runAttempt
 	f.putConfig(1, "first", entriesText)
 	for i := range poisonEngines {
-		f.startEngine(i)
+		f.startEngine(fmt.Sprintf("engine-%d", i), i, 1)
 	}
+	f.started = poisonEngines
 	f.run(20 * time.Second)
 	return f
 }
 
-// startEngine starts an engine in the zone of an index, under a new name.
-func (f *poisonFleet) startEngine(index int) {
+// replace starts an engine in place of one that has ended.
+func (f *poisonFleet) replace(e *fakeEngine) {
+	if f.sameNames {
+		f.startEngine(e.name, e.index, e.incarnation+1)
+		return
+	}
+	f.startEngine(fmt.Sprintf("engine-%d", f.started), e.index, 1)
 	f.started++
-	e := &fakeEngine{name: fmt.Sprintf("engine-%d", f.started), index: index, running: make(map[core.RequestID]runningAttempt)}
+}
+
+// startEngine starts an engine in the zone of an index.
+func (f *poisonFleet) startEngine(name string, index int, incarnation uint64) {
+	e := &fakeEngine{name: name, index: index, incarnation: incarnation, running: make(map[core.RequestID]runningAttempt)}
 	f.engines[e.name] = e
 	f.store.putEntry(e.name, f.entryOf(e, membership.Live))
 }
 
 func (f *poisonFleet) entryOf(e *fakeEngine, state membership.State) *membership.Member {
 	member := engineEntry(e.index, state)
-	member.Name = e.name
+	member.Name, member.Incarnation = e.name, e.incarnation
 	return member
 }
 
-// end ends an engine at once. Its entry lapses later than its successor starts.
+// end ends an engine at once. Another one starts some seconds later, and the entry lapses unless
+// that one has the same name.
 func (f *poisonFleet) end(e *fakeEngine) {
 	if e.ended {
 		return
@@ -110,8 +124,10 @@
 		f.breakAttempt(e.running[id], true)
 	}
 	e.running = nil
-	f.schedule(f.between(2000, 4500), func() { f.store.putEntry(e.name, nil) })
-	f.schedule(f.between(1500, 4000), func() { f.startEngine(e.index) })
+	f.schedule(f.between(1500, 4000), func() { f.replace(e) })
+	if !f.sameNames {
+		f.schedule(f.between(2000, 4500), func() { f.store.putEntry(e.name, nil) })
+	}
 }
 
 // resetConnections breaks the attempts that an engine holds. The engine goes on; it refuses new
--- a/internal/core/poisonrequest_test.go
+++ b/internal/core/poisonrequest_test.go
@@ -52,6 +52,26 @@
 	})
 }
 
+// Guards against missing the ends of servers that start again under the name that they had, and
+// against taking their answers for a sign that they never ended.
+func TestPoisonRequestIsNotSentOnToRestartedServers(t *testing.T) {
+	for _, size := range []fleetSize{{8, 3}, {60, 4}} {
+		t.Run(size.String(), func(t *testing.T) {
+			t.Parallel()
+			for seed := range *boundSeeds {
+				f := newPoisonFleet(size, uint64(91+seed))
+				f.sameNames = true
+				f.poison[1] = true
+				f.repeat(1, 40*time.Second)
+				f.innocentCallers(false, 40*time.Second)
+				f.run(50 * time.Second)
+				f.requirePoisonStopped(t, 1)
+				f.requireInnocentsServed(t, false)
+			}
+		})
+	}
+}
+
 // Guards against a poison request that many callers of a customer send at the same time: several
 // instances would start a trial at once.
 func TestPoisonRequestOfManyCallersIsNotSentOn(t *testing.T) {
--- a/internal/core/poisonrequests.go
+++ b/internal/core/poisonrequests.go
@@ -134,12 +134,11 @@
 
 // updatePoison updates the poison records from the outcome of an attempt.
 func (n *Node) updatePoison(r *request, e AttemptEnded) {
-	server := n.serverStart(r.backend)
 	switch {
 	case e.ServerEnded:
-		n.serverEnded(r.key, server)
+		n.serverEnded(r.key, r.start)
 	case e.Outcome == retry.Answered, e.Outcome == retry.Failed:
-		n.recordAnswerOf(server, r.sentAt)
+		n.recordAnswerOf(r.start, r.sentAt)
 		n.poisonChanged("", n.poison.tracker.Completed(r.key, n.now)...)
 	}
 }
@@ -157,7 +156,7 @@
 // was leaving or whose entry had been removed was planned, and the request has no part in it.
 func (n *Node) serverEnded(key poison.Key, server poison.Server) {
 	member := n.view.Get(server.Name)
-	if member != nil && member.State != membership.Live {
+	if member != nil && member.Incarnation == server.Incarnation && member.State != membership.Live {
 		return
 	}
 	if !n.poison.tracker.Ended(key, server, n.now) {
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -62,12 +62,14 @@
 	// attempt counts the attempts, and runs the attempts in which a backend server may
 	// have started the request.
 	attempt, runs int
-	// running is set while an attempt is in progress, which was sent at sentAt.
+	// running is set while an attempt is in progress.
 	running bool
-	sentAt  time.Time
-	// backend and address identify the backend server of the last attempt.
+	// sentAt is the time at which the last attempt was sent.
+	sentAt time.Time
+	// backend and address identify the backend server of the last attempt, and start its process.
 	backend string
 	address string
+	start   poison.Server
 	// placement is the placement hint for the response of the last attempt.
 	placement string
 	// resumeAfter is the ID of the last event of a broken stream that can be resumed.
