--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -125,8 +125,9 @@
 		event.ServerEnded = event.Outcome.MayHaveRun() && x.server.ends.ended(x.response.attempt.Address, err)
 	}
 	x.server.log.put("attempt ended", "request", x.id, "attempt", event.Attempt, "backend", x.response.attempt.Backend,
-		"outcome", event.Outcome, "serverEnded", event.ServerEnded, "status", x.response.status, "sinceArrivalMs", time.Since(x.startedAt).Milliseconds(),
-		"firstMs", x.response.timeToFirstByte.Milliseconds(), "lastEvent", x.response.sequence.last, "dialled", x.response.dialReason, "error", event.Detail)
+		"outcome", event.Outcome, "status", x.response.status, "sinceArrivalMs", time.Since(x.startedAt).Milliseconds(),
+		"firstMs", x.response.timeToFirstByte.Milliseconds(), "lastEvent", x.response.sequence.last, "dialled", x.response.dialReason, "error", event.Detail,
+		"serverEnded", event.ServerEnded)
 	x.server.post(event)
 }
 
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -223,11 +223,11 @@
 func (s *Server) logAttempt(e *core.SendAttempt) {
 	b := &e.Selection
 	s.log.put("attempt", "request", e.Request, "attempt", e.Attempt, "backend", e.Backend, "address", e.Address,
-		"why", e.RetryReason, "customer", e.Customer, "content", hexContent(e.Content), "leftMs", e.Deadline.Sub(s.options.Now()).Milliseconds(),
+		"why", e.RetryReason, "customer", e.Customer, "leftMs", e.Deadline.Sub(s.options.Now()).Milliseconds(),
 		"resumeAfter", e.ResumeAfter, "source", e.Source, "generation", b.Generation, "revision", b.Revision,
 		"session", b.Session, "load", b.Load, "own", b.Parts.Own, "peers", b.Parts.Peers, "unseen", b.Parts.Unseen,
 		"average", b.Parts.Average, "mean", b.Mean, "limit", b.Limit, "reportAgeMs", ageMillis(b.ReportAge),
-		"waitedMs", b.Waited.Milliseconds())
+		"waitedMs", b.Waited.Milliseconds(), "content", hexContent(e.Content))
 }
 
 // hexContent returns a request's content hash as it is logged, "" if there is none.
@@ -251,10 +251,10 @@
 func (s *Server) recordFinish(e *core.Finish, detail string) {
 	s.options.Metrics.Refused(e.Reason)
 	s.log.put("request refused or failed", "request", e.Request, "outcome", e.Outcome,
-		"reason", e.Reason, "customer", e.Customer, "content", hexContent(e.Content), "service", e.Service,
+		"reason", e.Reason, "customer", e.Customer, "service", e.Service,
 		"backend", e.Backend, "attempt", e.Attempt, "retryAfterMs", e.RetryAfter.Milliseconds(),
 		"passedOn", e.ForwardFailure, "load", e.Utilization.Load, "capacity", e.Utilization.Capacity, "servers", e.Utilization.Servers,
-		"generation", e.Generation, "detail", detail)
+		"generation", e.Generation, "detail", detail, "content", hexContent(e.Content))
 }
 
 // connDeadline converts a time of the core's clock to a connection deadline. The result has
