Keep the names and the output of failed tests in a file

Cause: a test of test/fleet failed once in a run of the whole tree beside four others. Nothing had kept the run's output, so its name was lost and the failure could not be traced.

A package that starts and does not end counts as failed now: a run that was ended from outside could pass before.

--- a/tools/verdict/main.go
+++ b/tools/verdict/main.go
@@ -1,6 +1,10 @@
-// Command verdict reads the output of `go test -json` and decides whether CI passes. It
-// prints the failures, ignores failures of the tests that KNOWN-RED.txt lists, and prints
-// one line of counts at the end.
+// Command verdict reads the output of `go test -json` and decides whether CI passes:
+//
+//	go test -json ./... | verdict KNOWN-RED.txt [DIRECTORY]
+//
+// It prints the failures, ignores failures of the tests that KNOWN-RED.txt lists, and prints
+// one line of counts at the end. If a test failed, listed or not, it writes the names and the
+// output of all failed tests to a new file in the directory.
 //
 // It exits with status 0 only if every other test and package passed and at least one test
 // passed.
@@ -9,12 +13,15 @@
 import (
 	"bufio"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"maps"
 	"os"
+	"path/filepath"
 	"slices"
 	"strings"
+	"time"
 )
 
 // maxKnownRed is the largest number of tests whose failures may be ignored.
@@ -37,6 +44,8 @@
 	knownRed map[string]string
 	// output holds the output by package and test; the test is empty for the package itself.
 	output map[[2]string]*strings.Builder
+	// running holds the packages whose tests have started and not ended.
+	running map[string]bool
 	// failed lists the tests and packages that failed, in order.
 	failed  [][2]string
 	passed  int
@@ -44,17 +53,33 @@
 }
 
 func main() {
-	known, err := readKnownRed(os.Args[1])
-	if err == nil {
-		v := verdict{knownRed: known, output: make(map[[2]string]*strings.Builder)}
-		if err = v.read(os.Stdin); err == nil && v.report(os.Stdout) {
-			return
-		}
-	}
+	passed, err := decide(os.Args[1:])
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 	}
-	os.Exit(1)
+	if err != nil || !passed {
+		os.Exit(1)
+	}
+}
+
+// decide reads the test output from the standard input and reports whether CI passes.
+func decide(args []string) (passed bool, err error) {
+	if len(args) == 0 {
+		return false, errors.New("usage: verdict KNOWN-RED.txt [DIRECTORY]")
+	}
+	known, err := readKnownRed(args[0])
+	if err != nil {
+		return false, err
+	}
+	v := newVerdict(known)
+	if err := v.read(os.Stdin); err != nil {
+		return false, err
+	}
+	passed = v.report(os.Stdout)
+	if len(args) > 1 && len(v.failed) > 0 {
+		return passed, v.keepFailures(args[1])
+	}
+	return passed, nil
 }
 
 // readKnownRed reads lines of the form "test: cause: issue". It skips empty lines and lines
@@ -82,6 +107,11 @@
 	return known, nil
 }
 
+func newVerdict(known map[string]string) verdict {
+	return verdict{knownRed: known, output: make(map[[2]string]*strings.Builder), running: make(map[string]bool)}
+}
+
+// read reads the events. A package without an end counts as failed: go test itself was ended.
 func (v *verdict) read(r io.Reader) error {
 	lines := bufio.NewScanner(r)
 	lines.Buffer(nil, maxLine)
@@ -94,15 +124,26 @@
 		}
 		v.record(e)
 	}
+	for _, pkg := range slices.Sorted(maps.Keys(v.running)) {
+		v.failed = append(v.failed, [2]string{pkg, ""})
+	}
 	return lines.Err()
 }
 
 func (v *verdict) record(e event) {
 	id := [2]string{e.Package, e.Test}
+	if e.Test == "" && (e.Action == "pass" || e.Action == "fail" || e.Action == "skip") {
+		delete(v.running, e.Package)
+	}
 	switch e.Action {
+	case "start":
+		v.running[e.Package] = true
 	case "build-output":
 		fmt.Print(e.Output)
 	case "output":
+		if e.Test == "" && strings.HasPrefix(e.Output, "ok") {
+			fmt.Print(e.Output)
+		}
 		if v.output[id] == nil {
 			v.output[id] = new(strings.Builder)
 		}
@@ -130,10 +171,7 @@
 			ignored++
 		default:
 			failed++
-			_, _ = fmt.Fprintf(w, "FAILED %s %s\n", id[0], id[1])
-			if out := v.output[id]; out != nil {
-				_, _ = fmt.Fprint(w, out)
-			}
+			v.printFailure(w, id)
 		}
 	}
 	v.reportKnownRed(w)
@@ -141,6 +179,33 @@
 	return failed == 0 && v.passed > 0
 }
 
+// printFailure prints the name and the output of a test that failed, or of a package.
+func (v *verdict) printFailure(w io.Writer, id [2]string) {
+	_, _ = fmt.Fprintf(w, "FAILED %s %s\n", id[0], id[1])
+	if out := v.output[id]; out != nil {
+		_, _ = fmt.Fprint(w, out)
+	}
+}
+
+// keepFailures writes the names and the output of all failed tests to a new file in a directory. A
+// failure that shows once could not be traced without them.
+func (v *verdict) keepFailures(dir string) error {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return err
+	}
+	var text strings.Builder
+	for _, id := range v.failed {
+		v.printFailure(&text, id)
+	}
+	name := fmt.Sprintf("%s-%d.txt", time.Now().UTC().Format("20060102T150405"), os.Getpid())
+	file := filepath.Join(dir, name)
+	if err := os.WriteFile(file, []byte(text.String()), 0o644); err != nil {
+		return err
+	}
+	fmt.Printf("names and output of the failed tests: %s\n", file)
+	return nil
+}
+
 // hasFailedTest reports whether a test of the package failed. A package that failed without a
 // failed test did not build or crashed.
 func (v *verdict) hasFailedTest(pkg string) bool {
