Share poison records through the store while instances do not hear each other

What callers saw: a request that ends each server that runs it was sent on by instances that reach the store but not each other. Each counted for itself: a request needed three ends at each of them, and cost a server each time.

Cause: what an instance knows of ended servers travelled over links alone.

Change: while a peer is silent for 2.5 s, or a peer says that it does not hear all of its own, an instance writes its records to the store, one key for a content and an instance. The keys begin like those of the servers' entries, so the watch of the entries returns them: reading needs no call, and records reach each instance that reaches the store within the bound that holds for entries. Peers in other zones, which usually get loads only, are sent the records over what links are left.

Why it works: whichever instances are apart, one that observed an end notices within 2.5 s that a peer may lack it, and the store brings it to all others before the third second after the third end is over.

--- a/internal/core/backendentries.go
+++ b/internal/core/backendentries.go
@@ -165,7 +165,8 @@
 		return
 	}
 	b.failures, b.nextCall = 0, time.Time{}
-	changed := b.listing || len(e.Entries) > 0
+	changed := b.listing || len(e.Entries)+len(e.Poison) > 0
+	n.mergeStoredPoison(e.Poison)
 	n.recordStoreSuccess(call, changed)
 	if b.listing {
 		n.backendsListed(e, call)
--- a/internal/core/digests.go
+++ b/internal/core/digests.go
@@ -20,8 +20,10 @@
 		Leaving:     n.lifecycle.stopping,
 		Resync:      p.wantFull,
 		WantMembers: n.needsMembers(),
+		HearsNotAll: !n.poison.store.hearsAll,
 	}
-	changed := d.Generation != p.sentGeneration || d.Leaving != p.sentLeaving || n.backends.shareableRevision() != p.sentEntriesUpTo
+	changed := d.Generation != p.sentGeneration || d.Leaving != p.sentLeaving || d.HearsNotAll != p.sentHearsNotAll
+	changed = changed || n.backends.shareableRevision() != p.sentEntriesUpTo
 	n.addLoads(p, d)
 	n.addReports(p, d)
 	changed = changed || n.needsProof(p)
@@ -41,6 +43,7 @@
 	d.Seq = p.seq
 	p.digestSentAt = n.now
 	p.sentGeneration, p.sentLeaving, p.sentEntriesUpTo = d.Generation, d.Leaving, d.EntriesUpTo
+	p.sentHearsNotAll = d.HearsNotAll
 	n.emit(SendPeer{To: p.name, Message: PeerMessage{Digest: d}})
 }
 
@@ -49,7 +52,7 @@
 func (n *Node) addFacts(p *peerState, d *Digest) {
 	if n.inLayout(p.name) && !n.receivesFacts(p.name) {
 		p.sentFactsSeq, p.sentMembersSeq = n.view.Seq(), n.view.Seq()
-		clear(p.pendingPoison)
+		n.addPoisonIfSeparated(p, d)
 		return
 	}
 	n.addMembers(p, d)
@@ -189,7 +192,8 @@
 		n.applyBackendReport(r)
 		n.recordBackendReport(r.Backend)
 	}
-	n.mergePoison(from, d.Poison)
+	p.hearsNotAll = d.HearsNotAll
+	n.mergePoison(poisonSource(from), d.Poison)
 	n.recordPeerKnowledge(p, d)
 	n.requestMissingEntries(from, d)
 	n.peerAnswers(d)
--- a/internal/core/entryexchange_test.go
+++ b/internal/core/entryexchange_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/ebonydyke/ebonydyke/internal/core"
 	"github.com/ebonydyke/ebonydyke/internal/core/membership"
+	"github.com/ebonydyke/ebonydyke/internal/core/poison"
 )
 
 // entriesText configures a service whose backend servers register entries in the store.
@@ -113,7 +114,19 @@
 
 // putEntry sets a backend server's entry, or removes it if member is nil.
 func (s *fakeStore) putEntry(name string, member *membership.Member) {
-	s.entries = append(s.entries, core.BackendEntry{Name: name, Revision: uint64(len(s.entries) + 1), Backend: member})
+	s.addChange(storedChange{entry: core.BackendEntry{Name: name, Revision: s.nextRevision(), Backend: member}})
+}
+
+// storedChange is a change of a backend server's entry, or of a poison record.
+type storedChange struct {
+	entry  core.BackendEntry
+	poison *poison.Record
+}
+
+func (s *fakeStore) nextRevision() uint64 { return uint64(len(s.entries) + 1) }
+
+func (s *fakeStore) addChange(change storedChange) {
+	s.entries = append(s.entries, change)
 	watchers := s.watchers
 	s.watchers = nil
 	for _, w := range watchers {
@@ -125,10 +138,14 @@
 	call := s.begin(m, e.Timeout, core.BackendsRead{Op: e.Op, Status: core.StoreFailed})
 	call.answer(func() core.Event {
 		newest := make(map[string]core.BackendEntry)
-		for _, entry := range s.entries {
-			newest[entry.Name] = entry
-		}
 		read := core.BackendsRead{Op: e.Op, Status: core.StoreOK, Revision: uint64(len(s.entries))}
+		for _, change := range s.entries {
+			if change.poison != nil {
+				read.Poison = append(read.Poison, *change.poison)
+				continue
+			}
+			newest[change.entry.Name] = change.entry
+		}
 		for _, name := range slices.Sorted(maps.Keys(newest)) {
 			if newest[name].Backend != nil {
 				read.Entries = append(read.Entries, newest[name])
@@ -143,10 +160,12 @@
 	answer := func() {
 		call.answer(func() core.Event {
 			read := core.BackendsRead{Op: e.Op, Status: core.StoreOK, Revision: uint64(len(s.entries))}
-			for _, entry := range s.entries {
-				if entry.Revision > e.After {
-					read.Entries = append(read.Entries, entry)
+			for _, change := range s.entries[min(e.After, uint64(len(s.entries))):] {
+				if change.poison != nil {
+					read.Poison = append(read.Poison, *change.poison)
+					continue
 				}
+				read.Entries = append(read.Entries, change.entry)
 			}
 			return read
 		})
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -5,6 +5,7 @@
 
 	"github.com/ebonydyke/ebonydyke/internal/core/config"
 	"github.com/ebonydyke/ebonydyke/internal/core/membership"
+	"github.com/ebonydyke/ebonydyke/internal/core/poison"
 	"github.com/ebonydyke/ebonydyke/internal/core/retry"
 )
 
@@ -169,17 +170,19 @@
 	Op      OpID           `json:"op"`
 	Status  StoreStatus    `json:"status"`
 	Entries []BackendEntry `json:"entries,omitempty"`
+	// Poison are the poison records of instances, which the store keeps beside the entries.
+	Poison []poison.Record `json:"poison,omitempty"`
 	// More is the key after which the next page of a list starts, empty on the last page.
 	More string `json:"more,omitempty"`
 	// Revision is the store's revision, from which a watch continues.
 	Revision uint64 `json:"revision,omitempty"`
 }
 
-// LeaseReplied is the result of a Register or a RenewLease.
+// LeaseReplied is the result of a Register, a RenewLease or a StorePoison.
 type LeaseReplied struct {
 	Op     OpID        `json:"op"`
 	Status StoreStatus `json:"status"`
-	// Lease is the current lease. It is set even if the entry was not written.
+	// Lease is the current lease. It is set even if nothing was written under it.
 	Lease uint64 `json:"lease,omitempty"`
 }
 
--- a/internal/core/fakestore_test.go
+++ b/internal/core/fakestore_test.go
@@ -22,9 +22,10 @@
 	keys  map[string]*fakeValue
 	down  bool
 	delay time.Duration
-	// entries holds the changes of the backend servers' entries, numbered from 1.
-	entries []core.BackendEntry
-	// watchers are called on each change of the entries.
+	// entries holds the changes of the backend servers' entries and of the poison records beside
+	// them, numbered from 1.
+	entries []storedChange
+	// watchers are called on each of these changes.
 	watchers []func()
 	// lostReplyShare is the share of writes that take effect but whose reply is lost,
 	// lostWriteShare the share that never take effect, and lateWriteShare the share that take
--- a/internal/core/fakestoreregistration_test.go
+++ b/internal/core/fakestoreregistration_test.go
@@ -63,6 +63,27 @@
 	})
 }
 
+// storePoison writes poison records.
+func (s *fakeStore) storePoison(m *fakeInstance, e core.StorePoison) {
+	f := s.fleet
+	if s.unreachableFrom(m) {
+		f.reply(m, storeTimeout, core.LeaseReplied{Op: e.Op, Status: core.StoreUnknown, Lease: e.Lease})
+		return
+	}
+	f.storeCost++
+	if e.Lease == 0 {
+		f.storeCost++
+		s.lastLease++
+		e.Lease = s.lastLease
+	}
+	f.schedule(s.latency(), func() {
+		for _, record := range e.Records {
+			s.addChange(storedChange{poison: &record})
+		}
+		f.reply(m, time.Millisecond, core.LeaseReplied{Op: e.Op, Status: core.StoreOK, Lease: e.Lease})
+	})
+}
+
 func (s *fakeStore) renew(m *fakeInstance, e core.RenewLease) {
 	f := s.fleet
 	if s.unreachableFrom(m) {
--- a/internal/core/fleet_test.go
+++ b/internal/core/fleet_test.go
@@ -337,6 +337,9 @@
 		f.calls["renew"]++
 		f.storeCost += tenthOfCall
 		f.store.renew(m, e)
+	case core.StorePoison:
+		f.calls["store-poison"]++
+		f.store.storePoison(m, e)
 	case core.ListBackends:
 		f.storeCost++
 		f.calls["list-backends"]++
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -162,6 +162,7 @@
 		n.backendsRead(e)
 	case LeaseReplied:
 		n.leaseReplied(e)
+		n.poisonStored(e)
 	case ConfigOffered:
 		n.offerConfig(ConfigOffer(e), SourceSettings)
 	case StoreReplied:
--- a/internal/core/peermsg.go
+++ b/internal/core/peermsg.go
@@ -42,6 +42,9 @@
 	// WantMembers asks the receiver for all instances that it knows, because the sender could
 	// not read the platform's list.
 	WantMembers bool `json:"want_members,omitempty"`
+	// HearsNotAll is set while some of the sender's peers are silent for it. The receiver may be
+	// one of them, and what it sends may not arrive.
+	HearsNotAll bool `json:"hears_not_all,omitempty"`
 	// Loads are the sender's own requests in progress by backend server. A backend server that
 	// is missing from this list or the next two is unchanged since the last digest to this
 	// peer, or has no requests if Full is set.
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -169,6 +169,8 @@
 	receivedAt time.Time
 	received   loadsum.Loads
 	leaving    bool
+	// hearsNotAll is set while some of the peer's own peers are silent for it.
+	hearsNotAll bool
 	// wantFull is set while the peer is to be asked for a full digest.
 	wantFull bool
 	// loadsDropped is set once the peer's loads were dropped, until its next digest.
@@ -188,6 +190,8 @@
 	membersPending bool
 	sentGeneration uint64
 	sentLeaving    bool
+	// sentHearsNotAll is the HearsNotAll of the last digest.
+	sentHearsNotAll bool
 	// sentFactsSeq is the view's sequence number up to which the peer was sent the instances that
 	// are leaving or gone.
 	sentFactsSeq uint64
@@ -250,7 +254,7 @@
 	p.setIncarnation(e.Incarnation)
 	p.lastSeq = 0
 	p.receivedAt = n.now
-	p.leaving = false
+	p.leaving, p.hearsNotAll = false, false
 	p.sent = loadsum.NewLoads()
 	p.sentGeneration, p.sentLeaving, p.sentEntriesUpTo = 0, false, 0
 	p.sentAsOf = time.Time{}
--- a/internal/core/poison/exchange.go
+++ b/internal/core/poison/exchange.go
@@ -46,6 +46,22 @@
 	return out, true
 }
 
+// Extent tells how much of a request is known. Two records of a request, of which one has all of the
+// other, have the same extent only if they are equal.
+type Extent struct{ ends, voided, trials int }
+
+// Extent returns the extent of a record.
+func (r Record) Extent() Extent { return Extent{len(r.Ends), len(r.Voided), r.Trials} }
+
+// Extent returns the extent of a request's record, and whether there is one.
+func (t *Tracker) Extent(key Key) (Extent, bool) {
+	r := t.records[key]
+	if r == nil {
+		return Extent{}, false
+	}
+	return Extent{r.count(), len(r.ends) - r.count(), r.trials}, true
+}
+
 // Merge merges a record of another instance and reports whether it brought anything new. A record
 // that this instance would have forgotten is ignored.
 func (t *Tracker) Merge(in Record, now time.Time) bool {
--- a/internal/core/poisonfleet_test.go
+++ b/internal/core/poisonfleet_test.go
@@ -276,3 +276,15 @@
 		t.Errorf("content %d was sent %d times after three engines had ended under it, %d ended in all", content, late, ends)
 	}
 }
+
+// maxCallsPerSecond returns the highest number of calls of a kind that all instances made within a
+// second of d, while it runs for d.
+func (f *poisonFleet) maxCallsPerSecond(kind string, d time.Duration) int {
+	most := 0
+	for end := f.now.Add(d); f.now.Before(end); {
+		before := f.calls[kind]
+		f.run(time.Second)
+		most = max(most, f.calls[kind]-before)
+	}
+	return most
+}
--- a/internal/core/poisonrequest_test.go
+++ b/internal/core/poisonrequest_test.go
@@ -95,6 +95,7 @@
 // times.
 func testPoisonBesideFault(t *testing.T, size fleetSize, fault instanceFault, seed uint64) {
 	t.Helper()
+	t.Logf("seed %d", seed)
 	f := newPoisonFleet(size, seed)
 	f.poison[1], f.poison[2] = true, true
 	f.repeat(1, 40*time.Second)
@@ -143,6 +144,32 @@
 	testPoisonBesideFaults(t, true)
 }
 
+// Guards against instances that hear none of the others and exceed the store's rates, because each
+// of many writes what it learns of a hundred poison requests.
+func TestSeparatedInstancesStayWithinStoreRates(t *testing.T) {
+	// The operators' store accepts 400 writes and 2,000 reads a second from the whole fleet.
+	const maxWrites, maxReads = 400, 2000
+	f := newPoisonFleet(fleetSize{60, 4}, 111)
+	f.linkCut = func(_, _ *fakeInstance) bool { return true }
+	for content := uint64(1); content <= 100; content++ {
+		f.poison[content] = true
+		f.schedule(time.Duration(content)*100*time.Millisecond, func() { f.repeat(content, 20*time.Second) })
+	}
+	f.innocentCallers(false, 20*time.Second)
+	f.schedule(0, func() {
+		reads := f.calls["watch-backends"] + f.calls["list-backends"]
+		f.schedule(10*time.Second, func() {
+			perSecond := (f.calls["watch-backends"] + f.calls["list-backends"] - reads) / 10
+			t.Logf("%d reads a second", perSecond)
+			require.Less(t, perSecond, maxReads)
+		})
+	})
+	writes := f.maxCallsPerSecond("store-poison", 30*time.Second)
+	t.Logf("at most %d writes a second", writes)
+	require.Positive(t, writes)
+	require.Less(t, writes, maxWrites)
+}
+
 // allowedFalseRefusals returns the number of requests that may be refused as poison although they
 // end no server: as many as the operators allow for proper requests that are denied, and one in a
 // hundred where the same few contents return all the time.
--- a/internal/core/poisonrequests.go
+++ b/internal/core/poisonrequests.go
@@ -45,10 +45,14 @@
 	// blocked are the blocked requests that were last logged.
 	blocked  []poison.Key
 	expireAt time.Time
+	// store holds which records are to be written to the platform's store.
+	store poisonStoreState
 }
 
 func newPoisonState() poisonState {
-	return poisonState{tracker: poison.NewTracker(), answeredAt: make(map[poison.Server]time.Time)}
+	return poisonState{
+		tracker: poison.NewTracker(), answeredAt: make(map[poison.Server]time.Time), store: newPoisonStoreState(),
+	}
 }
 
 // refusesPoison reports whether a request is to be refused on arrival because it is blocked. When
@@ -95,7 +99,7 @@
 	}
 	n.poison.tracker.Trial(r.key, n.now)
 	n.emit(Counted{Counter: counterPoison, Label: labelTrial, N: 1})
-	n.queuePoison("", r.key)
+	n.queuePoison(sourceSelf, r.key)
 }
 
 // leastLoaded returns the index of the reachable backend server with the lowest load that was not
@@ -139,7 +143,7 @@
 		n.serverEnded(r.key, r.start)
 	case e.Outcome == retry.Answered, e.Outcome == retry.Failed:
 		n.recordAnswerOf(r.start, r.sentAt)
-		n.poisonChanged("", n.poison.tracker.Completed(r.key, n.now)...)
+		n.poisonChanged(sourceSelf, n.poison.tracker.Completed(r.key, n.now)...)
 	}
 }
 
@@ -163,14 +167,14 @@
 		return
 	}
 	n.emit(Counted{Counter: counterPoison, Label: labelServerEnded, N: 1})
-	n.poisonChanged("", key)
+	n.poisonChanged(sourceSelf, key)
 }
 
 // voidPlannedEnd voids the end of a server whose entry says that it was leaving.
 func (n *Node) voidPlannedEnd(member *membership.Member) {
 	if member.State == membership.Leaving {
 		server := poison.Server{Name: member.Name, Incarnation: member.Incarnation}
-		n.poisonChanged("", n.poison.tracker.Void(server, n.now)...)
+		n.poisonChanged(sourceSelf, n.poison.tracker.Void(server, n.now)...)
 	}
 }
 
@@ -185,11 +189,13 @@
 // tickPoison forgets old records, and voids the ends of servers that turned out to be alive.
 func (n *Node) tickPoison() {
 	n.voidAlive()
+	n.tickPoisonStore()
 	if n.now.Before(n.poison.expireAt) {
 		return
 	}
 	n.poison.expireAt = n.now.Add(poisonExpiryInterval)
 	n.poison.tracker.Expire(n.now)
+	n.forgetStoredPoison()
 	n.logBlocked()
 	if evicted := n.poison.tracker.TakeEvicted(); evicted > 0 {
 		n.emit(Counted{Counter: counterPoison, Label: labelRecordEvicted, N: evicted})
@@ -212,13 +218,13 @@
 			continue
 		}
 		n.emit(Counted{Counter: counterPoison, Label: labelServerAlive, N: 1})
-		n.poisonChanged("", n.poison.tracker.Void(server, n.now)...)
+		n.poisonChanged(sourceSelf, n.poison.tracker.Void(server, n.now)...)
 	}
 }
 
 // poisonChanged queues changed records for the peers other than the one from which they came, and
-// logs which requests are blocked now.
-func (n *Node) poisonChanged(from string, keys ...poison.Key) {
+// for the store, and logs which requests are blocked now.
+func (n *Node) poisonChanged(from poisonSource, keys ...poison.Key) {
 	if len(keys) == 0 {
 		return
 	}
@@ -231,12 +237,14 @@
 // queuePoison queues a record for all peers other than the one from which it came. In a full mesh a
 // record that came from a peer has reached all others, unless their links are down. It is then
 // forwarded only if several servers ended under the request.
-func (n *Node) queuePoison(from string, key poison.Key) {
-	if from != "" && !n.multiHop() && !n.poison.tracker.Suspicious(key) {
+func (n *Node) queuePoison(from poisonSource, key poison.Key) {
+	n.noteUnstored(from, key)
+	fromPeer := from != sourceSelf && from != sourceStore
+	if fromPeer && !n.multiHop() && !n.poison.tracker.Suspicious(key) {
 		return
 	}
 	for name, p := range n.peers.byName {
-		if name != from {
+		if name != string(from) {
 			p.pendingPoison[key] = true
 		}
 	}
@@ -263,8 +271,8 @@
 	}
 }
 
-// mergePoison merges the records that a peer has sent.
-func (n *Node) mergePoison(from string, records []poison.Record) {
+// mergePoison merges the records from another source.
+func (n *Node) mergePoison(from poisonSource, records []poison.Record) {
 	for _, record := range records {
 		if n.poison.tracker.Merge(record, n.now) {
 			n.poisonChanged(from, record.Key)
--- /dev/null
+++ b/internal/core/poisonstore.go
@@ -0,0 +1,249 @@
+package core
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/ebonydyke/ebonydyke/internal/core/poison"
+)
+
+// Poison records travel over the links between instances. Instances that share nothing but the
+// platform's store would each count for themselves, and each send a poison request on. So while an
+// instance and one of its peers may not hear each other, it writes its records to the store. They
+// are read with the backend servers' entries, which reach every instance that reaches the store
+// within the operators' bound.
+
+const (
+	// separationTimeout is the silence of a peer from which records are written to the store: one
+	// heartbeat and a margin. It leaves a part of the three seconds within which the operators
+	// expect instances in touch to learn of an end.
+	separationTimeout = heartbeatInterval + 500*time.Millisecond
+	// separationWindow is the age up to which a change of a record is written once a peer turns out
+	// to be silent: the digests that carried it may be lost.
+	separationWindow = 2 * separationTimeout
+	// storedPoisonTTL is how long the store keeps a record. Those that read it keep it themselves.
+	storedPoisonTTL = 10 * time.Minute
+	// maxStoredPoison is the maximum number of records in a call. The platform allows a transaction
+	// 32 keys.
+	maxStoredPoison = 32
+	// minPoisonStoreInterval and poisonStoreIntervalPerInstance limit the rate of an instance's
+	// calls, so that all of them together make at most 200 a second.
+	minPoisonStoreInterval         = 250 * time.Millisecond
+	poisonStoreIntervalPerInstance = 5 * time.Millisecond
+	// maxPoisonStoreBackoff limits the delay after failed calls.
+	maxPoisonStoreBackoff = 4 * time.Second
+)
+
+// labelStored counts the records that were written to the store.
+const labelStored = "stored"
+
+// States of the links to the peers as they are logged.
+const (
+	stateSeparated = "not heard by or hearing all peers"
+	stateTogether  = "hearing all peers"
+)
+
+// StorePoison writes poison records to the platform's store under a lease, and acquires the lease
+// first if there is none. LeaseReplied reports the result.
+type StorePoison struct {
+	Op      OpID            `json:"op"`
+	Lease   uint64          `json:"lease,omitempty"`
+	TTL     time.Duration   `json:"ttl"`
+	Records []poison.Record `json:"records"`
+}
+
+// EffectName implements Effect.
+func (StorePoison) EffectName() string { return "store-poison" }
+
+// poisonStoreState holds which records are to be written to the store.
+type poisonStoreState struct {
+	// separated is set while this instance and one of its peers may not hear each other.
+	separated bool
+	// hearsAll is set while no peer is silent.
+	hearsAll bool
+	// unstored maps the records that the store may lack to the time of their last change.
+	unstored map[poison.Key]time.Time
+	// stored holds the extent of records that were read from the store or written to it.
+	stored map[poison.Key]poison.Extent
+	// call is the call in progress, and writing the records that it writes.
+	call     OpID
+	writing  []poison.Record
+	lease    uint64
+	leaseEnd time.Time
+	nextCall time.Time
+	failures int
+}
+
+func newPoisonStoreState() poisonStoreState {
+	return poisonStoreState{
+		hearsAll: true, unstored: make(map[poison.Key]time.Time), stored: make(map[poison.Key]poison.Extent),
+	}
+}
+
+// poisonSource is the source of a poison record: the name of the peer that sent it, or one of the
+// constants below.
+type poisonSource string
+
+const (
+	// sourceSelf is what this instance observed itself.
+	sourceSelf poisonSource = ""
+	// sourceStore is a record that was read from the platform's store.
+	sourceStore = poisonSource(SourceStore)
+)
+
+// noteUnstored notes that the store may lack a change of a record. Each instance writes what it
+// observed itself. Where digests take several hops, those next to a silent peer also write what
+// they learned from others that hear all of their peers.
+func (n *Node) noteUnstored(from poisonSource, key poison.Key) {
+	fromPeer := from != sourceSelf && from != sourceStore
+	if from == sourceSelf || fromPeer && n.multiHop() && n.poison.tracker.Suspicious(key) {
+		n.poison.store.unstored[key] = n.now
+	}
+}
+
+// tickPoisonStore writes records to the store while this instance is separated from a peer.
+func (n *Node) tickPoisonStore() {
+	n.updateSeparated()
+	s := &n.poison.store
+	if !s.separated || !n.usesBackendEntries() {
+		maps.DeleteFunc(s.unstored, func(_ poison.Key, at time.Time) bool { return n.now.Sub(at) > separationWindow })
+		return
+	}
+	if s.call != 0 || n.now.Before(s.nextCall) {
+		return
+	}
+	s.writing = n.takeUnstored()
+	if len(s.writing) == 0 {
+		return
+	}
+	s.call = n.nextOp()
+	if n.now.After(s.leaseEnd) {
+		s.lease = 0
+	}
+	n.emit(StorePoison{Op: s.call, Lease: s.lease, TTL: storedPoisonTTL, Records: s.writing})
+}
+
+// updateSeparated determines whether this instance and one of its peers may not hear each other. A
+// peer that is silent may still hear this instance, and one that this instance hears may not. A peer
+// that is leaving gets no more requests.
+func (n *Node) updateSeparated() {
+	s := &n.poison.store
+	hearsAll, separated := true, false
+	for name := range n.peers.inLayout {
+		p := n.peers.byName[name]
+		switch {
+		case p == nil || p.leaving:
+		case n.now.Sub(p.receivedAt) > separationTimeout:
+			hearsAll, separated = false, true
+		case p.hearsNotAll:
+			separated = true
+		}
+	}
+	if hearsAll != s.hearsAll {
+		s.hearsAll = hearsAll
+		n.sendDigestsNow()
+	}
+	if separated != s.separated {
+		s.separated = separated
+		n.separationChanged()
+	}
+}
+
+// separationChanged logs the change. Once this instance is separated, peers that get only loads are
+// sent the poison records as well: those from which they usually learn facts may be cut off.
+func (n *Node) separationChanged() {
+	state := stateTogether
+	if n.poison.store.separated {
+		state = stateSeparated
+		for name := range n.peers.inLayout {
+			if !n.receivesFacts(name) {
+				n.queueAllPoison(n.peer(name))
+			}
+		}
+	}
+	n.emit(StateChanged{Subject: SubjectLink, State: state})
+}
+
+// addPoisonIfSeparated adds poison records to a digest for a peer that gets only loads.
+func (n *Node) addPoisonIfSeparated(p *peerState, d *Digest) {
+	if !n.poison.store.separated {
+		clear(p.pendingPoison)
+		return
+	}
+	n.addPoison(p, d)
+}
+
+// takeUnstored removes the next records to be written from those that the store may lack, the most
+// suspicious first. It leaves out those that the store has, as another instance wrote them.
+func (n *Node) takeUnstored() []poison.Record {
+	s := &n.poison.store
+	maps.DeleteFunc(s.unstored, func(key poison.Key, _ time.Time) bool {
+		extent, ok := n.poison.tracker.Extent(key)
+		return !ok || s.stored[key] == extent
+	})
+	var records []poison.Record
+	for _, key := range n.poison.tracker.Select(slices.Collect(maps.Keys(s.unstored)), maxStoredPoison) {
+		delete(s.unstored, key)
+		if record, ok := n.poison.tracker.Record(key, n.now); ok {
+			records = append(records, record)
+		}
+	}
+	return records
+}
+
+// poisonStored handles the result of a StorePoison. An expired lease has removed its records, and a
+// new one is acquired with the next call.
+func (n *Node) poisonStored(e LeaseReplied) {
+	s := &n.poison.store
+	if e.Op != s.call {
+		return
+	}
+	s.call = 0
+	if e.Lease != s.lease {
+		s.lease, s.leaseEnd = e.Lease, n.now.Add(storedPoisonTTL/2)
+	}
+	if e.Status != StoreOK {
+		n.storePoisonFailed(e)
+		return
+	}
+	s.failures = 0
+	s.nextCall = n.now.Add(n.jitter(n.poisonStoreInterval()))
+	for _, record := range s.writing {
+		s.stored[record.Key] = record.Extent()
+	}
+	n.emit(Counted{Counter: counterPoison, Label: labelStored, N: len(s.writing)})
+}
+
+func (n *Node) storePoisonFailed(e LeaseReplied) {
+	s := &n.poison.store
+	s.failures++
+	s.nextCall = n.now.Add(n.backoffDelay(n.poisonStoreInterval(), maxPoisonStoreBackoff, s.failures))
+	if e.Status == StoreAbsent {
+		s.lease = 0
+	}
+	for _, record := range s.writing {
+		s.unstored[record.Key] = n.now
+	}
+}
+
+// poisonStoreInterval returns the minimum interval between two calls.
+func (n *Node) poisonStoreInterval() time.Duration {
+	return max(minPoisonStoreInterval, time.Duration(len(n.liveInstances()))*poisonStoreIntervalPerInstance)
+}
+
+// mergeStoredPoison merges the records that were read from the store.
+func (n *Node) mergeStoredPoison(records []poison.Record) {
+	for _, record := range records {
+		n.poison.store.stored[record.Key] = record.Extent()
+	}
+	n.mergePoison(sourceStore, records)
+}
+
+// forgetStoredPoison forgets what the store has of requests without a record.
+func (n *Node) forgetStoredPoison() {
+	maps.DeleteFunc(n.poison.store.stored, func(key poison.Key, _ poison.Extent) bool {
+		_, ok := n.poison.tracker.Extent(key)
+		return !ok
+	})
+}
--- a/internal/daemon/executor.go
+++ b/internal/daemon/executor.go
@@ -73,6 +73,8 @@
 		go x.store.register(e)
 	case core.RenewLease:
 		go x.store.renewLease(e)
+	case core.StorePoison:
+		go x.store.storePoison(e)
 	default:
 		return false
 	}
--- a/internal/daemon/storecalls.go
+++ b/internal/daemon/storecalls.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -237,14 +238,14 @@
 func (s *storeCalls) listBackends(e core.ListBackends) {
 	ctx, cancel := context.WithTimeout(s.ctx, e.Timeout)
 	defer cancel()
-	page, err := s.client.Range(ctx, platform.BackendPrefix, e.After, false)
+	page, err := s.client.Range(ctx, platform.WatchedPrefix, e.After, false)
 	s.postBackends(e.Op, page, err)
 }
 
 func (s *storeCalls) watchBackends(e core.WatchBackends) {
 	ctx, cancel := context.WithTimeout(s.ctx, e.Timeout)
 	defer cancel()
-	page, err := s.client.Watch(ctx, platform.BackendPrefix, e.After, e.Hold)
+	page, err := s.client.Watch(ctx, platform.WatchedPrefix, e.After, e.Hold)
 	s.postBackends(e.Op, page, err)
 }
 
@@ -254,7 +255,12 @@
 		klog.V(1).InfoS("failed to read the entries of the backend servers", "error", err)
 	}
 	for _, i := range page.Items {
-		out.Entries = append(out.Entries, backendEntry(i))
+		switch {
+		case strings.HasPrefix(i.Key, platform.BackendPrefix):
+			out.Entries = append(out.Entries, backendEntry(i))
+		case strings.HasPrefix(i.Key, platform.PoisonPrefix) && !i.Deleted:
+			out.Poison = appendPoison(out.Poison, i)
+		}
 		out.Revision = max(out.Revision, i.Revision)
 	}
 	if page.More && len(page.Items) > 0 {
@@ -331,15 +337,20 @@
 	if err != nil {
 		return e.Lease, fmt.Errorf("daemon: encode the entry of this instance: %w", err)
 	}
-	lease = e.Lease
+	return s.putWithLease(ctx, e.Lease, e.TTL, store.Item{Key: instancePrefix + e.Instance.Name, Value: value})
+}
+
+// putWithLease writes items under a lease, which it acquires first if there is none. It returns the
+// lease even if nothing was written.
+func (s *storeCalls) putWithLease(ctx context.Context, lease uint64, ttl time.Duration, items ...store.Item) (uint64, error) {
 	if lease == 0 {
-		granted, err := s.client.GrantLease(ctx, e.TTL)
+		granted, err := s.client.GrantLease(ctx, ttl)
 		if err != nil {
 			return 0, err
 		}
 		lease = granted.ID
 	}
-	return lease, s.client.PutWithLease(ctx, instancePrefix+e.Instance.Name, value, lease)
+	return lease, s.client.PutWithLease(ctx, lease, items...)
 }
 
 func (s *storeCalls) renewLease(e core.RenewLease) {
--- a/internal/peer/codec_test.go
+++ b/internal/peer/codec_test.go
@@ -86,6 +86,7 @@
 		Seq: rapid.Uint64().Draw(t, "seq"), At: at, Generation: rapid.Uint64Range(0, 1<<40).Draw(t, "generation"),
 		Leaving: rapid.Bool().Draw(t, "leaving"), Full: rapid.Bool().Draw(t, "full"),
 		Resync: rapid.Bool().Draw(t, "resync"), WantMembers: rapid.Bool().Draw(t, "want"),
+		HearsNotAll: rapid.Bool().Draw(t, "hears"),
 	}
 	for _, list := range []*[]load.Count{&d.Loads, &d.RowSums, &d.Totals} {
 		for backend, inFlight := range rapid.MapOf(name, rapid.IntRange(0, 1<<20)).Draw(t, "loads") {
--- a/internal/peer/decode.go
+++ b/internal/peer/decode.go
@@ -151,6 +151,7 @@
 		Full:        hasFlag(in, peerpb.DigestFlag_DIGEST_FLAG_FULL),
 		Resync:      hasFlag(in, peerpb.DigestFlag_DIGEST_FLAG_RESYNC),
 		WantMembers: hasFlag(in, peerpb.DigestFlag_DIGEST_FLAG_WANT_MEMBERS),
+		HearsNotAll: hasFlag(in, peerpb.DigestFlag_DIGEST_FLAG_HEARS_NOT_ALL),
 		Staleness:   time.Duration(in.StoreAge) * time.Millisecond,
 		EntriesUpTo: in.EntriesUpTo,
 	}
--- a/internal/peer/encode.go
+++ b/internal/peer/encode.go
@@ -220,6 +220,7 @@
 		{d.Full, peerpb.DigestFlag_DIGEST_FLAG_FULL},
 		{d.Resync, peerpb.DigestFlag_DIGEST_FLAG_RESYNC},
 		{d.WantMembers, peerpb.DigestFlag_DIGEST_FLAG_WANT_MEMBERS},
+		{d.HearsNotAll, peerpb.DigestFlag_DIGEST_FLAG_HEARS_NOT_ALL},
 	} {
 		if f.set {
 			flags |= f.flag
