Print the first late moment of each instance in TestChangeReaches

A failure printed each late instance each 20 ms, some 30,000 characters. The first late moment of each instance tells which one lacked which change. What fails is unchanged: any late moment.

--- a/internal/core/changebound_test.go
+++ b/internal/core/changebound_test.go
@@ -48,10 +48,11 @@
 	// faulty holds the instances with a fault, and recoveredAt the end of the others' last fault.
 	faulty      map[*fakeInstance]bool
 	recoveredAt map[*fakeInstance]time.Time
-	// longest is the longest time for which an healthy instance lacked a change, and late
-	// describes the cases beyond the bound.
-	longest time.Duration
-	late    []string
+	// longest is the longest time for which an healthy instance lacked a change. late describes the
+	// first case beyond the bound of each instance in lateInstances.
+	longest       time.Duration
+	late          []string
+	lateInstances map[*fakeInstance]bool
 }
 
 // boundEngines is the number of engines that can leave during a test.
@@ -62,6 +63,7 @@
 	c := &changeBoundFleet{
 		fleet: newFleet(seed, size.instances, size.zones, entriesText), generation: 1,
 		faulty: make(map[*fakeInstance]bool), recoveredAt: make(map[*fakeInstance]time.Time),
+		lateInstances: make(map[*fakeInstance]bool),
 	}
 	c.putConfig(1, "first", entriesText)
 	for i := range boundEngines {
@@ -117,7 +119,8 @@
 		}
 		lackedFor := c.now.Sub(c.changes[first].at)
 		c.longest = max(c.longest, lackedFor)
-		if lackedFor > c.changeBound {
+		if lackedFor > c.changeBound && !c.lateInstances[m] {
+			c.lateInstances[m] = true
 			c.late = append(c.late, fmt.Sprintf("%s lacks change %d of %d after %v", m.name, first, len(c.changes), lackedFor))
 		}
 	}
