--- a/internal/core/poisonrequest_test.go
+++ b/internal/core/poisonrequest_test.go
@@ -36,6 +36,25 @@
 	}
 }
 
+// Guards against instances that each count for themselves: a request that ends each engine comes back
+// at another instance each time, and the third end is known at all of them.
+func TestEndsUnderReturnsAtDifferentInstancesAreCountedTogether(t *testing.T) {
+	f := newPoisonFleet(fleetSize{4, 2}, 121)
+	f.poison[1] = true
+	for i := 0; len(f.ends[1]) < 3; i++ {
+		f.requestAt(f.instances[i%len(f.instances)], 1)
+		f.run(time.Second)
+	}
+	sends := len(f.sends[1])
+	for _, m := range f.instances {
+		s := f.requestAt(m, 1)
+		f.run(time.Second)
+		require.Equal(t, poisonReason, s.reason, m.name)
+		require.Equal(t, reason.NotRun, s.outcome, m.name)
+	}
+	require.Len(t, f.sends[1], sends)
+}
+
 // applyFault applies a fault to instances for a time. They are healthy again poisonContact after
 // its end, unless the fault leaves them healthy.
 func (f *poisonFleet) applyFault(fault instanceFault, affected map[*fakeInstance]bool, lasts time.Duration) {
