Move reachability, pacing and peers' clocks out of the flat core

Cause: package core holds what an instance knows beside where requests go; a newcomer cannot tell from the tree who owns what.

Change: core/reach (which servers and zones cannot be connected to), core/pacing (watches, requests to peers, announcements of surges) and core/peerclock (offset to a peer's clock) are packages with plain methods and their tests; core keeps what joins them to a node. No logic changes.

--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -125,7 +125,7 @@
 	n.applyAnswerReport(e.Load)
 	if r := n.requests[e.Request]; r != nil && r.running && e.Attempt == r.attempt {
 		r.responseStarted = true
-		n.reach.lastAnswers[n.zoneOf(r.backend)] = n.now
+		n.reach.RecordAnswer(n.zoneOf(r.backend), n.now)
 	}
 }
 
--- a/internal/core/backendentries.go
+++ b/internal/core/backendentries.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/ebonydyke/ebonydyke/internal/core/membership"
+	"github.com/ebonydyke/ebonydyke/internal/core/pacing"
 )
 
 // Timing of the calls by which an instance follows the backend servers' entries in the
@@ -77,10 +78,10 @@
 	// instance's own lists and watches or in the entries that peers passed on.
 	completeRevision uint64
 	failures         int
-	// nextCall is the earliest time of the next call, and pacing spaces out the watches while
+	// nextCall is the earliest time of the next call, and pace spaces out the watches while
 	// entries change.
 	nextCall time.Time
-	pacing   watchPacer
+	pace     pacing.Watch
 	// newestEntryRevision is the highest revision of any entry.
 	newestEntryRevision uint64
 	// rolledBackSince is the time at which the store began to return lower revisions than
@@ -174,7 +175,7 @@
 	}
 	n.follow.entriesAsOf = later(n.follow.entriesAsOf, call.asOf(n.now, changed))
 	if changed {
-		pause := n.jitter(b.pacing.pauseAfterChange(n.now))
+		pause := n.jitter(b.pace.PauseAfterChange(n.now))
 		b.nextCall = n.now.Add(n.pauseFor(pause, n.follow.entriesAsOf))
 	}
 	n.mergeEntries(e.Entries)
--- a/internal/core/configs.go
+++ b/internal/core/configs.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/ebonydyke/ebonydyke/internal/core/config"
+	"github.com/ebonydyke/ebonydyke/internal/core/pacing"
 )
 
 // ConfigKey is the store key of the operators' configuration text.
@@ -55,7 +56,7 @@
 	// nextCallAt is the earliest time for a further read or watch.
 	nextCallAt time.Time
 	// pacing limits the rate of watch results.
-	pacing watchPacer
+	pace pacing.Watch
 	// storeBehind is set while the store holds an older configuration than the one in force.
 	storeBehind bool
 	// writeBackAt is the time when the write-back is due.
@@ -123,7 +124,7 @@
 	}
 	switch e.Status {
 	case StoreOK:
-		pause := n.jitter(c.pacing.pauseAfterChange(n.now))
+		pause := n.jitter(c.pace.PauseAfterChange(n.now))
 		c.nextCallAt = n.now.Add(n.pauseFor(pause, n.follow.configAsOf))
 		c.version = e.Version
 		n.applyStoredConfig(e)
--- a/internal/core/digests.go
+++ b/internal/core/digests.go
@@ -237,7 +237,7 @@
 // requestNewerConfig requests a peer's configuration if its generation is newer. A text that this
 // instance cannot accept is not requested again at once.
 func (n *Node) requestNewerConfig(from string, generation uint64) {
-	if generation <= n.generation() || !n.peers.configRequests.due(generation, n.now) {
+	if generation <= n.generation() || !n.peers.configRequests.Due(generation, n.now) {
 		return
 	}
 	n.emit(SendPeer{To: from, Message: PeerMessage{ConfigWanted: &ConfigWanted{Above: n.generation()}}})
--- a/internal/core/entryexchange.go
+++ b/internal/core/entryexchange.go
@@ -52,7 +52,7 @@
 // requestMissingEntries requests the missing entries from a peer whose digest shows that it is
 // ahead.
 func (n *Node) requestMissingEntries(from string, d *Digest) {
-	if d.EntriesUpTo > n.backends.shareableRevision() && n.peers.entryRequests.due(d.EntriesUpTo, n.now) {
+	if d.EntriesUpTo > n.backends.shareableRevision() && n.peers.entryRequests.Due(d.EntriesUpTo, n.now) {
 		n.emit(SendPeer{To: from, Message: PeerMessage{EntriesWanted: &EntriesWanted{Above: n.backends.completeRevision}}})
 	}
 }
--- a/internal/core/followers.go
+++ b/internal/core/followers.go
@@ -28,15 +28,6 @@
 	// waitingCallerTimeout is how long a caller, even a refused one, counts as waiting for data
 	// that this instance lacks.
 	waitingCallerTimeout = 2 * time.Second
-	// minWatchPause is the minimum time between two results of one watch. The time doubles
-	// while every watch returns changes. Changes during the pause arrive with a single call.
-	// Callers are not affected, because a leaving server keeps working for seconds and other
-	// followers pause at different times.
-	minWatchPause = 300 * time.Millisecond
-	// maxWatchPause is the limit of that doubling.
-	maxWatchPause = 1200 * time.Millisecond
-	// watchQuietPeriod is the time without changes after which the next change resets the pause.
-	watchQuietPeriod = 2 * maxWatchPause
 )
 
 // followState holds which instances follow the store and how fresh this instance's knowledge of it
@@ -196,22 +187,6 @@
 // recordStoreFailure records a failed read or watch.
 func (n *Node) recordStoreFailure() { n.follow.failedAt = n.now }
 
-// watchPacer limits the rate of a watch's results.
-type watchPacer struct {
-	changedAt time.Time
-	pause     time.Duration
-}
-
-// pauseAfterChange returns the pause before the next call when a watch has returned a change.
-func (w *watchPacer) pauseAfterChange(now time.Time) time.Duration {
-	if now.Sub(w.changedAt) > watchQuietPeriod {
-		w.pause = 0
-	}
-	w.changedAt = now
-	w.pause = min(max(minWatchPause, 2*w.pause), maxWatchPause)
-	return w.pause
-}
-
 // rankFollowers determines this instance's rank among the given ones. The first instances of all
 // zones come before the second ones, so that the followers are spread over as many zones as
 // possible.
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -18,6 +18,7 @@
 	"github.com/ebonydyke/ebonydyke/internal/core/membership"
 	"github.com/ebonydyke/ebonydyke/internal/core/outlier"
 	"github.com/ebonydyke/ebonydyke/internal/core/prefix"
+	"github.com/ebonydyke/ebonydyke/internal/core/reach"
 )
 
 // TickInterval is the interval between Ticked events from the daemon.
@@ -76,7 +77,7 @@
 	load          *load.Tracker
 	pools         map[string]*pool
 	poolByBackend map[string]*pool
-	reach         reachability
+	reach         *reach.Tracker
 	hints         hintShares
 	prefixes      *prefix.Index
 	outliers      outlierState
@@ -110,7 +111,7 @@
 		load:          load.NewTracker(),
 		pools:         make(map[string]*pool),
 		poolByBackend: make(map[string]*pool),
-		reach:         newReachability(),
+		reach:         reach.New(),
 		hints:         make(hintShares),
 		prefixes:      prefix.New(),
 		outliers:      outlierState{tracker: outlier.New()},
--- a/internal/core/clockoffset.go
+++ b/internal/core/peerclock/peerclock.go
@@ -1,4 +1,5 @@
-package core
+// Package peerclock estimates the offset between the clocks of two instances.
+package peerclock
 
 import "time"
 
@@ -10,11 +11,11 @@
 	minOffsetSamples = 2
 )
 
-// clockOffset estimates the offset between a peer's clock and this instance's: the smallest
+// Offset estimates the offset between a peer's clock and this instance's: the smallest
 // difference between the times at which messages were handled here and made there, lately. It
 // includes the shortest delay of a message, so that a time on the peer's clock is never taken
 // for an earlier one by more than the peers' messages take.
-type clockOffset struct {
+type Offset struct {
 	samples int
 	// since is the start of the current window; current and previous are the smallest offsets
 	// in it and in the one before.
@@ -22,8 +23,8 @@
 	current, previous time.Duration
 }
 
-// observe records that a message made at a time on the peer's clock was handled now.
-func (o *clockOffset) observe(now, madeAt time.Time) {
+// Observe records that a message made at a time on the peer's clock was handled now.
+func (o *Offset) Observe(now, madeAt time.Time) {
 	offset := now.Sub(madeAt)
 	switch {
 	case o.samples == 0:
@@ -35,8 +36,8 @@
 	o.current = min(o.current, offset)
 }
 
-// toLocal converts a time on the peer's clock to this instance's clock. It reports false if too
+// ToLocal converts a time on the peer's clock to this instance's clock. It reports false if too
 // few messages have arrived.
-func (o *clockOffset) toLocal(at time.Time) (time.Time, bool) {
+func (o *Offset) ToLocal(at time.Time) (time.Time, bool) {
 	return at.Add(min(o.current, o.previous)), o.samples >= minOffsetSamples
 }
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -10,6 +10,8 @@
 	"github.com/ebonydyke/ebonydyke/internal/core/membership"
 	"github.com/ebonydyke/ebonydyke/internal/core/mesh"
 	"github.com/ebonydyke/ebonydyke/internal/core/outlier"
+	"github.com/ebonydyke/ebonydyke/internal/core/pacing"
+	"github.com/ebonydyke/ebonydyke/internal/core/peerclock"
 	"github.com/ebonydyke/ebonydyke/internal/core/poison"
 )
 
@@ -57,8 +59,6 @@
 	// configRequestDelay is the delay before the same generation is requested again. It doubles
 	// with each request.
 	configRequestDelay = time.Second
-	// maxPeerRequestDelay is the maximum delay between requests for the same item.
-	maxPeerRequestDelay = time.Minute
 )
 
 // Limits on the data queued for a peer.
@@ -84,7 +84,7 @@
 	membersSeq uint64
 	// layoutChangedAt is the time of the last layout change.
 	layoutChangedAt time.Time
-	surge           surgeDetector
+	surge           pacing.Surge
 	// sums aggregates the loads according to the layout.
 	sums *loadsum.Exchange
 	// bridges are the instances of other zones that exchange facts with this one, in addition
@@ -105,9 +105,9 @@
 	// byteBudget limits the bytes sent to peers.
 	byteBudget bytebudget.Budget
 	// configRequests paces the requests for a newer configuration.
-	configRequests requestPacer
+	configRequests pacing.Requests
 	// entryRequests paces the requests for missing entries.
-	entryRequests requestPacer
+	entryRequests pacing.Requests
 	// marks are the view's sequence numbers at recent times. A peer that connects is sent the
 	// changes after the oldest one.
 	marks []changeMark
@@ -123,35 +123,11 @@
 
 func newPeersState() peersState {
 	return peersState{
-		configRequests: requestPacer{first: configRequestDelay}, entryRequests: requestPacer{first: entriesRequestDelay},
+		configRequests: pacing.NewRequests(configRequestDelay), entryRequests: pacing.NewRequests(entriesRequestDelay),
 		byName: make(map[string]*peerState), inLayout: make(map[string]bool), onDemand: make(map[string]time.Time),
 	}
 }
 
-// requestPacer paces the requests for an item that peers have, identified by its newest number. The
-// interval between requests for the same number doubles, since the item may be a text that this
-// instance cannot accept.
-type requestPacer struct {
-	// first is the pause after the first request.
-	first  time.Duration
-	newest uint64
-	next   time.Time
-	pause  time.Duration
-}
-
-// due reports whether to send a request now. If so, it schedules the next one.
-func (r *requestPacer) due(newest uint64, now time.Time) bool {
-	if newest != r.newest {
-		r.newest, r.pause, r.next = newest, r.first, time.Time{}
-	}
-	if now.Before(r.next) {
-		return false
-	}
-	r.next = now.Add(r.pause)
-	r.pause = min(2*r.pause, maxPeerRequestDelay)
-	return true
-}
-
 // peerState is the state of one peer.
 type peerState struct {
 	name      string
@@ -163,7 +139,7 @@
 	incarnation uint64
 	// clock is the offset of the peer's clock, and knowledge what its last digest proves of the
 	// store.
-	clock      clockOffset
+	clock      peerclock.Offset
 	knowledge  peerKnowledge
 	lastSeq    uint64
 	receivedAt time.Time
@@ -217,7 +193,7 @@
 	if incarnation <= p.incarnation {
 		return
 	}
-	p.incarnation, p.clock, p.knowledge = incarnation, clockOffset{}, peerKnowledge{}
+	p.incarnation, p.clock, p.knowledge = incarnation, peerclock.Offset{}, peerKnowledge{}
 }
 
 func (n *Node) peer(name string) *peerState {
--- a/internal/core/peers_test.go
+++ b/internal/core/peers_test.go
@@ -14,6 +14,7 @@
 	"github.com/ebonydyke/ebonydyke/internal/core/config"
 	"github.com/ebonydyke/ebonydyke/internal/core/load"
 	"github.com/ebonydyke/ebonydyke/internal/core/membership"
+	"github.com/ebonydyke/ebonydyke/internal/core/pacing"
 )
 
 // In small and large zones, each instance must know the exact load of every backend server some
@@ -367,7 +368,7 @@
 			}})
 		}
 		f.handle("entry-00", PeerReceived{From: "entry-01", Message: PeerMessage{EntriesOffer: offer}})
-		f.run(minWatchPause)
+		f.run(pacing.MinWatchPause)
 	}
 	f.addRandomLoads(r, 6)
 	f.run(4 * time.Second)
--- a/internal/core/placement.go
+++ b/internal/core/placement.go
@@ -92,7 +92,7 @@
 // once their backoff has elapsed.
 func (n *Node) tickPlacement() {
 	n.tickLoad()
-	for _, backend := range n.reach.elapsedBackoffs(n.now) {
+	for _, backend := range n.reach.ElapsedBackoffs(n.now) {
 		n.setUnreachable(backend, false)
 	}
 }
--- a/internal/core/pools.go
+++ b/internal/core/pools.go
@@ -153,7 +153,7 @@
 		c.Load = n.load.Estimate(c.Name)
 		p.totalLoad += c.Load
 		p.joinTimes[c.Name] = old.joinedAt(c.Name, n.now)
-		if n.reach.unreachable(c.Name, n.now) {
+		if n.reach.Unreachable(c.Name, n.now) {
 			p.setUnreachable(c, true)
 		}
 		n.poolByBackend[c.Name] = p
--- a/internal/core/staleness.go
+++ b/internal/core/staleness.go
@@ -131,8 +131,8 @@
 // recordPeerKnowledge records what a peer's digest proves. The age in the digest counts from the
 // time at which it was made, which may be long before it is read, if this instance was frozen.
 func (n *Node) recordPeerKnowledge(p *peerState, d *Digest) {
-	p.clock.observe(n.now, d.At)
-	madeAt, known := p.clock.toLocal(d.At)
+	p.clock.Observe(n.now, d.At)
+	madeAt, known := p.clock.ToLocal(d.At)
 	if d.Staleness > 0 && known {
 		p.knowledge = peerKnowledge{asOf: madeAt.Add(-d.Staleness), generation: d.Generation, entries: d.EntriesUpTo}
 	}
--- a/internal/core/staleness_test.go
+++ b/internal/core/staleness_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/ebonydyke/ebonydyke/internal/core/config"
+	"github.com/ebonydyke/ebonydyke/internal/core/pacing"
 )
 
 const stalenessConfig = `{
@@ -101,24 +102,6 @@
 	require.Equal(t, sent, storeCall{op: 1, sentAt: sent}.asOf(late, true), "a read")
 }
 
-// Guards against clocks that drift apart until all digests look late, or early.
-func TestClockOffsetFollowsDrift(t *testing.T) {
-	start := time.Unix(1_764_000_000, 0)
-	for _, drift := range []float64{-1e-4, 1e-4} {
-		var o clockOffset
-		now := start
-		for range 24 * 3600 {
-			now = now.Add(time.Second)
-			made := start.Add(time.Duration(float64(now.Sub(start)) * (1 + drift)))
-			o.observe(now, made)
-			local, known := o.toLocal(made)
-			if known {
-				require.InDelta(t, 0, now.Sub(local).Seconds(), 0.01)
-			}
-		}
-	}
-}
-
 // Guards against a fleet that all asks the store at once when its followers fail.
 func TestInstancesVerifyInStages(t *testing.T) {
 	n := New(Settings{Name: "a", ChangeBound: 2 * time.Second})
@@ -139,8 +122,8 @@
 func TestPacingKeepsKnowledgeFresh(t *testing.T) {
 	n := New(Settings{Name: "a", ChangeBound: 2 * time.Second})
 	n.now = time.Unix(1_764_000_000, 0)
-	require.Equal(t, 300*time.Millisecond, n.pauseFor(maxWatchPause, n.now.Add(-700*time.Millisecond)))
-	require.Zero(t, n.pauseFor(maxWatchPause, n.now.Add(-2*time.Second)))
+	require.Equal(t, 300*time.Millisecond, n.pauseFor(pacing.MaxWatchPause, n.now.Add(-700*time.Millisecond)))
+	require.Zero(t, n.pauseFor(pacing.MaxWatchPause, n.now.Add(-2*time.Second)))
 	require.Equal(t, 700*time.Millisecond, n.holdFor(n.now.Add(-300*time.Millisecond)))
 	require.Equal(t, minWatchHold, n.holdFor(n.now.Add(-2*time.Second)))
 }
