Move the backend servers' entries out of the flat core

Cause: what an instance knows of the entries in the store (newest states, up to which revision none was missed, which removals may only have lapsed) was mixed with the calls that read them, over two files of package core.

Change: core/entries.Log holds it, with tests of its own; backendentries.go keeps the calls. No logic changes.

--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -87,7 +87,7 @@
 	p := n.pool(r.service.Name)
 	total, count := n.loadTotals(r, p)
 	b := SelectionInputs{
-		Generation: n.snapshot.Generation, Revision: n.backends.knownRevision(c.Name), Session: r.arrived.Chat,
+		Generation: n.snapshot.Generation, Revision: n.backends.log.Revision(c.Name), Session: r.arrived.Chat,
 		Load: c.Load, Mean: total / float64(max(1, count)), Parts: n.load.Parts(c.Name),
 		Limit: n.routingChoice(r, p).Limits.Finite().Inner, ReportAge: -1, Waited: r.waited,
 	}
--- a/internal/core/backendentries.go
+++ b/internal/core/backendentries.go
@@ -1,10 +1,9 @@
 package core
 
 import (
-	"maps"
-	"slices"
 	"time"
 
+	"github.com/ebonydyke/ebonydyke/internal/core/entries"
 	"github.com/ebonydyke/ebonydyke/internal/core/membership"
 	"github.com/ebonydyke/ebonydyke/internal/core/pacing"
 )
@@ -34,25 +33,7 @@
 // counterBadEntries counts entries of backend servers that could not be decoded.
 const counterBadEntries = "bad_backend_entries"
 
-// BackendEntry is a backend server's own entry in the platform's store.
-type BackendEntry struct {
-	Name string `json:"name"`
-	// Revision is the store's revision of the entry's last change or of its removal.
-	Revision uint64 `json:"revision"`
-	// Backend is nil if the entry was removed or names no backend server.
-	Backend *membership.Member `json:"backend,omitempty"`
-	// Unreadable reports whether the entry has content, left by another writer, that cannot
-	// be decoded.
-	Unreadable bool `json:"unreadable,omitempty"`
-}
-
-// removed reports whether the entry no longer exists.
-func (e BackendEntry) removed() bool { return e.Backend == nil && !e.Unreadable }
-
 // backendsState tracks the backend servers' entries in the store.
-//
-// An entry's revision only grows: an older state never replaces a newer one, whatever the
-// order in which list pages, watch results and repetitions of them arrive.
 type backendsState struct {
 	// call is the read or watch in progress, and listing reports whether it is a read.
 	call    storeCall
@@ -70,46 +51,25 @@
 	watchRevision uint64
 	// highestRevision is the highest revision that the store has returned.
 	highestRevision uint64
-	// entries holds the newest known entry of each name, including removed ones.
-	entries map[string]BackendEntry
-	// changes counts the merged entries that had a newer revision than before.
-	changes int
-	// completeRevision is the revision up to which no change was missed, either in this
-	// instance's own lists and watches or in the entries that peers passed on.
-	completeRevision uint64
-	failures         int
+	log             entries.Log
+	failures        int
 	// nextCall is the earliest time of the next call, and pace spaces out the watches while
 	// entries change.
 	nextCall time.Time
 	pace     pacing.Watch
-	// newestEntryRevision is the highest revision of any entry.
-	newestEntryRevision uint64
 	// rolledBackSince is the time at which the store began to return lower revisions than
 	// before, or zero.
 	rolledBackSince time.Time
-	// lapsed maps removed entries that may reappear to the time at which they count as gone.
-	lapsed map[string]time.Time
 }
 
 func newBackendsState() backendsState {
-	return backendsState{entries: make(map[string]BackendEntry), lapsed: make(map[string]time.Time)}
-}
-
-// conveys reports whether peers learn a backend server's state from its entry, which they can
-// request. The entry does not show that the server is leaving or gone if only the server
-// itself has reported that.
-func (b *backendsState) conveys(member membership.Member) bool {
-	e, known := b.entries[member.Name]
-	return known && (member.State == membership.Live || e.Backend != nil && e.Backend.State == member.State)
+	return backendsState{log: entries.New()}
 }
 
-// knownRevision returns the newest known revision of a backend server's entry.
-func (b *backendsState) knownRevision(name string) uint64 { return b.entries[name].Revision }
-
 // readingFirstBackends reports whether this instance has just started and has not finished
 // its first read of the backend servers.
 func (n *Node) readingFirstBackends() bool {
-	return n.snapshot.FromPlatform() && n.backends.completeRevision == 0 && n.backends.failures == 0
+	return n.snapshot.FromPlatform() && n.backends.log.Complete() == 0 && n.backends.failures == 0
 }
 
 // tickBackends keeps one read or watch of the entries in progress if a service uses them and
@@ -122,7 +82,7 @@
 	}
 	b.call = storeCall{op: n.nextOp(), sentAt: n.now}
 	patience := n.storePatience(b.failures)
-	b.watchRevision = max(b.watchRevision, b.completeRevision)
+	b.watchRevision = max(b.watchRevision, b.log.Complete())
 	b.listing = b.relist || b.watchRevision == 0
 	if b.listing {
 		n.emit(ListBackends{Op: b.call.op, After: b.nextPage, Timeout: patience})
@@ -180,7 +140,7 @@
 	}
 	n.mergeEntries(e.Entries)
 	b.watchRevision = max(b.watchRevision, e.Revision)
-	b.completeRevision = max(b.completeRevision, b.watchRevision)
+	b.log.ExtendTo(b.watchRevision)
 	b.highestRevision = max(b.highestRevision, e.Revision)
 }
 
@@ -197,9 +157,9 @@
 		b.rolledBackSince = n.now
 	}
 	if n.now.Sub(b.rolledBackSince) >= rollbackConfirmTime {
-		clear(b.entries)
+		b.log.Reset()
 		b.restartList()
-		b.highestRevision, b.completeRevision, b.newestEntryRevision = 0, 0, 0
+		b.highestRevision = 0
 	}
 	return true
 }
@@ -243,35 +203,16 @@
 	b.restartList()
 	b.watchRevision, b.relist = listedAt, false
 	b.highestRevision = max(b.highestRevision, listedAt)
-	b.completeRevision = max(b.completeRevision, listedAt)
+	b.log.ExtendTo(listedAt)
 	n.follow.entriesAsOf = later(n.follow.entriesAsOf, b.listSentAt)
-	n.mergeEntries(b.unlisted(seen, listedAt))
-}
-
-// unlisted returns a removal for each known entry that a full list leaves out.
-func (b *backendsState) unlisted(seen map[string]bool, listedAt uint64) []BackendEntry {
-	var removals []BackendEntry
-	for _, name := range slices.Sorted(maps.Keys(b.entries)) {
-		if e := b.entries[name]; !seen[name] && !e.removed() && e.Revision <= listedAt {
-			removals = append(removals, BackendEntry{Name: name, Revision: listedAt})
-		}
-	}
-	return removals
+	n.mergeEntries(b.log.Unlisted(seen, listedAt))
 }
 
 // mergeEntries merges the entries that are not older than the known ones.
-func (n *Node) mergeEntries(entries []BackendEntry) {
+func (n *Node) mergeEntries(list []entries.Entry) {
 	var changed []string
-	for _, e := range entries {
-		if e.Revision < n.backends.knownRevision(e.Name) {
-			continue
-		}
-		if e.Revision > n.backends.knownRevision(e.Name) {
-			n.backends.changes++
-			n.backends.newestEntryRevision = max(n.backends.newestEntryRevision, e.Revision)
-		}
-		n.backends.entries[e.Name] = e
-		if n.mergeEntry(e) {
+	for _, e := range list {
+		if n.backends.log.Put(e) && n.mergeEntry(e) {
 			changed = append(changed, e.Name)
 		}
 	}
@@ -279,17 +220,17 @@
 }
 
 // mergeEntry applies an entry to the membership view and reports whether the view changed.
-func (n *Node) mergeEntry(e BackendEntry) bool {
+func (n *Node) mergeEntry(e entries.Entry) bool {
 	if e.Unreadable {
 		n.emit(Counted{Counter: counterBadEntries, N: 1})
 	}
 	switch {
 	case e.Backend != nil:
-		delete(n.backends.lapsed, e.Name)
+		n.backends.log.Reappeared(e.Name)
 		n.voidPlannedEnd(e.Backend)
 		return n.view.Register(n.now, *e.Backend)
 	case !e.Unreadable && n.mayHaveLapsed(e.Name):
-		n.backends.lapsed[e.Name] = n.now.Add(lapseGracePeriod)
+		n.backends.log.Lapse(e.Name, n.now.Add(lapseGracePeriod))
 		return false
 	default:
 		return n.view.Unregister(e.Name)
@@ -308,15 +249,8 @@
 
 // expireLapsed unregisters the servers whose entries did not reappear within the grace period.
 func (n *Node) expireLapsed() {
-	if len(n.backends.lapsed) == 0 {
-		return
-	}
 	var changed []string
-	for _, name := range slices.Sorted(maps.Keys(n.backends.lapsed)) {
-		if n.now.Before(n.backends.lapsed[name]) {
-			continue
-		}
-		delete(n.backends.lapsed, name)
+	for _, name := range n.backends.log.TakeGone(n.now) {
 		if n.view.Unregister(name) {
 			changed = append(changed, name)
 		}
--- a/internal/core/digests.go
+++ b/internal/core/digests.go
@@ -23,12 +23,12 @@
 		HearsNotAll: !n.poison.store.hearsAll,
 	}
 	changed := d.Generation != p.sentGeneration || d.Leaving != p.sentLeaving || d.HearsNotAll != p.sentHearsNotAll
-	changed = changed || n.backends.shareableRevision() != p.sentEntriesUpTo
+	changed = changed || n.backends.log.Shareable() != p.sentEntriesUpTo
 	n.addLoads(p, d)
 	n.addReports(p, d)
 	changed = changed || n.needsProof(p)
 	n.addStaleness(p, d)
-	d.EntriesUpTo = n.backends.shareableRevision()
+	d.EntriesUpTo = n.backends.log.Shareable()
 	n.addFacts(p, d)
 	if p.membersPending {
 		p.membersPending = false
--- a/internal/core/endedservers_test.go
+++ b/internal/core/endedservers_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/ebonydyke/ebonydyke/internal/core"
+	"github.com/ebonydyke/ebonydyke/internal/core/entries"
 	"github.com/ebonydyke/ebonydyke/internal/core/poison"
 	"github.com/ebonydyke/ebonydyke/internal/core/retry"
 )
@@ -62,7 +63,7 @@
 	restarted := entry("engine", "engines", 0, 200)
 	restarted.Name, restarted.Backend.Name, restarted.Backend.Incarnation = sent.Backend, sent.Backend, 2
 	r.handle(core.PeerReceived{From: "entry-1", Message: core.PeerMessage{
-		EntriesOffer: &core.EntriesOffer{From: 100, To: 200, Entries: []core.BackendEntry{restarted}},
+		EntriesOffer: &core.EntriesOffer{From: 100, To: 200, Entries: []entries.Entry{restarted}},
 	}})
 	r.handle(core.AttemptEnded{Request: sent.Request, Attempt: sent.Attempt, Outcome: retry.Unknown, ServerEnded: true})
 	var ends []poison.Server
--- a/internal/core/entryexchange.go
+++ b/internal/core/entryexchange.go
@@ -1,7 +1,6 @@
 package core
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -16,54 +15,21 @@
 // for the same entries.
 const entriesRequestDelay = 300 * time.Millisecond
 
-// shareableRevision returns the revision of the newest entry that this instance can send to peers.
-func (b *backendsState) shareableRevision() uint64 {
-	return min(b.newestEntryRevision, b.settledRevision())
-}
-
-// settledRevision returns the revision up to which this instance has missed no change and no
-// entry's removal is pending. An entry whose lease may have lapsed only because of a store
-// outage is not sent as removed: the other instances did not see the outage and would stop
-// using a server that is about to reappear.
-func (b *backendsState) settledRevision() uint64 {
-	upTo := b.completeRevision
-	for name := range b.lapsed {
-		upTo = min(upTo, b.entries[name].Revision-1)
-	}
-	return upTo
-}
-
-// changesBetween returns the changes with revisions above the given one, up to upTo, in the
-// order of their revisions.
-func (b *backendsState) changesBetween(revision, upTo uint64) []BackendEntry {
-	var list []BackendEntry
-	for _, e := range b.entries {
-		// An instance without any entries does not need the removals.
-		if e.Revision > revision && e.Revision <= upTo && (revision > 0 || e.Backend != nil) {
-			list = append(list, e)
-		}
-	}
-	slices.SortFunc(list, func(a, b BackendEntry) int {
-		return cmp.Or(cmp.Compare(a.Revision, b.Revision), cmp.Compare(a.Name, b.Name))
-	})
-	return list
-}
-
 // requestMissingEntries requests the missing entries from a peer whose digest shows that it is
 // ahead.
 func (n *Node) requestMissingEntries(from string, d *Digest) {
-	if d.EntriesUpTo > n.backends.shareableRevision() && n.peers.entryRequests.Due(d.EntriesUpTo, n.now) {
-		n.emit(SendPeer{To: from, Message: PeerMessage{EntriesWanted: &EntriesWanted{Above: n.backends.completeRevision}}})
+	if d.EntriesUpTo > n.backends.log.Shareable() && n.peers.entryRequests.Due(d.EntriesUpTo, n.now) {
+		n.emit(SendPeer{To: from, Message: PeerMessage{EntriesWanted: &EntriesWanted{Above: n.backends.log.Complete()}}})
 	}
 }
 
 // sendEntries answers a peer's request for entries.
 func (n *Node) sendEntries(from string, wanted *EntriesWanted) {
-	upTo := n.backends.settledRevision()
+	upTo := n.backends.log.Settled()
 	if upTo <= wanted.Above {
 		return
 	}
-	offer := &EntriesOffer{From: wanted.Above, To: upTo, Entries: n.backends.changesBetween(wanted.Above, upTo)}
+	offer := &EntriesOffer{From: wanted.Above, To: upTo, Entries: n.backends.log.Between(wanted.Above, upTo)}
 	n.emit(SendPeer{To: from, Message: PeerMessage{EntriesOffer: offer}})
 }
 
@@ -72,8 +38,8 @@
 // messages were lost before.
 func (n *Node) applyEntriesOffer(o *EntriesOffer) {
 	n.mergeEntries(o.Entries)
-	if o.From <= n.backends.completeRevision {
-		n.backends.completeRevision = max(n.backends.completeRevision, o.To)
+	if o.From <= n.backends.log.Complete() {
+		n.backends.log.ExtendTo(o.To)
 	}
 }
 
--- a/internal/core/entryexchange_test.go
+++ b/internal/core/entryexchange_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/ebonydyke/ebonydyke/internal/core"
+	"github.com/ebonydyke/ebonydyke/internal/core/entries"
 	"github.com/ebonydyke/ebonydyke/internal/core/membership"
 	"github.com/ebonydyke/ebonydyke/internal/core/poison"
 )
@@ -114,12 +115,12 @@
 
 // putEntry sets a backend server's entry, or removes it if member is nil.
 func (s *fakeStore) putEntry(name string, member *membership.Member) {
-	s.addChange(storedChange{entry: core.BackendEntry{Name: name, Revision: s.nextRevision(), Backend: member}})
+	s.addChange(storedChange{entry: entries.Entry{Name: name, Revision: s.nextRevision(), Backend: member}})
 }
 
 // storedChange is a change of a backend server's entry, or of a poison record.
 type storedChange struct {
-	entry  core.BackendEntry
+	entry  entries.Entry
 	poison *poison.Record
 }
 
@@ -137,7 +138,7 @@
 func (s *fakeStore) listBackends(m *fakeInstance, e core.ListBackends) {
 	call := s.begin(m, e.Timeout, core.BackendsRead{Op: e.Op, Status: core.StoreFailed})
 	call.answer(func() core.Event {
-		newest := make(map[string]core.BackendEntry)
+		newest := make(map[string]entries.Entry)
 		read := core.BackendsRead{Op: e.Op, Status: core.StoreOK, Revision: uint64(len(s.entries))}
 		for _, change := range s.entries {
 			if change.poison != nil {
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/ebonydyke/ebonydyke/internal/core/config"
+	"github.com/ebonydyke/ebonydyke/internal/core/entries"
 	"github.com/ebonydyke/ebonydyke/internal/core/membership"
 	"github.com/ebonydyke/ebonydyke/internal/core/poison"
 	"github.com/ebonydyke/ebonydyke/internal/core/retry"
@@ -167,9 +168,9 @@
 
 // BackendsRead is the result of a ListBackends or a WatchBackends.
 type BackendsRead struct {
-	Op      OpID           `json:"op"`
-	Status  StoreStatus    `json:"status"`
-	Entries []BackendEntry `json:"entries,omitempty"`
+	Op      OpID            `json:"op"`
+	Status  StoreStatus     `json:"status"`
+	Entries []entries.Entry `json:"entries,omitempty"`
 	// Poison are the poison records of instances, which the store keeps beside the entries.
 	Poison []poison.Record `json:"poison,omitempty"`
 	// More is the key after which the next page of a list starts, empty on the last page.
--- a/internal/core/followers.go
+++ b/internal/core/followers.go
@@ -156,7 +156,7 @@
 
 // lacksData reports whether this instance lacks data that it needs to serve requests.
 func (n *Node) lacksData() bool {
-	return n.snapshot == nil || n.snapshot.FromPlatform() && n.backends.completeRevision == 0
+	return n.snapshot == nil || n.snapshot.FromPlatform() && n.backends.log.Complete() == 0
 }
 
 // callersWaiting reports whether callers wait for data from the store. If callers are not directed
--- a/internal/core/memberchanges.go
+++ b/internal/core/memberchanges.go
@@ -56,7 +56,7 @@
 // they are delayed, and most receivers have read the list by then.
 func (n *Node) addMembers(p *peerState, d *Digest) {
 	for _, member := range n.changesSince(p.sentFactsSeq) {
-		if member.State != membership.Live && !n.backends.conveys(member) {
+		if member.State != membership.Live && !n.backends.log.Conveys(member) {
 			d.Facts = append(d.Facts, membership.Fact{Name: member.Name, Incarnation: member.Incarnation, State: member.State})
 		}
 	}
@@ -68,7 +68,7 @@
 		p.membersDue = n.now.Add(n.jitter(memberRecordInterval))
 	}
 	for _, member := range n.changesSince(p.sentMembersSeq) {
-		if member.State == membership.Live && !n.backends.conveys(member) && p.receivedMembers[member.Name] < member.Incarnation {
+		if member.State == membership.Live && !n.backends.log.Conveys(member) && p.receivedMembers[member.Name] < member.Incarnation {
 			d.Members = append(d.Members, member)
 		}
 	}
@@ -91,8 +91,8 @@
 func (n *Node) announceUrgentChanges() {
 	generation, leaving, seq := n.generation(), n.lifecycle.stopping, n.view.Seq()
 	urgent := generation != n.peers.checkedGeneration || leaving != n.peers.checkedLeaving
-	urgent = urgent || n.backends.changes != n.peers.checkedEntryChanges
-	n.peers.checkedEntryChanges = n.backends.changes
+	urgent = urgent || n.backends.log.Changes() != n.peers.checkedEntryChanges
+	n.peers.checkedEntryChanges = n.backends.log.Changes()
 	if seq != n.peers.checkedSeq {
 		changes, _ := n.view.Changes(n.peers.checkedSeq, maxDigestFacts)
 		urgent = urgent || slices.ContainsFunc(changes, func(member membership.Member) bool {
--- a/internal/core/peermsg.go
+++ b/internal/core/peermsg.go
@@ -5,6 +5,7 @@
 
 	"github.com/ebonydyke/ebonydyke/internal/core/claims"
 	"github.com/ebonydyke/ebonydyke/internal/core/config"
+	"github.com/ebonydyke/ebonydyke/internal/core/entries"
 	"github.com/ebonydyke/ebonydyke/internal/core/load"
 	"github.com/ebonydyke/ebonydyke/internal/core/membership"
 	"github.com/ebonydyke/ebonydyke/internal/core/poison"
@@ -102,9 +103,9 @@
 // EntriesOffer carries all changes of backend server entries after the revision From, up to and
 // including To.
 type EntriesOffer struct {
-	From    uint64         `json:"from"`
-	To      uint64         `json:"to"`
-	Entries []BackendEntry `json:"entries"`
+	From    uint64          `json:"from"`
+	To      uint64          `json:"to"`
+	Entries []entries.Entry `json:"entries"`
 }
 
 // EntriesWanted requests the changes of entries that the requester has missed.
--- a/internal/core/peers_test.go
+++ b/internal/core/peers_test.go
@@ -12,6 +12,7 @@
 	"github.com/ebonydyke/ebonydyke/internal/core/bytebudget"
 	"github.com/ebonydyke/ebonydyke/internal/core/claims"
 	"github.com/ebonydyke/ebonydyke/internal/core/config"
+	"github.com/ebonydyke/ebonydyke/internal/core/entries"
 	"github.com/ebonydyke/ebonydyke/internal/core/load"
 	"github.com/ebonydyke/ebonydyke/internal/core/membership"
 	"github.com/ebonydyke/ebonydyke/internal/core/pacing"
@@ -363,7 +364,7 @@
 		for range 3 {
 			revision++
 			name := fmt.Sprint("coming-", revision%25)
-			offer.Entries = append(offer.Entries, BackendEntry{Name: name, Revision: revision, Backend: &membership.Member{
+			offer.Entries = append(offer.Entries, entries.Entry{Name: name, Revision: revision, Backend: &membership.Member{
 				Name: name, Role: membership.RoleBackend, Service: "s", Zone: "zone-0", Address: name, Incarnation: revision, State: membership.Live,
 			}})
 		}
@@ -375,7 +376,7 @@
 	f.requireExactLoads(f.names(), f.names())
 	sum := 0
 	for _, name := range f.names() {
-		require.Equal(t, revision, f.nodes[name].backends.shareableRevision(), name)
+		require.Equal(t, revision, f.nodes[name].backends.log.Shareable(), name)
 		sum += f.bytes[name]
 	}
 	require.Less(t, float64(sum)/30/19, bytebudget.Rate, "bytes per second and instance, with ten changes per second")
--- a/internal/core/poisonrequests.go
+++ b/internal/core/poisonrequests.go
@@ -278,7 +278,7 @@
 			n.poisonChanged(from, record.Key)
 		}
 		for _, server := range record.Ends {
-			if member := n.view.Get(server.Name); member != nil && n.backends.conveys(*member) {
+			if member := n.view.Get(server.Name); member != nil && n.backends.log.Conveys(*member) {
 				n.voidPlannedEnd(member)
 			}
 		}
--- a/internal/core/routes_test.go
+++ b/internal/core/routes_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/ebonydyke/ebonydyke/internal/core"
 	"github.com/ebonydyke/ebonydyke/internal/core/config"
+	"github.com/ebonydyke/ebonydyke/internal/core/entries"
 	"github.com/ebonydyke/ebonydyke/internal/core/membership"
 	"github.com/ebonydyke/ebonydyke/internal/core/reason"
 	"github.com/ebonydyke/ebonydyke/internal/core/retry"
@@ -59,7 +60,7 @@
 	r.handle(core.InstancesListed{Op: onlyEffect[core.ListInstances](t, r.advance(time.Second)).Op, Members: alone})
 	list := effectsOf[core.ListBackends](r.tick())
 	require.Len(t, list, 1, "the only instance must read the store")
-	var entries []core.BackendEntry
+	var entries []entries.Entry
 	for i := range n {
 		entries = append(entries, entry("engine", "engines", i, uint64(10+i)), entry("portal", "portal", i, uint64(40+i)))
 	}
@@ -67,13 +68,13 @@
 	return r
 }
 
-func entry(kind, service string, i int, revision uint64) core.BackendEntry {
+func entry(kind, service string, i int, revision uint64) entries.Entry {
 	member := membership.Member{
 		Name: fmt.Sprintf("%s-%d", kind, i), Role: membership.RoleBackend, Service: service,
 		Zone: fmt.Sprintf("zone-%d", i%3), Address: fmt.Sprintf("10.0.0.%d:8080", i+1), Slots: 6,
 		Incarnation: 1, State: membership.Live,
 	}
-	return core.BackendEntry{Name: member.Name, Revision: revision, Backend: &member}
+	return entries.Entry{Name: member.Name, Revision: revision, Backend: &member}
 }
 
 func (r *nodeDriver) handle(e core.Event) []core.Effect {
--- a/internal/core/sessions_test.go
+++ b/internal/core/sessions_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/ebonydyke/ebonydyke/internal/core"
+	"github.com/ebonydyke/ebonydyke/internal/core/entries"
 	"github.com/ebonydyke/ebonydyke/internal/core/reason"
 	"github.com/ebonydyke/ebonydyke/internal/core/retry"
 )
@@ -56,7 +57,7 @@
 	r.endAttempt(sent, retry.Answered)
 	leaving := r.entryWithRevision(sent.Backend, 200)
 	leaving.Backend.State = "leaving"
-	r.replyToWatch(core.BackendsRead{Status: core.StoreOK, Entries: []core.BackendEntry{leaving}, Revision: 200})
+	r.replyToWatch(core.BackendsRead{Status: core.StoreOK, Entries: []entries.Entry{leaving}, Revision: 200})
 	next := r.sendReview("dossier")
 	require.NotEqual(t, sent.Backend, next.Backend)
 	require.Equal(t, sent.Address, next.Source)
@@ -69,7 +70,7 @@
 	preferred := newNodeDriver(t, 6).sendReview("dossier")
 	leaving := r.entryWithRevision(preferred.Backend, 200)
 	leaving.Backend.State = "leaving"
-	r.replyToWatch(core.BackendsRead{Status: core.StoreOK, Entries: []core.BackendEntry{leaving}, Revision: 200})
+	r.replyToWatch(core.BackendsRead{Status: core.StoreOK, Entries: []entries.Entry{leaving}, Revision: 200})
 	require.Equal(t, preferred.Address, r.sendReview("dossier").Source)
 }
 
@@ -83,7 +84,7 @@
 		r := newNodeDriver(t, 1)
 		for i := 1; i < 12; i++ {
 			e := entry("engine", "engines", i, uint64(200+i))
-			r.replyToWatch(core.BackendsRead{Status: core.StoreOK, Entries: []core.BackendEntry{e}, Revision: uint64(200 + i)})
+			r.replyToWatch(core.BackendsRead{Status: core.StoreOK, Entries: []entries.Entry{e}, Revision: uint64(200 + i)})
 		}
 		return r
 	}
@@ -94,7 +95,7 @@
 	preferred := r.sendReview("dossier")
 	r.endAttempt(preferred, retry.Answered)
 	late := entry("engine", "engines", 12, 300)
-	r.replyToWatch(core.BackendsRead{Status: core.StoreOK, Entries: []core.BackendEntry{late}, Revision: 300})
+	r.replyToWatch(core.BackendsRead{Status: core.StoreOK, Entries: []entries.Entry{late}, Revision: 300})
 	for i := range 60 {
 		if sent := r.sendReview(fmt.Sprint("moving-", i)); sent.Backend == "engine-12" {
 			require.NotEqual(t, preferred.Address, sent.Address)
@@ -106,7 +107,7 @@
 }
 
 // entryWithRevision returns an engine's entry as newNodeDriver created it, with a new revision.
-func (r *nodeDriver) entryWithRevision(backend string, revision uint64) core.BackendEntry {
+func (r *nodeDriver) entryWithRevision(backend string, revision uint64) entries.Entry {
 	var i int
 	_, err := fmt.Sscanf(backend, "engine-%d", &i)
 	require.NoError(r.t, err)
--- a/internal/core/staleness.go
+++ b/internal/core/staleness.go
@@ -104,7 +104,7 @@
 // removals of entries that may have lapsed, it does not prove anything: its digests do not
 // show that the entries changed.
 func (n *Node) provenAsOf() time.Time {
-	if len(n.backends.lapsed) > 0 {
+	if n.backends.log.HasLapsed() {
 		return time.Time{}
 	}
 	return n.knownAsOf()
@@ -140,7 +140,7 @@
 
 // adoptPeerKnowledge applies the proof of peers of which this instance has every change.
 func (n *Node) adoptPeerKnowledge() {
-	generation, entries := n.generation(), n.backends.completeRevision
+	generation, entries := n.generation(), n.backends.log.Complete()
 	for _, p := range n.peers.byName {
 		if generation >= p.knowledge.generation && entries >= p.knowledge.entries {
 			n.follow.peersAsOf = later(n.follow.peersAsOf, p.knowledge.asOf)
--- a/internal/core/staleness_test.go
+++ b/internal/core/staleness_test.go
@@ -87,7 +87,7 @@
 	p := newProvenNode()
 	p.digest(p.at, 100*time.Millisecond, 7)
 	require.False(t, p.provenAsOf().IsZero())
-	p.backends.lapsed["engine-1"] = p.at.Add(time.Second)
+	p.backends.log.Lapse("engine-1", p.at.Add(time.Second))
 	require.True(t, p.provenAsOf().IsZero())
 }
 
--- a/internal/core/start_test.go
+++ b/internal/core/start_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/ebonydyke/ebonydyke/internal/core"
 	"github.com/ebonydyke/ebonydyke/internal/core/config"
+	"github.com/ebonydyke/ebonydyke/internal/core/entries"
 	"github.com/ebonydyke/ebonydyke/internal/core/reason"
 )
 
@@ -35,13 +36,13 @@
 func (r *nodeDriver) deliverConfig(asked core.OpID) []core.Effect {
 	r.t.Helper()
 	effects := r.handle(core.ConfigOffered{Envelope: config.Envelope{Generation: 1, Edit: "first", Text: routesConfig}})
-	page := core.BackendsRead{Op: asked, Status: core.StoreOK, Revision: 100, More: "portal-0", Entries: []core.BackendEntry{
+	page := core.BackendsRead{Op: asked, Status: core.StoreOK, Revision: 100, More: "portal-0", Entries: []entries.Entry{
 		entry("portal", "portal", 0, 10),
 	}}
 	effects = append(effects, r.handle(page)...)
 	require.Empty(r.t, effectsOf[core.SendAttempt](effects), "no request may be sent before all pages are read")
 	page.Op, page.More = onlyEffect[core.ListBackends](r.t, r.tick()).Op, ""
-	page.Entries = []core.BackendEntry{entry("portal", "portal", 1, 11)}
+	page.Entries = []entries.Entry{entry("portal", "portal", 1, 11)}
 	return r.handle(page)
 }
 
--- a/internal/core/statechanges.go
+++ b/internal/core/statechanges.go
@@ -79,7 +79,7 @@
 	})
 	for _, k := range kinds {
 		slices.Sort(groups[k])
-		n.emit(StateChanged{Subject: k.subject, Names: groups[k], State: string(k.state), Revision: n.backends.newestEntryRevision})
+		n.emit(StateChanged{Subject: k.subject, Names: groups[k], State: string(k.state), Revision: n.backends.log.Newest()})
 	}
 }
 
@@ -91,7 +91,7 @@
 	}
 	n.emit(StateChanged{
 		Subject: subjectOf(member), Name: name, State: string(member.State), Service: member.Service, Address: member.Address,
-		Revision: n.backends.knownRevision(name), Incarnation: member.Incarnation,
+		Revision: n.backends.log.Revision(name), Incarnation: member.Incarnation,
 	})
 }
 
--- a/internal/core/statechanges_test.go
+++ b/internal/core/statechanges_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/ebonydyke/ebonydyke/internal/core"
+	"github.com/ebonydyke/ebonydyke/internal/core/entries"
 	"github.com/ebonydyke/ebonydyke/internal/core/membership"
 )
 
@@ -20,7 +21,7 @@
 		offer := &core.EntriesOffer{To: uint64(to)}
 		for i := from; i < to; i++ {
 			engine := engineEntry(i, membership.Live)
-			offer.Entries = append(offer.Entries, core.BackendEntry{Name: engine.Name, Revision: uint64(i + 1), Backend: engine})
+			offer.Entries = append(offer.Entries, entries.Entry{Name: engine.Name, Revision: uint64(i + 1), Backend: engine})
 		}
 		var changes []core.StateChanged
 		for _, effect := range s.handle(core.PeerReceived{From: "entry-1", Message: core.PeerMessage{EntriesOffer: offer}}) {
--- a/internal/daemon/storecalls.go
+++ b/internal/daemon/storecalls.go
@@ -14,6 +14,7 @@
 
 	"github.com/ebonydyke/ebonydyke/internal/core"
 	"github.com/ebonydyke/ebonydyke/internal/core/config"
+	"github.com/ebonydyke/ebonydyke/internal/core/entries"
 	"github.com/ebonydyke/ebonydyke/internal/core/membership"
 	"github.com/ebonydyke/ebonydyke/internal/settings"
 	"github.com/ebonydyke/ebonydyke/internal/store"
@@ -269,8 +270,8 @@
 	s.post(out)
 }
 
-func backendEntry(i store.Item) core.BackendEntry {
-	entry := core.BackendEntry{Name: platform.BackendName(i.Key), Revision: i.Revision}
+func backendEntry(i store.Item) entries.Entry {
+	entry := entries.Entry{Name: platform.BackendName(i.Key), Revision: i.Revision}
 	if i.Deleted {
 		return entry
 	}
--- a/internal/peer/decode.go
+++ b/internal/peer/decode.go
@@ -15,6 +15,7 @@
 	"github.com/ebonydyke/ebonydyke/internal/core"
 	"github.com/ebonydyke/ebonydyke/internal/core/claims"
 	"github.com/ebonydyke/ebonydyke/internal/core/config"
+	"github.com/ebonydyke/ebonydyke/internal/core/entries"
 	"github.com/ebonydyke/ebonydyke/internal/core/load"
 	"github.com/ebonydyke/ebonydyke/internal/core/membership"
 	"github.com/ebonydyke/ebonydyke/internal/core/poison"
@@ -322,14 +323,14 @@
 	return out, nil
 }
 
-func (d *Decoder) entries(in []*peerpb.Entry) ([]core.BackendEntry, error) {
-	var out []core.BackendEntry
+func (d *Decoder) entries(in []*peerpb.Entry) ([]entries.Entry, error) {
+	var out []entries.Entry
 	for _, e := range in {
 		name, err := d.name(e.Name)
 		if err != nil {
 			return nil, err
 		}
-		entry := core.BackendEntry{Name: name, Revision: e.Revision, Unreadable: e.Unreadable}
+		entry := entries.Entry{Name: name, Revision: e.Revision, Unreadable: e.Unreadable}
 		if e.Backend != nil {
 			backend, err := d.member(e.Backend)
 			if err != nil {
@@ -343,11 +344,11 @@
 }
 
 func (d *Decoder) entriesOffer(in *peerpb.EntriesOffer) (*core.EntriesOffer, error) {
-	entries, err := d.entries(in.Entries)
+	list, err := d.entries(in.Entries)
 	if err != nil {
 		return nil, err
 	}
-	return &core.EntriesOffer{From: in.From, To: in.To, Entries: entries}, nil
+	return &core.EntriesOffer{From: in.From, To: in.To, Entries: list}, nil
 }
 
 func inflateOffer(in *peerpb.ConfigOffer) (*core.ConfigOffer, error) {
--- a/internal/peer/encode.go
+++ b/internal/peer/encode.go
@@ -16,6 +16,7 @@
 	"github.com/ebonydyke/ebonydyke/api/peerpb"
 	"github.com/ebonydyke/ebonydyke/internal/core"
 	"github.com/ebonydyke/ebonydyke/internal/core/claims"
+	"github.com/ebonydyke/ebonydyke/internal/core/entries"
 	"github.com/ebonydyke/ebonydyke/internal/core/load"
 	"github.com/ebonydyke/ebonydyke/internal/core/membership"
 	"github.com/ebonydyke/ebonydyke/internal/core/poison"
@@ -202,9 +203,9 @@
 	return &peerpb.EntriesOffer{From: offer.From, To: offer.To, Entries: e.entries(offer.Entries)}
 }
 
-func (e *Encoder) entries(entries []core.BackendEntry) []*peerpb.Entry {
+func (e *Encoder) entries(list []entries.Entry) []*peerpb.Entry {
 	var out []*peerpb.Entry
-	for _, entry := range entries {
+	for _, entry := range list {
 		out = append(out, e.entry(entry))
 	}
 	return out
@@ -273,7 +274,7 @@
 	}
 }
 
-func (e *Encoder) entry(entry core.BackendEntry) *peerpb.Entry {
+func (e *Encoder) entry(entry entries.Entry) *peerpb.Entry {
 	out := &peerpb.Entry{Name: e.id(entry.Name), Revision: entry.Revision, Unreadable: entry.Unreadable}
 	if entry.Backend != nil {
 		out.Backend = e.member(*entry.Backend)
