Limit what a separated instance resends; log what it writes

- An instance that becomes separated from a peer queued all of its records, up to 1,024, for the peers in other zones.
What is older than the window had reached them before the link went dead; the latest are enough.
- Each write of records to the store is a log line, so that a failure can be explained from the logs.

--- a/internal/core/poison/exchange.go
+++ b/internal/core/poison/exchange.go
@@ -10,6 +10,17 @@
 // Keys returns the requests that have a record, sorted.
 func (t *Tracker) Keys() []Key { return slices.Sorted(maps.Keys(t.records)) }
 
+// ChangedSince returns the requests under which a server ended, or a trial began, since a time.
+func (t *Tracker) ChangedSince(at time.Time) []Key {
+	var keys []Key
+	for key, r := range t.records {
+		if !r.changedAt.Before(at) {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
 // Select returns up to limit of the given requests, those first under which most servers ended.
 func (t *Tracker) Select(keys []Key, limit int) []Key {
 	slices.SortFunc(keys, func(a, b Key) int {
--- a/internal/core/poisonstore.go
+++ b/internal/core/poisonstore.go
@@ -151,18 +151,20 @@
 }
 
 // separationChanged logs the change. Once this instance is separated, peers that get only loads are
-// sent the poison records as well: those from which they usually learn facts may be cut off.
+// sent the latest poison records as well: those from which they usually learn facts may be cut off.
 func (n *Node) separationChanged() {
-	state := stateTogether
-	if n.poison.store.separated {
-		state = stateSeparated
+	if !n.poison.store.separated {
+		n.emit(StateChanged{Subject: SubjectLink, State: stateTogether})
+		return
+	}
+	n.emit(StateChanged{Subject: SubjectLink, State: stateSeparated})
+	for _, key := range n.poison.tracker.ChangedSince(n.now.Add(-separationWindow)) {
 		for name := range n.peers.inLayout {
 			if !n.receivesFacts(name) {
-				n.queueAllPoison(n.peer(name))
+				n.peer(name).pendingPoison[key] = true
 			}
 		}
 	}
-	n.emit(StateChanged{Subject: SubjectLink, State: state})
 }
 
 // addPoisonIfSeparated adds poison records to a digest for a peer that gets only loads.
--- a/internal/daemon/poisonrecords.go
+++ b/internal/daemon/poisonrecords.go
@@ -20,7 +20,9 @@
 	defer cancel()
 	lease, err := s.putPoison(ctx, e)
 	if err != nil {
-		klog.InfoS("failed to write poison records to the store", "error", err)
+		klog.InfoS("failed to write poison records to the store", "records", len(e.Records), "error", err)
+	} else {
+		klog.InfoS("wrote poison records to the store", "records", len(e.Records), "lease", lease)
 	}
 	s.post(core.LeaseReplied{Op: e.Op, Status: storeStatus(err), Lease: lease})
 }
