--- a/internal/core/peers_test.go
+++ b/internal/core/peers_test.go
@@ -269,6 +269,7 @@
 // different aggregators. If a shard's sums were dropped before the new aggregator has collected
 // its own, the shard's servers would look idle and get all requests for a second or two.
 func TestInstanceReplacementKeepsLoadsVisible(t *testing.T) {
+	t.Parallel()
 	for _, zones := range []int{1, 3} {
 		least := 1.0
 		for _, replaced := range []string{"entry-03", "entry-11", "entry-18", "entry-26"} {
--- a/internal/core/poisonrequest_test.go
+++ b/internal/core/poisonrequest_test.go
@@ -15,7 +15,7 @@
 // poisonReason is the reason of a request that is refused as poison.
 const poisonReason = reason.Reason("poison-request")
 
-func sortedRequests(running map[core.RequestID]runningAttempt) []core.RequestID {
+func sortedRequests[T any](running map[core.RequestID]T) []core.RequestID {
 	return slices.Sorted(maps.Keys(running))
 }
 
@@ -38,6 +38,7 @@
 // Guards against instances that each count for themselves: a request that ends each engine comes back
 // at another instance each time, and the third end is known at all of them.
 func TestEndsUnderReturnsAtDifferentInstancesAreCountedTogether(t *testing.T) {
+	t.Parallel()
 	f := newPoisonFleet(fleetSize{4, 2}, 121)
 	f.poison[1] = true
 	for i := 0; len(f.ends[1]) < 3; i++ {
@@ -165,6 +166,7 @@
 // Guards against instances that hear none of the others and exceed the store's rates, because each
 // of many writes what it learns of a hundred poison requests.
 func TestSeparatedInstancesStayWithinStoreRates(t *testing.T) {
+	t.Parallel()
 	// The operators' store accepts 400 writes and 2,000 reads a second from the whole fleet.
 	const maxWrites, maxReads = 400, 2000
 	f := newPoisonFleet(fleetSize{60, 4}, 111)
@@ -257,6 +259,7 @@
 // Guards against a hundred poison requests that take memory and control traffic without bound, or
 // of which one is sent on.
 func TestManyPoisonRequestsAreStopped(t *testing.T) {
+	t.Parallel()
 	f := newPoisonFleet(fleetSize{8, 3}, 71)
 	const poisons = 100
 	for content := uint64(1); content <= poisons; content++ {
--- a/internal/core/traffic_test.go
+++ b/internal/core/traffic_test.go
@@ -143,6 +143,7 @@
 // An instance's control traffic is limited to a few kilobytes per second. With returning
 // chats it must stay below a fifth of that, in a small fleet and in a small zone.
 func TestControlTrafficStaysInBudget(t *testing.T) {
+	t.Parallel()
 	for _, size := range []trafficSize{
 		{name: "eight instances in three zones", instances: 8, zones: 3, engines: 15, services: 2, customers: 10, requestsPerSecond: 2, maxBytesPerSecond: 1100},
 		{name: "a zone of fifteen", instances: 15, zones: 1, engines: 38, services: 27, customers: 100, requestsPerSecond: 37, maxBytesPerSecond: 1000},
