--- a/internal/core/poisonfleet_test.go
+++ b/internal/core/poisonfleet_test.go
@@ -19,6 +19,9 @@
 	// poisonContact is the time after its last fault from which an instance is healthy, and after
 	// the third end of a server from which the sends of a poison request are counted.
 	poisonContact = 3 * time.Second
+	// resetWindow is the time in which the resets of idle connections arrive. A request that is sent on
+	// one of them meanwhile is lost.
+	resetWindow = 150 * time.Millisecond
 	// maxPoisonSends is the number of sends that the operators allow then.
 	maxPoisonSends = 3
 )
@@ -44,6 +47,9 @@
 	recoveredAt map[*fakeInstance]time.Time
 	// sameNames makes engines start again under the name that they had.
 	sameNames bool
+	// rejected maps the instances whose connections to all engines a device on the path resets and
+	// refuses, although the engines run, to the time at which that began.
+	rejected map[*fakeInstance]time.Time
 }
 
 // poisonSend is one arrival of a request at an engine.
@@ -79,6 +85,7 @@
 		poison: make(map[uint64]bool), contents: make(map[core.RequestID]uint64),
 		ends: make(map[uint64][]time.Time), sends: make(map[uint64][]poisonSend),
 		served: make(map[uint64]int), refused: make(map[uint64]int), recoveredAt: make(map[*fakeInstance]time.Time),
+		rejected: make(map[*fakeInstance]time.Time),
 	}
 	f.serve = f.runAttempt
 	f.putConfig(1, "first", entriesText)
@@ -143,6 +150,23 @@
 	}
 }
 
+// rejectConnections resets the connections of instances to all engines and refuses new ones for a time.
+func (f *poisonFleet) rejectConnections(instances []*fakeInstance, lasts time.Duration) {
+	for _, m := range instances {
+		f.rejected[m] = f.now
+	}
+	for _, name := range slices.Sorted(maps.Keys(f.engines)) {
+		e := f.engines[name]
+		for _, id := range sortedRequests(e.running) {
+			if r := e.running[id]; !f.rejected[r.instance].IsZero() {
+				delete(e.running, id)
+				f.breakAttempt(r, true)
+			}
+		}
+	}
+	f.schedule(lasts, func() { clear(f.rejected) })
+}
+
 // leave announces that an engine leaves and ends it later, whatever it still holds.
 func (f *poisonFleet) leave(e *fakeEngine) {
 	f.store.putEntry(e.name, f.entryOf(e, membership.Leaving))
@@ -173,7 +197,11 @@
 // runAttempt runs an attempt at its engine.
 func (f *poisonFleet) runAttempt(m *fakeInstance, a core.SendAttempt) {
 	e := f.engines[a.Backend]
-	if e == nil || e.ended || e.rejecting {
+	if at, rejected := f.rejected[m]; rejected && f.now.Sub(at) < resetWindow {
+		f.breakAttempt(runningAttempt{m, a}, true)
+		return
+	}
+	if _, rejected := f.rejected[m]; e == nil || e.ended || e.rejecting || rejected {
 		f.reply(m, time.Millisecond, core.AttemptEnded{Request: a.Request, Attempt: a.Attempt, Outcome: retry.NotSent})
 		return
 	}
--- a/internal/core/poisonneighbours_test.go
+++ b/internal/core/poisonneighbours_test.go
@@ -125,3 +125,34 @@
 		}
 	}
 }
+
+// Guards against taking connections that a device resets and refuses between some instances and all
+// servers for the end of these servers: contents are blocked that end none, and a poison request beside
+// them is sent on.
+func TestRejectingCutOfInstancesBlamesNoRequest(t *testing.T) {
+	for _, size := range []fleetSize{{7, 3}, {60, 4}} {
+		for _, poisons := range []uint64{0, 2} {
+			t.Run(fmt.Sprintf("%v, %d poison requests", size, poisons), func(t *testing.T) {
+				t.Parallel()
+				for seed := range *boundSeeds {
+					f := newPoisonFleet(size, uint64(81+seed))
+					f.innocentCallers(true, 40*time.Second)
+					for content := uint64(1); content <= poisons; content++ {
+						f.poison[content] = true
+						f.repeat(content, 30*time.Second)
+					}
+					for range 3 {
+						f.run(f.between(2000, 3000))
+						f.rejectConnections(f.instances[:2*len(f.instances)/5], 8*time.Second)
+						f.run(8 * time.Second)
+					}
+					f.run(15 * time.Second)
+					for content := uint64(1); content <= poisons; content++ {
+						f.requirePoisonStopped(t, content)
+					}
+					f.requireInnocentsServed(t, true)
+				}
+			})
+		}
+	}
+}
