--- a/internal/core/codec.go
+++ b/internal/core/codec.go
@@ -11,7 +11,7 @@
 var eventTypes = []Event{
 	RequestArrived{}, AttemptEnded{}, AnswerStarted{}, CallerGone{},
 	InstancesListed{}, BackendReported{}, ConfigOffered{}, StoreReplied{},
-	BackendsRead{}, LeaseReplied{},
+	BackendsRead{}, LeaseReplied{}, BackendDialed{},
 	PeerConnected{}, PeerLost{}, PeerReceived{}, StopRequested{}, Ticked{},
 }
 
--- a/internal/core/cutfleet_test.go
+++ b/internal/core/cutfleet_test.go
@@ -1,12 +1,14 @@
 package core_test
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"time"
 
 	"github.com/ebonydyke/ebonydyke/internal/core"
 	"github.com/ebonydyke/ebonydyke/internal/core/membership"
+	"github.com/ebonydyke/ebonydyke/internal/core/paths"
 	"github.com/ebonydyke/ebonydyke/internal/core/reason"
 	"github.com/ebonydyke/ebonydyke/internal/core/retry"
 )
@@ -46,6 +48,8 @@
 	cutFrom func(m *fakeInstance, server string) bool
 	// running are the attempts in progress.
 	running map[core.RequestID]*cutAttempt
+	// scopes holds what each instance relays.
+	scopes map[*fakeInstance]core.SetRelayScope
 	// kept counts the idle connections of an instance to a server, and heard holds the time of the last
 	// bytes from a zone at an instance.
 	kept  map[cutPair]int
@@ -67,16 +71,19 @@
 	by      *fakeInstance
 	attempt core.SendAttempt
 	server  string
+	// connected is the instance whose connection reaches the server: by itself, or a relay.
+	connected *fakeInstance
 }
 
 func newCutFleet(size fleetSize, seed uint64, mode cutMode) *cutFleet {
 	f := &cutFleet{
 		fleet: newFleet(seed, size.instances, size.zones, routesConfig), mode: mode,
 		cutFrom: func(*fakeInstance, string) bool { return false },
-		running: make(map[core.RequestID]*cutAttempt),
-		kept:    make(map[cutPair]int), heard: make(map[cutPair]time.Time),
+		running: make(map[core.RequestID]*cutAttempt), scopes: make(map[*fakeInstance]core.SetRelayScope),
+		kept: make(map[cutPair]int), heard: make(map[cutPair]time.Time),
 	}
 	f.serve = f.runAttempt
+	f.onScope = func(m *fakeInstance, e core.SetRelayScope) { f.scopes[m] = e }
 	f.onChange = func(_ *fakeInstance, e core.StateChanged) {
 		if e.Subject == core.SubjectRequest && e.State == "blocked" {
 			f.blocked++
@@ -95,7 +102,7 @@
 
 func (f *cutFleet) addServer(name, service string, index int) {
 	member := engineEntry(index, membership.Live)
-	member.Name, member.Service = name, service
+	member.Name, member.Service, member.Address = name, service, name+":80"
 	f.store.putEntry(name, member)
 }
 
@@ -103,14 +110,25 @@
 func (f *cutFleet) cut(instances []*fakeInstance, servers func(name string) bool) {
 	f.cutFrom = func(m *fakeInstance, server string) bool { return slices.Contains(instances, m) && servers(server) }
 	for _, id := range sortedRequests(f.running) {
-		if r := f.running[id]; f.cutFrom(r.by, r.server) && f.mode == cutReset {
+		if r := f.running[id]; f.cutFrom(r.connected, r.server) && f.mode == cutReset {
 			delete(f.running, id)
-			f.end(r, core.AttemptEnded{Outcome: retry.Unknown, ServerEnded: true}, 3*time.Millisecond)
+			f.end(r, f.brokenByReset(r), 6*time.Millisecond)
 		}
 	}
 	f.schedule(cutLasts, func() { f.cutFrom = func(*fakeInstance, string) bool { return false } })
 }
 
+// brokenByReset returns the end of an attempt whose connection was reset. The instance finds that its
+// own connections to the server are refused, and asks its peers.
+func (f *cutFleet) brokenByReset(r *cutAttempt) core.AttemptEnded {
+	ended := core.AttemptEnded{Outcome: retry.Unknown, ServerEnded: f.cutFrom(r.by, r.server)}
+	for _, relay := range r.attempt.Path.Relays {
+		result, _ := f.relayResult(r.by, f.instance(relay.Name), r.server)
+		ended.EndChecks = append(ended.EndChecks, paths.Observation{Relay: relay.Name, Result: result})
+	}
+	return ended
+}
+
 // end reports the end of an attempt to its instance.
 func (f *cutFleet) end(r *cutAttempt, e core.AttemptEnded, after time.Duration) {
 	e.Request, e.Attempt = r.attempt.Request, r.attempt.Attempt
@@ -119,7 +137,7 @@
 
 // runAttempt connects an attempt to its server and runs it there.
 func (f *cutFleet) runAttempt(m *fakeInstance, a core.SendAttempt) {
-	r := &cutAttempt{by: m, attempt: a, server: a.Backend}
+	r := &cutAttempt{by: m, attempt: a, server: a.Backend, connected: m}
 	if f.useKeptConnection(r) {
 		f.runAt(r, 0)
 		return
@@ -131,6 +149,9 @@
 // from the server's zone have arrived lately.
 func (f *cutFleet) useKeptConnection(r *cutAttempt) bool {
 	pair := cutPair{r.by, r.server}
+	if r.attempt.Path.Mode != paths.DirectFirst {
+		return false
+	}
 	if f.kept[pair] == 0 || f.now.Sub(f.heard[cutPair{r.by, r.attempt.Zone}]) > cutMaxSilence {
 		return false
 	}
@@ -142,22 +163,120 @@
 	return true
 }
 
-// dial opens a connection for an attempt.
+// cutWay is one way of an attempt to connect.
+type cutWay struct {
+	relay     *fakeInstance
+	startedAt time.Duration
+	result    paths.Result
+	endedAt   time.Duration
+}
+
+// dial opens a connection for an attempt over the ways that it names, as the proxy does: the first
+// connection is used, and the results are reported once all ways have ended.
 func (f *cutFleet) dial(r *cutAttempt) {
+	ways := f.ways(r)
+	first := slices.IndexFunc(ways, func(w cutWay) bool { return w.result == paths.Connected })
+	for i, w := range ways {
+		if w.result == paths.Connected && w.endedAt < ways[first].endedAt {
+			first = i
+		}
+	}
+	last := slices.MaxFunc(ways, func(a, b cutWay) int { return cmp.Compare(a.endedAt, b.endedAt) })
+	f.reportWays(r, ways, last.endedAt)
+	if first < 0 {
+		f.end(r, core.AttemptEnded{Outcome: retry.NotSent, ConnectionRefused: ways[0].result == paths.Refused}, last.endedAt)
+		return
+	}
+	if relay := ways[first].relay; relay != nil {
+		r.connected = relay
+	}
+	f.schedule(ways[first].endedAt, func() { f.runAt(r, time.Millisecond) })
+}
+
+// ways returns the ways that an attempt to connect tries, up to the first one that connects, with the
+// times at which they start and end.
+func (f *cutFleet) ways(r *cutAttempt) []cutWay {
+	path := r.attempt.Path
+	var relays []*fakeInstance
+	if path.Mode != paths.RelayOnly || len(path.Relays) == 0 {
+		relays = append(relays, nil)
+	}
+	for _, p := range path.Relays {
+		relays = append(relays, f.instance(p.Name))
+	}
+	var ways []cutWay
+	connectedAt, startAt := cutDialTimeout, time.Duration(0)
+	for i, relay := range relays {
+		if i == 1 && path.Mode == paths.Both {
+			startAt = 0
+		}
+		if startAt >= connectedAt {
+			break
+		}
+		result, takes := f.wayResult(r, relay)
+		w := cutWay{relay: relay, startedAt: startAt, result: result, endedAt: min(startAt+takes, cutDialTimeout)}
+		ways = append(ways, w)
+		if result == paths.Connected {
+			connectedAt = min(connectedAt, w.endedAt)
+		}
+		startAt = min(startAt+cutDialTimeout/4, w.endedAt)
+	}
+	return ways
+}
+
+// wayResult returns the result of one way to a server and the time that it takes.
+func (f *cutFleet) wayResult(r *cutAttempt, relay *fakeInstance) (paths.Result, time.Duration) {
+	if relay == nil {
+		return f.connectResult(r.by, r.server)
+	}
+	return f.relayResult(r.by, relay, r.server)
+}
+
+// relayResult returns the result of asking a relay.
+func (f *cutFleet) relayResult(m, relay *fakeInstance, server string) (paths.Result, time.Duration) {
+	scope := f.scopes[relay]
+	switch {
+	case relay.dead || f.linkCut(m, relay) || relay.frozenUntil.After(f.now):
+		return paths.NoRelay, cutDialTimeout
+	case scope.Closed || slices.Contains(scope.Lost, server+":80"):
+		return paths.NoRelay, 2 * time.Millisecond
+	}
+	result, takes := f.connectResult(relay, server)
+	return result, takes + 2*time.Millisecond
+}
+
+// connectResult returns the result of an instance's own connection to a server.
+func (f *cutFleet) connectResult(m *fakeInstance, server string) (paths.Result, time.Duration) {
 	switch {
-	case !f.cutFrom(r.by, r.server):
-		f.runAt(r, 2*time.Millisecond)
+	case !f.cutFrom(m, server):
+		return paths.Connected, 2 * time.Millisecond
 	case f.mode == cutSilent:
-		f.end(r, core.AttemptEnded{Outcome: retry.NotSent}, cutDialTimeout)
+		return paths.TimedOut, cutDialTimeout
 	default:
-		f.end(r, core.AttemptEnded{Outcome: retry.NotSent, ConnectionRefused: true}, 3*time.Millisecond)
+		return paths.Refused, 3 * time.Millisecond
 	}
 }
 
+// reportWays reports the results of all ways unless the direct one was the only one and connected.
+func (f *cutFleet) reportWays(r *cutAttempt, ways []cutWay, after time.Duration) {
+	if len(ways) == 1 && ways[0].relay == nil && ways[0].result == paths.Connected {
+		return
+	}
+	dialed := core.BackendDialed{Backend: r.server}
+	for _, w := range ways {
+		o := paths.Observation{Result: w.result}
+		if w.relay != nil {
+			o.Relay = w.relay.name
+		}
+		dialed.Results = append(dialed.Results, o)
+	}
+	f.reply(r.by, after, dialed)
+}
+
 // runAt runs an attempt at its server, to which it takes a time to get.
 func (f *cutFleet) runAt(r *cutAttempt, after time.Duration) {
 	id := r.attempt.Request
-	if f.mode == cutSilent && f.cutFrom(r.by, r.server) {
+	if f.mode == cutSilent && f.cutFrom(r.connected, r.server) {
 		f.waitForNothing(r)
 		return
 	}
@@ -184,15 +303,17 @@
 
 // answer passes a server's whole answer to the instance, unless it is lost on the way.
 func (f *cutFleet) answer(r *cutAttempt) {
-	if f.mode == cutSilent && f.cutFrom(r.by, r.server) {
+	if f.mode == cutSilent && f.cutFrom(r.connected, r.server) {
 		return
 	}
 	s := f.requests[r.attempt.Request]
 	if s.ended.IsZero() {
 		s.answered = true
 	}
-	f.kept[cutPair{r.by, r.server}]++
-	f.heard[cutPair{r.by, r.attempt.Zone}] = f.now
+	if r.connected == r.by {
+		f.kept[cutPair{r.by, r.server}]++
+		f.heard[cutPair{r.by, r.attempt.Zone}] = f.now
+	}
 	f.end(r, core.AttemptEnded{Outcome: retry.Answered}, time.Millisecond)
 }
 
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -6,6 +6,7 @@
 	"github.com/ebonydyke/ebonydyke/internal/core/config"
 	"github.com/ebonydyke/ebonydyke/internal/core/entries"
 	"github.com/ebonydyke/ebonydyke/internal/core/membership"
+	"github.com/ebonydyke/ebonydyke/internal/core/paths"
 	"github.com/ebonydyke/ebonydyke/internal/core/poison"
 	"github.com/ebonydyke/ebonydyke/internal/core/retry"
 )
@@ -82,9 +83,11 @@
 	Load *membership.Report `json:"load,omitempty"`
 	// RetryAfter is the delay that the backend server requested when it refused the attempt.
 	RetryAfter time.Duration `json:"retry_after,omitempty"`
-	// ServerEnded is set if the backend server's process ended while it held the request: the
-	// connection closed early, and the server's machine then refused another one.
-	ServerEnded bool `json:"server_ended,omitempty"`
+	// ServerEnded is set if the backend server's process seems to have ended while it held the
+	// request: the connection closed early, and another one was then refused. EndChecks are the
+	// results of peers that were asked to connect to the server then.
+	ServerEnded bool                `json:"server_ended,omitempty"`
+	EndChecks   []paths.Observation `json:"end_checks,omitempty"`
 	// ConnectionRefused is set if nothing was sent because the backend server's machine refused the
 	// connection: the machine is reachable, but the server does not run there.
 	ConnectionRefused bool `json:"connection_refused,omitempty"`
--- a/internal/core/fleet_test.go
+++ b/internal/core/fleet_test.go
@@ -49,6 +49,8 @@
 	changeBound, storeSettle time.Duration
 	// onChange is called for each StateChanged if it is set.
 	onChange func(m *fakeInstance, e core.StateChanged)
+	// onScope is called for each SetRelayScope if it is set.
+	onScope func(m *fakeInstance, e core.SetRelayScope)
 	// rollbacks counts the cases in which an instance replaced its generation by an older one.
 	rollbacks int
 }
@@ -306,6 +308,10 @@
 				m.leavingEngines[name] = true
 			}
 		}
+	case core.SetRelayScope:
+		if f.onScope != nil {
+			f.onScope(m, e)
+		}
 	case core.Counted:
 		f.counters[e.Counter+"/"+e.Label] += e.N
 	}
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -17,6 +17,7 @@
 	"github.com/ebonydyke/ebonydyke/internal/core/loadsum"
 	"github.com/ebonydyke/ebonydyke/internal/core/membership"
 	"github.com/ebonydyke/ebonydyke/internal/core/outlier"
+	"github.com/ebonydyke/ebonydyke/internal/core/paths"
 	"github.com/ebonydyke/ebonydyke/internal/core/prefix"
 	"github.com/ebonydyke/ebonydyke/internal/core/reach"
 )
@@ -78,6 +79,7 @@
 	pools         map[string]*pool
 	poolByBackend map[string]*pool
 	reach         *reach.Tracker
+	paths         pathsState
 	hints         hintShares
 	prefixes      *prefix.Index
 	outliers      outlierState
@@ -112,6 +114,7 @@
 		pools:         make(map[string]*pool),
 		poolByBackend: make(map[string]*pool),
 		reach:         reach.New(),
+		paths:         pathsState{tracker: paths.New()},
 		hints:         make(hintShares),
 		prefixes:      prefix.New(),
 		outliers:      outlierState{tracker: outlier.New()},
@@ -152,6 +155,8 @@
 		n.attemptEnded(e)
 	case AnswerStarted:
 		n.answerStarted(e)
+	case BackendDialed:
+		n.backendDialed(e)
 	case CallerGone:
 		n.callerGone(e)
 	case InstancesListed:
@@ -212,6 +217,7 @@
 	n.tickConfig()
 	n.tickMembers()
 	n.tickPlacement()
+	n.tickPaths()
 	n.tickOutliers()
 	n.tickAdmission()
 	n.tickPoison()
--- /dev/null
+++ b/internal/core/paths/paths.go
@@ -0,0 +1,293 @@
+// Package paths tracks over which ways an instance reaches the backend servers: by its own connections,
+// or by a connection that another instance relays.
+//
+// A failed connection alone does not tell whether the server is down or only this instance's way to it
+// is lost. A peer that connects to the same server at the same moment does. A server that only relays
+// reach is not down: it keeps its requests, and the direct way is tried beside a relay until it is back.
+package paths
+
+import (
+	"errors"
+	"slices"
+	"syscall"
+	"time"
+)
+
+// Mode selects the ways that an attempt to connect uses.
+type Mode string
+
+// The modes.
+const (
+	// DirectFirst connects directly and uses relays if that fails or takes long.
+	DirectFirst Mode = ""
+	// Both connects directly and through a relay at the same time, and uses what is first.
+	Both Mode = "both"
+	// RelayOnly connects through relays only, because the direct way is known to be lost.
+	RelayOnly Mode = "relay-only"
+)
+
+// Result is the result of one way of an attempt to connect.
+type Result string
+
+// The results.
+const (
+	// Connected means that the server accepted the connection.
+	Connected Result = "connected"
+	// Refused means that the server's machine, or a device on the path, refused it.
+	Refused Result = "refused"
+	// TimedOut means that there was no response in time.
+	TimedOut Result = "timed-out"
+	// NoRelay means that the peer did not try: it could not be reached, does not relay, or has lost its
+	// own way to the server.
+	NoRelay Result = "no-relay"
+)
+
+// Observation is the result of one way to a backend server.
+type Observation struct {
+	// Relay is the instance that relays, or empty for the direct way.
+	Relay  string `json:"relay,omitempty"`
+	Result Result `json:"result"`
+}
+
+// Bounds of the backoff before the direct way is tried again. Such a try runs beside a relay and delays
+// no request, so it may be frequent.
+const (
+	minProbeBackoff = 250 * time.Millisecond
+	maxProbeBackoff = 2 * time.Second
+)
+
+// Bounds of the time for which an instance that did not relay is asked last.
+const (
+	minRelayBackoff = 500 * time.Millisecond
+	maxRelayBackoff = 8 * time.Second
+)
+
+const (
+	// doubtThreshold is the number of servers of a service whose direct ways must be lost before those
+	// of its other servers are doubted: one lost way may belong to a single machine.
+	doubtThreshold = 2
+	// provenFor is the time for which an instance that relayed is asked before others.
+	provenFor = 5 * time.Second
+	// forgetAfter is the time without a try after which a lost way is forgotten.
+	forgetAfter = time.Minute
+)
+
+// Tracker tracks the ways of one instance. It is not safe for concurrent use.
+type Tracker struct {
+	lost     map[string]*lostWay
+	services map[string]*serviceState
+	relays   map[string]*relayState
+}
+
+// lostWay is the state of a server whose direct way is lost.
+type lostWay struct {
+	service string
+	backoff time.Duration
+	probeAt time.Time
+	triedAt time.Time
+}
+
+// serviceState holds the evidence on the direct ways to the servers of a service.
+type serviceState struct {
+	// lostAt is the time of the last loss, and connectedAt that of the last direct connection.
+	lostAt, connectedAt time.Time
+}
+
+// relayState is what is known of an instance that was asked to relay.
+type relayState struct {
+	// connectedAt is the time of its last success, zero after a failure.
+	connectedAt time.Time
+	// backoff is the last backoff after a failure, which lasts until a time.
+	backoff time.Duration
+	until   time.Time
+}
+
+// New returns a tracker for which all direct ways are good.
+func New() *Tracker {
+	return &Tracker{
+		lost: make(map[string]*lostWay), services: make(map[string]*serviceState), relays: make(map[string]*relayState),
+	}
+}
+
+// Change is what an observation changed.
+type Change int
+
+// The changes.
+const (
+	Unchanged Change = iota
+	// Lost means that the direct way to the server is now known to be lost.
+	Lost
+	// Restored means that the direct way is good again.
+	Restored
+)
+
+// Observe records the results of one attempt to connect to a server.
+func (t *Tracker) Observe(service, server string, list []Observation, now time.Time) Change {
+	t.observeRelays(list, now)
+	direct := slices.IndexFunc(list, func(o Observation) bool { return o.Relay == "" })
+	switch {
+	case direct >= 0 && list[direct].Result == Connected:
+		return t.connected(service, server, now)
+	case t.lost[server] != nil:
+		t.lost[server].triedAt = now
+		return Unchanged
+	case direct >= 0 && relayed(list):
+		t.lost[server] = &lostWay{service: service, backoff: minProbeBackoff, probeAt: now.Add(minProbeBackoff), triedAt: now}
+		t.service(service).lostAt = now
+		return Lost
+	default:
+		return Unchanged
+	}
+}
+
+// relayed reports whether any relay connected.
+func relayed(list []Observation) bool {
+	return slices.ContainsFunc(list, func(o Observation) bool { return o.Relay != "" && o.Result == Connected })
+}
+
+// connected records a direct connection. If the way to the server was lost, the ways to the others of
+// its service are tried again at once.
+func (t *Tracker) connected(service, server string, now time.Time) Change {
+	t.service(service).connectedAt = now
+	if t.lost[server] == nil {
+		return Unchanged
+	}
+	delete(t.lost, server)
+	for _, w := range t.lost {
+		if w.service == service {
+			w.probeAt, w.backoff = now, minProbeBackoff
+		}
+	}
+	return Restored
+}
+
+// observeRelays records which instances relayed. An instance that found the server down, as all
+// others did, relays well. One that did not reach a server that another one reached has probably lost
+// its own way.
+func (t *Tracker) observeRelays(list []Observation, now time.Time) {
+	reached := slices.ContainsFunc(list, func(o Observation) bool { return o.Result == Connected })
+	for _, o := range list {
+		switch {
+		case o.Relay == "":
+		case o.Result == Connected:
+			t.relays[o.Relay] = &relayState{connectedAt: now}
+		case o.Result == NoRelay || reached:
+			t.relayFailed(o.Relay, now)
+		}
+	}
+}
+
+func (t *Tracker) relayFailed(name string, now time.Time) {
+	r := t.relays[name]
+	if r == nil {
+		r = &relayState{}
+		t.relays[name] = r
+	}
+	r.connectedAt = time.Time{}
+	if now.Before(r.until) {
+		return
+	}
+	r.backoff = min(max(2*r.backoff, minRelayBackoff), maxRelayBackoff)
+	r.until = now.Add(r.backoff)
+}
+
+func (t *Tracker) service(name string) *serviceState {
+	s := t.services[name]
+	if s == nil {
+		s = &serviceState{}
+		t.services[name] = s
+	}
+	return s
+}
+
+// NextMode returns the mode of the next attempt to connect to a server. A lost direct way is tried by
+// one attempt per backoff.
+func (t *Tracker) NextMode(service, server string, now time.Time) Mode {
+	w := t.lost[server]
+	switch {
+	case w == nil && t.Doubtful(service):
+		return Both
+	case w == nil:
+		return DirectFirst
+	case now.Before(w.probeAt):
+		return RelayOnly
+	}
+	w.backoff = min(2*w.backoff, maxProbeBackoff)
+	w.probeAt, w.triedAt = now.Add(w.backoff), now
+	return Both
+}
+
+// IsLost reports whether the direct way to a server is lost.
+func (t *Tracker) IsLost(server string) bool { return t.lost[server] != nil }
+
+// Doubtful reports whether the direct ways to the other servers of a service are doubted as well:
+// several are lost, and no direct connection has succeeded since.
+func (t *Tracker) Doubtful(service string) bool {
+	s := t.services[service]
+	if s == nil || s.connectedAt.After(s.lostAt) {
+		return false
+	}
+	count := 0
+	for _, w := range t.lost {
+		if w.service == service {
+			count++
+		}
+	}
+	return count >= doubtThreshold
+}
+
+// RelayUsable reports whether an instance may be asked to relay before others.
+func (t *Tracker) RelayUsable(name string, now time.Time) bool {
+	r := t.relays[name]
+	return r == nil || !now.Before(r.until)
+}
+
+// RelayProven reports whether an instance has relayed lately.
+func (t *Tracker) RelayProven(name string, now time.Time) bool {
+	r := t.relays[name]
+	return r != nil && !r.connectedAt.IsZero() && now.Sub(r.connectedAt) < provenFor
+}
+
+// Expire forgets the lost ways of servers that are no longer known or were not tried for long, and
+// the relays that failed long ago. It reports whether a lost way was forgotten.
+func (t *Tracker) Expire(known func(server string) bool, now time.Time) bool {
+	before := len(t.lost)
+	for server, w := range t.lost {
+		if !known(server) || now.Sub(w.triedAt) > forgetAfter {
+			delete(t.lost, server)
+		}
+	}
+	for name, r := range t.relays {
+		if now.Sub(r.until) > forgetAfter && now.Sub(r.connectedAt) > forgetAfter {
+			delete(t.relays, name)
+		}
+	}
+	return len(t.lost) != before
+}
+
+// Error is the failure of one way of an attempt to connect, with its result.
+type Error struct {
+	Result Result
+	Err    error
+}
+
+// Error implements error.
+func (e *Error) Error() string { return string(e.Result) + ": " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// ResultOf returns the result of a way from the error with which it ended, nil if it connected.
+func ResultOf(err error) Result {
+	var way *Error
+	switch {
+	case err == nil:
+		return Connected
+	case errors.As(err, &way):
+		return way.Result
+	case errors.Is(err, syscall.ECONNREFUSED), errors.Is(err, syscall.ECONNRESET):
+		return Refused
+	default:
+		return TimedOut
+	}
+}
--- /dev/null
+++ b/internal/core/paths/paths_test.go
@@ -0,0 +1,81 @@
+package paths
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var start = time.Unix(1_764_000_000, 0)
+
+func direct(r Result) Observation             { return Observation{Result: r} }
+func relay(name string, r Result) Observation { return Observation{Relay: name, Result: r} }
+
+// Guards against taking a lost way of this instance for a server that is down, and the reverse.
+func TestOnlyAPeerThatConnectsProvesALostWay(t *testing.T) {
+	tr := New()
+	require.Equal(t, Unchanged, tr.Observe("s", "a", []Observation{direct(TimedOut)}, start))
+	require.Equal(t, Unchanged, tr.Observe("s", "a", []Observation{direct(TimedOut), relay("p", TimedOut), relay("q", Refused)}, start))
+	require.Equal(t, Unchanged, tr.Observe("s", "a", []Observation{relay("p", Connected)}, start), "the direct way was not tried to its end")
+	require.False(t, tr.IsLost("a"))
+	require.Equal(t, Lost, tr.Observe("s", "a", []Observation{direct(Refused), relay("p", Connected)}, start))
+	require.True(t, tr.IsLost("a"))
+	require.Equal(t, RelayOnly, tr.NextMode("s", "a", start))
+}
+
+// Guards against a way that stays unused after it is back.
+func TestLostWaysAreTriedUntilTheyAreBack(t *testing.T) {
+	tr := New()
+	for _, server := range []string{"a", "b"} {
+		tr.Observe("s", server, []Observation{direct(TimedOut), relay("p", Connected)}, start)
+	}
+	now := start.Add(minProbeBackoff)
+	require.Equal(t, Both, tr.NextMode("s", "a", now))
+	require.Equal(t, RelayOnly, tr.NextMode("s", "a", now), "one attempt tries it, the others do not wait for it")
+	for range 10 {
+		now = now.Add(maxProbeBackoff)
+		require.Equal(t, Both, tr.NextMode("s", "a", now))
+	}
+	require.Equal(t, Restored, tr.Observe("s", "a", []Observation{direct(Connected)}, now))
+	require.Equal(t, DirectFirst, tr.NextMode("s", "a", now))
+	require.Equal(t, Both, tr.NextMode("s", "b", now), "the other ways are tried at once")
+}
+
+// Guards against requests that each pay for another server of a service to which all ways are lost.
+func TestWaysToOtherServersAreDoubted(t *testing.T) {
+	tr := New()
+	tr.Observe("s", "a", []Observation{direct(TimedOut), relay("p", Connected)}, start)
+	require.Equal(t, DirectFirst, tr.NextMode("s", "c", start), "one lost way may belong to one machine")
+	tr.Observe("s", "b", []Observation{direct(TimedOut), relay("p", Connected)}, start)
+	require.Equal(t, Both, tr.NextMode("s", "c", start))
+	require.Equal(t, DirectFirst, tr.NextMode("other", "d", start), "another service may be reachable")
+	tr.Observe("s", "c", []Observation{direct(Connected)}, start.Add(time.Second))
+	require.Equal(t, DirectFirst, tr.NextMode("s", "e", start.Add(time.Second)))
+}
+
+// Guards against asking instances again and again that have lost their own ways, and against blaming
+// instances that found a server down that is down.
+func TestRelaysThatFailAreAskedLast(t *testing.T) {
+	tr := New()
+	tr.Observe("s", "a", []Observation{direct(TimedOut), relay("p", TimedOut), relay("q", Refused)}, start)
+	require.True(t, tr.RelayUsable("p", start))
+	require.True(t, tr.RelayUsable("q", start))
+	tr.Observe("s", "a", []Observation{relay("p", TimedOut), relay("q", NoRelay), relay("r", Connected)}, start)
+	require.False(t, tr.RelayUsable("p", start))
+	require.False(t, tr.RelayUsable("q", start))
+	require.True(t, tr.RelayUsable("r", start))
+	require.True(t, tr.RelayUsable("p", start.Add(minRelayBackoff)))
+	tr.Observe("s", "a", []Observation{relay("p", Connected)}, start)
+	require.True(t, tr.RelayUsable("p", start))
+}
+
+// Guards against state that grows with the servers that come and go.
+func TestExpireForgetsServersThatAreGone(t *testing.T) {
+	tr := New()
+	tr.Observe("s", "a", []Observation{direct(TimedOut), relay("p", Connected), relay("q", NoRelay)}, start)
+	require.False(t, tr.Expire(func(string) bool { return true }, start))
+	require.True(t, tr.Expire(func(string) bool { return false }, start.Add(forgetAfter+maxRelayBackoff)))
+	require.Empty(t, tr.lost)
+	require.Empty(t, tr.relays)
+}
--- a/internal/core/poisonfleet_test.go
+++ b/internal/core/poisonfleet_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/ebonydyke/ebonydyke/internal/core"
 	"github.com/ebonydyke/ebonydyke/internal/core/membership"
+	"github.com/ebonydyke/ebonydyke/internal/core/paths"
 	"github.com/ebonydyke/ebonydyke/internal/core/reason"
 	"github.com/ebonydyke/ebonydyke/internal/core/retry"
 )
@@ -128,7 +129,7 @@
 	}
 	e.ended = true
 	for _, id := range sortedRequests(e.running) {
-		f.breakAttempt(e.running[id], true)
+		f.breakAttempt(e.running[id], e, true)
 	}
 	e.running = nil
 	f.schedule(f.between(1500, 4000), func() { f.replace(e) })
@@ -140,12 +141,12 @@
 // resetConnections breaks the attempts that an engine holds. The engine goes on; it refuses new
 // connections for a time if it is positive.
 func (f *poisonFleet) resetConnections(e *fakeEngine, refusing time.Duration) {
+	e.rejecting = refusing > 0
 	for _, id := range sortedRequests(e.running) {
-		f.breakAttempt(e.running[id], refusing > 0)
+		f.breakAttempt(e.running[id], e, refusing > 0)
 	}
 	clear(e.running)
 	if refusing > 0 {
-		e.rejecting = true
 		f.schedule(refusing, func() { e.rejecting = false })
 	}
 }
@@ -160,7 +161,7 @@
 		for _, id := range sortedRequests(e.running) {
 			if r := e.running[id]; !f.rejected[r.instance].IsZero() {
 				delete(e.running, id)
-				f.breakAttempt(r, true)
+				f.breakAttempt(r, e, true)
 			}
 		}
 	}
@@ -183,11 +184,35 @@
 	}
 }
 
-// breakAttempt ends an attempt by the end of its connection.
-func (f *poisonFleet) breakAttempt(r runningAttempt, serverEnded bool) {
-	f.reply(r.instance, 2*time.Millisecond, core.AttemptEnded{
-		Request: r.attempt.Request, Attempt: r.attempt.Attempt, Outcome: retry.Unknown, ServerEnded: serverEnded,
-	})
+// breakAttempt ends an attempt by the end of its connection. If another connection is refused then,
+// the instance asks its peers.
+func (f *poisonFleet) breakAttempt(r runningAttempt, e *fakeEngine, refused bool) {
+	ended := core.AttemptEnded{
+		Request: r.attempt.Request, Attempt: r.attempt.Attempt, Outcome: retry.Unknown, ServerEnded: refused,
+	}
+	if refused {
+		ended.EndChecks, _ = f.askPeers(r.instance, r.attempt, e)
+	}
+	f.reply(r.instance, 2*time.Millisecond, ended)
+}
+
+// askPeers returns what the peers of an attempt find on connecting to an engine, and whether one
+// connected.
+func (f *poisonFleet) askPeers(m *fakeInstance, a core.SendAttempt, e *fakeEngine) (found []paths.Observation, connected bool) {
+	for _, relay := range a.Path.Relays {
+		peer := f.instance(relay.Name)
+		o := paths.Observation{Relay: relay.Name, Result: paths.Connected}
+		_, rejected := f.rejected[peer]
+		switch {
+		case peer.dead || f.linkCut(m, peer):
+			o.Result = paths.NoRelay
+		case rejected || e.ended || e.rejecting:
+			o.Result = paths.Refused
+		}
+		connected = connected || o.Result == paths.Connected
+		found = append(found, o)
+	}
+	return found, connected
 }
 
 func (f *poisonFleet) between(fromMs, toMs int) time.Duration {
@@ -198,10 +223,10 @@
 func (f *poisonFleet) runAttempt(m *fakeInstance, a core.SendAttempt) {
 	e := f.engines[a.Backend]
 	if at, rejected := f.rejected[m]; rejected && f.now.Sub(at) < resetWindow {
-		f.breakAttempt(runningAttempt{m, a}, true)
+		f.breakAttempt(runningAttempt{m, a}, e, true)
 		return
 	}
-	if _, rejected := f.rejected[m]; e == nil || e.ended || e.rejecting || rejected {
+	if e == nil || e.ended || e.rejecting || !f.connects(m, a, e) {
 		f.reply(m, time.Millisecond, core.AttemptEnded{Request: a.Request, Attempt: a.Attempt, Outcome: retry.NotSent})
 		return
 	}
@@ -228,6 +253,19 @@
 	})
 }
 
+// connects reports whether an instance connects to an engine that accepts connections, by itself or
+// through a peer.
+func (f *poisonFleet) connects(m *fakeInstance, a core.SendAttempt, e *fakeEngine) bool {
+	if _, rejected := f.rejected[m]; !rejected {
+		return true
+	}
+	found, connected := f.askPeers(m, a, e)
+	f.reply(m, time.Millisecond, core.BackendDialed{
+		Backend: a.Backend, Results: append([]paths.Observation{{Result: paths.Refused}}, found...),
+	})
+	return connected
+}
+
 // healthy reports whether an instance has had no fault for poisonContact.
 func (f *poisonFleet) healthy(m *fakeInstance) bool {
 	return f.now.Sub(f.recoveredAt[m]) >= poisonContact
--- a/internal/core/poisonrequests.go
+++ b/internal/core/poisonrequests.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/ebonydyke/ebonydyke/internal/core/membership"
+	"github.com/ebonydyke/ebonydyke/internal/core/paths"
 	"github.com/ebonydyke/ebonydyke/internal/core/poison"
 	"github.com/ebonydyke/ebonydyke/internal/core/reason"
 	"github.com/ebonydyke/ebonydyke/internal/core/rendezvous"
@@ -30,6 +31,7 @@
 	counterPoison      = "poison_requests"
 	labelServerEnded   = "server-ended"
 	labelServerAlive   = "server-alive"
+	labelEndDisproved  = "end-disproved"
 	labelBlocked       = "blocked"
 	labelUnblocked     = "unblocked"
 	labelTrial         = "trial"
@@ -147,6 +149,25 @@
 	}
 }
 
+// serverHasEnded decides whether a backend server ended under a request. This instance's own
+// observation is not enough: a device on its way may reset its connections and refuse new ones. A peer
+// that connects to the server disproves the end, and one that is refused as well confirms it. Without a
+// peer's word the own observation counts, unless the way is known to be lost or doubted.
+func (n *Node) serverHasEnded(r *request, e *AttemptEnded) bool {
+	if !e.ServerEnded {
+		return false
+	}
+	refused := false
+	for _, o := range e.EndChecks {
+		if o.Result == paths.Connected {
+			n.emit(Counted{Counter: counterPoison, Label: labelEndDisproved, N: 1})
+			return false
+		}
+		refused = refused || o.Result == paths.Refused
+	}
+	return refused || !n.paths.tracker.IsLost(r.backend) && !n.paths.tracker.Doubtful(r.service.Name)
+}
+
 // serverStart returns the current start of a backend server.
 func (n *Node) serverStart(backend string) poison.Server {
 	server := poison.Server{Name: backend}
--- a/internal/core/pools.go
+++ b/internal/core/pools.go
@@ -14,6 +14,8 @@
 
 // pool is the state that an instance keeps of one service's backend servers.
 type pool struct {
+	// service is the service's name.
+	service string
 	// candidates are the usable backend servers, sorted by name.
 	candidates []routing.Candidate
 	// index maps the names of the candidates to their positions.
@@ -85,7 +87,7 @@
 func (n *Node) pool(service string) *pool {
 	p := n.pools[service]
 	if p == nil {
-		p = &pool{index: make(map[string]int)}
+		p = &pool{service: service, index: make(map[string]int)}
 		n.pools[service] = p
 	}
 	return p
@@ -139,7 +141,7 @@
 	svc := n.snapshot.Service(name)
 	old := n.pool(name)
 	p := &pool{
-		index: make(map[string]int), model: svc.Kind == config.Model,
+		service: name, index: make(map[string]int), model: svc.Kind == config.Model,
 		budget: old.budget, used: old.used, joinTimes: make(map[string]time.Time),
 	}
 	if p.budget == nil {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"github.com/ebonydyke/ebonydyke/internal/metrics"
 	"github.com/ebonydyke/ebonydyke/internal/peer"
 	"github.com/ebonydyke/ebonydyke/internal/proxy"
+	"github.com/ebonydyke/ebonydyke/internal/relay"
 	"github.com/ebonydyke/ebonydyke/internal/settings"
 	"github.com/ebonydyke/ebonydyke/platform"
 )
@@ -45,13 +46,15 @@
 		return err
 	}
 	calls := newStoreCalls(ctx, loop.Post, s)
-	links := newLinks(s, incarnation, listeners.peers, calls.translateOffers(loop.Post))
+	relays := relay.NewServer(counters)
+	links := newLinks(s, incarnation, listeners.peers, calls.translateOffers(loop.Post), relays)
 	counters.RegisterControl(readControl(links))
 	options := proxyOptions(&s.Limits, counters)
 	options.Now = loop.Now
 	options.Dialect = dialect(s)
+	options.Relays = peer.RelayDialer{Fleet: s.Fleet, Name: s.Name}
 	server := proxy.New(loop.Post, options)
-	exec := &executor{post: loop.Post, store: calls, proxy: server, links: links, stop: cancel}
+	exec := &executor{ctx: ctx, post: loop.Post, store: calls, proxy: server, links: links, relay: relays, stop: cancel}
 	var grace atomic.Int64
 	grace.Store(int64(s.StopGrace))
 	reload := newReloader(path, signals.Reload, s, func(s *settings.Settings) {
@@ -103,7 +106,7 @@
 	}
 }
 
-func newLinks(s *settings.Settings, incarnation uint64, l net.Listener, post func(core.Event)) *peer.Links {
+func newLinks(s *settings.Settings, incarnation uint64, l net.Listener, post func(core.Event), relays *relay.Server) *peer.Links {
 	return peer.New(peer.Config{
 		Fleet:       s.Fleet,
 		Name:        s.Name,
@@ -112,6 +115,7 @@
 		Listener:    l,
 		Seeds:       s.Seeds,
 		Post:        post,
+		Relay:       relays.Serve,
 	})
 }
 
--- a/internal/daemon/executor.go
+++ b/internal/daemon/executor.go
@@ -8,14 +8,18 @@
 	"github.com/ebonydyke/ebonydyke/internal/core"
 	"github.com/ebonydyke/ebonydyke/internal/peer"
 	"github.com/ebonydyke/ebonydyke/internal/proxy"
+	"github.com/ebonydyke/ebonydyke/internal/relay"
 )
 
 // executor passes each effect to the component that carries it out.
 type executor struct {
+	// ctx is done when the process ends.
+	ctx   context.Context
 	post  func(core.Event)
 	store *storeCalls
 	proxy *proxy.Server
 	links *peer.Links
+	relay *relay.Server
 	stop  context.CancelFunc
 }
 
@@ -43,6 +47,8 @@
 	case core.StateChanged:
 		x.proxy.Log("learned", "subject", e.Subject, "name", e.Name, "names", e.Names, "state", e.State, "service", e.Service,
 			"address", e.Address, "revision", e.Revision, "incarnation", e.Incarnation, "cause", e.Cause)
+	case core.SetRelayScope:
+		x.relay.SetScope(e.Closed, e.Lost)
 	case core.SetReady:
 		x.proxy.SetReady(e.Ready)
 	case core.CloseListener:
@@ -81,11 +87,13 @@
 	return true
 }
 
-// finishShutdown ends the process once the last response is sent. The core only knows that the
+// finishShutdown ends the process once the last response is sent, and the last connection that it
+// relays has ended. The core only knows that the
 // responses of the backend servers were read completely; their last bytes may not have been sent
 // yet.
 func (x *executor) finishShutdown() {
 	x.proxy.Drain()
+	x.relay.Drain(x.ctx)
 	x.stop()
 }
 
--- a/internal/dial/dial.go
+++ b/internal/dial/dial.go
@@ -6,6 +6,7 @@
 package dial
 
 import (
+	"fmt"
 	"net"
 	"syscall"
 	"time"
@@ -22,17 +23,40 @@
 // ackTimeout.
 func Dialer(connectTimeout, ackTimeout time.Duration) *net.Dialer {
 	return &net.Dialer{
-		Timeout: connectTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable:   true,
-			Idle:     ackTimeout / (keepAliveProbes + 1),
-			Interval: ackTimeout / (keepAliveProbes + 1),
-			Count:    keepAliveProbes,
-		},
-		Control: func(_, _ string, raw syscall.RawConn) error { return limitUnacknowledged(raw, ackTimeout) },
+		Timeout:         connectTimeout,
+		KeepAliveConfig: keepAlive(ackTimeout),
+		Control:         func(_, _ string, raw syscall.RawConn) error { return limitUnacknowledged(raw, ackTimeout) },
 	}
 }
 
+// keepAlive returns probes that close an idle connection after ackTimeout. The limit on unacknowledged
+// data, once set, also decides when the kernel gives up on probes, whatever their number; both limits
+// are therefore the same.
+func keepAlive(ackTimeout time.Duration) net.KeepAliveConfig {
+	return net.KeepAliveConfig{
+		Enable:   true,
+		Idle:     ackTimeout / (keepAliveProbes + 1),
+		Interval: ackTimeout / (keepAliveProbes + 1),
+		Count:    keepAliveProbes,
+	}
+}
+
+// LimitSilence sets the limits of Dialer's connections on an accepted one.
+func LimitSilence(conn net.Conn, ackTimeout time.Duration) error {
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return nil
+	}
+	if err := tcp.SetKeepAliveConfig(keepAlive(ackTimeout)); err != nil {
+		return fmt.Errorf("dial: keep-alive: %w", err)
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return fmt.Errorf("dial: socket: %w", err)
+	}
+	return limitUnacknowledged(raw, ackTimeout)
+}
+
 // limitUnacknowledged sets the time after which a connection fails if sent data is not
 // acknowledged. The kernel sends no keep-alive probes while data is unacknowledged.
 func limitUnacknowledged(raw syscall.RawConn, limit time.Duration) error {
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 
+	"github.com/ebonydyke/ebonydyke/internal/core/paths"
 	"github.com/ebonydyke/ebonydyke/internal/core/reason"
 	"github.com/ebonydyke/ebonydyke/internal/proxy"
 )
@@ -25,6 +26,7 @@
 	responseTime  *prometheus.HistogramVec
 	callerBytes   prometheus.Counter
 	dials         *prometheus.CounterVec
+	relays        *prometheus.CounterVec
 	generation    prometheus.Gauge
 	ready         prometheus.Gauge
 	platformCalls *prometheus.CounterVec
@@ -42,13 +44,14 @@
 		responseTime:  newHistogramVec("answer_seconds", "Time from the arrival of a request to the end of its response."),
 		callerBytes:   prometheus.NewCounter(prometheus.CounterOpts{Name: "ebonydyke_caller_bytes_total", Help: "Bytes of response bodies sent to callers."}),
 		dials:         newCounterVec("backend_dials_total", "Attempts to open a connection to a backend server, by reason.", "reason"),
+		relays:        newCounterVec("relay_requests_total", "Requests of peers to relay a connection to a backend server, by result.", "result"),
 		generation:    newGauge("generation", "Generation of the configuration in force, 0 if there is none."),
 		ready:         newGauge("ready", "1 until the graceful shutdown starts, then 0."),
 		platformCalls: newCounterVec("platform_calls_total", "Completed calls to the platform, by kind and result; a long-polling watch is one call.", "kind", "result"),
 		coreEvents:    newCounterVec("core_events_total", "Events counted by the core, such as messages that it shed.", "counter", "label"),
 	}
 	m.registry.MustRegister(
-		m.refusals, m.retries, m.firstByte, m.responseTime, m.callerBytes, m.dials, m.generation, m.ready,
+		m.refusals, m.retries, m.firstByte, m.responseTime, m.callerBytes, m.dials, m.relays, m.generation, m.ready,
 		m.platformCalls, m.coreEvents,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
@@ -59,6 +62,9 @@
 	for _, r := range proxy.DialReasons {
 		m.dials.WithLabelValues(string(r))
 	}
+	for _, r := range []paths.Result{paths.Connected, paths.Refused, paths.TimedOut, paths.NoRelay} {
+		m.relays.WithLabelValues(string(r))
+	}
 	m.ready.Set(1)
 	return m
 }
@@ -113,6 +119,9 @@
 // Dialled implements proxy.Metrics.
 func (m *Metrics) Dialled(r proxy.DialReason) { m.dials.WithLabelValues(string(r)).Inc() }
 
+// Relayed implements relay.Metrics.
+func (m *Metrics) Relayed(r paths.Result) { m.relays.WithLabelValues(string(r)).Inc() }
+
 // SetGeneration sets the generation of the configuration in force.
 func (m *Metrics) SetGeneration(generation uint64) { m.generation.Set(float64(generation)) }
 
--- a/internal/peer/decode.go
+++ b/internal/peer/decode.go
@@ -70,12 +70,32 @@
 	return d.message(&f)
 }
 
-// decodeHello decodes the first frame of a connection.
+// decodeFirstFrame decodes the first frame of a connection, a hello or a relay request.
+func decodeFirstFrame(frame []byte) (*peerpb.Frame, error) {
+	var f peerpb.Frame
+	if err := proto.Unmarshal(frame, &f); err != nil {
+		return nil, fmt.Errorf("%w: %w", errFrame, err)
+	}
+	if f.RelayRequest != nil {
+		return &f, nil
+	}
+	if _, err := checkHello(&f); err != nil {
+		return nil, err
+	}
+	return &f, nil
+}
+
+// decodeHello decodes a hello.
 func decodeHello(frame []byte) (*peerpb.Hello, error) {
 	var f peerpb.Frame
 	if err := proto.Unmarshal(frame, &f); err != nil {
 		return nil, fmt.Errorf("%w: %w", errFrame, err)
 	}
+	return checkHello(&f)
+}
+
+// checkHello returns the hello of a frame if it is valid.
+func checkHello(f *peerpb.Frame) (*peerpb.Hello, error) {
 	if f.Hello == nil || f.Hello.Name == "" || len(f.Hello.Name) > maxName {
 		return nil, fmt.Errorf("%w: missing hello", errFrame)
 	}
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -70,7 +70,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = raw.Close() })
 	defer stop()
 	defer func() { _ = raw.Close() }()
-	peer, err := l.handshake(conn)
+	first, err := l.handshake(conn)
 	if !dialed {
 		<-l.pendingHandshakes
 	}
@@ -80,6 +80,13 @@
 		}
 		return err
 	}
+	if first.RelayRequest != nil && !dialed {
+		return l.serveRelay(ctx, raw, first.RelayRequest)
+	}
+	peer, err := checkHello(first)
+	if err != nil {
+		return err
+	}
 	if peer.Fleet != l.cfg.Fleet {
 		// The address is now used by another fleet. If its revisions and generations happen to be
 		// higher, this fleet would adopt its entries and configuration for good.
@@ -113,9 +120,9 @@
 	return k.serve(ctx, dialed)
 }
 
-// handshake exchanges hellos. No other memory is allocated for a connection before its handshake is
+// handshake sends the hello and returns the peer's first frame: its hello, or a relay request. No other memory is allocated for a connection before its handshake is
 // complete.
-func (l *Links) handshake(conn net.Conn) (*peerpb.Hello, error) {
+func (l *Links) handshake(conn net.Conn) (*peerpb.Frame, error) {
 	if err := conn.SetDeadline(time.Now().Add(helloTimeout)); err != nil {
 		return nil, err
 	}
@@ -132,11 +139,11 @@
 	if err != nil {
 		return nil, err
 	}
-	hello, err := decodeHello(reply)
+	first, err := decodeFirstFrame(reply)
 	if err != nil {
 		return nil, err
 	}
-	return hello, conn.SetDeadline(time.Time{})
+	return first, conn.SetDeadline(time.Time{})
 }
 
 // byteReader reads single bytes without buffering, so that the bytes after the hello remain on
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -59,6 +59,8 @@
 	Seeds []string
 	// Post passes events to the core. It may block.
 	Post func(core.Event)
+	// Relay serves a request to relay a connection until that ends; nil if this instance does not relay.
+	Relay func(ctx context.Context, r *RelayRequest) error
 	// IdleLimit is the time without a frame on the control stream after which a link is closed.
 	// 0 selects the default.
 	IdleLimit time.Duration
--- a/internal/proxy/connreuse.go
+++ b/internal/proxy/connreuse.go
@@ -51,13 +51,16 @@
 	// ZoneSilent means that no bytes have arrived from the server's zone recently, so the
 	// network path may be cut.
 	ZoneSilent DialReason = "zone-silent"
+	// Relayed means that a peer relays the connection, because none could be opened directly or its
+	// way is known to be lost.
+	Relayed DialReason = "relayed"
 	// EndCheck means that a connection had closed early, and that the dial was to show whether the
 	// server has ended.
 	EndCheck DialReason = "end-check"
 )
 
 // DialReasons lists all reasons for opening a connection.
-var DialReasons = []DialReason{NoneIdle, ServerClosed, IdleTooLong, ZoneSilent, EndCheck}
+var DialReasons = []DialReason{NoneIdle, ServerClosed, IdleTooLong, ZoneSilent, Relayed, EndCheck}
 
 // unusableReason returns the reason why the connection must not be reused, or "" if it may be.
 func (c *backendConn) unusableReason(zone *zoneActivity, now time.Time) DialReason {
--- /dev/null
+++ b/internal/proxy/dialways.go
@@ -0,0 +1,189 @@
+package proxy
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"time"
+
+	"github.com/ebonydyke/ebonydyke/internal/core"
+	"github.com/ebonydyke/ebonydyke/internal/core/paths"
+)
+
+// staggerShare is the part of the time limit after which the next way is tried while the earlier ones
+// have not connected: a direct connection takes a round trip, so by then its way is probably lost.
+const staggerShare = 4
+
+// RelayDialer opens connections to backend servers through peers.
+type RelayDialer interface {
+	// DialContext asks a peer to connect to the address. Its error is a *paths.Error.
+	DialContext(ctx context.Context, relay core.PeerAddress, address string) (net.Conn, error)
+}
+
+// wayDialer connects to backend servers over several ways.
+type wayDialer struct {
+	// direct opens a connection of this instance's own.
+	direct func(ctx context.Context, network, address string) (net.Conn, error)
+	// relays is nil if this instance uses no relays.
+	relays RelayDialer
+	// report receives the results of all ways, unless the direct one was the only one and connected.
+	report func([]paths.Observation)
+}
+
+// wayDialer returns the dialer of an attempt at a backend server.
+func (s *Server) wayDialer(backend string) wayDialer {
+	var direct net.Dialer
+	return wayDialer{direct: direct.DialContext, relays: s.options.Relays, report: func(results []paths.Observation) {
+		s.post(core.BackendDialed{Backend: backend, Results: results})
+	}}
+}
+
+// way is one way of an attempt to connect; relay is nil for the direct one.
+type way struct {
+	relay *core.PeerAddress
+	conn  net.Conn
+	err   error
+}
+
+// relayName returns the name of the instance that relays, or "".
+func (w *way) relayName() string {
+	if w.relay == nil {
+		return ""
+	}
+	return w.relay.Name
+}
+
+// dialAttempt is one attempt to connect that is in progress.
+type dialAttempt struct {
+	dialer  *wayDialer
+	address string
+	ways    []way
+	// started is the number of ways that were started, and ended the results so far.
+	started int
+	ended   []paths.Observation
+	results chan *way
+}
+
+// dial connects to a backend server over the ways of path within limit. It returns the first way that
+// connects. The others run to their end nevertheless, because their results show which ways are lost.
+func (d *wayDialer) dial(address string, path core.DialPath, limit time.Duration) (*way, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	a := &dialAttempt{dialer: d, address: address, ways: d.ways(path)}
+	a.results = make(chan *way, len(a.ways))
+	first := 1
+	if path.Mode == paths.Both {
+		first = min(2, len(a.ways))
+	}
+	for range first {
+		a.startNext(ctx)
+	}
+	winner, err := a.waitForFirst(ctx, limit/staggerShare)
+	if len(a.ended) == a.started {
+		cancel()
+		a.finish()
+		return winner, err
+	}
+	go func() {
+		defer cancel()
+		a.waitForRest()
+		a.finish()
+	}()
+	return winner, err
+}
+
+// ways returns the ways of a path in the order in which they are started.
+func (d *wayDialer) ways(path core.DialPath) []way {
+	var list []way
+	if path.Mode != paths.RelayOnly || d.relays == nil || len(path.Relays) == 0 {
+		list = append(list, way{})
+	}
+	if d.relays == nil {
+		return list
+	}
+	for i := range path.Relays {
+		list = append(list, way{relay: &path.Relays[i]})
+	}
+	return list
+}
+
+// startNext starts the next way, if there is one.
+func (a *dialAttempt) startNext(ctx context.Context) {
+	if a.started == len(a.ways) {
+		return
+	}
+	w := &a.ways[a.started]
+	a.started++
+	go func() {
+		if w.relay == nil {
+			w.conn, w.err = a.dialer.direct(ctx, "tcp", a.address)
+		} else {
+			w.conn, w.err = a.dialer.relays.DialContext(ctx, *w.relay, a.address)
+		}
+		a.results <- w
+	}()
+}
+
+// waitForFirst waits for the first way that connects. It starts the next one when one fails and each
+// time that stagger passes.
+func (a *dialAttempt) waitForFirst(ctx context.Context, stagger time.Duration) (*way, error) {
+	timer := time.NewTicker(stagger)
+	defer timer.Stop()
+	for {
+		select {
+		case w := <-a.results:
+			a.record(w)
+			if w.err == nil {
+				return w, nil
+			}
+			a.startNext(ctx)
+			if len(a.ended) == len(a.ways) {
+				return nil, a.failure()
+			}
+		case <-timer.C:
+			// A result that has arrived as well goes first: a busy process sees both late.
+			if len(a.results) == 0 {
+				a.startNext(ctx)
+			}
+		}
+	}
+}
+
+func (a *dialAttempt) record(w *way) {
+	a.ended = append(a.ended, paths.Observation{Relay: w.relayName(), Result: paths.ResultOf(w.err)})
+}
+
+// waitForRest waits for the other ways that were started, and closes their connections.
+func (a *dialAttempt) waitForRest() {
+	for len(a.ended) < a.started {
+		w := <-a.results
+		a.record(w)
+		if w.err == nil {
+			_ = w.conn.Close()
+		}
+	}
+}
+
+// finish reports the results.
+func (a *dialAttempt) finish() {
+	direct := paths.Observation{Result: paths.Connected}
+	if len(a.ended) == 1 && a.ended[0] == direct {
+		return
+	}
+	a.dialer.report(a.ended)
+}
+
+// failure returns the error of an attempt that failed on all ways: that of the direct one, or else of
+// the first relay.
+func (a *dialAttempt) failure() error {
+	var relays []string
+	for _, o := range a.ended {
+		if o.Relay != "" {
+			relays = append(relays, fmt.Sprintf("%s: %s", o.Relay, o.Result))
+		}
+	}
+	if len(relays) == 0 {
+		return a.ways[0].err
+	}
+	return fmt.Errorf("%w; through peers: %s", a.ways[0].err, strings.Join(relays, ", "))
+}
--- a/internal/proxy/endcheck.go
+++ b/internal/proxy/endcheck.go
@@ -1,13 +1,18 @@
 package proxy
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
 	"syscall"
 	"time"
 
+	"golang.org/x/sync/errgroup"
 	"golang.org/x/sync/singleflight"
+
+	"github.com/ebonydyke/ebonydyke/internal/core"
+	"github.com/ebonydyke/ebonydyke/internal/core/paths"
 )
 
 // endCheckTimeout limits the check whether a backend server has ended, for which a retry waits.
@@ -19,28 +24,59 @@
 // A connection that closes early does not show that: the server may have closed it, its reply
 // may be lost, or a device on the path may have reset it. After the end of the process, its
 // machine also refuses new connections to the address. A server that is frozen or cut off
-// refuses nothing.
+// refuses nothing. As a device on this instance's own path may refuse connections as well, peers are
+// asked to connect too; the core decides.
 type endChecker struct {
 	countDial func(DialReason)
+	// relays is nil if this instance uses no relays.
+	relays RelayDialer
 	// dials merges the checks of all requests that the end of one server breaks.
 	dials singleflight.Group
 }
 
-// ended reports whether the server at the address has ended, given the error with which a
-// connection to it ended.
-func (c *endChecker) ended(address string, err error) bool {
+// check reports whether the backend server of an attempt refuses a connection after one to it has
+// ended with an error, and what the attempt's relays found then.
+func (c *endChecker) check(attempt *core.SendAttempt, err error) (refused bool, found []paths.Observation) {
 	if !closedByPeer(err) {
-		return false
+		return false, nil
 	}
-	_, dialErr, _ := c.dials.Do(address, func() (any, error) {
+	observations, dialErr, _ := c.dials.Do(attempt.Address, func() (any, error) {
 		c.countDial(EndCheck)
-		conn, err := net.DialTimeout("tcp", address, endCheckTimeout)
+		conn, err := net.DialTimeout("tcp", attempt.Address, endCheckTimeout)
 		if err != nil {
-			return nil, err
+			return c.askRelays(attempt, err), err
 		}
-		return nil, conn.Close()
+		return []paths.Observation(nil), conn.Close()
 	})
-	return errors.Is(dialErr, syscall.ECONNREFUSED)
+	if !errors.Is(dialErr, syscall.ECONNREFUSED) {
+		return false, nil
+	}
+	found, _ = observations.([]paths.Observation)
+	return true, found
+}
+
+// askRelays asks the attempt's relays to connect to the backend server if this instance was refused.
+func (c *endChecker) askRelays(attempt *core.SendAttempt, err error) []paths.Observation {
+	if c.relays == nil || !errors.Is(err, syscall.ECONNREFUSED) {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), endCheckTimeout)
+	defer cancel()
+	found := make([]paths.Observation, len(attempt.Path.Relays))
+	var group errgroup.Group
+	for i, relay := range attempt.Path.Relays {
+		group.Go(func() error {
+			conn, err := c.relays.DialContext(ctx, relay, attempt.Address)
+			found[i] = paths.Observation{Relay: relay.Name, Result: paths.ResultOf(err)}
+			if err == nil {
+				return conn.Close()
+			}
+			return nil
+		})
+	}
+	// An error of Close changes nothing: the relay has connected.
+	_ = group.Wait()
+	return found
 }
 
 // closedByPeer reports whether an error means that the other end closed or reset the connection,
--- a/internal/proxy/endcheck_test.go
+++ b/internal/proxy/endcheck_test.go
@@ -27,13 +27,17 @@
 
 	dials := 0
 	c := endChecker{countDial: func(DialReason) { dials++ }}
+	check := func(address string, err error) bool {
+		refused, _ := c.check(&core.SendAttempt{Address: address}, err)
+		return refused
+	}
 	for _, err := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE, errUnframed, errNoEndMark} {
 		err = fmt.Errorf("proxy: read response: %w", err)
-		require.True(t, c.ended(ended, err), "%v", err)
-		require.False(t, c.ended(alive, err), "%v", err)
+		require.True(t, check(ended, err), "%v", err)
+		require.False(t, check(alive, err), "%v", err)
 	}
 	for _, err := range []error{os.ErrDeadlineExceeded, errInactive, errCallCancelled, net.ErrClosed, errMismatched, errBackendFailure} {
-		require.False(t, c.ended(ended, err), "%v", err)
+		require.False(t, check(ended, err), "%v", err)
 	}
 	require.Equal(t, 12, dials, "only connections that the other end closed are checked")
 	require.NoError(t, listener.Close())
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -122,12 +122,14 @@
 	if err != nil {
 		event.Detail = err.Error()
 		event.ConnectionRefused = event.Outcome == retry.NotSent && errors.Is(err, syscall.ECONNREFUSED)
-		event.ServerEnded = event.Outcome.MayHaveRun() && x.server.ends.ended(x.response.attempt.Address, err)
+		if event.Outcome.MayHaveRun() {
+			event.ServerEnded, event.EndChecks = x.server.ends.check(&x.response.attempt, err)
+		}
 	}
 	x.server.log.put("attempt ended", "request", x.id, "attempt", event.Attempt, "backend", x.response.attempt.Backend,
 		"outcome", event.Outcome, "status", x.response.status, "sinceArrivalMs", time.Since(x.startedAt).Milliseconds(),
 		"firstMs", x.response.timeToFirstByte.Milliseconds(), "lastEvent", x.response.sequence.last, "dialled", x.response.dialReason, "error", event.Detail,
-		"serverEnded", event.ServerEnded)
+		"serverEnded", event.ServerEnded, "relay", x.response.relay, "endChecks", event.EndChecks)
 	x.server.post(event)
 }
 
--- a/internal/proxy/options.go
+++ b/internal/proxy/options.go
@@ -37,9 +37,10 @@
 	// DrainIdle is the time after which a stopping instance closes an idle connection of
 	// a caller.
 	DrainIdle time.Duration
-	// DialTimeout limits the time to open a connection to a backend server in the first
-	// attempt of a request; it doubles with each further attempt.
+	// DialTimeout limits the time to open a connection to a backend server, over all ways.
 	DialTimeout time.Duration
+	// Relays opens connections through peers; nil if there are none.
+	Relays RelayDialer
 	// BackendIdle is the idle timeout of a connection to a backend server that does not
 	// announce its own.
 	BackendIdle time.Duration
--- a/internal/proxy/response.go
+++ b/internal/proxy/response.go
@@ -14,10 +14,6 @@
 )
 
 const (
-	// maxDialTimeoutDoublings bounds how often the dial timeout is doubled. The first attempt
-	// of a request has a short timeout, because another server most likely responds
-	// sooner; if the whole network is slow, later attempts have enough time.
-	maxDialTimeoutDoublings = 3
 	// maxBufferedBody is the size limit in bytes up to which a response is buffered whole
 	// before the caller receives its first byte, so that a truncated response can
 	// still be retried.
@@ -69,6 +65,8 @@
 	buffer  []byte
 	// dialReason is the reason why the last call opened a connection, if it did.
 	dialReason DialReason
+	// relay is the name of the peer that relayed the last call's connection, if one did.
+	relay string
 	// status is the status code of the last call's response, or 0 if none was received.
 	status int
 	// headSent is set once the response header has been passed to the caller.
@@ -91,7 +89,11 @@
 		deadline:          x.server.connDeadline(e.Deadline),
 		firstByteTimeout:  e.FirstByteTimeout,
 		inactivityTimeout: x.server.options.Inactivity,
-		dialTimeout:       x.server.options.DialTimeout << min(e.Attempt-1, maxDialTimeoutDoublings),
+		dialTimeout:       x.server.options.DialTimeout,
+		path:              e.Path,
+		ways:              x.server.wayDialer(e.Backend),
+		defaultKeepAlive:  x.server.options.BackendIdle,
+		pool:              x.server.pool,
 		zone:              x.server.zones.get(e.Zone),
 		now:               x.server.options.Now,
 		countDial:         x.server.options.Metrics.Dialled,
@@ -103,7 +105,7 @@
 	r.call, r.resp = c, fasthttp.AcquireResponse()
 	x.setRunning(e.Attempt, c)
 	err := x.server.backends.Do(req, r.resp)
-	r.dialReason, r.status = c.dialReason, 0
+	r.dialReason, r.relay, r.status = c.dialReason, c.relay, 0
 	if err != nil {
 		r.abortAttempt(outcomeWithoutResponse(c), "", err)
 		return false
@@ -111,7 +113,9 @@
 	r.status = r.resp.StatusCode()
 	options := &x.server.options
 	r.head = options.Dialect.ReadHead(&r.resp.Header, x.request, &e, options.Now())
-	c.allowUnframed = r.head.AllowUnframed
+	// The end of a relay's process also closes a connection in order, and must not look like the end
+	// of a response.
+	c.allowUnframed = r.head.AllowUnframed && c.relay == ""
 	r.load = r.head.Load
 	if resume {
 		return r.handleResumedHead()
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -26,6 +26,7 @@
 	options  Options
 	http     *fasthttp.Server
 	backends *fasthttp.Client
+	pool     *connPool
 	zones    *zoneActivities
 	engine   *engineClient
 	ends     endChecker
@@ -51,12 +52,14 @@
 func New(post func(core.Event), o Options) *Server {
 	o.setDefaults()
 	log := newLogQueue()
+	pool := &connPool{}
 	s := &Server{
 		post:            post,
 		options:         o,
-		backends:        newClient(o),
+		backends:        newClient(o, pool),
+		pool:            pool,
 		zones:           newZoneActivities(),
-		ends:            endChecker{countDial: o.Metrics.Dialled},
+		ends:            endChecker{countDial: o.Metrics.Dialled, relays: o.Relays},
 		engine:          newEngineClient(o, log),
 		requestIDPrefix: strconv.FormatInt(time.Now().UnixNano(), 36),
 		log:             log,
@@ -193,7 +196,7 @@
 		"resumeAfter", e.ResumeAfter, "source", e.Source, "generation", b.Generation, "revision", b.Revision,
 		"session", b.Session, "load", b.Load, "own", b.Parts.Own, "peers", b.Parts.Peers, "unseen", b.Parts.Unseen,
 		"average", b.Parts.Average, "mean", b.Mean, "limit", b.Limit, "reportAgeMs", ageMillis(b.ReportAge),
-		"waitedMs", b.Waited.Milliseconds(), "content", hexContent(e.Content))
+		"waitedMs", b.Waited.Milliseconds(), "content", hexContent(e.Content), "ways", e.Path.Mode)
 }
 
 // hexContent returns a request's content hash as it is logged, "" if there is none.
--- a/internal/proxy/transport.go
+++ b/internal/proxy/transport.go
@@ -10,6 +10,9 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/ebonydyke/ebonydyke/internal/core"
+	"github.com/ebonydyke/ebonydyke/internal/core/paths"
 )
 
 // maxBackendConns limits the connections to one backend server. Admission keeps the
@@ -44,8 +47,15 @@
 	firstByteTimeout time.Duration
 	// inactivityTimeout limits the time between two reads of the response body.
 	inactivityTimeout time.Duration
-	// dialTimeout limits the time to open a connection.
+	// dialTimeout limits the time to open a connection, over the ways of path.
 	dialTimeout time.Duration
+	path        core.DialPath
+	ways        wayDialer
+	// defaultKeepAlive is the idle timeout of a connection to a server that announces none.
+	defaultKeepAlive time.Duration
+	pool             *connPool
+	// relay is the name of the peer that relays the connection, "" if none does.
+	relay string
 	// bodyStarted is set once a byte of the response body has been read.
 	bodyStarted bool
 	// firstByteExpiry is the deadline for the first bytes of the response, or zero until
@@ -73,7 +83,9 @@
 		return errCallCancelled
 	}
 	conn.written.Store(0)
-	conn.zone = c.zone
+	if c.relay == "" {
+		conn.zone = c.zone
+	}
 	c.conn = conn
 	return nil
 }
@@ -136,40 +148,52 @@
 
 // connect acquires a pooled connection that may be reused, or opens a new one.
 func (c *call) connect(hc *fasthttp.HostClient) error {
+	c.host = hc
 	why := NoneIdle
-	for {
-		remaining := time.Until(c.deadline)
-		if remaining <= 0 {
+	for c.path.Mode == paths.DirectFirst {
+		if time.Until(c.deadline) <= 0 {
 			return fasthttp.ErrTimeout
 		}
-		cc, err := hc.AcquireConn(min(remaining, c.dialTimeout), false)
+		pooled, err := c.pool.idle(hc)
+		if errors.Is(err, errNoIdleConn) {
+			break
+		}
 		if err != nil {
-			c.recordDial(why)
 			return fmt.Errorf("proxy: connect: %w", err)
 		}
-		conn, ok := cc.Conn().(*backendConn)
-		if !ok {
-			hc.CloseConn(cc)
-			return errors.New("proxy: unexpected connection type")
+		if unfit := pooled.conn.unusableReason(c.zone, c.now()); unfit != "" {
+			why = unfit
+			pooled.release(false)
+			continue
 		}
-		if conn.reused() {
-			if unfit := conn.unusableReason(c.zone, c.now()); unfit != "" {
-				why = unfit
-				hc.CloseConn(cc)
-				continue
-			}
-		} else {
-			c.recordDial(why)
-		}
-		c.host = hc
-		return c.attachAcquired(conn, func(reuse bool) {
-			if reuse {
-				hc.ReleaseConn(cc)
-				return
-			}
-			hc.CloseConn(cc)
-		})
+		return c.attachAcquired(pooled.conn, pooled.release)
+	}
+	return c.open(hc, why)
+}
+
+// open opens a connection over the ways that the core has named. One that a peer relays is used for
+// this call only: whether its way is still good cannot be seen from here when it is idle.
+func (c *call) open(hc *fasthttp.HostClient, why DialReason) error {
+	c.recordDial(why)
+	limit := min(time.Until(c.deadline), c.dialTimeout)
+	if limit <= 0 {
+		return fasthttp.ErrTimeout
+	}
+	opened, err := c.ways.dial(hc.Addr, c.path, limit)
+	if err != nil {
+		return fmt.Errorf("proxy: connect: %w", err)
+	}
+	conn := &backendConn{Conn: opened.conn, defaultKeepAlive: c.defaultKeepAlive, now: c.now}
+	if opened.relay != nil {
+		c.relay = opened.relayName()
+		c.recordDial(Relayed)
+		return c.attachAcquired(conn, func(bool) { _ = conn.Close() })
+	}
+	pooled, err := c.pool.adopt(hc, conn)
+	if err != nil {
+		return fmt.Errorf("proxy: connect: %w", err)
 	}
+	return c.attachAcquired(pooled.conn, pooled.release)
 }
 
 // recordDial records the reason why a connection was opened or why opening one was tried.
@@ -299,7 +323,7 @@
 }
 
 // newClient returns the client for backend servers.
-func newClient(o Options) *fasthttp.Client {
+func newClient(o Options, pool *connPool) *fasthttp.Client {
 	return &fasthttp.Client{
 		Transport: transport{},
 		// The next two settings also prevent resending, in case a later version of the
@@ -311,12 +335,6 @@
 		MaxConnsPerHost:           maxBackendConns,
 		MaxIdleConnDuration:       max(o.BackendIdle, maxKeepAlive),
 		ReadBufferSize:            o.MaxHeader,
-		DialTimeout: func(address string, remaining time.Duration) (net.Conn, error) {
-			conn, err := net.DialTimeout("tcp", address, min(remaining, o.DialTimeout))
-			if err != nil {
-				return nil, err
-			}
-			return &backendConn{Conn: conn, defaultKeepAlive: o.BackendIdle, now: o.Now}, nil
-		},
+		DialTimeout:               pool.dial,
 	}
 }
