Ask peers before a server counts as ended

Cause: a device that resets an instance's connections and refuses new ones looks like a server that has ended. The instance told the fleet so, and the voiding of such ends comes seconds too late.

Now an instance whose connection was reset and whose next one is refused asks the attempt's relays to connect. One that connects disproves the end, one that is refused as well confirms it; without a word of a peer the own observation counts, unless the way is known to be lost. It works because the device stands on the way of some instances, and the end of a process is the same from everywhere.

--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -136,6 +136,7 @@
 	if r == nil || e.Attempt != r.attempt || !r.running {
 		return
 	}
+	e.ServerEnded = n.serverHasEnded(r, &e)
 	n.attemptDone(r)
 	n.countOutcome(r, e.Outcome)
 	n.updateReachability(r.backend, e)
