--- a/internal/core/dialpaths.go
+++ b/internal/core/dialpaths.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/bits"
 	"slices"
 	"strings"
 	"time"
@@ -78,12 +79,14 @@
 func (n *Node) relaysFor(r *request) []PeerAddress {
 	names := n.liveInstances()
 	serverZone := n.zoneOf(r.backend)
-	start := rendezvous.Hash(string(r.arrived.Request)) + uint64(r.attempt)
+	hash := rendezvous.Hash(string(r.arrived.Request)) + uint64(r.attempt)
 	var list []PeerAddress
-	for _, fits := range relayChoices {
+	for choice, fits := range relayChoices {
 		if len(list) == maxRelays {
 			break
 		}
+		// Neighbours in the order of names may share a rack and its faults, so each choice starts elsewhere.
+		start := bits.RotateLeft64(hash, choice*relayHashStep)
 		for i := range names {
 			name := names[(start+uint64(i))%uint64(len(names))]
 			member := n.relayCandidate(name)
@@ -97,6 +100,9 @@
 	return list
 }
 
+// relayHashStep is the number of bits by which the hash of a request is rotated for each further choice.
+const relayHashStep = 11
+
 // relayChoices are the choices of relays in the order of preference. One that has just connected
 // comes first. The others are of different zones, because all instances of a zone may lose their ways
 // together: one of the own zone, to which bytes cross no zone, then one of the server's zone.
