--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -81,6 +81,8 @@
 	Outcome retry.Outcome `json:"outcome"`
 	// Load is the load report in the backend server's response, nil if there is none.
 	Load *membership.Report `json:"load,omitempty"`
+	// RejectionLimit is the limit that the response announces; see AnswerStarted.
+	RejectionLimit int `json:"rejection_limit,omitempty"`
 	// RetryAfter is the delay that the backend server requested when it refused the attempt.
 	RetryAfter time.Duration `json:"retry_after,omitempty"`
 	// ServerEnded is set if the backend server's process seems to have ended while it held the
@@ -104,6 +106,9 @@
 	Attempt int       `json:"attempt"`
 	// Load is the load report in the response headers, nil if there is none.
 	Load *membership.Report `json:"load,omitempty"`
+	// RejectionLimit is the number of requests that the server can reject within a second for lack
+	// of room; if it must reject more, it fails. 0 means that it announces no limit.
+	RejectionLimit int `json:"rejection_limit,omitempty"`
 }
 
 // CallerGone reports that the caller disconnected before its response was complete.
--- a/internal/proxy/dialect.go
+++ b/internal/proxy/dialect.go
@@ -99,6 +99,9 @@
 	// BufferBody is set if a body of moderate size is buffered to its end before any of it is
 	// sent to the caller, so that a truncated response can still be retried.
 	BufferBody bool
+	// RejectionLimit is the number of requests that the server can reject within a second without
+	// failing, or 0 if it announces none.
+	RejectionLimit int
 	// AllowUnframed is set if an orderly close of the connection ends a body without a
 	// length; otherwise such a body is treated as truncated.
 	AllowUnframed bool
--- a/internal/proxy/response.go
+++ b/internal/proxy/response.go
@@ -101,6 +101,7 @@
 	if e.StallTimeout > 0 {
 		c.inactivityTimeout = e.StallTimeout
 	}
+	r.head = Head{}
 	req.SetUserValue(callKey, c)
 	r.call, r.resp = c, fasthttp.AcquireResponse()
 	x.setRunning(e.Attempt, c)
@@ -201,7 +202,7 @@
 	out.SetStatusCode(r.resp.StatusCode())
 	r.headSent = true
 	if !r.complete {
-		x.server.post(core.AnswerStarted{Request: x.id, Attempt: r.attempt.Attempt, Load: r.load})
+		x.server.post(core.AnswerStarted{Request: x.id, Attempt: r.attempt.Attempt, Load: r.load, RejectionLimit: r.head.RejectionLimit})
 		r.load = nil
 	}
 	size := -1
@@ -230,7 +231,7 @@
 // reportEnd reports the end of the attempt to the core.
 func (r *callerResponse) reportEnd(event core.AttemptEnded, err error) {
 	event.Attempt = r.attempt.Attempt
-	event.Load = r.load
+	event.Load, event.RejectionLimit = r.load, r.head.RejectionLimit
 	r.load = nil
 	r.exchange.attemptEnded(event, err)
 }
