Bound what is sent to servers that fail when they must reject requests

Servers that announce such a limit failed in turns under more load than they can run, and each failure left the others more: all instances together learn of a lack of room by rejections, and their knowledge of the load is too old for the last slots.

While a service announces the limit, instances send as usual only if the mean load rarely fills a server by chance; else the slots are dealt out and each instance uses its own, or, where slots are fewer than instances, each sends a share of its requests that follows the load. What finds no room is refused at once.

--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -126,6 +126,7 @@
 	n.applyAnswerReport(e.Load)
 	if r := n.requests[e.Request]; r != nil && r.running && e.Attempt == r.attempt {
 		r.responseStarted = true
+		n.recordRejectionLimit(r, e.RejectionLimit)
 		n.reach.RecordAnswer(n.zoneOf(r.backend), n.now)
 	}
 }
@@ -139,6 +140,7 @@
 	e.ServerEnded = n.serverHasEnded(r, &e)
 	n.attemptDone(r)
 	n.countOutcome(r, e.Outcome)
+	n.recordRejection(r, e.Outcome, e.RejectionLimit)
 	n.updateReachability(r.backend, e)
 	n.updatePoison(r, e)
 	if e.Outcome == retry.Answered {
--- a/internal/core/placement.go
+++ b/internal/core/placement.go
@@ -13,6 +13,7 @@
 	if len(p.candidates) == 0 {
 		return nil, reason.NoBackend
 	}
+	n.markFull(p)
 	choice := n.routingChoice(r, p)
 	i := routing.Pick(p.candidates, &choice)
 	if r.trial {
--- a/internal/core/pools.go
+++ b/internal/core/pools.go
@@ -35,6 +35,8 @@
 	// leaving holds the backend servers that get no new requests but still have cached
 	// prompts.
 	leaving []routing.Candidate
+	// marksFull reports whether candidates may be marked as full, because the servers are brittle.
+	marksFull bool
 	// used reports whether a request was placed in this pool.
 	used bool
 	// joinTimes holds the time at which each usable backend server joined the pool. It is
--- a/internal/core/routing/routing.go
+++ b/internal/core/routing/routing.go
@@ -25,6 +25,8 @@
 	Capacity, Slots float64
 	// OtherZone means that it is in another availability zone than this instance.
 	OtherZone bool
+	// Full means that this instance must not send it another request.
+	Full bool
 	// Unreachable means that this instance recently failed to connect to it.
 	Unreachable bool
 	// WithheldShare is the fraction, under 1, of its share of requests that a flapping
@@ -106,7 +108,7 @@
 // rank returns the rank of a candidate, or more than rankLast if it must not be chosen.
 func (ch *Choice) rank(c *Candidate) int {
 	load := c.Load + 1
-	if load > c.Capacity || load > ch.Limits.Outer {
+	if c.Full || load > c.Capacity || load > ch.Limits.Outer {
 		return rankLast + 1
 	}
 	rank := 0
@@ -133,7 +135,7 @@
 	if load > ch.Limits.Hinted*(1-c.WithheldShare) || load > ch.Limits.Outer || load > c.Capacity {
 		return false
 	}
-	return !c.Unreachable && !slices.Contains(ch.Tried, c.Name)
+	return !c.Full && !c.Unreachable && !slices.Contains(ch.Tried, c.Name)
 }
 
 // Placement of the inner and hinted limits.
--- a/internal/core/statechanges.go
+++ b/internal/core/statechanges.go
@@ -23,6 +23,8 @@
 	SubjectStore Subject = "store"
 	// SubjectZone is an availability zone.
 	SubjectZone Subject = "zone"
+	// SubjectService is a service.
+	SubjectService Subject = "service"
 	// SubjectWay is this instance's own way to a backend server.
 	SubjectWay Subject = "way to backend server"
 	// SubjectRequest is the requests of a customer with the same content.
