Soak: servers that must not reject, and servers that are silent for a second

Others are silent for up to 1.2 s and go on. An instance cut off from all servers is not in the soak: all processes share one address, so a loopback proxy cannot tell them apart.

--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -47,6 +47,8 @@
 	swapping
 	// hanging never responds.
 	hanging
+	// pausing is silent while the fault lasts, and then goes on.
+	pausing
 )
 
 // backend is one backend server behind a relay; the store lists the address of the relay.
@@ -66,6 +68,8 @@
 
 	mu     sync.Mutex
 	random *rand.Rand
+	// rejections are the times of the last rejections for lack of room.
+	rejections []time.Time
 }
 
 func (w *World) newBackend(name, zone string) (*backend, error) {
@@ -117,9 +121,14 @@
 	b.checkArrival(attempt)
 	fakeplatform.SetRequestID(w, attempt.ID)
 	fakeplatform.SetLoad(w, int(b.inFlight.Load()), backendSlots)
-	if b.inFlight.Add(1) > 2*backendSlots {
+	if limit, _ := b.world.rejectionLimit(); limit > 0 {
+		fakeplatform.SetRejectionLimit(w, limit)
+	}
+	b.waitWhilePausing()
+	if int(b.inFlight.Add(1)) > b.room() {
 		b.inFlight.Add(-1)
 		fakeplatform.WriteNotStarted(w)
+		b.recordRejection()
 		return
 	}
 	defer b.inFlight.Add(-1)
@@ -191,6 +200,7 @@
 			return
 		}
 		_ = http.NewResponseController(w).Flush()
+		b.waitWhilePausing()
 		select {
 		case <-time.After(eventInterval):
 		case <-r.Context().Done():
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -36,7 +36,7 @@
 	faults := []func(faultParams){
 		w.killInstance, w.stopInstance, w.stopInstance, w.pauseInstance, w.reloadInstance,
 		w.storeFault, w.storeFault, w.impairStoreLink, w.compactStore, w.reconfigure, w.reconfigure,
-		w.crashBackend, w.drainBackend, w.drainBackend, w.injectBackendFault, w.injectBackendFault, w.impairBackendLink,
+		w.crashBackend, w.drainBackend, w.drainBackend, w.injectBackendFault, w.injectBackendFault, w.impairBackendLink, w.makeBrittle,
 	}
 	random := rand.New(rand.NewPCG(w.options.Seed, 0))
 	var pending sync.WaitGroup
@@ -212,7 +212,11 @@
 	if server == nil {
 		return
 	}
-	server.fault.Store(int32(failing) + p.random.Int32N(int32(hanging)))
+	fault := int32(failing) + p.random.Int32N(int32(pausing))
+	if backendFault(fault) == pausing {
+		p.duration = min(p.duration, maxPause)
+	}
+	server.fault.Store(fault)
 	time.Sleep(p.duration)
 	server.fault.Store(int32(healthy))
 }
