Refuse at once what no instance can serve

When no instance reaches a service's servers, each request dialled four or five times in a row, 750 ms, before it was refused. Now a request ends after its first failed attempt if the last attempts at half of the servers failed over all ways, with no success in between.

The choice of relays looks at those that have relayed by name instead of scanning all instances for them.

--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -126,6 +126,7 @@
 	n.applyAnswerReport(e.Load)
 	if r := n.requests[e.Request]; r != nil && r.running && e.Attempt == r.attempt {
 		r.responseStarted = true
+		n.paths.tracker.Reached(r.service.Name)
 		n.recordRejectionLimit(r, e.RejectionLimit)
 		n.reach.RecordAnswer(n.zoneOf(r.backend), n.now)
 	}
@@ -138,6 +139,9 @@
 		return
 	}
 	e.ServerEnded = n.serverHasEnded(r, &e)
+	if e.Outcome != retry.NotSent {
+		n.paths.tracker.Reached(r.service.Name)
+	}
 	n.attemptDone(r)
 	n.countOutcome(r, e.Outcome)
 	n.recordRejection(r, e.Outcome, e.RejectionLimit)
@@ -183,6 +187,8 @@
 		n.giveUp(r, reason.CallerGone)
 	case !n.now.Before(r.deadline):
 		n.giveUp(r, reason.DeadlineExceeded)
+	case outcome == retry.NotSent && n.noneReached(r):
+		n.giveUp(r, why)
 	case r.resumesOnSameBackend(outcome):
 		n.retryOrGiveUp(r, outcome, (*Node).resumeWithDelay)
 	case r.responseStarted && r.policy.resumable && r.resumeAfter != "":
--- a/internal/core/dialpaths.go
+++ b/internal/core/dialpaths.go
@@ -73,28 +73,32 @@
 	}
 }
 
-// relaysFor returns the instances that may relay a request to its backend server, at most one per
-// choice of relayChoices and filled up by the rest. Requests are spread over the instances that a
-// choice fits.
+// relaysFor returns the instances that may relay a request to its backend server: one that has just
+// relayed, and then one per choice of relayChoices. Requests are spread over the instances that a choice
+// fits.
 func (n *Node) relaysFor(r *request) []PeerAddress {
+	hash := rendezvous.Hash(string(r.arrived.Request)) + uint64(r.attempt)
+	list := n.addRelay(nil, n.paths.tracker.ProvenRelays(n.now), hash, func(*membership.Member) bool { return true })
 	names := n.liveInstances()
 	serverZone := n.zoneOf(r.backend)
-	hash := rendezvous.Hash(string(r.arrived.Request)) + uint64(r.attempt)
-	var list []PeerAddress
 	for choice, fits := range relayChoices {
 		if len(list) == maxRelays {
 			break
 		}
 		// Neighbours in the order of names may share a rack and its faults, so each choice starts elsewhere.
-		start := bits.RotateLeft64(hash, choice*relayHashStep)
-		for i := range names {
-			name := names[(start+uint64(i))%uint64(len(names))]
-			member := n.relayCandidate(name)
-			if member == nil || !fits(n, member, serverZone) || slices.ContainsFunc(list, func(p PeerAddress) bool { return p.Name == name }) {
-				continue
-			}
-			list = append(list, PeerAddress{Name: name, Address: member.Address})
-			break
+		start := bits.RotateLeft64(hash, (choice+1)*relayHashStep)
+		list = n.addRelay(list, names, start, func(relay *membership.Member) bool { return fits(n, relay, serverZone) })
+	}
+	return list
+}
+
+// addRelay adds to list the first of names, from a start on, that may relay, fits and is not listed.
+func (n *Node) addRelay(list []PeerAddress, names []string, start uint64, fits func(*membership.Member) bool) []PeerAddress {
+	for i := range names {
+		name := names[(start+uint64(i))%uint64(len(names))]
+		listed := slices.ContainsFunc(list, func(p PeerAddress) bool { return p.Name == name })
+		if member := n.relayCandidate(name); member != nil && !listed && fits(member) {
+			return append(list, PeerAddress{Name: name, Address: member.Address})
 		}
 	}
 	return list
@@ -103,13 +107,10 @@
 // relayHashStep is the number of bits by which the hash of a request is rotated for each further choice.
 const relayHashStep = 11
 
-// relayChoices are the choices of relays in the order of preference. One that has just connected
-// comes first. The others are of different zones, because all instances of a zone may lose their ways
-// together: one of the own zone, to which bytes cross no zone, then one of the server's zone.
+// relayChoices are the choices of relays in the order of preference. They are of different zones,
+// because all instances of a zone may lose their ways together: one of the own zone, to which bytes cross
+// no zone, then one of the server's zone.
 var relayChoices = []func(n *Node, relay *membership.Member, serverZone string) bool{
-	func(n *Node, relay *membership.Member, _ string) bool {
-		return n.paths.tracker.RelayProven(relay.Name, n.now)
-	},
 	func(n *Node, relay *membership.Member, _ string) bool {
 		return n.paths.tracker.RelayUsable(relay.Name, n.now) && relay.Zone == n.settings.Zone
 	},
@@ -181,6 +182,12 @@
 	return strings.Join(list, ", ")
 }
 
+// noneReached reports whether recent attempts show that no server of the request's service can be
+// reached. Further dials would keep the caller waiting for nothing.
+func (n *Node) noneReached(r *request) bool {
+	return n.paths.tracker.NoneReached(r.service.Name, len(n.pool(r.service.Name).candidates), n.now)
+}
+
 // wayIsSuspect reports whether the failure of an attempt may be due to the way to its backend server
 // instead of the server.
 func (n *Node) wayIsSuspect(r *request, outcome retry.Outcome) bool {
--- a/internal/core/paths/paths.go
+++ b/internal/core/paths/paths.go
@@ -68,6 +68,12 @@
 	doubtThreshold = 2
 	// provenFor is the time for which an instance that relayed is asked before others.
 	provenFor = 5 * time.Second
+	// minUnreached is the smallest number of servers, and unreachedShare the share of a service's servers,
+	// that no way reached from which none is expected to be reached: in a zone that is cut off, or after a
+	// rack has failed, many are not. unreachedFor is the time for which such a result counts.
+	minUnreached   = 3
+	unreachedShare = 0.5
+	unreachedFor   = 3 * time.Second
 	// forgetAfter is the time without a try after which a lost way is forgotten.
 	forgetAfter = time.Minute
 )
@@ -91,6 +97,8 @@
 type serviceState struct {
 	// lostAt is the time of the last loss, and connectedAt that of the last direct connection.
 	lostAt, connectedAt time.Time
+	// unreached maps the servers that no way reached to the time of that, since the last one was reached.
+	unreached map[string]time.Time
 }
 
 // relayState is what is known of an instance that was asked to relay.
@@ -124,6 +132,7 @@
 // Observe records the results of one attempt to connect to a server.
 func (t *Tracker) Observe(service, server string, list []Observation, now time.Time) Change {
 	t.observeRelays(list, now)
+	t.observeReach(service, server, list, now)
 	direct := slices.IndexFunc(list, func(o Observation) bool { return o.Relay == "" })
 	switch {
 	case direct >= 0 && list[direct].Result == Connected:
@@ -140,6 +149,38 @@
 	}
 }
 
+// observeReach records whether any way reached a server.
+func (t *Tracker) observeReach(service, server string, list []Observation, now time.Time) {
+	if slices.ContainsFunc(list, func(o Observation) bool { return o.Result == Connected }) {
+		t.Reached(service)
+		return
+	}
+	t.service(service).unreached[server] = now
+}
+
+// Reached records that a server of a service was reached.
+func (t *Tracker) Reached(service string) {
+	if s := t.services[service]; s != nil {
+		clear(s.unreached)
+	}
+}
+
+// NoneReached reports whether no way reaches any of a service's servers, as far as a few recent attempts
+// tell: none has succeeded since, and they were at many of the servers.
+func (t *Tracker) NoneReached(service string, servers int, now time.Time) bool {
+	s := t.services[service]
+	if s == nil {
+		return false
+	}
+	recent := 0
+	for _, at := range s.unreached {
+		if now.Sub(at) < unreachedFor {
+			recent++
+		}
+	}
+	return recent >= min(servers, max(minUnreached, int(unreachedShare*float64(servers))))
+}
+
 // relayed reports whether any relay connected.
 func relayed(list []Observation) bool {
 	return slices.ContainsFunc(list, func(o Observation) bool { return o.Relay != "" && o.Result == Connected })
@@ -194,7 +235,7 @@
 func (t *Tracker) service(name string) *serviceState {
 	s := t.services[name]
 	if s == nil {
-		s = &serviceState{}
+		s = &serviceState{unreached: make(map[string]time.Time)}
 		t.services[name] = s
 	}
 	return s
@@ -242,10 +283,16 @@
 	return r == nil || !now.Before(r.until)
 }
 
-// RelayProven reports whether an instance has relayed lately.
-func (t *Tracker) RelayProven(name string, now time.Time) bool {
-	r := t.relays[name]
-	return r != nil && !r.connectedAt.IsZero() && now.Sub(r.connectedAt) < provenFor
+// ProvenRelays returns the instances that have relayed lately, sorted by name.
+func (t *Tracker) ProvenRelays(now time.Time) []string {
+	var list []string
+	for name, r := range t.relays {
+		if !r.connectedAt.IsZero() && now.Sub(r.connectedAt) < provenFor {
+			list = append(list, name)
+		}
+	}
+	slices.Sort(list)
+	return list
 }
 
 // Expire forgets the lost ways of servers that are no longer known or were not tried for long, and
@@ -257,6 +304,13 @@
 			delete(t.lost, server)
 		}
 	}
+	for _, s := range t.services {
+		for server, at := range s.unreached {
+			if now.Sub(at) >= unreachedFor {
+				delete(s.unreached, server)
+			}
+		}
+	}
 	for name, r := range t.relays {
 		if now.Sub(r.until) > forgetAfter && now.Sub(r.connectedAt) > forgetAfter {
 			delete(t.relays, name)
--- a/internal/core/paths/paths_test.go
+++ b/internal/core/paths/paths_test.go
@@ -65,11 +65,32 @@
 	require.False(t, tr.RelayUsable("p", start))
 	require.False(t, tr.RelayUsable("q", start))
 	require.True(t, tr.RelayUsable("r", start))
+	require.Equal(t, []string{"r"}, tr.ProvenRelays(start))
 	require.True(t, tr.RelayUsable("p", start.Add(minRelayBackoff)))
 	tr.Observe("s", "a", []Observation{relay("p", Connected)}, start)
 	require.True(t, tr.RelayUsable("p", start))
 }
 
+// Guards against dials that keep a caller waiting while nothing is reached, and against refusals because
+// a few servers are down.
+func TestNoServerIsReachedByAnyWay(t *testing.T) {
+	tr := New()
+	failed := []Observation{direct(TimedOut), relay("p", TimedOut)}
+	tr.Observe("s", "a", failed, start)
+	tr.Observe("s", "b", failed, start)
+	require.False(t, tr.NoneReached("s", 12, start))
+	require.True(t, tr.NoneReached("s", 2, start), "all of a few")
+	for _, server := range []string{"c", "d", "e"} {
+		tr.Observe("s", server, failed, start)
+	}
+	require.False(t, tr.NoneReached("s", 12, start))
+	tr.Observe("s", "f", failed, start)
+	require.True(t, tr.NoneReached("s", 12, start))
+	require.False(t, tr.NoneReached("s", 12, start.Add(unreachedFor)))
+	tr.Reached("s")
+	require.False(t, tr.NoneReached("s", 12, start))
+}
+
 // Guards against state that grows with the servers that come and go.
 func TestExpireForgetsServersThatAreGone(t *testing.T) {
 	tr := New()
