--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -39,6 +39,8 @@
 	stopped chan struct{}
 	// closed is closed once the listener is closed.
 	closed chan struct{}
+	// relays are the peers that each attempt may ask.
+	relays []core.PeerAddress
 	// onNotReady is called when the instance reports that it is not ready.
 	onNotReady func()
 
@@ -55,6 +57,7 @@
 	defer i.mu.Unlock()
 	switch e := effect.(type) {
 	case core.SendAttempt:
+		e.Path.Relays = i.relays
 		i.attempts = append(i.attempts, e)
 		i.server.Deliver(e.Request, e)
 	case core.CancelAttempt:
