Leave a relay time for its reply when the server is silent

A relay tried to connect for as long as its requester waited, so the reply that the server is silent came too late, and the relay seemed not to relay: it was asked last for seconds although nothing was wrong with it. It now gets three quarters of the time that is left. TestSilentServerIsToldFromARelayThatIsSilent fails without the change.

--- a/internal/peer/relay.go
+++ b/internal/peer/relay.go
@@ -15,6 +15,10 @@
 	"github.com/ebonydyke/ebonydyke/internal/core/paths"
 )
 
+// relayTimeShare is the part of the remaining time that a relay may take to connect. The rest is for its
+// reply: without one it would seem not to relay.
+const relayTimeShare = 0.75
+
 // errRelayReply means that a peer answered a relay request with something else.
 var errRelayReply = errors.New("peer: invalid reply to a relay request")
 
@@ -80,8 +84,9 @@
 	if err := conn.SetDeadline(deadline); err != nil {
 		return noRelay(err)
 	}
+	timeout := time.Duration(relayTimeShare * float64(time.Until(deadline)))
 	err := writeFrame(conn, &peerpb.Frame{RelayRequest: &peerpb.RelayRequest{
-		Version: protocolVersion, Name: d.Name, Fleet: d.Fleet, Address: address, Timeout: uint32(max(0, time.Until(deadline).Milliseconds())),
+		Version: protocolVersion, Name: d.Name, Fleet: d.Fleet, Address: address, Timeout: uint32(max(0, timeout.Milliseconds())),
 	}})
 	if err != nil {
 		return noRelay(err)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -175,6 +175,18 @@
 	require.Zero(t, in.Active())
 }
 
+// Guards against a relay that seems not to relay because the server, and not the relay, is silent.
+func TestSilentServerIsToldFromARelayThatIsSilent(t *testing.T) {
+	in := startLinks(t, func(_ context.Context, r *peer.RelayRequest) error {
+		time.Sleep(r.Timeout)
+		return r.Reply(paths.TimedOut)
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 400*time.Millisecond)
+	defer cancel()
+	_, err := peer.RelayDialer{Fleet: "f", Name: "a"}.DialContext(ctx, in, "server")
+	require.Equal(t, paths.TimedOut, paths.ResultOf(err))
+}
+
 // Guards against an instance that relays to a server that it cannot reach, that is down, or although it
 // is stopping, and against a requester that takes these for each other.
 func TestFailedRelaysSayWhy(t *testing.T) {
