--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -119,8 +119,8 @@
 	// DrainIdle is how long a caller's connection must have been idle before a stopping
 	// instance closes it.
 	DrainIdle config.Duration `json:"drain_idle"`
-	// DialTimeout limits the time to open a connection to a backend server for a request's
-	// first attempt. It doubles with each further attempt.
+	// DialTimeout limits the time to open a connection to a backend server, directly or through
+	// other instances.
 	DialTimeout config.Duration `json:"dial_timeout"`
 	// BackendIdle is how long an idle connection to a backend server is kept open if the
 	// server announces no keep-alive time.
