--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -115,7 +115,7 @@
 	e.Request, e.Attempt, e.Deadline = r.arrived.Request, r.attempt, r.deadline
 	e.Backend, e.Address, e.Placement = r.backend, r.address, r.placement
 	e.Zone = n.zoneOf(r.backend)
-	e.Path = n.dialPath(r)
+	e.Dial = n.dialPlan(r)
 	e.Content = uint64(r.key)
 	e.Customer, e.Priority, e.AtMostOnce = r.arrived.Customer, r.policy.priority, !r.policy.repeatable
 	e.FirstByteTimeout, e.StallTimeout = r.responseTimeouts()
--- a/internal/core/cutfleet_test.go
+++ b/internal/core/cutfleet_test.go
@@ -39,7 +39,7 @@
 	cutRefusing cutMode = "new connections refused"
 )
 
-// cutFleet runs a fleet of which some instances lose their way to some of the backend servers. Those
+// cutFleet runs a fleet of which some instances lose their path to some of the backend servers. Those
 // servers run on and serve all others.
 type cutFleet struct {
 	*fleet
@@ -122,7 +122,7 @@
 // own connections to the server are refused, and asks its peers.
 func (f *cutFleet) brokenByReset(r *cutAttempt) core.AttemptEnded {
 	ended := core.AttemptEnded{Outcome: retry.Unknown, ServerEnded: f.cutFrom(r.by, r.server)}
-	for _, relay := range r.attempt.Path.Relays {
+	for _, relay := range r.attempt.Dial.Relays {
 		result, _ := f.relayResult(r.by, f.instance(relay.Name), r.server)
 		ended.EndChecks = append(ended.EndChecks, paths.Observation{Relay: relay.Name, Result: result})
 	}
@@ -149,7 +149,7 @@
 // from the server's zone have arrived lately.
 func (f *cutFleet) useKeptConnection(r *cutAttempt) bool {
 	pair := cutPair{r.by, r.server}
-	if r.attempt.Path.Mode != paths.DirectFirst {
+	if r.attempt.Dial.Mode != paths.DirectFirst {
 		return false
 	}
 	if f.kept[pair] == 0 || f.now.Sub(f.heard[cutPair{r.by, r.attempt.Zone}]) > cutMaxSilence {
@@ -163,69 +163,69 @@
 	return true
 }
 
-// cutWay is one way of an attempt to connect.
-type cutWay struct {
+// cutPath is one path of an attempt to connect.
+type cutPath struct {
 	relay     *fakeInstance
 	startedAt time.Duration
 	result    paths.Result
 	endedAt   time.Duration
 }
 
-// dial opens a connection for an attempt over the ways that it names, as the proxy does: the first
-// connection is used, and the results are reported once all ways have ended.
+// dial opens a connection for an attempt over the paths that it names, as the proxy does: the first
+// connection is used, and the results are reported once all paths have ended.
 func (f *cutFleet) dial(r *cutAttempt) {
-	ways := f.ways(r)
-	first := slices.IndexFunc(ways, func(w cutWay) bool { return w.result == paths.Connected })
-	for i, w := range ways {
-		if w.result == paths.Connected && w.endedAt < ways[first].endedAt {
+	dialed := f.dialedPaths(r)
+	first := slices.IndexFunc(dialed, func(w cutPath) bool { return w.result == paths.Connected })
+	for i, w := range dialed {
+		if w.result == paths.Connected && w.endedAt < dialed[first].endedAt {
 			first = i
 		}
 	}
-	last := slices.MaxFunc(ways, func(a, b cutWay) int { return cmp.Compare(a.endedAt, b.endedAt) })
-	f.reportWays(r, ways, last.endedAt)
+	last := slices.MaxFunc(dialed, func(a, b cutPath) int { return cmp.Compare(a.endedAt, b.endedAt) })
+	f.reportPaths(r, dialed, last.endedAt)
 	if first < 0 {
-		f.end(r, core.AttemptEnded{Outcome: retry.NotSent, ConnectionRefused: ways[0].result == paths.Refused}, last.endedAt)
+		f.end(r, core.AttemptEnded{Outcome: retry.NotSent, ConnectionRefused: dialed[0].result == paths.Refused}, last.endedAt)
 		return
 	}
-	if relay := ways[first].relay; relay != nil {
+	if relay := dialed[first].relay; relay != nil {
 		r.connected = relay
 	}
-	f.schedule(ways[first].endedAt, func() { f.runAt(r, time.Millisecond) })
+	f.schedule(dialed[first].endedAt, func() { f.runAt(r, time.Millisecond) })
 }
 
-// ways returns the ways that an attempt to connect tries, up to the first one that connects, with the
+// dialedPaths returns the paths that an attempt to connect tries, up to the first one that connects, with the
 // times at which they start and end.
-func (f *cutFleet) ways(r *cutAttempt) []cutWay {
-	path := r.attempt.Path
+func (f *cutFleet) dialedPaths(r *cutAttempt) []cutPath {
+	plan := r.attempt.Dial
 	var relays []*fakeInstance
-	if path.Mode != paths.RelayOnly || len(path.Relays) == 0 {
+	if plan.Mode != paths.RelayOnly || len(plan.Relays) == 0 {
 		relays = append(relays, nil)
 	}
-	for _, p := range path.Relays {
+	for _, p := range plan.Relays {
 		relays = append(relays, f.instance(p.Name))
 	}
-	var ways []cutWay
+	var dialed []cutPath
 	connectedAt, startAt := cutDialTimeout, time.Duration(0)
 	for i, relay := range relays {
-		if i == 1 && path.Mode == paths.Both {
+		if i == 1 && plan.Mode == paths.Both {
 			startAt = 0
 		}
 		if startAt >= connectedAt {
 			break
 		}
-		result, takes := f.wayResult(r, relay)
-		w := cutWay{relay: relay, startedAt: startAt, result: result, endedAt: min(startAt+takes, cutDialTimeout)}
-		ways = append(ways, w)
+		result, takes := f.pathResult(r, relay)
+		w := cutPath{relay: relay, startedAt: startAt, result: result, endedAt: min(startAt+takes, cutDialTimeout)}
+		dialed = append(dialed, w)
 		if result == paths.Connected {
 			connectedAt = min(connectedAt, w.endedAt)
 		}
 		startAt = min(startAt+cutDialTimeout/4, w.endedAt)
 	}
-	return ways
+	return dialed
 }
 
-// wayResult returns the result of one way to a server and the time that it takes.
-func (f *cutFleet) wayResult(r *cutAttempt, relay *fakeInstance) (paths.Result, time.Duration) {
+// pathResult returns the result of one path to a server and the time that it takes.
+func (f *cutFleet) pathResult(r *cutAttempt, relay *fakeInstance) (paths.Result, time.Duration) {
 	if relay == nil {
 		return f.connectResult(r.by, r.server)
 	}
@@ -257,20 +257,20 @@
 	}
 }
 
-// reportWays reports the results of all ways unless the direct one was the only one and connected.
-func (f *cutFleet) reportWays(r *cutAttempt, ways []cutWay, after time.Duration) {
-	if len(ways) == 1 && ways[0].relay == nil && ways[0].result == paths.Connected {
+// reportPaths reports the results of all paths unless the direct one was the only one and connected.
+func (f *cutFleet) reportPaths(r *cutAttempt, dialed []cutPath, after time.Duration) {
+	if len(dialed) == 1 && dialed[0].relay == nil && dialed[0].result == paths.Connected {
 		return
 	}
-	dialed := core.BackendDialed{Backend: r.server}
-	for _, w := range ways {
+	report := core.BackendDialed{Backend: r.server}
+	for _, w := range dialed {
 		o := paths.Observation{Result: w.result}
 		if w.relay != nil {
 			o.Relay = w.relay.name
 		}
-		dialed.Results = append(dialed.Results, o)
+		report.Results = append(report.Results, o)
 	}
-	f.reply(r.by, after, dialed)
+	f.reply(r.by, after, report)
 }
 
 // runAt runs an attempt at its server, to which it takes a time to get.
@@ -301,7 +301,7 @@
 	}
 }
 
-// answer passes a server's whole answer to the instance, unless it is lost on the way.
+// answer passes a server's whole answer to the instance, unless it is lost on the path.
 func (f *cutFleet) answer(r *cutAttempt) {
 	if f.mode == cutSilent && f.cutFrom(r.connected, r.server) {
 		return
--- a/internal/core/cutfromservers_test.go
+++ b/internal/core/cutfromservers_test.go
@@ -55,7 +55,7 @@
 	return sizes
 }
 
-// Guards against callers who are refused at an instance that has lost its way to the backend servers,
+// Guards against callers who are refused at an instance that has lost its path to the backend servers,
 // while other instances reach them.
 func TestCallersAtCutInstancesAreServed(t *testing.T) {
 	for _, size := range cutSizes() {
--- a/internal/core/dialpaths.go
+++ b/internal/core/dialplans.go
@@ -16,26 +16,26 @@
 const (
 	// maxRelays is the number of instances that one attempt may ask to relay.
 	maxRelays = 3
-	// pathsExpiryInterval is the interval between checks for lost ways to be forgotten.
+	// pathsExpiryInterval is the interval between checks for lost paths to be forgotten.
 	pathsExpiryInterval = 10 * time.Second
 )
 
-// The counters of the ways to backend servers, and their labels.
+// The counters of the paths to backend servers, and their labels.
 const (
-	counterWays      = "backend_ways"
-	labelWayLost     = "lost"
-	labelWayRestored = "restored"
+	counterPaths      = "backend_paths"
+	labelPathLost     = "lost"
+	labelPathRestored = "restored"
 )
 
-// DialPath says over which ways an attempt connects to its backend server.
-type DialPath struct {
-	// Mode selects the ways. An idle connection may be reused only with paths.DirectFirst.
+// DialPlan says over which paths an attempt connects to its backend server.
+type DialPlan struct {
+	// Mode selects the paths. An idle connection may be reused only with paths.DirectFirst.
 	Mode paths.Mode `json:"mode,omitempty"`
 	// Relays are the instances that may relay the connection, in the order in which they are asked.
 	Relays []PeerAddress `json:"relays,omitempty"`
 }
 
-// BackendDialed reports the results of all ways of an attempt to connect, unless the direct way was
+// BackendDialed reports the results of all paths of an attempt to connect, unless the direct path was
 // the only one and succeeded.
 type BackendDialed struct {
 	Backend string              `json:"backend"`
@@ -49,14 +49,14 @@
 type SetRelayScope struct {
 	// Closed is set while it connects to none.
 	Closed bool `json:"closed,omitempty"`
-	// Lost are the addresses of the backend servers to which its own way is lost or doubted.
+	// Lost are the addresses of the backend servers to which its own path is lost or doubted.
 	Lost []string `json:"lost,omitempty"`
 }
 
 // EffectName implements Effect.
 func (SetRelayScope) EffectName() string { return "set-relay-scope" }
 
-// pathsState holds this instance's ways to the backend servers.
+// pathsState holds this instance's paths to the backend servers.
 type pathsState struct {
 	tracker  *paths.Tracker
 	expireAt time.Time
@@ -65,9 +65,9 @@
 	scopeOutdated bool
 }
 
-// dialPath returns the ways of the request's next attempt to connect to its backend server.
-func (n *Node) dialPath(r *request) DialPath {
-	return DialPath{
+// dialPlan returns the paths of the request's next attempt to connect to its backend server.
+func (n *Node) dialPlan(r *request) DialPlan {
+	return DialPlan{
 		Mode:   n.paths.tracker.NextMode(r.service.Name, r.backend, n.now),
 		Relays: n.relaysFor(r),
 	}
@@ -108,7 +108,7 @@
 const relayHashStep = 11
 
 // relayChoices are the choices of relays in the order of preference. They are of different zones,
-// because all instances of a zone may lose their ways together: one of the own zone, to which bytes cross
+// because all instances of a zone may lose their paths together: one of the own zone, to which bytes cross
 // no zone, then one of the server's zone.
 var relayChoices = []func(n *Node, relay *membership.Member, serverZone string) bool{
 	func(n *Node, relay *membership.Member, _ string) bool {
@@ -143,7 +143,7 @@
 	return member
 }
 
-// backendDialed updates the ways from the results of an attempt to connect.
+// backendDialed updates the paths from the results of an attempt to connect.
 func (n *Node) backendDialed(e BackendDialed) {
 	p := n.poolByBackend[e.Backend]
 	if p == nil {
@@ -151,19 +151,19 @@
 	}
 	switch n.paths.tracker.Observe(p.service, e.Backend, e.Results, n.now) {
 	case paths.Lost:
-		n.wayLost(e.Backend, e.Results)
+		n.pathLost(e.Backend, e.Results)
 	case paths.Restored:
 		n.paths.scopeOutdated = true
-		n.emit(Counted{Counter: counterWays, Label: labelWayRestored, N: 1})
-		n.emit(StateChanged{Subject: SubjectWay, Name: e.Backend, State: "restored", Cause: describeResults(e.Results)})
+		n.emit(Counted{Counter: counterPaths, Label: labelPathRestored, N: 1})
+		n.emit(StateChanged{Subject: SubjectPath, Name: e.Backend, State: "restored", Cause: describeResults(e.Results)})
 	}
 }
 
-// wayLost makes a backend server usable through relays that this instance cannot connect to itself.
-func (n *Node) wayLost(backend string, results []paths.Observation) {
+// pathLost makes a backend server usable through relays that this instance cannot connect to itself.
+func (n *Node) pathLost(backend string, results []paths.Observation) {
 	n.paths.scopeOutdated = true
-	n.emit(Counted{Counter: counterWays, Label: labelWayLost, N: 1})
-	n.emit(StateChanged{Subject: SubjectWay, Name: backend, State: "lost", Cause: describeResults(results)})
+	n.emit(Counted{Counter: counterPaths, Label: labelPathLost, N: 1})
+	n.emit(StateChanged{Subject: SubjectPath, Name: backend, State: "lost", Cause: describeResults(results)})
 	if n.reach.RecordSuccess(backend, n.zoneOf(backend)) {
 		n.setUnreachable(backend, false)
 	}
@@ -173,11 +173,11 @@
 func describeResults(results []paths.Observation) string {
 	var list []string
 	for _, o := range results {
-		way := "direct"
+		path := "direct"
 		if o.Relay != "" {
-			way = "through " + o.Relay
+			path = "through " + o.Relay
 		}
-		list = append(list, fmt.Sprintf("%s: %s", way, o.Result))
+		list = append(list, fmt.Sprintf("%s: %s", path, o.Result))
 	}
 	return strings.Join(list, ", ")
 }
@@ -188,9 +188,9 @@
 	return n.paths.tracker.NoneReached(r.service.Name, len(n.pool(r.service.Name).candidates), n.now)
 }
 
-// wayIsSuspect reports whether the failure of an attempt may be due to the way to its backend server
+// pathIsSuspect reports whether the failure of an attempt may be due to the path to its backend server
 // instead of the server.
-func (n *Node) wayIsSuspect(r *request, outcome retry.Outcome) bool {
+func (n *Node) pathIsSuspect(r *request, outcome retry.Outcome) bool {
 	if outcome != retry.Unknown && outcome != retry.Broken {
 		return false
 	}
@@ -218,7 +218,7 @@
 	}
 }
 
-// lostAddresses returns the sorted addresses of the backend servers to which the own way is lost or
+// lostAddresses returns the sorted addresses of the backend servers to which the own path is lost or
 // doubted.
 func (n *Node) lostAddresses() []string {
 	var list []string
--- a/internal/core/effect.go
+++ b/internal/core/effect.go
@@ -29,8 +29,8 @@
 	Content uint64 `json:"content,omitempty"`
 	// Priority is the request's priority; 0 is the highest.
 	Priority int `json:"priority,omitempty"`
-	// Path says over which ways the attempt connects.
-	Path DialPath `json:"path,omitzero"`
+	// Dial says over which paths the attempt connects.
+	Dial DialPlan `json:"dial,omitzero"`
 	// Source is the address of an engine from which this engine can copy the cached
 	// parts of the prompt, empty if it need not copy any.
 	Source string `json:"source,omitempty"`
--- a/internal/core/brittle/brittle.go
+++ b/internal/core/headroom/headroom.go
@@ -1,6 +1,6 @@
-// Package brittle bounds the rejections of backend servers that must not reject requests.
+// Package headroom bounds the rejections of backend servers that must not reject requests.
 //
-// A brittle server announces how many requests it can reject within a second for lack of room, and
+// A server may announce how many requests it can reject within a second for lack of room: it
 // fails if it must reject more. All instances share that number, so with hundreds of them not even one
 // rejection per instance can be had, and their knowledge of a server's load is too old to fill its last
 // slots. The bound therefore rests on what is sent:
@@ -10,7 +10,7 @@
 //     needs to know only its own requests to stay within its own.
 //   - Where there are fewer slots than instances, each sends a share of its requests. All of them
 //     adjust the share to the mean load, which they know alike.
-package brittle
+package headroom
 
 import (
 	"math"
@@ -51,12 +51,12 @@
 	minControlLoad = 0.01
 )
 
-// Tracker tracks which services are brittle. It is not safe for concurrent use.
+// Tracker tracks which services are limited: their servers announce a limit. It is not safe for concurrent use.
 type Tracker struct {
 	services map[string]*service
 }
 
-// service is a brittle service.
+// service is a limited service.
 type service struct {
 	announcedAt, rejectedAt time.Time
 	// tightAt is the time of the last sign that there is little room.
@@ -66,14 +66,14 @@
 	controlledAt time.Time
 }
 
-// New returns a tracker without brittle services.
+// New returns a tracker without limited services.
 func New() *Tracker { return &Tracker{services: make(map[string]*service)} }
 
 // Answered records an answer of a service, to an attempt sent at sentAt, with the limit that it
-// announces, 0 if none. It reports whether the service has become brittle or is no longer so. An
+// announces, 0 if none. It reports whether the service has become limited or is no longer so. An
 // answer to an attempt sent before the last announcement may have begun before that.
 func (t *Tracker) Answered(name string, limit int, sentAt, now time.Time) bool {
-	was := t.IsBrittle(name, now)
+	was := t.IsLimited(name, now)
 	switch {
 	case limit > 0 && !was:
 		t.services[name] = &service{announcedAt: now, share: 1, controlledAt: now}
@@ -82,11 +82,11 @@
 	case was && sentAt.After(t.services[name].announcedAt):
 		delete(t.services, name)
 	}
-	return was != t.IsBrittle(name, now)
+	return was != t.IsLimited(name, now)
 }
 
-// IsBrittle reports whether a service's servers are brittle.
-func (t *Tracker) IsBrittle(name string, now time.Time) bool {
+// IsLimited reports whether the servers of a service announce a limit.
+func (t *Tracker) IsLimited(name string, now time.Time) bool {
 	s := t.services[name]
 	return s != nil && now.Sub(s.announcedAt) < announcementTTL
 }
@@ -98,16 +98,16 @@
 	}
 }
 
-// Expire forgets the services that are no longer brittle.
+// Expire forgets the services that are no longer limited.
 func (t *Tracker) Expire(now time.Time) {
 	for name := range t.services {
-		if !t.IsBrittle(name, now) {
+		if !t.IsLimited(name, now) {
 			delete(t.services, name)
 		}
 	}
 }
 
-// Service is a brittle service as an instance sees it at one placement.
+// Service is a limited service as an instance sees it at one placement.
 type Service struct {
 	Name string
 	// Index is the instance's position among the live instances in the order of their names, and
@@ -137,7 +137,7 @@
 	return root * root
 }
 
-// Server is one of a brittle service's backend servers.
+// Server is one of a limited service's backend servers.
 type Server struct {
 	// Hash is a hash of the server's name, the same at all instances.
 	Hash uint64
--- a/internal/core/brittle/brittle_test.go
+++ b/internal/core/headroom/headroom_test.go
@@ -1,4 +1,4 @@
-package brittle
+package headroom
 
 import (
 	"fmt"
@@ -34,14 +34,14 @@
 	require.False(t, tr.Answered("s", 0, start, start))
 	require.True(t, tr.Answered("s", 5, start, start))
 	now := start.Add(20 * time.Second)
-	require.True(t, tr.IsBrittle("s", now))
+	require.True(t, tr.IsLimited("s", now))
 	require.False(t, tr.Answered("s", 0, start.Add(-time.Second), now), "the answer began before the announcement")
-	require.True(t, tr.IsBrittle("s", now))
+	require.True(t, tr.IsLimited("s", now))
 	require.True(t, tr.Answered("s", 0, start.Add(time.Second), now))
-	require.False(t, tr.IsBrittle("s", now))
+	require.False(t, tr.IsLimited("s", now))
 	tr.Answered("s", 5, now, now)
 	tr.Expire(now.Add(announcementTTL))
-	require.False(t, tr.IsBrittle("s", now))
+	require.False(t, tr.IsLimited("s", now))
 }
 
 // Guards against instances that send as usual in a surge that no load report shows yet, and against
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -12,8 +12,8 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/ebonydyke/ebonydyke/internal/core/brittle"
 	"github.com/ebonydyke/ebonydyke/internal/core/config"
+	"github.com/ebonydyke/ebonydyke/internal/core/headroom"
 	"github.com/ebonydyke/ebonydyke/internal/core/load"
 	"github.com/ebonydyke/ebonydyke/internal/core/loadsum"
 	"github.com/ebonydyke/ebonydyke/internal/core/membership"
@@ -84,7 +84,7 @@
 	hints         hintShares
 	prefixes      *prefix.Index
 	outliers      outlierState
-	brittle       *brittle.Tracker
+	headroom      *headroom.Tracker
 	admission     admissionState
 	poison        poisonState
 	requests      map[RequestID]*request
@@ -119,7 +119,7 @@
 		paths:         pathsState{tracker: paths.New()},
 		hints:         make(hintShares),
 		prefixes:      prefix.New(),
-		brittle:       brittle.New(),
+		headroom:      headroom.New(),
 		outliers:      outlierState{tracker: outlier.New()},
 		admission:     newAdmissionState(),
 		poison:        newPoisonState(),
@@ -222,7 +222,7 @@
 	n.tickPlacement()
 	n.tickPaths()
 	n.tickOutliers()
-	n.brittle.Expire(n.now)
+	n.headroom.Expire(n.now)
 	n.tickAdmission()
 	n.tickPoison()
 	n.tickPeers()
--- a/internal/core/outliers.go
+++ b/internal/core/outliers.go
@@ -49,9 +49,9 @@
 
 // countOutcome counts the outcome of an attempt as a success or a failure of its server. It
 // ignores attempts that did not reach the server, those whose caller disconnected and those that may
-// have failed on the way: peers would take this instance's lost way for a failing server.
+// have failed on the way: peers would take this instance's lost path for a failing server.
 func (n *Node) countOutcome(r *request, outcome retry.Outcome) {
-	if r.outcomeCounted || r.callerGone || outcome == retry.NotSent || n.wayIsSuspect(r, outcome) {
+	if r.outcomeCounted || r.callerGone || outcome == retry.NotSent || n.pathIsSuspect(r, outcome) {
 		return
 	}
 	r.outcomeCounted = true
--- a/internal/core/paths/paths.go
+++ b/internal/core/paths/paths.go
@@ -1,9 +1,9 @@
-// Package paths tracks over which ways an instance reaches the backend servers: by its own connections,
+// Package paths tracks over which paths an instance reaches the backend servers: by its own connections,
 // or by a connection that another instance relays.
 //
-// A failed connection alone does not tell whether the server is down or only this instance's way to it
+// A failed connection alone does not tell whether the server is down or only this instance's path to it
 // is lost. A peer that connects to the same server at the same moment does. A server that only relays
-// reach is not down: it keeps its requests, and the direct way is tried beside a relay until it is back.
+// reach is not down: it keeps its requests, and the direct path is tried beside a relay until it is back.
 package paths
 
 import (
@@ -13,7 +13,7 @@
 	"time"
 )
 
-// Mode selects the ways that an attempt to connect uses.
+// Mode selects the paths that an attempt to connect uses.
 type Mode string
 
 // The modes.
@@ -22,11 +22,11 @@
 	DirectFirst Mode = ""
 	// Both connects directly and through a relay at the same time, and uses what is first.
 	Both Mode = "both"
-	// RelayOnly connects through relays only, because the direct way is known to be lost.
+	// RelayOnly connects through relays only, because the direct path is known to be lost.
 	RelayOnly Mode = "relay-only"
 )
 
-// Result is the result of one way of an attempt to connect.
+// Result is the result of one path of an attempt to connect.
 type Result string
 
 // The results.
@@ -38,18 +38,18 @@
 	// TimedOut means that there was no response in time.
 	TimedOut Result = "timed-out"
 	// NoRelay means that the peer did not try: it could not be reached, does not relay, or has lost its
-	// own way to the server.
+	// own path to the server.
 	NoRelay Result = "no-relay"
 )
 
-// Observation is the result of one way to a backend server.
+// Observation is the result of one path to a backend server.
 type Observation struct {
-	// Relay is the instance that relays, or empty for the direct way.
+	// Relay is the instance that relays, or empty for the direct path.
 	Relay  string `json:"relay,omitempty"`
 	Result Result `json:"result"`
 }
 
-// Bounds of the backoff before the direct way is tried again. Such a try runs beside a relay and delays
+// Bounds of the backoff before the direct path is tried again. Such a try runs beside a relay and delays
 // no request, so it may be frequent.
 const (
 	minProbeBackoff = 250 * time.Millisecond
@@ -63,41 +63,41 @@
 )
 
 const (
-	// doubtThreshold is the number of servers of a service whose direct ways must be lost before those
-	// of its other servers are doubted: one lost way may belong to a single machine.
+	// doubtThreshold is the number of servers of a service whose direct paths must be lost before those
+	// of its other servers are doubted: one lost path may belong to a single machine.
 	doubtThreshold = 2
 	// provenFor is the time for which an instance that relayed is asked before others.
 	provenFor = 5 * time.Second
 	// minUnreached is the smallest number of servers, and unreachedShare the share of a service's servers,
-	// that no way reached from which none is expected to be reached: in a zone that is cut off, or after a
+	// that no path reached from which none is expected to be reached: in a zone that is cut off, or after a
 	// rack has failed, many are not. unreachedFor is the time for which such a result counts.
 	minUnreached   = 3
 	unreachedShare = 0.5
 	unreachedFor   = 3 * time.Second
-	// forgetAfter is the time without a try after which a lost way is forgotten.
+	// forgetAfter is the time without a try after which a lost path is forgotten.
 	forgetAfter = time.Minute
 )
 
-// Tracker tracks the ways of one instance. It is not safe for concurrent use.
+// Tracker tracks the paths of one instance. It is not safe for concurrent use.
 type Tracker struct {
-	lost     map[string]*lostWay
+	lost     map[string]*lostPath
 	services map[string]*serviceState
 	relays   map[string]*relayState
 }
 
-// lostWay is the state of a server whose direct way is lost.
-type lostWay struct {
+// lostPath is the state of a server whose direct path is lost.
+type lostPath struct {
 	service string
 	backoff time.Duration
 	probeAt time.Time
 	triedAt time.Time
 }
 
-// serviceState holds the evidence on the direct ways to the servers of a service.
+// serviceState holds the evidence on the direct paths to the servers of a service.
 type serviceState struct {
 	// lostAt is the time of the last loss, and connectedAt that of the last direct connection.
 	lostAt, connectedAt time.Time
-	// unreached maps the servers that no way reached to the time of that, since the last one was reached.
+	// unreached maps the servers that no path reached to the time of that, since the last one was reached.
 	unreached map[string]time.Time
 }
 
@@ -110,10 +110,10 @@
 	until   time.Time
 }
 
-// New returns a tracker for which all direct ways are good.
+// New returns a tracker for which all direct paths are good.
 func New() *Tracker {
 	return &Tracker{
-		lost: make(map[string]*lostWay), services: make(map[string]*serviceState), relays: make(map[string]*relayState),
+		lost: make(map[string]*lostPath), services: make(map[string]*serviceState), relays: make(map[string]*relayState),
 	}
 }
 
@@ -123,9 +123,9 @@
 // The changes.
 const (
 	Unchanged Change = iota
-	// Lost means that the direct way to the server is now known to be lost.
+	// Lost means that the direct path to the server is now known to be lost.
 	Lost
-	// Restored means that the direct way is good again.
+	// Restored means that the direct path is good again.
 	Restored
 )
 
@@ -141,7 +141,7 @@
 		t.lost[server].triedAt = now
 		return Unchanged
 	case direct >= 0 && relayed(list):
-		t.lost[server] = &lostWay{service: service, backoff: minProbeBackoff, probeAt: now.Add(minProbeBackoff), triedAt: now}
+		t.lost[server] = &lostPath{service: service, backoff: minProbeBackoff, probeAt: now.Add(minProbeBackoff), triedAt: now}
 		t.service(service).lostAt = now
 		return Lost
 	default:
@@ -149,7 +149,7 @@
 	}
 }
 
-// observeReach records whether any way reached a server.
+// observeReach records whether any path reached a server.
 func (t *Tracker) observeReach(service, server string, list []Observation, now time.Time) {
 	if slices.ContainsFunc(list, func(o Observation) bool { return o.Result == Connected }) {
 		t.Reached(service)
@@ -165,7 +165,7 @@
 	}
 }
 
-// NoneReached reports whether no way reaches any of a service's servers, as far as a few recent attempts
+// NoneReached reports whether no path reaches any of a service's servers, as far as a few recent attempts
 // tell: none has succeeded since, and they were at many of the servers.
 func (t *Tracker) NoneReached(service string, servers int, now time.Time) bool {
 	s := t.services[service]
@@ -186,7 +186,7 @@
 	return slices.ContainsFunc(list, func(o Observation) bool { return o.Relay != "" && o.Result == Connected })
 }
 
-// connected records a direct connection. If the way to the server was lost, the ways to the others of
+// connected records a direct connection. If the path to the server was lost, the paths to the others of
 // its service are tried again at once.
 func (t *Tracker) connected(service, server string, now time.Time) Change {
 	t.service(service).connectedAt = now
@@ -204,7 +204,7 @@
 
 // observeRelays records which instances relayed. An instance that found the server down, as all
 // others did, relays well. One that did not reach a server that another one reached has probably lost
-// its own way.
+// its own path.
 func (t *Tracker) observeRelays(list []Observation, now time.Time) {
 	reached := slices.ContainsFunc(list, func(o Observation) bool { return o.Result == Connected })
 	for _, o := range list {
@@ -241,7 +241,7 @@
 	return s
 }
 
-// NextMode returns the mode of the next attempt to connect to a server. A lost direct way is tried by
+// NextMode returns the mode of the next attempt to connect to a server. A lost direct path is tried by
 // one attempt per backoff.
 func (t *Tracker) NextMode(service, server string, now time.Time) Mode {
 	w := t.lost[server]
@@ -258,10 +258,10 @@
 	return Both
 }
 
-// IsLost reports whether the direct way to a server is lost.
+// IsLost reports whether the direct path to a server is lost.
 func (t *Tracker) IsLost(server string) bool { return t.lost[server] != nil }
 
-// Doubtful reports whether the direct ways to the other servers of a service are doubted as well:
+// Doubtful reports whether the direct paths to the other servers of a service are doubted as well:
 // several are lost, and no direct connection has succeeded since.
 func (t *Tracker) Doubtful(service string) bool {
 	s := t.services[service]
@@ -295,8 +295,8 @@
 	return list
 }
 
-// Expire forgets the lost ways of servers that are no longer known or were not tried for long, and
-// the relays that failed long ago. It reports whether a lost way was forgotten.
+// Expire forgets the lost paths of servers that are no longer known or were not tried for long, and
+// the relays that failed long ago. It reports whether a lost path was forgotten.
 func (t *Tracker) Expire(known func(server string) bool, now time.Time) bool {
 	before := len(t.lost)
 	for server, w := range t.lost {
@@ -319,7 +319,7 @@
 	return len(t.lost) != before
 }
 
-// Error is the failure of one way of an attempt to connect, with its result.
+// Error is the failure of one path of an attempt to connect, with its result.
 type Error struct {
 	Result Result
 	Err    error
@@ -331,14 +331,14 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
-// ResultOf returns the result of a way from the error with which it ended, nil if it connected.
+// ResultOf returns the result of a path from the error with which it ended, nil if it connected.
 func ResultOf(err error) Result {
-	var way *Error
+	var path *Error
 	switch {
 	case err == nil:
 		return Connected
-	case errors.As(err, &way):
-		return way.Result
+	case errors.As(err, &path):
+		return path.Result
 	case errors.Is(err, syscall.ECONNREFUSED), errors.Is(err, syscall.ECONNRESET):
 		return Refused
 	default:
--- a/internal/core/paths/paths_test.go
+++ b/internal/core/paths/paths_test.go
@@ -12,19 +12,19 @@
 func direct(r Result) Observation             { return Observation{Result: r} }
 func relay(name string, r Result) Observation { return Observation{Relay: name, Result: r} }
 
-// Guards against taking a lost way of this instance for a server that is down, and the reverse.
+// Guards against taking a lost path of this instance for a server that is down, and the reverse.
 func TestOnlyAPeerThatConnectsProvesALostWay(t *testing.T) {
 	tr := New()
 	require.Equal(t, Unchanged, tr.Observe("s", "a", []Observation{direct(TimedOut)}, start))
 	require.Equal(t, Unchanged, tr.Observe("s", "a", []Observation{direct(TimedOut), relay("p", TimedOut), relay("q", Refused)}, start))
-	require.Equal(t, Unchanged, tr.Observe("s", "a", []Observation{relay("p", Connected)}, start), "the direct way was not tried to its end")
+	require.Equal(t, Unchanged, tr.Observe("s", "a", []Observation{relay("p", Connected)}, start), "the direct path was not tried to its end")
 	require.False(t, tr.IsLost("a"))
 	require.Equal(t, Lost, tr.Observe("s", "a", []Observation{direct(Refused), relay("p", Connected)}, start))
 	require.True(t, tr.IsLost("a"))
 	require.Equal(t, RelayOnly, tr.NextMode("s", "a", start))
 }
 
-// Guards against a way that stays unused after it is back.
+// Guards against a path that stays unused after it is back.
 func TestLostWaysAreTriedUntilTheyAreBack(t *testing.T) {
 	tr := New()
 	for _, server := range []string{"a", "b"} {
@@ -39,14 +39,14 @@
 	}
 	require.Equal(t, Restored, tr.Observe("s", "a", []Observation{direct(Connected)}, now))
 	require.Equal(t, DirectFirst, tr.NextMode("s", "a", now))
-	require.Equal(t, Both, tr.NextMode("s", "b", now), "the other ways are tried at once")
+	require.Equal(t, Both, tr.NextMode("s", "b", now), "the other paths are tried at once")
 }
 
-// Guards against requests that each pay for another server of a service to which all ways are lost.
+// Guards against requests that each pay for another server of a service to which all paths are lost.
 func TestWaysToOtherServersAreDoubted(t *testing.T) {
 	tr := New()
 	tr.Observe("s", "a", []Observation{direct(TimedOut), relay("p", Connected)}, start)
-	require.Equal(t, DirectFirst, tr.NextMode("s", "c", start), "one lost way may belong to one machine")
+	require.Equal(t, DirectFirst, tr.NextMode("s", "c", start), "one lost path may belong to one machine")
 	tr.Observe("s", "b", []Observation{direct(TimedOut), relay("p", Connected)}, start)
 	require.Equal(t, Both, tr.NextMode("s", "c", start))
 	require.Equal(t, DirectFirst, tr.NextMode("other", "d", start), "another service may be reachable")
@@ -54,7 +54,7 @@
 	require.Equal(t, DirectFirst, tr.NextMode("s", "e", start.Add(time.Second)))
 }
 
-// Guards against asking instances again and again that have lost their own ways, and against blaming
+// Guards against asking instances again and again that have lost their own paths, and against blaming
 // instances that found a server down that is down.
 func TestRelaysThatFailAreAskedLast(t *testing.T) {
 	tr := New()
--- a/internal/core/poisonfleet_test.go
+++ b/internal/core/poisonfleet_test.go
@@ -199,7 +199,7 @@
 // askPeers returns what the peers of an attempt find on connecting to an engine, and whether one
 // connected.
 func (f *poisonFleet) askPeers(m *fakeInstance, a core.SendAttempt, e *fakeEngine) (found []paths.Observation, connected bool) {
-	for _, relay := range a.Path.Relays {
+	for _, relay := range a.Dial.Relays {
 		peer := f.instance(relay.Name)
 		o := paths.Observation{Relay: relay.Name, Result: paths.Connected}
 		_, rejected := f.rejected[peer]
--- a/internal/core/poisonrequests.go
+++ b/internal/core/poisonrequests.go
@@ -150,9 +150,9 @@
 }
 
 // serverHasEnded decides whether a backend server ended under a request. This instance's own
-// observation is not enough: a device on its way may reset its connections and refuse new ones. A peer
+// observation is not enough: a device on its path may reset its connections and refuse new ones. A peer
 // that connects to the server disproves the end, and one that is refused as well confirms it. Without a
-// peer's word the own observation counts, unless the way is known to be lost or doubted.
+// peer's word the own observation counts, unless the path is known to be lost or doubted.
 func (n *Node) serverHasEnded(r *request, e *AttemptEnded) bool {
 	if !e.ServerEnded {
 		return false
--- a/internal/core/pools.go
+++ b/internal/core/pools.go
@@ -35,7 +35,7 @@
 	// leaving holds the backend servers that get no new requests but still have cached
 	// prompts.
 	leaving []routing.Candidate
-	// marksFull reports whether candidates may be marked as full, because the servers are brittle.
+	// marksFull reports whether candidates may be marked as full, because the servers limit their rejections.
 	marksFull bool
 	// used reports whether a request was placed in this pool.
 	used bool
--- a/internal/core/brittlefleet_test.go
+++ b/internal/core/rejectionfleet_test.go
@@ -11,33 +11,33 @@
 )
 
 const (
-	// brittleLimit is the number of requests that a brittle server can reject within a second.
-	brittleLimit = 5
-	// brittleContact is the time from the first announcement of the limit until servers queue no more
+	// rejectionLimit is the number of requests that a limited server can reject within a second.
+	rejectionLimit = 5
+	// limitContact is the time from the first announcement of the limit until servers queue no more
 	// requests and fail if they must reject too many.
-	brittleContact = 3 * time.Second
-	// brittleDown is the time until a server that failed is back.
-	brittleDown = 4 * time.Second
+	limitContact = 3 * time.Second
+	// failedFor is the time until a server that failed is back.
+	failedFor = 4 * time.Second
 )
 
-// brittleFleet runs a fleet whose backend servers fail when they must reject many requests for lack of
+// rejectionFleet runs a fleet whose backend servers fail when they must reject many requests for lack of
 // room.
-type brittleFleet struct {
+type rejectionFleet struct {
 	*fleet
 	service string
 	slots   int
-	servers map[string]*brittleServer
+	servers map[string]*limitedServer
 	names   []string
-	// brittleAt is the time from which the servers announce their limit, zero before it is set.
-	brittleAt time.Time
-	// falls counts the servers that failed, and the other fields the requests by what became of them.
-	falls, served, rejected, lost int
+	// limitedAt is the time from which the servers announce their limit, zero before it is set.
+	limitedAt time.Time
+	// failures counts the servers that failed, and the other fields the requests by what became of them.
+	failures, served, rejected, lost int
 	// busy is the sum over time of the running requests, sampled at each sample.
 	busy, samples int
 }
 
-// brittleServer is one backend server.
-type brittleServer struct {
+// limitedServer is one backend server.
+type limitedServer struct {
 	name    string
 	running map[core.RequestID]*runningAttempt
 	waiting []*runningAttempt
@@ -46,10 +46,10 @@
 	downUntil  time.Time
 }
 
-func newBrittleFleet(size fleetSize, seed uint64, service string, servers, slots int) *brittleFleet {
-	f := &brittleFleet{
+func newRejectionFleet(size fleetSize, seed uint64, service string, servers, slots int) *rejectionFleet {
+	f := &rejectionFleet{
 		fleet:   newStoppedFleet(seed, size.instances, size.zones),
-		service: service, slots: slots, servers: make(map[string]*brittleServer),
+		service: service, slots: slots, servers: make(map[string]*limitedServer),
 	}
 	f.noPolls = true
 	f.serve = f.runAttempt
@@ -57,7 +57,7 @@
 	f.putConfig(1, "first", routesConfig)
 	for i := range servers {
 		name := fmt.Sprintf("%s-%d", service, i)
-		f.servers[name] = &brittleServer{name: name, running: make(map[core.RequestID]*runningAttempt)}
+		f.servers[name] = &limitedServer{name: name, running: make(map[core.RequestID]*runningAttempt)}
 		f.names = append(f.names, name)
 		member := engineEntry(i, membership.Live)
 		member.Name, member.Service, member.Slots, member.Address = name, service, slots, name+":80"
@@ -68,34 +68,34 @@
 }
 
 // limit returns the limit that the servers announce.
-func (f *brittleFleet) limit() int {
-	if f.brittleAt.IsZero() || f.now.Before(f.brittleAt) {
+func (f *rejectionFleet) limit() int {
+	if f.limitedAt.IsZero() || f.now.Before(f.limitedAt) {
 		return 0
 	}
-	return brittleLimit
+	return rejectionLimit
 }
 
 // strict reports whether servers queue no more requests and fail if they must reject too many.
-func (f *brittleFleet) strict() bool {
-	return f.limit() > 0 && f.now.Sub(f.brittleAt) >= brittleContact
+func (f *rejectionFleet) strict() bool {
+	return f.limit() > 0 && f.now.Sub(f.limitedAt) >= limitContact
 }
 
 // room returns the number of requests that a server runs and queues.
-func (f *brittleFleet) room() int {
+func (f *rejectionFleet) room() int {
 	if f.strict() {
 		return f.slots
 	}
 	return 2 * f.slots
 }
 
-func (s *brittleServer) load() int { return len(s.running) + len(s.waiting) }
+func (s *limitedServer) load() int { return len(s.running) + len(s.waiting) }
 
-func (f *brittleFleet) report(s *brittleServer) *membership.Report {
+func (f *rejectionFleet) report(s *limitedServer) *membership.Report {
 	return &membership.Report{Backend: s.name, State: membership.Live, InFlight: s.load(), At: f.now}
 }
 
 // runAttempt lets an attempt arrive at its server.
-func (f *brittleFleet) runAttempt(m *fakeInstance, a core.SendAttempt) {
+func (f *rejectionFleet) runAttempt(m *fakeInstance, a core.SendAttempt) {
 	s := f.servers[a.Backend]
 	f.schedule(2*time.Millisecond, func() {
 		switch {
@@ -112,22 +112,22 @@
 }
 
 // reject turns a request away. The server fails if it has to do so too often.
-func (f *brittleFleet) reject(s *brittleServer, m *fakeInstance, a core.SendAttempt) {
+func (f *rejectionFleet) reject(s *limitedServer, m *fakeInstance, a core.SendAttempt) {
 	f.rejected++
 	f.reply(m, 2*time.Millisecond, core.AttemptEnded{
 		Request: a.Request, Attempt: a.Attempt, Outcome: retry.Refused, Load: f.report(s), RejectionLimit: f.limit(),
 	})
 	s.rejections = slices.DeleteFunc(s.rejections, func(at time.Time) bool { return f.now.Sub(at) > time.Second })
 	s.rejections = append(s.rejections, f.now)
-	if f.strict() && len(s.rejections) > brittleLimit {
-		f.fall(s)
+	if f.strict() && len(s.rejections) > rejectionLimit {
+		f.fail(s)
 	}
 }
 
-// fall ends a server and all that it holds. It is back after a time.
-func (f *brittleFleet) fall(s *brittleServer) {
-	f.falls++
-	s.downUntil, s.rejections = f.now.Add(brittleDown), nil
+// fail ends a server and all that it holds. It is back after a time.
+func (f *rejectionFleet) fail(s *limitedServer) {
+	f.failures++
+	s.downUntil, s.rejections = f.now.Add(failedFor), nil
 	for _, id := range sortedRequests(s.running) {
 		f.breakAttempt(s.running[id])
 	}
@@ -138,13 +138,13 @@
 	s.waiting = nil
 }
 
-func (f *brittleFleet) breakAttempt(r *runningAttempt) {
+func (f *rejectionFleet) breakAttempt(r *runningAttempt) {
 	f.lost++
 	f.reply(r.instance, 2*time.Millisecond, core.AttemptEnded{Request: r.attempt.Request, Attempt: r.attempt.Attempt, Outcome: retry.Unknown})
 }
 
 // begin runs a request at a server that has a free slot.
-func (f *brittleFleet) begin(s *brittleServer, r *runningAttempt) {
+func (f *rejectionFleet) begin(s *limitedServer, r *runningAttempt) {
 	id := r.attempt.Request
 	s.running[id] = r
 	lasts := f.serviceTime()
@@ -172,7 +172,7 @@
 }
 
 // serviceTime returns the time that a server takes for a request.
-func (f *brittleFleet) serviceTime() time.Duration {
+func (f *rejectionFleet) serviceTime() time.Duration {
 	if f.service == "engines" {
 		return time.Duration(300+f.random.IntN(900)) * time.Millisecond
 	}
@@ -181,7 +181,7 @@
 
 // offer sends requests for a time, at a rate that would keep the servers busy to a multiple of their
 // slots, to random instances. Every caller has a chat of its own.
-func (f *brittleFleet) offer(multiple float64, lasts time.Duration) {
+func (f *rejectionFleet) offer(multiple float64, lasts time.Duration) {
 	mean := 750 * time.Millisecond
 	path := "/question/"
 	if f.service != "engines" {
@@ -201,7 +201,7 @@
 }
 
 // ask sends a request to a random instance.
-func (f *brittleFleet) ask(path string) {
+func (f *rejectionFleet) ask(path string) {
 	m := f.instances[f.random.IntN(len(f.instances))]
 	s := &callerRequest{id: core.RequestID(fmt.Sprintf("r%d", len(f.requests))), at: f.now, instance: m, incarnation: m.incarnation}
 	f.requests[s.id] = s
@@ -211,7 +211,7 @@
 }
 
 // sample records for a time how many slots are busy.
-func (f *brittleFleet) sample(lasts time.Duration) {
+func (f *rejectionFleet) sample(lasts time.Duration) {
 	for until := f.now.Add(lasts); f.now.Before(until); {
 		f.run(100 * time.Millisecond)
 		for _, name := range f.names {
@@ -222,6 +222,6 @@
 }
 
 // utilization returns the mean share of busy slots.
-func (f *brittleFleet) utilization() float64 {
+func (f *rejectionFleet) utilization() float64 {
 	return float64(f.busy) / float64(max(1, f.samples)) / float64(f.slots)
 }
--- a/internal/core/brittleservers.go
+++ b/internal/core/rejectionlimits.go
@@ -3,19 +3,19 @@
 import (
 	"slices"
 
-	"github.com/ebonydyke/ebonydyke/internal/core/brittle"
+	"github.com/ebonydyke/ebonydyke/internal/core/headroom"
 	"github.com/ebonydyke/ebonydyke/internal/core/retry"
 )
 
 // recordRejectionLimit records the limit on its rejections that a backend server's answer announces, 0 if
 // none.
 func (n *Node) recordRejectionLimit(r *request, limit int) {
-	if !n.brittle.Answered(r.service.Name, limit, r.sentAt, n.now) {
+	if !n.headroom.Answered(r.service.Name, limit, r.sentAt, n.now) {
 		return
 	}
-	change := StateChanged{Subject: SubjectService, Name: r.service.Name, State: "brittle", Cause: "its servers fail if they must reject requests"}
+	change := StateChanged{Subject: SubjectService, Name: r.service.Name, State: "rejections limited", Cause: "its servers fail if they must reject requests"}
 	if limit == 0 {
-		change.State, change.Cause = "not brittle", "an answer announces no limit"
+		change.State, change.Cause = "rejections not limited", "an answer announces no limit"
 	}
 	n.emit(change)
 }
@@ -27,34 +27,34 @@
 		n.recordRejectionLimit(r, limit)
 	case retry.Refused:
 		n.recordRejectionLimit(r, limit)
-		if n.brittle.IsBrittle(r.service.Name, n.now) {
-			n.brittle.Rejected(r.service.Name, n.now)
+		if n.headroom.IsLimited(r.service.Name, n.now) {
+			n.headroom.Rejected(r.service.Name, n.now)
 		}
 	}
 }
 
-// markFull marks the backend servers of a brittle service to which this instance must not send another
+// markFull marks the backend servers of a limited service to which this instance must not send another
 // request. It is called before each placement.
 func (n *Node) markFull(p *pool) {
-	isBrittle := n.brittle.IsBrittle(p.service, n.now)
-	if !isBrittle && !p.marksFull {
+	isLimited := n.headroom.IsLimited(p.service, n.now)
+	if !isLimited && !p.marksFull {
 		return
 	}
-	p.marksFull = isBrittle
-	service := n.brittleService(p)
-	rule := n.brittle.RuleFor(&service, n.now)
+	p.marksFull = isLimited
+	service := n.limitedService(p)
+	rule := n.headroom.RuleFor(&service, n.now)
 	for i := range p.candidates {
 		c := &p.candidates[i]
-		server := brittle.Server{Hash: c.Hash, Slots: int(c.Slots), Load: c.Load, Own: n.load.Own(c.Name)}
+		server := headroom.Server{Hash: c.Hash, Slots: int(c.Slots), Load: c.Load, Own: n.load.Own(c.Name)}
 		// A server that tells no slots gives nothing to divide.
-		c.Full = isBrittle && c.Slots > 0 && !rule.Permits(&server, &service)
+		c.Full = isLimited && c.Slots > 0 && !rule.Permits(&server, &service)
 	}
 }
 
-// brittleService returns what this instance sees of a brittle service.
-func (n *Node) brittleService(p *pool) brittle.Service {
+// limitedService returns what this instance sees of a limited service.
+func (n *Node) limitedService(p *pool) headroom.Service {
 	names := n.liveInstances()
-	service := brittle.Service{
+	service := headroom.Service{
 		Name: p.service, Index: slices.Index(names, n.settings.Name), Instances: len(names), Draw: n.random.Float64(),
 	}
 	for i := range p.candidates {
--- a/internal/core/statechanges.go
+++ b/internal/core/statechanges.go
@@ -25,8 +25,8 @@
 	SubjectZone Subject = "zone"
 	// SubjectService is a service.
 	SubjectService Subject = "service"
-	// SubjectWay is this instance's own way to a backend server.
-	SubjectWay Subject = "way to backend server"
+	// SubjectPath is this instance's own path to a backend server.
+	SubjectPath Subject = "path to backend server"
 	// SubjectRequest is the requests of a customer with the same content.
 	SubjectRequest Subject = "request content"
 )
--- a/internal/proxy/connreuse.go
+++ b/internal/proxy/connreuse.go
@@ -52,7 +52,7 @@
 	// network path may be cut.
 	ZoneSilent DialReason = "zone-silent"
 	// Relayed means that a peer relays the connection, because none could be opened directly or its
-	// way is known to be lost.
+	// path is known to be lost.
 	Relayed DialReason = "relayed"
 	// EndCheck means that a connection had closed early, and that the dial was to show whether the
 	// server has ended.
--- a/internal/proxy/dialways.go
+++ b/internal/proxy/dialplan.go
@@ -11,8 +11,8 @@
 	"github.com/ebonydyke/ebonydyke/internal/core/paths"
 )
 
-// staggerShare is the part of the time limit after which the next way is tried while the earlier ones
-// have not connected: a direct connection takes a round trip, so by then its way is probably lost.
+// staggerShare is the part of the time limit after which the next dial is tried while the earlier ones
+// have not connected: a direct connection takes a round trip, so by then its path is probably lost.
 const staggerShare = 4
 
 // RelayDialer opens connections to backend servers through peers.
@@ -21,33 +21,33 @@
 	DialContext(ctx context.Context, relay core.PeerAddress, address string) (net.Conn, error)
 }
 
-// wayDialer connects to backend servers over several ways.
-type wayDialer struct {
+// planDialer connects to backend servers over several paths.
+type planDialer struct {
 	// direct opens a connection of this instance's own.
 	direct func(ctx context.Context, network, address string) (net.Conn, error)
 	// relays is nil if this instance uses no relays.
 	relays RelayDialer
-	// report receives the results of all ways, unless the direct one was the only one and connected.
+	// report receives the results of all paths, unless the direct one was the only one and connected.
 	report func([]paths.Observation)
 }
 
-// wayDialer returns the dialer of an attempt at a backend server.
-func (s *Server) wayDialer(backend string) wayDialer {
+// planDialer returns the dialer of an attempt at a backend server.
+func (s *Server) planDialer(backend string) planDialer {
 	var direct net.Dialer
-	return wayDialer{direct: direct.DialContext, relays: s.options.Relays, report: func(results []paths.Observation) {
+	return planDialer{direct: direct.DialContext, relays: s.options.Relays, report: func(results []paths.Observation) {
 		s.post(core.BackendDialed{Backend: backend, Results: results})
 	}}
 }
 
-// way is one way of an attempt to connect; relay is nil for the direct one.
-type way struct {
+// pathDial is one dial of an attempt to connect; relay is nil for the direct one.
+type pathDial struct {
 	relay *core.PeerAddress
 	conn  net.Conn
 	err   error
 }
 
 // relayName returns the name of the instance that relays, or "".
-func (w *way) relayName() string {
+func (w *pathDial) relayName() string {
 	if w.relay == nil {
 		return ""
 	}
@@ -56,24 +56,24 @@
 
 // dialAttempt is one attempt to connect that is in progress.
 type dialAttempt struct {
-	dialer  *wayDialer
+	dialer  *planDialer
 	address string
-	ways    []way
-	// started is the number of ways that were started, and ended the results so far.
+	dials   []pathDial
+	// started is the number of dials that were started, and ended the results so far.
 	started int
 	ended   []paths.Observation
-	results chan *way
+	results chan *pathDial
 }
 
-// dial connects to a backend server over the ways of path within limit. It returns the first way that
-// connects. The others run to their end nevertheless, because their results show which ways are lost.
-func (d *wayDialer) dial(address string, path core.DialPath, limit time.Duration) (*way, error) {
+// dial connects to a backend server over the paths of plan within limit. It returns the first dial that
+// connects. The others run to their end nevertheless, because their results show which paths are lost.
+func (d *planDialer) dial(address string, plan core.DialPlan, limit time.Duration) (*pathDial, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
-	a := &dialAttempt{dialer: d, address: address, ways: d.ways(path)}
-	a.results = make(chan *way, len(a.ways))
+	a := &dialAttempt{dialer: d, address: address, dials: d.dials(plan)}
+	a.results = make(chan *pathDial, len(a.dials))
 	first := 1
-	if path.Mode == paths.Both {
-		first = min(2, len(a.ways))
+	if plan.Mode == paths.Both {
+		first = min(2, len(a.dials))
 	}
 	for range first {
 		a.startNext(ctx)
@@ -92,27 +92,27 @@
 	return winner, err
 }
 
-// ways returns the ways of a path in the order in which they are started.
-func (d *wayDialer) ways(path core.DialPath) []way {
-	var list []way
-	if path.Mode != paths.RelayOnly || d.relays == nil || len(path.Relays) == 0 {
-		list = append(list, way{})
+// dials returns the dials of a plan in the order in which they are started.
+func (d *planDialer) dials(plan core.DialPlan) []pathDial {
+	var list []pathDial
+	if plan.Mode != paths.RelayOnly || d.relays == nil || len(plan.Relays) == 0 {
+		list = append(list, pathDial{})
 	}
 	if d.relays == nil {
 		return list
 	}
-	for i := range path.Relays {
-		list = append(list, way{relay: &path.Relays[i]})
+	for i := range plan.Relays {
+		list = append(list, pathDial{relay: &plan.Relays[i]})
 	}
 	return list
 }
 
-// startNext starts the next way, if there is one.
+// startNext starts the next dial, if there is one.
 func (a *dialAttempt) startNext(ctx context.Context) {
-	if a.started == len(a.ways) {
+	if a.started == len(a.dials) {
 		return
 	}
-	w := &a.ways[a.started]
+	w := &a.dials[a.started]
 	a.started++
 	go func() {
 		if w.relay == nil {
@@ -124,9 +124,9 @@
 	}()
 }
 
-// waitForFirst waits for the first way that connects. It starts the next one when one fails and each
+// waitForFirst waits for the first dial that connects. It starts the next one when one fails and each
 // time that stagger passes.
-func (a *dialAttempt) waitForFirst(ctx context.Context, stagger time.Duration) (*way, error) {
+func (a *dialAttempt) waitForFirst(ctx context.Context, stagger time.Duration) (*pathDial, error) {
 	timer := time.NewTicker(stagger)
 	defer timer.Stop()
 	for {
@@ -137,7 +137,7 @@
 				return w, nil
 			}
 			a.startNext(ctx)
-			if len(a.ended) == len(a.ways) {
+			if len(a.ended) == len(a.dials) {
 				return nil, a.failure()
 			}
 		case <-timer.C:
@@ -149,11 +149,11 @@
 	}
 }
 
-func (a *dialAttempt) record(w *way) {
+func (a *dialAttempt) record(w *pathDial) {
 	a.ended = append(a.ended, paths.Observation{Relay: w.relayName(), Result: paths.ResultOf(w.err)})
 }
 
-// waitForRest waits for the other ways that were started, and closes their connections.
+// waitForRest waits for the other dials that were started, and closes their connections.
 func (a *dialAttempt) waitForRest() {
 	for len(a.ended) < a.started {
 		w := <-a.results
@@ -173,7 +173,7 @@
 	a.dialer.report(a.ended)
 }
 
-// failure returns the error of an attempt that failed on all ways: that of the direct one, or else of
+// failure returns the error of an attempt that failed on all paths: that of the direct one, or else of
 // the first relay.
 func (a *dialAttempt) failure() error {
 	var relays []string
@@ -183,7 +183,7 @@
 		}
 	}
 	if len(relays) == 0 {
-		return a.ways[0].err
+		return a.dials[0].err
 	}
-	return fmt.Errorf("%w; through peers: %s", a.ways[0].err, strings.Join(relays, ", "))
+	return fmt.Errorf("%w; through peers: %s", a.dials[0].err, strings.Join(relays, ", "))
 }
--- a/internal/proxy/dialways_test.go
+++ b/internal/proxy/dialplan_test.go
@@ -15,39 +15,39 @@
 	"github.com/ebonydyke/ebonydyke/internal/core/paths"
 )
 
-// fakeWays opens connections as the tests say, and counts those that stay open.
-type fakeWays struct {
+// fakeDials opens connections as the tests say, and counts those that stay open.
+type fakeDials struct {
 	mu   sync.Mutex
 	open int
-	// byRelay maps the name of a relay, or "" for the direct way, to what it does.
-	byRelay map[string]fakeWay
+	// byRelay maps the name of a relay, or "" for the direct path, to what it does.
+	byRelay map[string]fakeDial
 	asked   []string
 	reports chan []paths.Observation
 }
 
-// fakeWay connects after a time, or fails with err.
-type fakeWay struct {
+// fakeDial connects after a time, or fails with err.
+type fakeDial struct {
 	after time.Duration
 	err   error
 }
 
-func newFakeWays(byRelay map[string]fakeWay) *fakeWays {
-	return &fakeWays{byRelay: byRelay, reports: make(chan []paths.Observation, 1)}
+func newFakeDials(byRelay map[string]fakeDial) *fakeDials {
+	return &fakeDials{byRelay: byRelay, reports: make(chan []paths.Observation, 1)}
 }
 
-func (f *fakeWays) dialer() *wayDialer {
-	return &wayDialer{
+func (f *fakeDials) dialer() *planDialer {
+	return &planDialer{
 		direct: func(ctx context.Context, _, _ string) (net.Conn, error) { return f.connect(ctx, "") },
 		relays: f, report: func(results []paths.Observation) { f.reports <- results },
 	}
 }
 
 // DialContext implements RelayDialer.
-func (f *fakeWays) DialContext(ctx context.Context, relay core.PeerAddress, _ string) (net.Conn, error) {
+func (f *fakeDials) DialContext(ctx context.Context, relay core.PeerAddress, _ string) (net.Conn, error) {
 	return f.connect(ctx, relay.Name)
 }
 
-func (f *fakeWays) connect(ctx context.Context, relay string) (net.Conn, error) {
+func (f *fakeDials) connect(ctx context.Context, relay string) (net.Conn, error) {
 	f.mu.Lock()
 	f.asked = append(f.asked, relay)
 	f.mu.Unlock()
@@ -61,16 +61,16 @@
 		return nil, w.err
 	}
 	f.count(1)
-	return &countedConn{ways: f}, nil
+	return &countedConn{dials: f}, nil
 }
 
-func (f *fakeWays) count(n int) {
+func (f *fakeDials) count(n int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.open += n
 }
 
-func (f *fakeWays) opened() int {
+func (f *fakeDials) opened() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.open
@@ -79,56 +79,56 @@
 // countedConn is a connection that counts its end.
 type countedConn struct {
 	net.Conn
-	ways *fakeWays
+	dials *fakeDials
 }
 
 func (c *countedConn) Close() error {
-	c.ways.count(-1)
+	c.dials.count(-1)
 	return nil
 }
 
 const never = time.Hour
 
-var threeRelays = core.DialPath{Relays: []core.PeerAddress{{Name: "p"}, {Name: "q"}, {Name: "r"}}}
+var threeRelays = core.DialPlan{Relays: []core.PeerAddress{{Name: "p"}, {Name: "q"}, {Name: "r"}}}
 
-// Guards against callers who wait for the end of a lost direct way, and against a lost way that is not
+// Guards against callers who wait for the end of a lost direct path, and against a lost path that is not
 // reported or a connection that nobody uses and closes.
-func TestFirstWayThatConnectsIsUsed(t *testing.T) {
+func TestFirstPathThatConnectsIsUsed(t *testing.T) {
 	const limit = 400 * time.Millisecond
 	refused := &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
 	unavailable := &paths.Error{Result: paths.NoRelay, Err: errors.New("not here")}
 	for _, test := range []struct {
 		name   string
 		mode   paths.Mode
-		ways   map[string]fakeWay
+		dials  map[string]fakeDial
 		want   string
 		within time.Duration
 		report []paths.Observation
 	}{
 		{
-			"the direct way is silent", paths.DirectFirst, map[string]fakeWay{"": {after: never}}, "p", limit / 2,
+			"the direct path is silent", paths.DirectFirst, map[string]fakeDial{"": {after: never}}, "p", limit / 2,
 			[]paths.Observation{{Relay: "p", Result: paths.Connected}, {Result: paths.TimedOut}},
 		},
 		{
-			"the direct way is refused, the first relay does not relay", paths.DirectFirst,
-			map[string]fakeWay{"": {err: refused}, "p": {err: unavailable}}, "q", limit / 8,
+			"the direct path is refused, the first relay does not relay", paths.DirectFirst,
+			map[string]fakeDial{"": {err: refused}, "p": {err: unavailable}}, "q", limit / 8,
 			[]paths.Observation{{Result: paths.Refused}, {Relay: "p", Result: paths.NoRelay}, {Relay: "q", Result: paths.Connected}},
 		},
 		{
-			"the direct way is back", paths.Both, map[string]fakeWay{"p": {after: limit / 8}}, "", limit / 8,
+			"the direct path is back", paths.Both, map[string]fakeDial{"p": {after: limit / 8}}, "", limit / 8,
 			[]paths.Observation{{Result: paths.Connected}, {Relay: "p", Result: paths.Connected}},
 		},
 		{
-			"the direct way is known to be lost", paths.RelayOnly, nil, "p", limit / 8,
+			"the direct path is known to be lost", paths.RelayOnly, nil, "p", limit / 8,
 			[]paths.Observation{{Relay: "p", Result: paths.Connected}},
 		},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			f := newFakeWays(test.ways)
-			path := threeRelays
-			path.Mode = test.mode
+			f := newFakeDials(test.dials)
+			plan := threeRelays
+			plan.Mode = test.mode
 			started := time.Now()
-			w, err := f.dialer().dial("server", path, limit)
+			w, err := f.dialer().dial("server", plan, limit)
 			require.NoError(t, err)
 			require.Equal(t, test.want, w.relayName())
 			require.Less(t, time.Since(started), test.within+limit/8)
@@ -141,14 +141,14 @@
 // Guards against a report for each connection of a fleet without faults, and against a failure that
 // does not say what the peers found.
 func TestDirectConnectionsAndFailures(t *testing.T) {
-	f := newFakeWays(nil)
+	f := newFakeDials(nil)
 	_, err := f.dialer().dial("server", threeRelays, time.Second)
 	require.NoError(t, err)
 	require.Empty(t, f.reports)
 	require.Equal(t, []string{""}, f.asked)
 
-	refused := fakeWay{err: &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}}
-	f = newFakeWays(map[string]fakeWay{"": refused, "p": refused, "q": refused, "r": refused})
+	refused := fakeDial{err: &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}}
+	f = newFakeDials(map[string]fakeDial{"": refused, "p": refused, "q": refused, "r": refused})
 	_, err = f.dialer().dial("server", threeRelays, time.Second)
 	require.ErrorIs(t, err, syscall.ECONNREFUSED)
 	require.ErrorContains(t, err, "p: refused")
--- a/internal/proxy/endcheck.go
+++ b/internal/proxy/endcheck.go
@@ -62,9 +62,9 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), endCheckTimeout)
 	defer cancel()
-	found := make([]paths.Observation, len(attempt.Path.Relays))
+	found := make([]paths.Observation, len(attempt.Dial.Relays))
 	var group errgroup.Group
-	for i, relay := range attempt.Path.Relays {
+	for i, relay := range attempt.Dial.Relays {
 		group.Go(func() error {
 			conn, err := c.relays.DialContext(ctx, relay, attempt.Address)
 			found[i] = paths.Observation{Relay: relay.Name, Result: paths.ResultOf(err)}
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -57,7 +57,7 @@
 	defer i.mu.Unlock()
 	switch e := effect.(type) {
 	case core.SendAttempt:
-		e.Path.Relays = i.relays
+		e.Dial.Relays = i.relays
 		i.attempts = append(i.attempts, e)
 		i.server.Deliver(e.Request, e)
 	case core.CancelAttempt:
--- a/internal/proxy/options.go
+++ b/internal/proxy/options.go
@@ -37,7 +37,7 @@
 	// DrainIdle is the time after which a stopping instance closes an idle connection of
 	// a caller.
 	DrainIdle time.Duration
-	// DialTimeout limits the time to open a connection to a backend server, over all ways.
+	// DialTimeout limits the time to open a connection to a backend server, over all paths.
 	DialTimeout time.Duration
 	// Relays opens connections through peers; nil if there are none.
 	Relays RelayDialer
--- a/internal/proxy/transport.go
+++ b/internal/proxy/transport.go
@@ -47,10 +47,10 @@
 	firstByteTimeout time.Duration
 	// inactivityTimeout limits the time between two reads of the response body.
 	inactivityTimeout time.Duration
-	// dialTimeout limits the time to open a connection, over the ways of path.
+	// dialTimeout limits the time to open a connection, over the paths of plan.
 	dialTimeout time.Duration
-	path        core.DialPath
-	ways        wayDialer
+	plan        core.DialPlan
+	dialer      planDialer
 	// defaultKeepAlive is the idle timeout of a connection to a server that announces none.
 	defaultKeepAlive time.Duration
 	pool             *connPool
@@ -150,7 +150,7 @@
 func (c *call) connect(hc *fasthttp.HostClient) error {
 	c.host = hc
 	why := NoneIdle
-	for c.path.Mode == paths.DirectFirst {
+	for c.plan.Mode == paths.DirectFirst {
 		if time.Until(c.deadline) <= 0 {
 			return fasthttp.ErrTimeout
 		}
@@ -171,15 +171,15 @@
 	return c.open(hc, why)
 }
 
-// open opens a connection over the ways that the core has named. One that a peer relays is used for
-// this call only: whether its way is still good cannot be seen from here when it is idle.
+// open opens a connection over the paths that the core has planned. One that a peer relays is used for
+// this call only: whether its path is still good cannot be seen from here when it is idle.
 func (c *call) open(hc *fasthttp.HostClient, why DialReason) error {
 	c.recordDial(why)
 	limit := min(time.Until(c.deadline), c.dialTimeout)
 	if limit <= 0 {
 		return fasthttp.ErrTimeout
 	}
-	opened, err := c.ways.dial(hc.Addr, c.path, limit)
+	opened, err := c.dialer.dial(hc.Addr, c.plan, limit)
 	if err != nil {
 		return fmt.Errorf("proxy: connect: %w", err)
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -2,7 +2,7 @@
 //
 // A relayed connection takes one hop: this instance connects directly or not at all. It decides nothing
 // about the request, which the requesting instance has admitted, counted and placed, and it passes
-// bytes on as they come. The end of one side ends the other in the same way: an orderly close as an
+// bytes on as they come. The end of one side ends the other in the same path: an orderly close as an
 // orderly close, which may end a response, and anything else as a reset.
 package relay
 
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -36,7 +36,7 @@
 	faults := []func(faultParams){
 		w.killInstance, w.stopInstance, w.stopInstance, w.pauseInstance, w.reloadInstance,
 		w.storeFault, w.storeFault, w.impairStoreLink, w.compactStore, w.reconfigure, w.reconfigure,
-		w.crashBackend, w.drainBackend, w.drainBackend, w.injectBackendFault, w.injectBackendFault, w.impairBackendLink, w.makeBrittle,
+		w.crashBackend, w.drainBackend, w.drainBackend, w.injectBackendFault, w.injectBackendFault, w.impairBackendLink, w.limitRejections,
 	}
 	random := rand.New(rand.NewPCG(w.options.Seed, 0))
 	var pending sync.WaitGroup
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -70,11 +70,11 @@
 
 	// poison holds the observations of requests that end backend servers.
 	poison *poisonRecorder
-	// brittleSince is the time from which all backend servers announce that they are brittle, in
-	// nanoseconds since the start of the soak, 0 if they do not. brittleFailures counts those that
+	// limitedSince is the time from which all backend servers announce a limit on their rejections, in
+	// nanoseconds since the start of the soak, 0 if they do not. limitFailures counts those that
 	// failed since.
-	brittleSince    atomic.Int64
-	brittleFailures atomic.Int32
+	limitedSince  atomic.Int64
+	limitFailures atomic.Int32
 
 	// replacing counts the ended backend servers that are yet to be replaced.
 	replacing sync.WaitGroup
