--- a/internal/proxy/dialplan.go
+++ b/internal/proxy/dialplan.go
@@ -11,9 +11,10 @@
 	"github.com/ebonydyke/ebonydyke/internal/core/paths"
 )
 
-// staggerShare is the part of the time limit after which the next dial is tried while the earlier ones
-// have not connected: a direct connection takes a round trip, so by then its path is probably lost.
-const staggerShare = 4
+// staggerDivisor divides the time limit into the intervals after which the next dial is tried while the
+// earlier ones have not connected: a direct connection takes a round trip, so by then its path is
+// probably lost.
+const staggerDivisor = 4
 
 // RelayDialer opens connections to backend servers through peers.
 type RelayDialer interface {
@@ -78,7 +79,7 @@
 	for range first {
 		a.startNext(ctx)
 	}
-	winner, err := a.waitForFirst(ctx, limit/staggerShare)
+	winner, err := a.waitForFirst(ctx, limit/staggerDivisor)
 	if len(a.ended) == a.started {
 		cancel()
 		a.finish()
