Log the parts of prompts under which servers end, and how responses are framed

The logs of the incident cannot group the ends of servers by what the requests share, nor tell an answer without a framing from others. 'attempt ended' now names the parts of the prompt if the server ended, also those behind a malformed one, and the framing of the response. No decision changes.

--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -43,6 +43,9 @@
 	Content uint64 `json:"content,omitempty"`
 	// Prompt describes the prompt of a generation; nil if the caller did not describe it.
 	Prompt *Prompt `json:"prompt,omitempty"`
+	// SharedParts are the IDs of the parts of the prompt that other requests may hold too, also of those behind
+	// a malformed part, which Prompt leaves out.
+	SharedParts []string `json:"shared_parts,omitempty"`
 	// Chat identifies the chat, so that its next turn can reuse its cached prefix.
 	Chat string `json:"chat,omitempty"`
 	// NonIdempotent marks a request that must not run more than once.
--- a/internal/core/poison/poison.go
+++ b/internal/core/poison/poison.go
@@ -10,6 +10,7 @@
 import (
 	"crypto/sha256"
 	"encoding/binary"
+	"fmt"
 	"time"
 )
 
@@ -28,6 +29,9 @@
 // Key identifies the requests of one customer with the same content; 0 means none.
 type Key uint64
 
+// String returns the key as it is logged.
+func (k Key) String() string { return fmt.Sprintf("%016x", uint64(k)) }
+
 // KeyOf returns the key of a customer's request with a content hash. A content of 0 has no key.
 // The hash is cryptographic, so that no customer can block another customer's requests.
 func KeyOf(customer string, content uint64) Key {
@@ -39,6 +43,16 @@
 	return Key(binary.BigEndian.Uint64(sum[:]))
 }
 
+// PartKey returns the key of a part of prompts, which is the same for all customers: a part that ends servers ends them
+// for each customer that sends it.
+func PartKey(id string) Key {
+	sum := sha256.Sum256([]byte(partDomain + id))
+	return Key(binary.BigEndian.Uint64(sum[:]))
+}
+
+// partDomain sets the hashes of parts apart from those of contents.
+const partDomain = "part\n"
+
 // Server is one start of a backend server. The same server counts again once it has restarted.
 type Server struct {
 	Name        string `json:"name"`
--- a/internal/core/poisonrequests.go
+++ b/internal/core/poisonrequests.go
@@ -85,7 +85,7 @@
 // that receive the request at the same moment do not both start the trial.
 func (n *Node) poisonTrialDue(key poison.Key) (time.Time, bool) {
 	due, delay, ever := n.poison.tracker.TrialDue(key)
-	share := rendezvous.Unit(rendezvous.HashPair(n.settings.Name, hexKey(key)))
+	share := rendezvous.Unit(rendezvous.HashPair(n.settings.Name, key.String()))
 	return due.Add(time.Duration(share * float64(delay) / 2)), ever
 }
 
@@ -336,10 +336,7 @@
 	}
 	n.emit(Counted{Counter: counterPoison, Label: state, N: 1})
 	n.emit(StateChanged{
-		Subject: SubjectRequest, Name: hexKey(key), State: state,
+		Subject: SubjectRequest, Name: key.String(), State: state,
 		Cause: fmt.Sprintf("backend servers that ended under it: %s; trials: %d", strings.Join(names, " "), record.Trials),
 	})
 }
-
-// hexKey returns a key as it is logged.
-func hexKey(key poison.Key) string { return fmt.Sprintf("%016x", uint64(key)) }
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/ebonydyke/ebonydyke/internal/core"
+	"github.com/ebonydyke/ebonydyke/internal/core/poison"
 	"github.com/ebonydyke/ebonydyke/internal/core/reason"
 	"github.com/ebonydyke/ebonydyke/internal/core/retry"
 )
@@ -130,10 +131,24 @@
 	x.server.log.put("attempt ended", "request", x.id, "attempt", event.Attempt, "backend", x.response.attempt.Backend,
 		"version", x.response.attempt.Version, "outcome", event.Outcome, "status", x.response.status, "sinceArrivalMs", time.Since(x.startedAt).Milliseconds(),
 		"firstMs", x.response.timeToFirstByte.Milliseconds(), "lastEvent", x.response.sequence.last, "dialled", x.response.dialReason, "error", event.Detail,
-		"serverEnded", event.ServerEnded, "relay", x.response.relay, "endChecks", event.EndChecks)
+		"serverEnded", event.ServerEnded, "relay", x.response.relay, "endChecks", event.EndChecks, "framing", x.response.framing,
+		"parts", x.loggedParts(&event))
 	x.server.post(event)
 }
 
+// loggedParts returns the parts of the prompt, by which the ends of backend servers can be grouped. They are long, and are
+// logged only if the server seems to have ended.
+func (x *exchange) loggedParts(event *core.AttemptEnded) []string {
+	if !event.ServerEnded {
+		return nil
+	}
+	var keys []string
+	for _, id := range x.request.Arrived.SharedParts {
+		keys = append(keys, poison.PartKey(id).String())
+	}
+	return keys
+}
+
 // release stops the watch on the caller's connection and unregisters the exchange.
 func (x *exchange) release() {
 	x.stopWatch()
--- a/internal/proxy/response.go
+++ b/internal/proxy/response.go
@@ -67,8 +67,10 @@
 	dialReason DialReason
 	// relay is the name of the peer that relayed the last call's connection, if one did.
 	relay string
-	// status is the status code of the last call's response, or 0 if none was received.
-	status int
+	// status is the status code of the last call's response, or 0 if none was received, and framing how the end of
+	// its body is marked.
+	status  int
+	framing bodyFraming
 	// headSent is set once the response header has been passed to the caller.
 	headSent bool
 	// complete is set once the end of the response has been read.
@@ -109,12 +111,12 @@
 	r.call, r.resp = c, fasthttp.AcquireResponse()
 	x.setRunning(e.Attempt, c)
 	err := x.server.backends.Do(req, r.resp)
-	r.dialReason, r.relay, r.status = c.dialReason, c.relay, 0
+	r.dialReason, r.relay, r.status, r.framing = c.dialReason, c.relay, 0, ""
 	if err != nil {
 		r.abortAttempt(outcomeWithoutResponse(c), "", err)
 		return false
 	}
-	r.status = r.resp.StatusCode()
+	r.status, r.framing = r.resp.StatusCode(), c.framing()
 	options := &x.server.options
 	r.head = options.Dialect.ReadHead(&r.resp.Header, x.request, &e, options.Now())
 	// The end of a relay's process also closes a connection in order, and must not look like the end
--- a/internal/proxy/transport.go
+++ b/internal/proxy/transport.go
@@ -278,6 +278,27 @@
 // hasFramedEnd reports whether the end of the response can be told from a cut connection.
 func (c *call) hasFramedEnd() bool { return c.length >= -1 }
 
+// bodyFraming tells how the end of a response's body is marked.
+type bodyFraming string
+
+// The framings.
+const (
+	framedByLength bodyFraming = "length"
+	framedByChunks bodyFraming = "chunks"
+	framedByClose  bodyFraming = "close"
+)
+
+func (c *call) framing() bodyFraming {
+	switch {
+	case c.length >= 0:
+		return framedByLength
+	case c.hasFramedEnd():
+		return framedByChunks
+	default:
+		return framedByClose
+	}
+}
+
 // firstByteDeadline returns the deadline for the first bytes of the response. It is computed
 // once, when the request is sent.
 func (c *call) firstByteDeadline() time.Time {
