--- a/internal/core/poisonfleet_test.go
+++ b/internal/core/poisonfleet_test.go
@@ -1,6 +1,7 @@
 package core_test
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -46,6 +47,8 @@
 	// recoveredAt is the end of an instance's last fault, or the end of the test while the fault
 	// lasts.
 	recoveredAt map[*fakeInstance]time.Time
+	// version is the software version of the engines that start now; "" for the usual one.
+	version string
 	// sameNames makes engines start again under the name that they had.
 	sameNames bool
 	// rejected maps the instances whose connections to all engines a device on the path resets and
@@ -69,6 +72,8 @@
 	incarnation uint64
 	ended       bool
 	running     map[core.RequestID]runningAttempt
+	version     string
+	leaving     bool
 	// rejecting is set while a device on the path resets the engine's connections and refuses new
 	// ones, although the engine runs.
 	rejecting bool
@@ -81,19 +86,24 @@
 }
 
 func newPoisonFleet(size fleetSize, seed uint64) *poisonFleet {
+	return newPoisonFleetOf(size, seed, entriesText, poisonEngines)
+}
+
+// newPoisonFleetOf starts a fleet with a configuration and a number of engines.
+func newPoisonFleetOf(size fleetSize, seed uint64, text string, engines int) *poisonFleet {
 	f := &poisonFleet{
-		fleet: newFleet(seed, size.instances, size.zones, entriesText), engines: make(map[string]*fakeEngine),
+		fleet: newFleet(seed, size.instances, size.zones, text), engines: make(map[string]*fakeEngine),
 		poison: make(map[uint64]bool), contents: make(map[core.RequestID]uint64),
 		ends: make(map[uint64][]time.Time), sends: make(map[uint64][]poisonSend),
 		served: make(map[uint64]int), refused: make(map[uint64]int), recoveredAt: make(map[*fakeInstance]time.Time),
 		rejected: make(map[*fakeInstance]time.Time),
 	}
 	f.serve = f.runAttempt
-	f.putConfig(1, "first", entriesText)
-	for i := range poisonEngines {
+	f.putConfig(1, "first", text)
+	for i := range engines {
 		f.startEngine(fmt.Sprintf("engine-%d", i), i, 1)
 	}
-	f.started = poisonEngines
+	f.started = engines
 	f.run(20 * time.Second)
 	return f
 }
@@ -118,6 +128,8 @@
 func (f *poisonFleet) entryOf(e *fakeEngine, state membership.State) *membership.Member {
 	member := engineEntry(e.index, state)
 	member.Name, member.Incarnation = e.name, e.incarnation
+	member.Version = cmp.Or(f.version, member.Version)
+	e.version = member.Version
 	return member
 }
 
--- /dev/null
+++ b/internal/core/poisonparts_test.go
@@ -0,0 +1,244 @@
+package core_test
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// largestInCI is the number of instances up to which CI runs all troubles. The time of a run grows with their square.
+const largestInCI = 100
+
+func sortedParts[T any](of map[string]T) []string { return slices.Sorted(maps.Keys(of)) }
+
+// partTroubleCase is a trouble with bad parts.
+type partTroubleCase struct {
+	name string
+	// prepare changes the fleet before the first request, and begin starts the trouble.
+	prepare, begin func(f *partFleet, size partSize)
+	// atLargest is set for the troubles that CI also runs at the largest size; by hand all are.
+	atLargest bool
+}
+
+func underFirst(part string) func(f *partFleet) []string {
+	return func(f *partFleet) []string { return []string{f.first, part} }
+}
+
+// badAtOnce sends four requests a second with the parts, as the record has them.
+func badAtOnce(parts ...func(f *partFleet) []string) func(f *partFleet, size partSize) {
+	return func(f *partFleet, _ partSize) {
+		for _, p := range parts {
+			f.badRequests(4, partTrouble, func() []string { return p(f) })
+		}
+	}
+}
+
+var partTroubles = []partTroubleCase{
+	{name: "a second part", begin: badAtOnce(underFirst("bad")), atLargest: true},
+	{name: "a first part", begin: badAtOnce(func(f *partFleet) []string {
+		return []string{"bad", fmt.Sprint("second-bad-", f.random.IntN(secondParts))}
+	})},
+	{name: "a first part before a sound second one", begin: badAtOnce(func(f *partFleet) []string { return []string{"bad", "second-2-0"} })},
+	{name: "two parts under one first part", prepare: twoBadParts, begin: badAtOnce(underFirst("bad"), underFirst("bad-2")), atLargest: true},
+	{name: "two parts in turn under one first part", prepare: twoBadParts, begin: func(f *partFleet, _ partSize) {
+		turn := 0
+		f.badRequests(4, partTrouble, func() []string {
+			turn++
+			return []string{f.first, []string{"bad", "bad-2"}[turn%2]}
+		})
+	}},
+	{name: "a part that turns bad", prepare: func(f *partFleet, _ partSize) {
+		f.bad = func(string, string) bool { return false }
+		f.badRequests(4, partBaseline, func() []string { return []string{f.first, "bad"} })
+	}, begin: func(f *partFleet, size partSize) {
+		f.bad = func(part, _ string) bool { return part == "bad" }
+		badAtOnce(underFirst("bad"))(f, size)
+	}},
+	{name: "a part that turns bad with a release", prepare: func(f *partFleet, _ partSize) {
+		f.bad = func(part, version string) bool { return part == "bad" && version == "v2" }
+		f.badRequests(4, partBaseline, func() []string { return []string{f.first, "bad"} })
+	}, begin: func(f *partFleet, size partSize) {
+		f.release("v2", partTrouble/2/time.Duration(size.engines))
+		badAtOnce(underFirst("bad"))(f, size)
+	}},
+	{name: "many parts", prepare: func(f *partFleet, _ partSize) { f.fill = 61 }, begin: badAtOnce(underFirst("bad"))},
+	{name: "beside other crashes", begin: func(f *partFleet, size partSize) {
+		f.crashes(700*time.Millisecond, partTrouble)
+		badAtOnce(underFirst("bad"))(f, size)
+	}},
+	{name: "a rare first part", prepare: func(f *partFleet, _ partSize) { f.first = "first-30" }, begin: badAtOnce(underFirst("bad"))},
+	{name: "one request a second", begin: func(f *partFleet, _ partSize) {
+		f.badRequests(1, partTrouble, func() []string { return []string{f.first, "bad"} })
+	}},
+	{name: "beside instances of an earlier build", prepare: func(f *partFleet, _ partSize) {
+		for i, m := range f.instances {
+			f.earlier[m] = i%3 == 0
+		}
+	}, begin: badAtOnce(underFirst("bad"))},
+}
+
+func twoBadParts(f *partFleet, _ partSize) {
+	f.bad = func(part, _ string) bool { return part == "bad" || part == "bad-2" }
+}
+
+// release replaces an engine at each interval by one of a version, until none of another version is left.
+func (f *partFleet) release(version string, interval time.Duration) {
+	f.version = version
+	for _, name := range sortedParts(f.engines) {
+		e := f.engines[name]
+		if e.version == version || e.ended || e.leaving {
+			continue
+		}
+		e.leaving = true
+		f.startEngine(fmt.Sprintf("engine-%d", f.started), e.index, 1)
+		f.started++
+		f.leave(e)
+		f.schedule(interval, func() { f.release(version, interval) })
+		return
+	}
+}
+
+// crashes ends a random engine at each interval for a time.
+func (f *partFleet) crashes(interval, lasts time.Duration) {
+	for at := interval; at < lasts; at += interval {
+		f.schedule(at, func() { f.end(f.anyEngine()) })
+	}
+}
+
+// Guards against a part of a prompt that ends each engine that begins to answer it and is sent on, because no two requests
+// that hold it are alike; and against refusing sound requests for what they share with those.
+func TestBadPartsAreNotSentOn(t *testing.T) {
+	for _, size := range partSizes {
+		for _, trouble := range partTroubles {
+			if size.instances > largestInCI && !trouble.atLargest && *boundSeeds == 1 {
+				continue
+			}
+			t.Run(fmt.Sprintf("%v, %s", size.fleetSize, trouble.name), func(t *testing.T) {
+				t.Parallel()
+				for seed := range *boundSeeds {
+					testBadParts(t, size, trouble, uint64(131+seed))
+				}
+			})
+		}
+	}
+}
+
+func testBadParts(t *testing.T, size partSize, trouble partTroubleCase, seed uint64) {
+	t.Helper()
+	f := newPartFleet(size, seed)
+	if trouble.prepare != nil {
+		trouble.prepare(f, size)
+	}
+	f.soundRequests(size.perSecond, partBaseline+partTrouble)
+	f.run(partBaseline)
+	since := f.now
+	trouble.begin(f, size)
+	f.run(partTrouble)
+	until := f.now
+	f.run(5 * time.Second)
+	require.NotEmpty(t, f.partEnds, "the trouble occurs")
+	f.requirePartsStopped(t)
+	from := f.judgedFrom()
+	f.requireSoundServed(t, "same first part", since, from, until, func(p *partRequest) bool { return p.holds(f.first) })
+	f.requireSoundServed(t, "same caller", since, from, until, anyPrompt)
+	t.Logf("%d sound requests refused as poison", f.refusedWithoutCause(since))
+}
+
+// Guards against blaming parts that many requests share for engines that end for other reasons, one by one or many at the
+// same moment.
+func TestOtherCrashesBlameNoPart(t *testing.T) {
+	for _, size := range partSizes {
+		for _, mass := range []bool{false, true} {
+			if size.instances > largestInCI && *boundSeeds == 1 {
+				continue
+			}
+			t.Run(fmt.Sprintf("%v, many at once: %v", size.fleetSize, mass), func(t *testing.T) {
+				t.Parallel()
+				f := newPartFleet(size, 171)
+				f.soundRequests(size.perSecond, partBaseline+partTrouble)
+				f.run(partBaseline)
+				since := f.now
+				if mass {
+					for range 3 {
+						for range size.engines / 3 {
+							f.end(f.anyEngine())
+						}
+						f.run(partTrouble / 3)
+					}
+				} else {
+					f.crashes(500*time.Millisecond, partTrouble)
+					f.run(partTrouble)
+				}
+				sent := 0
+				for _, p := range f.order {
+					if !p.at.Before(since) {
+						sent++
+					}
+				}
+				refused := f.refusedWithoutCause(since)
+				t.Logf("%d of %d refused as poison", refused, sent)
+				require.LessOrEqual(t, refused, allowedFalseRefusals(sent, false))
+			})
+		}
+	}
+}
+
+// Guards against a part that stays blocked although a release has mended it.
+func TestMendedPartIsServedAgain(t *testing.T) {
+	t.Parallel()
+	size := partSizes[0]
+	f := newPartFleet(size, 181)
+	f.soundRequests(size.perSecond, time.Minute)
+	f.run(partBaseline)
+	f.badRequests(4, 50*time.Second, func() []string { return []string{f.first, "bad"} })
+	f.run(6 * time.Second)
+	f.bad = func(string, string) bool { return false }
+	f.run(30 * time.Second)
+	mended := f.now
+	f.run(14 * time.Second)
+	var after streamCount
+	for _, p := range f.order {
+		if !p.sound && !p.at.Before(mended) {
+			after.add(p.began)
+		}
+	}
+	t.Logf("%v began after the release", after)
+	require.Greater(t, after.share(), 0.9)
+}
+
+// Guards against a bad part that is sent on, or a sound one that is refused, because instances are frozen, cut off,
+// restarted or reach only the store while engines end.
+func TestBadPartsAreNotSentOnBesideFaults(t *testing.T) {
+	for _, size := range partSizes[:2] {
+		for _, fault := range instanceFaults {
+			t.Run(fmt.Sprintf("%v, %s", size.fleetSize, fault.name), func(t *testing.T) {
+				t.Parallel()
+				for seed := range *boundSeeds {
+					testBadPartsBesideFault(t, size, fault, uint64(191+seed))
+				}
+			})
+		}
+	}
+}
+
+func testBadPartsBesideFault(t *testing.T, size partSize, fault instanceFault, seed uint64) {
+	t.Helper()
+	f := newPartFleet(size, seed)
+	f.soundRequests(size.perSecond, partBaseline+30*time.Second)
+	f.run(partBaseline)
+	f.badRequests(4, 30*time.Second, func() []string { return []string{f.first, "bad"} })
+	for range 3 {
+		affected := make(map[*fakeInstance]bool)
+		for _, i := range f.random.Perm(len(f.instances))[:len(f.instances)/2] {
+			affected[f.instances[i]] = true
+		}
+		f.applyFault(fault, affected, f.between(1000, 6000))
+		f.run(9 * time.Second)
+	}
+	f.run(8 * time.Second)
+	f.requirePartsStopped(t)
+}
--- a/internal/core/rejectionfleet_test.go
+++ b/internal/core/rejectionfleet_test.go
@@ -30,6 +30,8 @@
 	names   []string
 	// limitedAt is the time from which the servers announce their limit, zero before it is set.
 	limitedAt time.Time
+	// crowd is the share of the requests that reach one instance beyond its part of the rest.
+	crowd float64
 	// failures counts the servers that failed, and the other fields the requests by what became of them.
 	failures, served, rejected, lost int
 	// busy is the sum over time of the running requests, sampled at each sample.
@@ -203,6 +205,9 @@
 // ask sends a request to a random instance.
 func (f *rejectionFleet) ask(path string) {
 	m := f.instances[f.random.IntN(len(f.instances))]
+	if f.random.Float64() < f.crowd {
+		m = f.instances[0]
+	}
 	s := &callerRequest{id: core.RequestID(fmt.Sprintf("r%d", len(f.requests))), at: f.now, instance: m, incarnation: m.incarnation}
 	f.requests[s.id] = s
 	f.deliver(m, core.RequestArrived{
--- a/internal/core/rejectionlimits_test.go
+++ b/internal/core/rejectionlimits_test.go
@@ -72,8 +72,15 @@
 
 // runLimited offers a load to a service whose rejections become limited.
 func runLimited(t *testing.T, c rejectionCase, seed uint64, load float64) *rejectionFleet {
+	t.Helper()
+	return runLimitedCrowd(t, c, seed, load, 0)
+}
+
+// runLimitedCrowd is runLimited while a share of the requests reaches one instance.
+func runLimitedCrowd(t *testing.T, c rejectionCase, seed uint64, load, crowd float64) *rejectionFleet {
 	t.Helper()
 	f := newRejectionFleet(c.size, seed, c.service, c.servers, c.slots)
+	f.crowd = crowd
 	f.offer(load, 25*time.Second)
 	f.run(5 * time.Second)
 	f.limitedAt = f.now
