Check the server before an unframed response passes for whole

A caller could get half of a response as a whole one, and its parts count as proven: the end of a server's process closes its connections in order, as does a response without a length or chunks that is complete. Now the server is dialled once at such an end. If its machine refuses and no peer connects, the response is broken and the server has ended; if nobody can tell, the response is passed on and proves nothing.

--- a/internal/proxy/endcheck.go
+++ b/internal/proxy/endcheck.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"slices"
 	"syscall"
 	"time"
 
@@ -34,12 +35,21 @@
 	dials singleflight.Group
 }
 
-// check reports whether the backend server of an attempt refuses a connection after one to it has
-// ended with an error, and what the attempt's relays found then.
-func (c *endChecker) check(attempt *core.SendAttempt, err error) (refused bool, found []paths.Observation) {
-	if !closedByPeer(err) {
-		return false, nil
-	}
+// endCheck is the result of a check.
+type endCheck struct {
+	// refused is set if the server's machine refused a connection, and connected if the server accepted one.
+	refused, connected bool
+	// found is what the attempt's relays found if this instance was refused.
+	found []paths.Observation
+}
+
+// ended reports whether the server has ended, as far as this instance and the relays can tell.
+func (e endCheck) ended() bool {
+	return e.refused && !slices.ContainsFunc(e.found, func(o paths.Observation) bool { return o.Result == paths.Connected })
+}
+
+// check finds out whether the backend server of an attempt refuses a connection, after one to it has ended.
+func (c *endChecker) check(attempt *core.SendAttempt) endCheck {
 	observations, dialErr, _ := c.dials.Do(attempt.Address, func() (any, error) {
 		c.countDial(EndCheck)
 		conn, err := net.DialTimeout("tcp", attempt.Address, endCheckTimeout)
@@ -49,10 +59,10 @@
 		return []paths.Observation(nil), conn.Close()
 	})
 	if !errors.Is(dialErr, syscall.ECONNREFUSED) {
-		return false, nil
+		return endCheck{connected: dialErr == nil}
 	}
-	found, _ = observations.([]paths.Observation)
-	return true, found
+	found, _ := observations.([]paths.Observation)
+	return endCheck{refused: true, found: found}
 }
 
 // askRelays asks the attempt's relays to connect to the backend server if this instance was refused.
--- a/internal/proxy/endcheck_test.go
+++ b/internal/proxy/endcheck_test.go
@@ -28,8 +28,7 @@
 	dials := 0
 	c := endChecker{countDial: func(DialReason) { dials++ }}
 	check := func(address string, err error) bool {
-		refused, _ := c.check(&core.SendAttempt{Address: address}, err)
-		return refused
+		return closedByPeer(err) && c.check(&core.SendAttempt{Address: address}).ended()
 	}
 	for _, err := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE, errUnframed, errNoEndMark} {
 		err = fmt.Errorf("proxy: read response: %w", err)
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -124,8 +124,9 @@
 		event.Detail = err.Error()
 		event.ConnectionRefused = event.Outcome == retry.NotSent && errors.Is(err, syscall.ECONNREFUSED)
 		event.ProcessReplaced = errors.Is(err, errProcessReplaced)
-		if event.Outcome.MayHaveRun() {
-			event.ServerEnded, event.EndChecks = x.server.ends.check(&x.response.attempt, err)
+		if event.Outcome.MayHaveRun() && closedByPeer(err) {
+			check := x.checkEnd()
+			event.ServerEnded, event.EndChecks = check.refused, check.found
 		}
 	}
 	x.server.log.put("attempt ended", "request", x.id, "attempt", event.Attempt, "backend", x.response.attempt.Backend,
@@ -136,6 +137,14 @@
 	x.server.post(event)
 }
 
+// checkEnd checks whether the backend server of the last attempt has ended, unless that was done to judge its response.
+func (x *exchange) checkEnd() endCheck {
+	if done := x.response.endCheck; done != nil {
+		return *done
+	}
+	return x.server.ends.check(&x.response.attempt)
+}
+
 // loggedParts returns the parts of the prompt, by which the ends of backend servers can be grouped. They are long, and are
 // logged only if the server seems to have ended.
 func (x *exchange) loggedParts(event *core.AttemptEnded) []string {
--- a/internal/proxy/response.go
+++ b/internal/proxy/response.go
@@ -67,6 +67,8 @@
 	dialReason DialReason
 	// relay is the name of the peer that relayed the last call's connection, if one did.
 	relay string
+	// endCheck is the check whether the server has ended that an unframed response needed; nil if it needed none.
+	endCheck *endCheck
 	// status is the status code of the last call's response, or 0 if none was received, and framing how the end of
 	// its body is marked.
 	status  int
@@ -111,7 +113,7 @@
 	r.call, r.resp = c, fasthttp.AcquireResponse()
 	x.setRunning(e.Attempt, c)
 	err := x.server.backends.Do(req, r.resp)
-	r.dialReason, r.relay, r.status, r.framing = c.dialReason, c.relay, 0, ""
+	r.dialReason, r.relay, r.status, r.framing, r.endCheck = c.dialReason, c.relay, 0, "", nil
 	if err != nil {
 		r.abortAttempt(outcomeWithoutResponse(c), "", err)
 		return false
@@ -121,7 +123,9 @@
 	r.head = options.Dialect.ReadHead(&r.resp.Header, x.request, &e, options.Now())
 	// The end of a relay's process also closes a connection in order, and must not look like the end
 	// of a response.
-	c.allowUnframed = r.head.AllowUnframed && c.relay == ""
+	if r.head.AllowUnframed && c.relay == "" {
+		c.unframedEnd = r.unframedEnd
+	}
 	r.load = r.head.Load
 	if resume {
 		return r.handleResumedHead()
--- a/internal/proxy/responsebody.go
+++ b/internal/proxy/responsebody.go
@@ -114,10 +114,22 @@
 	return err
 }
 
+// unframedEnd decides on a response without a length or chunks whose connection was closed in order. The end of the
+// server's process closes it as well, in the middle of the response.
+func (r *callerResponse) unframedEnd() error {
+	check := r.exchange.server.ends.check(&r.attempt)
+	r.endCheck = &check
+	if check.ended() {
+		return errUnframed
+	}
+	return io.EOF
+}
+
 // markComplete marks the response as complete and reports it.
 func (r *callerResponse) markComplete() {
 	r.complete = true
-	r.reportEnd(core.AttemptEnded{Outcome: retry.Answered}, nil)
+	uncertain := r.endCheck != nil && !r.endCheck.connected
+	r.reportEnd(core.AttemptEnded{Outcome: retry.Answered, Uncertain: uncertain}, nil)
 }
 
 // Read returns the next bytes for the caller to the HTTP library. After an error the
--- a/internal/proxy/transport.go
+++ b/internal/proxy/transport.go
@@ -32,9 +32,9 @@
 type call struct {
 	resp     *fasthttp.Response
 	deadline time.Time
-	// allowUnframed is set if an orderly close of the connection ends a response without a
-	// length.
-	allowUnframed bool
+	// unframedEnd is called when an orderly close of the connection ends a response without a length or chunks. It
+	// returns io.EOF if the response is whole. If it is nil, no such response is.
+	unframedEnd func() error
 	// zone records when bytes arrive from the backend server's availability zone.
 	zone *zoneActivity
 	now  func() time.Time
@@ -249,7 +249,7 @@
 }
 
 // Read reads the response body. It returns io.EOF only at the end that the framing of
-// the response marks, or at the close of the connection if allowUnframed is set; any
+// the response marks, or at the close of the connection if unframedEnd allows that; any
 // other end is an error.
 func (c *call) Read(p []byte) (int, error) {
 	body := c.resp.BodyStream()
@@ -264,8 +264,10 @@
 	switch {
 	case err == nil:
 		return n, nil
-	case errors.Is(err, io.EOF) && (c.hasFramedEnd() || c.allowUnframed):
+	case errors.Is(err, io.EOF) && c.hasFramedEnd():
 		return n, io.EOF
+	case errors.Is(err, io.EOF) && c.unframedEnd != nil:
+		return n, c.unframedEnd()
 	case errors.Is(err, io.EOF):
 		return n, errUnframed
 	case isTimeout(err) && time.Now().Before(c.deadline):
