Let a crowded instance use the slots that others do not need

Callers at an instance to which the balancer gives most connections were refused while half of the slots and more idled, on servers that must not reject: the slots are dealt out evenly, and only where there are fewer than instances did owners lend theirs. Now an instance without a free slot of its own borrows one in any case; the owner may lend one of another server; a slot is kept for the next request where requests take long; an owner without one is not asked for a while; and a question makes its owner deal as well.

--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -202,7 +202,7 @@
 func (n *Node) attemptDone(r *request) {
 	r.running = false
 	n.countRequestEnded(r.backend)
-	n.returnSlot(r)
+	n.releaseSlot(r)
 }
 
 func (n *Node) requestAnswered(r *request) {
--- a/internal/core/crowd_test.go
+++ b/internal/core/crowd_test.go
@@ -32,6 +32,7 @@
 				t.Parallel()
 				for seed := range *boundSeeds {
 					f := runLimitedCrowd(t, c, uint64(201+seed), load, crowdShare)
+					t.Logf("loans: %v", f.counters)
 					require.LessOrEqual(t, f.failures, 2+len(f.names)/10, "servers failed because they had to reject too many requests")
 					requireUsed(t, f, load)
 				}
--- a/internal/core/headroom/headroom.go
+++ b/internal/core/headroom/headroom.go
@@ -8,8 +8,8 @@
 //   - While the mean load is so low that chance rarely fills a server, instances send as usual.
 //   - Above that, where each instance has some slots to itself, the slots are dealt out. An instance
 //     needs to know only its own requests to stay within its own.
-//   - Where there are fewer slots than instances, each slot that is dealt out has an owner, and an instance
-//     without a free slot of its own borrows one from an owner for each request.
+//   - An instance without a free slot of its own borrows one from its owner: it may get more requests than others.
+//     Where there are fewer slots than instances, it does so also while there is room.
 package headroom
 
 import (
@@ -75,8 +75,10 @@
 	return s != nil && now.Sub(s.announcedAt) < announcementTTL
 }
 
-// Rejected records that a server of a service rejected a request for lack of room.
-func (t *Tracker) Rejected(name string, now time.Time) {
+// SeemsFull records a sign that there is little room at a service: a server rejected a request, or an instance asks for
+// a slot. An instance that gets few requests itself would else learn only from late loads that another one fills
+// the servers.
+func (t *Tracker) SeemsFull(name string, now time.Time) {
 	if s := t.services[name]; s != nil {
 		s.tightAt = now
 	}
--- a/internal/core/headroom/headroom_test.go
+++ b/internal/core/headroom/headroom_test.go
@@ -57,7 +57,7 @@
 	require.Equal(t, OwnSlots, tr.RuleFor(&surge, start))
 	require.Equal(t, OwnSlots, tr.RuleFor(&s, start.Add(tightHold/2)))
 	require.Equal(t, AnyFree, tr.RuleFor(&s, start.Add(tightHold)))
-	tr.Rejected("s", start.Add(tightHold))
+	tr.SeemsFull("s", start.Add(tightHold))
 	require.Equal(t, OwnSlots, tr.RuleFor(&s, start.Add(tightHold)))
 	full := s
 	full.Load = 12 * 60
--- a/internal/core/rejectionlimits.go
+++ b/internal/core/rejectionlimits.go
@@ -29,7 +29,7 @@
 	case retry.Refused:
 		n.recordRejectionLimit(r, limit)
 		if n.headroom.IsLimited(r.service.Name, n.now) {
-			n.headroom.Rejected(r.service.Name, n.now)
+			n.headroom.SeemsFull(r.service.Name, n.now)
 		}
 	}
 }
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/ebonydyke/ebonydyke/internal/core/claims"
+	"github.com/ebonydyke/ebonydyke/internal/core/headroom"
 	"github.com/ebonydyke/ebonydyke/internal/core/poison"
 	"github.com/ebonydyke/ebonydyke/internal/core/reason"
 	"github.com/ebonydyke/ebonydyke/internal/core/streams"
@@ -86,10 +87,10 @@
 	softwareCertain   bool
 	softwareUncertain bool
 	// slotAsks counts the owners that were asked for a slot. slotAsk is the last question while it waits for
-	// an answer, and while the attempt runs on the slot that was borrowed.
+	// an answer, and loan the borrowed slot on which the attempt runs.
 	slotAsks int
 	slotAsk  *slotAsk
-	borrowed bool
+	loan     *headroom.Loan
 	// placement is the placement hint for the response of the last attempt.
 	placement string
 	// resumeAfter is the ID of the last event of a broken stream that can be resumed.
--- a/internal/core/slotloans.go
+++ b/internal/core/slotloans.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/ebonydyke/ebonydyke/internal/core/headroom"
@@ -8,20 +9,18 @@
 	"github.com/ebonydyke/ebonydyke/internal/core/routing"
 )
 
-// Where servers must not reject requests and have fewer slots than there are instances, each slot that is dealt out
-// has one owner. An instance without a free slot of its own asks an owner for its slot, for one request. The
-// invariant: as long as instances agree on the owners, a slot never has two requests.
+// Where servers must not reject requests, each slot that is dealt out has one owner. An instance without a free
+// slot of its own asks an owner for one: it may get more requests than others, and there may be fewer slots than
+// instances. The invariant: as long as instances agree on the owners, a slot never has two requests.
 
 const (
 	// slotTimeout is how long a request waits for an owner's answer.
 	slotTimeout = 50 * time.Millisecond
 	// maxSlotAsks is the number of owners that a request asks.
 	maxSlotAsks = 3
-	// silentOwnerPause is how long an owner that did not answer is not asked.
-	silentOwnerPause = time.Second
 )
 
-// counterSlotLoans counts the answers of owners, by result.
+// counterSlotLoans counts the answers of owners, by result, and the requests that use a loan again.
 const counterSlotLoans = "slot_loans"
 
 // SlotAction is what a SlotMessage does.
@@ -46,51 +45,82 @@
 	Token uint64 `json:"token"`
 	// Hold is the longest time for which the slot is needed.
 	Hold time.Duration `json:"hold,omitempty"`
+	// AnyServer is set on a question if a slot of another server of the same service will do. The answer then names
+	// the server.
+	AnyServer bool `json:"any_server,omitempty"`
 }
 
-// slotAsk is a request that waits for an owner's answer, or runs on its slot.
+// slotAsk is a question for a slot, on behalf of a request.
 type slotAsk struct {
-	request       RequestID
-	owner, server string
-	token         uint64
+	request RequestID
+	loan    *headroom.Loan
 	// send is the attempt to send when the slot is granted.
 	send SendAttempt
 }
 
 // slotState is what an instance knows of slots that are lent.
 type slotState struct {
-	loans *headroom.Loans
+	loans    *headroom.Loans
+	borrower *headroom.Borrower
 	// asks are the questions without an answer, by token.
-	asks      map[uint64]*slotAsk
-	lastToken uint64
-	// silent maps owners that did not answer to the time until which they are not asked.
-	silent map[string]time.Time
+	asks map[uint64]*slotAsk
 }
 
 func newSlotState() slotState {
-	return slotState{loans: headroom.NewLoans(), asks: make(map[uint64]*slotAsk), silent: make(map[string]time.Time)}
+	return slotState{loans: headroom.NewLoans(), borrower: headroom.NewBorrower(), asks: make(map[uint64]*slotAsk)}
 }
 
-// borrowSlot asks an owner for a slot for a request that found none, and reports whether it did.
+// borrowSlot sends a request that found no slot on one that is borrowed already, or asks an owner for one. It
+// reports whether it did.
 func (n *Node) borrowSlot(r *request, e SendAttempt) bool {
 	p := n.pool(r.service.Name)
-	if !p.marksFull || r.slotAsks >= maxSlotAsks {
+	if !p.marksFull {
 		return false
 	}
 	service := n.limitedService(p)
-	if n.headroom.RuleFor(&service, n.now) != headroom.BorrowedSlots {
+	if n.headroom.RuleFor(&service, n.now) == headroom.AnyFree {
 		return false
 	}
-	owner, c := n.chooseSlotOwner(r, p, &service)
+	return n.reuseLoan(r, p, e) || n.askOwner(r, p, &service, e)
+}
+
+// reuseLoan sends a request on a borrowed slot on which none runs, and reports whether there was one.
+func (n *Node) reuseLoan(r *request, p *pool, e SendAttempt) bool {
+	choice := n.routingChoice(r, p)
+	loan := n.slots.borrower.Reuse(p.service, r.deadline, func(server string) bool {
+		i, ok := p.index[server]
+		return ok && !p.candidates[i].Unreachable && choice.VersionAllowed(&p.candidates[i])
+	})
+	if loan == nil {
+		return false
+	}
+	n.emit(Counted{Counter: counterSlotLoans, Label: "reused", N: 1})
+	n.sendOnLoan(r, p, loan, e)
+	return true
+}
+
+// sendOnLoan sends a request on a borrowed slot.
+func (n *Node) sendOnLoan(r *request, p *pool, loan *headroom.Loan, e SendAttempt) {
+	r.loan, r.slotAsks = loan, 0
+	n.slots.loans.Borrowed(loan.Server)
+	n.sendTo(r, &p.candidates[p.index[loan.Server]], e)
+}
+
+// askOwner asks an owner for a slot for a request, and reports whether there is one to ask.
+func (n *Node) askOwner(r *request, p *pool, service *headroom.Service, e SendAttempt) bool {
+	if r.slotAsks >= maxSlotAsks {
+		return false
+	}
+	owner, c := n.chooseSlotOwner(r, p, service)
 	if c == nil {
 		return false
 	}
 	r.slotAsks++
-	n.slots.lastToken++
-	ask := &slotAsk{request: r.arrived.Request, owner: owner, server: c.Name, token: n.slots.lastToken, send: e}
-	n.slots.asks[ask.token] = ask
+	loan := n.slots.borrower.Ask(owner, p.service, c.Name, r.software == nil, r.deadline, n.now)
+	ask := &slotAsk{request: r.arrived.Request, loan: loan, send: e}
+	n.slots.asks[loan.Token] = ask
 	r.slotAsk = ask
-	n.sendSlot(owner, SlotMessage{Action: AskSlot, Server: c.Name, Token: ask.token, Hold: r.deadline.Sub(n.now)})
+	n.sendSlot(owner, SlotMessage{Action: AskSlot, Server: c.Name, Token: loan.Token, Hold: loan.Hold, AnyServer: loan.AnyServer})
 	n.schedule(n.now.Add(slotTimeout), r, func(n *Node, _ *request) { n.slotAskTimedOut(ask) })
 	return true
 }
@@ -126,7 +156,7 @@
 // asksOwner reports whether an instance can be asked for a slot, and requests a link to it if that is missing.
 func (n *Node) asksOwner(name string) bool {
 	switch {
-	case name == n.settings.Name, n.streams.noStreams[name], n.now.Before(n.slots.silent[name]):
+	case name == n.settings.Name, n.streams.noStreams[name], !n.slots.borrower.Asks(name, n.now):
 		return false
 	case n.peerConnectedTo(name):
 		return true
@@ -150,6 +180,7 @@
 	case DenySlot:
 		if ask := n.takeAsk(from, m.Token); ask != nil {
 			n.emit(Counted{Counter: counterSlotLoans, Label: "denied", N: 1})
+			n.slots.borrower.Denied(ask.loan, n.now)
 			n.askNextOwner(ask)
 		}
 	case ReturnSlot:
@@ -160,27 +191,47 @@
 // lendSlot lends a slot of this instance if one is free.
 func (n *Node) lendSlot(borrower string, m *SlotMessage) {
 	answer := SlotMessage{Action: DenySlot, Token: m.Token}
-	if n.hasSlotToLend(m.Server) {
-		answer.Action = GrantSlot
-		n.slots.loans.Lend(headroom.LoanKey{Borrower: borrower, Token: m.Token}, m.Server, m.Hold, n.now)
+	if server := n.slotToLend(m); server != "" {
+		answer.Action, answer.Server = GrantSlot, server
+		n.slots.loans.Lend(headroom.LoanKey{Borrower: borrower, Token: m.Token}, server, m.Hold, n.now)
 	}
 	n.sendSlot(borrower, answer)
 }
 
-func (n *Node) hasSlotToLend(server string) bool {
-	p := n.poolByBackend[server]
+// slotToLend returns the server of which this instance lends a slot, "" if it has none to lend: the server that
+// the question names, or else, if any will do, one of the same service with the lowest load.
+func (n *Node) slotToLend(m *SlotMessage) string {
+	p := n.poolByBackend[m.Server]
 	if p == nil {
-		return false
+		return ""
 	}
+	n.headroom.SeemsFull(p.service, n.now)
 	service := n.limitedService(p)
-	known := n.limitedServer(&p.candidates[p.index[server]])
-	return service.HasFreeSlot(&known)
+	hasFree := func(c *routing.Candidate) bool {
+		server := n.limitedServer(c)
+		return service.HasFreeSlot(&server)
+	}
+	best := p.index[m.Server]
+	if hasFree(&p.candidates[best]) {
+		return m.Server
+	}
+	best = routing.None
+	for i := range p.candidates {
+		c := &p.candidates[i]
+		if m.AnyServer && !c.Unreachable && hasFree(c) && (best == routing.None || c.Load < p.candidates[best].Load) {
+			best = i
+		}
+	}
+	if best == routing.None {
+		return ""
+	}
+	return p.candidates[best].Name
 }
 
 // takeAsk returns the question that a peer's answer belongs to, and forgets it; nil if there is none any more.
 func (n *Node) takeAsk(from string, token uint64) *slotAsk {
 	ask := n.slots.asks[token]
-	if ask == nil || ask.owner != from {
+	if ask == nil || ask.loan.Owner != from {
 		return nil
 	}
 	delete(n.slots.asks, token)
@@ -195,35 +246,41 @@
 		return
 	}
 	n.emit(Counted{Counter: counterSlotLoans, Label: "granted", N: 1})
+	// Earlier versions name no server: they lend a slot of the one that was asked for.
+	ask.loan.Server = cmp.Or(m.Server, ask.loan.Server)
 	r := n.requests[ask.request]
-	p := n.poolByBackend[ask.server]
-	if r == nil || r.slotAsk != ask || p == nil {
+	p := n.poolByBackend[ask.loan.Server]
+	if r == nil || r.slotAsk != ask || p == nil || p.service != ask.loan.Service {
 		n.sendSlot(from, SlotMessage{Action: ReturnSlot, Token: m.Token})
 		n.askNextOwner(ask)
 		return
 	}
-	r.borrowed, r.slotAsks = true, 0
-	n.slots.loans.Borrowed(ask.server)
-	n.sendTo(r, &p.candidates[p.index[ask.server]], ask.send)
+	r.slotAsk = nil
+	n.sendOnLoan(r, p, ask.loan, ask.send)
 }
 
-// returnSlot returns the slot on which an attempt ran that has ended.
-func (n *Node) returnSlot(r *request) {
-	if !r.borrowed {
+// releaseSlot keeps the borrowed slot on which an attempt ran that has ended for the next request, or returns it.
+func (n *Node) releaseSlot(r *request) {
+	if r.loan == nil {
 		return
 	}
-	r.borrowed = false
-	n.slots.loans.Released(r.slotAsk.server)
-	n.sendSlot(r.slotAsk.owner, SlotMessage{Action: ReturnSlot, Token: r.slotAsk.token})
-	r.slotAsk = nil
+	n.slots.loans.Released(r.loan.Server)
+	if !n.slots.borrower.Ended(r.loan, n.now.Sub(r.sentAt), n.now) {
+		n.returnLoan(r.loan)
+	}
+	r.loan = nil
+}
+
+func (n *Node) returnLoan(loan *headroom.Loan) {
+	n.sendSlot(loan.Owner, SlotMessage{Action: ReturnSlot, Token: loan.Token})
 }
 
 func (n *Node) slotAskTimedOut(ask *slotAsk) {
-	if n.takeAsk(ask.owner, ask.token) == nil {
+	if n.takeAsk(ask.loan.Owner, ask.loan.Token) == nil {
 		return
 	}
 	n.emit(Counted{Counter: counterSlotLoans, Label: "timed-out", N: 1})
-	n.slots.silent[ask.owner] = n.now.Add(silentOwnerPause)
+	n.slots.borrower.Silent(ask.loan, n.now)
 	n.askNextOwner(ask)
 }
 
@@ -239,18 +296,16 @@
 	}
 }
 
-// tickSlots ends the loans whose borrowers have not returned the slot in time, and forgets the questions of
-// requests that have ended.
+// tickSlots returns the borrowed slots that no request uses, ends the loans whose borrowers have not returned the
+// slot in time, and forgets the questions of requests that have ended.
 func (n *Node) tickSlots() {
+	for _, loan := range n.slots.borrower.TakeUnused(n.now) {
+		n.returnLoan(loan)
+	}
 	n.slots.loans.Expire(n.now)
 	for token, ask := range n.slots.asks {
 		if n.requests[ask.request] == nil {
 			delete(n.slots.asks, token)
 		}
 	}
-	for name, until := range n.slots.silent {
-		if !n.now.Before(until) {
-			delete(n.slots.silent, name)
-		}
-	}
 }
--- a/internal/peer/decode.go
+++ b/internal/peer/decode.go
@@ -413,6 +413,7 @@
 	}
 	return &core.SlotMessage{
 		Action: core.SlotAction(in.Action), Server: server, Token: in.Token, Hold: time.Duration(in.Hold) * time.Millisecond,
+		AnyServer: in.AnyServer,
 	}, nil
 }
 
--- a/internal/peer/encode.go
+++ b/internal/peer/encode.go
@@ -107,6 +107,7 @@
 	case m.Slot != nil:
 		e.frame.Slot = &peerpb.Slot{
 			Action: peerpb.SlotAction(m.Slot.Action), Server: e.id(m.Slot.Server), Token: m.Slot.Token, Hold: millis(m.Slot.Hold),
+			AnyServer: m.Slot.AnyServer,
 		}
 	case m.StreamOffer != nil:
 		e.frame.StreamOffer = e.streamOffer(m.StreamOffer)
