Divide the fleet's retries by the requests that instances get

A crowded instance spent its equal part of the retries and failed callers whose server had ended, while the parts of the others stayed unspent. Four fifths of the allowance now follow the instance's share of the requests in progress (an average of 2.5 s; the equal part while a peer is silent).

--- a/internal/core/admission/admission.go
+++ b/internal/core/admission/admission.go
@@ -8,7 +8,8 @@
 // immediately.
 //
 // An instance receives only a fraction of the traffic and applies the shares to that
-// fraction. The load balancer spreads every customer over all instances, so the
+// fraction, which is taken from its part of the requests in progress: an instance that gets most connections
+// divides most of the service. The load balancer chooses instances without regard to customers, so the
 // proportions at one instance match those of the fleet, and no customer counts need to be
 // exchanged.
 package admission
@@ -114,6 +115,9 @@
 // Idle reports whether no request admitted here is in progress.
 func (c *Controller) Idle() bool { return c.inFlight == 0 }
 
+// InProgress returns the number of admitted requests in progress.
+func (c *Controller) InProgress() int { return c.inFlight }
+
 // Customers returns the number of tracked customers.
 func (c *Controller) Customers() int { return len(c.list) }
 
--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -280,9 +280,10 @@
 }
 
 func (n *Node) takeRetry(service string) bool {
-	budget := n.pool(service).budget
-	budget.Refill(n.now)
-	return budget.Take()
+	p := n.pool(service)
+	n.resizeBudget(p, n.snapshot.Service(service))
+	p.budget.Refill(n.now)
+	return p.budget.Take()
 }
 
 // resumeWithDelay resumes a stream immediately after the first attempt, and after a pause
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -94,11 +94,13 @@
 	requests      map[RequestID]*request
 	// startWaiters are the requests that arrived before this instance could serve them.
 	startWaiters []startWaiter
-	timers       timerqueue.Queue[requestAction]
-	configs      configState
-	members      memberState
-	backends     backendsState
-	follow       followState
+	// startWaitingBytes is the size of these requests.
+	startWaitingBytes int
+	timers            timerqueue.Queue[requestAction]
+	configs           configState
+	members           memberState
+	backends          backendsState
+	follow            followState
 	// registration is the state of this instance's own entry in the store.
 	registration registrationState
 	claims       claimTracker
@@ -233,6 +235,7 @@
 	n.tickPoison()
 	n.tickStreams()
 	n.tickSlots()
+	n.tickRetryParts()
 	n.tickPeers()
 	n.tickClaims()
 	n.tickLifecycle()
--- a/internal/core/pools.go
+++ b/internal/core/pools.go
@@ -32,6 +32,8 @@
 	unreachableCount int
 	unreachableLoad  float64
 	budget           *retry.Budget
+	// retryPart is this instance's part of the fleet's retries.
+	retryPart *retry.Part
 	// leaving holds the backend servers that get no new requests but still have cached
 	// prompts.
 	leaving []routing.Candidate
@@ -59,18 +61,27 @@
 	burstMinInstances = 4
 )
 
-// resizeBudget sets this instance's part of a service's retry allowance. Half of the part may
-// be spent at once, and the other half is refilled over burstPeriod. The burst is at least
-// one retry: in a large fleet half of a part is less than that, and no instance could ever
+// resizeBudget sets this instance's part of a service's retry allowance. What may be spent at once is at least
+// one retry: in a large fleet a part is less than that, and no instance could ever
 // retry.
-func (n *Node) resizeBudget(b *retry.Budget, svc *config.Service) {
+func (n *Node) resizeBudget(p *pool, svc *config.Service) {
 	if svc.RetryBurst == 0 {
-		b.Resize(svc.RetryShare, defaultRetryBurst, 0)
+		p.budget.Resize(svc.RetryShare, defaultRetryBurst, 0)
 		return
 	}
-	part := burstFraction * svc.RetryBurst / float64(max(burstMinInstances, len(n.liveInstances())))
-	burst := max(1, part/2)
-	b.Resize(svc.RetryShare, burst, max(0, part-burst)/burstPeriod.Seconds())
+	burst, refill := p.retryPart.Of(max(burstMinInstances, len(n.liveInstances())), n.poison.store.hearsAll)
+	allowance := burstFraction * svc.RetryBurst
+	atOnce := max(1, allowance*burst)
+	p.budget.Resize(svc.RetryShare, atOnce, max(0, allowance*(burst+refill)-atOnce)/burstPeriod.Seconds())
+}
+
+// tickRetryParts follows this instance's share of each service's requests.
+func (n *Node) tickRetryParts() {
+	for name, p := range n.pools {
+		if p.retryPart != nil {
+			p.retryPart.Sample(float64(n.admission.service(name).InProgress()), p.totalLoad)
+		}
+	}
 }
 
 // resizeBudgets adjusts the retry budgets of all services to the current size of the fleet.
@@ -80,7 +91,7 @@
 	}
 	for name, p := range n.pools {
 		if svc := n.snapshot.Service(name); svc != nil && p.budget != nil {
-			n.resizeBudget(p.budget, svc)
+			n.resizeBudget(p, svc)
 		}
 	}
 }
@@ -144,12 +155,13 @@
 	old := n.pool(name)
 	p := &pool{
 		service: name, index: make(map[string]int), model: svc.Kind == config.Model,
-		budget: old.budget, used: old.used, joinTimes: make(map[string]time.Time),
+		budget: old.budget, retryPart: old.retryPart, used: old.used, joinTimes: make(map[string]time.Time),
 	}
 	if p.budget == nil {
 		p.budget = retry.NewBudget(svc.RetryShare, max(defaultRetryBurst, svc.RetryBurst))
+		p.retryPart = &retry.Part{}
 	}
-	n.resizeBudget(p.budget, svc)
+	n.resizeBudget(p, svc)
 	p.candidates, p.leaving = n.candidates(svc)
 	for i := range p.candidates {
 		c := &p.candidates[i]
--- a/internal/core/retry/retry_test.go
+++ b/internal/core/retry/retry_test.go
@@ -79,3 +79,32 @@
 		require.GreaterOrEqual(t, sum, allowance/2)
 	}
 }
+
+// Guards against a crowded instance that may spend an equal part of the retries, and against parts that add up to more than
+// the fleet's allowance.
+func TestPartsFollowTheRequests(t *testing.T) {
+	const instances = 7
+	for name, loads := range map[string][]float64{
+		"even": {4, 4, 4, 4, 4, 4, 4}, "crowded": {34, 1, 1, 1, 1, 1, 1}, "idle": {0, 0, 0, 0, 0, 0, 0},
+	} {
+		var sum, first, total float64
+		for _, own := range loads {
+			total += own
+		}
+		for i, own := range loads {
+			var p retry.Part
+			for range 500 {
+				p.Sample(own, total)
+			}
+			burst, refill := p.Of(instances, true)
+			sum += burst + refill
+			if i == 0 {
+				first = burst
+			}
+			equal, rest := p.Of(instances, false)
+			require.InDelta(t, 1.0/instances, equal+rest, 1e-9, name)
+		}
+		require.LessOrEqual(t, sum, 1.0, name)
+		require.Equal(t, name == "crowded", first > 0.5, name)
+	}
+}
