--- a/internal/core/startwait.go
+++ b/internal/core/startwait.go
@@ -16,9 +16,11 @@
 	// maxStartWait is the maximum time that a request is queued: twice the time of a read
 	// with a long configuration text over a slow link.
 	maxStartWait = time.Second
-	// maxStartWaiters is the maximum number of queued requests. Each holds a connection and
-	// a body in memory.
-	maxStartWaiters = 256
+	// maxStartWaiters is the maximum number of queued requests, half of the connections that an instance accepts: a
+	// balancer may give it most new ones as soon as it starts. maxStartBytes is the maximum size in bytes of their
+	// headers and bodies, a quarter of an instance's memory.
+	maxStartWaiters = 4096
+	maxStartBytes   = 16 << 20
 )
 
 // startWaiter is a request queued until this instance can serve it.
@@ -28,6 +30,9 @@
 	until   time.Time
 }
 
+// size returns the bytes that the request holds in memory.
+func (w *startWaiter) size() int { return w.arrived.HeaderBytes + w.arrived.BodyBytes }
+
 // starting reports whether this instance is still reading its configuration or its
 // backend servers for the first time, and no read has ended without them. It must not
 // serve from only the first page of the list of backend servers, because it would place
@@ -43,7 +48,8 @@
 // whether it did. It waits for at most half of the time until the caller's deadline, so
 // that the caller can still retry at another instance.
 func (n *Node) waitForStart(e RequestArrived) bool {
-	if !n.starting() || len(n.startWaiters) >= maxStartWaiters {
+	size := e.HeaderBytes + e.BodyBytes
+	if !n.starting() || len(n.startWaiters) >= maxStartWaiters || n.startWaitingBytes+size > maxStartBytes {
 		return false
 	}
 	wait := maxStartWait
@@ -54,6 +60,7 @@
 		return false
 	}
 	n.recordWaitingCaller()
+	n.startWaitingBytes += size
 	n.startWaiters = append(n.startWaiters, startWaiter{arrived: e, since: n.now, until: n.now.Add(wait)})
 	return true
 }
@@ -71,6 +78,7 @@
 			return false
 		}
 		released = append(released, w)
+		n.startWaitingBytes -= w.size()
 		return true
 	})
 	for _, w := range released {
@@ -86,6 +94,7 @@
 		return false
 	}
 	arrived := n.startWaiters[i].arrived
+	n.startWaitingBytes -= n.startWaiters[i].size()
 	n.startWaiters = slices.Delete(n.startWaiters, i, i+1)
 	n.refuseWith(arrived, target{}, &refusal{reason: reason.CallerGone})
 	return true
