Leave each instance its equal part of the retries at once

With four fifths of the retries following the requests in progress, an instance that had got none yet could retry once (TestRefusedAttemptsDoNotCountAsRuns, two refusals in a row).

--- a/internal/core/retry/retry.go
+++ b/internal/core/retry/retry.go
@@ -108,9 +108,9 @@
 // Part computes the part of the fleet's retries that an instance may spend at once and over a period. The parts of all
 // instances add up to about one.
 //
-// Most of it follows the instance's share of the requests in progress: a balancer may crowd one instance, and the retries
-// of all callers are needed there. The rest is an equal part, so that an instance can retry before it has got
-// requests.
+// Half of it is an equal part, so that an instance can retry before it has got requests. The other half follows
+// the instance's share of the requests in progress: a balancer may crowd one instance, and the retries of all callers
+// are needed there.
 type Part struct {
 	// own and total are moving averages of the requests in progress.
 	own, total float64
@@ -122,10 +122,9 @@
 	// partPrior is added to the fleet's requests in progress. While there are few of them, an instance that has not
 	// heard of the others' would take its own for most of them.
 	partPrior = 4
-	// followingShare is the share of the retries that is divided by the requests in progress.
-	followingShare = 0.8
-	// equalBurst is the share of an equal part that may be spent at once. The rest is refilled over the period.
-	equalBurst = 0.5
+	// equalShare is the share of the retries that is divided equally, and may be spent at once. The rest follows the
+	// requests in progress.
+	equalShare = 0.5
 )
 
 // Sample records the instance's requests in progress and those of the fleet, which include them.
@@ -135,12 +134,12 @@
 }
 
 // Of returns the part of an instance among a number of instances: what it may spend at once, and what is refilled
-// over the period. An instance that does not know the requests of the others gets an equal part.
+// over the period. An instance that does not know the requests of the others gets an equal part of the rest as well,
+// over the period.
 func (p *Part) Of(instances int, knowsOthers bool) (burst, refill float64) {
-	equal := 1 / float64(instances)
+	equal := equalShare / float64(instances)
 	if !knowsOthers {
-		return equalBurst * equal, (1 - equalBurst) * equal
+		return equal, (1 - equalShare) / float64(instances)
 	}
-	equal *= 1 - followingShare
-	return followingShare*p.own/(p.total+partPrior) + equalBurst*equal, (1 - equalBurst) * equal
+	return equal + (1-equalShare)*p.own/(p.total+partPrior), 0
 }
