Keep a proof of each software version, from the time at which its answer began

Proofs are now kept by service and version. An answer proves from its beginning, not its end, so one that began before a part turned bad proves nothing later; one in progress for a second proves as well.

--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -157,6 +157,7 @@
 	if r := n.requests[e.Request]; r != nil && r.running && e.Attempt == r.attempt {
 		r.responseStarted = true
 		r.beganAt = n.now
+		n.checkBegun(r)
 		n.streamBegan(r, e.ProcessCertain)
 		n.paths.tracker.Reached(r.service.Name)
 		n.recordRejectionLimit(r, e.RejectionLimit)
--- a/internal/core/poison/answers.go
+++ b/internal/core/poison/answers.go
@@ -1,25 +1,37 @@
 package poison
 
-// maxAnswers bounds the parts in each of the two generations of answers, at about 100 bytes each.
+import "time"
+
+// maxAnswers bounds the entries in each of the two generations of answers, at about 100 bytes each.
 const maxAnswers = 8192
 
-// answers holds the latest answer to a request with each part, so that a part that was answered a moment ago is
-// not taken for what ends servers. It keeps two generations: once the newer one is full, it replaces the older one.
+// answers holds the time of the latest answer to a request with each part, so that a part that was answered a moment ago
+// is not taken for what ends servers. It keeps two generations: once the newer one is full, it replaces the older one.
 type answers struct {
-	newer, older map[Key]proof
+	newer, older map[answerKey]time.Time
+}
+
+// answerKey is a part, and the software that answered a request with it.
+type answerKey struct {
+	part     Key
+	software string
 }
 
-func (a *answers) add(part Key, p proof) {
+func (a *answers) add(part Key, software string, at time.Time) {
 	if a.newer == nil || len(a.newer) >= maxAnswers {
-		a.newer, a.older = make(map[Key]proof), a.newer
+		a.newer, a.older = make(map[answerKey]time.Time), a.newer
+	}
+	key := answerKey{part, software}
+	if latest, ok := a.latest(part, software); !ok || at.After(latest) {
+		a.newer[key] = at
 	}
-	a.newer[part] = p
 }
 
-func (a *answers) latest(part Key) (proof, bool) {
-	if p, ok := a.newer[part]; ok {
-		return p, true
+func (a *answers) latest(part Key, software string) (time.Time, bool) {
+	key := answerKey{part, software}
+	if at, ok := a.newer[key]; ok {
+		return at, true
 	}
-	p, ok := a.older[part]
-	return p, ok
+	at, ok := a.older[key]
+	return at, ok
 }
--- a/internal/core/poison/blame.go
+++ b/internal/core/poison/blame.go
@@ -23,14 +23,6 @@
 	reachedAt time.Time
 }
 
-// neededWeight returns the weight from which the suspect is blocked.
-func (s *suspect) neededWeight() int {
-	if s.proven {
-		return unexplainedWeight * maxProvenEnds
-	}
-	return unexplainedWeight * MaxEnds
-}
-
 // blame is the search for the contents and parts to blame among the suspects.
 type blame struct {
 	blamed []*suspect
@@ -65,17 +57,23 @@
 // decide alike.
 func (t *Tracker) suspects() []*suspect {
 	var list []*suspect
+	var unproven map[Server]bool
 	for key, r := range t.records {
 		if r.count() < MaxEnds {
 			continue
 		}
 		s := &suspect{key: key, position: r.position, proven: r.proven(), reachedAt: r.reachedAt}
+		if s.proven && unproven == nil {
+			unproven = t.heldByUnproven()
+		}
 		for server, e := range r.ends {
-			if r.counts(e) {
+			if r.counts(e) && !(s.proven && unproven[server]) {
 				s.ends = append(s.ends, server)
 			}
 		}
-		list = append(list, s)
+		if len(s.ends) >= MaxEnds {
+			list = append(list, s)
+		}
 	}
 	slices.SortFunc(list, func(a, b *suspect) int {
 		return cmp.Or(cmp.Compare(len(b.ends), len(a.ends)), cmp.Compare(a.key, b.key))
@@ -83,6 +81,23 @@
 	return list[:min(len(list), maxSuspects)]
 }
 
+// heldByUnproven returns the servers that ended while they held a request with a part that nothing proves. A part that was
+// answered lately is not to blame for them, even while too few servers have ended under the other one.
+func (t *Tracker) heldByUnproven() map[Server]bool {
+	held := make(map[Server]bool)
+	for _, r := range t.records {
+		if r.position == 0 || r.proven() {
+			continue
+		}
+		for server, e := range r.ends {
+			if r.counts(e) {
+				held[server] = true
+			}
+		}
+	}
+	return held
+}
+
 func newBlame(suspects []*suspect) *blame {
 	b := &blame{blamed: suspects, holders: make(map[Server][]*suspect)}
 	for _, s := range suspects {
@@ -126,7 +141,7 @@
 func (b *blame) leastNeeded() *suspect {
 	var least *suspect
 	for _, s := range b.blamed {
-		if s.weight < s.neededWeight() && (least == nil || s.lessNeeded(least)) {
+		if s.weight < unexplainedWeight*MaxEnds && (least == nil || s.lessNeeded(least)) {
 			least = s
 		}
 	}
--- a/internal/core/poison/exchange.go
+++ b/internal/core/poison/exchange.go
@@ -61,8 +61,8 @@
 			out.Ends = append(out.Ends, r.endFor(server, e, now))
 		}
 	}
-	if !r.proof.at.IsZero() {
-		out.Proof = &Proof{Software: r.proof.software, Age: now.Sub(r.proof.at)}
+	for _, software := range slices.Sorted(maps.Keys(r.proofs)) {
+		out.Proofs = append(out.Proofs, Proof{Software: software, Age: now.Sub(r.proofs[software])})
 	}
 	return out, true
 }
@@ -116,8 +116,10 @@
 	if r == nil {
 		return changed
 	}
-	if in.Proof != nil && r.prove(proof{software: in.Proof.Software, at: now.Add(-in.Proof.Age)}) {
-		t.blocked, changed = nil, true
+	for _, proof := range in.Proofs {
+		if r.prove(proof.Software, now.Add(-proof.Age)) {
+			t.blocked, changed = nil, true
+		}
 	}
 	r.usedAt = later(r.usedAt, now.Add(-in.UseAge))
 	if in.Trials > r.trials {
--- a/internal/core/poison/poison.go
+++ b/internal/core/poison/poison.go
@@ -11,6 +11,8 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 )
 
@@ -18,10 +20,6 @@
 // next run would otherwise end one more, and everything else that runs there.
 const MaxEnds = 3
 
-// maxProvenEnds takes the place of MaxEnds for a part that was answered shortly before: it is rather another part of the
-// same requests that ends servers. Two of them leave at most twice MaxEnds-1 ends unexplained.
-const maxProvenEnds = 2*(MaxEnds-1) + 1
-
 // Weights of the end of a server under a request. One that another blocked request explains counts
 // half. If it did not count at all, one poison request among many would be sent on as long as the
 // others took the blame.
@@ -79,8 +77,8 @@
 	Position int `json:"position,omitempty"`
 	// Ends are the servers that ended under it.
 	Ends []End `json:"ends,omitempty"`
-	// Proof is the latest answer to a request with the part, nil if none is known.
-	Proof *Proof `json:"proof,omitempty"`
+	// Proofs are the latest answers to requests with the part, one for each software.
+	Proofs []Proof `json:"proofs,omitempty"`
 	// Voided are servers whose end is no longer held against the request.
 	Voided []Server `json:"voided,omitempty"`
 	// Trials is the number of times that the request was sent although it was blocked.
@@ -105,8 +103,8 @@
 	position int
 	// ends holds each server that ended under it.
 	ends map[Server]*end
-	// proof is the latest answer to a request with the part.
-	proof proof
+	// proofs maps each software to the time of its latest answer to a request with the part.
+	proofs map[string]time.Time
 	// trials counts the times that the request was sent although it was blocked.
 	trials int
 	// changedAt is the time of the last end or trial, and usedAt that of the last arrival.
@@ -122,33 +120,35 @@
 	voided   bool
 }
 
-// proof is a Proof with its time; zero if there is none.
-type proof struct {
-	software string
-	at       time.Time
-}
-
 const (
 	// proofLead is the time after an answer in which ends are not held against a part: a part that was answered a moment
 	// before many servers end at once did not end them.
 	proofLead = time.Second
 	// proofMemory is the time before an end in which an answer makes other parts of the same requests more suspect.
 	proofMemory = time.Minute
+	// maxProofs is the number of versions of the software of which a record holds an answer.
+	maxProofs = 4
 )
 
-// covers reports whether an answer shows that the part did not cause an end.
-func (p proof) covers(e *end) bool {
-	return p.appliesTo(e) && !e.at.After(p.at.Add(proofLead))
+// counts reports whether an end is held against the content or the part. It is not if the same software answered a
+// request with the part later, or a moment before.
+func (r *record) counts(e *end) bool {
+	at, ok := r.provenAt(e)
+	return !e.voided && !(ok && !e.at.After(at.Add(proofLead)))
 }
 
-// appliesTo reports whether the answer came from the same software as runs on the server that ended.
-func (p proof) appliesTo(e *end) bool {
-	return !p.at.IsZero() && (e.software == "" || e.software == p.software)
+// provenAt returns the time of the latest answer by the software of an end, or by any if that is unknown.
+func (r *record) provenAt(e *end) (latest time.Time, ok bool) {
+	if e.software != "" {
+		latest, ok = r.proofs[e.software]
+		return latest, ok
+	}
+	for _, at := range r.proofs {
+		latest = later(latest, at)
+	}
+	return latest, len(r.proofs) > 0
 }
 
-// counts reports whether an end is held against the content or the part.
-func (r *record) counts(e *end) bool { return !e.voided && !r.proof.covers(e) }
-
 // count returns the number of ends that count.
 func (r *record) count() int {
 	n := 0
@@ -160,34 +160,38 @@
 	return n
 }
 
-// proven reports whether the part was answered shortly before one of the ends that count.
+// proven reports whether the part was answered shortly before one of the ends that count, by the same software.
 func (r *record) proven() bool {
 	for _, e := range r.ends {
-		if r.counts(e) && r.proof.appliesTo(e) && e.at.Sub(r.proof.at) <= proofMemory {
+		at, ok := r.provenAt(e)
+		if ok && r.counts(e) && e.at.Sub(at) <= proofMemory {
 			return true
 		}
 	}
 	return false
 }
 
-// prove records an answer and reports whether that lowers the suspicion. Of answers by two versions of the software, one
-// by the version on which servers ended is kept.
-func (r *record) prove(p proof) bool {
-	if !p.at.After(r.proof.at) || !r.appliesToAny(p) && r.appliesToAny(r.proof) {
+// prove records an answer by a software and reports whether that lowers the suspicion.
+func (r *record) prove(software string, at time.Time) bool {
+	if !at.After(r.proofs[software]) {
 		return false
 	}
 	count, proven := r.count(), r.proven()
-	r.proof = p
+	if r.proofs == nil {
+		r.proofs = make(map[string]time.Time)
+	}
+	r.proofs[software] = at
+	r.dropOldestProof()
 	return r.count() < count || r.proven() && !proven
 }
 
-func (r *record) appliesToAny(p proof) bool {
-	for _, e := range r.ends {
-		if p.appliesTo(e) {
-			return true
-		}
+// dropOldestProof bounds the proofs.
+func (r *record) dropOldestProof() {
+	if len(r.proofs) <= maxProofs {
+		return
 	}
-	return false
+	oldest := slices.MinFunc(slices.Sorted(maps.Keys(r.proofs)), func(a, b string) int { return r.proofs[a].Compare(r.proofs[b]) })
+	delete(r.proofs, oldest)
 }
 
 // lastUse returns the time from which the record is kept.
--- a/internal/core/poison/poison_test.go
+++ b/internal/core/poison/poison_test.go
@@ -233,3 +233,88 @@
 		delete(tracker.records[1].ends, Server{Name: "s", Incarnation: uint64(next)})
 	}
 }
+
+const part, second Key = 100, 101
+
+// partEnds records ends under a part, one a second from a time.
+func partEnds(t *Tracker, part Key, position int, software string, from time.Time, servers ...int) {
+	for i, s := range servers {
+		t.PartEnded(part, position, server(s), software, from.Add(time.Duration(i)*time.Second))
+	}
+}
+
+// Guards against blaming a part that many requests share for what another part of some of them does.
+func TestAnsweredPartIsNotBlamed(t *testing.T) {
+	tracker := NewTracker()
+	partEnds(tracker, part, 1, "v1", epoch, 1, 2, 3, 4)
+	require.Equal(t, []Key{part}, tracker.BlockedKeys())
+	require.Equal(t, []Key{part}, tracker.PartsAnswered([]Key{part}, "v1", epoch.Add(4*time.Second)))
+	require.Empty(t, tracker.BlockedKeys())
+	partEnds(tracker, part, 1, "v1", epoch.Add(4500*time.Millisecond), 5)
+	require.False(t, tracker.Suspicious(part), "it was answered a moment before")
+	partEnds(tracker, part, 1, "v1", epoch.Add(6*time.Second), 6, 7, 8, 9)
+	partEnds(tracker, second, 2, "v1", epoch.Add(6*time.Second), 6, 7, 8)
+	require.Equal(t, []Key{second}, tracker.BlockedKeys(), "the one that nothing proves")
+	partEnds(tracker, part, 1, "v1", epoch.Add(10*time.Second), 10, 11, 12, 13)
+	require.Equal(t, []Key{part, second}, tracker.BlockedKeys(), "it has turned bad")
+}
+
+// Guards against clearing a part that one version of a software ends on by what another version answers, and against
+// forgetting what one answered for the other's answer.
+func TestAnswersProveTheirSoftwareOnly(t *testing.T) {
+	tracker := NewTracker()
+	partEnds(tracker, part, 1, "v2", epoch, 1, 2, 3)
+	require.Empty(t, tracker.PartsAnswered([]Key{part}, "v1", epoch.Add(4*time.Second)))
+	require.Equal(t, []Key{part}, tracker.BlockedKeys())
+	require.NotEmpty(t, tracker.PartsAnswered([]Key{part}, "v2", epoch.Add(5*time.Second)))
+	require.Empty(t, tracker.PartsAnswered([]Key{part}, "v1", epoch.Add(6*time.Second)))
+	require.Empty(t, tracker.BlockedKeys())
+}
+
+// Guards against refusing what shares the earlier part where two parts always come together.
+func TestLaterPartIsBlamedFirst(t *testing.T) {
+	tracker := NewTracker()
+	partEnds(tracker, part, 1, "v1", epoch, 1, 2, 3)
+	partEnds(tracker, second, 2, "v1", epoch, 1, 2, 3)
+	endAll(tracker, 7, 1, 2)
+	require.Equal(t, []Key{second}, tracker.BlockedKeys())
+	partEnds(tracker, part, 1, "v1", epoch.Add(3*time.Second), 4, 5)
+	require.Equal(t, []Key{part}, tracker.BlockedKeys(), "it explains more")
+}
+
+// Guards against instances that decide differently about parts because records come in another order, twice, through an
+// earlier version, or late.
+func TestRecordsOfPartsMerge(t *testing.T) {
+	first, other := NewTracker(), NewTracker()
+	partEnds(first, part, 1, "v1", epoch, 1, 2)
+	partEnds(other, part, 1, "v1", epoch.Add(time.Second), 3)
+	other.PartsAnswered([]Key{part}, "v1", epoch.Add(-30*time.Second))
+	now := epoch.Add(2 * time.Second)
+	for range 2 {
+		fromFirst, _ := first.Record(part, now)
+		fromOther, _ := other.Record(part, now)
+		stripped := fromFirst
+		stripped.Position, stripped.Ends = 0, []End{{Server: server(1)}, {Server: server(2)}}
+		other.Merge(stripped, now)
+		other.Merge(fromFirst, now)
+		first.Merge(fromOther, now)
+	}
+	a, _ := first.Record(part, now)
+	b, _ := other.Record(part, now)
+	require.Equal(t, a.Position, b.Position)
+	require.Len(t, a.Ends, 3)
+	require.Equal(t, len(a.Ends), len(b.Ends))
+	require.Equal(t, first.BlockedKeys(), other.BlockedKeys())
+}
+
+// Guards against a popular part whose record is full of old ends, so that later ones are not seen.
+func TestLateEndsOfPopularPartAreSeen(t *testing.T) {
+	tracker := NewTracker()
+	for i := range 3 * maxServers {
+		tracker.PartEnded(part, 1, server(i), "v1", epoch.Add(time.Duration(i)*time.Second))
+	}
+	tracker.PartsAnswered([]Key{part}, "v1", epoch.Add(time.Hour))
+	require.Empty(t, tracker.BlockedKeys())
+	partEnds(tracker, part, 1, "v1", epoch.Add(time.Hour+2*time.Second), 1000, 1001, 1002, 1003, 1004)
+	require.Equal(t, []Key{part}, tracker.BlockedKeys())
+}
--- a/internal/core/poison/tracker.go
+++ b/internal/core/poison/tracker.go
@@ -70,15 +70,19 @@
 func (t *Tracker) add(key Key, position int, server Server, e *end, now time.Time) bool {
 	r := t.record(key)
 	r.position = max(r.position, position)
-	if _, known := r.ends[server]; known || !r.makeRoom(e) {
+	if known := r.ends[server]; known != nil {
+		known.software = cmp.Or(known.software, e.software)
+		return false
+	}
+	if !r.makeRoom(e) {
 		return false
 	}
 	_, voided := t.voided[server]
 	_, voidedContent := t.voidedContents[server]
 	e.voided = voided || voidedContent && r.position == 0
 	r.ends[server] = e
-	if p, ok := t.answers.latest(key); ok {
-		r.prove(p)
+	if answeredAt, ok := t.answers.latest(key, e.software); ok {
+		r.prove(e.software, answeredAt)
 	}
 	r.changedAt = later(r.changedAt, e.at)
 	if r.count() == MaxEnds {
@@ -147,14 +151,13 @@
 	return slices.Compact(changed)
 }
 
-// PartsAnswered records a whole answer to a request with the parts. It returns the parts that are less suspect now,
-// of which other instances are to be told.
-func (t *Tracker) PartsAnswered(parts []Key, software string, now time.Time) []Key {
+// PartsAnswered records an answer to a request with the parts that began at a time. It returns the parts that are less
+// suspect now, of which other instances are to be told.
+func (t *Tracker) PartsAnswered(parts []Key, software string, beganAt time.Time) []Key {
 	var changed []Key
 	for _, part := range parts {
-		p := proof{software: software, at: now}
-		t.answers.add(part, p)
-		if r := t.records[part]; r != nil && r.prove(p) {
+		t.answers.add(part, software, beganAt)
+		if r := t.records[part]; r != nil && r.prove(software, beganAt) {
 			t.blocked = nil
 			changed = append(changed, part)
 		}
--- a/internal/core/poisonparts_test.go
+++ b/internal/core/poisonparts_test.go
@@ -70,6 +70,17 @@
 		f.crashes(700*time.Millisecond, partTrouble)
 		badAtOnce(underFirst("bad"))(f, size)
 	}},
+	{name: "while two versions serve and servers crash", prepare: func(f *partFleet, size partSize) {
+		f.version = "v2"
+		for range size.engines / 2 {
+			f.startEngine(fmt.Sprintf("engine-%d", f.started), f.started, 1)
+			f.started++
+		}
+		f.run(5 * time.Second)
+	}, begin: func(f *partFleet, size partSize) {
+		f.crashes(400*time.Millisecond, partTrouble)
+		badAtOnce(underFirst("bad"))(f, size)
+	}},
 	{name: "a rare first part", prepare: func(f *partFleet, _ partSize) { f.first = "first-30" }, begin: badAtOnce(underFirst("bad"))},
 	{name: "one request a second", begin: func(f *partFleet, _ partSize) {
 		f.badRequests(1, partTrouble, func() []string { return []string{f.first, "bad"} })
--- a/internal/core/poisonrequests.go
+++ b/internal/core/poisonrequests.go
@@ -184,11 +184,35 @@
 	case e.Outcome == retry.Answered && !e.Uncertain, e.Outcome == retry.Failed:
 		n.recordAnswerOf(r.start, r.sentAt)
 		changed := n.poison.tracker.Completed(r.key, n.now)
-		changed = append(changed, n.poison.tracker.PartsAnswered(r.parts, r.softwareName(), n.now)...)
 		n.poisonChanged(sourceSelf, changed...)
+		beganAt := r.beganAt
+		if beganAt.IsZero() {
+			beganAt = n.now
+		}
+		n.partsAnswered(r, beganAt)
 	}
 }
 
+// partsAnswered records that a backend server did not end by beginning to answer a request at a time. An answer that
+// ends long after it has begun shows nothing about what has changed meanwhile.
+func (n *Node) partsAnswered(r *request, beganAt time.Time) {
+	n.poisonChanged(sourceSelf, n.poison.tracker.PartsAnswered(r.parts, r.softwareName(), beganAt)...)
+}
+
+// checkBegun records after beginWindow that an answer in progress has begun without an end of its server. Long answers
+// would else prove their parts late.
+func (n *Node) checkBegun(r *request) {
+	if len(r.parts) == 0 {
+		return
+	}
+	attempt, beganAt := r.attempt, r.beganAt
+	n.schedule(n.now.Add(beginWindow), r, func(n *Node, r *request) {
+		if r.running && r.attempt == attempt {
+			n.partsAnswered(r, beganAt)
+		}
+	})
+}
+
 // softwareName names the software that runs the last attempt: two services may run different programs under one
 // version.
 func (r *request) softwareName() string { return r.service.Name + " " + r.version }
--- a/internal/core/wiresize.go
+++ b/internal/core/wiresize.go
@@ -25,11 +25,13 @@
 	sizeAnswers = 8
 	sizeClaim   = 34
 	// sizePoison is the size of a poison record without its servers, sizeServerStart that of a
-	// server in it. sizePart and sizePartEnd are what is added to them for a part.
+	// server in it. sizePart and sizePartEnd are what is added to them for a part, and sizeProof the size of an answer
+	// that proves it.
 	sizePoison      = 14
 	sizeServerStart = 12
-	sizePart        = 8
+	sizePart        = 2
 	sizePartEnd     = 5
+	sizeProof       = 7
 	deflateRatio    = 8
 	// sizeStream is the size of the record of a stream, sizeStreamQuestion that of a question, and
 	// sizeVersion that of a version in an answer.
@@ -97,7 +99,7 @@
 func poisonEstimate(r *poison.Record) int {
 	size := sizePoison + sizeServerStart*(len(r.Ends)+len(r.Voided))
 	if r.Position > 0 {
-		size += sizePart + sizePartEnd*len(r.Ends)
+		size += sizePart + sizePartEnd*len(r.Ends) + sizeProof*len(r.Proofs)
 	}
 	return size
 }
--- a/internal/peer/decode.go
+++ b/internal/peer/decode.go
@@ -359,12 +359,12 @@
 		}
 		out.Voided = append(out.Voided, server)
 	}
-	if in.ProofAge > 0 {
-		software, err := d.name(in.ProofSoftware)
+	for _, proof := range in.Proofs {
+		software, err := d.name(proof.Software)
 		if err != nil {
 			return out, err
 		}
-		out.Proof = &poison.Proof{Software: software, Age: duration(in.ProofAge - 1)}
+		out.Proofs = append(out.Proofs, poison.Proof{Software: software, Age: duration(proof.Age)})
 	}
 	return out, nil
 }
--- a/internal/peer/encode.go
+++ b/internal/peer/encode.go
@@ -203,8 +203,8 @@
 	for _, server := range r.Voided {
 		out.Voided = append(out.Voided, e.serverStart(server))
 	}
-	if r.Proof != nil {
-		out.ProofAge, out.ProofSoftware = 1+min(millis(r.Proof.Age), math.MaxUint32-1), e.id(r.Proof.Software)
+	for _, proof := range r.Proofs {
+		out.Proofs = append(out.Proofs, &peerpb.PartProof{Software: e.id(proof.Software), Age: millis(proof.Age)})
 	}
 	return out
 }
--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -140,12 +140,35 @@
 	kind, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
 	b.world.recorder.recordRun(attempt.ID, kind == kindOnce || kind == kindReview)
 	if content, marked := poisonContent(r.URL.Path); marked {
-		b.runPoison(content, attempt.ID)
+		b.runPoison(content, maxPoisonEnds, attempt.ID)
+	}
+	if part := badPart(attempt.Parts); part != "" {
+		b.runPoison(part, maxPartEnds, attempt.ID)
 	}
 	fakeplatform.SetSeal(w, expectedSeal(attempt.ID))
+	if isUnframed(kind, attempt.ID) {
+		b.respondUnframed(w, r, attempt, kind)
+		return
+	}
 	b.respond(w, r, attempt, kind)
 }
 
+// respondUnframed responds without a length or chunks.
+func (b *backend) respondUnframed(w http.ResponseWriter, r *http.Request, attempt fakeplatform.Attempt, kind string) {
+	u, err := takeOver(w)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer func() { _ = u.conn.Close() }()
+	if kind == kindStream {
+		b.stream(u, r, attempt)
+		return
+	}
+	time.Sleep(10 * time.Millisecond)
+	// The caller sees a response that is cut off here.
+	_, _ = fmt.Fprint(u, expectedBody(attempt.ID))
+}
+
 // checkArrival checks the guarantees for every request that reaches a backend server.
 func (b *backend) checkArrival(attempt fakeplatform.Attempt) {
 	r := b.world.recorder
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -32,7 +32,7 @@
 	random := rand.New(rand.NewPCG(w.options.Seed, uint64(1000+number)))
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}}
 	for n := 0; ctx.Err() == nil; n++ {
-		i := w.instances[random.IntN(len(w.instances))]
+		i := w.chooseInstance(random)
 		kind := requestKinds[random.IntN(len(requestKinds))]
 		id := fmt.Sprintf("c%d-%d", number, n)
 		if kind == kindStream {
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -37,7 +37,7 @@
 		w.killInstance, w.stopInstance, w.stopInstance, w.pauseInstance, w.reloadInstance,
 		w.storeFault, w.storeFault, w.impairStoreLink, w.compactStore, w.reconfigure, w.reconfigure,
 		w.crashBackend, w.drainBackend, w.drainBackend, w.injectBackendFault, w.injectBackendFault, w.impairBackendLink, w.limitRejections,
-		w.release, w.release, w.restartUnderName,
+		w.release, w.release, w.restartUnderName, w.crowd,
 	}
 	random := rand.New(rand.NewPCG(w.options.Seed, 0))
 	var pending sync.WaitGroup
--- a/internal/soak/poison.go
+++ b/internal/soak/poison.go
@@ -34,8 +34,8 @@
 	mu sync.Mutex
 	// senders maps the ids of requests to the instances to which they were sent.
 	senders map[string]*instance
-	// ends counts the servers that ended under a content, and lastEnd is the time of the end that
-	// reached maxPoisonEnds.
+	// ends counts the servers that ended under a content or a part, and reached is the time of the end that
+	// began the bound on its sends.
 	ends    map[string]int
 	reached map[string]time.Duration
 	// lateSends counts the sends that are beyond the limit of time.
@@ -54,21 +54,26 @@
 	return strings.CutPrefix(path, poisonPath)
 }
 
-// runPoison ends the backend server that runs a poison request. A server that leaves or has ended
+// runPoison ends the backend server that runs a request with a content or a part of which more than maxEnds servers must
+// not end. A server that leaves or has ended
 // already breaks off instead.
-func (b *backend) runPoison(content, id string) {
+func (b *backend) runPoison(content string, maxEnds int, id string) {
 	w := b.world
-	w.recordPoisonSend(content, id)
+	w.recordPoisonSend(content, maxEnds, id)
 	time.Sleep(time.Duration(10+rand.IntN(100)) * time.Millisecond)
 	if b.leavingAt.CompareAndSwap(0, -1) {
-		w.recordPoisonEnd(content)
+		w.recordPoisonEnd(content, maxEnds)
 		w.replacing.Go(func() { w.replaceEnded(b) })
 	}
 	panic(http.ErrAbortHandler)
 }
 
-// replaceEnded ends a backend server at once and replaces it some seconds later.
+// replaceEnded ends a backend server at once and replaces it some seconds later. Like the end of a process, it closes the
+// server's connections in order or resets them.
 func (w *World) replaceEnded(b *backend) {
+	if rand.IntN(2) == 0 {
+		b.relay.CloseInOrder()
+	}
 	b.close()
 	time.Sleep(time.Second + time.Duration(rand.Int64N(int64(2*time.Second))))
 	w.store.Unregister(b.name)
@@ -76,29 +81,29 @@
 }
 
 // recordPoisonSend checks the arrival of a poison request at a backend server.
-func (w *World) recordPoisonSend(content, id string) {
+func (w *World) recordPoisonSend(content string, maxEnds int, id string) {
 	p := w.poison
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	i := p.senders[id]
 	since := w.recorder.elapsed() - p.reached[content]
-	if p.ends[content] < maxPoisonEnds || since < poisonContact || i == nil || i.disturbedSince(w.recorder.elapsed()-poisonContact) {
+	if p.ends[content] < maxEnds || since < poisonContact || i == nil || i.disturbedSince(w.recorder.elapsed()-poisonContact) {
 		return
 	}
 	p.lateSends[content]++
 	w.recorder.count("late poison sends")
 	if p.lateSends[content] > poisonSlack {
 		w.recorder.recordViolation("a request that ends servers is not sent on", id,
-			fmt.Sprintf("content %s, by %s, %v after the third end, %d ended", content, i.name, since, p.ends[content]))
+			fmt.Sprintf("%s, by %s, %v after the end that began the bound, %d ended", content, i.name, since, p.ends[content]))
 	}
 }
 
-func (w *World) recordPoisonEnd(content string) {
+func (w *World) recordPoisonEnd(content string, maxEnds int) {
 	p := w.poison
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.ends[content]++
-	if p.ends[content] == maxPoisonEnds {
+	if p.ends[content] == maxEnds {
 		p.reached[content] = w.recorder.elapsed()
 	}
 	w.recorder.count("servers ended by requests")
@@ -114,7 +119,11 @@
 			return
 		case <-time.After(poisonInterval / 2):
 		}
-		senders.Go(func() { w.repeatPoison(ctx, number) })
+		if number%2 == 0 {
+			senders.Go(func() { w.repeatPoison(ctx, number) })
+		} else {
+			senders.Go(func() { w.repeatBadPart(ctx, number) })
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -130,8 +139,9 @@
 	random := rand.New(rand.NewPCG(w.options.Seed, uint64(2000+number)))
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
 	for n := 0; ctx.Err() == nil; n++ {
-		i := w.instances[random.IntN(len(w.instances))]
-		w.callPoison(ctx, client, i, number, fmt.Sprintf("p%d-%d", number, n))
+		w.sendPoison(ctx, client, w.chooseInstance(random), fakeplatform.Call{
+			Path: fmt.Sprint(poisonPath, number), ID: fmt.Sprintf("p%d-%d", number, n), Body: "the same each time",
+		})
 		select {
 		case <-ctx.Done():
 		case <-time.After(randomDuration(random, 50*time.Millisecond, 400*time.Millisecond)):
@@ -139,14 +149,13 @@
 	}
 }
 
-func (w *World) callPoison(ctx context.Context, client *http.Client, i *instance, number int, id string) {
+// sendPoison sends a request that ends servers to an instance.
+func (w *World) sendPoison(ctx context.Context, client *http.Client, i *instance, call fakeplatform.Call) {
 	w.poison.mu.Lock()
-	w.poison.senders[id] = i
+	w.poison.senders[call.ID] = i
 	w.poison.mu.Unlock()
-	req, err := fakeplatform.NewRequest(ctx, fakeplatform.Call{
-		Address: i.listen, Host: routeHost, Path: fmt.Sprint(poisonPath, number), ID: id, Key: callerKey, Timeout: callerTimeout,
-		Body: "the same each time",
-	})
+	call.Address, call.Host, call.Key, call.Timeout = i.listen, routeHost, callerKey, callerTimeout
+	req, err := fakeplatform.NewRequest(ctx, call)
 	if err != nil {
 		return
 	}
@@ -156,7 +165,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode == http.StatusServiceUnavailable {
-		w.recorder.recordRefusal(id, fmt.Sprintf("%s at %s", resp.Status, i.name))
+		w.recorder.recordRefusal(call.ID, fmt.Sprintf("%s at %s", resp.Status, i.name))
 		w.recorder.count("poison requests refused")
 	}
 }
--- a/internal/soak/streams.go
+++ b/internal/soak/streams.go
@@ -35,6 +35,33 @@
 type streamRecorder struct {
 	mu               sync.Mutex
 	begun, continued streamCount
+	// sharing and others count new streams while requests with a bad part come: those that share their first part, and
+	// the rest. troubled is that part.
+	sharing, others streamCount
+	troubled        string
+	// crowded and evenly count new streams while most requests reach one instance, and otherwise.
+	crowded, evenly streamCount
+}
+
+// setTroubled sets the first part that bad requests share with sound ones now, "" for none.
+func (r *streamRecorder) setTroubled(first string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.troubled = first
+}
+
+// sharingCount returns the count for a new stream by its first part, nil if no bad requests come.
+func (r *streamRecorder) sharingCount(first string) *streamCount {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch r.troubled {
+	case "":
+		return nil
+	case first:
+		return &r.sharing
+	default:
+		return &r.others
+	}
 }
 
 // streamCount counts requests, and those of them that brought an event.
@@ -49,18 +76,20 @@
 	// first is the ID of the request that brought the first event, and version its version.
 	first, version string
 	received       int
+	// parts are the parts of the prompt.
+	parts []string
 	// leaveAfter is the number of events after which the caller breaks its connection once; 0 for never.
 	leaveAfter int
 }
 
 // runStream receives a stream, and continues it at other instances if it breaks.
 func (w *World) runStream(ctx context.Context, client *http.Client, random *rand.Rand, id string) {
-	s := &callerStream{name: id}
+	s := &callerStream{name: id, parts: soundPrompt(random, id)}
 	if random.IntN(leaveOdds) == 0 {
 		s.leaveAfter = 1 + random.IntN(maxLeaveAfter)
 	}
 	for try := range maxStreamTries {
-		i := w.instances[random.IntN(len(w.instances))]
+		i := w.chooseInstance(random)
 		if w.receiveStream(ctx, client, i, s, fmt.Sprintf("%s.%d", id, try)) || ctx.Err() != nil {
 			return
 		}
@@ -75,6 +104,7 @@
 	defer cancel()
 	call := fakeplatform.Call{
 		Address: i.listen, Host: routeHost, Path: "/" + kindStream + "/" + s.name, ID: id, Key: callerKey, Timeout: callerTimeout,
+		Parts: s.parts,
 	}
 	if s.received > 0 {
 		call.Continues, call.ResumeAfter = s.first, strconv.Itoa(s.received)
@@ -84,7 +114,14 @@
 		return true
 	}
 	count := w.streamCountFor(s, i)
+	isNew := s.received == 0
 	startedAt, before := w.recorder.elapsed(), s.received
+	defer func() {
+		if isNew && count != nil {
+			w.countStream(w.streams.sharingCount(s.parts[0]), s.received > before)
+			w.countCrowded(i, s.received > before)
+		}
+	}()
 	resp, err := client.Do(req)
 	w.checkResponseTime(i, id, startedAt, err)
 	if err != nil {
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -78,6 +78,9 @@
 	limitedSince  atomic.Int64
 	limitFailures atomic.Int32
 
+	// crowded is the instance that gets most new connections, nil if none does.
+	crowded atomic.Pointer[crowding]
+
 	// replacing counts the ended backend servers that are yet to be replaced.
 	replacing sync.WaitGroup
 
@@ -161,6 +164,8 @@
 	// Requests in transit may still run and violate a guarantee.
 	time.Sleep(time.Second)
 	w.checkContinuedStreams()
+	w.checkSharing()
+	w.checkCrowded()
 	w.recorder.mu.Lock()
 	defer w.recorder.mu.Unlock()
 	return &Result{Violations: w.recorder.violations, Counts: w.recorder.counts}, nil
--- a/test/relay/relay.go
+++ b/test/relay/relay.go
@@ -74,6 +74,16 @@
 	}
 }
 
+// CloseInOrder stops the relay and closes its connections in order, as the end of a process does.
+func (r *Relay) CloseInOrder() {
+	_ = r.listener.Close()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for c := range r.conns {
+		_ = c.Close()
+	}
+}
+
 // Close stops the relay and resets its connections.
 func (r *Relay) Close() {
 	_ = r.listener.Close()
