Emulate a part that ends servers, and a balancer that crowds one router

ebonymeasure has two scenarios more: rush-crowded, nine in ten turns at one router for 20 s of each minute, and bad-part, five requests a second whose session's part ends each engine, beside sessions that share their first part.

--- a/internal/measure/faults.go
+++ b/internal/measure/faults.go
@@ -86,6 +86,17 @@
 	}
 }
 
+// endByRequest ends a backend server that began to answer a request of a kind that ends servers. It is back after
+// flapDowntime.
+func (w *world) endByRequest(s *server) {
+	if s.state == membership.Gone {
+		return
+	}
+	w.collector.EndedByRequests++
+	w.crash(s)
+	w.after(flapDowntime, func() { w.join(s) })
+}
+
 func (w *world) replaceRouter() {
 	w.policy.processReplaced(w.routers[w.random.IntN(len(w.routers))])
 }
--- a/internal/measure/figures.go
+++ b/internal/measure/figures.go
@@ -37,6 +37,8 @@
 	// FailedTurns counts the turns that failed in a crash and for which the retry budget had no
 	// retry left.
 	FailedTurns int `json:"broken"`
+	// EndedByRequests counts the backend servers that ended under requests.
+	EndedByRequests int `json:"ended_by_requests"`
 	// OutsideSurge and DuringSurge cover the customers that never surge, outside and during
 	// the surge of the others. Surging covers the surging customers during their surge.
 	OutsideSurge GroupFigures `json:"quiet"`
@@ -94,6 +96,8 @@
 
 func (c *collector) group(w *world, t *turn) *groupCollector {
 	switch {
+	case t.chat.kind != nil && t.chat.kind.EndsServers:
+		return &groupCollector{}
 	case !surgingCustomers[t.chat.customer] && w.inSurge():
 		return &c.duringSurge
 	case !surgingCustomers[t.chat.customer]:
--- a/internal/measure/fleet.go
+++ b/internal/measure/fleet.go
@@ -201,7 +201,7 @@
 		e.Hint = t.chat.hint
 	}
 	if t.chat.kind != nil {
-		e.Prompt = t.prompt()
+		e.Prompt, e.SharedParts = t.prompt(), t.sharedParts()
 	}
 	f.placements[t] = &placement{process: p}
 	attempt, refused := f.handle(p, e)
@@ -234,6 +234,7 @@
 	pl := f.placements[t]
 	pl.process.inFlight--
 	e := core.AttemptEnded{Request: core.RequestID(t.id()), Attempt: pl.attempt, Outcome: outcome}
+	e.ServerEnded = outcome == retry.Unknown && t.server.state == membership.Gone
 	if outcome == retry.Answered {
 		report := f.report(t.server)
 		e.Load = &report
--- a/internal/measure/measure_test.go
+++ b/internal/measure/measure_test.go
@@ -121,3 +121,37 @@
 	require.Greater(t, ours.Reuse, 0.85*oracle.Reuse)
 	require.Greater(t, ours.Reuse, 5*measure.Run(s, "two-choices").Reuse)
 }
+
+// Guards against refusals and long waits while the balancer gives most requests to one router.
+func TestCrowdedRouterServesAsOthers(t *testing.T) {
+	t.Parallel()
+	run := func(name string) measure.Figures {
+		s := shortScenario(t, name, 1)
+		s.Warmup, s.Duration = 5*time.Minute, 23*time.Minute
+		return measure.Run(s, "ours-hint")
+	}
+	even, crowded := run("rush"), run("rush-crowded")
+	for what, groups := range map[string][2]measure.GroupFigures{
+		"outside the surge": {even.OutsideSurge, crowded.OutsideSurge}, "during the surge": {even.DuringSurge, crowded.DuringSurge},
+	} {
+		t.Logf("%s: refused %d of %d, crowded %d of %d", what, groups[0].Refusals, groups[0].Turns, groups[1].Refusals, groups[1].Turns)
+		require.Less(t, groups[1].Refusals, groups[1].Turns/100, what)
+		require.Less(t, groups[1].WaitP95, 1.5*groups[0].WaitP95, what)
+	}
+}
+
+// Guards against a part of prompts that ends server after server, and against refusing what shares the part before it.
+func TestBadPartEndsFewServers(t *testing.T) {
+	t.Parallel()
+	for seed := uint64(1); seed <= 2; seed++ {
+		s := shortScenario(t, "bad-part", seed)
+		s.Warmup, s.Duration = 15*time.Second, 45*time.Second
+		without := measure.Run(s, "rendezvous")
+		f := measure.Run(s, "ours")
+		t.Logf("seed %d: %d servers ended, %d without blame; %d of %d turns refused", seed, f.EndedByRequests, without.EndedByRequests, f.OutsideSurge.Refusals, f.OutsideSurge.Turns)
+		require.Greater(t, without.EndedByRequests, 50, "without blame, the trouble occurs")
+		// Five ends, what is on its way then, and three more sends.
+		require.LessOrEqual(t, f.EndedByRequests, 5+3+2)
+		require.Less(t, f.OutsideSurge.Refusals, f.OutsideSurge.Turns/100)
+	}
+}
--- a/internal/measure/scenarios.go
+++ b/internal/measure/scenarios.go
@@ -35,7 +35,11 @@
 	full.Policies = []string{"rendezvous", "bound-exact", "ours", "ours-hint"}
 	rush := skew
 	rush.Name, rush.Capacity, rush.Churn = "rush", 36, false
-	return []Scenario{reuse, skew, steady, low, large, full, rush, coldSessionsScenario(seed), coldFeedstockScenario(seed)}
+	crowded := rush
+	crowded.Name, crowded.Crowd = "rush-crowded", 0.9
+	return []Scenario{
+		reuse, skew, steady, low, large, full, rush, crowded, coldSessionsScenario(seed), coldFeedstockScenario(seed), badPartScenario(seed),
+	}
 }
 
 // CurveBounds lists the bounds at which the curve compares reuse with skew.
--- a/internal/measure/sessions.go
+++ b/internal/measure/sessions.go
@@ -22,6 +22,10 @@
 	Shared, Fresh float64
 	// Output is the mean number of tokens generated.
 	Output float64
+	// First is a part before those of the session, which requests of several kinds may share; "" for none.
+	First string
+	// EndsServers is set if the sessions' parts end each backend server that begins to answer a request with them.
+	EndsServers bool
 }
 
 // The sigma of the log-normal sizes. The users' workload sheet gives the kinds below
@@ -102,6 +106,14 @@
 	}
 }
 
+// sharedParts returns the parts of the prompt that other requests hold too.
+func (t *turn) sharedParts() []string {
+	if t.chat.kind.First == "" {
+		return []string{t.chat.id}
+	}
+	return []string{t.chat.kind.First, t.chat.id}
+}
+
 // sessionStartupTime is how long instances run before their first request: operators start
 // them before the load balancer sends traffic.
 const sessionStartupTime = 14 * time.Second
@@ -144,3 +156,15 @@
 		},
 	}
 }
+
+// badPartScenario is the cold scenario with requests, five a second, whose session's part ends each backend server. They
+// share their first part with all dossiers.
+func badPartScenario(seed uint64) Scenario {
+	s := coldSessionsScenario(seed)
+	s.Name = "bad-part"
+	s.SessionKinds[0].First = "library"
+	s.SessionKinds = append(s.SessionKinds, SessionKind{
+		Name: "bad", Rate: 5, Sessions: 1, Shared: 700, Fresh: 130, Output: 290, First: "library", EndsServers: true,
+	})
+	return s
+}
--- a/internal/measure/world.go
+++ b/internal/measure/world.go
@@ -43,6 +43,8 @@
 	ZoneLoss bool
 	// SessionKinds lists the kinds of session requests. If set, they replace the chats.
 	SessionKinds []SessionKind
+	// Crowd is the share of turns that reach one router for 20 seconds of each minute.
+	Crowd float64
 	// Slack is the number of requests allowed beyond the bound.
 	Slack int
 	// StartupTime is how long the routers run before the first request; it needs
@@ -159,13 +161,22 @@
 func (w *world) chooseRouter(t *turn) *router {
 	for i := uint64(0); ; i++ {
 		x := uint64(t.chat.number)*1_000_003 + uint64(t.number)*7919 + uint64(t.refusals)*104729 + i
-		r := w.routers[rand.NewPCG(w.Seed, x).Uint64()%uint64(len(w.routers))]
+		draw := rand.New(rand.NewPCG(w.Seed, x))
+		r := w.routers[draw.Uint64()%uint64(len(w.routers))]
+		if w.crowded() && i == 0 && draw.Float64() < w.Crowd {
+			r = w.routers[0]
+		}
 		if !r.down {
 			return r
 		}
 	}
 }
 
+// crowdPeriod is the period of the crowds at one router, and crowdTime the part of it for which one lasts.
+const crowdPeriod, crowdTime = time.Minute, 20 * time.Second
+
+func (w *world) crowded() bool { return w.Crowd > 0 && w.now%crowdPeriod < crowdTime }
+
 // maxRetries is how many times a caller retries a refused turn.
 const maxRetries = 3
 
@@ -190,7 +201,13 @@
 	}
 	attempt := t.attempt
 	if t.chat.kind != nil {
-		w.after(first, func() { w.policy.responseStarted(t) })
+		w.after(first, func() {
+			if t.chat.kind.EndsServers && t.attempt == attempt {
+				w.endByRequest(t.server)
+				return
+			}
+			w.policy.responseStarted(t)
+		})
 	}
 	w.after(end, func() {
 		if t.attempt == attempt {
