Move what a request may end servers by, and the records to be stored, into the poison package

The decisions on a request (blocked, trial, retry, blame for an end, proof by an answer) and the outbox of records for the store lay in the core's flat room beside the glue. No decision changes.

--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -24,7 +24,7 @@
 }
 
 func (n *Node) placeAndSend(r *request, e SendAttempt) {
-	if n.stopsPoison(r) {
+	if n.poison.tracker.Stops(&r.poison, r.runs) {
 		n.giveUp(r, reason.PoisonRequest)
 		return
 	}
@@ -132,7 +132,7 @@
 func (n *Node) send(r *request, e SendAttempt) {
 	r.attempt++
 	r.running, r.outcomeCounted = true, false
-	r.sentAt, r.start, r.beganAt = n.now, n.serverStart(r.backend), time.Time{}
+	r.sentAt = n.now
 	r.softwareUncertain = r.softwareUncertain && r.software != nil
 	if late := r.lateAfter(); late > 0 {
 		attempt := r.attempt
@@ -142,10 +142,11 @@
 	e.Request, e.Attempt, e.Deadline = r.arrived.Request, r.attempt, r.deadline
 	e.Backend, e.Address, e.Placement = r.backend, r.address, r.placement
 	r.version = n.versionOf(r.backend)
+	r.poison.Sent(n.serverStart(r.backend), r.softwareName())
 	e.Zone, e.Version = n.zoneOf(r.backend), r.version
 	e.Continues = r.arrived.Continues.first()
 	e.Dial = n.dialPlan(r)
-	e.Content = uint64(r.key)
+	e.Content = uint64(r.poison.Content)
 	e.Customer, e.Priority, e.AtMostOnce = r.arrived.Customer, r.policy.priority, !r.policy.repeatable
 	e.Process = n.processCheck(r)
 	e.FirstByteTimeout, e.StallTimeout = n.responseTimeouts(r)
@@ -156,8 +157,7 @@
 	n.applyAnswerReport(e.Load)
 	if r := n.requests[e.Request]; r != nil && r.running && e.Attempt == r.attempt {
 		r.responseStarted = true
-		r.beganAt = n.now
-		n.checkBegun(r)
+		n.responseBegan(r)
 		n.streamBegan(r, e.ProcessCertain)
 		n.paths.tracker.Reached(r.service.Name)
 		n.recordRejectionLimit(r, e.RejectionLimit)
@@ -261,7 +261,7 @@
 	why := outcome.Reason()
 	spent := r.attempt >= r.policy.maxAttempts || r.runs >= r.policy.maxRuns
 	switch {
-	case n.retryEndsAnother(r):
+	case n.poison.tracker.RetryEndsAnother(&r.poison):
 		n.giveUp(r, reason.PoisonRequest)
 	case spent && r.attempt > 1:
 		n.giveUp(r, reason.AttemptsExhausted)
--- a/internal/core/placement.go
+++ b/internal/core/placement.go
@@ -21,7 +21,7 @@
 	n.markFull(p)
 	choice := n.routingChoice(r, p)
 	i := routing.Pick(p.candidates, &choice)
-	if r.trial && r.software == nil {
+	if r.poison.IsTrial && r.software == nil {
 		i = p.leastLoaded(r.tried)
 	}
 	if i == routing.None {
--- a/internal/core/poison/blame.go
+++ b/internal/core/poison/blame.go
@@ -67,7 +67,7 @@
 			unproven = t.heldByUnproven()
 		}
 		for server, e := range r.ends {
-			if r.counts(e) && !(s.proven && unproven[server]) {
+			if r.counts(e) && (!s.proven || !unproven[server]) {
 				s.ends = append(s.ends, server)
 			}
 		}
--- a/internal/core/poison/poison.go
+++ b/internal/core/poison/poison.go
@@ -133,8 +133,11 @@
 // counts reports whether an end is held against the content or the part. It is not if the same software answered a
 // request with the part later, or a moment before.
 func (r *record) counts(e *end) bool {
+	if e.voided {
+		return false
+	}
 	at, ok := r.provenAt(e)
-	return !e.voided && !(ok && !e.at.After(at.Add(proofLead)))
+	return !ok || e.at.After(at.Add(proofLead))
 }
 
 // provenAt returns the time of the latest answer by the software of an end, or by any if that is unknown.
--- a/internal/core/poison/poison_test.go
+++ b/internal/core/poison/poison_test.go
@@ -303,7 +303,7 @@
 	b, _ := other.Record(part, now)
 	require.Equal(t, a.Position, b.Position)
 	require.Len(t, a.Ends, 3)
-	require.Equal(t, len(a.Ends), len(b.Ends))
+	require.Len(t, b.Ends, len(a.Ends))
 	require.Equal(t, first.BlockedKeys(), other.BlockedKeys())
 }
 
--- a/internal/core/poisonparts_test.go
+++ b/internal/core/poisonparts_test.go
@@ -42,7 +42,7 @@
 	{name: "a first part", begin: badAtOnce(func(f *partFleet) []string {
 		return []string{"bad", fmt.Sprint("second-bad-", f.random.IntN(secondParts))}
 	})},
-	{name: "a first part before a sound second one", begin: badAtOnce(func(f *partFleet) []string { return []string{"bad", "second-2-0"} })},
+	{name: "a first part before a sound second one", begin: badAtOnce(func(*partFleet) []string { return []string{"bad", "second-2-0"} })},
 	{name: "two parts under one first part", prepare: twoBadParts, begin: badAtOnce(underFirst("bad"), underFirst("bad-2")), atLargest: true},
 	{name: "two parts in turn under one first part", prepare: twoBadParts, begin: func(f *partFleet, _ partSize) {
 		turn := 0
--- a/internal/core/poisonrequests.go
+++ b/internal/core/poisonrequests.go
@@ -11,7 +11,6 @@
 	"github.com/ebonydyke/ebonydyke/internal/core/paths"
 	"github.com/ebonydyke/ebonydyke/internal/core/poison"
 	"github.com/ebonydyke/ebonydyke/internal/core/reason"
-	"github.com/ebonydyke/ebonydyke/internal/core/rendezvous"
 	"github.com/ebonydyke/ebonydyke/internal/core/retry"
 	"github.com/ebonydyke/ebonydyke/internal/core/routing"
 )
@@ -21,9 +20,6 @@
 	maxDigestPoison = 32
 	// poisonExpiryInterval is the interval between checks for records to be forgotten.
 	poisonExpiryInterval = 10 * time.Second
-	// beginWindow is the time from the first byte of a response for which the parts of its prompt are suspected if the
-	// server ends.
-	beginWindow = time.Second
 	// blockedRetryAfter is the Retry-After delay of a blocked request that is not to be sent again
 	// as long as it keeps coming.
 	blockedRetryAfter = 10 * time.Minute
@@ -60,40 +56,10 @@
 	}
 }
 
-// partKeys returns the keys of the parts of a prompt.
-func partKeys(ids []string) []poison.Key {
-	keys := make([]poison.Key, 0, len(ids))
-	for _, id := range ids {
-		keys = append(keys, poison.PartKey(id))
-	}
-	return keys
-}
-
-// blockedKeys returns the blocked ones among the request's content and parts.
-func (n *Node) blockedKeys(r *request) []poison.Key {
-	var blocked []poison.Key
-	if n.poison.tracker.Blocked(r.key) {
-		blocked = append(blocked, r.key)
-	}
-	for _, part := range r.parts {
-		if n.poison.tracker.Blocked(part) {
-			blocked = append(blocked, part)
-		}
-	}
-	return blocked
-}
-
 // refusesPoison reports whether a request is to be refused on arrival because its content or a part is blocked. When
 // a trial is due, the request becomes that trial.
 func (n *Node) refusesPoison(r *request) bool {
-	blocked := n.blockedKeys(r)
-	r.trial = len(blocked) > 0 && n.hearsAllPeers()
-	for _, key := range blocked {
-		n.poison.tracker.Used(key, n.now)
-		due, ever := n.poisonTrialDue(key)
-		r.trial = r.trial && ever && !n.now.Before(due)
-	}
-	return len(blocked) > 0 && !r.trial
+	return n.poison.tracker.Refuses(&r.poison, n.settings.Name, n.hearsAllPeers(), n.now)
 }
 
 // hearsAllPeers reports whether no instance of the layout is silent. An instance that is cut off
@@ -107,26 +73,12 @@
 	return true
 }
 
-// poisonTrialDue returns the time from which this instance may send a blocked request once more,
-// and whether it may at all. The instances' times are spread over half of the delay, so that two
-// that receive the request at the same moment do not both start the trial.
-func (n *Node) poisonTrialDue(key poison.Key) (time.Time, bool) {
-	due, delay, ever := n.poison.tracker.TrialDue(key)
-	share := rendezvous.Unit(rendezvous.HashPair(n.settings.Name, key.String()))
-	return due.Add(time.Duration(share * float64(delay) / 2)), ever
-}
-
-// stopsPoison reports whether a request must not be sent, or not be sent again. A trial is one run.
-func (n *Node) stopsPoison(r *request) bool {
-	return (!r.trial || r.runs > 0) && len(n.blockedKeys(r)) > 0
-}
-
 // recordTrial records the first attempt of a trial and tells the other instances.
 func (n *Node) recordTrial(r *request) {
-	if !r.trial || r.attempt > 0 {
+	if !r.poison.IsTrial || r.attempt > 0 {
 		return
 	}
-	for _, key := range n.blockedKeys(r) {
+	for _, key := range n.poison.tracker.BlockedAmong(&r.poison) {
 		n.poison.tracker.Trial(key, n.now)
 		n.queuePoison(sourceSelf, key)
 	}
@@ -153,15 +105,11 @@
 // poisonRetryAfter returns the Retry-After delay of a request that is refused for what is blocked: the time until the
 // next trial.
 func (n *Node) poisonRetryAfter(r *request) time.Duration {
-	delay := defaultRetryAfter
-	for _, key := range n.blockedKeys(r) {
-		due, ever := n.poisonTrialDue(key)
-		if !ever {
-			return blockedRetryAfter
-		}
-		delay = max(delay, due.Sub(n.now))
+	delay, ever := n.poison.tracker.UntilTrial(&r.poison, n.settings.Name, n.now)
+	if !ever {
+		return blockedRetryAfter
 	}
-	return delay
+	return max(delay, defaultRetryAfter)
 }
 
 // retryAfterOf returns the Retry-After delay for a request that ends for reason why.
@@ -177,46 +125,33 @@
 
 // updatePoison updates the poison records from the outcome of an attempt.
 func (n *Node) updatePoison(r *request, e AttemptEnded) {
-	r.suspected = false
 	switch {
 	case e.ServerEnded:
 		n.serverEnded(r)
 	case e.Outcome == retry.Answered && !e.Uncertain, e.Outcome == retry.Failed:
-		n.recordAnswerOf(r.start, r.sentAt)
-		changed := n.poison.tracker.Completed(r.key, n.now)
-		n.poisonChanged(sourceSelf, changed...)
-		beganAt := r.beganAt
-		if beganAt.IsZero() {
-			beganAt = n.now
-		}
-		n.partsAnswered(r, beganAt)
+		n.recordAnswerOf(r.poison.Start, r.sentAt)
+		n.poisonChanged(sourceSelf, n.poison.tracker.Answered(&r.poison, n.now)...)
 	}
 }
 
-// partsAnswered records that a backend server did not end by beginning to answer a request at a time. An answer that
-// ends long after it has begun shows nothing about what has changed meanwhile.
-func (n *Node) partsAnswered(r *request, beganAt time.Time) {
-	n.poisonChanged(sourceSelf, n.poison.tracker.PartsAnswered(r.parts, r.softwareName(), beganAt)...)
-}
+// softwareName names the software that runs the last attempt: two services may run different programs under one
+// version.
+func (r *request) softwareName() string { return r.service.Name + " " + r.version }
 
-// checkBegun records after beginWindow that an answer in progress has begun without an end of its server. Long answers
-// would else prove their parts late.
-func (n *Node) checkBegun(r *request) {
-	if len(r.parts) == 0 {
+// responseBegan records that the response of the last attempt has begun.
+func (n *Node) responseBegan(r *request) {
+	r.poison.BeganAt = n.now
+	if len(r.poison.Parts) == 0 {
 		return
 	}
-	attempt, beganAt := r.attempt, r.beganAt
-	n.schedule(n.now.Add(beginWindow), r, func(n *Node, r *request) {
+	attempt := r.attempt
+	n.schedule(n.now.Add(poison.BeginWindow), r, func(n *Node, r *request) {
 		if r.running && r.attempt == attempt {
-			n.partsAnswered(r, beganAt)
+			n.poisonChanged(sourceSelf, n.poison.tracker.Begun(&r.poison)...)
 		}
 	})
 }
 
-// softwareName names the software that runs the last attempt: two services may run different programs under one
-// version.
-func (r *request) softwareName() string { return r.service.Name + " " + r.version }
-
 // serverHasEnded decides whether a backend server ended under a request. This instance's own
 // observation is not enough: a device on its path may reset its connections and refuse new ones. A peer
 // that connects to the server disproves the end, and one that is refused as well confirms it. Without a
@@ -248,35 +183,17 @@
 // serverEnded records that a backend server ended while it held a request. The end of a server that
 // was leaving or whose entry had been removed was planned, and the request has no part in it.
 func (n *Node) serverEnded(r *request) {
-	member := n.view.Get(r.start.Name)
-	if member != nil && member.Incarnation == r.start.Incarnation && member.State != membership.Live {
+	start := r.poison.Start
+	member := n.view.Get(start.Name)
+	if member != nil && member.Incarnation == start.Incarnation && member.State != membership.Live {
 		return
 	}
-	var changed []poison.Key
-	if n.poison.tracker.Ended(r.key, r.start, n.now) {
-		changed = append(changed, r.key)
-	}
-	// A part ends a server when that begins to answer, so one whose answer was under way is not suspected.
-	r.suspected = r.beganAt.IsZero() || n.now.Sub(r.beganAt) < beginWindow
-	if r.suspected {
-		for i, part := range r.parts {
-			if n.poison.tracker.PartEnded(part, i+1, r.start, r.softwareName(), n.now) {
-				changed = append(changed, part)
-			}
-		}
-	}
-	if len(changed) > 0 {
+	if changed := n.poison.tracker.ServerEnded(&r.poison, n.now); len(changed) > 0 {
 		n.emit(Counted{Counter: counterPoison, Label: labelServerEnded, N: 1})
 		n.poisonChanged(sourceSelf, changed...)
 	}
 }
 
-// retryEndsAnother reports whether to try a request no more under which a server has just ended: another server ended
-// under one of its parts before, and a retry would rather end a third one than help.
-func (n *Node) retryEndsAnother(r *request) bool {
-	return r.suspected && slices.ContainsFunc(r.parts, n.poison.tracker.LikelyEnds)
-}
-
 // voidPlannedEnd voids the end of a server whose entry says that it was leaving.
 func (n *Node) voidPlannedEnd(member *membership.Member) {
 	if member.State == membership.Leaving {
@@ -302,7 +219,7 @@
 	}
 	n.poison.expireAt = n.now.Add(poisonExpiryInterval)
 	n.poison.tracker.Expire(n.now)
-	n.forgetStoredPoison()
+	n.poison.store.outbox.Expire(n.poison.tracker)
 	n.logBlocked()
 	if evicted := n.poison.tracker.TakeEvicted(); evicted > 0 {
 		n.emit(Counted{Counter: counterPoison, Label: labelRecordEvicted, N: evicted})
--- a/internal/core/poisonstore.go
+++ b/internal/core/poisonstore.go
@@ -1,8 +1,6 @@
 package core
 
 import (
-	"maps"
-	"slices"
 	"time"
 
 	"github.com/ebonydyke/ebonydyke/internal/core/poison"
@@ -62,13 +60,10 @@
 	separated bool
 	// hearsAll is set while no peer is silent.
 	hearsAll bool
-	// unstored maps the records that the store may lack to the time of their last change.
-	unstored map[poison.Key]time.Time
-	// stored holds the extent of records that were read from the store or written to it.
-	stored map[poison.Key]poison.Extent
-	// call is the call in progress, and writing the records that it writes.
+	// outbox holds the records that the store may lack.
+	outbox *poison.Outbox
+	// call is the call in progress.
 	call     OpID
-	writing  []poison.Record
 	lease    uint64
 	leaseEnd time.Time
 	nextCall time.Time
@@ -76,9 +71,7 @@
 }
 
 func newPoisonStoreState() poisonStoreState {
-	return poisonStoreState{
-		hearsAll: true, unstored: make(map[poison.Key]time.Time), stored: make(map[poison.Key]poison.Extent),
-	}
+	return poisonStoreState{hearsAll: true, outbox: poison.NewOutbox()}
 }
 
 // poisonSource is the source of a poison record: the name of the peer that sent it, or one of the
@@ -98,7 +91,7 @@
 func (n *Node) noteUnstored(from poisonSource, key poison.Key) {
 	fromPeer := from != sourceSelf && from != sourceStore
 	if from == sourceSelf || fromPeer && n.multiHop() && n.poison.tracker.Suspicious(key) {
-		n.poison.store.unstored[key] = n.now
+		n.poison.store.outbox.Changed(key, n.now)
 	}
 }
 
@@ -107,21 +100,21 @@
 	n.updateSeparated()
 	s := &n.poison.store
 	if !s.separated || !n.usesBackendEntries() {
-		maps.DeleteFunc(s.unstored, func(_ poison.Key, at time.Time) bool { return n.now.Sub(at) > separationWindow })
+		s.outbox.DropOlder(separationWindow, n.now)
 		return
 	}
 	if s.call != 0 || n.now.Before(s.nextCall) {
 		return
 	}
-	s.writing = n.takeUnstored()
-	if len(s.writing) == 0 {
+	records := s.outbox.Take(n.poison.tracker, maxStoredPoison, n.now)
+	if len(records) == 0 {
 		return
 	}
 	s.call = n.nextOp()
 	if n.now.After(s.leaseEnd) {
 		s.lease = 0
 	}
-	n.emit(StorePoison{Op: s.call, Lease: s.lease, TTL: storedPoisonTTL, Records: s.writing})
+	n.emit(StorePoison{Op: s.call, Lease: s.lease, TTL: storedPoisonTTL, Records: records})
 }
 
 // updateSeparated determines whether this instance and one of its peers may not hear each other. A
@@ -176,24 +169,6 @@
 	n.addPoison(p, d)
 }
 
-// takeUnstored removes the next records to be written from those that the store may lack, the most
-// suspicious first. It leaves out those that the store has, as another instance wrote them.
-func (n *Node) takeUnstored() []poison.Record {
-	s := &n.poison.store
-	maps.DeleteFunc(s.unstored, func(key poison.Key, _ time.Time) bool {
-		extent, ok := n.poison.tracker.Extent(key)
-		return !ok || s.stored[key] == extent
-	})
-	var records []poison.Record
-	for _, key := range n.poison.tracker.Select(slices.Collect(maps.Keys(s.unstored)), maxStoredPoison) {
-		delete(s.unstored, key)
-		if record, ok := n.poison.tracker.Record(key, n.now); ok {
-			records = append(records, record)
-		}
-	}
-	return records
-}
-
 // poisonStored handles the result of a StorePoison. An expired lease has removed its records, and a
 // new one is acquired with the next call.
 func (n *Node) poisonStored(e LeaseReplied) {
@@ -211,10 +186,7 @@
 	}
 	s.failures = 0
 	s.nextCall = n.now.Add(n.jitter(n.poisonStoreInterval()))
-	for _, record := range s.writing {
-		s.stored[record.Key] = record.Extent()
-	}
-	n.emit(Counted{Counter: counterPoison, Label: labelStored, N: len(s.writing)})
+	n.emit(Counted{Counter: counterPoison, Label: labelStored, N: s.outbox.Written()})
 }
 
 func (n *Node) storePoisonFailed(e LeaseReplied) {
@@ -224,9 +196,7 @@
 	if e.Status == StoreAbsent {
 		s.lease = 0
 	}
-	for _, record := range s.writing {
-		s.unstored[record.Key] = n.now
-	}
+	s.outbox.Failed(n.now)
 }
 
 // poisonStoreInterval returns the minimum interval between two calls.
@@ -236,16 +206,6 @@
 
 // mergeStoredPoison merges the records that were read from the store.
 func (n *Node) mergeStoredPoison(records []poison.Record) {
-	for _, record := range records {
-		n.poison.store.stored[record.Key] = record.Extent()
-	}
+	n.poison.store.outbox.Read(records)
 	n.mergePoison(sourceStore, records)
 }
-
-// forgetStoredPoison forgets what the store has of requests without a record.
-func (n *Node) forgetStoredPoison() {
-	maps.DeleteFunc(n.poison.store.stored, func(key poison.Key, _ poison.Extent) bool {
-		_, ok := n.poison.tracker.Extent(key)
-		return !ok
-	})
-}
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -57,14 +57,8 @@
 	deadline time.Time
 	// waited is how long the request was queued while this instance started.
 	waited time.Duration
-	// key identifies the requests of the customer with the same content, and parts those that share the parts of
-	// the prompt, in order.
-	key   poison.Key
-	parts []poison.Key
-	// suspected is set if the server of the last attempt ended, and the parts of the prompt may have ended it.
-	suspected bool
-	// trial is set if the request is blocked as poison and is sent once nevertheless.
-	trial bool
+	// poison is what the request may end backend servers by, and the process of the last attempt's.
+	poison poison.Request
 	// attempt counts the attempts, and runs the attempts in which a backend server may
 	// have started the request.
 	attempt, runs int
@@ -72,12 +66,9 @@
 	running bool
 	// sentAt is the time at which the last attempt was sent.
 	sentAt time.Time
-	// beganAt is the time at which the response of the last attempt began, zero before that.
-	beganAt time.Time
-	// backend and address identify the backend server of the last attempt, and start its process.
+	// backend and address identify the backend server of the last attempt.
 	backend string
 	address string
-	start   poison.Server
 	// version is the version of its software, as far as this instance knew when it sent the attempt.
 	version string
 	// software is the software at which the request's stream must go on, nil while it may begin anywhere.
@@ -165,7 +156,7 @@
 // it continues one.
 func (n *Node) admitRequest(e RequestArrived, t target, at time.Time, software *streams.Software) {
 	r := &request{
-		target: t, arrived: e, key: poison.KeyOf(e.Customer, e.Content), parts: partKeys(e.SharedParts), waited: n.now.Sub(at), deadline: deadlineOf(&e, t, at),
+		target: t, arrived: e, poison: poison.NewRequest(e.Customer, e.Content, e.SharedParts), waited: n.now.Sub(at), deadline: deadlineOf(&e, t, at),
 		software: software,
 	}
 	switch {
@@ -264,7 +255,7 @@
 func (n *Node) finish(r *request, e Finish) {
 	n.release(r)
 	e.Request, e.Customer, e.Service = r.arrived.Request, r.arrived.Customer, r.service.Name
-	e.Content = uint64(r.key)
+	e.Content = uint64(r.poison.Content)
 	e.Continues = r.arrived.Continues.first()
 	n.emit(e)
 }
--- a/internal/core/softwareversions.go
+++ b/internal/core/softwareversions.go
@@ -35,7 +35,7 @@
 	if !r.policy.resumable || !r.service.FromPlatform || !n.streams.versions.Mixed(r.service.Name) {
 		return nil
 	}
-	check := &ProcessCheck{Incarnation: r.start.Incarnation}
+	check := &ProcessCheck{Incarnation: r.poison.Start.Incarnation}
 	if at := n.knownAsOf(); !at.IsZero() {
 		check.KnownAsOf = at.Add(-registrationLag)
 	}
@@ -115,7 +115,7 @@
 	since := n.streams.knownAsOf.Add(-registrationLag)
 	n.streams.registry.Replaced(old, since)
 	for _, r := range n.requests {
-		if r.start.Name == old.Server && r.start.Incarnation == old.Incarnation && r.sentAt.After(since) {
+		if r.poison.Start.Name == old.Server && r.poison.Start.Incarnation == old.Incarnation && r.sentAt.After(since) {
 			r.softwareUncertain = !r.softwareCertain
 		}
 	}
--- a/internal/core/streamorigins.go
+++ b/internal/core/streamorigins.go
@@ -88,7 +88,7 @@
 	}
 	n.streams.registry.Begin(n.now, streams.Record{
 		Key: r.streamKey(), Software: *r.software,
-		Process:   streams.Process{Server: r.start.Name, Incarnation: r.start.Incarnation},
+		Process:   streams.Process{Server: r.poison.Start.Name, Incarnation: r.poison.Start.Incarnation},
 		Certain:   r.softwareCertain,
 		Uncertain: r.softwareUncertain,
 		Keep:      r.deadline.Sub(n.now) + continuationGrace,
