--- a/internal/proxy/responsebody.go
+++ b/internal/proxy/responsebody.go
@@ -117,9 +117,11 @@
 // unframedEnd decides on a response without a length or chunks whose connection was closed in order. The end of the
 // server's process closes it as well, in the middle of the response.
 func (r *callerResponse) unframedEnd() error {
-	check := r.exchange.server.ends.check(&r.attempt)
-	r.endCheck = &check
-	if check.ended() {
+	if r.endCheck == nil {
+		check := r.exchange.server.ends.check(&r.attempt)
+		r.endCheck = &check
+	}
+	if r.endCheck.ended() {
 		return errUnframed
 	}
 	return io.EOF
