--- a/internal/core/poisonparts_test.go
+++ b/internal/core/poisonparts_test.go
@@ -67,7 +67,7 @@
 	}},
 	{name: "many parts", prepare: func(f *partFleet, _ partSize) { f.fill = 61 }, begin: badAtOnce(underFirst("bad"))},
 	{name: "beside other crashes", begin: func(f *partFleet, size partSize) {
-		f.crashes(700*time.Millisecond, partTrouble)
+		f.crashes(700*time.Millisecond)
 		badAtOnce(underFirst("bad"))(f, size)
 	}},
 	{name: "while two versions serve and servers crash", prepare: func(f *partFleet, size partSize) {
@@ -78,7 +78,7 @@
 		}
 		f.run(5 * time.Second)
 	}, begin: func(f *partFleet, size partSize) {
-		f.crashes(400*time.Millisecond, partTrouble)
+		f.crashes(400*time.Millisecond)
 		badAtOnce(underFirst("bad"))(f, size)
 	}},
 	{name: "a rare first part", prepare: func(f *partFleet, _ partSize) { f.first = "first-30" }, begin: badAtOnce(underFirst("bad"))},
@@ -113,9 +113,9 @@
 	}
 }
 
-// crashes ends a random engine at each interval for a time.
-func (f *partFleet) crashes(interval, lasts time.Duration) {
-	for at := interval; at < lasts; at += interval {
+// crashes ends a random engine at each interval, for partTrouble.
+func (f *partFleet) crashes(interval time.Duration) {
+	for at := interval; at < partTrouble; at += interval {
 		f.schedule(at, func() { f.end(f.anyEngine()) })
 	}
 }
@@ -195,7 +195,7 @@
 						f.run(partTrouble / 3)
 					}
 				} else {
-					f.crashes(500*time.Millisecond, partTrouble)
+					f.crashes(500*time.Millisecond)
 					f.run(partTrouble)
 				}
 				f.requireFewRefusals(t, since)
@@ -268,7 +268,7 @@
 		if i > 0 && *boundSeeds == 1 {
 			continue
 		}
-		t.Run(size.fleetSize.String(), func(t *testing.T) {
+		t.Run(size.String(), func(t *testing.T) {
 			t.Parallel()
 			f := newPartFleet(size, 241)
 			f.fill = 61
@@ -276,7 +276,7 @@
 			f.run(partBaseline)
 			before := f.calls["poison-bytes"]
 			f.badRequests(4, partTrouble, func() []string { return []string{f.first, "bad"} })
-			f.crashes(time.Second, partTrouble)
+			f.crashes(time.Second)
 			f.run(partTrouble)
 			f.requirePartsStopped(t)
 			perSecond := (f.calls["poison-bytes"] - before) / len(f.instances) / int(partTrouble.Seconds())
