--- a/internal/core/poisonparts_test.go
+++ b/internal/core/poisonparts_test.go
@@ -67,7 +67,7 @@
 	}},
 	{name: "many parts", prepare: func(f *partFleet, _ partSize) { f.fill = 61 }, begin: badAtOnce(underFirst("bad"))},
 	{name: "beside other crashes", begin: func(f *partFleet, size partSize) {
-		f.crashes(700*time.Millisecond)
+		f.crashes(700 * time.Millisecond)
 		badAtOnce(underFirst("bad"))(f, size)
 	}},
 	{name: "while two versions serve and servers crash", prepare: func(f *partFleet, size partSize) {
@@ -78,7 +78,7 @@
 		}
 		f.run(5 * time.Second)
 	}, begin: func(f *partFleet, size partSize) {
-		f.crashes(400*time.Millisecond)
+		f.crashes(400 * time.Millisecond)
 		badAtOnce(underFirst("bad"))(f, size)
 	}},
 	{name: "a rare first part", prepare: func(f *partFleet, _ partSize) { f.first = "first-30" }, begin: badAtOnce(underFirst("bad"))},
@@ -195,7 +195,7 @@
 						f.run(partTrouble / 3)
 					}
 				} else {
-					f.crashes(500*time.Millisecond)
+					f.crashes(500 * time.Millisecond)
 					f.run(partTrouble)
 				}
 				f.requireFewRefusals(t, since)
