--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -22,6 +22,7 @@
 	registry      *prometheus.Registry
 	refusals      *prometheus.CounterVec
 	retries       *prometheus.CounterVec
+	attemptEnds   *prometheus.CounterVec
 	firstByte     *prometheus.HistogramVec
 	responseTime  *prometheus.HistogramVec
 	callerBytes   prometheus.Counter
@@ -40,6 +41,7 @@
 		registry:      prometheus.NewRegistry(),
 		refusals:      newCounterVec("refusals_total", "Requests answered by the fleet itself, as refusals or failures, by reason.", "reason"),
 		retries:       newCounterVec("retries_total", "Attempts after the first of a request, by reason.", "reason"),
+		attemptEnds:   newCounterVec("attempt_ends_total", "Ends of attempts at backend servers, by the timer or event that ended them.", "cause"),
 		firstByte:     newHistogramVec("first_byte_seconds", "Time from the arrival of a request to the first byte of its response."),
 		responseTime:  newHistogramVec("answer_seconds", "Time from the arrival of a request to the end of its response."),
 		callerBytes:   prometheus.NewCounter(prometheus.CounterOpts{Name: "ebonydyke_caller_bytes_total", Help: "Bytes of response bodies sent to callers."}),
@@ -51,7 +53,7 @@
 		coreEvents:    newCounterVec("core_events_total", "Events counted by the core, such as messages that it shed.", "counter", "label"),
 	}
 	m.registry.MustRegister(
-		m.refusals, m.retries, m.firstByte, m.responseTime, m.callerBytes, m.dials, m.relays, m.generation, m.ready,
+		m.refusals, m.retries, m.attemptEnds, m.firstByte, m.responseTime, m.callerBytes, m.dials, m.relays, m.generation, m.ready,
 		m.platformCalls, m.coreEvents,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
@@ -107,6 +109,9 @@
 // Retried implements proxy.Metrics.
 func (m *Metrics) Retried(r reason.Reason) { m.retries.WithLabelValues(string(r)).Inc() }
 
+// AttemptEnded implements proxy.Metrics.
+func (m *Metrics) AttemptEnded(cause string) { m.attemptEnds.WithLabelValues(cause).Inc() }
+
 // Answered implements proxy.Metrics.
 func (m *Metrics) Answered(service string, firstByte, total time.Duration) {
 	m.firstByte.WithLabelValues(service).Observe(firstByte.Seconds())
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -129,9 +129,11 @@
 			event.ServerEnded, event.EndChecks = check.refused, check.found
 		}
 	}
+	cause := endCauseOf(err)
+	x.server.options.Metrics.AttemptEnded(string(cause))
 	x.server.log.put("attempt ended", "request", x.id, "attempt", event.Attempt, "backend", x.response.attempt.Backend,
 		"version", x.response.attempt.Version, "outcome", event.Outcome, "status", x.response.status, "sinceArrivalMs", time.Since(x.startedAt).Milliseconds(),
-		"firstMs", x.response.timeToFirstByte.Milliseconds(), "lastEvent", x.response.sequence.last, "dialled", x.response.dialReason, "error", event.Detail,
+		"firstMs", x.response.timeToFirstByte.Milliseconds(), "lastEvent", x.response.sequence.last, "dialled", x.response.dialReason, "error", event.Detail, "endedBy", cause, "silentMs", x.response.silence.Milliseconds(),
 		"serverEnded", event.ServerEnded, "relay", x.response.relay, "endChecks", event.EndChecks, "framing", x.response.framing,
 		"parts", x.loggedParts(&event))
 	x.server.post(event)
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -93,6 +93,9 @@
 // Retried implements proxy.Metrics.
 func (i *instance) Retried(reason.Reason) {}
 
+// AttemptEnded implements proxy.Metrics.
+func (i *instance) AttemptEnded(string) {}
+
 // Answered implements proxy.Metrics.
 func (i *instance) Answered(string, time.Duration, time.Duration) {}
 
--- a/internal/proxy/options.go
+++ b/internal/proxy/options.go
@@ -96,6 +96,8 @@
 	Refused(reason.Reason)
 	// Retried counts an attempt beyond a request's first.
 	Retried(reason.Reason)
+	// AttemptEnded counts the end of an attempt by the timer or event that ended it.
+	AttemptEnded(cause string)
 	// Answered records a whole response with the times from the request's arrival to the
 	// response's first and last byte.
 	Answered(service string, firstByte, total time.Duration)
@@ -109,6 +111,7 @@
 
 func (noMetrics) Refused(reason.Reason)                         {}
 func (noMetrics) Retried(reason.Reason)                         {}
+func (noMetrics) AttemptEnded(string)                           {}
 func (noMetrics) Answered(string, time.Duration, time.Duration) {}
 func (noMetrics) CallerBytes(int)                               {}
 func (noMetrics) Dialled(DialReason)                            {}
--- a/internal/proxy/response.go
+++ b/internal/proxy/response.go
@@ -80,6 +80,8 @@
 	// bodyErr is the error that Read returns after pending, if the response is broken.
 	bodyErr         error
 	timeToFirstByte time.Duration
+	// silence is the time without a byte of the response before the last call ended, negative if none had arrived.
+	silence time.Duration
 }
 
 // openAttempt performs one attempt up to the first byte of its response. If that fails,
@@ -114,6 +116,7 @@
 	x.setRunning(e.Attempt, c)
 	err := x.server.backends.Do(req, r.resp)
 	r.dialReason, r.relay, r.status, r.framing, r.endCheck = c.dialReason, c.relay, 0, "", nil
+	r.silence = -1
 	if err != nil {
 		r.abortAttempt(outcomeWithoutResponse(c), "", err)
 		return false
@@ -277,6 +280,7 @@
 	if r.call == nil {
 		return
 	}
+	r.silence = r.call.sinceLastByte()
 	r.call.close(whole)
 	r.call = nil
 	fasthttp.ReleaseResponse(r.resp)
--- a/internal/proxy/transport.go
+++ b/internal/proxy/transport.go
@@ -25,7 +25,10 @@
 var (
 	errCallCancelled = errors.New("proxy: call cancelled")
 	errInactive      = errors.New("proxy: backend server silent for too long")
-	errUnframed      = errors.New("proxy: response without a length ended by connection close")
+	// errFirstByteTimeout means that the first bytes of a response did not arrive within the attempt's timeout.
+	errFirstByteTimeout = errors.New("proxy: no response within the first-byte timeout")
+	errConnect          = errors.New("proxy: connect")
+	errUnframed         = errors.New("proxy: response without a length ended by connection close")
 )
 
 // call is one request to a backend server on one connection, with its response.
@@ -90,6 +93,7 @@
 		return errCallCancelled
 	}
 	conn.written.Store(0)
+	conn.lastReadAt.Store(0)
 	if c.relay == "" {
 		conn.zone = c.zone
 	}
@@ -166,7 +170,7 @@
 			break
 		}
 		if err != nil {
-			return fmt.Errorf("proxy: connect: %w", err)
+			return fmt.Errorf("%w: %w", errConnect, err)
 		}
 		if unfit := pooled.conn.unusableReason(c.zone, c.now()); unfit != "" {
 			why = unfit
@@ -188,9 +192,9 @@
 	}
 	opened, err := c.dialer.dial(hc.Addr, c.plan, limit)
 	if err != nil {
-		return fmt.Errorf("proxy: connect: %w", err)
+		return fmt.Errorf("%w: %w", errConnect, err)
 	}
-	conn := &backendConn{Conn: opened.conn, defaultKeepAlive: c.defaultKeepAlive, now: c.now, openedAt: c.now()}
+	conn := &backendConn{Conn: opened.conn, defaultKeepAlive: c.defaultKeepAlive, now: c.now, openedAt: c.now(), dialledAt: time.Now()}
 	if opened.relay != nil {
 		c.relay = opened.relayName()
 		c.recordDial(Relayed)
@@ -198,7 +202,7 @@
 	}
 	pooled, err := c.pool.adopt(hc, conn)
 	if err != nil {
-		return fmt.Errorf("proxy: connect: %w", err)
+		return fmt.Errorf("%w: %w", errConnect, err)
 	}
 	return c.attachAcquired(pooled.conn, pooled.release)
 }
@@ -241,7 +245,7 @@
 	}
 	c.reader = c.host.AcquireReader(c.conn)
 	if err := resp.ReadLimitBody(c.reader, 0); err != nil {
-		return fmt.Errorf("proxy: read header: %w", err)
+		return c.readError("read header", err)
 	}
 	c.resp = resp
 	c.conn.keepAlive = parseKeepAlive(&resp.Header)
@@ -270,13 +274,33 @@
 		return n, c.unframedEnd()
 	case errors.Is(err, io.EOF):
 		return n, errUnframed
-	case isTimeout(err) && time.Now().Before(c.deadline):
-		return n, errInactive
 	default:
-		return n, fmt.Errorf("proxy: read response: %w", err)
+		return n, c.readError("read response", err)
 	}
 }
 
+// readError returns the error of a failed read. It tells the attempt's own timeouts from its deadline.
+func (c *call) readError(what string, err error) error {
+	switch {
+	case !isTimeout(err) || !time.Now().Before(c.deadline):
+		return fmt.Errorf("proxy: %s: %w", what, err)
+	case c.bodyStarted:
+		return errInactive
+	default:
+		return errFirstByteTimeout
+	}
+}
+
+// sinceLastByte returns the time since the last byte of the response, or -1 if none has arrived.
+func (c *call) sinceLastByte() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conn == nil || c.conn.lastReadAt.Load() == 0 {
+		return -1
+	}
+	return time.Since(c.conn.dialledAt) - time.Duration(c.conn.lastReadAt.Load())
+}
+
 // hasFramedEnd reports whether the end of the response can be told from a cut connection.
 func (c *call) hasFramedEnd() bool { return c.length >= -1 }
 
