--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -61,6 +61,9 @@
 		m.refusals.WithLabelValues(string(r))
 		m.retries.WithLabelValues(string(r))
 	}
+	for _, c := range proxy.EndCauses {
+		m.attemptEnds.WithLabelValues(string(c))
+	}
 	for _, r := range proxy.DialReasons {
 		m.dials.WithLabelValues(string(r))
 	}
@@ -110,7 +113,7 @@
 func (m *Metrics) Retried(r reason.Reason) { m.retries.WithLabelValues(string(r)).Inc() }
 
 // AttemptEnded implements proxy.Metrics.
-func (m *Metrics) AttemptEnded(cause string) { m.attemptEnds.WithLabelValues(cause).Inc() }
+func (m *Metrics) AttemptEnded(c proxy.EndCause) { m.attemptEnds.WithLabelValues(string(c)).Inc() }
 
 // Answered implements proxy.Metrics.
 func (m *Metrics) Answered(service string, firstByte, total time.Duration) {
--- a/internal/proxy/endcause.go
+++ b/internal/proxy/endcause.go
@@ -9,33 +9,39 @@
 	"github.com/valyala/fasthttp"
 )
 
-// endCause says which timer or event ended an attempt, for logging.
-type endCause string
+// EndCause says which timer or event ended an attempt, for logging.
+type EndCause string
 
 // The causes.
 const (
 	// endedByServer means that the server's response was read to its end, whatever it says.
-	endedByServer endCause = "server"
+	endedByServer EndCause = "server"
 	// endedByFirstByteTimeout and endedByStallTimeout mean that this instance abandoned a server that was silent.
-	endedByFirstByteTimeout endCause = "first-byte-timeout"
-	endedByStallTimeout     endCause = "stall-timeout"
-	endedByDeadline         endCause = "deadline"
+	endedByFirstByteTimeout EndCause = "first-byte-timeout"
+	endedByStallTimeout     EndCause = "stall-timeout"
+	endedByDeadline         EndCause = "deadline"
 	// endedByCancel means that the core cancelled the attempt, or that its caller disconnected.
-	endedByCancel endCause = "cancel"
+	endedByCancel EndCause = "cancel"
 	// endedByClose and endedByReset mean that the server, or a device on the path, ended the connection.
-	endedByClose endCause = "connection-closed"
-	endedByReset endCause = "connection-reset"
+	endedByClose EndCause = "connection-closed"
+	endedByReset EndCause = "connection-reset"
 	// endedByConnect means that no connection was opened.
-	endedByConnect endCause = "connect"
+	endedByConnect EndCause = "connect"
 	// endedByResponse means that the response is not one to this request.
-	endedByResponse endCause = "response"
-	endedByOther    endCause = "other"
+	endedByResponse EndCause = "response"
+	endedByOther    EndCause = "other"
 )
 
-// endCauses lists the errors by which a cause is recognized, the more specific ones first.
-var endCauses = []struct {
+// EndCauses lists the causes.
+var EndCauses = []EndCause{
+	endedByServer, endedByFirstByteTimeout, endedByStallTimeout, endedByDeadline, endedByCancel, endedByClose, endedByReset,
+	endedByConnect, endedByResponse, endedByOther,
+}
+
+// causesByError lists the errors by which a cause is recognized, the more specific ones first.
+var causesByError = []struct {
 	err   error
-	cause endCause
+	cause EndCause
 }{
 	{errFirstByteTimeout, endedByFirstByteTimeout},
 	{errInactive, endedByStallTimeout},
@@ -57,11 +63,11 @@
 }
 
 // endCauseOf returns the cause of the error with which an attempt ended, if it ended with one.
-func endCauseOf(err error) endCause {
+func endCauseOf(err error) EndCause {
 	if err == nil {
 		return endedByServer
 	}
-	for _, c := range endCauses {
+	for _, c := range causesByError {
 		if errors.Is(err, c.err) {
 			return c.cause
 		}
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -130,7 +130,7 @@
 		}
 	}
 	cause := endCauseOf(err)
-	x.server.options.Metrics.AttemptEnded(string(cause))
+	x.server.options.Metrics.AttemptEnded(cause)
 	x.server.log.put("attempt ended", "request", x.id, "attempt", event.Attempt, "backend", x.response.attempt.Backend,
 		"version", x.response.attempt.Version, "outcome", event.Outcome, "status", x.response.status, "sinceArrivalMs", time.Since(x.startedAt).Milliseconds(),
 		"firstMs", x.response.timeToFirstByte.Milliseconds(), "lastEvent", x.response.sequence.last, "dialled", x.response.dialReason, "error", event.Detail, "endedBy", cause, "silentMs", x.response.silence.Milliseconds(),
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -94,7 +94,7 @@
 func (i *instance) Retried(reason.Reason) {}
 
 // AttemptEnded implements proxy.Metrics.
-func (i *instance) AttemptEnded(string) {}
+func (i *instance) AttemptEnded(proxy.EndCause) {}
 
 // Answered implements proxy.Metrics.
 func (i *instance) Answered(string, time.Duration, time.Duration) {}
--- a/internal/proxy/log_test.go
+++ b/internal/proxy/log_test.go
@@ -26,7 +26,7 @@
 // server cannot be told apart in the logs.
 func TestAttemptEndedLogHasStatus(t *testing.T) {
 	q := &logQueue{lines: make(chan logLine, 1)}
-	x := &exchange{id: "r1", server: &Server{log: q, post: func(core.Event) {}}}
+	x := &exchange{id: "r1", server: &Server{log: q, post: func(core.Event) {}, options: Options{Metrics: noMetrics{}}}}
 	x.response = &callerResponse{exchange: x, status: 504}
 	x.attemptEnded(core.AttemptEnded{Attempt: 1, Outcome: retry.Failed}, errBackendFailure)
 	line := <-q.lines
--- a/internal/proxy/options.go
+++ b/internal/proxy/options.go
@@ -97,7 +97,7 @@
 	// Retried counts an attempt beyond a request's first.
 	Retried(reason.Reason)
 	// AttemptEnded counts the end of an attempt by the timer or event that ended it.
-	AttemptEnded(cause string)
+	AttemptEnded(EndCause)
 	// Answered records a whole response with the times from the request's arrival to the
 	// response's first and last byte.
 	Answered(service string, firstByte, total time.Duration)
@@ -111,7 +111,7 @@
 
 func (noMetrics) Refused(reason.Reason)                         {}
 func (noMetrics) Retried(reason.Reason)                         {}
-func (noMetrics) AttemptEnded(string)                           {}
+func (noMetrics) AttemptEnded(EndCause)                         {}
 func (noMetrics) Answered(string, time.Duration, time.Duration) {}
 func (noMetrics) CallerBytes(int)                               {}
 func (noMetrics) Dialled(DialReason)                            {}
