--- a/internal/proxy/transport.go
+++ b/internal/proxy/transport.go
@@ -377,7 +377,8 @@
 
 func isTimeout(err error) bool {
 	var netErr net.Error
-	return errors.As(err, &netErr) && netErr.Timeout()
+	// The HTTP library's own error is no net.Error.
+	return errors.Is(err, fasthttp.ErrTimeout) || errors.As(err, &netErr) && netErr.Timeout()
 }
 
 // newClient returns the client for backend servers.
