--- a/internal/core/fleet_test.go
+++ b/internal/core/fleet_test.go
@@ -56,6 +56,10 @@
 	onChange func(m *fakeInstance, e core.StateChanged)
 	// onScope is called for each SetRelayScope if it is set.
 	onScope func(m *fakeInstance, e core.SetRelayScope)
+	// acceptDelay and stopGrace are the instances' settings with the same names.
+	acceptDelay, stopGrace time.Duration
+	// onStopped is called for each Stopped if it is set.
+	onStopped func(m *fakeInstance)
 	// rollbacks counts the cases in which an instance replaced its generation by an older one.
 	rollbacks int
 }
@@ -197,7 +201,7 @@
 	}
 	settings := core.Settings{
 		Name: m.name, Zone: m.zone, Incarnation: m.incarnation, Seed: f.random.Uint64(), NoPolls: f.noPolls,
-		ChangeBound: f.changeBound, StoreSettle: f.storeSettle,
+		ChangeBound: f.changeBound, StoreSettle: f.storeSettle, AcceptDelay: f.acceptDelay, StopGrace: f.stopGrace,
 	}
 	if f.selfRegister {
 		settings.PeerAddress = "127.0.0.1:9"
@@ -326,6 +330,10 @@
 		if f.onScope != nil {
 			f.onScope(m, e)
 		}
+	case core.Stopped:
+		if f.onStopped != nil {
+			f.onStopped(m)
+		}
 	case core.Counted:
 		f.counters[e.Counter+"/"+e.Label] += e.N
 	}
