--- a/internal/core/silentfleet_test.go
+++ b/internal/core/silentfleet_test.go
@@ -136,6 +136,8 @@
 	endedAt     time.Time
 	outcome     reason.Outcome
 	reason      reason.Reason
+	// headSent is set once the caller has the head of the answer.
+	headSent bool
 	// heard are the events that the caller has, and attempts all attempts of the call.
 	heard    []heardEvent
 	attempts []*silentAttempt
@@ -174,7 +176,7 @@
 }
 
 func (f *silentFleet) addEngine(service string, index int) *silentEngine {
-	e := &silentEngine{name: fmt.Sprintf("%s-%d", service, index), service: service, index: index}
+	e := &silentEngine{name: fmt.Sprintf("%s-%d", service, index), service: service, index: index, heardAt: make(map[*fakeInstance]time.Time)}
 	f.engines = append(f.engines, e)
 	return e
 }
--- a/internal/core/silentproxy_test.go
+++ b/internal/core/silentproxy_test.go
@@ -18,6 +18,9 @@
 	silentDialTimeout = 150 * time.Millisecond
 	// keptShare is the share of attempts at an engine that is cut off that use a connection opened before.
 	keptShare = 0.5
+	// silenceRepeat is the interval at which the proxy reports a silence that lasts, and quietAfter the time without a byte
+	// after which an engine that owes some counts as quiet.
+	silenceRepeat, quietAfter = 250 * time.Millisecond, 250 * time.Millisecond
 )
 
 // silentEngine is an engine's process.
@@ -30,6 +33,8 @@
 	cutOff      bool
 	ended       bool
 	running     []*silentAttempt
+	// heardAt is the time at which bytes last came to an instance.
+	heardAt map[*fakeInstance]time.Time
 }
 
 // silentAttempt is an attempt in progress at an instance's proxy.
@@ -66,6 +71,8 @@
 	c.inProgress, c.attempts = append(c.inProgress, r), append(c.attempts, r)
 	c.steps = append(c.steps, fmt.Sprintf("attempt %d at %s at %v after event %q", a.Attempt, e.name, f.now.Sub(c.sentAt), a.ResumeAfter))
 	switch {
+	case a.Hedge && (c.end != "" || a.ResumeAfter != c.lastEventID()):
+		f.endAttempt(r, core.AttemptEnded{Outcome: retry.Superseded}, time.Millisecond)
 	case e.ended:
 		f.endAttempt(r, core.AttemptEnded{Outcome: retry.NotSent, ConnectionRefused: true}, 3*time.Millisecond)
 	case e.cutOff && f.random.Float64() >= keptShare:
@@ -137,9 +144,9 @@
 // receive passes the last event of an attempt on to the caller, unless it has it already.
 func (f *silentFleet) receive(r *silentAttempt) {
 	c := r.call
-	first := r.heardAt.IsZero()
-	r.heardAt = f.now
+	r.heardAt, r.engine.heardAt[r.by] = f.now, f.now
 	if r.sent > c.received {
+		f.supersedeOthers(r)
 		if c.end == "" {
 			c.received, c.heardAt = r.sent, f.now
 			c.heard = append(c.heard, heardEvent{at: f.now, from: r.engine})
@@ -151,7 +158,8 @@
 			}
 			return
 		}
-		if first {
+		if !c.headSent {
+			c.headSent = true
 			c.steps = append(c.steps, fmt.Sprintf("event %d of attempt %d at %v", r.sent, r.attempt.Attempt, f.now.Sub(c.sentAt)))
 			f.reply(r.by, time.Millisecond, core.AnswerStarted{Request: c.id, Attempt: r.attempt.Attempt, ProcessCertain: r.attempt.Process != nil})
 		}
@@ -165,23 +173,71 @@
 	if !r.heardAt.IsZero() {
 		timeout = r.attempt.StallTimeout
 	}
-	heardAt := r.heardAt
 	if timeout > 0 {
-		f.schedule(timeout, func() {
-			if !r.over && r.heardAt.Equal(heardAt) {
-				f.silenceReached(r)
-			}
-		})
+		f.afterSilence(r, timeout)
 	}
 }
 
-// silenceReached is what the proxy does at an attempt whose engine has sent nothing for its timeout.
+// silenceReached is what the proxy does at an attempt whose engine has sent nothing for its timeout, and each
+// silenceRepeat from then on.
 func (f *silentFleet) silenceReached(r *silentAttempt) {
-	end := core.AttemptEnded{Outcome: retry.Unknown}
-	if !r.heardAt.IsZero() {
-		end.Outcome, end.LastEventID = retry.Broken, strconv.Itoa(r.call.received)
+	f.reply(r.by, time.Millisecond, core.AttemptSilent{
+		Request: r.call.id, Attempt: r.attempt.Attempt, LastEventID: r.call.lastEventID(), Quiet: f.quietEngines(r),
+	})
+	f.afterSilence(r, silenceRepeat)
+}
+
+// afterSilence calls silenceReached unless the attempt ends or its engine sends something within a time.
+func (f *silentFleet) afterSilence(r *silentAttempt, lasts time.Duration) {
+	heardAt := r.heardAt
+	f.schedule(lasts, func() {
+		if !r.over && r.heardAt.Equal(heardAt) {
+			f.silenceReached(r)
+		}
+	})
+}
+
+// quietEngines returns the engines, other than an attempt's own, that owe its instance bytes and have sent none for quietAfter.
+func (f *silentFleet) quietEngines(r *silentAttempt) []string {
+	var names []string
+	for _, e := range f.engines {
+		if e != r.engine && e.owesBytes(r.by) && f.now.Sub(e.lastHeard(r.by)) >= quietAfter {
+			names = append(names, e.name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+func (e *silentEngine) owesBytes(m *fakeInstance) bool {
+	return slices.ContainsFunc(e.running, func(r *silentAttempt) bool { return r.by == m })
+}
+
+// lastHeard returns the time at which bytes of the engine last came to an instance, or its first attempt in progress was sent.
+func (e *silentEngine) lastHeard(m *fakeInstance) time.Time {
+	i := slices.IndexFunc(e.running, func(r *silentAttempt) bool { return r.by == m })
+	last := e.running[i].sentAt
+	if at := e.heardAt[m]; at.After(last) {
+		return at
+	}
+	return last
+}
+
+// lastEventID returns the ID of the last event that the caller has, if another attempt can go on after it.
+func (c *silentCall) lastEventID() string {
+	if c.kind.once || c.received == 0 {
+		return ""
+	}
+	return strconv.Itoa(c.received)
+}
+
+// supersedeOthers ends the attempts of a request beside one that has delivered.
+func (f *silentFleet) supersedeOthers(r *silentAttempt) {
+	for _, other := range slices.Clone(r.call.inProgress) {
+		if other != r {
+			f.endAttempt(other, core.AttemptEnded{Outcome: retry.Superseded}, time.Millisecond)
+		}
 	}
-	f.endAttempt(r, end, time.Millisecond)
 }
 
 // endAttempt closes an attempt's connection and reports its end.
