--- a/internal/proxy/attempt_test.go
+++ b/internal/proxy/attempt_test.go
@@ -50,7 +50,12 @@
 
 func startRawBackend(t testing.TB, serve rawHandler) *rawBackend {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	return startRawBackendAt(t, "127.0.0.1", serve)
+}
+
+func startRawBackendAt(t testing.TB, host string, serve rawHandler) *rawBackend {
+	t.Helper()
+	l, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
 	b := &rawBackend{listener: l, address: l.Addr().String()}
