--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -47,9 +47,8 @@
 
 // sendTo sends the request's next attempt to a backend server.
 func (n *Node) sendTo(r *request, c *routing.Candidate, e SendAttempt) {
-	r.backend, r.address = c.Name, c.Address
-	r.resumeAfter = ""
-	r.placement = n.hintFor(c)
+	r.attempt = attempt{backend: c.Name, address: c.Address, placement: n.hintFor(c), loan: r.loan}
+	r.resumeAfter = e.ResumeAfter
 	e.Source = n.copySource(r, n.pool(r.service.Name), c)
 	e.Selection = n.selectionInputs(r, c)
 	n.recordPrompt(r)
@@ -62,9 +61,8 @@
 	return refusal == reason.StreamUnknown || refusal == reason.StreamVersionGone
 }
 
-// Timeouts after which an attempt on an unresponsive backend server is abandoned, if the
-// request may continue on another server. Otherwise a server that hangs or is silently
-// partitioned would block the caller until the deadline.
+// Timeouts after which the server of an attempt counts as silent, if the request may also run on another server. A
+// hedge is started then: a server that hangs or is cut off would else block the caller until the deadline.
 const (
 	// firstByteGoalFactor is the timeout for the first bytes as a multiple of the route's
 	// latency goal.
@@ -82,10 +80,9 @@
 )
 
 // responseTimeouts returns the first-byte and stall timeouts of the next attempt. There are
-// none if the request must not run again or no run is left after this one: a late
-// response is then better than none.
+// none if the request must not run again or no run is left after this one.
 func (r *request) responseTimeouts() (first, stall time.Duration) {
-	if r.route == nil || !r.policy.repeatable || r.runs+1 >= r.policy.maxRuns {
+	if r.route == nil || !r.policy.repeatable || r.runs+len(r.hedged)+1 >= r.policy.maxRuns {
 		return 0, 0
 	}
 	first = max(minFirstByteTimeout, firstByteGoalFactor*time.Duration(r.route.Goal))
@@ -95,8 +92,7 @@
 	return max(first, minStreamFirstByteTimeout), max(minStallTimeout, stallPauseGoalFactor*time.Duration(r.route.PauseGoal))
 }
 
-// responseTimeouts returns the timeouts of the next attempt. A stream that no other server could go on with has none:
-// a late event is better than a broken stream.
+// responseTimeouts returns the timeouts of the next attempt. A stream that no other server could go on with has none.
 func (n *Node) responseTimeouts(r *request) (first, stall time.Duration) {
 	first, stall = r.responseTimeouts()
 	if n.continuesElsewhere(r) {
@@ -130,16 +126,17 @@
 }
 
 func (n *Node) send(r *request, e SendAttempt) {
-	r.attempt++
+	r.attempts++
+	r.number = r.attempts
 	r.running, r.outcomeCounted = true, false
 	r.sentAt = n.now
 	r.softwareUncertain = r.softwareUncertain && r.software != nil
 	if late := r.lateAfter(); late > 0 {
-		attempt := r.attempt
-		n.schedule(n.now.Add(late), r, func(n *Node, r *request) { n.countLate(r, attempt) })
+		number := r.number
+		n.schedule(n.now.Add(late), r, func(n *Node, r *request) { n.countLate(r, number) })
 	}
 	n.countRequestSent(r.backend)
-	e.Request, e.Attempt, e.Deadline = r.arrived.Request, r.attempt, r.deadline
+	e.Request, e.Attempt, e.Deadline = r.arrived.Request, r.number, r.deadline
 	e.Backend, e.Address, e.Placement = r.backend, r.address, r.placement
 	r.version = n.versionOf(r.backend)
 	r.poison.Sent(n.serverStart(r.backend), r.softwareName())
@@ -155,8 +152,9 @@
 
 func (n *Node) answerStarted(e AnswerStarted) {
 	n.applyAnswerReport(e.Load)
-	if r := n.requests[e.Request]; r != nil && r.running && e.Attempt == r.attempt {
+	if r := n.requests[e.Request]; r != nil && r.focus(e.Attempt) {
 		r.responseStarted = true
+		r.silent = false
 		n.responseBegan(r)
 		n.streamBegan(r, e.ProcessCertain)
 		n.paths.tracker.Reached(r.service.Name)
@@ -168,17 +166,21 @@
 func (n *Node) attemptEnded(e AttemptEnded) {
 	n.applyAnswerReport(e.Load)
 	r := n.requests[e.Request]
-	if r == nil || e.Attempt != r.attempt || !r.running {
+	if r == nil || !r.focus(e.Attempt) {
 		return
 	}
 	e.ServerEnded = n.serverHasEnded(r, &e)
 	if e.ServerEnded || e.ConnectionRefused || e.ProcessReplaced {
 		n.streams.endedAt[r.backend] = n.now
 	}
+	n.attemptDone(r)
+	if e.Outcome == retry.Superseded {
+		n.attemptSuperseded(r)
+		return
+	}
 	if e.Outcome != retry.NotSent {
 		n.paths.tracker.Reached(r.service.Name)
 	}
-	n.attemptDone(r)
 	n.countOutcome(r, e.Outcome)
 	n.recordRejection(r, e.Outcome, e.RejectionLimit)
 	n.updateReachability(r.backend, e)
@@ -196,6 +198,11 @@
 	if e.Outcome == retry.Broken {
 		r.resumeAfter = e.LastEventID
 	}
+	if len(r.hedged) > 0 {
+		r.tried = append(r.tried, r.backend)
+		n.goesOnWithHedge(r)
+		return
+	}
 	n.afterFailure(r, e.Outcome)
 }
 
@@ -217,7 +224,7 @@
 	n.release(r)
 }
 
-// afterFailure decides how to continue after an attempt without a complete response.
+// afterFailure decides how to continue after the last attempt in progress ended without a complete response.
 func (n *Node) afterFailure(r *request, outcome retry.Outcome) {
 	why := outcome.Reason()
 	switch {
@@ -259,11 +266,11 @@
 // sent reached no backend server, so its retry costs no budget.
 func (n *Node) retryOrGiveUp(r *request, outcome retry.Outcome, again func(*Node, *request)) {
 	why := outcome.Reason()
-	spent := r.attempt >= r.policy.maxAttempts || r.runs >= r.policy.maxRuns
+	spent := r.attempts >= r.policy.maxAttempts || r.runs >= r.policy.maxRuns
 	switch {
 	case n.poison.tracker.RetryEndsAnother(&r.poison):
 		n.giveUp(r, reason.PoisonRequest)
-	case spent && r.attempt > 1:
+	case spent && r.attempts > 1:
 		n.giveUp(r, reason.AttemptsExhausted)
 	case spent:
 		n.giveUp(r, why)
@@ -290,7 +297,7 @@
 // resumeWithDelay resumes a stream immediately after the first attempt, and after a pause
 // from then on, so that an unresponsive engine gets time to recover.
 func (n *Node) resumeWithDelay(r *request) {
-	if r.attempt == 1 {
+	if r.attempts == 1 {
 		n.resumeOnSameBackend(r)
 		return
 	}
@@ -303,7 +310,7 @@
 	if r.running {
 		r.mayHaveRun = true
 		n.attemptDone(r)
-		n.emit(CancelAttempt{Request: r.arrived.Request, Attempt: r.attempt})
+		n.emit(CancelAttempt{Request: r.arrived.Request, Attempt: r.attempts})
 	}
 	n.giveUp(r, reason.DeadlineExceeded)
 }
@@ -319,7 +326,7 @@
 	}
 	n.finish(r, Finish{
 		Backend:        r.backend,
-		Attempt:        r.attempt,
+		Attempt:        r.attempts,
 		Outcome:        outcome,
 		Reason:         why,
 		RetryAfter:     max(r.retryAfter, n.retryAfterOf(r, why)),
--- a/internal/core/codec.go
+++ b/internal/core/codec.go
@@ -9,7 +9,7 @@
 
 // eventTypes holds a value of each event type. Session files are decoded by it.
 var eventTypes = []Event{
-	RequestArrived{}, AttemptEnded{}, AnswerStarted{}, CallerGone{},
+	RequestArrived{}, AttemptEnded{}, AttemptSilent{}, AnswerStarted{}, CallerGone{},
 	InstancesListed{}, BackendReported{}, ConfigOffered{}, StoreReplied{},
 	BackendsRead{}, LeaseReplied{}, BackendDialed{},
 	PeerConnected{}, PeerLost{}, PeerReceived{}, StopRequested{}, Ticked{},
--- a/internal/core/dialplans.go
+++ b/internal/core/dialplans.go
@@ -77,7 +77,7 @@
 // relayed, and then one per choice of relayChoices. Requests are spread over the instances that a choice
 // fits.
 func (n *Node) relaysFor(r *request) []PeerAddress {
-	hash := rendezvous.Hash(string(r.arrived.Request)) + uint64(r.attempt)
+	hash := rendezvous.Hash(string(r.arrived.Request)) + uint64(r.attempts)
 	list := n.addRelay(nil, n.paths.tracker.ProvenRelays(n.now), hash, func(*membership.Member) bool { return true })
 	names := n.liveInstances()
 	serverZone := n.zoneOf(r.backend)
@@ -191,7 +191,7 @@
 // pathIsSuspect reports whether the failure of an attempt may be due to the path to its backend server
 // instead of the server.
 func (n *Node) pathIsSuspect(r *request, outcome retry.Outcome) bool {
-	if outcome != retry.Unknown && outcome != retry.Broken {
+	if outcome != retry.Unknown && outcome != retry.Broken && outcome != retry.Superseded {
 		return false
 	}
 	return n.paths.tracker.IsLost(r.backend) || n.paths.tracker.Doubtful(r.service.Name)
--- a/internal/core/effect.go
+++ b/internal/core/effect.go
@@ -40,12 +40,14 @@
 	// Source is the address of an engine from which this engine can copy the cached
 	// parts of the prompt, empty if it need not copy any.
 	Source string `json:"source,omitempty"`
-	// FirstByteTimeout is the timeout for the first bytes of the response. It is set if the
-	// request can continue on another backend server; 0 means that only the deadline
-	// applies.
+	// FirstByteTimeout is the time without a byte of the response after which AttemptSilent is due. It is set if a
+	// hedge may follow; 0 means that there is none.
 	FirstByteTimeout time.Duration `json:"first_within,omitempty"`
-	// StallTimeout is the timeout between later bytes, under the same condition.
+	// StallTimeout is that time between later bytes, under the same condition.
 	StallTimeout time.Duration `json:"stall,omitempty"`
+	// Hedge is set if the attempt is to run beside the attempts in progress. The first of them that delivers more of the
+	// response wins, and the others are cancelled.
+	Hedge bool `json:"hedge,omitempty"`
 	// AtMostOnce is set if the request must not run more than once.
 	AtMostOnce bool `json:"once,omitempty"`
 	// Deadline is when the daemon aborts the attempt.
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -122,6 +122,19 @@
 	Detail string `json:"detail,omitempty"`
 }
 
+// AttemptSilent reports that the backend server of an attempt in progress has sent nothing for the attempt's timeout. The
+// attempt goes on. The event is repeated while the silence lasts.
+type AttemptSilent struct {
+	Request RequestID `json:"request"`
+	Attempt int       `json:"attempt"`
+	// LastEventID is the ID of the last event that the caller's response has, "" if it has none or the stream is not
+	// resumable.
+	LastEventID string `json:"last_event_id,omitempty"`
+	// Quiet are the backend servers that owe this instance bytes and have sent none for a while, sorted. They may be
+	// silent too.
+	Quiet []string `json:"quiet,omitempty"`
+}
+
 // AnswerStarted reports that the first byte of the response was sent to the caller.
 // From then on the request must not be run again on another backend server.
 type AnswerStarted struct {
@@ -252,6 +265,9 @@
 // EventName implements Event.
 func (AttemptEnded) EventName() string { return "attempt-ended" }
 
+// EventName implements Event.
+func (AttemptSilent) EventName() string { return "attempt-silent" }
+
 // EventName implements Event.
 func (AnswerStarted) EventName() string { return "answer-started" }
 
--- /dev/null
+++ b/internal/core/hedges.go
@@ -0,0 +1,212 @@
+package core
+
+import (
+	"slices"
+	"time"
+
+	"github.com/ebonydyke/ebonydyke/internal/core/headroom"
+	"github.com/ebonydyke/ebonydyke/internal/core/poison"
+	"github.com/ebonydyke/ebonydyke/internal/core/reason"
+	"github.com/ebonydyke/ebonydyke/internal/core/retry"
+	"github.com/ebonydyke/ebonydyke/internal/core/routing"
+	"github.com/ebonydyke/ebonydyke/internal/core/streams"
+)
+
+// A hedge is a further attempt of a request whose attempts in progress are all silent.
+//
+// A server that is paused cannot be told in time from one that hangs or is cut off, and another server may be silent
+// too or have no room. The invariant: a silent attempt is never cancelled before another one has delivered more of the
+// response.
+
+// counterHedges counts the reports of silent attempts by what followed.
+const (
+	counterHedges    = "hedges"
+	labelHedgeSent   = "sent"
+	labelHedgeBudget = "retry-budget"
+	labelHedgeNone   = "no-server"
+)
+
+// attempt is one attempt of a request.
+type attempt struct {
+	// number counts the request's attempts from 1.
+	number int
+	// running is set while the attempt is in progress.
+	running bool
+	sentAt  time.Time
+	// backend and address identify the backend server.
+	backend string
+	address string
+	// version is the version of its software, as far as this instance knew when it sent the attempt.
+	version string
+	// placement is the placement hint for the response.
+	placement string
+	// loan is the borrowed slot on which the attempt runs, nil if it needs none.
+	loan *headroom.Loan
+	// silent is set once the server has sent nothing for the attempt's timeout.
+	silent bool
+	// outcomeCounted is set once the attempt was counted as a success or a failure of its server.
+	outcomeCounted bool
+	// run is what the poison tracker knows of the attempt while it is one of those in request.hedged.
+	run poison.Run
+}
+
+// focus makes an attempt in progress the one that the request's fields describe, and reports whether there is one with
+// that number.
+func (r *request) focus(number int) bool {
+	if r.running && r.number == number {
+		return true
+	}
+	i := slices.IndexFunc(r.hedged, func(a attempt) bool { return a.number == number })
+	if i < 0 {
+		return false
+	}
+	other := r.hedged[i]
+	r.hedged = slices.Delete(r.hedged, i, i+1)
+	if r.running {
+		r.setAside()
+	}
+	r.attempt, r.poison.Run = other, other.run
+	return true
+}
+
+// setAside moves the attempt that the request's fields describe to the others in progress.
+func (r *request) setAside() {
+	r.run = r.poison.Run
+	r.hedged = append(r.hedged, r.attempt)
+}
+
+// inProgress returns the number of attempts in progress.
+func (r *request) inProgress() int {
+	if r.running {
+		return len(r.hedged) + 1
+	}
+	return len(r.hedged)
+}
+
+// attemptSilent starts a hedge if all attempts in progress are silent, and another server may serve the request. The
+// proxy reports again if none can be started now.
+func (n *Node) attemptSilent(e AttemptSilent) {
+	r := n.requests[e.Request]
+	if r == nil || r.callerGone || !r.focus(e.Attempt) {
+		return
+	}
+	r.silent = true
+	if !n.now.Before(r.deadline) || !r.mayHedge(e.LastEventID) || n.poison.tracker.Stops(&r.poison, r.runs+r.inProgress()) {
+		return
+	}
+	if r.route == nil {
+		n.hedgeOnSameBackend(r, e.LastEventID)
+		return
+	}
+	n.hedge(r, e)
+}
+
+// mayHedge reports whether a further attempt may run beside those in progress. lastEvent is the last event that the
+// caller's response has.
+func (r *request) mayHedge(lastEvent string) bool {
+	switch {
+	case slices.ContainsFunc(r.hedged, func(a attempt) bool { return !a.silent }):
+		return false
+	case r.attempts >= r.policy.maxAttempts:
+		return false
+	case r.route == nil:
+		return lastEvent != ""
+	case !r.policy.repeatable, r.runs+r.inProgress() >= r.policy.maxRuns:
+		return false
+	default:
+		return !r.responseStarted || r.policy.resumable && lastEvent != ""
+	}
+}
+
+// hedge sends the request to another server beside the attempts in progress, unless there is none with room that may
+// answer, or the retry budget is spent.
+func (n *Node) hedge(r *request, e AttemptSilent) {
+	c := n.placeHedge(r, e.Quiet)
+	if c == nil {
+		n.countHedge(labelHedgeNone)
+		return
+	}
+	if !n.takeRetry(r.service.Name) {
+		n.countHedge(labelHedgeBudget)
+		return
+	}
+	send := SendAttempt{Hedge: true, RetryReason: reason.BackendSilent}
+	if r.responseStarted {
+		send.ResumeAfter = e.LastEventID
+	}
+	r.setAside()
+	n.countHedge(labelHedgeSent)
+	n.sendTo(r, c, send)
+}
+
+// hedgeOnSameBackend asks the server of a stream of the fleet's own interface for the rest of it on another connection.
+// No other server can go on with the stream, and the server does not run it again.
+func (n *Node) hedgeOnSameBackend(r *request, lastEvent string) {
+	if !n.takeRetry(r.service.Name) {
+		n.countHedge(labelHedgeBudget)
+		return
+	}
+	backend, address, placement := r.backend, r.address, r.placement
+	r.setAside()
+	r.attempt = attempt{backend: backend, address: address, placement: placement}
+	n.countHedge(labelHedgeSent)
+	n.send(r, SendAttempt{Hedge: true, ResumeAfter: lastEvent, RetryReason: reason.BackendSilent})
+}
+
+// placeHedge selects a server for a hedge, or returns nil if there is none that may answer: those that have been
+// tried, that are silent and that cannot be reached are none.
+func (n *Node) placeHedge(r *request, quiet []string) *routing.Candidate {
+	tried := r.tried
+	excluded := slices.Concat(tried, quiet, []string{r.backend})
+	for _, a := range r.hedged {
+		excluded = append(excluded, a.backend)
+	}
+	r.tried = excluded
+	c, refusal := n.place(r)
+	r.tried = tried
+	if refusal != reason.None || c.Unreachable || slices.Contains(excluded, c.Name) {
+		return nil
+	}
+	return c
+}
+
+// attemptSuperseded handles the end of an attempt that was cancelled because another one has delivered. It is a failure
+// of its server only if that was silent.
+func (n *Node) attemptSuperseded(r *request) {
+	r.mayHaveRun = true
+	r.runs++
+	if r.silent {
+		n.countOutcome(r, retry.Superseded)
+		r.tried = append(r.tried, r.backend)
+	}
+	if !n.goesOnWithHedge(r) {
+		// The attempt that delivered has failed since.
+		n.afterFailure(r, retry.Broken)
+	}
+}
+
+// goesOnWithHedge reports whether another attempt is still in progress, and focuses on it.
+func (n *Node) goesOnWithHedge(r *request) bool {
+	return len(r.hedged) > 0 && r.focus(r.hedged[len(r.hedged)-1].number)
+}
+
+// dropHedges removes the attempts that are still in progress when the request ends from their servers' loads.
+func (n *Node) dropHedges(r *request) {
+	for len(r.hedged) > 0 {
+		r.focus(r.hedged[0].number)
+		n.attemptDone(r)
+	}
+}
+
+func (n *Node) countHedge(label string) {
+	n.emit(Counted{Counter: counterHedges, Label: label, N: 1})
+}
+
+// sentTo reports whether an attempt of the request was sent to a process after a time.
+func (r *request) sentTo(process streams.Process, after time.Time) bool {
+	server := poison.Server{Name: process.Server, Incarnation: process.Incarnation}
+	if r.poison.Start == server && r.sentAt.After(after) {
+		return true
+	}
+	return slices.ContainsFunc(r.hedged, func(a attempt) bool { return a.run.Start == server && a.sentAt.After(after) })
+}
--- a/internal/core/hints.go
+++ b/internal/core/hints.go
@@ -11,7 +11,7 @@
 	}
 	hint, ok := routing.DecodeHint(r.arrived.Hint)
 	ok = ok && hint.Fresh(n.now)
-	if r.attempt == 0 {
+	if r.attempts == 0 {
 		n.hints.Record(r.arrived.Customer, ok)
 	}
 	if !ok {
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -164,6 +164,8 @@
 		n.requestArrived(e)
 	case AttemptEnded:
 		n.attemptEnded(e)
+	case AttemptSilent:
+		n.attemptSilent(e)
 	case AnswerStarted:
 		n.answerStarted(e)
 	case BackendDialed:
--- a/internal/core/poison/request.go
+++ b/internal/core/poison/request.go
@@ -11,21 +11,26 @@
 // ends. A response that has gone on for so long proves them.
 const BeginWindow = time.Second
 
-// Request is what a request in progress may end servers by, and what is known of its last attempt.
+// Request is what a request in progress may end servers by, and what is known of one of its attempts.
 type Request struct {
 	// Content identifies the requests of the customer with the same content, and Parts those that share the parts of
 	// the prompt, in order.
 	Content Key
 	Parts   []Key
-	// Start is the server of the last attempt, and Software its service and software version.
+	Run
+	// IsTrial is set if the request is blocked and is sent once nevertheless.
+	IsTrial bool
+}
+
+// Run is what is known of one attempt of a request.
+type Run struct {
+	// Start is the server of the attempt, and Software its service and software version.
 	Start    Server
 	Software string
-	// BeganAt is the time at which the response of the last attempt began, zero before that.
+	// BeganAt is the time at which the response began, zero before that.
 	BeganAt time.Time
-	// suspected is set if that server ended, and the parts may have ended it.
+	// suspected is set if the server ended, and the parts may have ended it.
 	suspected bool
-	// IsTrial is set if the request is blocked and is sent once nevertheless.
-	IsTrial bool
 }
 
 // NewRequest returns a customer's request with a content hash and the IDs of the shared parts of its prompt.
@@ -39,7 +44,7 @@
 
 // Sent records that an attempt was sent.
 func (r *Request) Sent(start Server, software string) {
-	r.Start, r.Software, r.BeganAt, r.suspected = start, software, time.Time{}, false
+	r.Run = Run{Start: start, Software: software}
 }
 
 // BlockedAmong returns the blocked ones among a request's content and parts.
--- a/internal/core/poisonrequests.go
+++ b/internal/core/poisonrequests.go
@@ -75,7 +75,7 @@
 
 // recordTrial records the first attempt of a trial and tells the other instances.
 func (n *Node) recordTrial(r *request) {
-	if !r.poison.IsTrial || r.attempt > 0 {
+	if !r.poison.IsTrial || r.attempts > 0 {
 		return
 	}
 	for _, key := range n.poison.tracker.BlockedAmong(&r.poison) {
@@ -144,9 +144,9 @@
 	if len(r.poison.Parts) == 0 {
 		return
 	}
-	attempt := r.attempt
+	number := r.number
 	n.schedule(n.now.Add(poison.BeginWindow), r, func(n *Node, r *request) {
-		if r.running && r.attempt == attempt {
+		if r.focus(number) {
 			n.poisonChanged(sourceSelf, n.poison.tracker.Begun(&r.poison)...)
 		}
 	})
--- a/internal/core/reason/reason.go
+++ b/internal/core/reason/reason.go
@@ -71,6 +71,8 @@
 	BackendFailed Reason = "backend-failed"
 	// BackendSpoiled means that an answer was incomplete or not the backend server's own.
 	BackendSpoiled Reason = "backend-spoiled"
+	// BackendSilent means that the backend server sent nothing for longer than expected.
+	BackendSilent Reason = "backend-silent"
 	// BrokenStream means that an answer was cut off after it had begun.
 	BrokenStream Reason = "broken-stream"
 	// CallerGone means that the caller disconnected before its answer was complete.
@@ -103,6 +105,6 @@
 	BadRequest, TooLarge, HeaderTooLarge, UnknownService, UnknownRoute, UnknownCustomer, UnknownKey, NoConfiguration,
 	NoBackend, Saturated, CustomerShare, CustomerLimit, DependencyUnavailable,
 	DeadlineExceeded, RetryBudget, AttemptsExhausted, BackendUnreachable,
-	BackendRefused, BackendLost, BackendFailed, BackendSpoiled, BrokenStream, CallerGone, ClaimDuplicate,
+	BackendRefused, BackendLost, BackendFailed, BackendSpoiled, BackendSilent, BrokenStream, CallerGone, ClaimDuplicate,
 	ClaimUnavailable, ClaimsFull, PoisonRequest, StreamUnknown, StreamVersionGone, StreamMoved, Stopping, Overloaded,
 }
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/ebonydyke/ebonydyke/internal/core/claims"
-	"github.com/ebonydyke/ebonydyke/internal/core/headroom"
 	"github.com/ebonydyke/ebonydyke/internal/core/poison"
 	"github.com/ebonydyke/ebonydyke/internal/core/reason"
 	"github.com/ebonydyke/ebonydyke/internal/core/streams"
@@ -59,18 +58,12 @@
 	waited time.Duration
 	// poison is what the request may end backend servers by, and the process of the last attempt's.
 	poison poison.Request
-	// attempt counts the attempts, and runs the attempts in which a backend server may
+	// attempts counts the attempts, and runs the ended ones in which a backend server may
 	// have started the request.
-	attempt, runs int
-	// running is set while an attempt is in progress.
-	running bool
-	// sentAt is the time at which the last attempt was sent.
-	sentAt time.Time
-	// backend and address identify the backend server of the last attempt.
-	backend string
-	address string
-	// version is the version of its software, as far as this instance knew when it sent the attempt.
-	version string
+	attempts, runs int
+	// attempt is the attempt that the event at hand is about, or the last one; hedged are the others in progress.
+	attempt
+	hedged []attempt
 	// software is the software at which the request's stream must go on, nil while it may begin anywhere.
 	// softwareCertain is set if the process that began it is certain, and softwareUncertain once it turns
 	// out that it may have been another one.
@@ -78,12 +71,9 @@
 	softwareCertain   bool
 	softwareUncertain bool
 	// slotAsks counts the owners that were asked for a slot. slotAsk is the last question while it waits for
-	// an answer, and loan the borrowed slot on which the attempt runs.
+	// an answer.
 	slotAsks int
 	slotAsk  *slotAsk
-	loan     *headroom.Loan
-	// placement is the placement hint for the response of the last attempt.
-	placement string
 	// resumeAfter is the ID of the last event of a broken stream that can be resumed.
 	resumeAfter string
 	// retryAfter is the longest Retry-After delay requested by a backend server.
@@ -93,9 +83,6 @@
 	// hasFailureResponse is set once the proxy holds a complete failure response of a
 	// backend server. The caller gets it if no later attempt succeeds.
 	hasFailureResponse bool
-	// outcomeCounted is set once the attempt in progress was counted as a success or a
-	// failure of its server.
-	outcomeCounted bool
 	// mayHaveRun is set once an attempt ended without certainty that the backend server
 	// did not start the request. From then on the outcome must not be not-run.
 	mayHaveRun bool
@@ -271,6 +258,7 @@
 // release removes an ended request from the node's state.
 func (n *Node) release(r *request) {
 	r.ended = true
+	n.dropHedges(r)
 	n.cancelTimers(r)
 	delete(n.requests, r.arrived.Request)
 	n.admissionEnded(r)
@@ -317,5 +305,5 @@
 		n.giveUp(r, reason.CallerGone)
 		return
 	}
-	n.emit(CancelAttempt{Request: e.Request, Attempt: r.attempt})
+	n.emit(CancelAttempt{Request: e.Request, Attempt: r.attempts})
 }
--- a/internal/core/retry/retry.go
+++ b/internal/core/retry/retry.go
@@ -27,6 +27,8 @@
 	// Spoiled means that the received data is not the backend server's answer to this
 	// request.
 	Spoiled Outcome = "spoiled"
+	// Superseded means that the attempt was cancelled because another one of the request delivered first.
+	Superseded Outcome = "superseded"
 )
 
 // MayHaveRun reports whether a backend server may have started the request in an attempt
--- a/internal/core/softwareversions.go
+++ b/internal/core/softwareversions.go
@@ -115,7 +115,7 @@
 	since := n.streams.knownAsOf.Add(-registrationLag)
 	n.streams.registry.Replaced(old, since)
 	for _, r := range n.requests {
-		if r.poison.Start.Name == old.Server && r.poison.Start.Incarnation == old.Incarnation && r.sentAt.After(since) {
+		if r.sentTo(old, since) {
 			r.softwareUncertain = !r.softwareCertain
 		}
 	}
--- a/internal/proxy/backendconn.go
+++ b/internal/proxy/backendconn.go
@@ -15,10 +15,8 @@
 	net.Conn
 	written atomic.Int64
 	now     func() time.Time
-	// dialledAt is the time at which the connection was opened, and lastReadAt the time since then, in nanoseconds, at
-	// which bytes of the response in progress last arrived; 0 if none have.
-	dialledAt  time.Time
-	lastReadAt atomic.Int64
+	// watch is that of the attempt in progress.
+	watch *silenceWatch
 	// openedAt is the time from which the connection leads to one process of the server, and process the
 	// incarnation of that process if the server was asked for it, or 0.
 	openedAt time.Time
@@ -35,8 +33,8 @@
 // Read reads from the backend server and records that its zone is reachable.
 func (c *backendConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if n > 0 {
-		c.lastReadAt.Store(int64(time.Since(c.dialledAt)))
+	if n > 0 && c.watch != nil {
+		c.watch.recordRead()
 	}
 	if n > 0 && c.zone != nil {
 		c.zone.recordRead(c.now())
--- a/internal/proxy/endcause.go
+++ b/internal/proxy/endcause.go
@@ -16,10 +16,9 @@
 const (
 	// endedByServer means that the server's response was read to its end, whatever it says.
 	endedByServer EndCause = "server"
-	// endedByFirstByteTimeout and endedByStallTimeout mean that this instance abandoned a server that was silent.
-	endedByFirstByteTimeout EndCause = "first-byte-timeout"
-	endedByStallTimeout     EndCause = "stall-timeout"
-	endedByDeadline         EndCause = "deadline"
+	// endedByHedge means that another attempt of the request has delivered first.
+	endedByHedge    EndCause = "hedge"
+	endedByDeadline EndCause = "deadline"
 	// endedByCancel means that the core cancelled the attempt, or that its caller disconnected.
 	endedByCancel EndCause = "cancel"
 	// endedByClose and endedByReset mean that the server, or a device on the path, ended the connection.
@@ -34,7 +33,7 @@
 
 // EndCauses lists the causes.
 var EndCauses = []EndCause{
-	endedByServer, endedByFirstByteTimeout, endedByStallTimeout, endedByDeadline, endedByCancel, endedByClose, endedByReset,
+	endedByServer, endedByHedge, endedByDeadline, endedByCancel, endedByClose, endedByReset,
 	endedByConnect, endedByResponse, endedByOther,
 }
 
@@ -43,8 +42,7 @@
 	err   error
 	cause EndCause
 }{
-	{errFirstByteTimeout, endedByFirstByteTimeout},
-	{errInactive, endedByStallTimeout},
+	{errSuperseded, endedByHedge},
 	{errCallCancelled, endedByCancel},
 	{io.ErrClosedPipe, endedByCancel},
 	{net.ErrClosed, endedByCancel},
--- a/internal/proxy/endcheck_test.go
+++ b/internal/proxy/endcheck_test.go
@@ -35,7 +35,7 @@
 		require.True(t, check(ended, err), "%v", err)
 		require.False(t, check(alive, err), "%v", err)
 	}
-	for _, err := range []error{os.ErrDeadlineExceeded, errInactive, errCallCancelled, net.ErrClosed, errMismatched, errBackendFailure} {
+	for _, err := range []error{os.ErrDeadlineExceeded, errSuperseded, errCallCancelled, net.ErrClosed, errMismatched, errBackendFailure} {
 		require.False(t, check(ended, err), "%v", err)
 	}
 	require.Equal(t, 12, dials, "only connections that the other end closed are checked")
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -3,7 +3,7 @@
 import (
 	"errors"
 	"fmt"
-	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -31,14 +31,10 @@
 	response  *callerResponse
 	stopWatch func()
 
-	mu sync.Mutex
-	// running is the call of the running attempt.
-	running *call
-	attempt int
-	// cancelledUpTo is the highest number of a cancelled attempt.
-	cancelledUpTo int
-	// finished is set once the core has sent Finish.
-	finished bool
+	race *race
+	// heldFailure is a failure response of a backend server. It is held until no
+	// further attempt can return a better response.
+	heldFailure atomic.Pointer[heldResponse]
 }
 
 func newExchange(s *Server, ctx *fasthttp.RequestCtx, r *Request) *exchange {
@@ -50,8 +46,9 @@
 		startedAt: time.Now(),
 		effects:   make(chan core.Effect, effectQueueSize),
 		stopWatch: func() {},
+		race:      newRace(r.LastEventID),
 	}
-	x.response = &callerResponse{exchange: x}
+	x.response = &callerResponse{exchange: x, race: x.race}
 	return x
 }
 
@@ -62,28 +59,26 @@
 		x.stopWatch = c.watchClose(func() { x.server.post(core.CallerGone{Request: x.id}) })
 	}
 	x.server.post(x.request.Arrived)
-	for effect := range x.effects {
-		switch e := effect.(type) {
-		case core.SendAttempt:
-			if x.response.openAttempt(e) {
-				x.response.sendHead()
-				return
-			}
-		case core.Finish:
-			x.finish(e)
-			return
-		}
+	if e := x.response.awaitSource(); e != nil {
+		x.finish(*e)
+		return
 	}
+	x.response.sendHead()
 }
 
 // deliver accepts an effect from the core's goroutine. It never blocks.
 func (x *exchange) deliver(effect core.Effect) {
 	switch e := effect.(type) {
 	case core.CancelAttempt:
-		x.cancelCall(e.Attempt, false)
+		x.race.cancel(e.Attempt, false)
 		return
+	case core.SendAttempt:
+		if e.Hedge {
+			go x.response.hedge(e)
+			return
+		}
 	case core.Finish:
-		x.cancelCall(e.Attempt, true)
+		x.race.cancel(e.Attempt, true)
 	}
 	select {
 	case x.effects <- effect:
@@ -93,58 +88,38 @@
 	}
 }
 
-// cancelCall cancels the running call of the given attempt or an earlier one, so that its
-// goroutine returns to process the next effect. If over is set, it cancels any call.
-func (x *exchange) cancelCall(attempt int, over bool) {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	x.finished = x.finished || over
-	x.cancelledUpTo = max(x.cancelledUpTo, attempt)
-	if x.running != nil && (over || x.attempt <= x.cancelledUpTo) {
-		x.running.cancel()
-	}
-}
-
-// setRunning makes c the running call. It cancels c at once if the attempt has been
-// cancelled already.
-func (x *exchange) setRunning(attempt int, c *call) {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	x.running, x.attempt = c, attempt
-	if x.finished || attempt <= x.cancelledUpTo {
-		c.cancel()
-	}
-}
+// holdFailure keeps a whole failure response for the case that no attempt returns a better one.
+func (x *exchange) holdFailure(held *heldResponse) { x.heldFailure.Store(held) }
 
 // attemptEnded logs the end of an attempt and posts it to the core. If the connection closed
 // early, it first checks whether the backend server has ended.
-func (x *exchange) attemptEnded(event core.AttemptEnded, err error) {
+func (x *exchange) attemptEnded(a *attemptResponse, event core.AttemptEnded, err error) {
 	event.Request = x.id
 	if err != nil {
 		event.Detail = err.Error()
 		event.ConnectionRefused = event.Outcome == retry.NotSent && errors.Is(err, syscall.ECONNREFUSED)
 		event.ProcessReplaced = errors.Is(err, errProcessReplaced)
 		if event.Outcome.MayHaveRun() && closedByPeer(err) {
-			check := x.checkEnd()
+			check := x.checkEnd(a)
 			event.ServerEnded, event.EndChecks = check.refused, check.found
 		}
 	}
 	cause := endCauseOf(err)
 	x.server.options.Metrics.AttemptEnded(cause)
-	x.server.log.put("attempt ended", "request", x.id, "attempt", event.Attempt, "backend", x.response.attempt.Backend,
-		"version", x.response.attempt.Version, "outcome", event.Outcome, "status", x.response.status, "sinceArrivalMs", time.Since(x.startedAt).Milliseconds(),
-		"firstMs", x.response.timeToFirstByte.Milliseconds(), "lastEvent", x.response.sequence.last, "dialled", x.response.dialReason, "error", event.Detail, "endedBy", cause, "silentMs", x.response.silence.Milliseconds(),
-		"serverEnded", event.ServerEnded, "relay", x.response.relay, "endChecks", event.EndChecks, "framing", x.response.framing,
+	x.server.log.put("attempt ended", "request", x.id, "attempt", event.Attempt, "backend", a.attempt.Backend,
+		"version", a.attempt.Version, "outcome", event.Outcome, "status", a.status, "sinceArrivalMs", time.Since(x.startedAt).Milliseconds(),
+		"firstMs", a.firstByte.Milliseconds(), "lastEvent", a.sequence.last, "dialled", a.dialReason, "error", event.Detail, "endedBy", cause, "silentMs", a.silence.Milliseconds(),
+		"serverEnded", event.ServerEnded, "relay", a.relay, "endChecks", event.EndChecks, "framing", a.framing,
 		"parts", x.loggedParts(&event))
 	x.server.post(event)
 }
 
-// checkEnd checks whether the backend server of the last attempt has ended, unless that was done to judge its response.
-func (x *exchange) checkEnd() endCheck {
-	if done := x.response.endCheck; done != nil {
-		return *done
+// checkEnd checks whether the backend server of an attempt has ended, unless that was done to judge its response.
+func (x *exchange) checkEnd(a *attemptResponse) endCheck {
+	if a.endCheck != nil {
+		return *a.endCheck
 	}
-	return x.server.ends.check(&x.response.attempt)
+	return x.server.ends.check(&a.attempt)
 }
 
 // loggedParts returns the parts of the prompt, by which the ends of backend servers can be grouped. They are long, and are
@@ -169,10 +144,10 @@
 // finish writes the final response: the held failure response of a backend server, or
 // one that the fleet itself generates.
 func (x *exchange) finish(e core.Finish) {
-	x.response.cancelStream()
+	x.response.end()
 	x.release()
-	if e.ForwardFailure && x.response.heldFailure != nil {
-		x.response.heldFailure.write(x)
+	if held := x.heldFailure.Load(); e.ForwardFailure && held != nil {
+		held.write(x)
 		return
 	}
 	x.server.options.Dialect.WriteFinal(&x.ctx.Response, x.request, &e)
@@ -190,6 +165,15 @@
 	return req
 }
 
+// newOwnedRequest builds the request of an attempt that may outlive the caller's request.
+func (x *exchange) newOwnedRequest(e *core.SendAttempt) *fasthttp.Request {
+	req := x.newRequest(e)
+	if body := x.ctx.PostBody(); len(body) > 0 {
+		req.SetBody(body)
+	}
+	return req
+}
+
 // outcomeWithoutResponse classifies a call that returned no response. Once the kernel has accepted
 // one byte, the byte may have reached the backend server.
 func outcomeWithoutResponse(c *call) retry.Outcome {
--- a/internal/proxy/heldresponse.go
+++ b/internal/proxy/heldresponse.go
@@ -20,17 +20,17 @@
 
 // holdFailure reads a failure response to its end and reports it. A response that is
 // cut off, or too large to buffer, is reported as broken.
-func (r *callerResponse) holdFailure() {
-	body, err := io.ReadAll(io.LimitReader(r.call, maxBufferedBody+1))
+func (a *attemptResponse) holdFailure() {
+	body, err := io.ReadAll(io.LimitReader(a.call, maxBufferedBody+1))
 	if err != nil || len(body) > maxBufferedBody {
-		r.abortAttempt(retry.Broken, "", fmt.Errorf("%w with an incomplete body: %w", errBackendFailure, err))
+		a.abort(retry.Broken, "", fmt.Errorf("%w with an incomplete body: %w", errBackendFailure, err))
 		return
 	}
-	held := &heldResponse{body: body, send: r.attempt}
-	r.resp.Header.CopyTo(&held.header)
-	r.heldFailure = held
-	r.closeCall(true)
-	r.reportEnd(core.AttemptEnded{Outcome: retry.Failed}, errBackendFailure)
+	held := &heldResponse{body: body, send: a.attempt}
+	a.resp.Header.CopyTo(&held.header)
+	a.exchange.holdFailure(held)
+	a.close(true)
+	a.reportEnd(core.AttemptEnded{Outcome: retry.Failed}, errBackendFailure)
 }
 
 // write sends the held response to the caller.
--- a/internal/proxy/log_test.go
+++ b/internal/proxy/log_test.go
@@ -27,8 +27,7 @@
 func TestAttemptEndedLogHasStatus(t *testing.T) {
 	q := &logQueue{lines: make(chan logLine, 1)}
 	x := &exchange{id: "r1", server: &Server{log: q, post: func(core.Event) {}, options: Options{Metrics: noMetrics{}}}}
-	x.response = &callerResponse{exchange: x, status: 504}
-	x.attemptEnded(core.AttemptEnded{Attempt: 1, Outcome: retry.Failed}, errBackendFailure)
+	x.attemptEnded(&attemptResponse{exchange: x, status: 504}, core.AttemptEnded{Attempt: 1, Outcome: retry.Failed}, errBackendFailure)
 	line := <-q.lines
 	at := slices.Index(line.keysAndValues, any("status"))
 	require.GreaterOrEqual(t, at, 0)
--- a/internal/proxy/options.go
+++ b/internal/proxy/options.go
@@ -44,7 +44,8 @@
 	// BackendIdle is the idle timeout of a connection to a backend server that does not
 	// announce its own.
 	BackendIdle time.Duration
-	// Inactivity limits the time between two reads of a backend server's response body.
+	// Inactivity is the time without a byte after which the engine of a stream that it can resume is asked for the rest
+	// on another connection. The first one stays open until the other delivers.
 	Inactivity time.Duration
 }
 
--- a/internal/proxy/response.go
+++ b/internal/proxy/response.go
@@ -3,13 +3,11 @@
 import (
 	"errors"
 	"io"
-	"net/url"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"github.com/ebonydyke/ebonydyke/internal/core"
-	"github.com/ebonydyke/ebonydyke/internal/core/membership"
 	"github.com/ebonydyke/ebonydyke/internal/core/retry"
 )
 
@@ -34,193 +32,124 @@
 	errRefused        = errors.New("proxy: request refused by the backend server")
 	errBackendFailure = errors.New("proxy: backend server returned a failure")
 	errMismatched     = errors.New("proxy: response does not belong to this request")
+	errSuperseded     = errors.New("proxy: another attempt delivered first")
 )
 
-// streamRef identifies a resumable stream of one incarnation of an engine.
-type streamRef struct {
-	address     string
-	id          string
-	incarnation string
-}
-
 // callerResponse is the response to one request, across all of its attempts. The HTTP
 // library reads the body for the caller from it.
 type callerResponse struct {
 	exchange *exchange
-	attempt  core.SendAttempt
-	call     *call
-	resp     *fasthttp.Response
-	head     Head
-	load     *membership.Report
-	// heldFailure is a failure response of the backend server. It is held until no
-	// further attempt can return a better response.
-	heldFailure *heldResponse
-	// events is nil if the body is not a stream of server-sent events.
-	events   *eventReader
-	sequence eventSequence
-	stream   streamRef
-
-	// pending holds bytes that the caller has not read yet.
-	pending []byte
-	buffer  []byte
-	// dialReason is the reason why the last call opened a connection, if it did.
-	dialReason DialReason
-	// relay is the name of the peer that relayed the last call's connection, if one did.
-	relay string
-	// endCheck is the check whether the server has ended that an unframed response needed; nil if it needed none.
-	endCheck *endCheck
-	// status is the status code of the last call's response, or 0 if none was received, and framing how the end of
-	// its body is marked.
-	status  int
-	framing bodyFraming
+	race     *race
+	// source is the attempt from which the response is read, nil while there is none.
+	source *attemptResponse
+	// eventStream is set if the response is a stream of server-sent events.
+	eventStream bool
 	// headSent is set once the response header has been passed to the caller.
 	headSent bool
-	// complete is set once the end of the response has been read.
+	// complete is set once the whole response has been taken over.
 	complete bool
+	// pending holds the event that ends a broken stream.
+	pending []byte
 	// bodyErr is the error that Read returns after pending, if the response is broken.
 	bodyErr         error
 	timeToFirstByte time.Duration
-	// silence is the time without a byte of the response before the last call ended, negative if none had arrived.
-	silence time.Duration
 }
 
-// openAttempt performs one attempt up to the first byte of its response. If that fails,
+// openAttempt performs one attempt up to the first bytes of its response that the caller lacks. If that fails,
 // it reports the end of the attempt and returns false.
 func (r *callerResponse) openAttempt(e core.SendAttempt) bool {
-	r.attempt = e
+	a := newAttemptResponse(r.exchange, e)
 	req, resume := r.buildRequest(&e)
-	defer fasthttp.ReleaseRequest(req)
-	x := r.exchange
-	c := &call{
-		deadline:          x.server.connDeadline(e.Deadline),
-		firstByteTimeout:  e.FirstByteTimeout,
-		inactivityTimeout: x.server.options.Inactivity,
-		dialTimeout:       x.server.options.DialTimeout,
-		plan:              e.Dial,
-		process:           e.Process,
-		processPath:       x.server.options.Dialect.ProcessPath(),
-		sameProcess:       x.server.options.Dialect.SameProcess,
-		dialer:            x.server.planDialer(e.Backend),
-		defaultKeepAlive:  x.server.options.BackendIdle,
-		pool:              x.server.pool,
-		zone:              x.server.zones.get(e.Zone),
-		now:               x.server.options.Now,
-		countDial:         x.server.options.Metrics.Dialled,
-	}
-	if e.StallTimeout > 0 {
-		c.inactivityTimeout = e.StallTimeout
+	a.sequence.last = r.race.deliveredUpTo()
+	r.race.start(a)
+	if !a.open(req, resume) {
+		return false
 	}
-	r.head = Head{}
-	req.SetUserValue(callKey, c)
-	r.call, r.resp = c, fasthttp.AcquireResponse()
-	x.setRunning(e.Attempt, c)
-	err := x.server.backends.Do(req, r.resp)
-	r.dialReason, r.relay, r.status, r.framing, r.endCheck = c.dialReason, c.relay, 0, "", nil
-	r.silence = -1
-	if err != nil {
-		r.abortAttempt(outcomeWithoutResponse(c), "", err)
+	return r.takeOver(a, r.race.claim(a))
+}
+
+// takeOver makes an attempt the source of the response, if it may deliver what it has read.
+func (r *callerResponse) takeOver(a *attemptResponse, claimed bool) bool {
+	if !claimed {
+		a.abort(retry.Broken, a.resumeEventID(), errSuperseded)
 		return false
 	}
-	r.status, r.framing = r.resp.StatusCode(), c.framing()
-	options := &x.server.options
-	r.head = options.Dialect.ReadHead(&r.resp.Header, x.request, &e, options.Now())
-	// The end of a relay's process also closes a connection in order, and must not look like the end
-	// of a response.
-	if r.head.AllowUnframed && c.relay == "" {
-		c.unframedEnd = r.unframedEnd
+	r.source = a
+	r.deliver(a)
+	return true
+}
+
+// deliver records what an attempt has read and may deliver.
+func (r *callerResponse) deliver(a *attemptResponse) {
+	if r.timeToFirstByte == 0 {
+		r.timeToFirstByte = time.Since(r.exchange.startedAt)
 	}
-	r.load = r.head.Load
-	if resume {
-		return r.handleResumedHead()
+	r.eventStream = a.events != nil
+	r.complete = a.complete
+	if a.complete {
+		a.reportAnswered()
 	}
-	return r.handleHead()
 }
 
-// buildRequest builds the request of an attempt, which starts or resumes the response.
+// buildRequest builds the request of an attempt, which starts the response or goes on with it.
 func (r *callerResponse) buildRequest(e *core.SendAttempt) (req *fasthttp.Request, resume bool) {
-	if e.ResumeAfter != "" && r.stream.id != "" {
-		req = fasthttp.AcquireRequest()
-		req.SetRequestURI(streamURL(r.stream))
-		req.Header.Set(HeaderLastEventID, e.ResumeAfter)
-		req.Header.Set(HeaderRequestID, string(r.exchange.id))
-		return req, true
+	if stream := r.race.streamRef(); e.ResumeAfter != "" && stream.id != "" {
+		return newResumeRequest(r.exchange, stream, e), true
 	}
 	r.cancelStream()
-	if e.ResumeAfter == "" {
-		r.sequence = eventSequence{last: r.exchange.request.LastEventID}
-	}
 	return r.exchange.newRequest(e), false
 }
 
-func streamURL(s streamRef) string {
-	return "http://" + s.address + "/v1/streams/" + url.PathEscape(s.id)
+// newResumeRequest builds a request for the rest of a stream at its engine.
+func newResumeRequest(x *exchange, stream streamRef, e *core.SendAttempt) *fasthttp.Request {
+	req := fasthttp.AcquireRequest()
+	req.SetRequestURI(streamURL(stream))
+	req.Header.Set(HeaderLastEventID, e.ResumeAfter)
+	req.Header.Set(HeaderRequestID, string(x.id))
+	return req
 }
 
-// handleHead handles the header of an attempt that does not resume a stream. It waits
-// for the first byte, unless the caller has received the first byte already.
-func (r *callerResponse) handleHead() bool {
-	switch r.head.Verdict {
-	case NotStarted:
-		_, err := io.CopyN(io.Discard, r.call, maxRefusalBody)
-		r.closeCall(errors.Is(err, io.EOF))
-		r.reportEnd(core.AttemptEnded{Outcome: retry.Refused, RetryAfter: r.head.RetryAfter}, errRefused)
-		return false
-	case Failure:
-		r.holdFailure()
-		return false
-	case Mismatched:
-		r.abortAttempt(retry.Spoiled, "", errMismatched)
-		return false
-	}
-	if r.head.Events {
-		r.stream = streamRef{address: r.attempt.Address, id: r.head.StreamID, incarnation: r.head.Incarnation}
-		r.events = newEventReader(r.call)
-		if r.headSent {
-			return true
+// hedge performs an attempt beside those in progress. If it delivers first, the goroutine that serves the caller takes
+// it over.
+func (r *callerResponse) hedge(e core.SendAttempt) {
+	a := newAttemptResponse(r.exchange, e)
+	stream := r.race.streamRef()
+	resume := e.ResumeAfter != "" && stream.id != ""
+	var req *fasthttp.Request
+	started := r.race.startHedge(a, func() {
+		a.sequence.last = r.race.lastEvent
+		if resume {
+			req = newResumeRequest(r.exchange, stream, &e)
+			return
 		}
-		return r.completeFirstRead(r.readFirstEvent())
-	}
-	if r.headSent {
-		r.abortAttempt(retry.Spoiled, "", errMismatched)
-		return false
-	}
-	return r.completeFirstRead(r.readFirstBytes())
-}
-
-// handleResumedHead handles the header of an attempt that resumes a stream. It checks that the
-// engine continues the same stream of the same incarnation; any other stream would
-// join two different outputs.
-func (r *callerResponse) handleResumedHead() bool {
-	same := r.resp.StatusCode() == fasthttp.StatusOK && r.head.Events &&
-		r.head.StreamID == r.stream.id && r.head.Incarnation == r.stream.incarnation
-	if !same {
-		r.stream = streamRef{}
-		r.abortAttempt(retry.Broken, "", errStreamLost)
-		return false
+		req = r.exchange.newOwnedRequest(&e)
+	})
+	if !started {
+		a.superseded = true
+		a.reportEnd(core.AttemptEnded{Outcome: retry.NotSent}, errSuperseded)
+		return
 	}
-	r.events = newEventReader(r.call)
-	if r.headSent {
-		return true
+	if a.open(req, resume) && !r.race.claim(a) {
+		a.abort(retry.Broken, a.resumeEventID(), errSuperseded)
 	}
-	return r.completeFirstRead(r.readFirstEvent())
 }
 
 // sendHead passes the response header to the caller. The HTTP library then reads the
 // body from r.
 func (r *callerResponse) sendHead() {
-	x := r.exchange
+	x, a := r.exchange, r.source
 	out := &x.ctx.Response
-	x.server.options.Dialect.WriteHead(&out.Header, &r.resp.Header, x.request, &r.attempt)
-	out.SetStatusCode(r.resp.StatusCode())
+	x.server.options.Dialect.WriteHead(&out.Header, &a.resp.Header, x.request, &a.attempt)
+	out.SetStatusCode(a.resp.StatusCode())
 	r.headSent = true
 	if !r.complete {
 		x.server.post(core.AnswerStarted{
-			Request: x.id, Attempt: r.attempt.Attempt, Load: r.load, RejectionLimit: r.head.RejectionLimit, ProcessCertain: r.call.processCertain,
+			Request: x.id, Attempt: a.attempt.Attempt, Load: a.load, RejectionLimit: a.head.RejectionLimit, ProcessCertain: a.call.processCertain,
 		})
-		r.load = nil
+		a.load = nil
 	}
 	size := -1
-	if length := r.resp.Header.ContentLength(); length >= 0 && r.events == nil {
+	if length := a.resp.Header.ContentLength(); length >= 0 && a.events == nil {
 		size = length
 	}
 	out.SetBodyStream(r, size)
@@ -228,26 +157,97 @@
 
 // endWithError ends the body early with an error, and an event stream with an error event.
 func (r *callerResponse) endWithError(e core.Finish) {
-	r.cancelStream()
+	r.end()
 	r.bodyErr = endedEarlyError(e)
-	if r.events != nil {
+	if r.eventStream {
 		x := r.exchange
 		r.pending = x.server.options.Dialect.BrokenEvent(x.request, &e)
 	}
 }
 
-// abortAttempt closes the call and reports an attempt that ended without a whole response.
-func (r *callerResponse) abortAttempt(outcome retry.Outcome, resumeAfter string, err error) {
-	r.closeCall(false)
-	r.reportEnd(core.AttemptEnded{Outcome: outcome, LastEventID: resumeAfter}, err)
+// end cancels the stream and what is left of the attempts of a request that the core has ended, or whose caller is gone.
+func (r *callerResponse) end() {
+	r.race.cancel(0, true)
+	r.cancelStream()
+	if winner := r.race.takeWinner(); winner != nil {
+		winner.abort(retry.Broken, "", errCallCancelled)
+	}
+}
+
+// Read returns the next bytes for the caller to the HTTP library. After an error the
+// library omits the final chunk, so that a caller can tell a broken response from a
+// whole one.
+func (r *callerResponse) Read(p []byte) (int, error) {
+	for {
+		if n := r.takePending(p); n > 0 {
+			r.exchange.server.options.Metrics.CallerBytes(n)
+			return n, nil
+		}
+		switch {
+		case r.bodyErr != nil:
+			return 0, r.bodyErr
+		case r.complete:
+			return 0, io.EOF
+		}
+		if err := r.readMore(); err != nil {
+			r.handleBreak(err)
+		}
+	}
+}
+
+// takePending copies bytes that have been read to p.
+func (r *callerResponse) takePending(p []byte) int {
+	pending := &r.pending
+	if r.bodyErr == nil {
+		pending = &r.source.pending
+	}
+	n := copy(p, *pending)
+	*pending = (*pending)[n:]
+	return n
+}
+
+// readMore reads the next event or the next bytes from the source, unless another attempt delivers first.
+func (r *callerResponse) readMore() error {
+	a := r.source
+	if err := a.readMore(); err != nil {
+		return err
+	}
+	if !r.race.claim(a) {
+		a.pending = nil
+		return errSuperseded
+	}
+	r.deliver(a)
+	return nil
 }
 
-// reportEnd reports the end of the attempt to the core.
-func (r *callerResponse) reportEnd(event core.AttemptEnded, err error) {
-	event.Attempt = r.attempt.Attempt
-	event.Load, event.RejectionLimit = r.load, r.head.RejectionLimit
-	r.load = nil
-	r.exchange.attemptEnded(event, err)
+// awaitSource waits for an attempt that delivers, and makes it the source of the response. It returns the end of the
+// request if the core ends it instead.
+func (r *callerResponse) awaitSource() *core.Finish {
+	for {
+		select {
+		case a := <-r.race.won:
+			r.takeOver(a, true)
+			return nil
+		case effect := <-r.exchange.effects:
+			switch e := effect.(type) {
+			case core.SendAttempt:
+				if r.openAttempt(e) {
+					return nil
+				}
+			case core.Finish:
+				return &e
+			}
+		}
+	}
+}
+
+// handleBreak reports that the source ended after the response had started, and waits for an attempt that goes on with
+// it, or for the end of the request.
+func (r *callerResponse) handleBreak(err error) {
+	r.source.abort(retry.Broken, r.source.resumeEventID(), err)
+	if e := r.awaitSource(); e != nil {
+		r.endWithError(*e)
+	}
 }
 
 // Close is called by the HTTP library when the body has been written, or when it
@@ -256,12 +256,14 @@
 	x := r.exchange
 	switch {
 	case r.complete:
-		r.closeCall(r.readFramingEnd())
+		r.source.close(r.source.readFramingEnd())
 		x.server.options.Metrics.Answered(x.request.target(), r.timeToFirstByte, time.Since(x.startedAt))
 	case r.bodyErr == nil:
 		x.server.post(core.CallerGone{Request: x.id})
-		r.cancelStream()
-		r.abortAttempt(retry.Broken, "", io.ErrClosedPipe)
+		r.source.abort(retry.Broken, "", io.ErrClosedPipe)
+	}
+	if !r.complete {
+		r.end()
 	}
 	x.release()
 	return nil
@@ -269,20 +271,7 @@
 
 // cancelStream cancels the stream at the engine if it is not complete.
 func (r *callerResponse) cancelStream() {
-	if r.stream.id != "" && !r.complete {
-		r.exchange.server.engine.cancel(r.stream)
-	}
-	r.stream = streamRef{}
-}
-
-// closeCall ends the running call and releases its connection.
-func (r *callerResponse) closeCall(whole bool) {
-	if r.call == nil {
-		return
+	if stream := r.race.takeStream(); stream.id != "" && !r.complete {
+		r.exchange.server.engine.cancel(stream)
 	}
-	r.silence = r.call.sinceLastByte()
-	r.call.close(whole)
-	r.call = nil
-	fasthttp.ReleaseResponse(r.resp)
-	r.resp = nil
 }
--- a/internal/proxy/responsebody.go
+++ b/internal/proxy/responsebody.go
@@ -11,31 +11,30 @@
 	"github.com/ebonydyke/ebonydyke/internal/core/retry"
 )
 
-// completeFirstRead completes the first read of the response body: it records the time to first
-// byte, or reports the attempt as broken if err is set.
-func (r *callerResponse) completeFirstRead(err error) bool {
+// completeFirstRead reports the attempt as broken if its first read of the response body failed.
+func (a *attemptResponse) completeFirstRead(err error) bool {
 	if err != nil {
-		r.abortAttempt(retry.Broken, r.resumeEventID(), err)
+		a.abort(retry.Broken, a.resumeEventID(), err)
 		return false
 	}
-	r.timeToFirstByte = time.Since(r.exchange.startedAt)
+	a.firstByte = time.Since(a.exchange.startedAt)
 	return true
 }
 
 // readFirstEvent waits for the first event with data. It drops comments before that
 // event: nothing is sent to the caller while another attempt is still possible.
-func (r *callerResponse) readFirstEvent() error {
+func (a *attemptResponse) readFirstEvent() error {
 	for {
-		e, err := r.readNewEvent()
+		e, err := a.readNewEvent()
 		if errors.Is(err, io.EOF) {
-			r.markComplete()
+			a.complete = true
 			return nil
 		}
 		if err != nil {
 			return err
 		}
 		if e.data {
-			r.setPending(e)
+			a.setPending(e)
 			return nil
 		}
 	}
@@ -43,16 +42,16 @@
 
 // readNewEvent reads the next event that has not been received before. If the HTTP
 // framing marks the end of the stream, it returns io.EOF there.
-func (r *callerResponse) readNewEvent() (streamEvent, error) {
+func (a *attemptResponse) readNewEvent() (streamEvent, error) {
 	for {
-		e, err := r.events.next()
-		if errors.Is(err, io.EOF) && (r.head.EndMarked || r.events.partial()) {
+		e, err := a.events.next()
+		if errors.Is(err, io.EOF) && (a.head.EndMarked || a.events.partial()) {
 			return e, errNoEndMark
 		}
 		if err != nil {
 			return e, err
 		}
-		fresh, err := r.sequence.accept(e, r.head.EndMarked)
+		fresh, err := a.sequence.accept(e, a.head.EndMarked)
 		if err != nil {
 			return e, err
 		}
@@ -63,52 +62,52 @@
 }
 
 // setPending makes the event's text pending and checks for the end mark.
-func (r *callerResponse) setPending(e streamEvent) {
-	r.pending = e.text
-	if e.end && r.head.EndMarked {
-		r.markComplete()
+func (a *attemptResponse) setPending(e streamEvent) {
+	a.pending = e.text
+	if e.end && a.head.EndMarked {
+		a.complete = true
 	}
 }
 
 // readFirstBytes reads a small response whole, or the first bytes of a large one.
-func (r *callerResponse) readFirstBytes() error {
-	length := r.resp.Header.ContentLength()
-	if length >= 0 && length <= maxBufferedBody && r.resp.BodyStream() != nil {
+func (a *attemptResponse) readFirstBytes() error {
+	length := a.resp.Header.ContentLength()
+	if length >= 0 && length <= maxBufferedBody && a.resp.BodyStream() != nil {
 		body := make([]byte, length)
-		if _, err := io.ReadFull(r.call, body); err != nil {
+		if _, err := io.ReadFull(a.call, body); err != nil {
 			return fmt.Errorf("proxy: truncated response: %w", err)
 		}
-		r.pending = body
-		r.markComplete()
+		a.pending = body
+		a.complete = true
 		return nil
 	}
-	if r.head.BufferBody && length < 0 {
-		return r.bufferBody()
+	if a.head.BufferBody && length < 0 {
+		return a.bufferBody()
 	}
-	r.buffer = make([]byte, readBufferSize)
-	return r.readChunk()
+	a.buffer = make([]byte, readBufferSize)
+	return a.readChunk()
 }
 
 // bufferBody reads a body of unknown length to its end, or up to the size limit. A
 // larger body is forwarded as it arrives.
-func (r *callerResponse) bufferBody() error {
-	body, err := io.ReadAll(io.LimitReader(r.call, maxBufferedBody))
+func (a *attemptResponse) bufferBody() error {
+	body, err := io.ReadAll(io.LimitReader(a.call, maxBufferedBody))
 	if err != nil {
 		return fmt.Errorf("proxy: truncated response: %w", err)
 	}
-	r.pending = body
+	a.pending = body
 	if len(body) < maxBufferedBody {
-		r.markComplete()
+		a.complete = true
 	}
-	r.buffer = make([]byte, readBufferSize)
+	a.buffer = make([]byte, readBufferSize)
 	return nil
 }
 
-func (r *callerResponse) readChunk() error {
-	n, err := r.call.Read(r.buffer)
-	r.pending = r.buffer[:n]
+func (a *attemptResponse) readChunk() error {
+	n, err := a.call.Read(a.buffer)
+	a.pending = a.buffer[:n]
 	if errors.Is(err, io.EOF) {
-		r.markComplete()
+		a.complete = true
 		return nil
 	}
 	return err
@@ -116,101 +115,70 @@
 
 // unframedEnd decides on a response without a length or chunks whose connection was closed in order. The end of the
 // server's process closes it as well, in the middle of the response.
-func (r *callerResponse) unframedEnd() error {
-	if r.endCheck == nil {
-		check := r.exchange.server.ends.check(&r.attempt)
-		r.endCheck = &check
+func (a *attemptResponse) unframedEnd() error {
+	if a.endCheck == nil {
+		check := a.exchange.server.ends.check(&a.attempt)
+		a.endCheck = &check
 	}
-	if r.endCheck.ended() {
+	if a.endCheck.ended() {
 		return errUnframed
 	}
 	return io.EOF
 }
 
-// markComplete marks the response as complete and reports it.
-func (r *callerResponse) markComplete() {
-	r.complete = true
-	uncertain := r.endCheck != nil && !r.endCheck.connected
-	r.reportEnd(core.AttemptEnded{Outcome: retry.Answered, Uncertain: uncertain}, nil)
-}
-
-// Read returns the next bytes for the caller to the HTTP library. After an error the
-// library omits the final chunk, so that a caller can tell a broken response from a
-// whole one.
-func (r *callerResponse) Read(p []byte) (int, error) {
-	for len(r.pending) == 0 {
-		switch {
-		case r.bodyErr != nil:
-			return 0, r.bodyErr
-		case r.complete:
-			return 0, io.EOF
-		}
-		if err := r.readMore(); err != nil {
-			r.handleBreak(err)
-		}
-	}
-	n := copy(p, r.pending)
-	r.pending = r.pending[n:]
-	r.exchange.server.options.Metrics.CallerBytes(n)
-	return n, nil
+// reportAnswered reports a whole response.
+func (a *attemptResponse) reportAnswered() {
+	uncertain := a.endCheck != nil && !a.endCheck.connected
+	a.reportEnd(core.AttemptEnded{Outcome: retry.Answered, Uncertain: uncertain}, nil)
 }
 
 // readMore reads the next event or the next bytes into pending.
-func (r *callerResponse) readMore() error {
-	if r.events == nil {
-		return r.readChunk()
+func (a *attemptResponse) readMore() error {
+	if a.events == nil {
+		return a.readChunk()
 	}
-	e, err := r.readNewEvent()
+	e, err := a.readNewEvent()
 	if errors.Is(err, io.EOF) {
-		r.markComplete()
+		a.complete = true
 		return nil
 	}
 	if err != nil {
 		return err
 	}
-	r.setPending(e)
+	a.setPending(e)
 	return nil
 }
 
-// handleBreak reports that the response was cut off after it had started, and executes the
-// effects that the core returns: either the same stream is resumed, or the response
-// ends with an error.
-func (r *callerResponse) handleBreak(err error) {
-	r.abortAttempt(retry.Broken, r.resumeEventID(), err)
-	for effect := range r.exchange.effects {
-		switch e := effect.(type) {
-		case core.SendAttempt:
-			if r.openAttempt(e) {
-				return
-			}
-		case core.Finish:
-			r.endWithError(e)
-			return
-		}
-	}
-}
-
 // resumeEventID returns the event number after which the stream can be resumed, or ""
-// if it cannot. A stream with an end mark needs a stream ID; a stream without one can
-// be resumed if its events are numbered.
-func (r *callerResponse) resumeEventID() string {
-	if r.events == nil {
+// if it cannot.
+func (a *attemptResponse) resumeEventID() string {
+	if !a.resumable(a.exchange.race.streamRef()) {
 		return ""
 	}
-	if r.head.EndMarked && r.stream.id == "" || !r.head.EndMarked && r.sequence.last == 0 {
-		return ""
+	return strconv.FormatUint(a.sequence.last, 10)
+}
+
+// resumable reports whether another attempt can go on with the response. A stream with an end mark needs a stream ID; a
+// stream without one can be resumed if its events are numbered.
+func (a *attemptResponse) resumable(stream streamRef) bool {
+	switch {
+	case a.events == nil:
+		return false
+	case a.head.EndMarked:
+		return stream.id != ""
+	default:
+		return a.sequence.last != 0
 	}
-	return strconv.FormatUint(r.sequence.last, 10)
 }
 
 // readFramingEnd reads the end of the HTTP framing after the end of the response, so that
 // the connection can be reused. It reports whether the framing ended there.
-func (r *callerResponse) readFramingEnd() bool {
-	if r.events == nil {
+func (a *attemptResponse) readFramingEnd() bool {
+	if a.events == nil {
 		return true
 	}
-	r.call.deadline = time.Now().Add(framingEndTimeout)
+	a.call.deadline = time.Now().Add(framingEndTimeout)
 	var b [1]byte
-	n, err := r.events.reader.Read(b[:])
+	n, err := a.events.reader.Read(b[:])
 	return n == 0 && errors.Is(err, io.EOF)
 }
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -28,8 +28,10 @@
 	backends *fasthttp.Client
 	pool     *connPool
 	zones    *zoneActivities
-	engine   *engineClient
-	ends     endChecker
+	// activities holds what backend servers with attempts in progress send.
+	activities *backendActivities
+	engine     *engineClient
+	ends       endChecker
 	// notReady is set while the load balancer must not send new requests.
 	notReady atomic.Bool
 	// lastRequestID and requestIDPrefix form the request IDs.
@@ -59,6 +61,7 @@
 		backends:        newClient(o, pool),
 		pool:            pool,
 		zones:           newZoneActivities(),
+		activities:      newBackendActivities(),
 		ends:            endChecker{countDial: o.Metrics.Dialled, relays: o.Relays},
 		engine:          newEngineClient(o, log),
 		requestIDPrefix: strconv.FormatInt(time.Now().UnixNano(), 36),
--- a/internal/proxy/transport.go
+++ b/internal/proxy/transport.go
@@ -24,11 +24,8 @@
 
 var (
 	errCallCancelled = errors.New("proxy: call cancelled")
-	errInactive      = errors.New("proxy: backend server silent for too long")
-	// errFirstByteTimeout means that the first bytes of a response did not arrive within the attempt's timeout.
-	errFirstByteTimeout = errors.New("proxy: no response within the first-byte timeout")
-	errConnect          = errors.New("proxy: connect")
-	errUnframed         = errors.New("proxy: response without a length ended by connection close")
+	errConnect       = errors.New("proxy: connect")
+	errUnframed      = errors.New("proxy: response without a length ended by connection close")
 )
 
 // call is one request to a backend server on one connection, with its response.
@@ -46,10 +43,8 @@
 	dialReason DialReason
 	// countDial counts the connections that are opened.
 	countDial func(DialReason)
-	// firstByteTimeout limits the wait for the first bytes of the response, if not 0.
-	firstByteTimeout time.Duration
-	// inactivityTimeout limits the time between two reads of the response body.
-	inactivityTimeout time.Duration
+	// watch reports silence of the server. It ends nothing.
+	watch *silenceWatch
 	// dialTimeout limits the time to open a connection, over the paths of plan.
 	dialTimeout time.Duration
 	plan        core.DialPlan
@@ -66,11 +61,6 @@
 	pool             *connPool
 	// relay is the name of the peer that relays the connection, "" if none does.
 	relay string
-	// bodyStarted is set once a byte of the response body has been read.
-	bodyStarted bool
-	// firstByteExpiry is the deadline for the first bytes of the response, or zero until
-	// firstByteDeadline computes it.
-	firstByteExpiry time.Time
 
 	host *fasthttp.HostClient
 	// release returns the connection to the pool if reuse is set, or closes it.
@@ -93,7 +83,7 @@
 		return errCallCancelled
 	}
 	conn.written.Store(0)
-	conn.lastReadAt.Store(0)
+	conn.watch = c.watch
 	if c.relay == "" {
 		conn.zone = c.zone
 	}
@@ -194,7 +184,7 @@
 	if err != nil {
 		return fmt.Errorf("%w: %w", errConnect, err)
 	}
-	conn := &backendConn{Conn: opened.conn, defaultKeepAlive: c.defaultKeepAlive, now: c.now, openedAt: c.now(), dialledAt: time.Now()}
+	conn := &backendConn{Conn: opened.conn, defaultKeepAlive: c.defaultKeepAlive, now: c.now, openedAt: c.now()}
 	if opened.relay != nil {
 		c.relay = opened.relayName()
 		c.recordDial(Relayed)
@@ -231,9 +221,11 @@
 
 // exchangeHeaders writes the whole request and reads the response up to its body.
 func (c *call) exchangeHeaders(req *fasthttp.Request, resp *fasthttp.Response) error {
-	if err := c.conn.SetDeadline(c.firstByteDeadline()); err != nil {
+	if err := c.conn.SetDeadline(c.deadline); err != nil {
 		return fmt.Errorf("proxy: set deadline: %w", err)
 	}
+	c.watch.start()
+	defer c.watch.pause()
 	out := c.host.AcquireWriter(c.conn)
 	err := req.Write(out)
 	if err == nil {
@@ -245,7 +237,7 @@
 	}
 	c.reader = c.host.AcquireReader(c.conn)
 	if err := resp.ReadLimitBody(c.reader, 0); err != nil {
-		return c.readError("read header", err)
+		return fmt.Errorf("proxy: read header: %w", err)
 	}
 	c.resp = resp
 	c.conn.keepAlive = parseKeepAlive(&resp.Header)
@@ -260,11 +252,15 @@
 	if body == nil {
 		return 0, io.EOF
 	}
-	if err := c.conn.SetReadDeadline(c.readDeadline()); err != nil {
+	if err := c.conn.SetReadDeadline(c.deadline); err != nil {
 		return 0, fmt.Errorf("proxy: set deadline: %w", err)
 	}
+	c.watch.wait()
 	n, err := body.Read(p)
-	c.bodyStarted = c.bodyStarted || n > 0
+	c.watch.pause()
+	if n > 0 {
+		c.watch.bodyStarted.Store(true)
+	}
 	switch {
 	case err == nil:
 		return n, nil
@@ -275,30 +271,8 @@
 	case errors.Is(err, io.EOF):
 		return n, errUnframed
 	default:
-		return n, c.readError("read response", err)
-	}
-}
-
-// readError returns the error of a failed read. It tells the attempt's own timeouts from its deadline.
-func (c *call) readError(what string, err error) error {
-	switch {
-	case !isTimeout(err) || !time.Now().Before(c.deadline):
-		return fmt.Errorf("proxy: %s: %w", what, err)
-	case c.bodyStarted:
-		return errInactive
-	default:
-		return errFirstByteTimeout
-	}
-}
-
-// sinceLastByte returns the time since the last byte of the response, or -1 if none has arrived.
-func (c *call) sinceLastByte() time.Duration {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.conn == nil || c.conn.lastReadAt.Load() == 0 {
-		return -1
+		return n, fmt.Errorf("proxy: read response: %w", err)
 	}
-	return time.Since(c.conn.dialledAt) - time.Duration(c.conn.lastReadAt.Load())
 }
 
 // hasFramedEnd reports whether the end of the response can be told from a cut connection.
@@ -325,25 +299,6 @@
 	}
 }
 
-// firstByteDeadline returns the deadline for the first bytes of the response. It is computed
-// once, when the request is sent.
-func (c *call) firstByteDeadline() time.Time {
-	if c.firstByteTimeout > 0 && c.firstByteExpiry.IsZero() {
-		c.firstByteExpiry = earlier(time.Now().Add(c.firstByteTimeout), c.deadline)
-	}
-	if c.firstByteTimeout > 0 {
-		return c.firstByteExpiry
-	}
-	return c.deadline
-}
-
-func (c *call) readDeadline() time.Time {
-	if c.firstByteTimeout > 0 && !c.bodyStarted {
-		return c.firstByteDeadline()
-	}
-	return earlier(time.Now().Add(c.inactivityTimeout), c.deadline)
-}
-
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
@@ -354,6 +309,7 @@
 // close ends the call. The connection is reused only if the response was read to the end
 // that its framing marks and no bytes follow it.
 func (c *call) close(whole bool) {
+	c.watch.stop()
 	if c.release == nil {
 		return
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -125,8 +125,8 @@
 	// BackendIdle is how long an idle connection to a backend server is kept open if the
 	// server announces no keep-alive time.
 	BackendIdle config.Duration `json:"backend_idle"`
-	// Inactivity is the maximum time during which a backend server sends nothing within a
-	// response.
+	// Inactivity is the time without a byte of a stream of the fleet's own interface after which its engine is asked for
+	// the rest on another connection. The first one stays open until the other delivers.
 	Inactivity config.Duration `json:"inactivity"`
 }
 
