--- a/internal/core/hedges.go
+++ b/internal/core/hedges.go
@@ -73,6 +73,7 @@
 func (r *request) setAside() {
 	r.run = r.poison.Run
 	r.hedged = append(r.hedged, r.attempt)
+	r.attempt = attempt{}
 }
 
 // inProgress returns the number of attempts in progress.
@@ -146,9 +147,9 @@
 		n.countHedge(labelHedgeBudget)
 		return
 	}
-	backend, address, placement := r.backend, r.address, r.placement
+	same := attempt{backend: r.backend, address: r.address, placement: r.placement}
 	r.setAside()
-	r.attempt = attempt{backend: backend, address: address, placement: placement}
+	r.attempt = same
 	n.countHedge(labelHedgeSent)
 	n.send(r, SendAttempt{Hedge: true, ResumeAfter: lastEvent, RetryReason: reason.BackendSilent})
 }
