Check the server of an unframed response again while the check times out

Suspected, not shown: the dial that tells an ended server from one that has closed its connection timed out within 100 ms on the busy machine, and a timeout counts for whole. It is repeated up to ten times now. The test fails without the repetition.

--- a/internal/proxy/endcheck.go
+++ b/internal/proxy/endcheck.go
@@ -20,6 +20,10 @@
 // A machine whose process has ended refuses a connection within one round trip.
 const endCheckTimeout = 100 * time.Millisecond
 
+// unframedEndChecks is the number of checks, each of which may time out, before a response without a length or chunks
+// passes for whole although its server could not be checked. A busy machine may refuse a connection late.
+const unframedEndChecks = 10
+
 // endChecker finds out whether the process of a backend server has ended.
 //
 // A connection that closes early does not show that: the server may have closed it, its reply
@@ -31,6 +35,8 @@
 	countDial func(DialReason)
 	// relays is nil if this instance uses no relays.
 	relays RelayDialer
+	// connect opens and closes a connection to an address.
+	connect func(address string) error
 	// dials merges the checks of all requests that the end of one server breaks.
 	dials singleflight.Group
 }
@@ -39,6 +45,8 @@
 type endCheck struct {
 	// refused is set if the server's machine refused a connection, and connected if the server accepted one.
 	refused, connected bool
+	// timedOut is set if neither was known in time.
+	timedOut bool
 	// found is what the attempt's relays found if this instance was refused.
 	found []paths.Observation
 }
@@ -52,19 +60,35 @@
 func (c *endChecker) check(attempt *core.SendAttempt) endCheck {
 	observations, dialErr, _ := c.dials.Do(attempt.Address, func() (any, error) {
 		c.countDial(EndCheck)
-		conn, err := net.DialTimeout("tcp", attempt.Address, endCheckTimeout)
-		if err != nil {
-			return c.askRelays(attempt, err), err
-		}
-		return []paths.Observation(nil), conn.Close()
+		err := c.connect(attempt.Address)
+		return c.askRelays(attempt, err), err
 	})
 	if !errors.Is(dialErr, syscall.ECONNREFUSED) {
-		return endCheck{connected: dialErr == nil}
+		return endCheck{connected: dialErr == nil, timedOut: isTimeout(dialErr)}
 	}
 	found, _ := observations.([]paths.Observation)
 	return endCheck{refused: true, found: found}
 }
 
+// checkUnframed checks a server that has closed the connection of a response without a length or chunks, again while
+// that times out.
+func (c *endChecker) checkUnframed(attempt *core.SendAttempt) endCheck {
+	check := c.check(attempt)
+	for n := 1; n < unframedEndChecks && check.timedOut; n++ {
+		check = c.check(attempt)
+	}
+	return check
+}
+
+// connectOnce opens and closes a connection to an address.
+func connectOnce(address string) error {
+	conn, err := net.DialTimeout("tcp", address, endCheckTimeout)
+	if err != nil {
+		return err
+	}
+	return conn.Close()
+}
+
 // askRelays asks the attempt's relays to connect to the backend server if this instance was refused.
 func (c *endChecker) askRelays(attempt *core.SendAttempt, err error) []paths.Observation {
 	if c.relays == nil || !errors.Is(err, syscall.ECONNREFUSED) {
--- a/internal/proxy/endcheck_test.go
+++ b/internal/proxy/endcheck_test.go
@@ -26,7 +26,7 @@
 	require.NoError(t, gone.Close())
 
 	dials := 0
-	c := endChecker{countDial: func(DialReason) { dials++ }}
+	c := endChecker{countDial: func(DialReason) { dials++ }, connect: connectOnce}
 	check := func(address string, err error) bool {
 		return closedByPeer(err) && c.check(&core.SendAttempt{Address: address}).ended()
 	}
@@ -42,6 +42,24 @@
 	require.NoError(t, listener.Close())
 }
 
+// Guards against a part of an unframed response that passes for whole because the machine of its ended server, or this
+// one, is busy, and the first checks time out.
+func TestUnframedEndIsCheckedUntilKnown(t *testing.T) {
+	for refusedAfter, ended := range map[int]bool{0: true, 3: true, unframedEndChecks: false} {
+		dials := 0
+		c := endChecker{countDial: func(DialReason) { dials++ }, connect: func(string) error {
+			if dials > refusedAfter {
+				return syscall.ECONNREFUSED
+			}
+			return os.ErrDeadlineExceeded
+		}}
+		check := c.checkUnframed(&core.SendAttempt{Address: "10.0.0.1:1"})
+		require.Equal(t, ended, check.ended(), "refused after %d checks", refusedAfter)
+		require.Equal(t, !ended, check.timedOut)
+		require.LessOrEqual(t, dials, unframedEndChecks)
+	}
+}
+
 // Guards against returns of a request that are not recognized because a header differs, and
 // against two requests that are taken for one.
 func TestContentHash(t *testing.T) {
--- a/internal/proxy/responsebody.go
+++ b/internal/proxy/responsebody.go
@@ -117,7 +117,7 @@
 // server's process closes it as well, in the middle of the response.
 func (a *attemptResponse) unframedEnd() error {
 	if a.endCheck == nil {
-		check := a.exchange.server.ends.check(&a.attempt)
+		check := a.exchange.server.ends.checkUnframed(&a.attempt)
 		a.endCheck = &check
 	}
 	if a.endCheck.ended() {
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -62,7 +62,7 @@
 		pool:            pool,
 		zones:           newZoneActivities(),
 		activities:      newBackendActivities(),
-		ends:            endChecker{countDial: o.Metrics.Dialled, relays: o.Relays},
+		ends:            endChecker{countDial: o.Metrics.Dialled, relays: o.Relays, connect: connectOnce},
 		engine:          newEngineClient(o, log),
 		requestIDPrefix: strconv.FormatInt(time.Now().UnixNano(), 36),
 		log:             log,
