Relay: cut only ends that acknowledge nothing

Callers saw: an answer over a relay was reset when the caller, or the asking instance, read nothing for five seconds, and so was a long request to a paused server. The rest of an answer was reset two seconds after its server had closed, if the asking instance had no room for it.

Cause: both sides of a relayed connection had TCP_USER_TIMEOUT, which also counts the time for which the other end acknowledges probes and has no room (tcp(7)). The relay also left a requester after two seconds with bytes unsent.

Why it works: dial.Watch reads TCP_INFO and gives up an end only after ten looks in 5 s without an acknowledgement of data or probes, and two transmissions; an end without room acknowledges both.

--- a/internal/dial/dial.go
+++ b/internal/dial/dial.go
@@ -6,7 +6,6 @@
 package dial
 
 import (
-	"fmt"
 	"net"
 	"syscall"
 	"time"
@@ -41,22 +40,6 @@
 	}
 }
 
-// LimitSilence sets the limits of Dialer's connections on an accepted one.
-func LimitSilence(conn net.Conn, ackTimeout time.Duration) error {
-	tcp, ok := conn.(*net.TCPConn)
-	if !ok {
-		return nil
-	}
-	if err := tcp.SetKeepAliveConfig(keepAlive(ackTimeout)); err != nil {
-		return fmt.Errorf("dial: keep-alive: %w", err)
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return fmt.Errorf("dial: socket: %w", err)
-	}
-	return limitUnacknowledged(raw, ackTimeout)
-}
-
 // limitUnacknowledged sets the time after which a connection fails if sent data is not
 // acknowledged. The kernel sends no keep-alive probes while data is unacknowledged.
 func limitUnacknowledged(raw syscall.RawConn, limit time.Duration) error {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -16,6 +16,8 @@
 	"sync/atomic"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/ebonydyke/ebonydyke/internal/core/paths"
 	"github.com/ebonydyke/ebonydyke/internal/dial"
 	"github.com/ebonydyke/ebonydyke/internal/peer"
@@ -29,11 +31,10 @@
 	maxConnectTime = 2 * time.Second
 	// ackTimeout is the time after which a connection is closed whose other end acknowledges nothing.
 	// Without it the connections of an instance that lost power would stay. It exceeds the seconds for
-	// which a healthy machine may be silent.
+	// which the path to a healthy machine may be interrupted. A process that reads nothing does not
+	// matter: its machine acknowledges.
 	ackTimeout = 5 * time.Second
-	// closeTimeout limits the wait for the peer to close its side after the backend server closed.
-	closeTimeout = 2 * time.Second
-	bufferSize   = 4 << 10
+	bufferSize = 4 << 10
 )
 
 // Metrics receives the measurements of a Server. Its methods must be safe for concurrent use.
@@ -77,7 +78,7 @@
 	if s.active.Add(1) > maxConnections || s.excludes(r.Address) {
 		return s.reply(r, paths.NoRelay)
 	}
-	dialer := dial.Dialer(min(r.Timeout, maxConnectTime), ackTimeout)
+	dialer := net.Dialer{Timeout: min(r.Timeout, maxConnectTime)}
 	server, err := dialer.DialContext(ctx, "tcp", r.Address)
 	if err != nil {
 		return s.reply(r, paths.ResultOf(err))
@@ -88,8 +89,21 @@
 	if err := s.reply(r, paths.Connected); err != nil {
 		return err
 	}
-	if err := dial.LimitSilence(r.Conn, ackTimeout); err != nil {
-		return err
+	return s.watchAndJoin(r, server)
+}
+
+// watchAndJoin joins the connections, and resets one whose machine is gone.
+func (s *Server) watchAndJoin(r *peer.RelayRequest, server net.Conn) error {
+	for _, conn := range []net.Conn{r.Conn, server} {
+		stop, err := dial.Watch(conn, ackTimeout, func() {
+			klog.V(1).InfoS("relayed connection reset: one end acknowledges nothing", "requester", r.From, "server", r.Address,
+				"end", conn.RemoteAddr().String())
+			abort(conn)
+		})
+		if err != nil {
+			return err
+		}
+		defer stop()
 	}
 	s.join(r.Conn, server)
 	return nil
@@ -120,12 +134,12 @@
 		<-requests
 		return
 	}
-	// The requester may still be sending the rest of a request that was answered early. Closing over
-	// bytes that were not read would reset the connection, and the answer with it.
+	// The requester closes once it has read the answer, however late. It may also still be sending the rest of a
+	// request that was answered early: closing over bytes that were not read would reset the connection, and the
+	// answer with it.
 	if closer, ok := requester.(interface{ CloseWrite() error }); ok {
 		_ = closer.CloseWrite()
 	}
-	_ = requester.SetReadDeadline(time.Now().Add(closeTimeout))
 	<-requests
 }
 
