--- a/internal/core/changebound_test.go
+++ b/internal/core/changebound_test.go
@@ -222,6 +222,7 @@
 // Guards against changes that come late or never at healthy instances, because all followers of
 // the store fail together, or with them those that would replace the followers.
 func TestChangeReachesHealthyInstances(t *testing.T) {
+	t.Parallel()
 	for _, size := range []fleetSize{{8, 3}, {9, 4}, {60, 4}, {60, 1}} {
 		for _, affected := range []int{0, size.instances * 3 / 4} {
 			for _, fault := range instanceFaults {
@@ -306,6 +307,7 @@
 // Guards against changes that come late or never at healthy instances while faults of others
 // overlap in any order.
 func TestChangeReachesHealthyInstancesDuringFaultSeries(t *testing.T) {
+	t.Parallel()
 	for _, size := range []fleetSize{{8, 3}, {9, 4}, {60, 4}} {
 		t.Run(size.String(), func(t *testing.T) {
 			t.Parallel()
--- a/internal/core/claiming_test.go
+++ b/internal/core/claiming_test.go
@@ -84,6 +84,7 @@
 // effect after all instances have given up on it. The request then runs twice, or is
 // refused as the duplicate of one that never ran.
 func TestLostStoreAnswersNeitherRepeatNorBlockKeys(t *testing.T) {
+	t.Parallel()
 	for _, kind := range []string{"answer", "write", "late"} {
 		t.Run(kind, func(t *testing.T) {
 			f := newClaimFleet(3)
@@ -114,6 +115,7 @@
 // While the store is unavailable, requests must be refused as not run within a few
 // seconds. Their keys must be free once the store is back.
 func TestStoreOutageRefusesWithoutBlockingKeys(t *testing.T) {
+	t.Parallel()
 	f := newClaimFleet(4)
 	f.store.down = true
 	var refused []*callerRequest
@@ -140,6 +142,7 @@
 // write claims. It resumes with a stale tail and with requests whose claims it still
 // considers valid.
 func TestFrozenOwnerResumesWithStaleTail(t *testing.T) {
+	t.Parallel()
 	f := newClaimFleet(5)
 	for i := range 40 {
 		f.submit(f.instances[i%4], fmt.Sprintf("warm-%d", i))
@@ -170,6 +173,7 @@
 // stays claimed: a second request with it is refused as in progress or lost, and a third
 // one runs after the window.
 func TestInstanceKilledBetweenClaimAndSend(t *testing.T) {
+	t.Parallel()
 	f := newClaimFleet(6)
 	m := f.instances[0]
 	s := f.submit(m, "note")
--- a/internal/core/coldstart_test.go
+++ b/internal/core/coldstart_test.go
@@ -45,6 +45,7 @@
 // ended its watch: 27 calls per instance before the first request, and the operators pay for
 // each.
 func TestColdStartNeedsFewStoreCalls(t *testing.T) {
+	t.Parallel()
 	for _, size := range []struct{ instances, zones, engines int }{{8, 3, 15}, {18, 5, 41}, {60, 5, 60}} {
 		t.Run(fmt.Sprint(size.instances), func(t *testing.T) {
 			f := newColdFleet(1, size.instances, size.zones, size.engines)
@@ -72,6 +73,7 @@
 // the fleet runs. Each took a lease, wrote an entry and read everything that its peers know:
 // five calls, although its old entry still exists and the peers can pass the rest on.
 func TestRollingRestartNeedsFewStoreCalls(t *testing.T) {
+	t.Parallel()
 	f := newSettledFleet(t, 18, 5, 41)
 	f.run(10 * time.Second)
 	quiet := f.storeCost
@@ -95,6 +97,7 @@
 // links and processors, at some hundreds of instances, in the very second in which callers
 // wait.
 func TestFleetStartSendsNoRedundantMemberChanges(t *testing.T) {
+	t.Parallel()
 	const instances = 60
 	f := newColdFleet(1, instances, 5, 12)
 	f.run(14 * time.Second)
@@ -118,6 +121,7 @@
 // know it as leaving, which is final within one incarnation, so they must learn that this is
 // a new incarnation.
 func TestRestartedInstanceRejoinsWithOldEntry(t *testing.T) {
+	t.Parallel()
 	f := newSettledFleet(t, 18, 5, 5)
 	restarted := f.instances[3]
 	f.deliver(restarted, core.StopRequested{})
--- a/internal/core/configs_test.go
+++ b/internal/core/configs_test.go
@@ -89,6 +89,7 @@
 // The store is restored from a backup, or returns from an outage without its last write. The
 // fleet must not revert to the older text, and an instance that starts then must not apply it.
 func TestRestoredStoreDoesNotRevertConfiguration(t *testing.T) {
+	t.Parallel()
 	f, text := configFleet(t, 12, 8, 3)
 	f.putConfig(2, "second", text)
 	f.run(10 * time.Second)
@@ -116,6 +117,7 @@
 // A replaced instance starts while the platform is unreachable. It would refuse all requests
 // for lack of a configuration that every peer has.
 func TestInstanceStartedInOutageGetsConfigurationFromPeers(t *testing.T) {
+	t.Parallel()
 	f, text := configFleet(t, 13, 8, 3)
 	f.putConfig(2, "second", text)
 	f.run(10 * time.Second)
@@ -136,6 +138,7 @@
 // it is cut off from both, it must keep its configuration and apply the edit after the
 // partition heals.
 func TestPartitionedZoneAppliesEditWhenReachable(t *testing.T) {
+	t.Parallel()
 	inZone := func(m *fakeInstance) bool { return m.zone == "zone-0" }
 	across := func(a, b *fakeInstance) bool { return inZone(a) != inZone(b) }
 	nowhere := func(_, _ *fakeInstance) bool { return false }
@@ -167,6 +170,7 @@
 // who saw only the store wrote again. Instances would keep different edits. All must converge
 // on the same one.
 func TestConflictingEditsConverge(t *testing.T) {
+	t.Parallel()
 	for _, edits := range [][2]string{{"a", "b"}, {"b", "a"}} {
 		f, text := configFleet(t, 15, 8, 3)
 		f.putConfig(2, edits[0], text)
--- a/internal/core/crowd_test.go
+++ b/internal/core/crowd_test.go
@@ -17,6 +17,7 @@
 // Guards against refusing callers while servers whose rejections are limited have room, because most requests reach one
 // instance and the slots of the others idle.
 func TestCrowdedInstanceUsesAllSlots(t *testing.T) {
+	t.Parallel()
 	for _, load := range rejectionLoads {
 		for _, c := range []rejectionCase{
 			{fleetSize{7, 3}, "engines", 12, 64},
@@ -105,6 +106,7 @@
 // Guards against callers at an instance that gets most new connections whose failed requests are not tried again,
 // because each instance may spend an equal part of the fleet's retries.
 func TestCrowdedInstanceRetriesAsOthers(t *testing.T) {
+	t.Parallel()
 	for _, size := range []fleetSize{{7, 3}, {60, 4}, {350, 6}} {
 		if size.instances > largestInCI && *boundSeeds == 1 {
 			continue
--- a/internal/core/cutfromservers_test.go
+++ b/internal/core/cutfromservers_test.go
@@ -58,6 +58,7 @@
 // Guards against callers who are refused at an instance that has lost its path to the backend servers,
 // while other instances reach them.
 func TestCallersAtCutInstancesAreServed(t *testing.T) {
+	t.Parallel()
 	for _, size := range cutSizes() {
 		for _, mode := range []cutMode{cutSilent, cutReset, cutRefusing} {
 			for _, scope := range cutScopes {
@@ -79,6 +80,7 @@
 // Guards against callers who wait for one dial after the other while no instance reaches a server, and
 // against instances that do not serve again at once when they do.
 func TestRequestsThatNoInstanceCanServeAreRefusedAtOnce(t *testing.T) {
+	t.Parallel()
 	for _, mode := range []cutMode{cutSilent, cutReset, cutRefusing} {
 		t.Run(string(mode), func(t *testing.T) {
 			t.Parallel()
--- a/internal/core/entryexchange_test.go
+++ b/internal/core/entryexchange_test.go
@@ -76,6 +76,7 @@
 // the engine as quickly: within the two seconds that the operators allow, with a call or two
 // per change instead of one per instance.
 func TestFollowersDistributeStoreChanges(t *testing.T) {
+	t.Parallel()
 	for _, size := range []struct{ instances, zones, calls int }{{8, 3, 40}, {48, 3, 40}} {
 		t.Run(fmt.Sprint(size.instances), func(t *testing.T) {
 			f := newFleetWithEntries(1, size.instances, size.zones, 12)
--- a/internal/core/faults_test.go
+++ b/internal/core/faults_test.go
@@ -176,6 +176,7 @@
 // runs twice, is refused as not run although it ran, or is refused as a duplicate although no
 // other request has its key.
 func TestAnyTwoFaultsTogether(t *testing.T) {
+	t.Parallel()
 	for i, first := range faults {
 		for _, second := range faults[i:] {
 			t.Run(first.name+" and "+second.name, func(t *testing.T) {
--- a/internal/core/followers_test.go
+++ b/internal/core/followers_test.go
@@ -31,6 +31,7 @@
 // configuration and the leaving engine for ten seconds. Operators allow two in a small fleet
 // and three in a large one.
 func TestChangesArriveWhenAllFollowersAreCutOff(t *testing.T) {
+	t.Parallel()
 	for _, size := range []struct {
 		instances, zones int
 		within           time.Duration
@@ -60,6 +61,7 @@
 // operators one call a second, so only a few may do so. All instances must learn the changes
 // once the store is back.
 func TestFewInstancesCallStoreDuringOutage(t *testing.T) {
+	t.Parallel()
 	f := newSettledFleet(t, 60, 4, 12)
 	f.run(10 * time.Second)
 	normalCalls := f.storeCost
@@ -80,6 +82,7 @@
 // for that. They must not report the engines as gone meanwhile, or most of the fleet would
 // refuse requests that it could serve.
 func TestEnginesStayInUseAfterLeaseLossInOutage(t *testing.T) {
+	t.Parallel()
 	f := newSettledFleet(t, 18, 5, 6)
 	f.store.down = true
 	f.run(5 * time.Second)
@@ -104,6 +107,7 @@
 // entry then ends without a drain notice, the others must stop using the engine without delay,
 // because the store was never down. They used to treat the entry as lapsed in an outage.
 func TestRemovalIsNotDelayedByOtherInstancesFailures(t *testing.T) {
+	t.Parallel()
 	f := newSettledFleet(t, 60, 4, 12)
 	f.platformCut = func(m *fakeInstance) bool { return m.zone == "zone-1" }
 	f.run(3 * time.Second)
--- a/internal/core/members_test.go
+++ b/internal/core/members_test.go
@@ -195,6 +195,7 @@
 // a tenth of the platform's reads. Only a few instances read it often. The others read it
 // rarely, and often once they receive no messages from peers.
 func TestFewInstancesReadTheListOften(t *testing.T) {
+	t.Parallel()
 	const instances = 58
 	list := liveEngines(3)
 	for i := range instances {
--- a/internal/core/peers_test.go
+++ b/internal/core/peers_test.go
@@ -21,6 +21,7 @@
 // In small and large zones, each instance must know the exact load of every backend server some
 // seconds after the last change. In a layout with rows no two instances exchange all of it.
 func TestEveryInstanceLearnsTheWholeLoad(t *testing.T) {
+	t.Parallel()
 	for _, size := range []int{2, 8, 11, 30, 58} {
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
 			f := newPeerFleet(t, size, 1)
@@ -33,6 +34,7 @@
 // which it no longer receives, but declare no instance dead. Within two seconds after the
 // partition heals, both must know all loads again.
 func TestPartitionAndHeal(t *testing.T) {
+	t.Parallel()
 	f := newPeerFleet(t, 8, 3)
 	f.run(2 * time.Second)
 	f.addRandomLoads(rand.New(rand.NewPCG(2, 2)), 5)
@@ -65,6 +67,7 @@
 // many requests. Another instance of the row must take the shard over, no load may count twice,
 // and all sums must agree again after the aggregator resumes.
 func TestFrozenAggregatorIsReplaced(t *testing.T) {
+	t.Parallel()
 	f := newPeerFleet(t, 30, 1)
 	f.run(3 * time.Second)
 	f.addRandomLoads(rand.New(rand.NewPCG(3, 3)), 6)
@@ -132,6 +135,7 @@
 // of claims. The bytes sent must stay below the rate, and claims and the notice that an
 // instance is leaving must still be sent.
 func TestBudgetShedsLoadsButNotClaimsOrLeaving(t *testing.T) {
+	t.Parallel()
 	f := newPeerFleet(t, 10, 1)
 	f.run(2 * time.Second)
 	r := rand.New(rand.NewPCG(5, 5))
@@ -206,6 +210,7 @@
 // is unreachable. The others must learn it within a few seconds, or they would keep sending
 // requests to that server. An instance that reconnects a minute later must learn it as well.
 func TestLeavingServerIsKnownInAllZonesDuringPlatformOutage(t *testing.T) {
+	t.Parallel()
 	f := newPeerFleet(t, 36, 2)
 	engine := membership.Member{
 		Name: "engine-1", Role: membership.RoleBackend, Version: "v1", Service: "m", Zone: "zone-0", Incarnation: 4, State: membership.Live,
@@ -235,6 +240,7 @@
 // here, so each zone must know its own exactly all the time. No instance may be declared dead,
 // and healing the partition must not cause a burst of traffic.
 func TestPartitionBetweenZonesKeepsLoadsExact(t *testing.T) {
+	t.Parallel()
 	f := newPeerFleet(t, 36, 6)
 	f.run(3 * time.Second)
 	f.addRandomLoads(rand.New(rand.NewPCG(6, 6)), 5)
@@ -327,6 +333,7 @@
 // first message is lost. A link must then be opened and the next message arrive, and no loads
 // may be sent over that link.
 func TestClaimReachesOwnerOutsideLayout(t *testing.T) {
+	t.Parallel()
 	f := newPeerFleet(t, 30, 1)
 	f.run(3 * time.Second)
 	n := f.nodes["entry-00"]
@@ -356,6 +363,7 @@
 // instance used to forward each entry to all its peers, which left no bytes for loads. For half
 // a minute, requests piled up on servers that looked idle to all instances.
 func TestLoadsAreSentDuringEngineChurn(t *testing.T) {
+	t.Parallel()
 	f := newPeerFleet(t, 30, 1)
 	f.run(3 * time.Second)
 	r := rand.New(rand.NewPCG(6, 6))
--- a/internal/core/poisonneighbours_test.go
+++ b/internal/core/poisonneighbours_test.go
@@ -72,6 +72,7 @@
 
 // Guards against refusing requests that only ran on the servers that ended under others.
 func TestNeighboursOfPoisonRequestsAreServed(t *testing.T) {
+	t.Parallel()
 	for _, size := range []fleetSize{{8, 3}, {60, 4}} {
 		for _, returning := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%v, contents that always return: %v", size, returning), func(t *testing.T) {
@@ -97,6 +98,7 @@
 // Guards against blaming requests for servers that ended for another reason, left as planned, or
 // are alive behind connections that were reset or refused.
 func TestOrdinaryFailuresBlameNoRequest(t *testing.T) {
+	t.Parallel()
 	for _, failure := range []struct {
 		name string
 		fail func(f *poisonFleet)
@@ -130,6 +132,7 @@
 // servers for the end of these servers: contents are blocked that end none, and a poison request beside
 // them is sent on.
 func TestRejectingCutOfInstancesBlamesNoRequest(t *testing.T) {
+	t.Parallel()
 	for _, size := range cutSizes() {
 		for _, poisons := range []uint64{0, 2} {
 			t.Run(fmt.Sprintf("%v, %d poison requests", size, poisons), func(t *testing.T) {
--- a/internal/core/poisonparts_test.go
+++ b/internal/core/poisonparts_test.go
@@ -138,6 +138,7 @@
 // Guards against a part of a prompt that ends each engine that begins to answer it and is sent on, because no two requests
 // that hold it are alike; and against refusing sound requests for what they share with those.
 func TestBadPartsAreNotSentOn(t *testing.T) {
+	t.Parallel()
 	for _, size := range partSizes {
 		for _, trouble := range partTroubles {
 			if *boundSeeds == 1 && !trouble.runsInCI(size) {
@@ -191,6 +192,7 @@
 // Guards against blaming parts that many requests share for engines that end for other reasons, one by one or many at the
 // same moment.
 func TestOtherCrashesBlameNoPart(t *testing.T) {
+	t.Parallel()
 	for _, size := range partSizes {
 		for _, mass := range []bool{false, true} {
 			if size.instances > largestInCI && *boundSeeds == 1 {
@@ -245,6 +247,7 @@
 // Guards against a bad part that is sent on, or a sound one that is refused, because instances are frozen, cut off,
 // restarted or reach only the store while engines end.
 func TestBadPartsAreNotSentOnBesideFaults(t *testing.T) {
+	t.Parallel()
 	for _, size := range partSizes[:2] {
 		for _, fault := range instanceFaults {
 			t.Run(fmt.Sprintf("%v, %s", size.fleetSize, fault.name), func(t *testing.T) {
@@ -279,6 +282,7 @@
 // Guards against control traffic and memory that grow with the parts of long prompts, of which each engine that ends
 // holds many.
 func TestLongPromptsTakeLittle(t *testing.T) {
+	t.Parallel()
 	for i, size := range partSizes {
 		if i > 0 && *boundSeeds == 1 {
 			continue
--- a/internal/core/poisonrequest_test.go
+++ b/internal/core/poisonrequest_test.go
@@ -22,6 +22,7 @@
 // Guards against a request that ends each engine that runs it and is sent on each time that it
 // comes back, at any instance.
 func TestPoisonRequestIsNotSentOn(t *testing.T) {
+	t.Parallel()
 	for _, size := range []fleetSize{{8, 3}, {9, 4}, {60, 4}, {60, 1}} {
 		t.Run(size.String(), func(t *testing.T) {
 			t.Parallel()
@@ -74,6 +75,7 @@
 // Guards against missing the ends of servers that start again under the name that they had, and
 // against taking their answers for a sign that they never ended.
 func TestPoisonRequestIsNotSentOnToRestartedServers(t *testing.T) {
+	t.Parallel()
 	for _, size := range []fleetSize{{8, 3}, {60, 4}} {
 		t.Run(size.String(), func(t *testing.T) {
 			t.Parallel()
@@ -94,6 +96,7 @@
 // Guards against a poison request that many callers of a customer send at the same time: several
 // instances would start a trial at once.
 func TestPoisonRequestOfManyCallersIsNotSentOn(t *testing.T) {
+	t.Parallel()
 	for _, size := range []fleetSize{{8, 3}, {60, 4}} {
 		t.Run(size.String(), func(t *testing.T) {
 			t.Parallel()
@@ -154,12 +157,14 @@
 // Guards against a poison request that is sent on because instances are frozen, cut off or
 // restarted while servers end under it, and do not learn of that in time.
 func TestPoisonRequestIsNotSentOnBesideFaults(t *testing.T) {
+	t.Parallel()
 	testPoisonBesideFaults(t, false)
 }
 
 // Guards against a poison request that each of several instances sends on that reach the store but
 // do not hear the others.
 func TestPoisonRequestIsNotSentOnBySeparatedInstances(t *testing.T) {
+	t.Parallel()
 	testPoisonBesideFaults(t, true)
 }
 
@@ -204,6 +209,7 @@
 // Guards against an instance that does not learn of poison requests when it starts or when a cut
 // ends, and sends them on.
 func TestBlockedRequestsAreLearnedAnew(t *testing.T) {
+	t.Parallel()
 	for _, size := range []fleetSize{{8, 3}, {60, 4}} {
 		t.Run(size.String(), func(t *testing.T) {
 			t.Parallel()
@@ -234,6 +240,7 @@
 
 // Guards against a request that stays blocked although it no longer ends the servers that run it.
 func TestHarmlessRequestIsServedAgain(t *testing.T) {
+	t.Parallel()
 	for _, size := range []fleetSize{{8, 3}, {60, 4}} {
 		t.Run(size.String(), func(t *testing.T) {
 			t.Parallel()
--- a/internal/core/rejectionlimits_test.go
+++ b/internal/core/rejectionlimits_test.go
@@ -31,6 +31,7 @@
 // Guards against servers that fail because all instances together make them reject too many requests,
 // and against refusing callers while the servers have plenty of room.
 func TestRejectionsAreBounded(t *testing.T) {
+	t.Parallel()
 	for _, load := range rejectionLoads {
 		for _, c := range []rejectionCase{
 			{fleetSize{7, 3}, "engines", 12, 64},
@@ -54,6 +55,7 @@
 
 // Guards against refusing callers while servers with fewer slots than there are instances have room.
 func TestFewSlotsAreUsed(t *testing.T) {
+	t.Parallel()
 	for _, load := range rejectionLoads {
 		t.Run(fmt.Sprintf("%v, load %v", fewSlots, load), func(t *testing.T) {
 			t.Parallel()
--- a/internal/core/requests_property_test.go
+++ b/internal/core/requests_property_test.go
@@ -67,6 +67,7 @@
 // non-idempotent request has at most one attempt that may have run, and each request gets
 // exactly one final answer.
 func TestNotRunOnlyIfNoAttemptMayHaveRun(t *testing.T) {
+	t.Parallel()
 	// One check plays 100 schedules. A claim released too early was found only in the
 	// 309th schedule, so 20 checks run.
 	for range 20 {
--- a/internal/core/stalereports_test.go
+++ b/internal/core/stalereports_test.go
@@ -62,6 +62,7 @@
 // came, because they sent no requests to servers that seemed full. One request in twenty was
 // refused while the servers were half idle.
 func TestNoRefusalsFromStaleReportsOfHalfIdleService(t *testing.T) {
+	t.Parallel()
 	f := newStoppedFleet(3, 90, 3)
 	f.noPolls = true
 	f.start(plainServiceText)
--- a/internal/core/start_test.go
+++ b/internal/core/start_test.go
@@ -96,6 +96,7 @@
 // Thousands of requests arrive at an instance that cannot serve them yet. Only a bounded
 // number, and a bounded size of bodies, may be queued, because each holds a connection and a body in memory.
 func TestStartQueueIsBounded(t *testing.T) {
+	t.Parallel()
 	for name, c := range map[string]struct{ requests, body, most int }{
 		"connections": {10_000, 100, 4096},
 		"bytes":       {1000, 100_000, 16 << 20 / 100_000},
--- a/internal/core/streambound_test.go
+++ b/internal/core/streambound_test.go
@@ -71,6 +71,7 @@
 // Guards against overloaded engines when many streams of a version that is going away are continued at its last two, for
 // which the bound on an engine's load is lifted.
 func TestContinuedStreamsKeepTheLoadBound(t *testing.T) {
+	t.Parallel()
 	for _, size := range streamSizes[:2] {
 		t.Run(size.String(), func(t *testing.T) {
 			t.Parallel()
--- a/internal/core/streams_test.go
+++ b/internal/core/streams_test.go
@@ -20,6 +20,7 @@
 // Guards against a stream that breaks and goes on within its response at an engine of another software
 // version.
 func TestStreamsKeepTheirVersionWithinAResponse(t *testing.T) {
+	t.Parallel()
 	for _, size := range streamSizes {
 		t.Run(size.String(), func(t *testing.T) {
 			t.Parallel()
@@ -35,6 +36,7 @@
 // Guards against a stream whose caller continues it at another instance, and that goes on at an engine
 // of another software version or is refused.
 func TestStreamsKeepTheirVersionWhenCallersContinueThem(t *testing.T) {
+	t.Parallel()
 	for _, size := range streamSizes {
 		t.Run(size.String(), func(t *testing.T) {
 			t.Parallel()
@@ -113,6 +115,7 @@
 // Guards against streams joined from two versions, and against refusing to continue them, while instances,
 // engines, the store and the configuration are in trouble.
 func TestStreamsKeepTheirVersionUnderFaults(t *testing.T) {
+	t.Parallel()
 	sizes := streamSizes[:2]
 	if *boundSeeds > 1 {
 		sizes = streamSizes
--- a/internal/core/surge_test.go
+++ b/internal/core/surge_test.go
@@ -10,6 +10,7 @@
 // In a fleet of 30 instances, the instance that aggregates the loads of an engine for its row
 // receives a rise with the next ticks instead of after a round of one second.
 func TestAggregatorsReceiveSurgeBeforeNextRound(t *testing.T) {
+	t.Parallel()
 	f := newPeerFleet(t, 30, 1)
 	f.run(10 * time.Second)
 	for _, name := range f.names() {
--- a/internal/core/zoneloads_test.go
+++ b/internal/core/zoneloads_test.go
@@ -17,6 +17,7 @@
 // Guards against an instance that knows the loads of its own zone only and takes an engine
 // that other zones have filled for idle.
 func TestInstancesReceiveLoadsOfAllZones(t *testing.T) {
+	t.Parallel()
 	for _, size := range []struct{ instances, zones int }{{11, 3}, {24, 5}, {80, 4}} {
 		f := newPeerFleet(t, size.instances, size.zones)
 		f.exchangeZoneLoads()
@@ -28,6 +29,7 @@
 // session yet sent its row no loads of other zones, although it aggregates a part of the
 // engines' loads for the row.
 func TestSessionsInOneZoneMakeAllZonesExchangeLoads(t *testing.T) {
+	t.Parallel()
 	f := newPeerFleet(t, 24, 5)
 	for _, n := range f.nodes {
 		n.peers.crossZoneLoads = n.settings.Zone == "zone-0"
@@ -96,6 +98,7 @@
 // engines with over twice the mean load: an engine that prefills one prompt after the other
 // sends no answers, and so reports no load.
 func TestSilentEngineStaysWithinLoadBound(t *testing.T) {
+	t.Parallel()
 	const mean, overload = 4, 16
 	f := newColdEngineFleet(t, 80, 4)
 	names := f.names()
@@ -127,6 +130,7 @@
 // it looked idle, and all instances of a large fleet sent it requests until each of them
 // alone had filled it.
 func TestHungPlainServerIsFilledOnce(t *testing.T) {
+	t.Parallel()
 	const hung = "portal-0"
 	f := newColdEngineFleet(t, 80, 4)
 	names := f.names()
