--- a/internal/core/configs_test.go
+++ b/internal/core/configs_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/ebonydyke/ebonydyke/internal/core"
 	"github.com/ebonydyke/ebonydyke/internal/core/config"
+	"github.com/ebonydyke/ebonydyke/test/racedetector"
 )
 
 // putConfig writes a value to the configuration key, like an operator's tool or a store that was
@@ -66,6 +67,9 @@
 func TestEditIsInForceEverywhereWithinSeconds(t *testing.T) {
 	t.Parallel()
 	for _, size := range []struct{ instances, zones, edits int }{{8, 3, 10}, {58, 3, 3}, {350, 6, 1}} {
+		if !racedetector.RunsFleet(size.instances) {
+			continue
+		}
 		f, text := configFleet(t, 11, size.instances, size.zones)
 		// Each instance watches the key at its start. Those watches must have ended.
 		f.run(31 * time.Second)
@@ -89,6 +93,7 @@
 // The store is restored from a backup, or returns from an outage without its last write. The
 // fleet must not revert to the older text, and an instance that starts then must not apply it.
 func TestRestoredStoreDoesNotRevertConfiguration(t *testing.T) {
+	t.Parallel()
 	f, text := configFleet(t, 12, 8, 3)
 	f.putConfig(2, "second", text)
 	f.run(10 * time.Second)
@@ -116,6 +121,7 @@
 // A replaced instance starts while the platform is unreachable. It would refuse all requests
 // for lack of a configuration that every peer has.
 func TestInstanceStartedInOutageGetsConfigurationFromPeers(t *testing.T) {
+	t.Parallel()
 	f, text := configFleet(t, 13, 8, 3)
 	f.putConfig(2, "second", text)
 	f.run(10 * time.Second)
@@ -136,6 +142,7 @@
 // it is cut off from both, it must keep its configuration and apply the edit after the
 // partition heals.
 func TestPartitionedZoneAppliesEditWhenReachable(t *testing.T) {
+	t.Parallel()
 	inZone := func(m *fakeInstance) bool { return m.zone == "zone-0" }
 	across := func(a, b *fakeInstance) bool { return inZone(a) != inZone(b) }
 	nowhere := func(_, _ *fakeInstance) bool { return false }
@@ -167,6 +174,7 @@
 // who saw only the store wrote again. Instances would keep different edits. All must converge
 // on the same one.
 func TestConflictingEditsConverge(t *testing.T) {
+	t.Parallel()
 	for _, edits := range [][2]string{{"a", "b"}, {"b", "a"}} {
 		f, text := configFleet(t, 15, 8, 3)
 		f.putConfig(2, edits[0], text)
--- a/internal/core/streams_test.go
+++ b/internal/core/streams_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/ebonydyke/ebonydyke/test/racedetector"
 )
 
 // maxContinuedDisadvantage is the share by which fewer of the streams that callers continue may go on
@@ -20,7 +22,11 @@
 // Guards against a stream that breaks and goes on within its response at an engine of another software
 // version.
 func TestStreamsKeepTheirVersionWithinAResponse(t *testing.T) {
+	t.Parallel()
 	for _, size := range streamSizes {
+		if !racedetector.RunsFleet(size.instances) {
+			continue
+		}
 		t.Run(size.String(), func(t *testing.T) {
 			t.Parallel()
 			f := newStreamFleet(size, 91, "v1", "v1.1")
@@ -35,7 +41,11 @@
 // Guards against a stream whose caller continues it at another instance, and that goes on at an engine
 // of another software version or is refused.
 func TestStreamsKeepTheirVersionWhenCallersContinueThem(t *testing.T) {
+	t.Parallel()
 	for _, size := range streamSizes {
+		if !racedetector.RunsFleet(size.instances) {
+			continue
+		}
 		t.Run(size.String(), func(t *testing.T) {
 			t.Parallel()
 			f := newStreamFleet(size, 92, "v1", "v1.1")
@@ -113,11 +123,15 @@
 // Guards against streams joined from two versions, and against refusing to continue them, while instances,
 // engines, the store and the configuration are in trouble.
 func TestStreamsKeepTheirVersionUnderFaults(t *testing.T) {
+	t.Parallel()
 	sizes := streamSizes[:2]
 	if *boundSeeds > 1 {
 		sizes = streamSizes
 	}
 	for _, size := range sizes {
+		if !racedetector.RunsFleet(size.instances) {
+			continue
+		}
 		for _, fault := range streamFaults {
 			t.Run(fmt.Sprintf("%v, %s", size, fault.name), func(t *testing.T) {
 				t.Parallel()
