Read what has arrived before a silence is reported by a process that was paused

Cause: when an instance goes on after a freeze, all timers of its attempts expire at once, and each would start a hedge although the bytes of its attempt wait in the kernel. A check that runs late by over 100 ms is postponed once by 50 ms.

--- a/internal/proxy/silence.go
+++ b/internal/proxy/silence.go
@@ -17,6 +17,9 @@
 	// quietAfter is the time without a byte after which a server that owes some counts as quiet. Engines send nothing for
 	// some hundred milliseconds while they read a long prompt.
 	quietAfter = 250 * time.Millisecond
+	// lateCheck is the delay from which a check is late. This process was paused, or had no processor, and first reads
+	// what has arrived meanwhile.
+	lateCheck = 100 * time.Millisecond
 )
 
 // silenceWatch reports that the backend server of an attempt has sent nothing for the attempt's timeout, while the proxy
@@ -35,9 +38,12 @@
 	mu sync.Mutex
 	// firstByte and stall are the timeouts before and after the first byte of the body; 0 means none.
 	firstByte, stall time.Duration
-	// timer is nil while no check is due.
+	// timer is nil before the first check is scheduled, and dueAt is the time of the next one.
 	timer   *time.Timer
+	dueAt   int64
 	stopped bool
+	// postponed is set if the last check was late and has decided nothing.
+	postponed bool
 	// logged is set once a line was written for the silence at hand.
 	logged bool
 }
@@ -68,6 +74,7 @@
 
 // schedule schedules the next check, if after is not 0. It is called with mu held.
 func (w *silenceWatch) schedule(after time.Duration) {
+	w.dueAt = sinceStart() + int64(after)
 	switch {
 	case w.stopped, after == 0:
 	case w.timer == nil:
@@ -128,10 +135,14 @@
 	if w.bodyStarted.Load() {
 		timeout = w.stall
 	}
-	silent := timeout > 0 && silence >= timeout
+	late := sinceStart()-w.dueAt > int64(lateCheck) && !w.postponed
+	w.postponed = late
+	silent := timeout > 0 && silence >= timeout && !late
 	log := silent && !w.logged && !w.stopped
 	w.logged = silent
 	switch {
+	case late:
+		w.schedule(lateCheck / 2)
 	case silent:
 		w.schedule(silenceRepeat)
 	case timeout > 0:
