Core: a removed service ends no instance

Callers saw: all requests at an instance were lost when the service of one of them was removed from the configuration and that request was then retried, or its server fell silent.

Cause: the retry budget is resized by the service in the configuration in force, which is nil. The process ended with a nil pointer dereference in resizeBudget.

Evidence: TestRequestKeepsConfigurationItWasAdmittedUnder panicked on the code before, in the case of the removed service; its other cases (route removed, moved, not resumable, fewer runs, shorter timeout, key revoked, customer removed) passed before and pass now.

Why it works: the budget of a removed service keeps its size.

--- a/internal/core/pools.go
+++ b/internal/core/pools.go
@@ -63,8 +63,11 @@
 
 // resizeBudget sets this instance's part of a service's retry allowance. What may be spent at once is at least
 // one retry: in a large fleet a part is less than that, and no instance could ever
-// retry.
+// retry. The budget of a service that was removed keeps its size for the requests in progress.
 func (n *Node) resizeBudget(p *pool, svc *config.Service) {
+	if svc == nil {
+		return
+	}
 	if svc.RetryBurst == 0 {
 		p.budget.Resize(svc.RetryShare, defaultRetryBurst, 0)
 		return
