Core: keep to the grace time that was reloaded

Callers saw: after stop_grace had been shortened by a reload, a stopping instance took requests on open connections that its own end at the new, earlier time cut; after it had been lengthened, it refused requests that would have been answered in time.

Cause: a reload changed the time after which the process ends (enforceGracePeriod), but not the one by which the core refuses requests (exceedsStopGrace).

Why it works: the reload tells the core, by the event StopGraceSet, before a stop is requested. Both use the grace time in force at the stop.

--- a/internal/core/codec.go
+++ b/internal/core/codec.go
@@ -12,7 +12,7 @@
 	RequestArrived{}, AttemptEnded{}, AttemptSilent{}, AnswerStarted{}, CallerGone{},
 	InstancesListed{}, BackendReported{}, ConfigOffered{}, StoreReplied{},
 	BackendsRead{}, LeaseReplied{}, BackendDialed{},
-	PeerConnected{}, PeerLost{}, PeerReceived{}, StopRequested{}, Ticked{},
+	PeerConnected{}, PeerLost{}, PeerReceived{}, StopGraceSet{}, StopRequested{}, Ticked{},
 }
 
 var eventsByName = func() map[string]reflect.Type {
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -253,6 +253,11 @@
 	Message PeerMessage `json:"message"`
 }
 
+// StopGraceSet sets the time from a later stop request until the process is killed; 0 means that it is not killed.
+type StopGraceSet struct {
+	Grace time.Duration `json:"grace,omitempty"`
+}
+
 // StopRequested requests this instance's graceful shutdown.
 type StopRequested struct{}
 
@@ -301,6 +306,9 @@
 // EventName implements Event.
 func (PeerReceived) EventName() string { return "peer-received" }
 
+// EventName implements Event.
+func (StopGraceSet) EventName() string { return "stop-grace-set" }
+
 // EventName implements Event.
 func (StopRequested) EventName() string { return "stop-requested" }
 
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -192,6 +192,8 @@
 	case PeerReceived:
 		n.recordPeerContact(e.From)
 		n.peerReceived(e)
+	case StopGraceSet:
+		n.settings.StopGrace = e.Grace
 	case StopRequested:
 		n.stopRequested()
 	case Ticked:
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -58,9 +58,7 @@
 	var grace atomic.Int64
 	grace.Store(int64(s.StopGrace))
 	reload := newReloader(path, signals.Reload, s, func(s *settings.Settings) {
-		grace.Store(int64(s.StopGrace))
-		calls.setBounds(s.Bounds)
-		SetVerbosity(s.LogVerbosity)
+		applyReloaded(s, &grace, calls, loop.Post)
 	})
 
 	group, ctx := errgroup.WithContext(ctx)
@@ -88,6 +86,15 @@
 	return nil
 }
 
+// applyReloaded applies the settings that can change without a restart. The core must know the time until the process is
+// killed as well: it refuses requests that could still be in progress then.
+func applyReloaded(s *settings.Settings, grace *atomic.Int64, calls *storeCalls, post func(core.Event)) {
+	grace.Store(int64(s.StopGrace))
+	post(core.StopGraceSet{Grace: time.Duration(s.StopGrace)})
+	calls.setBounds(s.Bounds)
+	SetVerbosity(s.LogVerbosity)
+}
+
 func coreSettings(s *settings.Settings, incarnation uint64) core.Settings {
 	return core.Settings{
 		Name:        s.Name,
--- a/internal/daemon/reload_test.go
+++ b/internal/daemon/reload_test.go
@@ -4,11 +4,13 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/ebonydyke/ebonydyke/internal/core"
 	"github.com/ebonydyke/ebonydyke/internal/core/config"
 	"github.com/ebonydyke/ebonydyke/internal/settings"
 )
@@ -105,3 +107,16 @@
 	require.Empty(t, pending)
 	require.Same(t, started, r.started)
 }
+
+// Guards against a core that takes requests by another grace time than the one after which the process ends.
+func TestCoreLearnsReloadedGrace(t *testing.T) {
+	r := newTestReloader(t)
+	var grace atomic.Int64
+	var posted []core.Event
+	r.onChange = func(s *settings.Settings) {
+		applyReloaded(s, &grace, &storeCalls{}, func(e core.Event) { posted = append(posted, e) })
+	}
+	r.write(`"8s"`, `"20s"`)
+	require.Equal(t, int64(20*time.Second), grace.Load())
+	require.Equal(t, []core.Event{core.StopGraceSet{Grace: 20 * time.Second}}, posted)
+}
