Soak: pause sound servers beside planned work, and check that no request passed on is lost

Callers saw requests that an instance had read and passed on end without a whole answer while sound backend servers were silent for a second. The soak could not show it: its pauses held two points of a handler only, lasted 1.2 s at one server, and a response that broke off was counted, not judged.

- A pause now holds the whole process of a server: it accepts, reads, writes and closes nothing, while its kernel goes on.
Requests are held before the head, after it, between events, inside one, and before the last chunk.
- Waves pause all, six in ten, half or one in ten of the servers for 1.0 to 1.9 s, also twice in a row, beside changes of timeouts, weights, routes, limits and keys, reloads of changed settings, and stops of one or two instances.
In one wave of four, registrations lapse and come back.
The waves are one more fault of a full soak.
- A request that ran at a server and ended without a whole answer is a broken guarantee unless a timeout was reached, the server broke off, an unplanned fault touched its instance or server from 3 s before it, or the last sixth of the grace time cut it.
The report has the ends of its attempts from the instance's log.
- An unframed stream of which nothing is left has a header now: the soak's server closed such connections without a byte.

--- a/cmd/ebonysoak/main.go
+++ b/cmd/ebonysoak/main.go
@@ -26,6 +26,7 @@
 	Backends  int           `default:"9" help:"Number of backend servers."`
 	Callers   int           `default:"24" help:"Number of concurrent callers."`
 	Duration  time.Duration `default:"12s" help:"How long faults are injected."`
+	Faults    string        `default:"all" enum:"all,pauses" help:"Faults: all, or only pauses of sound servers beside planned work (pauses)."`
 	Logs      string        `default:"out/soak" help:"Folder for the processes' logs."`
 	Binary    string        `help:"Path of the daemon; built from this tree if empty."`
 }
@@ -61,7 +62,7 @@
 		}
 		result, err := soak.Run(ctx, soak.Options{
 			Binary: binary, Seed: seed, Instances: c.Instances, Backends: c.Backends, Callers: c.Callers,
-			Duration: c.Duration, Logs: logs,
+			Duration: c.Duration, Faults: soak.Faults(c.Faults), Logs: logs,
 		})
 		if err != nil {
 			return violated, fmt.Errorf("seed %d: %w", seed, err)
--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -60,6 +60,7 @@
 	startedAt time.Time
 	server    *http.Server
 	relay     *relay.Relay
+	silence   silence
 
 	fault    atomic.Int32
 	inFlight atomic.Int32
@@ -87,7 +88,7 @@
 		random: rand.New(rand.NewPCG(w.options.Seed, uint64(len(name)))),
 	}
 	b.server = &http.Server{Handler: b, IdleTimeout: 3 * time.Second}
-	go func() { _ = b.server.Serve(l) }()
+	go func() { _ = b.server.Serve(&silentListener{Listener: l, silence: &b.silence}) }()
 	return b, nil
 }
 
@@ -101,6 +102,8 @@
 
 // close stops the backend server at once, as a crash does.
 func (b *backend) close() {
+	b.world.beginUnplanned(b)()
+	b.silence.end()
 	b.relay.Close()
 	_ = b.server.Close()
 }
@@ -129,7 +132,6 @@
 	if limit, _ := b.world.rejectionLimit(); limit > 0 {
 		fakeplatform.SetRejectionLimit(w, limit)
 	}
-	b.waitWhilePausing()
 	if int(b.inFlight.Add(1)) > b.room() {
 		b.inFlight.Add(-1)
 		fakeplatform.WriteNotStarted(w)
@@ -139,6 +141,8 @@
 	defer b.inFlight.Add(-1)
 	kind, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
 	b.world.recorder.recordRun(attempt.ID, kind == kindOnce || kind == kindReview)
+	brokeOff, endRun := true, b.world.recordServerRun(b, attempt.ID)
+	defer func() { endRun(brokeOff) }()
 	if content, marked := poisonContent(r.URL.Path); marked {
 		b.runPoison(content, maxPoisonEnds, attempt.ID)
 	}
@@ -146,11 +150,14 @@
 		b.runPoison(part, maxPartEnds, attempt.ID)
 	}
 	fakeplatform.SetSeal(w, expectedSeal(attempt.ID))
+	b.holdAt(beforeHead, w)
 	if isUnframed(kind, attempt.ID) {
 		b.respondUnframed(w, r, attempt, kind)
-		return
+	} else {
+		b.respond(w, r, attempt, kind)
 	}
-	b.respond(w, r, attempt, kind)
+	// Otherwise the handler has panicked.
+	brokeOff = false
 }
 
 // respondUnframed responds without a length or chunks.
@@ -162,11 +169,15 @@
 	defer func() { _ = u.conn.Close() }()
 	if kind == kindStream {
 		b.stream(u, r, attempt)
+		// A stream of which nothing is left has a header all the same.
+		_ = u.FlushError()
 		return
 	}
+	b.holdAt(afterHead, u)
 	time.Sleep(10 * time.Millisecond)
 	// The caller sees a response that is cut off here.
-	_, _ = fmt.Fprint(u, expectedBody(attempt.ID))
+	_ = b.writeHeldInside(u, expectedBody(attempt.ID))
+	b.holdAt(beforeLastChunk, u)
 }
 
 // checkArrival checks the guarantees for every request that reaches a backend server.
@@ -205,6 +216,7 @@
 		b.stream(w, r, attempt)
 		return
 	}
+	b.holdAt(afterHead, w)
 	time.Sleep(10 * time.Millisecond)
 	body := expectedBody(attempt.ID)
 	if backendFault(b.fault.Load()) == truncating && b.chance(0.5) {
@@ -212,29 +224,33 @@
 		_, _ = fmt.Fprint(w, body[:len(body)/2])
 		panic(http.ErrAbortHandler)
 	}
-	_, _ = fmt.Fprint(w, body)
+	// The caller sees a response that is cut off here.
+	_ = b.writeHeldInside(w, body)
+	b.holdAt(beforeLastChunk, w)
 }
 
 func (b *backend) stream(w http.ResponseWriter, r *http.Request, attempt fakeplatform.Attempt) {
 	_, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
 	w.Header().Set("Content-Type", "text/event-stream")
+	b.holdAt(afterHead, w)
 	first, _ := strconv.Atoi(attempt.ResumeAfter)
 	for i := first + 1; i <= expectedEventCount(name); i++ {
 		if backendFault(b.fault.Load()) == truncating && b.chance(0.1) {
 			_, _ = fmt.Fprintf(w, "id: %d\nda", i)
 			panic(http.ErrAbortHandler)
 		}
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s@%s\n\n", i, expectedEvent(name, i), b.version); err != nil {
+		if err := b.writeHeldInside(w, fmt.Sprintf("id: %d\ndata: %s@%s\n\n", i, expectedEvent(name, i), b.version)); err != nil {
 			return
 		}
-		_ = http.NewResponseController(w).Flush()
-		b.waitWhilePausing()
+		flush(w)
+		b.holdAt(betweenEvents, w)
 		select {
 		case <-time.After(eventInterval):
 		case <-r.Context().Done():
 			return
 		}
 	}
+	b.holdAt(beforeLastChunk, w)
 }
 
 // The functions below derive the content of the correct response from the request's id, or from the name
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -59,9 +59,11 @@
 		return
 	}
 	startedAt := w.recorder.elapsed()
+	w.recordSent(i, kind, id)
 	resp, err := client.Do(req)
 	w.checkResponseTime(i, id, startedAt, err)
 	if err != nil {
+		w.recordCut(id, err)
 		w.recorder.count("no answer")
 		return
 	}
@@ -90,6 +92,9 @@
 		w.recorder.recordViolation("a proper request is not denied", id, fmt.Sprintf("%s at %s", resp.Status, i.name))
 	default:
 		w.recorder.count("failed")
+		if fakeplatform.SealOf(resp) != expectedSeal(id) {
+			w.recordCut(id, fmt.Errorf("status %s", resp.Status))
+		}
 	}
 }
 
@@ -108,6 +113,7 @@
 	switch {
 	case err != nil:
 		w.recorder.count("broken off")
+		w.recordCut(id, err)
 	case string(body) != expectedBody(id):
 		w.recorder.recordViolation("the whole answer", id, fmt.Sprintf("%d bytes", len(body)))
 	default:
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -15,6 +15,8 @@
 const (
 	// stopGrace is how long a process may take to stop before it is killed.
 	stopGrace = 8 * time.Second
+	// retryBurst is the number of retries that the budget of a fleet allows at once.
+	retryBurst = 50
 	// minFaultGap and maxFaultGap bound the interval between the starts of two faults. Faults
 	// last longer, so that they overlap.
 	minFaultGap = 100 * time.Millisecond
@@ -37,7 +39,7 @@
 		w.killInstance, w.stopInstance, w.stopInstance, w.pauseInstance, w.reloadInstance,
 		w.storeFault, w.storeFault, w.impairStoreLink, w.compactStore, w.reconfigure, w.reconfigure,
 		w.crashBackend, w.drainBackend, w.drainBackend, w.injectBackendFault, w.injectBackendFault, w.impairBackendLink, w.limitRejections,
-		w.release, w.release, w.restartUnderName, w.crowd,
+		w.release, w.release, w.restartUnderName, w.crowd, w.pauseBesideWork,
 	}
 	random := rand.New(rand.NewPCG(w.options.Seed, 0))
 	var pending sync.WaitGroup
@@ -84,6 +86,7 @@
 
 func (w *World) killInstance(p faultParams) {
 	i := w.randomInstance(p)
+	defer w.beginUnplanned(i)()
 	i.markDisturbed()
 	proc := i.currentProcess()
 	proc.signal(w.recorder, syscall.SIGKILL)
@@ -106,6 +109,7 @@
 	i.markDisturbed()
 	proc := i.currentProcess()
 	proc.signal(w.recorder, syscall.SIGCONT)
+	w.recordStop(i)
 	proc.signal(w.recorder, syscall.SIGTERM)
 	if proc.waitEnd(w.recorder, stopGrace) && !i.disturbedSince(w.recorder.elapsed()-stopGrace/2) {
 		w.recorder.recordViolation("a planned stop ends in time", i.name, "killed after the grace time")
@@ -115,6 +119,7 @@
 
 func (w *World) pauseInstance(p faultParams) {
 	i := w.randomInstance(p)
+	defer w.beginUnplanned(i)()
 	i.markDisturbed()
 	proc := i.currentProcess()
 	proc.signal(w.recorder, syscall.SIGSTOP)
@@ -124,15 +129,19 @@
 }
 
 func (w *World) reloadInstance(p faultParams) {
-	w.randomInstance(p).currentProcess().signal(w.recorder, syscall.SIGHUP)
+	w.randomInstance(p).reload()
 }
 
+// reload makes the instance's process reload its settings.
+func (i *instance) reload() { i.currentProcess().signal(i.world.recorder, syscall.SIGHUP) }
+
 // storeFault makes the store unavailable, silent, busy, slow or lossy for the duration.
 func (w *World) storeFault(p faultParams) {
 	faults := []faultinject.Faults{
 		{Down: true}, {Silent: true}, {Busy: true}, {Busy: true, TooManyRequests: true},
 		{Delay: config.Duration(300 * time.Millisecond)}, {LoseAnswers: 5}, {LoseWrites: 5},
 	}
+	defer w.beginUnplanned(nil)()
 	w.disturbedAt.Store(int64(w.recorder.elapsed()))
 	w.store.SetFaults(faults[p.random.IntN(len(faults))])
 	time.Sleep(p.duration)
@@ -143,6 +152,7 @@
 // impairStoreLink injects a fault into the connections between one instance and the store.
 func (w *World) impairStoreLink(p faultParams) {
 	i := w.randomInstance(p)
+	defer w.beginUnplanned(i)()
 	w.impairRelay(i.store, p)
 	i.markDisturbed()
 }
@@ -167,12 +177,6 @@
 
 func (w *World) compactStore(faultParams) { w.store.Compact() }
 
-func (w *World) reconfigure(faultParams) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.writeNextConfig()
-}
-
 // crashBackend ends a backend server at once and replaces it. Its entry is removed only
 // after the duration of the fault, as after missed heartbeats.
 func (w *World) crashBackend(p faultParams) {
@@ -218,8 +222,10 @@
 	}
 	fault := int32(failing) + p.random.Int32N(int32(pausing))
 	if backendFault(fault) == pausing {
-		p.duration = min(p.duration, maxPause)
+		server.pause(anyPhase, min(p.duration, maxPause))
+		return
 	}
+	defer w.beginUnplanned(server)()
 	server.fault.Store(fault)
 	time.Sleep(p.duration)
 	server.fault.Store(int32(healthy))
@@ -228,6 +234,7 @@
 // impairBackendLink injects a fault into the connections to a backend server.
 func (w *World) impairBackendLink(p faultParams) {
 	if server := w.randomBackend(p); server != nil {
+		defer w.beginUnplanned(server)()
 		w.impairRelay(server.relay, p)
 	}
 }
--- a/internal/soak/poison.go
+++ b/internal/soak/poison.go
@@ -71,6 +71,7 @@
 // replaceEnded ends a backend server at once and replaces it some seconds later. Like the end of a process, it closes the
 // server's connections in order or resets them.
 func (w *World) replaceEnded(b *backend) {
+	w.beginUnplanned(b)()
 	if rand.IntN(2) == 0 {
 		b.relay.CloseInOrder()
 	}
--- a/internal/soak/recorder.go
+++ b/internal/soak/recorder.go
@@ -72,6 +72,13 @@
 	r.addViolation(guarantee, id, detail)
 }
 
+// recordViolationAt records a guarantee that did not hold at a time before now.
+func (r *recorder) recordViolationAt(at time.Duration, guarantee, id, detail string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.violations = append(r.violations, Violation{At: at, Guarantee: guarantee, Request: id, Detail: detail})
+}
+
 // addViolation appends a violation. The caller holds the lock.
 func (r *recorder) addViolation(guarantee, id, detail string) {
 	r.violations = append(r.violations, Violation{At: r.elapsed(), Guarantee: guarantee, Request: id, Detail: detail})
--- a/internal/soak/rejectionlimit.go
+++ b/internal/soak/rejectionlimit.go
@@ -14,8 +14,6 @@
 	limitSettle = 3 * time.Second
 	// limitDuration is the time for which they are limited then.
 	limitDuration = 3 * time.Second
-	// pauseInterval is the interval at which a pausing backend server checks whether it may go on.
-	pauseInterval = 10 * time.Millisecond
 	// maxPause bounds the silence of a healthy backend server.
 	maxPause = 1200 * time.Millisecond
 )
@@ -67,10 +65,3 @@
 		b.world.replacing.Go(func() { b.world.replaceEnded(b) })
 	}
 }
-
-// waitWhilePausing blocks while the backend server is silent.
-func (b *backend) waitWhilePausing() {
-	for backendFault(b.fault.Load()) == pausing {
-		time.Sleep(pauseInterval)
-	}
-}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -17,13 +17,16 @@
 	1,
 }
 
+// pauseSeeds lists the seeds of every run with pauses only, likewise.
+var pauseSeeds = []uint64{
+	1,
+}
+
 // Guards against wrong, truncated or late responses, requests that run twice or after a
 // refusal, and instances that do not recover. Processes of a real fleet are killed, stopped,
 // paused and cut off from the store and the backend servers while the configuration changes.
 func TestShortSoak(t *testing.T) {
-	binary := filepath.Join(t.TempDir(), "ebonydyked")
-	out, err := exec.Command("go", "build", "-o", binary, "../../cmd/ebonydyked").CombinedOutput()
-	require.NoError(t, err, "%s", out)
+	binary := buildDaemon(t)
 	for _, seed := range seeds {
 		result, err := soak.Run(t.Context(), soak.Options{
 			Binary: binary, Seed: seed, Instances: 4, Backends: 6, Callers: 8, Duration: 6 * time.Second, Logs: t.TempDir(),
@@ -34,3 +37,28 @@
 		t.Logf("seed %d: %v", seed, result.Counts)
 	}
 }
+
+// Guards against requests that an instance passed on and ended without a whole answer because a sound backend server fell
+// silent for a second or two, beside changes of the configuration, reloads and planned stops.
+func TestPausedServersLoseNoRequest(t *testing.T) {
+	binary := buildDaemon(t)
+	for _, seed := range pauseSeeds {
+		result, err := soak.Run(t.Context(), soak.Options{
+			Binary: binary, Seed: seed, Instances: 4, Backends: 6, Callers: 16, Duration: 12 * time.Second,
+			Faults: soak.FaultsPauses, Logs: t.TempDir(),
+		})
+		require.NoError(t, err)
+		require.Empty(t, result.Violations, "seed %d", seed)
+		require.Positive(t, result.Counts["waves of pauses"])
+		require.Positive(t, result.Counts["passed on without unplanned faults"])
+		t.Logf("seed %d: %v", seed, result.Counts)
+	}
+}
+
+func buildDaemon(t *testing.T) string {
+	t.Helper()
+	binary := filepath.Join(t.TempDir(), "ebonydyked")
+	out, err := exec.Command("go", "build", "-o", binary, "../../cmd/ebonydyked").CombinedOutput()
+	require.NoError(t, err, "%s", out)
+	return binary
+}
--- a/internal/soak/streams.go
+++ b/internal/soak/streams.go
@@ -125,9 +125,11 @@
 			w.countCrowded(i, s.received > before)
 		}
 	}()
+	w.recordSent(i, kindStream, id)
 	resp, err := client.Do(req)
 	w.checkResponseTime(i, id, startedAt, err)
 	if err != nil {
+		w.recordCut(id, err)
 		// An instance that is leaving refuses connections. A later try reaches another one.
 		unread = errors.Is(err, syscall.ECONNREFUSED)
 		w.recorder.count("no answer")
@@ -177,6 +179,7 @@
 	switch {
 	case lines.Err() != nil:
 		w.recorder.count("broken off")
+		w.recordCut(id, lines.Err())
 		return false
 	case s.received != expectedEventCount(s.name):
 		w.recorder.recordViolation("the whole answer", id, fmt.Sprintf("%d of %d events", s.received, expectedEventCount(s.name)))
--- a/internal/soak/unframed.go
+++ b/internal/soak/unframed.go
@@ -33,20 +33,27 @@
 
 // Write implements http.ResponseWriter.
 func (u *unframedWriter) Write(p []byte) (int, error) {
-	if !u.wroteHeader {
-		u.wroteHeader = true
-		if _, err := fmt.Fprint(u.conn, "HTTP/1.1 200 OK\r\n"); err != nil {
-			return 0, err
-		}
-		if err := u.Header().Write(u.conn); err != nil {
-			return 0, err
-		}
-		if _, err := fmt.Fprint(u.conn, "\r\n"); err != nil {
-			return 0, err
-		}
+	if err := u.writeHeader(); err != nil {
+		return 0, err
 	}
 	return u.conn.Write(p)
 }
 
-// Flush implements http.Flusher. Nothing is buffered.
-func (u *unframedWriter) Flush() {}
+// writeHeader writes the status and the header fields, once.
+func (u *unframedWriter) writeHeader() error {
+	if u.wroteHeader {
+		return nil
+	}
+	u.wroteHeader = true
+	if _, err := fmt.Fprint(u.conn, "HTTP/1.1 200 OK\r\n"); err != nil {
+		return err
+	}
+	if err := u.Header().Write(u.conn); err != nil {
+		return err
+	}
+	_, err := fmt.Fprint(u.conn, "\r\n")
+	return err
+}
+
+// FlushError sends the header. The body is not buffered.
+func (u *unframedWriter) FlushError() error { return u.writeHeader() }
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -24,10 +24,22 @@
 	"syscall"
 	"time"
 
+	"github.com/ebonydyke/ebonydyke/internal/core/config"
 	"github.com/ebonydyke/ebonydyke/platform/fakeplatform"
 	"github.com/ebonydyke/ebonydyke/test/relay"
 )
 
+// Faults selects the faults that a soak injects.
+type Faults string
+
+// The selections of faults.
+const (
+	// FaultsAll selects all of them.
+	FaultsAll Faults = "all"
+	// FaultsPauses selects sound backend servers that fall silent beside planned work, and nothing else.
+	FaultsPauses Faults = "pauses"
+)
+
 // Options sets the size and duration of a soak.
 type Options struct {
 	// Binary is the path of the daemon.
@@ -41,6 +53,8 @@
 	Callers int
 	// Duration is how long faults are injected.
 	Duration time.Duration
+	// Faults selects the faults; FaultsAll if it is empty.
+	Faults Faults
 	// Logs is the directory for the settings and logs of the processes.
 	Logs string
 }
@@ -72,6 +86,10 @@
 	streams streamRecorder
 	// poison holds the observations of requests that end backend servers.
 	poison *poisonRecorder
+	// lost holds the observations of requests that end without a whole answer.
+	lost *lostRecorder
+	// choices are what the operators last chose.
+	choices operatorChoices
 	// limitedSince is the time from which all backend servers announce a limit on their rejections, in
 	// nanoseconds since the start of the soak, 0 if they do not. limitFailures counts those that
 	// failed since.
@@ -138,7 +156,7 @@
 // Run runs one soak. It ends only processes that it has started.
 func Run(ctx context.Context, o Options) (*Result, error) {
 	w := &World{
-		options: o, recorder: newRecorder(), poison: newPoisonRecorder(), store: fakeplatform.New(),
+		options: o, recorder: newRecorder(), poison: newPoisonRecorder(), lost: newLostRecorder(), choices: firstChoices(), store: fakeplatform.New(),
 		versionSteps: rand.New(rand.NewPCG(o.Seed, 1<<32)), nextVersion: 1, version: softwareVersions[0], assignedAddresses: make(map[string]bool),
 	}
 	if err := w.start(); err != nil {
@@ -153,10 +171,14 @@
 		callers.Go(func() { w.runCaller(callCtx, n) })
 	}
 	callers.Go(func() { w.probeVersions(callCtx) })
-	callers.Go(func() { w.sendPoisonRequests(callCtx) })
+	inject := w.injectPauses
+	if o.Faults != FaultsPauses {
+		inject = w.injectFaults
+		callers.Go(func() { w.sendPoisonRequests(callCtx) })
+	}
 	faultCtx, cancel := context.WithTimeout(ctx, o.Duration)
 	defer cancel()
-	w.injectFaults(faultCtx)
+	inject(faultCtx)
 	w.checkRecovery(ctx)
 	stopCalling()
 	callers.Wait()
@@ -166,6 +188,7 @@
 	w.checkContinuedStreams()
 	w.checkSharing()
 	w.checkCrowded()
+	w.checkLost()
 	w.recorder.mu.Lock()
 	defer w.recorder.mu.Unlock()
 	return &Result{Violations: w.recorder.violations, Counts: w.recorder.counts}, nil
@@ -193,30 +216,6 @@
 	return w.waitReady()
 }
 
-// writeNextConfig writes the next version of the operators' configuration. The new version has
-// its own key and its own spare route in place of those of the previous version.
-func (w *World) writeNextConfig() {
-	route := func(name, kind string, runs int, resumable bool) fakeplatform.Route {
-		return fakeplatform.Route{
-			Name: name, Host: routeHost, Prefix: "/" + name + "/", Service: "work", Kind: kind,
-			MaxRuns: runs, Resumable: resumable, Timeout: routeTimeout,
-		}
-	}
-	w.store.Configure(fakeplatform.Config{
-		Version: w.nextVersion, Services: []string{"work"}, Customer: "t1",
-		Keys: []string{callerKey, fmt.Sprint("key-", w.nextVersion)},
-		Routes: []fakeplatform.Route{
-			route(kindOnce, fakeplatform.NonIdempotent, 1, false),
-			route(kindSafe, fakeplatform.Idempotent, 2, false),
-			route(kindStream, fakeplatform.Stream, 2, true),
-			route(kindReview, fakeplatform.Stream, 1, false),
-			route(fmt.Sprint("spare-", w.nextVersion), fakeplatform.Idempotent, 1, false),
-		},
-	})
-	w.writtenVersions = append(w.writtenVersions, w.nextVersion)
-	w.nextVersion += 1 + w.versionSteps.IntN(3)
-}
-
 // addBackend starts a backend server under a new name.
 func (w *World) addBackend(zone, version string) error {
 	w.mu.Lock()
@@ -247,13 +246,18 @@
 			return err
 		}
 	}
+	i.settings = filepath.Join(logs, i.name+".json")
+	return i.writeSettings(retryBurst)
+}
+
+// writeSettings writes the settings file. burst is the number of retries that the budget allows at once.
+func (i *instance) writeSettings(burst int) error {
 	settings, _ := json.Marshal(map[string]any{
 		"dialect": "platform", "fleet": fmt.Sprint("soak-", os.Getpid()), "name": i.name, "zone": i.zone, "listen": i.listen, "peer_listen": i.peers, "admin_listen": i.admin,
-		"platform": "http://" + i.store.Address(), "accept_delay": "1s", "stop_grace": "8s",
-		"bounds": map[string]any{"skew_bound": 2, "skew_slack": 3, "retry_share": 0.2, "retry_burst": 50},
+		"platform": "http://" + i.store.Address(), "accept_delay": "1s", "stop_grace": config.Duration(stopGrace),
+		"bounds": map[string]any{"skew_bound": 2, "skew_slack": 3, "retry_share": 0.2, "retry_burst": burst},
 		"limits": map[string]any{"accept_quiet": "100ms", "accept_max": "500ms", "drain_idle": "300ms", "dial_timeout": "200ms"},
 	})
-	i.settings = filepath.Join(logs, i.name+".json")
 	return os.WriteFile(i.settings, settings, 0o600)
 }
 
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -20,7 +20,7 @@
 	// The process takes 200 ms to end, so that the second fault occurs meanwhile.
 	script := "#!/bin/sh\ntrap 'sleep 0.2; exit 0' TERM\nwhile :; do sleep 0.05; done\n"
 	require.NoError(t, os.WriteFile(binary, []byte(script), 0o700))
-	w := &World{options: Options{Binary: binary}, recorder: newRecorder()}
+	w := &World{options: Options{Binary: binary}, recorder: newRecorder(), lost: newLostRecorder()}
 	i := &instance{world: w, name: "entry-0", settings: filepath.Join(t.TempDir(), "entry-0.json")}
 	w.instances = []*instance{i}
 	t.Cleanup(w.stop)
