--- a/internal/core/changebound_test.go
+++ b/internal/core/changebound_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/ebonydyke/ebonydyke/internal/core/membership"
+	"github.com/ebonydyke/ebonydyke/test/racedetector"
 )
 
 // boundSeeds is the number of seeds of the test of the bound, for long runs by hand.
@@ -224,6 +225,9 @@
 func TestChangeReachesHealthyInstances(t *testing.T) {
 	t.Parallel()
 	for _, size := range []fleetSize{{8, 3}, {9, 4}, {60, 4}, {60, 1}} {
+		if !racedetector.RunsFleet(size.instances) {
+			continue
+		}
 		for _, affected := range []int{0, size.instances * 3 / 4} {
 			for _, fault := range instanceFaults {
 				t.Run(fmt.Sprintf("%v, followers and %d others %s", size, affected, fault.name), func(t *testing.T) {
@@ -309,6 +313,9 @@
 func TestChangeReachesHealthyInstancesDuringFaultSeries(t *testing.T) {
 	t.Parallel()
 	for _, size := range []fleetSize{{8, 3}, {9, 4}, {60, 4}} {
+		if !racedetector.RunsFleet(size.instances) {
+			continue
+		}
 		t.Run(size.String(), func(t *testing.T) {
 			t.Parallel()
 			for seed := range *boundSeeds {
--- a/internal/core/claiming_test.go
+++ b/internal/core/claiming_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/ebonydyke/ebonydyke/internal/core/membership"
 	"github.com/ebonydyke/ebonydyke/internal/core/reason"
+	"github.com/ebonydyke/ebonydyke/test/racedetector"
 )
 
 const claimWindow = 10 * time.Minute
@@ -306,6 +307,9 @@
 func TestGroupCommitKeepsStoreBelowHundredWrites(t *testing.T) {
 	t.Parallel()
 	for _, size := range []struct{ instances, zones int }{{8, 3}, {58, 3}} {
+		if !racedetector.RunsFleet(size.instances) {
+			continue
+		}
 		f := newFleet(9, size.instances, size.zones, fleetText(claimWindow))
 		f.run(5 * time.Second)
 		const seconds = 20
--- a/internal/core/coldstart_test.go
+++ b/internal/core/coldstart_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/ebonydyke/ebonydyke/internal/core"
 	"github.com/ebonydyke/ebonydyke/internal/core/membership"
+	"github.com/ebonydyke/ebonydyke/test/racedetector"
 )
 
 // newColdFleet starts instances that know no peers, all within 300 ms. The engines join during
@@ -47,6 +48,9 @@
 func TestColdStartNeedsFewStoreCalls(t *testing.T) {
 	t.Parallel()
 	for _, size := range []struct{ instances, zones, engines int }{{8, 3, 15}, {18, 5, 41}, {60, 5, 60}} {
+		if !racedetector.RunsFleet(size.instances) {
+			continue
+		}
 		t.Run(fmt.Sprint(size.instances), func(t *testing.T) {
 			f := newColdFleet(1, size.instances, size.zones, size.engines)
 			f.run(9 * time.Second)
--- a/internal/core/configs_test.go
+++ b/internal/core/configs_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/ebonydyke/ebonydyke/internal/core"
 	"github.com/ebonydyke/ebonydyke/internal/core/config"
+	"github.com/ebonydyke/ebonydyke/test/racedetector"
 )
 
 // putConfig writes a value to the configuration key, like an operator's tool or a store that was
@@ -66,6 +67,9 @@
 func TestEditIsInForceEverywhereWithinSeconds(t *testing.T) {
 	t.Parallel()
 	for _, size := range []struct{ instances, zones, edits int }{{8, 3, 10}, {58, 3, 3}, {350, 6, 1}} {
+		if !racedetector.RunsFleet(size.instances) {
+			continue
+		}
 		f, text := configFleet(t, 11, size.instances, size.zones)
 		// Each instance watches the key at its start. Those watches must have ended.
 		f.run(31 * time.Second)
--- a/internal/core/cutfromservers_test.go
+++ b/internal/core/cutfromservers_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/ebonydyke/ebonydyke/test/racedetector"
 )
 
 // maxCutDisadvantage is the share of first tries by which an instance that is cut off from servers may
@@ -60,6 +62,9 @@
 func TestCallersAtCutInstancesAreServed(t *testing.T) {
 	t.Parallel()
 	for _, size := range cutSizes() {
+		if !racedetector.RunsFleet(size.instances) {
+			continue
+		}
 		for _, mode := range []cutMode{cutSilent, cutReset, cutRefusing} {
 			for _, scope := range cutScopes {
 				t.Run(fmt.Sprintf("%v, %s, %s", size, scope.name, mode), func(t *testing.T) {
--- a/internal/core/entryexchange_test.go
+++ b/internal/core/entryexchange_test.go
@@ -13,6 +13,7 @@
 	"github.com/ebonydyke/ebonydyke/internal/core/entries"
 	"github.com/ebonydyke/ebonydyke/internal/core/membership"
 	"github.com/ebonydyke/ebonydyke/internal/core/poison"
+	"github.com/ebonydyke/ebonydyke/test/racedetector"
 )
 
 // entriesText configures a service whose backend servers register entries in the store.
@@ -78,6 +79,9 @@
 func TestFollowersDistributeStoreChanges(t *testing.T) {
 	t.Parallel()
 	for _, size := range []struct{ instances, zones, calls int }{{8, 3, 40}, {48, 3, 40}} {
+		if !racedetector.RunsFleet(size.instances) {
+			continue
+		}
 		t.Run(fmt.Sprint(size.instances), func(t *testing.T) {
 			f := newFleetWithEntries(1, size.instances, size.zones, 12)
 			require.Zero(t, f.timeUntilUsed(t, 12, everyMember))
--- a/internal/core/followers_test.go
+++ b/internal/core/followers_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/ebonydyke/ebonydyke/internal/core/membership"
+	"github.com/ebonydyke/ebonydyke/test/racedetector"
 )
 
 // followers returns the instances that watch the store, determined from their calls.
@@ -36,6 +37,9 @@
 		instances, zones int
 		within           time.Duration
 	}{{9, 4, 2 * time.Second}, {60, 4, 3 * time.Second}, {60, 1, 3 * time.Second}} {
+		if !racedetector.RunsFleet(size.instances) {
+			continue
+		}
 		t.Run(fmt.Sprint(size.instances, size.zones), func(t *testing.T) {
 			f := newSettledFleet(t, size.instances, size.zones, 12)
 			f.run(5 * time.Second)
--- a/internal/core/poisonneighbours_test.go
+++ b/internal/core/poisonneighbours_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"github.com/ebonydyke/ebonydyke/test/racedetector"
 )
 
 // firstInnocent is the lowest content of requests that end no server.
@@ -74,6 +76,9 @@
 func TestNeighboursOfPoisonRequestsAreServed(t *testing.T) {
 	t.Parallel()
 	for _, size := range []fleetSize{{8, 3}, {60, 4}} {
+		if !racedetector.RunsFleet(size.instances) {
+			continue
+		}
 		for _, returning := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%v, contents that always return: %v", size, returning), func(t *testing.T) {
 				t.Parallel()
@@ -109,6 +114,9 @@
 		{"rejecting cuts", func(f *poisonFleet) { f.resetConnections(f.anyEngine(), 4*time.Second) }},
 	} {
 		for _, size := range []fleetSize{{8, 3}, {60, 4}} {
+			if !racedetector.RunsFleet(size.instances) {
+				continue
+			}
 			for _, returning := range []bool{false, true} {
 				t.Run(fmt.Sprintf("%s, %v, contents that always return: %v", failure.name, size, returning), func(t *testing.T) {
 					t.Parallel()
@@ -134,6 +142,9 @@
 func TestRejectingCutOfInstancesBlamesNoRequest(t *testing.T) {
 	t.Parallel()
 	for _, size := range cutSizes() {
+		if !racedetector.RunsFleet(size.instances) {
+			continue
+		}
 		for _, poisons := range []uint64{0, 2} {
 			t.Run(fmt.Sprintf("%v, %d poison requests", size, poisons), func(t *testing.T) {
 				t.Parallel()
--- a/internal/core/streambound_test.go
+++ b/internal/core/streambound_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/ebonydyke/ebonydyke/internal/core"
+	"github.com/ebonydyke/ebonydyke/test/racedetector"
 )
 
 const (
@@ -73,6 +74,9 @@
 func TestContinuedStreamsKeepTheLoadBound(t *testing.T) {
 	t.Parallel()
 	for _, size := range streamSizes[:2] {
+		if !racedetector.RunsFleet(size.instances) {
+			continue
+		}
 		t.Run(size.String(), func(t *testing.T) {
 			t.Parallel()
 			for seed := range *boundSeeds {
--- a/internal/core/streams_test.go
+++ b/internal/core/streams_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/ebonydyke/ebonydyke/test/racedetector"
 )
 
 // maxContinuedDisadvantage is the share by which fewer of the streams that callers continue may go on
@@ -22,6 +24,9 @@
 func TestStreamsKeepTheirVersionWithinAResponse(t *testing.T) {
 	t.Parallel()
 	for _, size := range streamSizes {
+		if !racedetector.RunsFleet(size.instances) {
+			continue
+		}
 		t.Run(size.String(), func(t *testing.T) {
 			t.Parallel()
 			f := newStreamFleet(size, 91, "v1", "v1.1")
@@ -38,6 +43,9 @@
 func TestStreamsKeepTheirVersionWhenCallersContinueThem(t *testing.T) {
 	t.Parallel()
 	for _, size := range streamSizes {
+		if !racedetector.RunsFleet(size.instances) {
+			continue
+		}
 		t.Run(size.String(), func(t *testing.T) {
 			t.Parallel()
 			f := newStreamFleet(size, 92, "v1", "v1.1")
@@ -121,6 +129,9 @@
 		sizes = streamSizes
 	}
 	for _, size := range sizes {
+		if !racedetector.RunsFleet(size.instances) {
+			continue
+		}
 		for _, fault := range streamFaults {
 			t.Run(fmt.Sprintf("%v, %s", size, fault.name), func(t *testing.T) {
 				t.Parallel()
--- a/internal/core/zoneloads_test.go
+++ b/internal/core/zoneloads_test.go
@@ -12,6 +12,7 @@
 	"github.com/ebonydyke/ebonydyke/internal/core/membership"
 	"github.com/ebonydyke/ebonydyke/internal/core/rendezvous"
 	"github.com/ebonydyke/ebonydyke/internal/core/retry"
+	"github.com/ebonydyke/ebonydyke/test/racedetector"
 )
 
 // Guards against an instance that knows the loads of its own zone only and takes an engine
@@ -19,6 +20,9 @@
 func TestInstancesReceiveLoadsOfAllZones(t *testing.T) {
 	t.Parallel()
 	for _, size := range []struct{ instances, zones int }{{11, 3}, {24, 5}, {80, 4}} {
+		if !racedetector.RunsFleet(size.instances) {
+			continue
+		}
 		f := newPeerFleet(t, size.instances, size.zones)
 		f.exchangeZoneLoads()
 		f.requireExactAfterTraffic()
