--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -22,6 +22,7 @@
 	"github.com/ebonydyke/ebonydyke/internal/core/paths"
 	"github.com/ebonydyke/ebonydyke/internal/core/prefix"
 	"github.com/ebonydyke/ebonydyke/internal/core/reach"
+	"github.com/ebonydyke/ebonydyke/internal/core/startqueue"
 	"github.com/ebonydyke/ebonydyke/internal/core/timerqueue"
 )
 
@@ -92,15 +93,13 @@
 	streams       streamState
 	slots         slotState
 	requests      map[RequestID]*request
-	// startWaiters are the requests that arrived before this instance could serve them.
-	startWaiters []startWaiter
-	// startWaitingBytes is the size of these requests.
-	startWaitingBytes int
-	timers            timerqueue.Queue[requestAction]
-	configs           configState
-	members           memberState
-	backends          backendsState
-	follow            followState
+	// startQueue holds the requests that arrived before this instance could serve them.
+	startQueue startqueue.Queue[RequestArrived]
+	timers     timerqueue.Queue[requestAction]
+	configs    configState
+	members    memberState
+	backends   backendsState
+	follow     followState
 	// registration is the state of this instance's own entry in the store.
 	registration registrationState
 	claims       claimTracker
