--- a/internal/core/followers.go
+++ b/internal/core/followers.go
@@ -1,13 +1,6 @@
 package core
 
-import (
-	"cmp"
-	"slices"
-	"time"
-
-	"github.com/ebonydyke/ebonydyke/internal/core/mesh"
-	"github.com/ebonydyke/ebonydyke/internal/core/rendezvous"
-)
+import "time"
 
 // A few instances, the followers, watch the store and send its changes to all others. If every
 // instance had a watch, each change would cost one call per instance.
@@ -189,29 +182,3 @@
 
 // recordStoreFailure records a failed read or watch.
 func (n *Node) recordStoreFailure() { n.follow.failedAt = n.now }
-
-// rankFollowers determines this instance's rank among the given ones. The first instances of all
-// zones come before the second ones, so that the followers are spread over as many zones as
-// possible.
-func (n *Node) rankFollowers(instances []mesh.Member) {
-	type candidate struct {
-		name    string
-		rank    int
-		zoneKey uint64
-	}
-	zones := make(map[string][]string)
-	for _, m := range instances {
-		zones[m.Zone] = append(zones[m.Zone], m.Name)
-	}
-	var ranking []candidate
-	for zone, names := range zones {
-		key := rendezvous.Hash("follow/" + zone)
-		for rank, name := range rendezvous.Top(key, names, len(names)) {
-			ranking = append(ranking, candidate{name, rank, key})
-		}
-	}
-	slices.SortFunc(ranking, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.zoneKey, b.zoneKey), cmp.Compare(a.name, b.name))
-	})
-	n.follow.rank = slices.IndexFunc(ranking, func(c candidate) bool { return c.name == n.settings.Name })
-}
--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -244,7 +244,7 @@
 	})
 	slices.Sort(names)
 	s.instanceNames = names
-	n.rankFollowers(live)
+	n.follow.rank = mesh.FollowRank(n.settings.Name, live)
 	n.resizeBudgets()
 	return names
 }
--- a/internal/core/mesh/mesh.go
+++ b/internal/core/mesh/mesh.go
@@ -1,4 +1,5 @@
-// Package mesh computes which instances of the fleet exchange digests with each other.
+// Package mesh computes which instances of the fleet exchange digests with each other, and the order in which they follow
+// the store.
 // The layout depends only on the list of instances, so all instances with the same list
 // compute the same layout.
 //
