--- a/internal/core/silentfleet_test.go
+++ b/internal/core/silentfleet_test.go
@@ -94,9 +94,11 @@
 	engines []*silentEngine
 	calls   map[core.RequestID]*silentCall
 	// sent are all calls in the order in which they were sent.
-	sent       []*silentCall
-	stopping   map[*fakeInstance]bool
+	sent     []*silentCall
+	stopping map[*fakeInstance]bool
+	// generation and changed identify the configuration in force.
 	generation uint64
+	changed    configChange
 	retryBurst float64
 	// attempts counts the attempts of each service that reached an engine.
 	attempts map[string]*attemptCount
@@ -158,7 +160,7 @@
 
 func newSilentFleet(size fleetSize, seed uint64, retryBurst float64) *silentFleet {
 	f := &silentFleet{
-		fleet: newStoppedFleet(seed, size.instances, size.zones), zones: size.zones, generation: 1, retryBurst: retryBurst,
+		fleet: newStoppedFleet(seed, size.instances, size.zones), zones: size.zones, generation: 1, changed: changeNothing, retryBurst: retryBurst,
 		calls: make(map[core.RequestID]*silentCall), stopping: make(map[*fakeInstance]bool), attempts: make(map[string]*attemptCount),
 	}
 	f.noPolls, f.acceptDelay, f.stopGrace = true, silentAcceptDelay, silentStopGrace
@@ -191,13 +193,14 @@
 // change puts a new configuration into force.
 func (f *silentFleet) change(change configChange) {
 	f.generation++
+	f.changed = change
 	f.putConfig(f.generation, string(change), silentConfig(change, f.retryBurst))
 }
 
-// reload lets an instance read the configuration in force once more.
+// reload lets an instance read its settings and the configuration in force once more.
 func (f *silentFleet) reload(m *fakeInstance) {
-	v := f.store.value(core.ConfigKey)
-	f.deliver(m, core.ConfigOffered{Envelope: config.Envelope{Generation: f.generation, Edit: "again", Text: string(v.value)}})
+	f.deliver(m, core.StopGraceSet{Grace: silentStopGrace})
+	f.deliver(m, core.ConfigOffered{Envelope: config.Envelope{Generation: f.generation, Edit: string(f.changed), Text: silentConfig(f.changed, f.retryBurst)}})
 }
 
 // stop asks an instance to stop. It is killed at the end of its grace period, and starts again.
--- a/internal/core/silentloans_test.go
+++ b/internal/core/silentloans_test.go
@@ -53,6 +53,7 @@
 // Guards against a borrowed slot that is released twice, once by the attempt on it and once by its hedge: it is then lent to
 // two instances at once, and its server must reject requests.
 func TestHedgeReleasesNoBorrowedSlot(t *testing.T) {
+	t.Parallel()
 	r := limitServers(t)
 	own, ask := r.fillOwnSlots()
 	require.NotEmpty(t, own)
