--- a/internal/relay/acks_test.go
+++ b/internal/relay/acks_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net"
 	"testing"
@@ -10,6 +11,9 @@
 	"github.com/stretchr/testify/require"
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/sys/unix"
+
+	"github.com/ebonydyke/ebonydyke/internal/core"
+	"github.com/ebonydyke/ebonydyke/internal/peer"
 )
 
 const (
@@ -159,3 +163,59 @@
 		})
 	}
 }
+
+// Guards against ending relayed connections with the link between the two instances, when it is lost or replaced.
+func TestRelayedConnectionOutlastsLinks(t *testing.T) {
+	in := startRelay(t)
+	requester, server := connect(t, in)
+	for incarnation := range uint64(3) {
+		listener, err := peer.Listen(t.Context(), "127.0.0.1:0")
+		require.NoError(t, err)
+		connected := make(chan struct{}, 1)
+		links := peer.New(peer.Config{Fleet: "f", Name: "a", Zone: "z", Incarnation: 1 + incarnation, Listener: listener, Post: func(e core.Event) {
+			if _, ok := e.(core.PeerConnected); ok {
+				connected <- struct{}{}
+			}
+		}})
+		links.SetPeers([]core.PeerAddress{in.address})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- links.Run(ctx) }()
+		<-connected
+		cancel()
+		require.NoError(t, <-done)
+		requirePass(t, requester, server)
+		requirePass(t, server, requester)
+	}
+}
+
+func requirePass(t *testing.T, from, to net.Conn) {
+	t.Helper()
+	_, err := io.WriteString(from, "event")
+	require.NoError(t, err)
+	_, err = io.ReadFull(to, make([]byte, len("event")))
+	require.NoError(t, err)
+}
+
+// Guards against a stopping relay that ends before the connections that it relays, while both ends are silent.
+func TestStopWaitsForSilentRelayedConnection(t *testing.T) {
+	in := startRelay(t)
+	requester, server := connect(t, in)
+	in.SetScope(true, nil)
+	drained := make(chan struct{})
+	go func() {
+		defer close(drained)
+		in.Drain(t.Context())
+	}()
+	select {
+	case <-drained:
+		require.Fail(t, "the relay ends")
+	case <-time.After(interruption):
+	}
+	requirePass(t, server, requester)
+	require.NoError(t, server.Close())
+	_, err := io.ReadAll(requester)
+	require.NoError(t, err)
+	require.NoError(t, requester.Close())
+	<-drained
+}
