--- a/internal/soak/lost.go
+++ b/internal/soak/lost.go
@@ -152,7 +152,11 @@
 			continue
 		}
 		judged++
-		if p.cut == "" || !l.isLost(p, runs) {
+		if p.cut == "" {
+			continue
+		}
+		if why := l.excuse(p, runs); why != "" {
+			w.recorder.count("cut " + why)
 			continue
 		}
 		w.recorder.recordViolationAt(p.endedAt, "a request that was passed on is answered", p.id, l.describe(p, runs))
@@ -187,17 +191,18 @@
 	return false
 }
 
-// isLost reports whether a request that was cut had to be answered.
-func (l *lostRecorder) isLost(p *passage, runs []*serverRun) bool {
-	if p.endedAt-p.sentAt >= l.timeoutOf(p) || l.cutByGrace(p, runs) {
-		return false
-	}
-	for _, r := range runs {
-		if r.brokeOff {
-			return false
-		}
+// excuse says why a request that was cut did not have to be answered, "" if it had to.
+func (l *lostRecorder) excuse(p *passage, runs []*serverRun) string {
+	switch {
+	case p.endedAt-p.sentAt >= l.timeoutOf(p):
+		return "at the timeout"
+	case l.cutByGrace(p, runs):
+		return "by the grace time"
+	case slices.ContainsFunc(runs, func(r *serverRun) bool { return r.brokeOff }):
+		return "by the server"
+	default:
+		return ""
 	}
-	return true
 }
 
 // timeoutOf returns the shortest timeout that may have applied to a request.
