Count no run for a hedge of which nothing was sent

A hedge that the core decides on while the silent server goes on is not sent any more. It counted as a run, so that the request could not be tried again when that server really failed. The test fails without the change.

--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -175,7 +175,7 @@
 	}
 	n.attemptDone(r)
 	if e.Outcome == retry.Superseded {
-		n.attemptSuperseded(r)
+		n.attemptSuperseded(r, e.Unsent)
 		return
 	}
 	if e.Outcome != retry.NotSent {
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -118,6 +118,8 @@
 	Uncertain bool `json:"uncertain,omitempty"`
 	// LastEventID is the ID of the last complete event of a broken, resumable stream.
 	LastEventID string `json:"last_event_id,omitempty"`
+	// Unsent is set if nothing of the request was sent in a superseded attempt.
+	Unsent bool `json:"unsent,omitempty"`
 	// Detail is the error text, used only for logging.
 	Detail string `json:"detail,omitempty"`
 }
--- a/internal/core/hedges.go
+++ b/internal/core/hedges.go
@@ -173,9 +173,11 @@
 
 // attemptSuperseded handles the end of an attempt that was cancelled because another one has delivered. It is a failure
 // of its server only if that was silent.
-func (n *Node) attemptSuperseded(r *request) {
-	r.mayHaveRun = true
-	r.runs++
+func (n *Node) attemptSuperseded(r *request, unsent bool) {
+	if !unsent {
+		r.mayHaveRun = true
+		r.runs++
+	}
 	if r.silent {
 		n.countOutcome(r, retry.Superseded)
 		r.tried = append(r.tried, r.backend)
--- a/internal/core/hedges_test.go
+++ b/internal/core/hedges_test.go
@@ -135,3 +135,13 @@
 		}
 	}
 }
+
+// Guards against a run that is counted for a hedge of which nothing was sent, so that the request cannot be tried again.
+func TestUnsentHedgeIsNoRun(t *testing.T) {
+	r := newNodeDriver(t, 3)
+	first := r.begin()
+	hedge := onlyEffect[core.SendAttempt](t, r.silent(first, "3"))
+	requireGoesOn(t, r.handle(core.AttemptEnded{Request: hedge.Request, Attempt: hedge.Attempt, Outcome: retry.Superseded, Unsent: true}))
+	again := r.handle(core.AttemptEnded{Request: first.Request, Attempt: first.Attempt, Outcome: retry.Broken, LastEventID: "4"})
+	require.Equal(t, "4", onlyEffect[core.SendAttempt](t, again).ResumeAfter)
+}
--- a/internal/proxy/attemptresponse.go
+++ b/internal/proxy/attemptresponse.go
@@ -37,8 +37,8 @@
 	buffer  []byte
 	// complete is set once the end of the response has been read.
 	complete bool
-	// closed is set once the call has been closed.
-	closed bool
+	// closed is set once the call has been closed, and sent if a byte of the request may have been sent until then.
+	closed, sent bool
 	// superseded is set once another attempt has delivered first. It is guarded by the race.
 	superseded bool
 
@@ -172,7 +172,7 @@
 // reportEnd reports the end of the attempt to the core.
 func (a *attemptResponse) reportEnd(event core.AttemptEnded, err error) {
 	if a.exchange.race.ended(a) && event.Outcome != retry.Answered {
-		event, err = core.AttemptEnded{Outcome: retry.Superseded}, errSuperseded
+		event, err = core.AttemptEnded{Outcome: retry.Superseded, Unsent: !a.sent}, errSuperseded
 	}
 	event.Attempt = a.attempt.Attempt
 	event.Load, event.RejectionLimit = a.load, a.head.RejectionLimit
@@ -186,6 +186,7 @@
 		return
 	}
 	a.closed = true
+	a.sent = a.call.sent()
 	a.silence = a.call.watch.sinceLastByte()
 	a.call.close(whole)
 	fasthttp.ReleaseResponse(a.resp)
