--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -193,6 +193,9 @@
 		r.mayHaveRun = true
 		r.runs++
 	}
+	if e.Outcome == retry.NotSent {
+		n.refundRetry(r)
+	}
 	r.hasFailureResponse = r.hasFailureResponse || e.Outcome == retry.Failed
 	r.retryAfter = max(r.retryAfter, e.RetryAfter)
 	if e.Outcome == retry.Broken {
--- a/internal/core/hedges.go
+++ b/internal/core/hedges.go
@@ -42,6 +42,8 @@
 	placement string
 	// loan is the borrowed slot on which the attempt runs, nil if it needs none.
 	loan *headroom.Loan
+	// charged is set if the attempt was charged to the retry budget before it was known whether it would be sent.
+	charged bool
 	// silent is set once the server has sent nothing for the attempt's timeout.
 	silent bool
 	// outcomeCounted is set once the attempt was counted as a success or a failure of its server.
@@ -138,6 +140,7 @@
 	r.setAside()
 	n.countHedge(labelHedgeSent)
 	n.sendTo(r, c, send)
+	r.charged = true
 }
 
 // hedgeOnSameBackend asks the server of a stream of the fleet's own interface for the rest of it on another connection.
@@ -174,7 +177,9 @@
 // attemptSuperseded handles the end of an attempt that was cancelled because another one has delivered. It is a failure
 // of its server only if that was silent.
 func (n *Node) attemptSuperseded(r *request, unsent bool) {
-	if !unsent {
+	if unsent {
+		n.refundRetry(r)
+	} else {
 		r.mayHaveRun = true
 		r.runs++
 	}
@@ -201,6 +206,14 @@
 	}
 }
 
+// refundRetry returns the charge of a hedge that reached no server. On a route such an attempt costs no retry.
+func (n *Node) refundRetry(r *request) {
+	if r.charged {
+		r.charged = false
+		n.pool(r.service.Name).budget.Refund()
+	}
+}
+
 func (n *Node) countHedge(label string) {
 	n.emit(Counted{Counter: counterHedges, Label: label, N: 1})
 }
--- a/internal/core/hedges_test.go
+++ b/internal/core/hedges_test.go
@@ -145,3 +145,18 @@
 	again := r.handle(core.AttemptEnded{Request: first.Request, Attempt: first.Attempt, Outcome: retry.Broken, LastEventID: "4"})
 	require.Equal(t, "4", onlyEffect[core.SendAttempt](t, again).ResumeAfter)
 }
+
+// Guards against a service's retries that are spent by hedges which reached no server.
+func TestHedgeThatIsNotSentCostsNoRetry(t *testing.T) {
+	for _, end := range []core.AttemptEnded{{Outcome: retry.NotSent}, {Outcome: retry.Superseded, Unsent: true}} {
+		r := newNodeDriver(t, 12)
+		r.handle(core.ConfigOffered{Envelope: config.Envelope{Generation: 2, Edit: "budget", Text: strings.ReplaceAll(routesConfig, `"retry_burst": 56`, `"retry_burst": 1`)}})
+		for range 5 {
+			first := r.begin()
+			hedge := onlyEffect[core.SendAttempt](t, r.silent(first, "3"))
+			end.Request, end.Attempt = hedge.Request, hedge.Attempt
+			requireGoesOn(t, r.handle(end))
+			r.endAttempt(first, retry.Answered)
+		}
+	}
+}
--- a/internal/core/retry/retry.go
+++ b/internal/core/retry/retry.go
@@ -105,6 +105,9 @@
 	return true
 }
 
+// Refund returns a token that was spent in vain.
+func (b *Budget) Refund() { b.add(1) }
+
 func (b *Budget) add(tokens float64) { b.tokens = min(b.burst, b.tokens+tokens) }
 
 // Part computes the part of the fleet's retries that an instance may spend at once and over a period. The parts of all
