--- a/internal/core/codec.go
+++ b/internal/core/codec.go
@@ -9,10 +9,10 @@
 
 // eventTypes holds a value of each event type. Session files are decoded by it.
 var eventTypes = []Event{
-	RequestArrived{}, AttemptEnded{}, AnswerStarted{}, CallerGone{},
+	RequestArrived{}, AttemptEnded{}, AttemptSilent{}, AnswerStarted{}, CallerGone{},
 	InstancesListed{}, BackendReported{}, ConfigOffered{}, StoreReplied{},
 	BackendsRead{}, LeaseReplied{}, BackendDialed{},
-	PeerConnected{}, PeerLost{}, PeerReceived{}, StopRequested{}, Ticked{},
+	PeerConnected{}, PeerLost{}, PeerReceived{}, StopGraceSet{}, StopRequested{}, Ticked{},
 }
 
 var eventsByName = func() map[string]reflect.Type {
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -122,6 +122,19 @@
 	Detail string `json:"detail,omitempty"`
 }
 
+// AttemptSilent reports that the backend server of an attempt in progress has sent nothing for the attempt's timeout. The
+// attempt goes on. The event is repeated while the silence lasts.
+type AttemptSilent struct {
+	Request RequestID `json:"request"`
+	Attempt int       `json:"attempt"`
+	// LastEventID is the ID of the last event that the caller's response has, "" if it has none or the stream is not
+	// resumable.
+	LastEventID string `json:"last_event_id,omitempty"`
+	// Quiet are the backend servers that owe this instance bytes and have sent none for a while, sorted. They may be
+	// silent too.
+	Quiet []string `json:"quiet,omitempty"`
+}
+
 // AnswerStarted reports that the first byte of the response was sent to the caller.
 // From then on the request must not be run again on another backend server.
 type AnswerStarted struct {
@@ -240,6 +253,11 @@
 	Message PeerMessage `json:"message"`
 }
 
+// StopGraceSet sets the time from a later stop request until the process is killed; 0 means that it is not killed.
+type StopGraceSet struct {
+	Grace time.Duration `json:"grace,omitempty"`
+}
+
 // StopRequested requests this instance's graceful shutdown.
 type StopRequested struct{}
 
@@ -252,6 +270,9 @@
 // EventName implements Event.
 func (AttemptEnded) EventName() string { return "attempt-ended" }
 
+// EventName implements Event.
+func (AttemptSilent) EventName() string { return "attempt-silent" }
+
 // EventName implements Event.
 func (AnswerStarted) EventName() string { return "answer-started" }
 
@@ -285,6 +306,9 @@
 // EventName implements Event.
 func (PeerReceived) EventName() string { return "peer-received" }
 
+// EventName implements Event.
+func (StopGraceSet) EventName() string { return "stop-grace-set" }
+
 // EventName implements Event.
 func (StopRequested) EventName() string { return "stop-requested" }
 
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -163,6 +163,8 @@
 		n.requestArrived(e)
 	case AttemptEnded:
 		n.attemptEnded(e)
+	case AttemptSilent:
+		n.attemptSilent(e)
 	case AnswerStarted:
 		n.answerStarted(e)
 	case BackendDialed:
@@ -190,6 +192,8 @@
 	case PeerReceived:
 		n.recordPeerContact(e.From)
 		n.peerReceived(e)
+	case StopGraceSet:
+		n.settings.StopGrace = e.Grace
 	case StopRequested:
 		n.stopRequested()
 	case Ticked:
