--- a/internal/core/lostengines_test.go
+++ b/internal/core/lostengines_test.go
@@ -109,6 +109,7 @@
 // Guards against callers who wait longer for a lost engine because silence alone ends nothing: the bound is the timeout after
 // which an attempt at a silent engine was ended, plus the time of a retry.
 func TestLostEnginesAreLeftInTime(t *testing.T) {
+	t.Parallel()
 	for _, size := range silentSizes() {
 		for _, loss := range engineLosses {
 			t.Run(size.String()+", "+loss.name, func(t *testing.T) {
--- a/internal/core/silentwave_test.go
+++ b/internal/core/silentwave_test.go
@@ -32,6 +32,7 @@
 
 // Guards against a wave of attempts when all engines are silent: each request would start further ones that nobody answers.
 func TestSilenceOfAllEnginesStartsNoWave(t *testing.T) {
+	t.Parallel()
 	for _, size := range silentSizes() {
 		t.Run(size.String(), func(t *testing.T) {
 			t.Parallel()
