Gather the ends under late parts of prompts at one instance

Cause: each part of each request that a server held was told to every instance, and each instance passed it on, also to peers that had just sent the same.

Only the ends under the first two parts of a prompt are told to all at once now. Those under later parts go to one instance, their home, which tells all once the part is blocked. Of the dozens of parts that have the same ends it blames one, so few are told. In rows the way to the home is at most three links of the layout. While instances may not hear each other all are told, as before. A record that is queued for a peer is dropped when the peer sends as much. An instance that knows answers to a part that the home blames tells it.

--- a/internal/core/digests.go
+++ b/internal/core/digests.go
@@ -52,7 +52,7 @@
 func (n *Node) addFacts(p *peerState, d *Digest) {
 	if n.inLayout(p.name) && !n.receivesFacts(p.name) {
 		p.sentFactsSeq, p.sentMembersSeq = n.view.Seq(), n.view.Seq()
-		n.addPoisonIfSeparated(p, d)
+		n.addPoison(p, d)
 		return
 	}
 	n.addMembers(p, d)
--- a/internal/core/mesh/mesh.go
+++ b/internal/core/mesh/mesh.go
@@ -15,6 +15,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"strconv"
@@ -48,9 +49,10 @@
 	rowPeers []string
 	// multiHop is set if the fleet is not a full mesh.
 	multiHop bool
-	// ownZone is this instance's zone, and row the number of its row there.
-	ownZone *zone
-	row     int
+	// zoneName is the name of this instance's zone, ownZone the zone itself, and row the number of its row there.
+	zoneName string
+	ownZone  *zone
+	row      int
 	// otherZones holds the other zones by name.
 	otherZones map[string]*zone
 	// shardCount is the number of shards: the average row length, rounded down, of the zone with
@@ -103,7 +105,7 @@
 
 // setOwnZone sets this instance's own zone and removes it from the other zones.
 func (l *Layout) setOwnZone(name string) {
-	l.ownZone = l.otherZones[name]
+	l.zoneName, l.ownZone = name, l.otherZones[name]
 	delete(l.otherZones, name)
 	l.row = slices.IndexFunc(l.ownZone.rows, func(row []string) bool { return slices.Contains(row, l.self) })
 	l.rowPeers = without(l.ownZone.rows[l.row], l.self)
@@ -234,6 +236,23 @@
 	return out
 }
 
+// NextTowardsHome returns the next instance on the way from this one to the home of a shard, or this one's name at the
+// home: the aggregator of the shard in the first row of one zone. All links on the way are in the layout.
+func (l *Layout) NextTowardsHome(shard int, silent func(string) bool) string {
+	if next := l.Aggregator(shard, silent); next != l.self {
+		return next
+	}
+	if next := l.ownZone.aggregator(0, shard, silent); next != l.self {
+		return next
+	}
+	zones := slices.Collect(maps.Keys(l.otherZones))
+	home := rendezvous.Top(shardKey(shard), append(zones, l.zoneName), 1)[0]
+	if home == l.zoneName {
+		return l.self
+	}
+	return l.otherZones[home].aggregator(0, shard, silent)
+}
+
 // RemoteAggregators holds aggregators of a shard in other zones: Receivers get the sum of
 // this zone, and Senders send the sums of their zones.
 type RemoteAggregators struct{ Receivers, Senders []string }
--- a/internal/core/mesh/mesh_test.go
+++ b/internal/core/mesh/mesh_test.go
@@ -86,6 +86,37 @@
 	}
 }
 
+// Guards against ends under a part that two instances send to different homes, or over links that do not exist.
+func TestWaysLeadToOneHome(t *testing.T) {
+	for _, n := range []int{11, 12, 23, 59, 60, 350} {
+		for _, zones := range []int{1, 3, 4} {
+			all := layouts(fleet(n, zones))
+			for shard := range all["entry-000"].ShardCount() {
+				homes := make(map[string]bool)
+				for name := range all {
+					homes[followToHome(t, all, name, shard)] = true
+				}
+				require.Len(t, homes, 1, "shard %d, %d instances in %d zones", shard, n, zones)
+			}
+		}
+	}
+}
+
+// followToHome follows the way from an instance to the home of a shard.
+func followToHome(t *testing.T, all map[string]*Layout, from string, shard int) string {
+	t.Helper()
+	for range 4 {
+		next := all[from].NextTowardsHome(shard, noneSilent)
+		if next == from {
+			return from
+		}
+		require.Contains(t, all[from].Peers(noneSilent), next)
+		from = next
+	}
+	t.Fatalf("no home of shard %d after four links, at %s", shard, from)
+	return ""
+}
+
 // TestLinksAreMutualAndFew checks that both ends of a link have it in their layout and
 // that the number of links per instance stays small up to the fleet size expected in two
 // years.
--- a/internal/core/poison/exchange.go
+++ b/internal/core/poison/exchange.go
@@ -7,6 +7,9 @@
 	"time"
 )
 
+// hopTime bounds how much younger a proof seems after its way to another instance.
+const hopTime = 100 * time.Millisecond
+
 // Keys returns the requests that have a record, sorted.
 func (t *Tracker) Keys() []Key { return slices.Sorted(maps.Keys(t.records)) }
 
@@ -37,9 +40,53 @@
 	return 0
 }
 
+// Position returns the position of a part, 0 for a content or without a record.
+func (t *Tracker) Position(key Key) int {
+	if r := t.records[key]; r != nil {
+		return r.position
+	}
+	return 0
+}
+
 // Suspicious reports whether more than one server ended under a content or a part.
 func (t *Tracker) Suspicious(key Key) bool { return t.ends(key) > 1 }
 
+// Suspected reports whether enough servers ended under a content or a part to block it.
+func (t *Tracker) Suspected(key Key) bool { return t.ends(key) >= MaxEnds }
+
+// Suspects reports whether enough servers ended under the content or the part to block it, as far as the record tells.
+func (r Record) Suspects(now time.Time) bool {
+	t := NewTracker()
+	t.Merge(r, now)
+	return t.Suspected(r.Key)
+}
+
+// CoveredBy reports whether another instance's record tells all that is known here, so that the other one need not be told.
+func (t *Tracker) CoveredBy(in Record, now time.Time) bool {
+	own, ok := t.Record(in.Key, now)
+	if !ok || own.Position > in.Position || own.Trials > in.Trials {
+		return false
+	}
+	told := make(map[Server]bool)
+	for _, e := range in.Ends {
+		told[e.Server] = true
+	}
+	for _, server := range in.Voided {
+		told[server] = true
+	}
+	endUntold := func(e End) bool { return !told[e.Server] }
+	voidUntold := func(server Server) bool { return !slices.Contains(in.Voided, server) }
+	proofUntold := func(p Proof) bool { return !in.proves(p) }
+	return !slices.ContainsFunc(own.Ends, endUntold) && !slices.ContainsFunc(own.Voided, voidUntold) && !slices.ContainsFunc(own.Proofs, proofUntold)
+}
+
+// proves reports whether the record has a proof or a later one.
+func (r Record) proves(proof Proof) bool {
+	return slices.ContainsFunc(r.Proofs, func(p Proof) bool {
+		return p.Software == proof.Software && p.Age <= proof.Age+hopTime
+	})
+}
+
 // LikelyEnds reports whether a part rather ends the next server that runs it than not: more than one ended under it, and
 // no request with it was answered lately.
 func (t *Tracker) LikelyEnds(part Key) bool {
--- a/internal/core/poison/poison_test.go
+++ b/internal/core/poison/poison_test.go
@@ -334,3 +334,27 @@
 	require.Empty(t, early.BlockedKeys())
 	require.Equal(t, 1, early.ends(part))
 }
+
+// Guards against a record that is not passed on although the other instance lacks an end, a voided one, an answer or a trial.
+func TestCoveredRecordLacksNothing(t *testing.T) {
+	changes := map[string]func(t *Tracker){
+		"end":    func(t *Tracker) { t.PartEnded(1, 3, server(9), "a", epoch) },
+		"voided": func(t *Tracker) { t.Void(server(1), epoch) },
+		"proof":  func(t *Tracker) { t.PartsAnswered([]Key{1}, "b", epoch.Add(time.Second)) },
+		"trial":  func(t *Tracker) { t.Trial(1, epoch) },
+	}
+	for name, change := range changes {
+		t.Run(name, func(t *testing.T) {
+			tracker := NewTracker()
+			tracker.PartEnded(1, 3, server(1), "a", epoch)
+			tracker.PartsAnswered([]Key{1}, "b", epoch)
+			now := epoch.Add(2 * time.Second)
+			before, _ := tracker.Record(1, now)
+			require.True(t, tracker.CoveredBy(before, now))
+			change(tracker)
+			after, _ := tracker.Record(1, now)
+			require.False(t, tracker.CoveredBy(before, now))
+			require.True(t, tracker.CoveredBy(after, now))
+		})
+	}
+}
--- /dev/null
+++ b/internal/core/poisonhomes.go
@@ -0,0 +1,70 @@
+package core
+
+import (
+	"github.com/ebonydyke/ebonydyke/internal/core/poison"
+	"github.com/ebonydyke/ebonydyke/internal/core/rendezvous"
+)
+
+// A long prompt has dozens of parts, and each of them is suspected if a server ends under it. Telling every instance of
+// each would take more bytes than all loads. So only the first parts of a prompt are told to all at once. The ends under a
+// later part are gathered at one instance, its home, which tells all once the part is blocked.
+
+// widelyToldParts is the number of parts at the beginning of a prompt whose ends all instances are told of at once.
+const widelyToldParts = 2
+
+// toldToAll reports whether all instances are told of a record. While instances may not hear each other, a home may be
+// out of reach.
+func (n *Node) toldToAll(key poison.Key) bool {
+	return n.poison.tracker.Position(key) <= widelyToldParts || n.poison.store.separated || n.poison.tracker.Blocked(key)
+}
+
+// queueForHome queues a record for the next instance on the way to its home, unless it came from there.
+func (n *Node) queueForHome(from poisonSource, key poison.Key) {
+	next := n.nextTowardsHome(key)
+	if next == n.settings.Name || next == string(from) {
+		return
+	}
+	p := n.peer(next)
+	p.pendingPoison[key] = true
+	p.digestDue = n.now
+}
+
+// nextTowardsHome returns the next instance on the way to the home of a part, or this one's name at the home.
+func (n *Node) nextTowardsHome(key poison.Key) string {
+	if n.multiHop() {
+		l := n.peers.layout
+		return l.NextTowardsHome(int(uint64(key)%uint64(l.ShardCount())), n.peerSilent)
+	}
+	return rendezvous.Top(uint64(key), n.liveInstances(), 1)[0]
+}
+
+// receivesPoison reports whether a peer is sent the records of which all instances are told. One that gets only loads
+// learns of them from others, unless those may be cut off.
+func (n *Node) receivesPoison(name string) bool {
+	return n.poison.store.separated || !n.inLayout(name) || n.receivesFacts(name)
+}
+
+// queueAllPoison queues the records of which a peer that connects or has missed a digest is told.
+func (n *Node) queueAllPoison(p *peerState) {
+	for _, key := range n.poison.tracker.Keys() {
+		if n.toldToAll(key) && n.receivesPoison(p.name) || n.nextTowardsHome(key) == p.name {
+			p.pendingPoison[key] = true
+		}
+	}
+}
+
+// heardPoison updates what a peer is to be sent after it has sent a record. It is not told what it knows. One that blames a
+// part is told of the answers that disprove this: whoever gave them may have known of no end by then, and told nobody.
+func (n *Node) heardPoison(from poisonSource, record poison.Record) {
+	p := n.peers.byName[string(from)]
+	if p == nil {
+		return
+	}
+	tracker, key := n.poison.tracker, record.Key
+	if p.pendingPoison[key] && tracker.CoveredBy(record, n.now) {
+		delete(p.pendingPoison, key)
+	}
+	if record.Position > widelyToldParts && record.Suspects(n.now) && !tracker.Suspected(key) {
+		p.pendingPoison[key] = true
+	}
+}
--- a/internal/core/poisonparts_test.go
+++ b/internal/core/poisonparts_test.go
@@ -74,6 +74,7 @@
 		badAtOnce(underFirst("bad"))(f, size)
 	}},
 	{name: "many parts", prepare: func(f *partFleet, _ partSize) { f.fill = longPrompt }, begin: badAtOnce(underFirst("bad")), atSmallest: true},
+	{name: "a part late in long prompts", prepare: func(f *partFleet, _ partSize) { f.fill = longPrompt / 2 }, begin: badAtOnce(lateBadPart)},
 	{name: "beside other crashes", begin: func(f *partFleet, size partSize) {
 		f.crashes(700 * time.Millisecond)
 		badAtOnce(underFirst("bad"))(f, size)
@@ -100,6 +101,15 @@
 	}, begin: badAtOnce(underFirst("bad"))},
 }
 
+// lateBadPart returns the parts of a long prompt with a bad one in its middle. The sound ones differ from request to request.
+func lateBadPart(f *partFleet) []string {
+	parts := []string{f.first, fmt.Sprint("second-4-", f.random.IntN(secondParts))}
+	for i := range longPrompt / 2 {
+		parts = append(parts, fmt.Sprintf("second-%d-%d-%d", f.drawFirst(), f.random.IntN(secondParts), i))
+	}
+	return append(parts, "bad")
+}
+
 func twoBadParts(f *partFleet, _ partSize) {
 	f.bad = func(part, _ string) bool { return part == "bad" || part == "bad-2" }
 }
@@ -232,6 +242,30 @@
 	}
 }
 
+// Guards against blaming sound parts of long prompts for engines that end for other reasons: the instance that gathers the
+// ends under a part knows few of the answers to it.
+func TestOtherCrashesBlameNoPartOfLongPrompts(t *testing.T) {
+	t.Parallel()
+	for i, size := range partSizes[:2] {
+		if i > 0 && *boundSeeds == 1 {
+			continue
+		}
+		t.Run(size.String(), func(t *testing.T) {
+			t.Parallel()
+			f := newPartFleet(size, 261)
+			f.fill = longPrompt
+			f.soundRequests(size.perSecond, partBaseline+3*partTrouble)
+			f.run(partBaseline)
+			since := f.now
+			for range 3 {
+				f.crashes(500 * time.Millisecond)
+				f.run(partTrouble)
+			}
+			f.requireFewRefusals(t, since)
+		})
+	}
+}
+
 // Guards against a part that stays blocked although a release has mended it.
 func TestMendedPartIsServedAgain(t *testing.T) {
 	t.Parallel()
@@ -267,19 +301,39 @@
 			t.Run(fmt.Sprintf("%v, %s", size.fleetSize, fault.name), func(t *testing.T) {
 				t.Parallel()
 				for seed := range *boundSeeds {
-					testBadPartsBesideFault(t, size, fault, uint64(191+seed))
+					testBadPartsBesideFault(t, newPartFleet(size, uint64(191+seed)), size, fault, underFirst("bad"))
 				}
 			})
 		}
 	}
 }
 
-func testBadPartsBesideFault(t *testing.T, size partSize, fault instanceFault, seed uint64) {
+// Guards against a bad part late in long prompts that is sent on because the instance that gathers the ends under it is
+// frozen, cut off or restarted.
+func TestLateBadPartsAreNotSentOnBesideFaults(t *testing.T) {
+	t.Parallel()
+	for i, size := range partSizes[:2] {
+		if i > 0 && *boundSeeds == 1 {
+			continue
+		}
+		for _, fault := range instanceFaults {
+			t.Run(fmt.Sprintf("%v, %s", size.fleetSize, fault.name), func(t *testing.T) {
+				t.Parallel()
+				for seed := range *boundSeeds {
+					f := newPartFleet(size, uint64(251+seed))
+					f.fill = longPrompt / 2
+					testBadPartsBesideFault(t, f, size, fault, lateBadPart)
+				}
+			})
+		}
+	}
+}
+
+func testBadPartsBesideFault(t *testing.T, f *partFleet, size partSize, fault instanceFault, parts func(f *partFleet) []string) {
 	t.Helper()
-	f := newPartFleet(size, seed)
 	f.soundRequests(size.perSecond, partBaseline+30*time.Second)
 	f.run(partBaseline)
-	f.badRequests(4, 30*time.Second, func() []string { return []string{f.first, "bad"} })
+	f.badRequests(4, 30*time.Second, func() []string { return parts(f) })
 	for range 3 {
 		affected := make(map[*fakeInstance]bool)
 		for _, i := range f.random.Perm(len(f.instances))[:len(f.instances)/2] {
--- a/internal/core/poisonrequests.go
+++ b/internal/core/poisonrequests.go
@@ -263,25 +263,22 @@
 // forwarded only if several servers ended under the request.
 func (n *Node) queuePoison(from poisonSource, key poison.Key) {
 	n.noteUnstored(from, key)
+	if !n.toldToAll(key) && !slices.Contains(n.poison.blocked, key) {
+		n.queueForHome(from, key)
+		return
+	}
 	fromPeer := from != sourceSelf && from != sourceStore
 	if fromPeer && !n.multiHop() && !n.poison.tracker.Suspicious(key) {
 		return
 	}
 	for name, p := range n.peers.byName {
-		if name != string(from) {
+		if name != string(from) && n.receivesPoison(name) {
 			p.pendingPoison[key] = true
 		}
 	}
 	n.sendDigestsNow()
 }
 
-// queueAllPoison queues all records for a peer that connects or has missed a digest.
-func (n *Node) queueAllPoison(p *peerState) {
-	for _, key := range n.poison.tracker.Keys() {
-		p.pendingPoison[key] = true
-	}
-}
-
 // addPoison adds the records that the peer is to be sent, those of the most suspicious requests first.
 func (n *Node) addPoison(p *peerState, d *Digest) {
 	if len(p.pendingPoison) == 0 {
@@ -301,6 +298,7 @@
 		if n.poison.tracker.Merge(record, n.now) {
 			n.poisonChanged(from, record.Key)
 		}
+		n.heardPoison(from, record)
 		for _, end := range record.Ends {
 			if member := n.view.Get(end.Name); member != nil && n.backends.log.Conveys(*member) {
 				n.voidPlannedEnd(member)
--- a/internal/core/poisonstore.go
+++ b/internal/core/poisonstore.go
@@ -144,7 +144,8 @@
 }
 
 // separationChanged logs the change. Once this instance is separated, peers that get only loads are
-// sent the latest poison records as well: those from which they usually learn facts may be cut off.
+// sent the latest poison records as well, and all peers those that were sent towards a home: those from which they
+// usually learn may be cut off.
 func (n *Node) separationChanged() {
 	if !n.poison.store.separated {
 		n.emit(StateChanged{Subject: SubjectLink, State: stateTogether})
@@ -153,22 +154,13 @@
 	n.emit(StateChanged{Subject: SubjectLink, State: stateSeparated})
 	for _, key := range n.poison.tracker.ChangedSince(n.now.Add(-separationWindow)) {
 		for name := range n.peers.inLayout {
-			if !n.receivesFacts(name) {
+			if !n.receivesFacts(name) || n.poison.tracker.Position(key) > widelyToldParts {
 				n.peer(name).pendingPoison[key] = true
 			}
 		}
 	}
 }
 
-// addPoisonIfSeparated adds poison records to a digest for a peer that gets only loads.
-func (n *Node) addPoisonIfSeparated(p *peerState, d *Digest) {
-	if !n.poison.store.separated {
-		clear(p.pendingPoison)
-		return
-	}
-	n.addPoison(p, d)
-}
-
 // poisonStored handles the result of a StorePoison. An expired lease has removed its records, and a
 // new one is acquired with the next call.
 func (n *Node) poisonStored(e LeaseReplied) {
