Spread the streams of an ended engine over all engines of its version

Cause: when an engine ends, all instances place its streams within some milliseconds, by loads that show none of the others' placements. Each preferred its own zone, where often one engine of the version was left, and took it up to the inner limit as it was known half a second before. A trace showed 12 and 18 repeated attempts at 11.002 s and 12.002 s that went to one engine at 83 to 103 streams while others of the version had 37 to 61; new requests then added to it.

A repeated attempt of a stream whose version is not the only one is now drawn over all engines of the version, in all zones, in proportion to the room that each has below the bound (weighted rendezvous hash of the chat). Nothing is refused that was served: without room an engine still has a small weight.

--- a/internal/core/placement.go
+++ b/internal/core/placement.go
@@ -67,11 +67,16 @@
 }
 
 // withoutBound lifts the bound on a server's load for a stream that only some servers can continue. Those of a version
-// that is going away are few, and all its broken streams come to them; refused, they could go on nowhere.
+// that is going away are few, and all its broken streams come to them; refused, they could go on nowhere. Those of a server that
+// ends are placed by all instances at the same moment.
 func (n *Node) withoutBound(r *request, choice routing.Choice) routing.Choice {
-	if r.software != nil && n.streams.versions.Mixed(r.service.Name) {
-		choice.Limits.Outer = math.Inf(1)
+	if r.software == nil || !n.streams.versions.Mixed(r.service.Name) {
+		return choice
+	}
+	if streamBroke := len(r.tried) > 0; streamBroke && !math.IsInf(choice.Limits.Outer, 1) {
+		choice.SpreadBelow = choice.Limits.Outer
 	}
+	choice.Limits.Outer = math.Inf(1)
 	return choice
 }
 
--- a/internal/core/routing/routing.go
+++ b/internal/core/routing/routing.go
@@ -73,6 +73,9 @@
 	// ranked lower if Draw is above Slots divided by the load, that is, for the fraction
 	// of requests that exceeds the slots.
 	Draw float64
+	// SpreadBelow is set for requests that many instances place at the same moment, before any of them sees where the
+	// others' go. They are spread over all candidates by how far the load of each is below it.
+	SpreadBelow float64
 }
 
 // None is the index for no candidate.
@@ -99,6 +102,9 @@
 	if choice.Hinted >= 0 && choice.hintUsable(&candidates[choice.Hinted]) {
 		return choice.Hinted
 	}
+	if choice.SpreadBelow > 0 {
+		return spread(candidates, choice)
+	}
 	best, bestRank, bestScore := None, rankLast, uint64(0)
 	for i := range candidates {
 		c := &candidates[i]
@@ -115,6 +121,29 @@
 	return best
 }
 
+// minRoom is the room that a candidate without any counts as, so that the request goes somewhere.
+const minRoom = 0.5
+
+// spread returns the index of a candidate of the lowest rank, chosen with a probability in proportion to its room, by
+// weighted rendezvous hashing.
+func spread(candidates []Candidate, choice *Choice) int {
+	best, bestRank, bestScore := None, rankLast, math.Inf(-1)
+	for i := range candidates {
+		c := &candidates[i]
+		rank := choice.rank(c)
+		if rank > bestRank {
+			continue
+		}
+		draw := rendezvous.Unit(rendezvous.Score(choice.Chat, c.Hash))
+		score := math.Log(draw) / max(choice.SpreadBelow-c.Load, minRoom)
+		if rank == bestRank && best != None && score <= bestScore {
+			continue
+		}
+		best, bestRank, bestScore = i, rank, score
+	}
+	return best
+}
+
 // rank returns the rank of a candidate, or more than rankLast if it must not be chosen.
 func (ch *Choice) rank(c *Candidate) int {
 	load := c.Load + 1
@@ -122,7 +151,8 @@
 		return rankLast + 1
 	}
 	rank := 0
-	if load > ch.Limits.Inner || c.Slots > 0 && load*ch.Draw > c.Slots {
+	spread := ch.SpreadBelow > 0
+	if !spread && load > ch.Limits.Inner || c.Slots > 0 && load*ch.Draw > c.Slots {
 		rank |= rankOverInner
 	}
 	if c.WithheldShare > 0 && load > ch.Limits.Inner*(1-c.WithheldShare) {
@@ -134,7 +164,7 @@
 	if c.Unreachable {
 		rank |= rankUnreachable
 	}
-	if c.OtherZone && ch.PreferOwnZone {
+	if c.OtherZone && ch.PreferOwnZone && !spread {
 		rank |= rankOtherZone
 	}
 	if slices.Contains(ch.Tried, c.Name) {
--- a/internal/core/routing/routing_test.go
+++ b/internal/core/routing/routing_test.go
@@ -190,3 +190,40 @@
 		})
 	}
 }
+
+// Guards against requests that many instances place at the same moment, by the same loads, and that all go to one backend
+// server.
+func TestSpreadFollowsRoom(t *testing.T) {
+	list := []routing.Candidate{
+		{Name: "a", Hash: rendezvous.Hash("a"), Load: 10, Capacity: 1000},
+		{Name: "b", Hash: rendezvous.Hash("b"), Load: 40, Capacity: 1000, OtherZone: true},
+		{Name: "c", Hash: rendezvous.Hash("c"), Load: 90, Capacity: 1000},
+		{Name: "d", Hash: rendezvous.Hash("d"), Capacity: 1000},
+	}
+	const requests = 20000
+	placed := make([]int, len(list))
+	for i := range requests {
+		choice := routing.Choice{
+			Chat: rendezvous.Hash(fmt.Sprint("chat-", i)), Hinted: routing.None, PreferOwnZone: true, Tried: []string{"d"},
+			Limits: routing.NoLimits(), SpreadBelow: 70,
+		}
+		placed[routing.Pick(list, &choice)]++
+	}
+	require.InDelta(t, 60.0/90.5, float64(placed[0])/requests, 0.02)
+	require.InDelta(t, 30.0/90.5, float64(placed[1])/requests, 0.02)
+	require.Positive(t, placed[2], "one without room is chosen now and then")
+	require.Zero(t, placed[3], "one that was tried comes last")
+}
+
+// Guards against a stream that is refused because all servers that can go on with it are above the bound, and against one
+// that goes to a server of another version.
+func TestSpreadChoosesWithoutRoom(t *testing.T) {
+	list := []routing.Candidate{
+		{Name: "a", Hash: rendezvous.Hash("a"), Load: 90, Capacity: 1000, Version: "v1"},
+		{Name: "b", Hash: rendezvous.Hash("b"), Load: 1, Capacity: 1000, Version: "v2"},
+	}
+	choice := routing.Choice{Chat: 1, Hinted: routing.None, Limits: routing.NoLimits(), SpreadBelow: 70, MatchVersion: true, Version: "v1"}
+	require.Equal(t, 0, routing.Pick(list, &choice))
+	list[0].Full = true
+	require.Equal(t, routing.None, routing.Pick(list, &choice))
+}
