Proxy: wait for a silent server that is asked which process it is

Callers saw: while two software versions served, a request whose servers were all paused was refused after 1.3 s (attempts-exhausted), and a stream whose server had ended broke off after 1.1 s, though another server of its version went on 0.3 s later.

Cause: a process check had a timeout of 250 ms of its own. Each timeout used up an attempt, so that five checks ended the request.

Why it works: the attempt's watch now covers the check as well. A silent check is reported, and hedged, like a silent response, and cancelled when another attempt delivers. As the connection belongs to the call during the check, the bytes of the check are taken off the count of those sent.

--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -41,6 +41,8 @@
 	closed chan struct{}
 	// relays are the peers that each attempt may ask.
 	relays []core.PeerAddress
+	// process is the process that each attempt must reach, nil if any will do.
+	process *core.ProcessCheck
 	// onNotReady is called when the instance reports that it is not ready.
 	onNotReady func()
 
@@ -58,6 +60,7 @@
 	switch e := effect.(type) {
 	case core.SendAttempt:
 		e.Dial.Relays = i.relays
+		e.Process = i.process
 		i.attempts = append(i.attempts, e)
 		i.server.Deliver(e.Request, e)
 	case core.CancelAttempt:
--- a/internal/proxy/processcheck.go
+++ b/internal/proxy/processcheck.go
@@ -4,14 +4,10 @@
 	"bufio"
 	"errors"
 	"fmt"
-	"time"
 
 	"github.com/valyala/fasthttp"
 )
 
-// processCheckTimeout limits the wait for a server's answer to a process check.
-const processCheckTimeout = 250 * time.Millisecond
-
 // errProcessReplaced means that another process than the expected one runs under a server's name.
 var errProcessReplaced = errors.New("proxy: another process runs under the backend server's name")
 
@@ -20,7 +16,8 @@
 // not have arrived yet. Nothing of the request has been sent on the connection.
 //
 // A connection that was opened before the core's knowledge of the entry cannot lead to a later process. On any
-// other one the server is asked. A server that does not tell its process is taken at its entry's word.
+// other one the server is asked. A server that does not tell its process is taken at its entry's word, and one that is
+// silent is waited for, like one that does not answer the request.
 func (c *call) checkProcess(conn *backendConn) error {
 	expected := c.process
 	if expected == nil || c.processPath == "" {
@@ -52,7 +49,7 @@
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	req.SetRequestURI("http://" + c.host.Addr + c.processPath)
-	if err := conn.SetDeadline(earlier(time.Now().Add(processCheckTimeout), c.deadline)); err != nil {
+	if err := conn.SetDeadline(c.deadline); err != nil {
 		return nil, err
 	}
 	if err := writeRequest(conn, req); err != nil {
--- a/internal/proxy/transport.go
+++ b/internal/proxy/transport.go
@@ -207,14 +207,19 @@
 // release when it ends.
 func (c *call) attachAcquired(conn *backendConn, release func(reuse bool)) error {
 	reused := conn.reused()
-	if err := c.checkProcess(conn); err != nil {
-		release(false)
-		return err
-	}
 	if err := c.attach(conn); err != nil {
 		release(reused)
 		return err
 	}
+	c.watch.start()
+	defer c.watch.pause()
+	if err := c.checkProcess(conn); err != nil {
+		// Nothing of the request has been sent.
+		c.detach()
+		release(false)
+		return err
+	}
+	conn.written.Store(0)
 	c.release = release
 	return nil
 }
@@ -224,7 +229,7 @@
 	if err := c.conn.SetDeadline(c.deadline); err != nil {
 		return fmt.Errorf("proxy: set deadline: %w", err)
 	}
-	c.watch.start()
+	c.watch.wait()
 	defer c.watch.pause()
 	out := c.host.AcquireWriter(c.conn)
 	err := req.Write(out)
@@ -299,13 +304,6 @@
 	}
 }
 
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
-
 // close ends the call. The connection is reused only if the response was read to the end
 // that its framing marks and no bytes follow it.
 func (c *call) close(whole bool) {
