Proxy: do not wait for the rest of a refusal

Callers saw: a request that a server had refused as not started was answered with deadline-exceeded when that server fell silent inside the refusal's body, though another server would have answered at once.

Cause: the body of a refusal is read so that its connection can be used again, and the next attempt waited for it until the request's deadline.

Evidence: TestSilenceInRefusalDelaysNothing failed on both routes with not-run, deadline-exceeded after 6 s.

Why it works: the header decides.

--- a/internal/proxy/attemptresponse.go
+++ b/internal/proxy/attemptresponse.go
@@ -115,6 +115,7 @@
 func (a *attemptResponse) handleHead() bool {
 	switch a.head.Verdict {
 	case NotStarted:
+		a.call.deadline = time.Now().Add(refusalBodyTimeout)
 		_, err := io.CopyN(io.Discard, a.call, maxRefusalBody)
 		a.close(errors.Is(err, io.EOF))
 		a.reportEnd(core.AttemptEnded{Outcome: retry.Refused, RetryAfter: a.head.RetryAfter}, errRefused)
