--- a/internal/proxy/attemptresponse.go
+++ b/internal/proxy/attemptresponse.go
@@ -64,6 +64,7 @@
 		deadline:         s.connDeadline(e.Deadline),
 		dialTimeout:      s.options.DialTimeout,
 		plan:             e.Dial,
+		attempt:          e.Attempt,
 		process:          e.Process,
 		processPath:      s.options.Dialect.ProcessPath(),
 		sameProcess:      s.options.Dialect.SameProcess,
--- a/internal/proxy/processcheck.go
+++ b/internal/proxy/processcheck.go
@@ -4,10 +4,23 @@
 	"bufio"
 	"errors"
 	"fmt"
+	"time"
 
 	"github.com/valyala/fasthttp"
 )
 
+// minProcessCheckTimeout limits the wait for a server's answer to the process check of a request's first attempt. It doubles
+// with each attempt: one silent server is left soon, and a pause of all does not use up the attempts.
+const minProcessCheckTimeout = 250 * time.Millisecond
+
+// maxCheckDoublings bounds the doublings. The deadline of the request comes first.
+const maxCheckDoublings = 6
+
+// processCheckTimeout returns the timeout of an attempt's process check.
+func processCheckTimeout(attempt int) time.Duration {
+	return minProcessCheckTimeout << min(max(0, attempt-1), maxCheckDoublings)
+}
+
 // errProcessReplaced means that another process than the expected one runs under a server's name.
 var errProcessReplaced = errors.New("proxy: another process runs under the backend server's name")
 
@@ -16,8 +29,7 @@
 // not have arrived yet. Nothing of the request has been sent on the connection.
 //
 // A connection that was opened before the core's knowledge of the entry cannot lead to a later process. On any
-// other one the server is asked. A server that does not tell its process is taken at its entry's word, and one that is
-// silent is waited for, like one that does not answer the request.
+// other one the server is asked. A server that does not tell its process is taken at its entry's word.
 func (c *call) checkProcess(conn *backendConn) error {
 	expected := c.process
 	if expected == nil || c.processPath == "" {
@@ -49,7 +61,7 @@
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	req.SetRequestURI("http://" + c.host.Addr + c.processPath)
-	if err := conn.SetDeadline(c.deadline); err != nil {
+	if err := conn.SetDeadline(earlier(time.Now().Add(processCheckTimeout(c.attempt)), c.deadline)); err != nil {
 		return nil, err
 	}
 	if err := writeRequest(conn, req); err != nil {
--- a/internal/proxy/processcheck_test.go
+++ b/internal/proxy/processcheck_test.go
@@ -76,11 +76,22 @@
 	require.False(t, c.processCertain)
 }
 
+// Guards against waiting for the deadline when the server does not answer.
+func TestProcessCheckTimesOut(t *testing.T) {
+	release := make(chan struct{})
+	c, conn := checkedCall(t, func(http.ResponseWriter, *http.Request) { <-release })
+	t.Cleanup(func() { close(release) })
+	startedAt := time.Now()
+	require.Error(t, c.checkProcess(conn))
+	require.Less(t, time.Since(startedAt), 900*time.Millisecond)
+}
+
 // Guards against a check of a silent server that lasts on when another server has answered the request.
 func TestCancelEndsProcessCheck(t *testing.T) {
 	release := make(chan struct{})
 	c, conn := checkedCall(t, func(http.ResponseWriter, *http.Request) { <-release })
 	t.Cleanup(func() { close(release) })
+	c.attempt = maxCheckDoublings
 	require.NoError(t, c.attach(conn))
 	startedAt := time.Now()
 	time.AfterFunc(50*time.Millisecond, c.cancel)
--- a/internal/proxy/transport.go
+++ b/internal/proxy/transport.go
@@ -48,6 +48,8 @@
 	// dialTimeout limits the time to open a connection, over the paths of plan.
 	dialTimeout time.Duration
 	plan        core.DialPlan
+	// attempt is the number of the request's attempt.
+	attempt int
 	// process is the process of the server that the request must reach, or nil; processPath is where a
 	// server tells its process, and sameProcess compares what it tells.
 	process     *core.ProcessCheck
@@ -304,6 +306,13 @@
 	}
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // close ends the call. The connection is reused only if the response was read to the end
 // that its framing marks and no bytes follow it.
 func (c *call) close(whole bool) {
