--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -130,7 +130,9 @@
 	r.number = r.attempts
 	r.running, r.outcomeCounted = true, false
 	r.sentAt = n.now
-	r.softwareUncertain = r.softwareUncertain && r.software != nil
+	if !e.Hedge {
+		r.softwareUncertain = r.softwareUncertain && r.software != nil
+	}
 	if late := r.lateAfter(); late > 0 {
 		number := r.number
 		n.schedule(n.now.Add(late), r, func(n *Node, r *request) { n.countLate(r, number) })
@@ -199,7 +201,7 @@
 	r.hasFailureResponse = r.hasFailureResponse || e.Outcome == retry.Failed
 	r.retryAfter = max(r.retryAfter, e.RetryAfter)
 	if e.Outcome == retry.Broken {
-		r.resumeAfter = e.LastEventID
+		r.recordLastEvent(e.LastEventID)
 	}
 	if len(r.hedged) > 0 {
 		r.tried = append(r.tried, r.backend)
--- a/internal/core/hedges.go
+++ b/internal/core/hedges.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/ebonydyke/ebonydyke/internal/core/headroom"
@@ -157,15 +158,15 @@
 	n.send(r, SendAttempt{Hedge: true, ResumeAfter: lastEvent, RetryReason: reason.BackendSilent})
 }
 
-// placeHedge selects a server for a hedge, or returns nil if there is none that may answer: those that have been
-// tried, that are silent and that cannot be reached are none.
+// placeHedge selects a server for a hedge, or returns nil if there is none: those that have been tried and that cannot be
+// reached are none. Quiet ones come last: they may be silent as well, or be at work on a long request.
 func (n *Node) placeHedge(r *request, quiet []string) *routing.Candidate {
 	tried := r.tried
-	excluded := slices.Concat(tried, quiet, []string{r.backend})
+	excluded := append(slices.Clone(tried), r.backend)
 	for _, a := range r.hedged {
 		excluded = append(excluded, a.backend)
 	}
-	r.tried = excluded
+	r.tried = slices.Concat(excluded, quiet)
 	c, refusal := n.place(r)
 	r.tried = tried
 	if refusal != reason.None || c.Unreachable || slices.Contains(excluded, c.Name) {
@@ -198,6 +199,28 @@
 	return len(r.hedged) > 0 && r.focus(r.hedged[len(r.hedged)-1].number)
 }
 
+// recordLastEvent records the event after which the stream of a broken attempt can go on, "" if it cannot. The end of an
+// attempt that had delivered less may be reported later. While another attempt is in progress, an engine that refused to
+// resume its stream may hold it all the same.
+func (r *request) recordLastEvent(id string) {
+	if r.route == nil && len(r.hedged) == 0 {
+		r.resumeAfter = id
+		return
+	}
+	if eventNumber(id) > eventNumber(r.resumeAfter) {
+		r.resumeAfter = id
+	}
+}
+
+// eventNumber returns the number of an event ID, -1 if there is none.
+func eventNumber(id string) int64 {
+	number, err := strconv.ParseInt(id, 10, 64)
+	if err != nil {
+		return -1
+	}
+	return number
+}
+
 // dropHedges removes the attempts that are still in progress when the request ends from their servers' loads.
 func (n *Node) dropHedges(r *request) {
 	for len(r.hedged) > 0 {
--- a/internal/proxy/attemptresponse.go
+++ b/internal/proxy/attemptresponse.go
@@ -149,7 +149,10 @@
 	same := a.resp.StatusCode() == fasthttp.StatusOK && a.head.Events &&
 		a.head.StreamID == stream.id && a.head.Incarnation == stream.incarnation
 	if !same {
-		a.exchange.race.streamLost(stream)
+		// Beside a hedge the stream goes on at its engine.
+		if !a.attempt.Hedge {
+			a.exchange.race.streamLost(stream)
+		}
 		a.abort(retry.Broken, "", errStreamLost)
 		return false
 	}
--- a/internal/proxy/eventreader.go
+++ b/internal/proxy/eventreader.go
@@ -108,6 +108,8 @@
 // eventSequence tracks the event numbers of a stream across resumptions.
 type eventSequence struct {
 	last uint64
+	// unnumbered is set if an event with data and without a number has followed the last one.
+	unnumbered bool
 }
 
 // accept reports whether the event is new; a repeated event must be dropped. If
@@ -116,13 +118,14 @@
 func (s *eventSequence) accept(e streamEvent, everyNumber bool) (bool, error) {
 	switch {
 	case e.id == 0:
+		s.unnumbered = s.unnumbered || e.data
 		return true, nil
 	case e.id <= s.last:
 		return false, nil
 	case everyNumber && e.id > s.last+1:
 		return false, fmt.Errorf("%w: %d after %d", errEventGap, e.id, s.last)
 	default:
-		s.last = e.id
+		s.last, s.unnumbered = e.id, false
 		return true, nil
 	}
 }
--- a/internal/proxy/race.go
+++ b/internal/proxy/race.go
@@ -22,8 +22,10 @@
 	// lastEvent is the number of the last event that was delivered, and resumable is set if the stream can go on after it.
 	lastEvent uint64
 	resumable bool
-	// stream identifies the stream at an engine that lets its streams be resumed.
-	stream streamRef
+	// stream identifies the stream at an engine that lets its streams be resumed, and atEngine is set if there was one: only
+	// that engine can go on with it.
+	stream   streamRef
+	atEngine bool
 	// cancelledUpTo is the highest number of a cancelled attempt, and finished is set once the response is whole, the core
 	// has ended the request, or its caller is gone.
 	cancelledUpTo int
@@ -50,8 +52,9 @@
 func (r *race) startHedge(a *attemptResponse, prepare func()) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	outdated := a.attempt.ResumeAfter != r.resumeAfter() || a.attempt.ResumeAfter == "" && r.delivered > 0
-	if outdated || r.finished || a.attempt.Attempt <= r.cancelledUpTo {
+	resumes := a.attempt.ResumeAfter != ""
+	outdated := a.attempt.ResumeAfter != r.resumeAfter() || !resumes && r.delivered > 0 || resumes && r.atEngine && r.stream.id == ""
+	if outdated || len(r.won) > 0 || r.finished || a.attempt.Attempt <= r.cancelledUpTo {
 		return false
 	}
 	prepare()
@@ -86,7 +89,7 @@
 	if r.current != a {
 		r.supersede(r.current)
 		r.current = a
-		// There is room: a second hedge can win only after this one has been taken over and is silent.
+		// There is room: no hedge starts before the last winner has been taken over.
 		r.won <- a
 	}
 	for _, hedge := range r.hedges {
@@ -97,7 +100,7 @@
 	r.hedges = nil
 	r.delivered++
 	r.lastEvent = a.sequence.last
-	r.resumable = a.resumable(r.stream)
+	r.resumable = a.resumable(r.stream) && !a.sequence.unnumbered
 	r.finished = a.complete
 	return true
 }
@@ -144,6 +147,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.stream = s
+	r.atEngine = s.id != ""
 	if r.delivered == 0 {
 		r.resumable = s.id != ""
 	}
