Copy no cached prompt from a silent engine to that of a hedge

The engine that holds a stream's prompt is as a rule the silent one. The hedge's engine was told to copy the prompt from there, and would have waited for it.

--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -49,7 +49,9 @@
 func (n *Node) sendTo(r *request, c *routing.Candidate, e SendAttempt) {
 	r.attempt = attempt{backend: c.Name, address: c.Address, placement: n.hintFor(c), loan: r.loan}
 	r.resumeAfter = e.ResumeAfter
-	e.Source = n.copySource(r, n.pool(r.service.Name), c)
+	if !e.Hedge {
+		e.Source = n.copySource(r, n.pool(r.service.Name), c)
+	}
 	e.Selection = n.selectionInputs(r, c)
 	n.recordPrompt(r)
 	n.recordTrial(r)
--- a/internal/core/hedges.go
+++ b/internal/core/hedges.go
@@ -138,12 +138,35 @@
 	if r.responseStarted {
 		send.ResumeAfter = e.LastEventID
 	}
+	send.Source = n.hedgeSource(r, c, e.Quiet)
 	r.setAside()
 	n.countHedge(labelHedgeSent)
 	n.sendTo(r, c, send)
 	r.charged = true
 }
 
+// hedgeSource returns the address of an engine from which the hedge's engine can copy cached parts of the prompt, "" if that
+// engine may be silent: the hedge would wait for it.
+func (n *Node) hedgeSource(r *request, c *routing.Candidate, quiet []string) string {
+	p := n.pool(r.service.Name)
+	source := n.copySource(r, p, c)
+	for _, name := range slices.Concat(quiet, r.backendsInProgress()) {
+		if silent := p.find(name); silent != nil && silent.Address == source {
+			return ""
+		}
+	}
+	return source
+}
+
+// backendsInProgress returns the servers of the attempts in progress.
+func (r *request) backendsInProgress() []string {
+	names := []string{r.backend}
+	for _, a := range r.hedged {
+		names = append(names, a.backend)
+	}
+	return names
+}
+
 // hedgeOnSameBackend asks the server of a stream of the fleet's own interface for the rest of it on another connection.
 // No other server can go on with the stream, and the server does not run it again.
 func (n *Node) hedgeOnSameBackend(r *request, lastEvent string) {
@@ -162,10 +185,7 @@
 // reached are none. Quiet ones come last: they may be silent as well, or be at work on a long request.
 func (n *Node) placeHedge(r *request, quiet []string) *routing.Candidate {
 	tried := r.tried
-	excluded := append(slices.Clone(tried), r.backend)
-	for _, a := range r.hedged {
-		excluded = append(excluded, a.backend)
-	}
+	excluded := slices.Concat(tried, r.backendsInProgress())
 	r.tried = slices.Concat(excluded, quiet)
 	c, refusal := n.place(r)
 	r.tried = tried
