--- a/internal/proxy/attemptresponse.go
+++ b/internal/proxy/attemptresponse.go
@@ -64,6 +64,7 @@
 		deadline:         s.connDeadline(e.Deadline),
 		dialTimeout:      s.options.DialTimeout,
 		plan:             e.Dial,
+		attempt:          e.Attempt,
 		process:          e.Process,
 		processPath:      s.options.Dialect.ProcessPath(),
 		sameProcess:      s.options.Dialect.SameProcess,
@@ -115,6 +116,7 @@
 func (a *attemptResponse) handleHead() bool {
 	switch a.head.Verdict {
 	case NotStarted:
+		a.call.deadline = time.Now().Add(refusalBodyTimeout)
 		_, err := io.CopyN(io.Discard, a.call, maxRefusalBody)
 		a.close(errors.Is(err, io.EOF))
 		a.reportEnd(core.AttemptEnded{Outcome: retry.Refused, RetryAfter: a.head.RetryAfter}, errRefused)
--- a/internal/proxy/processcheck.go
+++ b/internal/proxy/processcheck.go
@@ -9,8 +9,17 @@
 	"github.com/valyala/fasthttp"
 )
 
-// processCheckTimeout limits the wait for a server's answer to a process check.
-const processCheckTimeout = 250 * time.Millisecond
+// minProcessCheckTimeout limits the wait for a server's answer to the process check of a request's first attempt. It doubles
+// with each attempt: one silent server is left soon, and a pause of all does not use up the attempts.
+const minProcessCheckTimeout = 250 * time.Millisecond
+
+// maxCheckDoublings bounds the doublings. The deadline of the request comes first.
+const maxCheckDoublings = 6
+
+// processCheckTimeout returns the timeout of an attempt's process check.
+func processCheckTimeout(attempt int) time.Duration {
+	return minProcessCheckTimeout << min(max(0, attempt-1), maxCheckDoublings)
+}
 
 // errProcessReplaced means that another process than the expected one runs under a server's name.
 var errProcessReplaced = errors.New("proxy: another process runs under the backend server's name")
@@ -52,7 +61,7 @@
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	req.SetRequestURI("http://" + c.host.Addr + c.processPath)
-	if err := conn.SetDeadline(earlier(time.Now().Add(processCheckTimeout), c.deadline)); err != nil {
+	if err := conn.SetDeadline(earlier(time.Now().Add(processCheckTimeout(c.attempt)), c.deadline)); err != nil {
 		return nil, err
 	}
 	if err := writeRequest(conn, req); err != nil {
--- a/internal/proxy/transport.go
+++ b/internal/proxy/transport.go
@@ -48,6 +48,8 @@
 	// dialTimeout limits the time to open a connection, over the paths of plan.
 	dialTimeout time.Duration
 	plan        core.DialPlan
+	// attempt is the number of the request's attempt.
+	attempt int
 	// process is the process of the server that the request must reach, or nil; processPath is where a
 	// server tells its process, and sameProcess compares what it tells.
 	process     *core.ProcessCheck
@@ -207,14 +209,19 @@
 // release when it ends.
 func (c *call) attachAcquired(conn *backendConn, release func(reuse bool)) error {
 	reused := conn.reused()
-	if err := c.checkProcess(conn); err != nil {
-		release(false)
-		return err
-	}
 	if err := c.attach(conn); err != nil {
 		release(reused)
 		return err
 	}
+	c.watch.start()
+	defer c.watch.pause()
+	if err := c.checkProcess(conn); err != nil {
+		// Nothing of the request has been sent.
+		c.detach()
+		release(false)
+		return err
+	}
+	conn.written.Store(0)
 	c.release = release
 	return nil
 }
@@ -224,7 +231,7 @@
 	if err := c.conn.SetDeadline(c.deadline); err != nil {
 		return fmt.Errorf("proxy: set deadline: %w", err)
 	}
-	c.watch.start()
+	c.watch.wait()
 	defer c.watch.pause()
 	out := c.host.AcquireWriter(c.conn)
 	err := req.Write(out)
