Never run a request again in place of its stream's rest; rank quiet servers by a search; count a silence once

The list is sorted and searched now; - a silence counts as a failure of its server when it is first reported, as the timeout did, and not only if a hedge delivers: a server that died in the middle of streams counted for nothing once the retries were spent; - the record of the cached prompt stays with the first server; an idle connection no longer keeps its last attempt in memory.

--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -51,9 +51,9 @@
 	r.resumeAfter = e.ResumeAfter
 	if !e.Hedge {
 		e.Source = n.copySource(r, n.pool(r.service.Name), c)
+		n.recordPrompt(r)
 	}
 	e.Selection = n.selectionInputs(r, c)
-	n.recordPrompt(r)
 	n.recordTrial(r)
 	n.send(r, e)
 }
--- a/internal/core/hedges.go
+++ b/internal/core/hedges.go
@@ -87,14 +87,17 @@
 	return len(r.hedged)
 }
 
-// attemptSilent starts a hedge if all attempts in progress are silent, and another server may serve the request. The
+// attemptSilent counts the first silence of an attempt as a failure of its server, and starts a hedge if all attempts in progress are silent, and another server may serve the request. The
 // proxy reports again if none can be started now.
 func (n *Node) attemptSilent(e AttemptSilent) {
 	r := n.requests[e.Request]
 	if r == nil || r.callerGone || !r.focus(e.Attempt) {
 		return
 	}
-	r.silent = true
+	if !r.silent {
+		r.silent = true
+		n.countOutcome(r, retry.Superseded)
+	}
 	if !n.now.Before(r.deadline) || !r.mayHedge(e.LastEventID) || n.poison.tracker.Stops(&r.poison, r.runs+r.inProgress()) {
 		return
 	}
@@ -186,17 +189,17 @@
 func (n *Node) placeHedge(r *request, quiet []string) *routing.Candidate {
 	tried := r.tried
 	excluded := slices.Concat(tried, r.backendsInProgress())
-	r.tried = slices.Concat(excluded, quiet)
+	r.tried, r.quiet = excluded, quiet
 	c, refusal := n.place(r)
-	r.tried = tried
+	r.tried, r.quiet = tried, nil
 	if refusal != reason.None || c.Unreachable || slices.Contains(excluded, c.Name) {
 		return nil
 	}
 	return c
 }
 
-// attemptSuperseded handles the end of an attempt that was cancelled because another one has delivered. It is a failure
-// of its server only if that was silent.
+// attemptSuperseded handles the end of an attempt that was cancelled because another one has delivered. It is no failure of
+// its server unless that was silent, which has been counted.
 func (n *Node) attemptSuperseded(r *request, unsent bool) {
 	if unsent {
 		n.refundRetry(r)
@@ -205,7 +208,6 @@
 		r.runs++
 	}
 	if r.silent {
-		n.countOutcome(r, retry.Superseded)
 		r.tried = append(r.tried, r.backend)
 	}
 	if !n.goesOnWithHedge(r) {
--- a/internal/core/hedges_property_test.go
+++ b/internal/core/hedges_property_test.go
@@ -205,6 +205,7 @@
 	}
 	a.silent = true
 	s.quiet = rapid.SliceOfNDistinct(rapid.SampledFrom([]string{"a", "b", "c", "d"}), 0, 2, rapid.ID).Draw(t, "quiet")
+	slices.Sort(s.quiet)
 	s.handle(core.AttemptSilent{Request: r.id, Attempt: a.number, LastEventID: r.lastEventID(), Quiet: s.quiet})
 }
 
--- a/internal/core/placement.go
+++ b/internal/core/placement.go
@@ -42,6 +42,7 @@
 		Hinted:        n.hintedCandidate(r, p),
 		PreferOwnZone: r.arrived.Chat == "" || n.multiHop(),
 		Tried:         r.tried,
+		Quiet:         r.quiet,
 		NewVersions:   n.newVersions(r),
 	}
 	if r.software != nil {
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -78,8 +78,9 @@
 	resumeAfter string
 	// retryAfter is the longest Retry-After delay requested by a backend server.
 	retryAfter time.Duration
-	// tried are the backend servers of earlier failed attempts.
-	tried []string
+	// tried are the backend servers of earlier failed attempts, and quiet those that may be silent, sorted, while a hedge is
+	// placed.
+	tried, quiet []string
 	// hasFailureResponse is set once the proxy holds a complete failure response of a
 	// backend server. The caller gets it if no later attempt succeeds.
 	hasFailureResponse bool
--- a/internal/core/routing/routing.go
+++ b/internal/core/routing/routing.go
@@ -60,7 +60,9 @@
 	// Tried holds the names of the backend servers where this request has failed. They
 	// rank last rather than being excluded, so that a second attempt is possible in a pool
 	// of one.
-	Tried  []string
+	Tried []string
+	// Quiet holds the names of backend servers that may be silent, sorted. They rank after all that can be reached.
+	Quiet  []string
 	Limits Limits
 	// MatchVersion excludes the candidates that do not have Version, and those named in Unverified, which
 	// may not have it any more. It is set for a stream that began there.
@@ -88,6 +90,7 @@
 	rankOverInner
 	rankWithheld
 	rankNewVersion
+	rankQuiet
 	rankUnreachable
 	rankTried
 	rankLast
@@ -144,6 +147,11 @@
 	return best
 }
 
+func (ch *Choice) isQuiet(c *Candidate) bool {
+	_, quiet := slices.BinarySearch(ch.Quiet, c.Name)
+	return quiet
+}
+
 // rank returns the rank of a candidate, or more than rankLast if it must not be chosen.
 func (ch *Choice) rank(c *Candidate) int {
 	load := c.Load + 1
@@ -161,6 +169,9 @@
 	if slices.Contains(ch.NewVersions, c.Version) {
 		rank |= rankNewVersion
 	}
+	if ch.isQuiet(c) {
+		rank |= rankQuiet
+	}
 	if c.Unreachable {
 		rank |= rankUnreachable
 	}
@@ -186,7 +197,7 @@
 	if load > ch.Limits.Hinted*(1-c.WithheldShare) || load > ch.Limits.Outer || load > c.Capacity {
 		return false
 	}
-	return !c.Full && !c.Unreachable && !slices.Contains(ch.Tried, c.Name)
+	return !c.Full && !c.Unreachable && !slices.Contains(ch.Tried, c.Name) && !ch.isQuiet(c)
 }
 
 // Placement of the inner and hinted limits.
--- a/internal/proxy/attemptresponse.go
+++ b/internal/proxy/attemptresponse.go
@@ -176,7 +176,11 @@
 
 // reportEnd reports the end of the attempt to the core.
 func (a *attemptResponse) reportEnd(event core.AttemptEnded, err error) {
-	if a.exchange.race.ended(a) && event.Outcome != retry.Answered {
+	superseded := a.exchange.race.ended(a)
+	if !superseded && errors.Is(err, errSuperseded) {
+		err = errCallCancelled // The request has ended.
+	}
+	if superseded && event.Outcome != retry.Answered {
 		event, err = core.AttemptEnded{Outcome: retry.Superseded, Unsent: !a.sent}, errSuperseded
 	}
 	event.Attempt = a.attempt.Attempt
--- a/internal/proxy/race.go
+++ b/internal/proxy/race.go
@@ -100,7 +100,7 @@
 	r.hedges = nil
 	r.delivered++
 	r.lastEvent = a.sequence.last
-	r.resumable = a.resumable(r.stream) && !a.sequence.unnumbered
+	r.resumable = a.resumable(r.stream)
 	r.finished = a.complete
 	return true
 }
@@ -178,6 +178,13 @@
 	return s
 }
 
+// streamToResume returns the stream at its engine. It is lost if there was one that the engine no longer holds.
+func (r *race) streamToResume() (stream streamRef, lost bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.stream, r.atEngine && r.stream.id == ""
+}
+
 func (r *race) streamRef() streamRef {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/proxy/response.go
+++ b/internal/proxy/response.go
@@ -64,6 +64,10 @@
 	req, resume := r.buildRequest(&e)
 	a.sequence.last = r.race.deliveredUpTo()
 	r.race.start(a)
+	if req == nil {
+		a.abort(retry.Broken, "", errStreamLost)
+		return false
+	}
 	if !a.open(req, resume) {
 		return false
 	}
@@ -93,9 +97,14 @@
 	}
 }
 
-// buildRequest builds the request of an attempt, which starts the response or goes on with it.
+// buildRequest builds the request of an attempt, which starts the response or goes on with it. It returns nil if the stream
+// could go on at its engine only, and that has lost it: the request would run again in its place.
 func (r *callerResponse) buildRequest(e *core.SendAttempt) (req *fasthttp.Request, resume bool) {
-	if stream := r.race.streamRef(); e.ResumeAfter != "" && stream.id != "" {
+	stream, lost := r.race.streamToResume()
+	switch {
+	case e.ResumeAfter != "" && lost:
+		return nil, true
+	case e.ResumeAfter != "" && stream.id != "":
 		return newResumeRequest(r.exchange, stream, e), true
 	}
 	r.cancelStream()
--- a/internal/proxy/responsebody.go
+++ b/internal/proxy/responsebody.go
@@ -167,7 +167,7 @@
 	case a.head.EndMarked:
 		return stream.id != ""
 	default:
-		return a.sequence.last != 0
+		return a.sequence.last != 0 && !a.sequence.unnumbered
 	}
 }
 
--- a/internal/proxy/transport.go
+++ b/internal/proxy/transport.go
@@ -111,6 +111,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	err := c.conn.SetDeadline(time.Time{})
+	c.conn.watch = nil
 	c.conn = nil
 	return err == nil && !c.cancelled
 }
