Name the attempts in progress and their selection for what they are; their state in a file of its own

No decision changes. Found by the reviewer, who stumbled over a condition that changes state and over 'hedged', which held first attempts as well. endedBy says 'superseded' in place of 'hedge'.

--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -84,7 +84,7 @@
 // responseTimeouts returns the first-byte and stall timeouts of the next attempt. There are
 // none if the request must not run again or no run is left after this one.
 func (r *request) responseTimeouts() (first, stall time.Duration) {
-	if r.route == nil || !r.policy.repeatable || r.runs+len(r.hedged)+1 >= r.policy.maxRuns {
+	if r.route == nil || !r.policy.repeatable || r.runs+len(r.others)+1 >= r.policy.maxRuns {
 		return 0, 0
 	}
 	first = max(minFirstByteTimeout, firstByteGoalFactor*time.Duration(r.route.Goal))
@@ -156,7 +156,7 @@
 
 func (n *Node) answerStarted(e AnswerStarted) {
 	n.applyAnswerReport(e.Load)
-	if r := n.requests[e.Request]; r != nil && r.focus(e.Attempt) {
+	if r := n.requests[e.Request]; r != nil && r.selectAttempt(e.Attempt) {
 		r.responseStarted = true
 		r.silent = false
 		n.responseBegan(r)
@@ -170,7 +170,7 @@
 func (n *Node) attemptEnded(e AttemptEnded) {
 	n.applyAnswerReport(e.Load)
 	r := n.requests[e.Request]
-	if r == nil || !r.focus(e.Attempt) {
+	if r == nil || !r.selectAttempt(e.Attempt) {
 		return
 	}
 	e.ServerEnded = n.serverHasEnded(r, &e)
@@ -205,7 +205,7 @@
 	if e.Outcome == retry.Broken {
 		r.recordLastEvent(e.LastEventID)
 	}
-	if len(r.hedged) > 0 {
+	if len(r.others) > 0 {
 		r.tried = append(r.tried, r.backend)
 		n.goesOnWithHedge(r)
 		return
--- a/internal/core/hedges.go
+++ b/internal/core/hedges.go
@@ -2,15 +2,10 @@
 
 import (
 	"slices"
-	"strconv"
-	"time"
 
-	"github.com/ebonydyke/ebonydyke/internal/core/headroom"
-	"github.com/ebonydyke/ebonydyke/internal/core/poison"
 	"github.com/ebonydyke/ebonydyke/internal/core/reason"
 	"github.com/ebonydyke/ebonydyke/internal/core/retry"
 	"github.com/ebonydyke/ebonydyke/internal/core/routing"
-	"github.com/ebonydyke/ebonydyke/internal/core/streams"
 )
 
 // A hedge is a further attempt of a request whose attempts in progress are all silent.
@@ -27,71 +22,11 @@
 	labelHedgeNone   = "no-server"
 )
 
-// attempt is one attempt of a request.
-type attempt struct {
-	// number counts the request's attempts from 1.
-	number int
-	// running is set while the attempt is in progress.
-	running bool
-	sentAt  time.Time
-	// backend and address identify the backend server.
-	backend string
-	address string
-	// version is the version of its software, as far as this instance knew when it sent the attempt.
-	version string
-	// placement is the placement hint for the response.
-	placement string
-	// loan is the borrowed slot on which the attempt runs, nil if it needs none.
-	loan *headroom.Loan
-	// charged is set if the attempt was charged to the retry budget before it was known whether it would be sent.
-	charged bool
-	// silent is set once the server has sent nothing for the attempt's timeout.
-	silent bool
-	// outcomeCounted is set once the attempt was counted as a success or a failure of its server.
-	outcomeCounted bool
-	// run is what the poison tracker knows of the attempt while it is one of those in request.hedged.
-	run poison.Run
-}
-
-// focus makes an attempt in progress the one that the request's fields describe, and reports whether there is one with
-// that number.
-func (r *request) focus(number int) bool {
-	if r.running && r.number == number {
-		return true
-	}
-	i := slices.IndexFunc(r.hedged, func(a attempt) bool { return a.number == number })
-	if i < 0 {
-		return false
-	}
-	other := r.hedged[i]
-	r.hedged = slices.Delete(r.hedged, i, i+1)
-	if r.running {
-		r.setAside()
-	}
-	r.attempt, r.poison.Run = other, other.run
-	return true
-}
-
-// setAside moves the attempt that the request's fields describe to the others in progress.
-func (r *request) setAside() {
-	r.run = r.poison.Run
-	r.hedged = append(r.hedged, r.attempt)
-	r.attempt = attempt{}
-}
-
-// inProgress returns the number of attempts in progress.
-func (r *request) inProgress() int {
-	if r.running {
-		return len(r.hedged) + 1
-	}
-	return len(r.hedged)
-}
-
-// attemptSilent counts the first silence of an attempt as a failure of its server, and starts a hedge if all attempts in progress are silent, and another server may serve the request. The
-// proxy reports again if none can be started now.
+// attemptSilent counts the first silence of an attempt as a failure of its server. It starts a hedge if all attempts in
+// progress are silent and another server may serve the request. The proxy reports again if none can be started now.
 func (n *Node) attemptSilent(e AttemptSilent) {
 	r := n.requests[e.Request]
-	if r == nil || r.callerGone || !r.focus(e.Attempt) {
+	if r == nil || r.callerGone || !r.selectAttempt(e.Attempt) {
 		return
 	}
 	if !r.silent {
@@ -112,7 +47,7 @@
 // caller's response has.
 func (r *request) mayHedge(lastEvent string) bool {
 	switch {
-	case slices.ContainsFunc(r.hedged, func(a attempt) bool { return !a.silent }):
+	case slices.ContainsFunc(r.others, func(a attempt) bool { return !a.silent }):
 		return false
 	case r.attempts >= r.policy.maxAttempts:
 		return false
@@ -161,15 +96,6 @@
 	return source
 }
 
-// backendsInProgress returns the servers of the attempts in progress.
-func (r *request) backendsInProgress() []string {
-	names := []string{r.backend}
-	for _, a := range r.hedged {
-		names = append(names, a.backend)
-	}
-	return names
-}
-
 // hedgeOnSameBackend asks the server of a stream of the fleet's own interface for the rest of it on another connection.
 // No other server can go on with the stream, and the server does not run it again.
 func (n *Node) hedgeOnSameBackend(r *request, lastEvent string) {
@@ -216,37 +142,15 @@
 	}
 }
 
-// goesOnWithHedge reports whether another attempt is still in progress, and focuses on it.
+// goesOnWithHedge reports whether another attempt is still in progress, and selects it.
 func (n *Node) goesOnWithHedge(r *request) bool {
-	return len(r.hedged) > 0 && r.focus(r.hedged[len(r.hedged)-1].number)
-}
-
-// recordLastEvent records the event after which the stream of a broken attempt can go on, "" if it cannot. The end of an
-// attempt that had delivered less may be reported later. While another attempt is in progress, an engine that refused to
-// resume its stream may hold it all the same.
-func (r *request) recordLastEvent(id string) {
-	if r.route == nil && len(r.hedged) == 0 {
-		r.resumeAfter = id
-		return
-	}
-	if eventNumber(id) > eventNumber(r.resumeAfter) {
-		r.resumeAfter = id
-	}
-}
-
-// eventNumber returns the number of an event ID, -1 if there is none.
-func eventNumber(id string) int64 {
-	number, err := strconv.ParseInt(id, 10, 64)
-	if err != nil {
-		return -1
-	}
-	return number
+	return len(r.others) > 0 && r.selectAttempt(r.others[len(r.others)-1].number)
 }
 
 // dropHedges removes the attempts that are still in progress when the request ends from their servers' loads.
 func (n *Node) dropHedges(r *request) {
-	for len(r.hedged) > 0 {
-		r.focus(r.hedged[0].number)
+	for len(r.others) > 0 {
+		r.selectAttempt(r.others[0].number)
 		n.attemptDone(r)
 	}
 }
@@ -262,12 +166,3 @@
 func (n *Node) countHedge(label string) {
 	n.emit(Counted{Counter: counterHedges, Label: label, N: 1})
 }
-
-// sentTo reports whether an attempt of the request was sent to a process after a time.
-func (r *request) sentTo(process streams.Process, after time.Time) bool {
-	server := poison.Server{Name: process.Server, Incarnation: process.Incarnation}
-	if r.poison.Start == server && r.sentAt.After(after) {
-		return true
-	}
-	return slices.ContainsFunc(r.hedged, func(a attempt) bool { return a.run.Start == server && a.sentAt.After(after) })
-}
--- a/internal/core/outliers.go
+++ b/internal/core/outliers.go
@@ -41,7 +41,7 @@
 // countLate counts an attempt whose response has not begun in time as a failure, once. A
 // later response does not count as a success.
 func (n *Node) countLate(r *request, number int) {
-	if r.focus(number) && !r.responseStarted && !r.outcomeCounted {
+	if r.selectAttempt(number) && !r.responseStarted && !r.outcomeCounted {
 		r.outcomeCounted = true
 		n.countAnswer(r.backend, outlier.Count{Answers: 1, Failures: 1})
 	}
--- a/internal/core/poisonrequests.go
+++ b/internal/core/poisonrequests.go
@@ -146,7 +146,7 @@
 	}
 	number := r.number
 	n.schedule(n.now.Add(poison.BeginWindow), r, func(n *Node, r *request) {
-		if r.focus(number) {
+		if r.selectAttempt(number) {
 			n.poisonChanged(sourceSelf, n.poison.tracker.Begun(&r.poison)...)
 		}
 	})
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -61,9 +61,10 @@
 	// attempts counts the attempts, and runs the ended ones in which a backend server may
 	// have started the request.
 	attempts, runs int
-	// attempt is the attempt that the event at hand is about, or the last one; hedged are the others in progress.
+	// attempt is the attempt that the event at hand is about, or the last one, and others are the other ones in progress;
+	// see selectAttempt.
 	attempt
-	hedged []attempt
+	others []attempt
 	// software is the software at which the request's stream must go on, nil while it may begin anywhere.
 	// softwareCertain is set if the process that began it is certain, and softwareUncertain once it turns
 	// out that it may have been another one.
--- a/internal/proxy/endcause.go
+++ b/internal/proxy/endcause.go
@@ -16,9 +16,9 @@
 const (
 	// endedByServer means that the server's response was read to its end, whatever it says.
 	endedByServer EndCause = "server"
-	// endedByHedge means that another attempt of the request has delivered first.
-	endedByHedge    EndCause = "hedge"
-	endedByDeadline EndCause = "deadline"
+	// endedBySuperseding means that another attempt of the request has delivered first.
+	endedBySuperseding EndCause = "superseded"
+	endedByDeadline    EndCause = "deadline"
 	// endedByCancel means that the core cancelled the attempt, or that its caller disconnected.
 	endedByCancel EndCause = "cancel"
 	// endedByClose and endedByReset mean that the server, or a device on the path, ended the connection.
@@ -33,7 +33,7 @@
 
 // EndCauses lists the causes.
 var EndCauses = []EndCause{
-	endedByServer, endedByHedge, endedByDeadline, endedByCancel, endedByClose, endedByReset,
+	endedByServer, endedBySuperseding, endedByDeadline, endedByCancel, endedByClose, endedByReset,
 	endedByConnect, endedByResponse, endedByOther,
 }
 
@@ -42,7 +42,7 @@
 	err   error
 	cause EndCause
 }{
-	{errSuperseded, endedByHedge},
+	{errSuperseded, endedBySuperseding},
 	{errCallCancelled, endedByCancel},
 	{io.ErrClosedPipe, endedByCancel},
 	{net.ErrClosed, endedByCancel},
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -16,8 +16,8 @@
 )
 
 // effectQueueSize is the capacity of a request's effect queue. At most one attempt and
-// one Finish wait at a time, because the core sends the next attempt only after the
-// previous one has ended.
+// one Finish wait at a time: a hedge does not wait here, and the core sends any other
+// attempt only after all have ended.
 const effectQueueSize = 4
 
 // exchange is one caller's request and its response.
