Do not take a connection from before a server's end for a sign that it lives

Checks of one server share a dial (singleflight). A request that ends its server loses its own connection first; the dial of its check is accepted, because the server still listens. The server then ends, its other connections are closed in order, and the check of an unframed stream on one of them joins the dial in progress: connected, so the response is whole. A poisoned request missed the end of its server likewise. A dial that was in progress already now counts only if it was refused or timed out; after a connection the check dials again, and all such checks share that dial.

The new test fails without the change.

--- a/internal/proxy/endcheck.go
+++ b/internal/proxy/endcheck.go
@@ -56,18 +56,38 @@
 	return e.refused && !slices.ContainsFunc(e.found, func(o paths.Observation) bool { return o.Result == paths.Connected })
 }
 
-// check finds out whether the backend server of an attempt refuses a connection, after one to it has ended.
+// endDial is a dial that checks share.
+type endDial struct {
+	startedAt time.Time
+	err       error
+	// found is what the relays found if this instance was refused.
+	found []paths.Observation
+}
+
+// check finds out whether the backend server of an attempt refuses a connection, after one to it has ended. A dial that
+// was in progress already does not count if it connected: the server may have accepted it before its end.
 func (c *endChecker) check(attempt *core.SendAttempt) endCheck {
-	observations, dialErr, _ := c.dials.Do(attempt.Address, func() (any, error) {
+	startedAt := time.Now()
+	d := c.dial(attempt)
+	if d.err == nil && d.startedAt.Before(startedAt) {
+		d = c.dial(attempt)
+	}
+	if !errors.Is(d.err, syscall.ECONNREFUSED) {
+		return endCheck{connected: d.err == nil, timedOut: isTimeout(d.err)}
+	}
+	return endCheck{refused: true, found: d.found}
+}
+
+// dial dials the backend server of an attempt, or joins another check's dial in progress.
+func (c *endChecker) dial(attempt *core.SendAttempt) endDial {
+	shared, _, _ := c.dials.Do(attempt.Address, func() (any, error) {
+		d := endDial{startedAt: time.Now()}
 		c.countDial(EndCheck)
-		err := c.connect(attempt.Address)
-		return c.askRelays(attempt, err), err
+		d.err = c.connect(attempt.Address)
+		d.found = c.askRelays(attempt, d.err)
+		return d, nil
 	})
-	if !errors.Is(dialErr, syscall.ECONNREFUSED) {
-		return endCheck{connected: dialErr == nil, timedOut: isTimeout(dialErr)}
-	}
-	found, _ := observations.([]paths.Observation)
-	return endCheck{refused: true, found: found}
+	return shared.(endDial)
 }
 
 // checkUnframed checks a server that has closed the connection of a response without a length or chunks, again while
--- a/internal/proxy/endcheck_test.go
+++ b/internal/proxy/endcheck_test.go
@@ -7,6 +7,8 @@
 	"os"
 	"syscall"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
@@ -60,6 +62,34 @@
 	}
 }
 
+// Guards against a part of an unframed response that passes for whole, or an end of a server that is missed, because
+// another check connected just before the server ended.
+func TestEndIsCheckedAfterTheConnectionEnded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dials := 0
+		c := endChecker{countDial: func(DialReason) { dials++ }, connect: func(string) error {
+			hasEnded := dials > 1
+			time.Sleep(endCheckTimeout / 2)
+			if hasEnded {
+				return syscall.ECONNREFUSED
+			}
+			return nil
+		}}
+		attempt := &core.SendAttempt{Address: "10.0.0.1:1"}
+		first, later := make(chan endCheck, 1), make(chan endCheck, 3)
+		go func() { first <- c.check(attempt) }()
+		time.Sleep(endCheckTimeout / 4)
+		go func() { later <- c.check(attempt) }()
+		go func() { later <- c.checkUnframed(attempt) }()
+		go func() { later <- c.checkUnframed(attempt) }()
+		require.True(t, (<-first).connected)
+		for range cap(later) {
+			require.True(t, (<-later).ended())
+		}
+		require.Equal(t, 2, dials, "the later checks share a dial")
+	})
+}
+
 // Guards against returns of a request that are not recognized because a header differs, and
 // against two requests that are taken for one.
 func TestContentHash(t *testing.T) {
