Soak: tell the instances the bounds that the soak checks

TestShortSoak checks that a configuration is in force after two seconds, and started its instances with the default config_bound and drain_bound of four. Deployments fill these settings in from what the operators ask for, two seconds. An instance that does not follow the store and hears nothing from its peers may then be as late as the setting says.

The limits of the checks stay.

One failure of this check, on a machine at load 42, is not shown to have this cause.

--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -255,6 +255,7 @@
 	settings, _ := json.Marshal(map[string]any{
 		"dialect": "platform", "fleet": fmt.Sprint("soak-", os.Getpid()), "name": i.name, "zone": i.zone, "listen": i.listen, "peer_listen": i.peers, "admin_listen": i.admin,
 		"platform": "http://" + i.store.Address(), "accept_delay": "1s", "stop_grace": config.Duration(stopGrace),
+		"config_bound": config.Duration(maxApplyTime), "drain_bound": config.Duration(newWorkGrace),
 		"bounds": map[string]any{"skew_bound": 2, "skew_slack": 3, "retry_share": 0.2, "retry_burst": burst},
 		"limits": map[string]any{"accept_quiet": "100ms", "accept_max": "500ms", "drain_idle": "300ms", "dial_timeout": "200ms"},
 	})
