Soak: report how late a late configuration comes into force

The report did not tell a lost change from a process that stood still. It now says how long the answer took and how much later the key is accepted; that is found out after all instances were checked. The check and its limit are unchanged.

--- a/internal/soak/probe.go
+++ b/internal/soak/probe.go
@@ -19,6 +19,8 @@
 	// how long a configuration may then take to be applied.
 	settleTime   = 5 * time.Second
 	maxApplyTime = 2 * time.Second
+	// maxLateness is how long the key of a late configuration is tried, for the report.
+	maxLateness = 5 * time.Second
 )
 
 // Each version of the configuration has an API key of its own. The key that an instance
@@ -111,17 +113,45 @@
 	w.markBackendLeaving()
 	pause(maxApplyTime)
 	client := &http.Client{Timeout: routeTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	var late []lateInstance
 	for n, i := range w.instances {
+		sentAt := w.recorder.elapsed()
 		if got := w.requestWithKey(ctx, client, i, current, fmt.Sprint("n", n)); got == http.StatusUnauthorized || got == 0 {
-			w.recorder.recordViolation("a configuration is in force in time", i.name, fmt.Sprintf("status %d with the new key", got))
+			late = append(late, lateInstance{instance: i, status: got, sentAt: sentAt, answeredAt: w.recorder.elapsed()})
 		}
 		if got := w.requestWithKey(ctx, client, i, previous, fmt.Sprint("b", n)); got != http.StatusUnauthorized {
 			w.recorder.recordViolation("a key that was taken away is refused", i.name, fmt.Sprintf("status %d", got))
 		}
 	}
+	for _, l := range late {
+		w.recordLate(ctx, client, l, current)
+	}
 	pause(newWorkGrace)
 }
 
+// lateInstance is an instance that did not accept the key of a version in time, and its answer.
+type lateInstance struct {
+	instance           *instance
+	status             int
+	sentAt, answeredAt time.Duration
+}
+
+// recordLate records that a version was not in force in time, with what tells a lost change from a process that stood
+// still: how long the answer took, and how much later the key is accepted.
+func (w *World) recordLate(ctx context.Context, client *http.Client, l lateInstance, version int) {
+	accepted := fmt.Sprintf("nor %v later", maxLateness)
+	for n := 0; ctx.Err() == nil && w.recorder.elapsed() < l.answeredAt+maxLateness; n++ {
+		got := w.requestWithKey(ctx, client, l.instance, version, fmt.Sprint("l", n))
+		if got != http.StatusUnauthorized && got != 0 {
+			accepted = fmt.Sprintf("accepted within %v after it", w.recorder.elapsed()-l.answeredAt)
+			break
+		}
+		time.Sleep(probeInterval)
+	}
+	w.recorder.recordViolationAt(l.answeredAt, "a configuration is in force in time", l.instance.name,
+		fmt.Sprintf("status %d with the new key after %v, %s", l.status, l.answeredAt-l.sentAt, accepted))
+}
+
 // markBackendLeaving marks a backend server as leaving; checkArrival checks its requests.
 func (w *World) markBackendLeaving() {
 	w.mu.Lock()
