End the attempt whose engine has lost the stream without a response to release

The mend of the lost stream before released a response that was never there, and would have ended the process. Found while reading the diff; TestLostStreamEndsTheAttempt panicked before.

--- a/internal/proxy/attemptresponse.go
+++ b/internal/proxy/attemptresponse.go
@@ -198,6 +198,8 @@
 	a.sent = a.call.sent()
 	a.silence = a.call.watch.sinceLastByte()
 	a.call.close(whole)
-	fasthttp.ReleaseResponse(a.resp)
-	a.resp = nil
+	if a.resp != nil {
+		fasthttp.ReleaseResponse(a.resp)
+		a.resp = nil
+	}
 }
--- a/internal/proxy/hedgerequest_test.go
+++ b/internal/proxy/hedgerequest_test.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/ebonydyke/ebonydyke/internal/core"
+	"github.com/ebonydyke/ebonydyke/internal/core/retry"
 )
 
 func newTestExchange() *exchange {
@@ -53,3 +54,17 @@
 	req, resume := x.response.buildRequest(&core.SendAttempt{Address: "127.0.0.1:1", Attempt: 3, ResumeAfter: "5", Deadline: time.Now().Add(time.Second)})
 	require.False(t, !resume && req != nil, "the whole request is sent again")
 }
+
+// Guards against the end of the process, or of the core's knowledge of the request, when a lost stream cannot go on.
+func TestLostStreamEndsTheAttempt(t *testing.T) {
+	x := newTestExchange()
+	var ended []core.AttemptEnded
+	x.server = New(func(e core.Event) { ended = append(ended, e.(core.AttemptEnded)) }, Options{})
+	stream := streamRef{address: "127.0.0.1:1", id: "s1", incarnation: "1"}
+	x.race.setStream(stream)
+	x.race.streamLost(stream)
+	require.False(t, x.response.openAttempt(core.SendAttempt{Attempt: 3, ResumeAfter: "5", Deadline: time.Now().Add(time.Second)}))
+	require.Len(t, ended, 1)
+	require.Equal(t, retry.Broken, ended[0].Outcome)
+	require.Empty(t, ended[0].LastEventID)
+}
--- a/internal/proxy/response.go
+++ b/internal/proxy/response.go
@@ -46,8 +46,6 @@
 	source *attemptResponse
 	// eventStream is set if the response is a stream of server-sent events.
 	eventStream bool
-	// headSent is set once the response header has been passed to the caller.
-	headSent bool
 	// complete is set once the whole response has been taken over.
 	complete bool
 	// pending holds the event that ends a broken stream.
@@ -152,7 +150,6 @@
 	out := &x.ctx.Response
 	x.server.options.Dialect.WriteHead(&out.Header, &a.resp.Header, x.request, &a.attempt)
 	out.SetStatusCode(a.resp.StatusCode())
-	r.headSent = true
 	if !r.complete {
 		x.server.post(core.AnswerStarted{
 			Request: x.id, Attempt: a.attempt.Attempt, Load: a.load, RejectionLimit: a.head.RejectionLimit, ProcessCertain: a.call.processCertain,
