--- a/internal/proxy/reviewhedge_test.go
+++ b/internal/proxy/reviewhedge_test.go
@@ -75,3 +75,37 @@
 	require.NoError(t, got.err, got.body)
 	require.Equal(t, []string{"1", "2", "3", "4", "5"}, eventIDs(got.body))
 }
+
+// Guards against waiting at a server that hangs, because the only other one reads a long request of somebody else meanwhile.
+func TestServerAtWorkOnALongRequestIsHedgedTo(t *testing.T) {
+	t.Parallel()
+	const slow = 3 * time.Second
+	var asked atomic.Int64
+	serve := func(_ int, r *http.Request, conn net.Conn) bool {
+		if strings.HasSuffix(r.RequestURI, "/slow") {
+			time.Sleep(slow)
+		} else if asked.Add(1) == 1 {
+			_, _ = io.Copy(io.Discard, conn) // It hangs until its caller gives up.
+			return false
+		}
+		respondOK(conn, "answer")
+		return true
+	}
+	cfg := fleetConfig(nil, []string{startRawBackend(t, serve).address, startRawBackend(t, serve).address})
+	for _, r := range silenceRoutes() {
+		if r.Name == "idempotent" {
+			cfg.Routes = append(cfg.Routes, r)
+		}
+	}
+	i := startInstance(t, cfg, proxy.Options{Dialect: routeDialect{}})
+	long := newCall(t, http.MethodGet, i.url+"/idempotent/slow", "", nil)
+	done := make(chan struct{})
+	go func() { defer close(done); _, _ = call(long) }()
+	time.Sleep(100 * time.Millisecond)
+	began := time.Now()
+	got := send(t, newCall(t, http.MethodGet, i.url+"/idempotent/ask", "", nil))
+	took := time.Since(began)
+	<-done
+	require.Equal(t, "answer", got.body)
+	require.Less(t, took, time.Second)
+}
--- /dev/null
+++ b/internal/proxy/reviewrace_test.go
@@ -0,0 +1,37 @@
+package proxy
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/ebonydyke/ebonydyke/internal/core"
+)
+
+// Guards against a lock that is held for ever, and with it the core, by a second hedge that wins before the first winner was
+// taken over, and against an event that is sent twice: an event without a number leaves the number of the last event as it is.
+func TestHedgeAfterAnEventWithoutANumberIsOutdated(t *testing.T) {
+	race := newRace(0)
+	attempt := func(n int, after string) *attemptResponse {
+		return &attemptResponse{attempt: core.SendAttempt{Attempt: n, ResumeAfter: after}, call: &call{}, events: &eventReader{}}
+	}
+	first := attempt(1, "")
+	race.start(first)
+	first.sequence.last = 5
+	require.True(t, race.claim(first))
+	winner, next := attempt(2, "5"), attempt(3, "5")
+	require.True(t, race.startHedge(winner, func() { winner.sequence.last = 5 }))
+	require.True(t, race.claim(winner), "its event has no number")
+	started := race.startHedge(next, func() { next.sequence.last = 5 })
+	if started {
+		done := make(chan bool)
+		go func() { done <- race.claim(next) }()
+		select {
+		case <-done:
+		case <-time.After(time.Second):
+			t.Error("the race is locked")
+		}
+	}
+	require.False(t, started, "the response has gone on since")
+}
