--- a/internal/core/reviewhedges_test.go
+++ b/internal/core/reviewhedges_test.go
@@ -64,3 +64,18 @@
 		})
 	}
 }
+
+// Guards against a hedge that waits for the server that is silent, because it is to copy the prompt from there.
+func TestHedgeCopiesNothingFromASilentServer(t *testing.T) {
+	r := newNodeDriver(t, 6)
+	r.sent++
+	first := onlyEffect[core.SendAttempt](t, r.handle(core.RequestArrived{
+		Request: "own-1", Host: "h.example", Path: "/question/1", APIKey: "key-1", Chat: "dossier",
+		Prompt: &core.Prompt{Tokens: 11_500, Parts: []core.PromptPart{
+			{ID: "system", Tokens: 500}, {ID: "dossier", Tokens: 10_000}, {ID: "own-1", Tokens: 1_000},
+		}},
+	}))
+	r.handle(core.AnswerStarted{Request: first.Request, Attempt: first.Attempt})
+	hedge := onlyEffect[core.SendAttempt](t, r.silent(first, "3"))
+	require.NotEqual(t, first.Address, hedge.Source)
+}
