Failing tests: a backend server that sends bytes without end, on each path

What callers would see: a request waits for its deadline at a server that sends a head, a chunk's size line, trailers, comments or repeated events a few bytes at a time, though another server could serve it; the next requests go to the same server; a response that never ends takes as many bytes as it likes.

The table has what is sent x the pace x the path. Nothing of the product is changed here.

--- /dev/null
+++ b/internal/proxy/endless_test.go
@@ -0,0 +1,153 @@
+package proxy_test
+
+import (
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	// endlessRequests are sent one after the other, so that many would meet the bad server first if it were not left.
+	endlessRequests = 24
+	// handful is how many of them may meet it.
+	handful = 5
+	// servedWithin is the time in which a request that may run again is served by another server.
+	servedWithin = 2 * time.Second
+	// soundWithin is the time in which a server that is sound again gets requests.
+	soundWithin = 20 * time.Second
+	// maxLost ends a case that has failed as often.
+	maxLost = 2
+)
+
+// endlessCase is what one row at one pace has led to on a path.
+type endlessCase struct {
+	row     endless
+	pace    pace
+	fleet   *endlessFleet
+	replies []endlessReply
+	// asked counts the requests at the bad server, open its connections after the last reply.
+	asked, open int64
+	// returned is set if the server got a request again once it was sound.
+	returned bool
+}
+
+// run sends the requests of a case.
+func (c *endlessCase) run(t *testing.T) {
+	want := c.fleet.path.expects(c.row, c.pace)
+	lost, met := 0, 0
+	for len(c.replies) < endlessRequests && lost < maxLost {
+		got := c.fleet.ask(t)
+		c.replies = append(c.replies, got)
+		if got.asked > 0 {
+			met++
+		}
+		if got.took > servedWithin || !got.wholeAnswer() {
+			lost++
+		}
+		if want == boundedOnly && met >= maxLost {
+			break
+		}
+	}
+	c.asked = c.fleet.bad.requests.Load()
+	deadline := time.Now().Add(closeSlack)
+	for c.fleet.bad.sending.Load() > 0 && time.Now().Before(deadline) {
+		time.Sleep(pollInterval)
+	}
+	c.open = c.fleet.bad.sending.Load()
+	if want == servedElsewhere && lost < maxLost {
+		c.awaitReturn(t)
+	}
+}
+
+// awaitReturn sends requests until the server, now sound, gets one.
+func (c *endlessCase) awaitReturn(t *testing.T) {
+	c.fleet.bad.sound.Store(true)
+	for began := time.Now(); time.Since(began) < soundWithin && !c.returned; time.Sleep(100 * time.Millisecond) {
+		c.returned = c.fleet.ask(t).asked > 0
+	}
+}
+
+// check checks the replies of a case.
+func (c *endlessCase) check(t *testing.T) {
+	p, want := c.fleet.path, c.fleet.path.expects(c.row, c.pace)
+	require.Positive(t, c.asked, "the server that sends bytes without end was not asked")
+	for n, got := range c.replies {
+		require.Less(t, got.took, endlessDeadline+closeSlack, "request %d: %v", n+1, got)
+		if got.wholeAnswer() {
+			require.Equal(t, p.whole(), got.body, "request %d: %v", n+1, got)
+		}
+		if p.once && !c.row.refuses {
+			require.LessOrEqual(t, got.attempts, int64(1), "request %d: %v", n+1, got)
+		}
+		if want != boundedOnly {
+			require.NoError(t, got.err, "request %d: %v", n+1, got)
+			require.Equal(t, http.StatusOK, got.status, "request %d: %v", n+1, got)
+			require.Less(t, got.took, servedWithin, "request %d: %v", n+1, got)
+		}
+		if c.row.never || c.pace == fullSpeed && !c.row.body {
+			require.Less(t, got.took, servedWithin, "request %d: %v", n+1, got)
+		}
+	}
+	require.LessOrEqual(t, c.fleet.bad.maxTaken.Load(), int64(maxTaken), "bytes taken of one response")
+	require.Zero(t, c.open, "open connections of requests that have ended")
+	if want == servedElsewhere {
+		require.LessOrEqual(t, c.asked, int64(handful), "requests at a server that gives no answer")
+		require.True(t, c.returned, "no request within %v after the server was sound again", soundWithin)
+	}
+}
+
+// requireBounded runs all cases of a path at the same time.
+func requireBounded(t *testing.T, p endlessPath, rows []endless, paces []pace) {
+	t.Helper()
+	var cases []*endlessCase
+	for _, e := range rows {
+		for _, at := range paces {
+			if e.slowOnly && at == fullSpeed {
+				continue
+			}
+			cases = append(cases, &endlessCase{row: e, pace: at, fleet: startEndlessFleet(t, p, e, at)})
+		}
+	}
+	var group sync.WaitGroup
+	for _, c := range cases {
+		group.Go(func() { c.run(t) })
+	}
+	group.Wait()
+	for _, c := range cases {
+		t.Run(c.row.name+", "+c.pace.name, c.check)
+	}
+}
+
+// Guards against callers who wait for their deadline at a backend server that sends bytes which are no answer, and against
+// asking it again and again.
+func TestBytesWithoutEndDelayNoRequest(t *testing.T) {
+	native, route := nativePath("native plain", false, plainCall), routePath("idempotent", "idempotent")
+	chat, stream := nativePath("native chat", false, chatCall(false)), nativePath("native chat stream", true, chatCall(true))
+	resumable := stream
+	resumable.name, resumable.fields = "native chat stream that its engine resumes", resumableFields
+	failing := append(plainRows(), failureRows()...)
+	for _, c := range []struct {
+		path  endlessPath
+		rows  []endless
+		paces []pace
+	}{
+		{native, plainRows(), everyPace},
+		{route, failing, everyPace},
+		{chat, plainRows(), []pace{fullSpeed, piecewise}},
+		{stream, streamRows(), everyPace},
+		{resumable, streamRows(), []pace{fullSpeed, piecewise}},
+		{routePath("once", "once"), failing, everyPace},
+		{routePath("resumable stream", "resumable"), append(streamRows(), failureRows()...), everyPace},
+		{routePath("stream", "stream"), append(streamRows(), failureRows()...), []pace{fullSpeed, piecewise}},
+		{routePath("relayed idempotent", "idempotent").overRelay(), failing, []pace{fullSpeed, piecewise}},
+		{routePath("relayed resumable stream", "resumable").overRelay(), streamRows(), []pace{fullSpeed, piecewise}},
+	} {
+		t.Run(c.path.name, func(t *testing.T) {
+			t.Parallel()
+			requireBounded(t, c.path, c.rows, c.paces)
+		})
+	}
+}
