--- /dev/null
+++ b/internal/proxy/slowanswers_test.go
@@ -0,0 +1,200 @@
+package proxy_test
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	// keepAlive is a comment that a server sends while it has no event.
+	keepAlive = ": keep-alive\n\n"
+	// slowPieces are sent one after the other by a server that takes seconds for them, since it sends one each 10 ms.
+	slowPieces = 250
+	// noPause is the pause of a script whose server only takes its time.
+	noPause = -1
+)
+
+// cutText returns the script of a response that has a mark where its server pauses.
+func cutText(phase, text, body string) script {
+	before, after, _ := strings.Cut(text, pauseMark)
+	return script{phase: phase, pieces: []string{before, after}, pause: 1, body: body}
+}
+
+// pauseMark is where the server pauses.
+const pauseMark = "|"
+
+// pausedHeads returns heads of a response in which their server pauses.
+func pausedHeads(fields string) map[string]string {
+	rest := fields + "Run: %RUN\r\nTransfer-Encoding: chunked\r\n\r\n"
+	return map[string]string{
+		"inside the version":        "HTT|P/1.1 200 OK\r\n" + rest,
+		"inside the status":         "HTTP/1.1 2|00 OK\r\n" + rest,
+		"inside the reason":         "HTTP/1.1 200 O|K\r\n" + rest,
+		"inside a field's name":     "HTTP/1.1 200 OK\r\nX-Fi|eld: a\r\n" + rest,
+		"inside a field's value":    "HTTP/1.1 200 OK\r\nX-Field: a|b\r\n" + rest,
+		"inside a field's line end": "HTTP/1.1 200 OK\r\nX-Field: ab\r|\n" + rest,
+		"inside the head's end":     "HTTP/1.1 200 OK\r\n" + strings.TrimSuffix(rest, "\n") + "|\n",
+		"inside a 1xx head":         "HTTP/1.1 103 Early Hints\r\nLink: <a|b>\r\n\r\nHTTP/1.1 200 OK\r\n" + rest,
+		"after a 1xx head":          "HTTP/1.1 102 Processing\r\n\r\n|HTTP/1.1 200 OK\r\n" + rest,
+	}
+}
+
+// pausedChunks returns chunks of a body, of the given content before and after, in whose framing their server pauses.
+func pausedChunks(before, after string) map[string]string {
+	size := fmt.Sprintf("%x", len(after))
+	data := "\r\n" + after + "\r\n"
+	return map[string]string{
+		"before a chunk's size":           chunk(before) + "|" + size + data + lastChunk,
+		"inside a chunk's size":           chunk(before) + "0|" + size + data + lastChunk,
+		"inside a chunk's extension":      chunk(before) + size + ";a=b|c" + data + lastChunk,
+		"inside a chunk's size line end":  chunk(before) + size + "\r|\n" + after + "\r\n" + lastChunk,
+		"inside a chunk":                  chunk(before) + size + "\r\n" + after[:3] + "|" + after[3:] + "\r\n" + lastChunk,
+		"inside a chunk's end":            chunk(before) + size + "\r\n" + after + "\r|\n" + lastChunk,
+		"inside the last chunk":           chunk(before) + size + data + "0|\r\n\r\n",
+		"before the end of the last":      chunk(before) + size + data + "0\r\n|\r\n",
+		"inside the end of the last":      chunk(before) + size + data + "0\r\n\r|\n",
+		"inside a trailer":                chunk(before) + size + data + "0\r\nX-Sum: a|b\r\n\r\n",
+		"between trailers":                chunk(before) + size + data + "0\r\nX-Sum: a\r\n|X-More: b\r\n\r\n",
+		"inside an extension of the last": chunk(before) + size + data + "0;a=|b\r\n\r\n",
+	}
+}
+
+// pausedEvents returns streams in which their server pauses, in chunks of one event or less.
+func pausedEvents() map[string]string {
+	const first, last = "id: 1\ndata: a\n\n", "id: 3\ndata: [DONE]\n\n"
+	stream := func(second string) string {
+		before, after, _ := strings.Cut(second, pauseMark)
+		return chunk(first) + chunk(before) + pauseMark + chunk(after) + chunk(last) + lastChunk
+	}
+	return map[string]string{
+		"inside an event's number":    stream("id: |2\ndata: b\n\n"),
+		"between an event's lines":    stream("id: 2\n|data: b\n\n"),
+		"inside an event's name":      stream("id: 2\nda|ta: b\n\n"),
+		"inside an event's data":      stream("id: 2\ndata: |b\n\n"),
+		"before an event's end":       stream("id: 2\ndata: b\n|\n"),
+		"inside a comment":            stream(": keep|-alive\n\nid: 2\ndata: b\n\n"),
+		"after a comment":             stream(keepAlive + "|id: 2\ndata: b\n\n"),
+		"after a comment without end": stream(": keep-alive\n|id: 2\ndata: b\n\n"),
+	}
+}
+
+const (
+	pausedBody   = "before the pause and after it"
+	pausedStream = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: [DONE]\n\n"
+)
+
+// sortedScripts returns scripts with the given head before, and the given rest after, each text.
+func sortedScripts(before string, texts map[string]string, after, body string) []script {
+	var scripts []script
+	for phase, text := range texts {
+		scripts = append(scripts, cutText(phase, before+text+after, body))
+	}
+	slices.SortFunc(scripts, func(a, b script) int { return strings.Compare(a.phase, b.phase) })
+	return scripts
+}
+
+// slowPlainScripts are sound responses that come in pieces.
+func slowPlainScripts() []script {
+	const fields = "Content-Type: text/plain\r\n"
+	const start = "HTTP/1.1 200 OK\r\n" + fields + "Run: %RUN\r\n"
+	const chunked = start + "Transfer-Encoding: chunked\r\n\r\n"
+	scripts := sortedScripts("", pausedHeads(fields), chunk(pausedBody)+lastChunk, pausedBody)
+	scripts = append(scripts, sortedScripts(chunked, pausedChunks(pausedBody[:9], pausedBody[9:]), "", pausedBody)...)
+	for _, size := range []int{200, 2000} {
+		piece := strings.Repeat("slow", size/4)
+		body := strings.Repeat(piece, slowPieces)
+		sized := append([]string{fmt.Sprintf("%sContent-Length: %d\r\n\r\n", start, len(body))}, slices.Repeat([]string{piece}, slowPieces)...)
+		chunks := append(append([]string{chunked}, slices.Repeat([]string{chunk(piece)}, slowPieces)...), lastChunk)
+		scripts = append(scripts,
+			script{fmt.Sprintf("slow body with a length of %d", len(body)), sized, noPause, body},
+			script{fmt.Sprintf("slow body of %d in chunks", len(body)), chunks, noPause, body},
+		)
+	}
+	return scripts
+}
+
+// slowStreamScripts are sound streams that come in pieces.
+func slowStreamScripts() []script {
+	const fields = "Content-Type: text/event-stream\r\nEngine-Stream-Id: s1\r\nEngine-Incarnation: 1\r\n"
+	const head = "HTTP/1.1 200 OK\r\n" + fields + "Run: %RUN\r\nTransfer-Encoding: chunked\r\n\r\n"
+	first, rest, _ := strings.Cut(pausedStream, "id: 2")
+	rest = "id: 2" + rest
+	scripts := sortedScripts("", pausedHeads(fields), chunk(first)+chunk(rest)+lastChunk, pausedStream)
+	scripts = append(scripts, sortedScripts(head, pausedChunks(first, rest), "", pausedStream)...)
+	scripts = append(scripts, sortedScripts(head, pausedEvents(), "", pausedStream)...)
+	comments := slices.Repeat([]string{chunk(keepAlive)}, slowPieces)
+	before := append(append([]string{head}, comments...), chunk(first), chunk(rest), lastChunk)
+	between := append(append([]string{head, chunk(first)}, comments...), chunk(rest), lastChunk)
+	return append(scripts,
+		script{"comments only before the first event", before, noPause, pausedStream},
+		script{"comments only between events", between, noPause, pausedStream},
+	)
+}
+
+// Guards against taking a sound server for one that gives no answer, because its answer comes in pieces with pauses
+// anywhere, slowly, or behind comments.
+func TestSlowAnswerIsWhole(t *testing.T) {
+	for _, p := range silentPaths() {
+		t.Run(p.name, func(t *testing.T) {
+			t.Parallel()
+			scripts := slowPlainScripts()
+			if p.stream {
+				scripts = slowStreamScripts()
+			}
+			requireSlowAnswers(t, p, scripts)
+		})
+	}
+}
+
+// slowAnswer is what became of one script beside another server.
+type slowAnswer struct {
+	script script
+	other  otherServer
+	fleet  *silentFleet
+	reply  reply
+	err    error
+}
+
+// requireSlowAnswers sends a request for each script beside each other server, all at the same time, and checks that each is
+// answered whole, by its first attempt unless the other server answers.
+func requireSlowAnswers(t *testing.T, p silentPath, scripts []script) {
+	t.Helper()
+	var answers []*slowAnswer
+	var group sync.WaitGroup
+	for _, other := range []otherServer{noOther, otherRefusesAll, otherSilent, otherAnswers, budgetSpent} {
+		for _, s := range scripts {
+			a := &slowAnswer{script: s, other: other, fleet: startSilentFleet(t, s, other)}
+			answers = append(answers, a)
+			req := p.request(t, p.start(t, a.fleet).url, "/x")
+			group.Go(func() { a.reply, a.err = call(req) })
+		}
+	}
+	group.Wait()
+	for _, a := range answers {
+		t.Run(fmt.Sprintf("%s, %s", a.script.phase, a.other), func(t *testing.T) { a.check(t, p) })
+	}
+}
+
+func (a *slowAnswer) check(t *testing.T, p silentPath) {
+	require.NoError(t, a.err)
+	require.Equal(t, http.StatusOK, a.reply.status, a.reply.body)
+	require.NoError(t, a.reply.err, "after %d of %d bytes", len(a.reply.body), len(a.script.body))
+	require.Equal(t, a.script.body, withoutComments(a.reply.body))
+	if a.other != otherAnswers {
+		require.Equal(t, "1", a.reply.header.Get(headerRun))
+	}
+	if p.once {
+		require.EqualValues(t, 1, a.fleet.attempts.Load(), "runs")
+	}
+}
+
+// withoutComments removes the comments of a stream, of which a caller may get any number.
+func withoutComments(body string) string {
+	return strings.ReplaceAll(strings.ReplaceAll(body, keepAlive, ""), ": keep-alive\n", "")
+}
