Failing test: load reports without end; process checks, cancellations and memory beside them

What operators would see: connections and memory of an instance grow with each load report that a server sends a few bytes at a time. The query's timeout leaves the connection behind: the library goes on with the request in a goroutine of its own, and the client has no read timeout.

--- a/internal/proxy/endless_test.go
+++ b/internal/proxy/endless_test.go
@@ -52,11 +52,7 @@
 		}
 	}
 	c.asked = c.fleet.bad.requests.Load()
-	deadline := time.Now().Add(closeSlack)
-	for c.fleet.bad.sending.Load() > 0 && time.Now().Before(deadline) {
-		time.Sleep(pollInterval)
-	}
-	c.open = c.fleet.bad.sending.Load()
+	c.open = c.fleet.bad.openAfter(closeSlack)
 	if want == servedElsewhere && lost < maxLost {
 		c.awaitReturn(t)
 	}
--- a/internal/proxy/endlessfleet_test.go
+++ b/internal/proxy/endlessfleet_test.go
@@ -47,7 +47,7 @@
 
 // serve answers one request.
 func (b *endlessBackend) serve(_ int, r *http.Request, conn net.Conn) bool {
-	if b.sound.Load() {
+	if b.sound.Load() || b.row.at != "" && r.URL.Path != b.row.at {
 		return b.path.respond(r, conn)
 	}
 	b.sending.Add(1)
@@ -88,6 +88,14 @@
 	}
 }
 
+// openAfter waits until no connection is open, or for the given time, and returns how many are.
+func (b *endlessBackend) openAfter(wait time.Duration) int64 {
+	for began := time.Now(); time.Since(began) < wait && b.sending.Load() > 0; {
+		time.Sleep(pollInterval)
+	}
+	return b.sending.Load()
+}
+
 // endlessPath is one way on which a response reaches a caller.
 type endlessPath struct {
 	name    string
@@ -99,6 +107,8 @@
 	// native is set for the fleet's own interface, which has no hedges before the first event.
 	native  bool
 	relayed bool
+	// incarnation is that of the process that attempts must reach, 0 if any will do.
+	incarnation uint64
 	// once is set if the request must not run again, and resumable if a stream may go on at another server.
 	once, resumable bool
 }
@@ -111,6 +121,12 @@
 
 // respond writes a sound answer, or the rest of a stream.
 func (p endlessPath) respond(r *http.Request, conn net.Conn) bool {
+	if r.URL.Path == fakeplatform.ReportPath {
+		recorder := httptest.NewRecorder()
+		fakeplatform.WriteReport(recorder, time.UnixMilli(int64(p.incarnation)))
+		respondOK(conn, recorder.Body.String())
+		return true
+	}
 	text := fmt.Sprintf("%s%sContent-Length: %d\r\n\r\n%s", statusOK, plainFields, len(soundBody), soundBody)
 	if p.stream {
 		text = statusOK + eventFields + "Transfer-Encoding: chunked\r\n\r\n"
@@ -269,6 +285,7 @@
 		options.Relays = relay
 	}
 	f.instance = startInstance(t, endlessConfig(p, addresses), options)
+	f.process = p.checkedProcess()
 	if p.relayed {
 		f.relays = []core.PeerAddress{{Name: "entry-2"}}
 	}
--- a/internal/proxy/endlessrows_test.go
+++ b/internal/proxy/endlessrows_test.go
@@ -37,6 +37,8 @@
 // endless is what a backend server sends in place of an answer, or of the rest of one.
 type endless struct {
 	name string
+	// at is the path of the requests that it answers, "" for all.
+	at string
 	// start is sent once, and unit again and again. fieldsMark stands for the fields of a sound head.
 	start, unit string
 	// never is set if the first byte of unit shows that no answer can follow.
