--- a/internal/proxy/slowanswers_test.go
+++ b/internal/proxy/slowanswers_test.go
@@ -2,13 +2,18 @@
 
 import (
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"slices"
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/ebonydyke/ebonydyke/internal/proxy"
 )
 
 const (
@@ -198,3 +203,28 @@
 func withoutComments(body string) string {
 	return strings.ReplaceAll(strings.ReplaceAll(body, keepAlive, ""), ": keep-alive\n", "")
 }
+
+// Guards against taking a body for one without end, because it is marked by the close of its connection and comes with a pause.
+func TestSlowAnswerEndedByCloseIsWhole(t *testing.T) {
+	for name, c := range map[string]struct{ contentType, before, after string }{
+		"body":            {"text/plain", "before the pause ", "and after it"},
+		"before the body": {"text/plain", "", "after the pause"},
+		"stream":          {"text/event-stream", "id: 1\ndata: a\n\nid: 2\nda", "ta: b\n\n"},
+		"before the end":  {"text/event-stream", "id: 1\ndata: a\n\n", ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := startRawBackend(t, func(_ int, _ *http.Request, conn net.Conn) bool {
+				_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: %s\r\nConnection: close\r\n\r\n%s", c.contentType, c.before)
+				time.Sleep(silence)
+				_, _ = io.WriteString(conn, c.after)
+				return false
+			})
+			i := startInstance(t, fleetConfig(nil, []string{b.address}), proxy.Options{Dialect: closeFramedDialect{}})
+			got := send(t, newCall(t, http.MethodGet, i.url+"/services/portal/x", "", headers{proxy.HeaderDeadline: nativeDeadline}))
+			require.Equal(t, http.StatusOK, got.status, got.body)
+			require.NoError(t, got.err)
+			require.Equal(t, c.before+c.after, got.body)
+		})
+	}
+}
