--- a/internal/proxy/endlessrows_test.go
+++ b/internal/proxy/endlessrows_test.go
@@ -41,6 +41,8 @@
 	at string
 	// start is sent once, and unit again and again. fieldsMark stands for the fields of a sound head.
 	start, unit string
+	// pause is the time between them.
+	pause time.Duration
 	// never is set if the first byte of unit shows that no answer can follow.
 	never bool
 	// body is set if what is sent without end is a part of the body and not of its framing.
@@ -87,6 +89,7 @@
 		{name: "1xx heads", unit: "HTTP/1.1 102 Processing\r\n\r\n"},
 		{name: "fields of a 1xx head", start: "HTTP/1.1 103 Early Hints\r\n", unit: "X-Field: twenty characters\r\n"},
 		{name: "empty lines before the head", unit: "\r\n"},
+		{name: "bytes after a change of protocol", start: "HTTP/1.1 101 Switching Protocols\r\n" + fieldsMark + "\r\n", unit: thirtyBytes},
 	}
 }
 
@@ -95,6 +98,7 @@
 	head := statusOK + fields + "Transfer-Encoding: chunked\r\n\r\n"
 	return []endless{
 		{name: "zeros of a chunk's size", start: head, unit: strings.Repeat("0", 30)},
+		{name: "digits of a chunk's size", start: head, unit: strings.Repeat("1", 30)},
 		{name: "extension of a chunk's size", start: head + "e;name=", unit: "a value that goes on and on, "},
 		{name: "trailers", start: head + chunk(content) + "0\r\n", unit: "X-Field: twenty characters\r\n", deliversUnbuffered: true},
 		{name: "trailer line", start: head + chunk(content) + "0\r\nX-Field: ", unit: "a value that goes on and on, ", deliversUnbuffered: true},
@@ -165,6 +169,8 @@
 		rows = append(rows, first, later)
 	}
 	return append(rows,
+		endless{name: "comments after the last event", start: head + chunk(soundEvents), unit: chunk(": keep-alive, wait\n\n"), body: true, deliversUnbuffered: true},
+		endless{name: "bytes after a whole stream", start: head + chunk(soundEvents) + lastChunk, unit: "this belongs to no request.\r\n\r\n", answers: true},
 		endless{name: "repeated events", start: head + chunk(firstEvent), unit: chunk(firstEvent), body: true, delivers: true},
 		endless{name: "zeros of a later chunk's size", start: head + chunk(firstEvent), unit: strings.Repeat("0", 30), delivers: true},
 		endless{name: "stream ended by the close", start: statusOK + eventFields + "Connection: close\r\n\r\n", unit: ": keep-alive, go on waiting\n\n", body: true},
