Test of slow answers: one instance for all scripts of a path beside one other server

40 instances in place of 1,129, and 25 pieces each 100 ms in place of 250 each 10 ms. Every script, path, other server and check is still there.

TestSilenceEndsNoAnswer: its fleet can set the retry budget's burst; 0, the default, changes nothing.

--- a/internal/proxy/silence_test.go
+++ b/internal/proxy/silence_test.go
@@ -172,6 +172,8 @@
 	servers  []*rawBackend
 	attempts atomic.Int64
 	started  sync.Mutex
+	// retryBurst replaces the default of the retry budget, unless it is 0.
+	retryBurst float64
 }
 
 // spendQuery marks a request that is only to spend the retry budget.
@@ -315,6 +317,7 @@
 			cfg.Routes = append(cfg.Routes, r)
 		}
 	}
+	cfg.Services[0].RetryBurst = f.retryBurst
 	if f.other == budgetSpent {
 		cfg.Services[0].RetryBurst, cfg.Services[0].RetryShare = 0.001, 0.001
 	}
--- a/internal/proxy/slowanswers_test.go
+++ b/internal/proxy/slowanswers_test.go
@@ -6,8 +6,10 @@
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -19,16 +21,29 @@
 const (
 	// keepAlive is a comment that a server sends while it has no event.
 	keepAlive = ": keep-alive\n\n"
-	// slowPieces are sent one after the other by a server that takes seconds for them, since it sends one each 10 ms.
-	slowPieces = 250
-	// noPause is the pause of a script whose server only takes its time.
-	noPause = -1
+	// slowPieces is the number of pieces of a response that takes seconds, and slowInterval the time between two of them.
+	slowPieces   = 25
+	slowInterval = 100 * time.Millisecond
 )
 
+// slowScript is a sound response in pieces.
+type slowScript struct {
+	phase  string
+	pieces []string
+	// interval is the time between two pieces.
+	interval time.Duration
+	body     string
+}
+
+// after returns the response without the events up to the given one.
+func (s slowScript) after(event string) string {
+	return script{pieces: s.pieces}.after(event)
+}
+
 // cutText returns the script of a response that has a mark where its server pauses.
-func cutText(phase, text, body string) script {
+func cutText(phase, text, body string) slowScript {
 	before, after, _ := strings.Cut(text, pauseMark)
-	return script{phase: phase, pieces: []string{before, after}, pause: 1, body: body}
+	return slowScript{phase: phase, pieces: []string{before, after}, interval: silence, body: body}
 }
 
 // pauseMark is where the server pauses.
@@ -95,37 +110,37 @@
 )
 
 // sortedScripts returns scripts with the given head before, and the given rest after, each text.
-func sortedScripts(before string, texts map[string]string, after, body string) []script {
-	var scripts []script
+func sortedScripts(before string, texts map[string]string, after, body string) []slowScript {
+	var scripts []slowScript
 	for phase, text := range texts {
 		scripts = append(scripts, cutText(phase, before+text+after, body))
 	}
-	slices.SortFunc(scripts, func(a, b script) int { return strings.Compare(a.phase, b.phase) })
+	slices.SortFunc(scripts, func(a, b slowScript) int { return strings.Compare(a.phase, b.phase) })
 	return scripts
 }
 
 // slowPlainScripts are sound responses that come in pieces.
-func slowPlainScripts() []script {
+func slowPlainScripts() []slowScript {
 	const fields = "Content-Type: text/plain\r\n"
 	const start = "HTTP/1.1 200 OK\r\n" + fields + "Run: %RUN\r\n"
 	const chunked = start + "Transfer-Encoding: chunked\r\n\r\n"
 	scripts := sortedScripts("", pausedHeads(fields), chunk(pausedBody)+lastChunk, pausedBody)
 	scripts = append(scripts, sortedScripts(chunked, pausedChunks(pausedBody[:9], pausedBody[9:]), "", pausedBody)...)
-	for _, size := range []int{200, 2000} {
+	for _, size := range []int{2000, 20_000} {
 		piece := strings.Repeat("slow", size/4)
 		body := strings.Repeat(piece, slowPieces)
 		sized := append([]string{fmt.Sprintf("%sContent-Length: %d\r\n\r\n", start, len(body))}, slices.Repeat([]string{piece}, slowPieces)...)
 		chunks := append(append([]string{chunked}, slices.Repeat([]string{chunk(piece)}, slowPieces)...), lastChunk)
 		scripts = append(scripts,
-			script{fmt.Sprintf("slow body with a length of %d", len(body)), sized, noPause, body},
-			script{fmt.Sprintf("slow body of %d in chunks", len(body)), chunks, noPause, body},
+			slowScript{fmt.Sprintf("slow body with a length of %d", len(body)), sized, slowInterval, body},
+			slowScript{fmt.Sprintf("slow body of %d in chunks", len(body)), chunks, slowInterval, body},
 		)
 	}
 	return scripts
 }
 
 // slowStreamScripts are sound streams that come in pieces.
-func slowStreamScripts() []script {
+func slowStreamScripts() []slowScript {
 	const fields = "Content-Type: text/event-stream\r\nEngine-Stream-Id: s1\r\nEngine-Incarnation: 1\r\n"
 	const head = "HTTP/1.1 200 OK\r\n" + fields + "Run: %RUN\r\nTransfer-Encoding: chunked\r\n\r\n"
 	first, rest, _ := strings.Cut(pausedStream, "id: 2")
@@ -137,8 +152,8 @@
 	before := append(append([]string{head}, comments...), chunk(first), chunk(rest), lastChunk)
 	between := append(append([]string{head, chunk(first)}, comments...), chunk(rest), lastChunk)
 	return append(scripts,
-		script{"comments only before the first event", before, noPause, pausedStream},
-		script{"comments only between events", between, noPause, pausedStream},
+		slowScript{"comments only before the first event", before, slowInterval, pausedStream},
+		slowScript{"comments only between events", between, slowInterval, pausedStream},
 	)
 }
 
@@ -157,45 +172,110 @@
 	}
 }
 
-// slowAnswer is what became of one script beside another server.
-type slowAnswer struct {
-	script script
-	other  otherServer
-	fleet  *silentFleet
-	reply  reply
-	err    error
+// slowFleet is the backend servers of one request for each script. The first attempt of each gets the script.
+type slowFleet struct {
+	scripts  []slowScript
+	other    otherServer
+	attempts []atomic.Int64
+}
+
+// scriptParam is the parameter of a target that selects the script.
+const scriptParam = "script"
+
+// serve serves an attempt at any server.
+func (f *slowFleet) serve(_ int, r *http.Request, conn net.Conn) bool {
+	if strings.HasSuffix(r.RequestURI, spendQuery) {
+		respondNotStarted(conn)
+		return true
+	}
+	n, err := strconv.Atoi(r.URL.Query().Get(scriptParam))
+	if err != nil || n >= len(f.scripts) {
+		return false
+	}
+	s := f.scripts[n]
+	if f.attempts[n].Add(1) > 1 {
+		return f.serveOther(s, r, conn)
+	}
+	for i, piece := range s.pieces {
+		if i > 0 {
+			time.Sleep(s.interval)
+		}
+		if _, err := io.WriteString(conn, strings.ReplaceAll(piece, "%RUN", "1")); err != nil {
+			return false
+		}
+	}
+	return true
+}
+
+// serveOther serves an attempt after the first.
+func (f *slowFleet) serveOther(s slowScript, r *http.Request, conn net.Conn) bool {
+	if f.other != otherAnswers {
+		_, _ = io.Copy(io.Discard, conn) // It sends nothing until its caller gives up.
+		return false
+	}
+	_, err := io.WriteString(conn, strings.ReplaceAll(s.after(r.Header.Get(proxy.HeaderLastEventID)), "%RUN", "2"))
+	return err == nil
+}
+
+// start starts an instance before the servers.
+func (f *slowFleet) start(t *testing.T, p silentPath) *instance {
+	t.Helper()
+	n := fleets.Add(1)
+	servers := &silentFleet{host: fmt.Sprintf("127.3.%d.%d", n/250, 1+n%250), other: f.other}
+	servers.servers = append(servers.servers, startRawBackendAt(t, servers.host, f.serve))
+	if f.other != noOther {
+		servers.servers = append(servers.servers, startRawBackendAt(t, servers.host, f.serve))
+	}
+	if f.other == otherRefusesAll {
+		require.NoError(t, servers.servers[1].listener.Close())
+		// Many of the requests, all at the same time, meet it first.
+		servers.retryBurst = 1000
+	}
+	return p.start(t, servers)
 }
 
 // requireSlowAnswers sends a request for each script beside each other server, all at the same time, and checks that each is
 // answered whole, by its first attempt unless the other server answers.
-func requireSlowAnswers(t *testing.T, p silentPath, scripts []script) {
+func requireSlowAnswers(t *testing.T, p silentPath, scripts []slowScript) {
 	t.Helper()
-	var answers []*slowAnswer
+	type answer struct {
+		fleet *slowFleet
+		n     int
+		reply reply
+		err   error
+	}
+	var answers []*answer
 	var group sync.WaitGroup
 	for _, other := range []otherServer{noOther, otherRefusesAll, otherSilent, otherAnswers, budgetSpent} {
-		for _, s := range scripts {
-			a := &slowAnswer{script: s, other: other, fleet: startSilentFleet(t, s, other)}
+		f := &slowFleet{scripts: scripts, other: other, attempts: make([]atomic.Int64, len(scripts))}
+		i := f.start(t, p)
+		for n := range scripts {
+			a := &answer{fleet: f, n: n}
 			answers = append(answers, a)
-			req := p.request(t, p.start(t, a.fleet).url, "/x")
+			req := p.request(t, i.url, fmt.Sprintf("/x?%s=%d", scriptParam, n))
 			group.Go(func() { a.reply, a.err = call(req) })
 		}
 	}
 	group.Wait()
 	for _, a := range answers {
-		t.Run(fmt.Sprintf("%s, %s", a.script.phase, a.other), func(t *testing.T) { a.check(t, p) })
+		t.Run(fmt.Sprintf("%s, %s", scripts[a.n].phase, a.fleet.other), func(t *testing.T) {
+			require.NoError(t, a.err)
+			a.fleet.check(t, p, a.n, a.reply)
+		})
 	}
 }
 
-func (a *slowAnswer) check(t *testing.T, p silentPath) {
-	require.NoError(t, a.err)
-	require.Equal(t, http.StatusOK, a.reply.status, a.reply.body)
-	require.NoError(t, a.reply.err, "after %d of %d bytes", len(a.reply.body), len(a.script.body))
-	require.Equal(t, a.script.body, withoutComments(a.reply.body))
-	if a.other != otherAnswers {
-		require.Equal(t, "1", a.reply.header.Get(headerRun))
+// check checks the reply to the request for the nth script.
+func (f *slowFleet) check(t *testing.T, p silentPath, n int, got reply) {
+	t.Helper()
+	require.Equal(t, http.StatusOK, got.status, got.body)
+	require.NoError(t, got.err, "after %d of %d bytes", len(got.body), len(f.scripts[n].body))
+	require.Equal(t, f.scripts[n].body, withoutComments(got.body))
+	if f.other != otherAnswers {
+		require.Equal(t, "1", got.header.Get(headerRun))
 	}
 	if p.once {
-		require.EqualValues(t, 1, a.fleet.attempts.Load(), "runs")
+		require.EqualValues(t, 1, f.attempts[n].Load(), "runs")
 	}
 }
 
