Leave servers whose bytes are no response, and hedge requests at a stuck server

Callers waited at a server that sends a head or an event without end until their deadline, and later requests went there as the first did: bytes counted as a sign that the server works, and nothing remembered what they were.

The proxy will report two facts: an attempt ended with malformed bytes, and a part of a response was begun whose rest is missing. Two such faults in a row without a whole response between them and the server is left while others can serve, for one to 16 s; then it gets one request at a time until it has answered one. A request without a route, which has no timeouts, is hedged at another server if its own is stuck.

--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -178,6 +178,7 @@
 		n.streams.endedAt[r.backend] = n.now
 	}
 	n.attemptDone(r)
+	n.countResponse(r, &e)
 	if e.Outcome == retry.Superseded {
 		n.attemptSuperseded(r, e.Unsent)
 		return
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -113,6 +113,8 @@
 	// ConnectionRefused is set if nothing was sent because the backend server's machine refused the
 	// connection: the machine is reachable, but the server does not run there.
 	ConnectionRefused bool `json:"connection_refused,omitempty"`
+	// Malformed is set if the bytes that the backend server sent are no response, or no more of one.
+	Malformed bool `json:"malformed,omitempty"`
 	// Uncertain is set if the response is taken for whole although nothing marked its end: its server may
 	// have ended in it.
 	Uncertain bool `json:"uncertain,omitempty"`
@@ -124,8 +126,9 @@
 	Detail string `json:"detail,omitempty"`
 }
 
-// AttemptSilent reports that the backend server of an attempt in progress has sent nothing for the attempt's timeout. The
-// attempt goes on. The event is repeated while the silence lasts.
+// AttemptSilent reports that the backend server of an attempt in progress has brought its response no further for the
+// attempt's timeout, or has begun a part of it whose rest is missing. The attempt goes on. The event is repeated while that
+// lasts.
 type AttemptSilent struct {
 	Request RequestID `json:"request"`
 	Attempt int       `json:"attempt"`
@@ -135,6 +138,9 @@
 	// Quiet are the backend servers that owe this instance bytes and have sent none for a while, sorted. They may be
 	// silent too.
 	Quiet []string `json:"quiet,omitempty"`
+	// Stuck is set if bytes have arrived that are a part of a header or of an event, and the rest has not for longer than a
+	// server that works takes.
+	Stuck bool `json:"stuck,omitempty"`
 }
 
 // AnswerStarted reports that the first byte of the response was sent to the caller.
--- a/internal/core/hedges.go
+++ b/internal/core/hedges.go
@@ -8,7 +8,7 @@
 	"github.com/ebonydyke/ebonydyke/internal/core/routing"
 )
 
-// A hedge is a further attempt of a request whose attempts in progress are all silent.
+// A hedge is a further attempt of a request whose attempts in progress are all silent: they bring the response no further.
 //
 // A server that is paused cannot be told in time from one that hangs or is cut off, and another server may be silent
 // too or have no room. The invariant: a silent attempt is never cancelled before another one has delivered more of the
@@ -33,30 +33,35 @@
 		r.silent = true
 		n.countOutcome(r, retry.Superseded)
 	}
-	if !n.now.Before(r.deadline) || !r.mayHedge(e.LastEventID) || n.poison.tracker.Stops(&r.poison, r.runs+r.inProgress()) {
+	if e.Stuck {
+		n.countFault(r)
+	}
+	if !n.now.Before(r.deadline) || !r.mayHedge(&e) || n.poison.tracker.Stops(&r.poison, r.runs+r.inProgress()) {
 		return
 	}
-	if r.route == nil {
+	if r.route == nil && e.LastEventID != "" {
 		n.hedgeOnSameBackend(r, e.LastEventID)
 		return
 	}
 	n.hedge(r, e)
 }
 
-// mayHedge reports whether a further attempt may run beside those in progress. lastEvent is the last event that the
-// caller's response has.
-func (r *request) mayHedge(lastEvent string) bool {
+// mayHedge reports whether a further attempt may run beside those in progress. What a silence of a request without a route
+// means is not known, since nobody says how long it may take; it is hedged at another server only if its server is stuck.
+func (r *request) mayHedge(e *AttemptSilent) bool {
 	switch {
 	case slices.ContainsFunc(r.others, func(a attempt) bool { return !a.silent }):
 		return false
 	case r.attempts >= r.policy.maxAttempts:
 		return false
-	case r.route == nil:
-		return lastEvent != ""
+	case r.route == nil && e.LastEventID != "":
+		return true
+	case r.route == nil && !e.Stuck:
+		return false
 	case !r.policy.repeatable, r.runs+r.inProgress() >= r.policy.maxRuns:
 		return false
 	default:
-		return !r.responseStarted || r.policy.resumable && lastEvent != ""
+		return !r.responseStarted || r.policy.resumable && e.LastEventID != ""
 	}
 }
 
@@ -118,7 +123,7 @@
 	r.tried, r.quiet = excluded, quiet
 	c, refusal := n.place(r)
 	r.tried, r.quiet = tried, nil
-	if refusal != reason.None || c.Unreachable || slices.Contains(excluded, c.Name) {
+	if refusal != reason.None || c.Unreachable || c.Left || slices.Contains(excluded, c.Name) {
 		return nil
 	}
 	return c
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -21,6 +21,7 @@
 	"github.com/ebonydyke/ebonydyke/internal/core/outlier"
 	"github.com/ebonydyke/ebonydyke/internal/core/paths"
 	"github.com/ebonydyke/ebonydyke/internal/core/prefix"
+	"github.com/ebonydyke/ebonydyke/internal/core/quarantine"
 	"github.com/ebonydyke/ebonydyke/internal/core/reach"
 	"github.com/ebonydyke/ebonydyke/internal/core/startqueue"
 	"github.com/ebonydyke/ebonydyke/internal/core/timerqueue"
@@ -87,6 +88,7 @@
 	hints         hintshare.Shares
 	prefixes      *prefix.Index
 	outliers      outlierState
+	quarantine    *quarantine.Tracker
 	headroom      *headroom.Tracker
 	admission     admissionState
 	poison        poisonState
@@ -124,6 +126,7 @@
 		paths:         pathsState{tracker: paths.New()},
 		hints:         make(hintshare.Shares),
 		prefixes:      prefix.New(),
+		quarantine:    quarantine.New(),
 		headroom:      headroom.New(),
 		outliers:      outlierState{tracker: outlier.New()},
 		admission:     newAdmissionState(),
@@ -233,6 +236,7 @@
 	n.tickPlacement()
 	n.tickPaths()
 	n.tickOutliers()
+	n.quarantine.Keep(n.now, func(name string) bool { return n.poolByBackend[name] != nil })
 	n.headroom.Expire(n.now)
 	n.tickAdmission()
 	n.tickPoison()
--- a/internal/core/pools.go
+++ b/internal/core/pools.go
@@ -39,6 +39,8 @@
 	leaving []routing.Candidate
 	// marksFull reports whether candidates may be marked as full, because the servers limit their rejections.
 	marksFull bool
+	// marksLeft reports whether candidates may be marked as left.
+	marksLeft bool
 	// used reports whether a request was placed in this pool.
 	used bool
 	// joinTimes holds the time at which each backend server joined the pool. It is
--- /dev/null
+++ b/internal/core/quarantines.go
@@ -0,0 +1,42 @@
+package core
+
+import (
+	"github.com/ebonydyke/ebonydyke/internal/core/quarantine"
+	"github.com/ebonydyke/ebonydyke/internal/core/retry"
+)
+
+// countFault counts bytes that are no response as a fault of the server of an attempt, once.
+func (n *Node) countFault(r *request) {
+	if r.faulty {
+		return
+	}
+	r.faulty = true
+	if n.quarantine.Fault(r.backend, n.now) {
+		n.emit(StateChanged{Subject: SubjectBackend, Name: r.backend, State: "left", Cause: "what it sends is no response"})
+	}
+}
+
+// countResponse counts the response of an attempt that has ended as a fault of its server, or as a sound one whatever it says.
+func (n *Node) countResponse(r *request, e *AttemptEnded) {
+	switch {
+	case e.Malformed:
+		n.countFault(r)
+	case e.Outcome == retry.Answered, e.Outcome == retry.Failed, e.Outcome == retry.Refused:
+		if n.quarantine.Answered(r.backend) {
+			n.emit(StateChanged{Subject: SubjectBackend, Name: r.backend, State: "sound", Cause: "it has sent a whole response"})
+		}
+	}
+}
+
+// markLeft marks the candidates that get no requests while others can serve them. It is called before each placement.
+func (n *Node) markLeft(p *pool) {
+	if n.quarantine.Empty() && !p.marksLeft {
+		return
+	}
+	p.marksLeft = !n.quarantine.Empty()
+	for i := range p.candidates {
+		c := &p.candidates[i]
+		state := n.quarantine.StateOf(c.Name, n.now)
+		c.Left = state == quarantine.Left || state == quarantine.OnTrial && n.load.Parts(c.Name).Own > 0
+	}
+}
--- a/internal/core/requestattempts.go
+++ b/internal/core/requestattempts.go
@@ -30,6 +30,8 @@
 	charged bool
 	// silent is set once the server has sent nothing for the attempt's timeout.
 	silent bool
+	// faulty is set once its server has sent bytes that are no response.
+	faulty bool
 	// outcomeCounted is set once the attempt was counted as a success or a failure of its server.
 	outcomeCounted bool
 	// run is what the poison tracker knows of the attempt while it is one of those in request.others.
--- a/internal/core/routing/routing.go
+++ b/internal/core/routing/routing.go
@@ -31,6 +31,8 @@
 	Full bool
 	// Unreachable means that this instance recently failed to connect to it.
 	Unreachable bool
+	// Left means that what it sends is no response.
+	Left bool
 	// WithheldShare is the fraction, under 1, of its share of requests that a flapping
 	// backend server does not receive yet. It lowers the rank and refuses nothing: it has
 	// no effect unless other backend servers have free capacity.
@@ -172,7 +174,7 @@
 	if ch.isQuiet(c) {
 		rank |= rankQuiet
 	}
-	if c.Unreachable {
+	if c.Unreachable || c.Left {
 		rank |= rankUnreachable
 	}
 	if c.OtherZone && ch.PreferOwnZone && !spread {
@@ -197,7 +199,7 @@
 	if load > ch.Limits.Hinted*(1-c.WithheldShare) || load > ch.Limits.Outer || load > c.Capacity {
 		return false
 	}
-	return !c.Full && !c.Unreachable && !slices.Contains(ch.Tried, c.Name) && !ch.isQuiet(c)
+	return !c.Full && !c.Unreachable && !c.Left && !slices.Contains(ch.Tried, c.Name) && !ch.isQuiet(c)
 }
 
 // Placement of the inner and hinted limits.
