End a load report with its timeout

The library's GetTimeout returns after the timeout and reads on in a goroutine: 27 of 57 connections of load reports without end were open a second after it (TestConnectionsOfBytesWithoutEndAreClosed). DoTimeout sets the connection's deadline.

--- a/internal/proxy/engineclient.go
+++ b/internal/proxy/engineclient.go
@@ -76,15 +76,18 @@
 // Report fetches the load report of a backend server.
 func (s *Server) Report(backend, address string) (membership.Report, error) {
 	report := membership.Report{Backend: backend, At: s.options.Now()}
-	status, body, err := s.engine.http.GetTimeout(nil, "http://"+address+"/load", engineTimeout)
-	if err != nil {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + address + "/load")
+	if err := s.engine.http.DoTimeout(req, resp, engineTimeout); err != nil {
 		return report, fmt.Errorf("proxy: load report of %s: %w", backend, err)
 	}
-	if status != fasthttp.StatusOK {
+	if status := resp.StatusCode(); status != fasthttp.StatusOK {
 		return report, fmt.Errorf("proxy: load report of %s: status %d", backend, status)
 	}
 	var l loadReport
-	if err := json.Unmarshal(body, &l); err != nil {
+	if err := json.Unmarshal(resp.Body(), &l); err != nil {
 		return report, fmt.Errorf("proxy: load report of %s: %w", backend, err)
 	}
 	if l.InFlight < 0 || (l.State != membership.Live && l.State != membership.Leaving) {
