Count as progress what brings a response nearer to its end, and close what can become none

Progress is a response header, bytes of a body, a new event with data. Until a part of the response is delivered only delivery ends the first timeout. Comments are passed on, but supersede no hedge. First bytes other than those of a response, lines, events, comments, bodies over their limits, and a body that nothing can end, end the attempt at once as malformed. A stream that has delivered nothing may begin anew at another engine; the one that is given up is cancelled.

--- a/internal/proxy/attemptresponse.go
+++ b/internal/proxy/attemptresponse.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"math"
 	"net/url"
 	"time"
 
@@ -32,9 +33,13 @@
 	// events is nil if the body is not a stream of server-sent events.
 	events   *eventReader
 	sequence eventSequence
+	// stream identifies the stream at its engine, if the engine lets it be resumed. It is guarded by the race.
+	stream streamRef
 	// pending holds bytes that the caller has not read yet, and buffer the space for them.
 	pending []byte
 	buffer  []byte
+	// keepAlive is set if pending is an event without data, which keeps the caller's connection alive.
+	keepAlive bool
 	// complete is set once the end of the response has been read.
 	complete bool
 	// closed is set once the call has been closed, and sent if a byte of the request may have been sent until then.
@@ -74,6 +79,7 @@
 		zone:             s.zones.get(e.Zone),
 		now:              s.options.Now,
 		countDial:        s.options.Metrics.Dialled,
+		maxBody:          s.options.MaxResponse,
 	}
 	a.call.watch = newSilenceWatch(a)
 	return a
@@ -118,8 +124,9 @@
 	case NotStarted:
 		a.call.deadline = time.Now().Add(refusalBodyTimeout)
 		_, err := io.CopyN(io.Discard, a.call, maxRefusalBody)
-		a.close(errors.Is(err, io.EOF))
-		a.reportEnd(core.AttemptEnded{Outcome: retry.Refused, RetryAfter: a.head.RetryAfter}, errRefused)
+		whole := errors.Is(err, io.EOF)
+		a.close(whole)
+		a.reportEnd(core.AttemptEnded{Outcome: retry.Refused, RetryAfter: a.head.RetryAfter, Malformed: !whole}, errRefused)
 		return false
 	case Failure:
 		a.holdFailure()
@@ -128,10 +135,18 @@
 		a.abort(retry.Spoiled, "", errMismatched)
 		return false
 	}
+	if a.cannotEnd() {
+		a.abort(retry.Broken, "", errNoFraming)
+		return false
+	}
+	if int64(a.call.length) > a.call.maxBody {
+		a.abort(retry.Broken, "", errBodyTooLarge)
+		return false
+	}
 	if a.head.Events {
-		a.exchange.race.setStream(streamRef{address: a.attempt.Address, id: a.head.StreamID, incarnation: a.head.Incarnation})
+		a.exchange.race.setStream(a, streamRef{address: a.attempt.Address, id: a.head.StreamID, incarnation: a.head.Incarnation})
 		a.watchStream()
-		a.events = newEventReader(a.call)
+		a.readEvents()
 		return a.completeFirstRead(a.readFirstEvent())
 	}
 	if a.attempt.ResumeAfter != "" {
@@ -156,11 +171,23 @@
 		a.abort(retry.Broken, "", errStreamLost)
 		return false
 	}
+	a.exchange.race.setStream(a, stream)
 	a.watchStream()
-	a.events = newEventReader(a.call)
+	a.readEvents()
 	return a.completeFirstRead(a.readFirstEvent())
 }
 
+// cannotEnd reports whether nothing can mark the end of the response, which therefore never is a whole answer.
+func (a *attemptResponse) cannotEnd() bool {
+	return a.call.body != nil && !a.call.hasFramedEnd() && !a.head.AllowUnframed && !a.head.Events
+}
+
+// readEvents makes the body a stream of events. The events have limits, their number has none.
+func (a *attemptResponse) readEvents() {
+	a.call.maxBody = math.MaxInt64
+	a.events = newEventReader(a.call)
+}
+
 // watchStream sets the time after which a stream that its engine can resume counts as silent.
 func (a *attemptResponse) watchStream() {
 	if a.head.StreamID != "" {
@@ -177,6 +204,9 @@
 // reportEnd reports the end of the attempt to the core.
 func (a *attemptResponse) reportEnd(event core.AttemptEnded, err error) {
 	superseded := a.exchange.race.ended(a)
+	if event.Outcome != retry.Answered && a.exchange.race.isAbandoned(a) {
+		a.exchange.server.engine.cancel(a.stream)
+	}
 	if !superseded && errors.Is(err, errSuperseded) {
 		err = errCallCancelled // The request has ended.
 	}
--- a/internal/proxy/backendconn.go
+++ b/internal/proxy/backendconn.go
@@ -23,6 +23,8 @@
 	process  uint64
 	// zone records when bytes arrive from the server's zone.
 	zone *zoneActivity
+	// readFailed is set once a read has failed.
+	readFailed atomic.Bool
 	// idleSince is the time at which the connection was last returned to the pool.
 	idleSince time.Time
 	// keepAlive is the idle timeout that the server announced, or 0 if it announced none;
@@ -33,8 +35,11 @@
 // Read reads from the backend server and records that its zone is reachable.
 func (c *backendConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if err != nil {
+		c.readFailed.Store(true)
+	}
 	if n > 0 && c.watch != nil {
-		c.watch.recordRead()
+		c.watch.recordRead(n)
 	}
 	if n > 0 && c.zone != nil {
 		c.zone.recordRead(c.now())
@@ -42,6 +47,9 @@
 	return n, err
 }
 
+// failed reports whether a read has failed: the connection has ended, or the time for the read.
+func (c *backendConn) failed() bool { return c.readFailed.Load() }
+
 // reused reports whether the connection has carried a request before.
 func (c *backendConn) reused() bool { return c.written.Load() > 0 }
 
--- a/internal/proxy/endcause.go
+++ b/internal/proxy/endcause.go
@@ -28,13 +28,15 @@
 	endedByConnect EndCause = "connect"
 	// endedByResponse means that the response is not one to this request.
 	endedByResponse EndCause = "response"
-	endedByOther    EndCause = "other"
+	// endedByMalformed means that the bytes of the server are no response.
+	endedByMalformed EndCause = "malformed"
+	endedByOther     EndCause = "other"
 )
 
 // EndCauses lists the causes.
 var EndCauses = []EndCause{
 	endedByServer, endedBySuperseding, endedByDeadline, endedByCancel, endedByClose, endedByReset,
-	endedByConnect, endedByResponse, endedByOther,
+	endedByConnect, endedByResponse, endedByMalformed, endedByOther,
 }
 
 // causesByError lists the errors by which a cause is recognized, the more specific ones first.
@@ -47,6 +49,7 @@
 	{io.ErrClosedPipe, endedByCancel},
 	{net.ErrClosed, endedByCancel},
 	{errConnect, endedByConnect},
+	{errMalformed, endedByMalformed},
 	{errRefused, endedByServer},
 	{errBackendFailure, endedByServer},
 	{errMismatched, endedByResponse},
--- a/internal/proxy/eventreader.go
+++ b/internal/proxy/eventreader.go
@@ -13,11 +13,16 @@
 // instance that an engine can use for one stream.
 const maxEventSize = 1 << 20
 
+// maxIdleBytes limits the bytes between two new events with data, such as comments and repeated events. Comments that keep a
+// connection alive need hours for it.
+const maxIdleBytes = 1 << 20
+
 // endMark is the data of the event that ends a complete chat stream.
 const endMark = "[DONE]"
 
 var (
-	errEventTooLarge = errors.New("proxy: event over the size limit")
+	errEventTooLarge = fmt.Errorf("%w: event over the size limit", errMalformed)
+	errNoEvents      = fmt.Errorf("%w: too much between two events", errMalformed)
 	errEventGap      = errors.New("proxy: event missing from the stream")
 	errNoEndMark     = errors.New("proxy: stream ended without its end mark")
 )
@@ -44,6 +49,8 @@
 	reader *bufio.Reader
 	// text holds the event that is being read.
 	text []byte
+	// idle counts the bytes since the last new event with data.
+	idle int
 }
 
 func newEventReader(r io.Reader) *eventReader {
@@ -61,6 +68,9 @@
 		}
 		if len(line) == 0 {
 			if len(r.text) <= len("\r\n") {
+				if err := r.passOver(len(r.text)); err != nil {
+					return streamEvent{}, err
+				}
 				r.text = r.text[:0]
 				continue
 			}
@@ -71,6 +81,15 @@
 	}
 }
 
+// passOver counts bytes that are no new event with data.
+func (r *eventReader) passOver(n int) error {
+	r.idle += n
+	if r.idle > maxIdleBytes {
+		return errNoEvents
+	}
+	return nil
+}
+
 // partial reports whether reading ended within an event.
 func (r *eventReader) partial() bool { return len(r.text) > 0 }
 
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -99,6 +99,7 @@
 		event.Detail = err.Error()
 		event.ConnectionRefused = event.Outcome == retry.NotSent && errors.Is(err, syscall.ECONNREFUSED)
 		event.ProcessReplaced = errors.Is(err, errProcessReplaced)
+		event.Malformed = event.Malformed || errors.Is(err, errMalformed)
 		if event.Outcome.MayHaveRun() && closedByPeer(err) {
 			check := x.checkEnd(a)
 			event.ServerEnded, event.EndChecks = check.refused, check.found
--- a/internal/proxy/heldresponse.go
+++ b/internal/proxy/heldresponse.go
@@ -21,8 +21,11 @@
 // holdFailure reads a failure response to its end and reports it. A response that is
 // cut off, or too large to buffer, is reported as broken.
 func (a *attemptResponse) holdFailure() {
-	body, err := io.ReadAll(io.LimitReader(a.call, maxBufferedBody+1))
-	if err != nil || len(body) > maxBufferedBody {
+	body, err := io.ReadAll(io.LimitReader(a, maxBufferedBody+1))
+	if err == nil && len(body) > maxBufferedBody {
+		err = errBodyTooLarge
+	}
+	if err != nil {
 		a.abort(retry.Broken, "", fmt.Errorf("%w with an incomplete body: %w", errBackendFailure, err))
 		return
 	}
--- a/internal/proxy/options.go
+++ b/internal/proxy/options.go
@@ -21,6 +21,8 @@
 	MaxBody int
 	// MaxHeader is the maximum size of the header of a request or response in bytes.
 	MaxHeader int
+	// MaxResponse is the maximum size of a response body in bytes. A stream of events has none: each event has a limit.
+	MaxResponse int64
 	// ReadTimeout limits the time to read a whole request.
 	ReadTimeout time.Duration
 	// CallerIdle is the idle timeout of a caller's connection. It must be longer than the
@@ -53,6 +55,7 @@
 const (
 	DefaultMaxConns    = 8192
 	DefaultMaxBody     = 8 << 20
+	DefaultMaxResponse = 32 << 20
 	DefaultMaxHeader   = 32 << 10
 	DefaultReadTimeout = time.Minute
 	DefaultCallerIdle  = 10 * time.Minute
@@ -77,6 +80,7 @@
 	}
 	o.MaxConns = cmp.Or(o.MaxConns, DefaultMaxConns)
 	o.MaxBody = cmp.Or(o.MaxBody, DefaultMaxBody)
+	o.MaxResponse = cmp.Or(o.MaxResponse, DefaultMaxResponse)
 	o.MaxHeader = cmp.Or(o.MaxHeader, DefaultMaxHeader)
 	o.ReadTimeout = cmp.Or(o.ReadTimeout, DefaultReadTimeout)
 	o.CallerIdle = cmp.Or(o.CallerIdle, DefaultCallerIdle)
--- a/internal/proxy/race.go
+++ b/internal/proxy/race.go
@@ -53,7 +53,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	resumes := a.attempt.ResumeAfter != ""
-	outdated := a.attempt.ResumeAfter != r.resumeAfter() || !resumes && r.delivered > 0 || resumes && r.atEngine && r.stream.id == ""
+	outdated := !resumes && r.delivered > 0 || resumes && (a.attempt.ResumeAfter != r.resumeAfter() || r.atEngine && r.stream.id == "")
 	if outdated || len(r.won) > 0 || r.finished || a.attempt.Attempt <= r.cancelledUpTo {
 		return false
 	}
@@ -89,6 +89,7 @@
 	if r.current != a {
 		r.supersede(r.current)
 		r.current = a
+		r.stream, r.atEngine = a.stream, a.stream.id != ""
 		// There is room: no hedge starts before the last winner has been taken over.
 		r.won <- a
 	}
@@ -105,6 +106,13 @@
 	return true
 }
 
+// isOver reports whether an attempt was superseded or its request has ended.
+func (r *race) isOver(a *attemptResponse) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return a.superseded || r.finished || a.attempt.Attempt <= r.cancelledUpTo
+}
+
 // supersede cancels an attempt that another one has overtaken.
 func (r *race) supersede(a *attemptResponse) {
 	if a != nil {
@@ -142,10 +150,14 @@
 	}
 }
 
-// setStream records the stream that the current response belongs to at its engine.
-func (r *race) setStream(s streamRef) {
+// setStream records the stream of an attempt at its engine. That of a hedge becomes the one of the response once it delivers.
+func (r *race) setStream(a *attemptResponse, s streamRef) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	a.stream = s
+	if r.current != a {
+		return
+	}
 	r.stream = s
 	r.atEngine = s.id != ""
 	if r.delivered == 0 {
@@ -153,6 +165,20 @@
 	}
 }
 
+// isAbandoned reports whether an attempt has begun a stream of its own that the response does not go on with.
+func (r *race) isAbandoned(a *attemptResponse) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return a.stream.id != "" && a.stream != r.stream
+}
+
+// begun reports whether any part of the response was delivered.
+func (r *race) begun() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.delivered > 0
+}
+
 // streamLost forgets a stream that its engine no longer holds.
 func (r *race) streamLost(s streamRef) {
 	r.mu.Lock()
--- a/internal/proxy/response.go
+++ b/internal/proxy/response.go
@@ -90,6 +90,7 @@
 	}
 	r.eventStream = a.events != nil
 	r.complete = a.complete
+	a.call.watch.deliver()
 	if a.complete {
 		a.reportAnswered()
 	}
@@ -220,6 +221,9 @@
 	if err := a.readMore(); err != nil {
 		return err
 	}
+	if a.keepAlive && !a.complete {
+		return r.passKeepAlive(a)
+	}
 	if !r.race.claim(a) {
 		a.pending = nil
 		return errSuperseded
@@ -228,6 +232,15 @@
 	return nil
 }
 
+// passKeepAlive lets the caller have an event without data. It is no part of the answer, and supersedes no other attempt.
+func (r *callerResponse) passKeepAlive(a *attemptResponse) error {
+	if r.race.isOver(a) {
+		a.pending = nil
+		return errSuperseded
+	}
+	return nil
+}
+
 // awaitSource waits for an attempt that delivers, and makes it the source of the response. It returns the end of the
 // request if the core ends it instead.
 func (r *callerResponse) awaitSource() *core.Finish {
--- a/internal/proxy/responsebody.go
+++ b/internal/proxy/responsebody.go
@@ -13,7 +13,12 @@
 
 // completeFirstRead reports the attempt as broken if its first read of the response body failed.
 func (a *attemptResponse) completeFirstRead(err error) bool {
-	if err != nil {
+	switch {
+	case errors.Is(err, errMalformed) && a.sequence.last == 0:
+		// Nothing of the response was delivered, and its engine has no sound one.
+		a.abort(retry.Broken, "", err)
+		return false
+	case err != nil:
 		a.abort(retry.Broken, a.resumeEventID(), err)
 		return false
 	}
@@ -55,15 +60,30 @@
 		if err != nil {
 			return e, err
 		}
+		if err := a.countEvent(e, fresh); err != nil {
+			return e, err
+		}
 		if fresh {
 			return e, nil
 		}
 	}
 }
 
+// countEvent counts a new event with data as progress. Comments and repeated events are none, however many come.
+func (a *attemptResponse) countEvent(e streamEvent, fresh bool) error {
+	if fresh && e.data {
+		a.events.idle = 0
+		a.call.watch.progress()
+		return nil
+	}
+	a.call.watch.endPart()
+	return a.events.passOver(len(e.text))
+}
+
 // setPending makes the event's text pending and checks for the end mark.
 func (a *attemptResponse) setPending(e streamEvent) {
 	a.pending = e.text
+	a.keepAlive = !e.data
 	if e.end && a.head.EndMarked {
 		a.complete = true
 	}
@@ -72,9 +92,9 @@
 // readFirstBytes reads a small response whole, or the first bytes of a large one.
 func (a *attemptResponse) readFirstBytes() error {
 	length := a.resp.Header.ContentLength()
-	if length >= 0 && length <= maxBufferedBody && a.resp.BodyStream() != nil {
+	if length >= 0 && length <= maxBufferedBody && a.call.body != nil {
 		body := make([]byte, length)
-		if _, err := io.ReadFull(a.call, body); err != nil {
+		if _, err := io.ReadFull(a, body); err != nil {
 			return fmt.Errorf("proxy: truncated response: %w", err)
 		}
 		a.pending = body
@@ -91,7 +111,7 @@
 // bufferBody reads a body of unknown length to its end, or up to the size limit. A
 // larger body is forwarded as it arrives.
 func (a *attemptResponse) bufferBody() error {
-	body, err := io.ReadAll(io.LimitReader(a.call, maxBufferedBody))
+	body, err := io.ReadAll(io.LimitReader(a, maxBufferedBody))
 	if err != nil {
 		return fmt.Errorf("proxy: truncated response: %w", err)
 	}
@@ -103,8 +123,17 @@
 	return nil
 }
 
+// Read reads the body of a response that is no stream of events. Each byte of it is progress.
+func (a *attemptResponse) Read(p []byte) (int, error) {
+	n, err := a.call.Read(p)
+	if n > 0 {
+		a.call.watch.readBody()
+	}
+	return n, err
+}
+
 func (a *attemptResponse) readChunk() error {
-	n, err := a.call.Read(a.buffer)
+	n, err := a.Read(a.buffer)
 	a.pending = a.buffer[:n]
 	if errors.Is(err, io.EOF) {
 		a.complete = true
--- a/internal/proxy/silence.go
+++ b/internal/proxy/silence.go
@@ -14,29 +14,44 @@
 	// silenceRepeat is the interval at which a silence that lasts is reported again. Until then a server may have got
 	// room for a hedge, or have gone on.
 	silenceRepeat = 250 * time.Millisecond
-	// quietAfter is the time without a byte after which a server that owes some counts as quiet. Engines send nothing for
+	// quietAfter is the time without progress after which a server that owes some counts as quiet. Engines send nothing for
 	// some hundred milliseconds while they read a long prompt.
 	quietAfter = 250 * time.Millisecond
+	// partTimeout is the time after the first bytes of a header or an event after which the rest is missing: a server that
+	// works sends them at once, and a network repeats what it has lost within less.
+	partTimeout = time.Second
 	// lateCheck is the delay from which a check is late. This process was paused, or had no processor, and first reads
 	// what has arrived meanwhile.
 	lateCheck = 100 * time.Millisecond
 )
 
-// silenceWatch reports that the backend server of an attempt has sent nothing for the attempt's timeout, while the proxy
+// silenceWatch reports that the backend server of an attempt has made no progress for the attempt's timeout, while the proxy
 // waits for bytes. The time that the caller takes to read is not counted.
+//
+// Progress is what brings the answer nearer to its end: a response header, bytes of a body, a new event. Bytes alone are
+// none: a server may send a header or an event without end, a byte now and then.
 type silenceWatch struct {
 	response *attemptResponse
 	activity *backendActivity
-	// sentAt is the time at which the request was sent. It is set before the first check.
-	sentAt int64
-	// bodyStarted is set once a byte of the response body has been read.
-	bodyStarted atomic.Bool
-	// waitingSince is the time from which the proxy waits for bytes, 0 while it does not, and lastRead the time at which
-	// bytes last arrived, 0 if none have.
-	waitingSince, lastRead atomic.Int64
 
 	mu sync.Mutex
-	// firstByte and stall are the timeouts before and after the first byte of the body; 0 means none.
+	// sentAt is the time at which the request was sent. It is set before the first check.
+	sentAt int64
+	// bodyBegun is set once a byte of a body that is no stream of events has arrived.
+	bodyBegun bool
+	// delivered is set once a part of the response was delivered to the caller.
+	delivered bool
+	// waitingSince is the time from which the proxy waits for bytes, 0 while it does not, and waited the time for which it
+	// has waited before that.
+	waitingSince int64
+	waited       time.Duration
+	// progressAt is the wait after which progress was last made. partAt is the wait after which the first bytes since then
+	// arrived, and partBytes their number, 0 if there are none.
+	progressAt, partAt time.Duration
+	partBytes          int
+	// lastRead is the time at which bytes last arrived, 0 if none have.
+	lastRead int64
+	// firstByte is the timeout until a part of the response is delivered, and stall the one between two parts; 0 means none.
 	firstByte, stall time.Duration
 	// timer is nil before the first check is scheduled, and dueAt is the time of the next one.
 	timer   *time.Timer
@@ -54,11 +69,11 @@
 
 // start begins to wait for the response.
 func (w *silenceWatch) start() {
-	w.sentAt = sinceStart()
 	w.activity = w.response.exchange.server.activities.open(w.response.attempt.Backend)
 	w.wait()
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.sentAt = w.waitingSince
 	w.schedule(cmp.Or(w.firstByte, w.stall))
 }
 
@@ -74,42 +89,98 @@
 
 // schedule schedules the next check, if after is not 0. It is called with mu held.
 func (w *silenceWatch) schedule(after time.Duration) {
+	if w.stopped || after == 0 {
+		return
+	}
 	w.dueAt = sinceStart() + int64(after)
-	switch {
-	case w.stopped, after == 0:
-	case w.timer == nil:
+	if w.timer == nil {
 		w.timer = time.AfterFunc(after, w.check)
-	default:
-		w.timer.Reset(after)
+		return
 	}
+	w.timer.Reset(after)
 }
 
 // wait records that the proxy waits for bytes, and pause that it does not.
 func (w *silenceWatch) wait() {
 	now := sinceStart()
-	w.waitingSince.Store(now)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.waitingSince = now
 	w.activity.wait(now)
 }
 
 func (w *silenceWatch) pause() {
-	w.waitingSince.Store(0)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.waited = w.totalWait()
+	w.waitingSince = 0
 	w.activity.pause()
 }
 
-// recordRead records that bytes have arrived.
-func (w *silenceWatch) recordRead() {
-	now := sinceStart()
-	w.lastRead.Store(now)
-	w.waitingSince.Store(now)
-	w.activity.lastRead.Store(now)
+// totalWait returns the time for which the proxy has waited for bytes. It is called with mu held.
+func (w *silenceWatch) totalWait() time.Duration {
+	if w.waitingSince == 0 {
+		return w.waited
+	}
+	return w.waited + time.Duration(sinceStart()-w.waitingSince)
+}
+
+// recordRead records that bytes have arrived. If the first of a part have, the rest is due.
+func (w *silenceWatch) recordRead(n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.lastRead = sinceStart()
+	if w.partBytes == 0 {
+		w.partAt = w.totalWait()
+		if untilCheck := time.Duration(w.dueAt - w.lastRead); w.timer == nil || untilCheck <= 0 || untilCheck > partTimeout {
+			w.schedule(partTimeout)
+		}
+	}
+	w.partBytes += n
+}
+
+// endPart records that the bytes up to now were a whole part that is no progress: the next part is not due.
+func (w *silenceWatch) endPart() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.partBytes = 0
+}
+
+// readBody records that bytes of a body that is no stream of events have arrived.
+func (w *silenceWatch) readBody() {
+	w.progress()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.bodyBegun = true
+}
+
+// progress records that the answer is nearer to its end.
+func (w *silenceWatch) progress() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.partBytes = 0
+	w.progressAt = w.totalWait()
+	w.activity.lastProgress.Store(sinceStart())
+}
+
+// deliver records that a part of the response was delivered.
+func (w *silenceWatch) deliver() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.delivered {
+		w.delivered = true
+		w.schedule(w.stall)
+	}
 }
 
 // sinceLastByte returns the time since bytes last arrived, or -1 if none have.
 func (w *silenceWatch) sinceLastByte() time.Duration {
-	if w.lastRead.Load() == 0 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.lastRead == 0 {
 		return -1
 	}
-	return time.Duration(sinceStart() - w.lastRead.Load())
+	return time.Duration(sinceStart() - w.lastRead)
 }
 
 // stop ends the watch.
@@ -131,52 +202,82 @@
 // check reports the silence if it has lasted for the timeout, and schedules the next check.
 func (w *silenceWatch) check() {
 	w.mu.Lock()
-	timeout, silence := w.firstByte, w.silence()
-	if w.bodyStarted.Load() {
-		timeout = w.stall
-	}
 	late := sinceStart()-w.dueAt > int64(lateCheck) && !w.postponed
 	w.postponed = late
-	silent := timeout > 0 && silence >= timeout && !late
-	log := silent && !w.logged && !w.stopped
+	left, stuck := w.untilSilent()
+	silent := left <= 0 && !late && !w.stopped
+	log := silent && !w.logged
 	w.logged = silent
 	switch {
 	case late:
 		w.schedule(lateCheck / 2)
 	case silent:
 		w.schedule(silenceRepeat)
-	case timeout > 0:
-		w.schedule(timeout - silence)
 	default:
-		w.schedule(w.stall)
+		w.schedule(left)
 	}
+	seen := w.seen(stuck)
 	w.mu.Unlock()
 	if silent {
-		w.report(silence, log)
+		w.report(seen, log)
 	}
 }
 
-// silence returns how long the server has sent nothing of the body, or 0 while the proxy does not wait for it.
-func (w *silenceWatch) silence() time.Duration {
-	since := w.waitingSince.Load()
-	if since == 0 {
-		return 0
+// noTimeout is the time until an attempt without a timeout is silent.
+const noTimeout = time.Hour
+
+// untilSilent returns the time until the attempt is silent, and whether bytes have arrived whose rest is missing. It is called
+// with mu held.
+func (w *silenceWatch) untilSilent() (left time.Duration, stuck bool) {
+	left = noTimeout
+	timeout, silence := w.stall, w.totalWait()-w.progressAt
+	if !w.delivered {
+		timeout, silence = w.firstByte, time.Duration(sinceStart()-w.sentAt)
+	}
+	switch {
+	case timeout > 0 && w.waitingSince == 0:
+		left = timeout
+	case timeout > 0:
+		left = timeout - silence
 	}
-	if !w.bodyStarted.Load() {
-		since = w.sentAt
+	if w.partBytes == 0 {
+		return left, w.bodyBegun && !w.delivered
 	}
-	return time.Duration(sinceStart() - since)
+	untilStuck := partTimeout
+	if w.waitingSince != 0 {
+		untilStuck -= w.totalWait() - w.partAt
+	}
+	return min(left, untilStuck), untilStuck <= partTimeout-quietAfter
+}
+
+// silence is what is known of a silence.
+type silence struct {
+	// sinceProgress is the time for which the proxy has waited since the last progress, and bytes is what arrived in it.
+	sinceProgress time.Duration
+	bytes         int
+	delivered     bool
+	// stuck is set if a part of the response was begun whose rest is missing.
+	stuck bool
 }
 
-func (w *silenceWatch) report(silence time.Duration, log bool) {
+// seen returns what is known of the silence. It is called with mu held.
+func (w *silenceWatch) seen(stuck bool) silence {
+	return silence{sinceProgress: w.totalWait() - w.progressAt, bytes: w.partBytes, delivered: w.delivered, stuck: stuck}
+}
+
+func (w *silenceWatch) report(s silence, log bool) {
 	a, x := w.response, w.response.exchange
 	quiet := x.server.activities.quiet(a.attempt.Backend)
 	if log {
 		x.server.log.put("backend server silent", "request", x.id, "attempt", a.attempt.Attempt, "backend", a.attempt.Backend,
-			"silentMs", silence.Milliseconds(), "bodyStarted", w.bodyStarted.Load(), "quietServers", len(quiet))
+			"silentMs", s.sinceProgress.Milliseconds(), "bytes", s.bytes, "stuck", s.stuck, "delivered", s.delivered, "quietServers", len(quiet))
+	}
+	lastEvent := x.race.lastEventID()
+	if s.stuck && !x.race.begun() {
+		lastEvent = "" // The stream can begin anew elsewhere.
 	}
 	x.server.post(core.AttemptSilent{
-		Request: x.id, Attempt: a.attempt.Attempt, LastEventID: x.race.lastEventID(), Quiet: quiet,
+		Request: x.id, Attempt: a.attempt.Attempt, LastEventID: lastEvent, Quiet: quiet, Stuck: s.stuck,
 	})
 }
 
@@ -194,8 +295,8 @@
 	// waiting counts the attempts that wait for bytes, and waitingSince is the time at which the first of them began to.
 	waiting      atomic.Int32
 	waitingSince atomic.Int64
-	// lastRead is the time of the last byte.
-	lastRead atomic.Int64
+	// lastProgress is the time at which one of its responses last made progress.
+	lastProgress atomic.Int64
 }
 
 func (b *backendActivity) wait(now int64) {
@@ -206,9 +307,9 @@
 
 func (b *backendActivity) pause() { b.waiting.Add(-1) }
 
-// quiet reports whether the server owes bytes and has sent none for quietAfter.
+// quiet reports whether the server owes bytes and has made no progress for quietAfter.
 func (b *backendActivity) quiet(now int64) bool {
-	last := max(b.lastRead.Load(), b.waitingSince.Load())
+	last := max(b.lastProgress.Load(), b.waitingSince.Load())
 	return b.waiting.Load() > 0 && now-last >= int64(quietAfter)
 }
 
