Close idle connections to backend servers on which bytes arrive

What a server sends after a whole answer stayed in the kernel's buffers until the connection's next use: 3 of 3 such connections were open three seconds later (TestConnectionsOfBytesWithoutEndAreClosed). Idle connections are now looked at each second while there are any.

--- a/internal/proxy/connpool.go
+++ b/internal/proxy/connpool.go
@@ -9,6 +9,10 @@
 	"github.com/valyala/fasthttp"
 )
 
+// idleCheckInterval is the interval at which idle connections are checked: what a server sends on one belongs to no
+// response, and would fill the kernel's buffers.
+const idleCheckInterval = time.Second
+
 // errNoIdleConn means that the client library's pool holds no idle connection to a server.
 var errNoIdleConn = errors.New("proxy: no idle connection")
 
@@ -18,6 +22,12 @@
 type connPool struct {
 	mu       sync.Mutex
 	adopting net.Conn
+
+	// idleMu guards idleConns, the connections that no call uses, and idleCheck, which checks them, nil before the first
+	// one. It is scheduled while there are any.
+	idleMu    sync.Mutex
+	idleConns map[*backendConn]struct{}
+	idleCheck *time.Timer
 }
 
 // pooledConn is a connection of the pool. Release returns it to the pool if reuse is set, or closes it.
@@ -78,11 +88,53 @@
 		hc.CloseConn(cc)
 		return pooledConn{}, errors.New("proxy: unexpected connection type")
 	}
+	p.removeIdle(conn)
 	return pooledConn{conn: conn, release: func(reuse bool) {
 		if reuse {
+			p.addIdle(conn)
 			hc.ReleaseConn(cc)
 			return
 		}
 		hc.CloseConn(cc)
 	}}, nil
 }
+
+// addIdle records that no call uses a connection.
+func (p *connPool) addIdle(conn *backendConn) {
+	p.idleMu.Lock()
+	defer p.idleMu.Unlock()
+	if p.idleConns == nil {
+		p.idleConns = make(map[*backendConn]struct{})
+	}
+	p.idleConns[conn] = struct{}{}
+	if len(p.idleConns) > 1 {
+		return
+	}
+	if p.idleCheck == nil {
+		p.idleCheck = time.AfterFunc(idleCheckInterval, p.checkIdle)
+		return
+	}
+	p.idleCheck.Reset(idleCheckInterval)
+}
+
+// removeIdle records that a call is about to use a connection.
+func (p *connPool) removeIdle(conn *backendConn) {
+	p.idleMu.Lock()
+	defer p.idleMu.Unlock()
+	delete(p.idleConns, conn)
+}
+
+// checkIdle closes the idle connections that have ended or on which bytes have arrived.
+func (p *connPool) checkIdle() {
+	p.idleMu.Lock()
+	defer p.idleMu.Unlock()
+	for conn := range p.idleConns {
+		if !conn.openAndSilent() {
+			conn.reset()
+			delete(p.idleConns, conn)
+		}
+	}
+	if len(p.idleConns) > 0 {
+		p.idleCheck.Reset(idleCheckInterval)
+	}
+}
