--- a/internal/proxy/endlessfleet_test.go
+++ b/internal/proxy/endlessfleet_test.go
@@ -171,7 +171,7 @@
 	switch {
 	case e.answers:
 		return answered
-	case p.alone, p.once && !e.refuses:
+	case p.alone, e.advances, p.once && !e.refuses:
 		return boundedOnly
 	case p.native && p.stream && e.deliversUnbuffered:
 		return answered // The end mark precedes the bytes without end.
--- a/internal/proxy/endlessrows_test.go
+++ b/internal/proxy/endlessrows_test.go
@@ -50,6 +50,8 @@
 	// delivers is set if the caller gets a part of the answer before the bytes without end, and deliversUnbuffered if so where
 	// short answers are not buffered.
 	delivers, deliversUnbuffered bool
+	// advances is set if each unit brings the answer nearer.
+	advances bool
 	// slowOnly is set if the unit ends an answer in time at full speed.
 	slowOnly bool
 	// answers is set if a whole answer precedes the bytes without end.
@@ -171,6 +173,7 @@
 	return append(rows,
 		endless{name: "comments after the last event", start: head + chunk(soundEvents), unit: chunk(": keep-alive, wait\n\n"), body: true, deliversUnbuffered: true},
 		endless{name: "bytes after a whole stream", start: head + chunk(soundEvents) + lastChunk, unit: "this belongs to no request.\r\n\r\n", answers: true},
+		endless{name: "events", start: head, unit: chunk("data: one more event\n\n"), body: true, delivers: true, advances: true},
 		endless{name: "repeated events", start: head + chunk(firstEvent), unit: chunk(firstEvent), body: true, delivers: true},
 		endless{name: "zeros of a later chunk's size", start: head + chunk(firstEvent), unit: strings.Repeat("0", 30), delivers: true},
 		endless{name: "stream ended by the close", start: statusOK + eventFields + "Connection: close\r\n\r\n", unit: ": keep-alive, go on waiting\n\n", body: true},
