Leave servers that begin a response and do not finish it, over relays too

Of 24 requests 15 went to a server that begins a body or a chunk's line and sends the rest a byte now and then, over a relay as well: the hedge delivered before the rest was missed, and over a relay no silence counts. A part that is pending when the attempt is silent, or a request that the server does not read, now counts as a fault; bytes that arrive show that the path is not what is silent. A change of protocol is no answer. Connections to a server that sends more than a response on one are not reused for 10 s: a request that may run once was sent on such a one just before the bytes arrived, and lost.

--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -138,8 +138,9 @@
 	// Quiet are the backend servers that owe this instance bytes and have sent none for a while, sorted. They may be
 	// silent too.
 	Quiet []string `json:"quiet,omitempty"`
-	// Stuck is set if bytes have arrived that are a part of a header or of an event, and the rest has not for longer than a
-	// server that works takes.
+	// Heard is set if bytes have arrived since the response last came further: its server is reached.
+	Heard bool `json:"heard,omitempty"`
+	// Stuck is set if such bytes are a part of the response, such as of a header or an event, whose rest is missing.
 	Stuck bool `json:"stuck,omitempty"`
 }
 
--- a/internal/core/hedges.go
+++ b/internal/core/hedges.go
@@ -22,20 +22,14 @@
 	labelHedgeNone   = "no-server"
 )
 
-// attemptSilent counts the first silence of an attempt as a failure of its server. It starts a hedge if all attempts in
+// attemptSilent starts a hedge if all attempts in
 // progress are silent and another server may serve the request. The proxy reports again if none can be started now.
 func (n *Node) attemptSilent(e AttemptSilent) {
 	r := n.requests[e.Request]
 	if r == nil || r.callerGone || !r.selectAttempt(e.Attempt) {
 		return
 	}
-	if !r.silent {
-		r.silent = true
-		n.countOutcome(r, retry.Superseded)
-	}
-	if e.Stuck {
-		n.countFault(r)
-	}
+	n.countSilence(r, &e)
 	if !n.now.Before(r.deadline) || !r.mayHedge(&e) || n.poison.tracker.Stops(&r.poison, r.runs+r.inProgress()) {
 		return
 	}
@@ -46,6 +40,22 @@
 	n.hedge(r, e)
 }
 
+// countSilence counts the first silence of an attempt as a failure of its server. If bytes have arrived, the path is not what
+// is silent.
+func (n *Node) countSilence(r *request, e *AttemptSilent) {
+	switch {
+	case r.silent:
+	case e.Heard:
+		n.countOutcomeAtServer(r, retry.Superseded)
+	default:
+		n.countOutcome(r, retry.Superseded)
+	}
+	r.silent = true
+	if e.Stuck {
+		n.countFault(r)
+	}
+}
+
 // mayHedge reports whether a further attempt may run beside those in progress. What a silence of a request without a route
 // means is not known, since nobody says how long it may take; it is hedged at another server only if its server is stuck.
 func (r *request) mayHedge(e *AttemptSilent) bool {
--- a/internal/core/outliers.go
+++ b/internal/core/outliers.go
@@ -51,7 +51,14 @@
 // ignores attempts that did not reach the server, those whose caller disconnected and those that may
 // have failed on the way: peers would take this instance's lost path for a failing server.
 func (n *Node) countOutcome(r *request, outcome retry.Outcome) {
-	if r.outcomeCounted || r.callerGone || outcome == retry.NotSent || n.pathIsSuspect(r, outcome) {
+	if !n.pathIsSuspect(r, outcome) {
+		n.countOutcomeAtServer(r, outcome)
+	}
+}
+
+// countOutcomeAtServer is countOutcome for an outcome that is not due to the path.
+func (n *Node) countOutcomeAtServer(r *request, outcome retry.Outcome) {
+	if r.outcomeCounted || r.callerGone || outcome == retry.NotSent {
 		return
 	}
 	r.outcomeCounted = true
--- a/internal/core/quarantine/quarantine.go
+++ b/internal/core/quarantine/quarantine.go
@@ -11,7 +11,7 @@
 	// server may spoil a response now and then.
 	minFaults = 2
 	// minHold is the time for which a server is first left. It doubles with each fault after that, up to maxHold.
-	minHold = time.Second
+	minHold = 2 * time.Second
 	maxHold = 16 * time.Second
 	// memory is the time after a hold for which faults are remembered.
 	memory = time.Minute
--- a/internal/proxy/attemptresponse.go
+++ b/internal/proxy/attemptresponse.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"math"
+	"net/http"
 	"net/url"
 	"time"
 
@@ -135,6 +136,10 @@
 		a.abort(retry.Spoiled, "", errMismatched)
 		return false
 	}
+	if a.status == http.StatusSwitchingProtocols {
+		a.abort(retry.Broken, "", errSwitched)
+		return false
+	}
 	if a.cannotEnd() {
 		a.abort(retry.Broken, "", errNoFraming)
 		return false
--- a/internal/proxy/connpool.go
+++ b/internal/proxy/connpool.go
@@ -13,6 +13,10 @@
 // response, and would fill the kernel's buffers.
 const idleCheckInterval = time.Second
 
+// distrustTime is the time for which connections to a server are not used again after it has sent more than a response on
+// one: such bytes may arrive just as the next request is sent, which would then be lost.
+const distrustTime = 10 * time.Second
+
 // errNoIdleConn means that the client library's pool holds no idle connection to a server.
 var errNoIdleConn = errors.New("proxy: no idle connection")
 
@@ -28,6 +32,8 @@
 	idleMu    sync.Mutex
 	idleConns map[*backendConn]struct{}
 	idleCheck *time.Timer
+	// distrusted holds the times until which connections to addresses are not used again. It is guarded by idleMu.
+	distrusted map[string]time.Time
 }
 
 // pooledConn is a connection of the pool. Release returns it to the pool if reuse is set, or closes it.
@@ -138,3 +144,24 @@
 		p.idleCheck.Reset(idleCheckInterval)
 	}
 }
+
+// distrust records that a server has sent more than a response.
+func (p *connPool) distrust(address string, now time.Time) {
+	p.idleMu.Lock()
+	defer p.idleMu.Unlock()
+	if p.distrusted == nil {
+		p.distrusted = make(map[string]time.Time)
+	}
+	p.distrusted[address] = now.Add(distrustTime)
+}
+
+// trusts reports whether connections to a server may be used again.
+func (p *connPool) trusts(address string, now time.Time) bool {
+	p.idleMu.Lock()
+	defer p.idleMu.Unlock()
+	until, distrusted := p.distrusted[address]
+	if distrusted && !now.Before(until) {
+		delete(p.distrusted, address)
+	}
+	return !distrusted || !now.Before(until)
+}
--- a/internal/proxy/silence.go
+++ b/internal/proxy/silence.go
@@ -37,6 +37,8 @@
 	mu sync.Mutex
 	// sentAt is the time at which the request was sent. It is set before the first check.
 	sentAt int64
+	// sending is set while the request is sent: a server that does not read it has taken a part.
+	sending bool
 	// bodyBegun is set once a byte of a body that is no stream of events has arrived.
 	bodyBegun bool
 	// delivered is set once a part of the response was delivered to the caller.
@@ -45,10 +47,12 @@
 	// has waited before that.
 	waitingSince int64
 	waited       time.Duration
-	// progressAt is the wait after which progress was last made. partAt is the wait after which the first bytes since then
-	// arrived, and partBytes their number, 0 if there are none.
-	progressAt, partAt time.Duration
-	partBytes          int
+	// progressAt is the wait after which progress was last made, and bytes the number of bytes since then.
+	progressAt time.Duration
+	bytes      int
+	// partAt is the wait after which the first bytes of an unfinished part arrived, and partBytes their number.
+	partAt    time.Duration
+	partBytes int
 	// lastRead is the time at which bytes last arrived, 0 if none have.
 	lastRead int64
 	// firstByte is the timeout until a part of the response is delivered, and stall the one between two parts; 0 means none.
@@ -137,6 +141,14 @@
 		}
 	}
 	w.partBytes += n
+	w.bytes += n
+}
+
+// setSending records whether the request is being sent.
+func (w *silenceWatch) setSending(sending bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.sending = sending
 }
 
 // endPart records that the bytes up to now were a whole part that is no progress: the next part is not due.
@@ -158,7 +170,7 @@
 func (w *silenceWatch) progress() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.partBytes = 0
+	w.partBytes, w.bytes = 0, 0
 	w.progressAt = w.totalWait()
 	w.activity.lastProgress.Store(sinceStart())
 }
@@ -226,8 +238,8 @@
 // noTimeout is the time until an attempt without a timeout is silent.
 const noTimeout = time.Hour
 
-// untilSilent returns the time until the attempt is silent, and whether bytes have arrived whose rest is missing. It is called
-// with mu held.
+// untilSilent returns the time until the attempt is silent, and whether a part of the request or the response is missing its
+// rest. It is called with mu held.
 func (w *silenceWatch) untilSilent() (left time.Duration, stuck bool) {
 	left = noTimeout
 	timeout, silence := w.stall, w.totalWait()-w.progressAt
@@ -241,13 +253,13 @@
 		left = timeout - silence
 	}
 	if w.partBytes == 0 {
-		return left, w.bodyBegun && !w.delivered
+		return left, w.sending || w.bodyBegun && !w.delivered
 	}
 	untilStuck := partTimeout
 	if w.waitingSince != 0 {
 		untilStuck -= w.totalWait() - w.partAt
 	}
-	return min(left, untilStuck), untilStuck <= partTimeout-quietAfter
+	return min(left, untilStuck), true
 }
 
 // silence is what is known of a silence.
@@ -262,7 +274,7 @@
 
 // seen returns what is known of the silence. It is called with mu held.
 func (w *silenceWatch) seen(stuck bool) silence {
-	return silence{sinceProgress: w.totalWait() - w.progressAt, bytes: w.partBytes, delivered: w.delivered, stuck: stuck}
+	return silence{sinceProgress: w.totalWait() - w.progressAt, bytes: w.bytes, delivered: w.delivered, stuck: stuck}
 }
 
 func (w *silenceWatch) report(s silence, log bool) {
@@ -277,7 +289,8 @@
 		lastEvent = "" // The stream can begin anew elsewhere.
 	}
 	x.server.post(core.AttemptSilent{
-		Request: x.id, Attempt: a.attempt.Attempt, LastEventID: lastEvent, Quiet: quiet, Stuck: s.stuck,
+		Request: x.id, Attempt: a.attempt.Attempt, LastEventID: lastEvent, Quiet: quiet,
+		Heard: s.bytes > 0, Stuck: s.stuck,
 	})
 }
 
--- a/internal/proxy/transport.go
+++ b/internal/proxy/transport.go
@@ -29,6 +29,7 @@
 	// errMalformed means that the bytes that arrived are no response, or no more of one.
 	errMalformed    = errors.New("proxy: malformed response")
 	errBodyTooLarge = fmt.Errorf("%w: body over the size limit", errMalformed)
+	errSwitched     = fmt.Errorf("%w: change of protocol", errMalformed)
 	errNoFraming    = fmt.Errorf("%w: body without a length or chunks", errMalformed)
 )
 
@@ -244,13 +245,7 @@
 	}
 	c.watch.wait()
 	defer c.watch.pause()
-	out := c.host.AcquireWriter(c.conn)
-	err := req.Write(out)
-	if err == nil {
-		err = out.Flush()
-	}
-	c.host.ReleaseWriter(out)
-	if err != nil {
+	if err := c.send(req); err != nil {
 		return fmt.Errorf("proxy: send: %w", err)
 	}
 	c.reader = c.host.AcquireReader(c.conn)
@@ -266,6 +261,18 @@
 	return nil
 }
 
+// send writes the whole request.
+func (c *call) send(req *fasthttp.Request) error {
+	c.watch.setSending(true)
+	defer c.watch.setSending(false)
+	out := c.host.AcquireWriter(c.conn)
+	defer c.host.ReleaseWriter(out)
+	if err := req.Write(out); err != nil {
+		return err
+	}
+	return out.Flush()
+}
+
 // responseStart is what each response begins with.
 const responseStart = "HTTP/1."
 
@@ -369,8 +376,12 @@
 	if !whole {
 		conn.reset()
 	}
-	reuse := whole && intact && c.hasFramedEnd() && c.reader != nil && c.readChunksEnd(conn) && c.reader.Buffered() == 0 &&
+	reuse := whole && intact && c.hasFramedEnd() && c.reader != nil && c.readChunksEnd(conn) &&
 		c.resp != nil && !c.resp.ConnectionClose()
+	if reuse && c.reader.Buffered() > 0 {
+		c.pool.distrust(c.host.Addr, c.now())
+	}
+	reuse = reuse && c.pool.trusts(c.host.Addr, c.now())
 	conn.idleSince = c.now()
 	if c.reader != nil {
 		c.host.ReleaseReader(c.reader)
