Soak: judge requests that were not passed on, and callers on kept connections

The rule has a second half that no check judged: a request that an instance has read whole and not passed on gets a response, or its connection ends within 200 ms of its last byte. New callers keep their connections, send their requests in pieces, and one in three sends a second request before the first is answered. The check uses the windows of the check for lost requests.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -60,7 +60,7 @@
 	}
 	startedAt := w.recorder.elapsed()
 	w.recordSent(i, kind, id)
-	resp, err := client.Do(req)
+	resp, err := client.Do(w.traceWholeSent(req, id))
 	w.checkResponseTime(i, id, startedAt, err)
 	if err != nil {
 		w.recordCut(id, err)
@@ -93,7 +93,7 @@
 	default:
 		w.recorder.count("failed")
 		if fakeplatform.SealOf(resp) != expectedSeal(id) {
-			w.recordCut(id, fmt.Errorf("status %s", resp.Status))
+			w.recordCut(id, failureStatus(resp.Status))
 		}
 	}
 }
--- a/internal/soak/lost.go
+++ b/internal/soak/lost.go
@@ -40,11 +40,21 @@
 	kind     string
 	instance *instance
 	sentAt   time.Duration
+	// wholeAt is when its last byte was sent, 0 if that is not known.
+	wholeAt time.Duration
 	// endedAt and cut are set if the request ended without a whole answer; cut says how.
 	endedAt time.Duration
 	cut     string
+	// answered is set if it ended with a failure's whole response.
+	answered bool
 }
 
+// failureStatus is the status of a response that the fleet generated for a request that failed.
+type failureStatus string
+
+// Error implements error.
+func (s failureStatus) Error() string { return "status " + string(s) }
+
 // serverRun is a run of a request at a backend server.
 type serverRun struct {
 	server    *backend
@@ -93,6 +103,7 @@
 	defer l.mu.Unlock()
 	if p := l.requests[id]; p != nil {
 		p.endedAt, p.cut = w.recorder.elapsed(), how.Error()
+		p.answered = errors.As(how, new(failureStatus))
 	}
 }
 
--- a/internal/soak/streams.go
+++ b/internal/soak/streams.go
@@ -126,7 +126,7 @@
 		}
 	}()
 	w.recordSent(i, kindStream, id)
-	resp, err := client.Do(req)
+	resp, err := client.Do(w.traceWholeSent(req, id))
 	w.checkResponseTime(i, id, startedAt, err)
 	if err != nil {
 		w.recordCut(id, err)
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -170,6 +170,9 @@
 	for n := range o.Callers {
 		callers.Go(func() { w.runCaller(callCtx, n) })
 	}
+	for n := range max(1, o.Callers/callersPerWireCaller) {
+		callers.Go(func() { w.runWireCaller(callCtx, n) })
+	}
 	callers.Go(func() { w.probeVersions(callCtx) })
 	inject := w.injectPauses
 	if o.Faults != FaultsPauses {
@@ -189,6 +192,7 @@
 	w.checkSharing()
 	w.checkCrowded()
 	w.checkLost()
+	w.checkUnanswered()
 	w.recorder.mu.Lock()
 	defer w.recorder.mu.Unlock()
 	return &Result{Violations: w.recorder.violations, Counts: w.recorder.counts}, nil
