Tests that fail: requests that wait when the grace time ends get no answer

A request that waits for a claim, for the start, or for a connection when the process ends, is cut without an answer though no server is at work on it. A retry, or a request on a kept connection, may start an attempt that the end of the process cuts. A listener whose balancer still sends connections, or whose accept delay exceeds the grace time, stays open until the kill.

--- a/internal/core/effect.go
+++ b/internal/core/effect.go
@@ -259,7 +259,10 @@
 }
 
 // CloseListener stops accepting connections from callers.
-type CloseListener struct{}
+type CloseListener struct {
+	// AtOnce is set if the process ends so soon that the listener cannot wait until no connections arrive.
+	AtOnce bool `json:"at_once,omitempty"`
+}
 
 // Stopped reports that the shutdown is complete and the process may exit.
 type Stopped struct{}
--- /dev/null
+++ b/internal/core/stopwaiters_test.go
@@ -0,0 +1,107 @@
+package core_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/ebonydyke/ebonydyke/internal/core"
+	"github.com/ebonydyke/ebonydyke/internal/core/reason"
+	"github.com/ebonydyke/ebonydyke/internal/core/retry"
+)
+
+const (
+	// shortGrace is the grace time of these tests. It ends before a claim is given up, soon after the listener closes.
+	shortGrace = 3 * time.Second
+	// answerMargin is how long before the kill a request must have its answer, so that it is delivered.
+	answerMargin = 450 * time.Millisecond
+)
+
+// stopAndWait requests the stop of the node and advances the time by wait.
+func (r *nodeDriver) stopAndWait(wait time.Duration) {
+	r.handle(core.StopGraceSet{Grace: shortGrace})
+	r.handle(core.StopRequested{})
+	r.advance(wait)
+}
+
+// claimRequest sends a request whose idempotency key must be claimed first. The store does not answer.
+func (r *nodeDriver) claimRequest() []core.Effect {
+	return r.handle(core.RequestArrived{
+		Request: "waits", Service: "portal", Customer: "bakery", NonIdempotent: true, Key: "note-1", Deadline: r.now.Add(time.Minute),
+	})
+}
+
+// Guards against callers whose connection ends without an answer at the end of the grace time, because their request
+// waits at that moment and no backend server is at work on it.
+func TestWaitingRequestsAreRefusedBeforeProcessEnds(t *testing.T) {
+	for name, c := range map[string]struct {
+		sendAfter time.Duration
+		start     func(*testing.T) *nodeDriver
+		send      func(*nodeDriver) []core.Effect
+	}{
+		"for a claim":            {time.Second, stoppableDriver, (*nodeDriver).claimRequest},
+		"for a claim, sent late": {2400 * time.Millisecond, stoppableDriver, (*nodeDriver).claimRequest},
+		"for the start": {2300 * time.Millisecond, newStartingNodeDriver, func(r *nodeDriver) []core.Effect {
+			return r.sendWithDeadline("waits", time.Minute)
+		}},
+		"for the start, without a deadline": {2300 * time.Millisecond, newStartingNodeDriver, func(r *nodeDriver) []core.Effect {
+			return r.sendWithDeadline("waits", 0)
+		}},
+		"for a stream lookup": {2350 * time.Millisecond, stoppableStreamDriver, func(r *nodeDriver) []core.Effect {
+			return r.sendStream("waits", "key-1", after("unknown"))
+		}},
+		"for a connection": {2300 * time.Millisecond, stoppableDriver, func(r *nodeDriver) []core.Effect {
+			effects := r.sendRequest("/question/x", "key-1")
+			for n := 0; n < 3 && len(effectsOf[core.SendAttempt](effects)) > 0; n++ {
+				sent := onlyEffect[core.SendAttempt](t, effects)
+				effects = append(r.advance(100*time.Millisecond), r.endAttempt(sent, retry.NotSent)...)
+			}
+			return effects
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := c.start(t)
+			stoppedAt := r.now
+			r.stopAndWait(c.sendAfter)
+			effects := c.send(r)
+			effects = append(effects, r.advance(stoppedAt.Add(shortGrace-answerMargin).Sub(r.now))...)
+			finish := onlyEffect[core.Finish](t, effects)
+			require.Equal(t, reason.NotRun, finish.Outcome)
+			require.Empty(t, effectsOf[core.Finish](r.advance(time.Minute)), "a second answer")
+		})
+	}
+}
+
+func stoppableDriver(t *testing.T) *nodeDriver { return newNodeDriver(t, 4) }
+
+func stoppableStreamDriver(t *testing.T) *nodeDriver { return newStreamDriver(t, true) }
+
+// Guards against an attempt that starts so late that the end of the process cuts it, though its request could be sent
+// elsewhere.
+func TestNoAttemptStartsAtEndOfGrace(t *testing.T) {
+	r := newNodeDriver(t, 4)
+	sent := onlyEffect[core.SendAttempt](t, r.sendRequest("/question/x", "key-1"))
+	r.stopAndWait(shortGrace - time.Second)
+	requireRefused(t, r.endAttempt(sent, retry.Refused), reason.Stopping)
+	requireRefused(t, r.sendRequest("/question/y", "key-1"), reason.Stopping)
+	short := onlyEffect[core.SendAttempt](t, r.handle(core.RequestArrived{
+		Request: "short", Host: "h.example", Path: "/question/z", APIKey: "key-1", Deadline: r.now.Add(400 * time.Millisecond),
+	}))
+	require.Len(t, effectsOf[core.SendAttempt](r.endAttempt(short, retry.Refused)), 1, "its deadline passes before the process ends")
+}
+
+// Guards against callers who connect while a stopping instance waits for its listener to become quiet, and get nothing
+// because the process ends first.
+func TestListenerClosesBeforeProcessEnds(t *testing.T) {
+	for name, grace := range map[string]time.Duration{"long": 8 * time.Second, "shorter than the accept delay": 2 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			r := newNodeDriver(t, 2)
+			r.handle(core.StopGraceSet{Grace: grace})
+			r.handle(core.StopRequested{})
+			closes := effectsOf[core.CloseListener](r.advance(grace - time.Second))
+			require.NotEmpty(t, closes)
+			require.True(t, closes[len(closes)-1].AtOnce)
+		})
+	}
+}
