Soak: servers without framing read the request before they close

They closed the connection with bytes of a longer request unread. The callers that send longer bodies are new.

--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"hash/fnv"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -162,6 +163,8 @@
 
 // respondUnframed responds without a length or chunks.
 func (b *backend) respondUnframed(w http.ResponseWriter, r *http.Request, attempt fakeplatform.Attempt, kind string) {
+	// A close with unread bytes would be a reset.
+	_, _ = io.Copy(io.Discard, r.Body)
 	u, err := takeOver(w)
 	if err != nil {
 		panic(http.ErrAbortHandler)
