--- a/internal/soak/wirecallers.go
+++ b/internal/soak/wirecallers.go
@@ -46,7 +46,6 @@
 // wireRequest is a request on the wire.
 type wireRequest struct {
 	id, kind string
-	startAt  time.Duration
 	text     []byte
 	request  *http.Request
 }
--- a/test/fleet/harness_test.go
+++ b/test/fleet/harness_test.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -101,8 +102,10 @@
 	name, zone                      string
 	callerAddr, peerAddr, adminAddr string
 	settingsFile                    string
-	process                         *exec.Cmd
-	exited                          chan struct{}
+	// ownSettings are added to those of every instance.
+	ownSettings map[string]any
+	process     *exec.Cmd
+	exited      chan struct{}
 }
 
 func (i *instance) signal(t *testing.T, s syscall.Signal) {
@@ -262,11 +265,13 @@
 }
 
 func (f *fleet) start(i *instance) {
-	settings, err := json.Marshal(map[string]string{
+	all := map[string]any{
 		"name": i.name, "zone": i.zone, "listen": i.callerAddr, "peer_listen": i.peerAddr,
 		"admin_listen": i.adminAddr, "platform": "http://" + f.storeRelays[i.zone].Address(),
 		"accept_delay": "200ms",
-	})
+	}
+	maps.Copy(all, i.ownSettings)
+	settings, err := json.Marshal(all)
 	require.NoError(f.t, err)
 	i.settingsFile = filepath.Join(f.t.TempDir(), i.name+".json")
 	require.NoError(f.t, os.WriteFile(i.settingsFile, settings, 0o600))
