Close the listener before the grace time ends, and end with it

What callers saw: while a balancer still sent new connections to a stopping instance, their last request got no byte, and its connection ended 285 ms after its last byte, when the process was killed.

Cause: the listener closes only once no connection has arrived for a while. If the grace time ends before that, the core's loop ends and the process waits for the listener, which nobody closes any more. It goes on accepting connections and reading requests that no one gets, until the kill.

TestListenerClosesBeforeProcessEnds failed in both cases and passes. In TestStoppingInstanceLeavesNoRequestUnanswered the two cases 'until the end' failed (the process had to be killed; 284 and 285 ms) and pass (the process ends by itself; 19 answered, 34 refused, none without an end). Its two cases of a second request on a connection still fail.

--- a/internal/core/stop.go
+++ b/internal/core/stop.go
@@ -25,9 +25,10 @@
 	stopping bool
 	closeAt  time.Time
 	// killAt is when the process will be killed, zero if it will not.
-	killAt  time.Time
-	closed  bool
-	stopped bool
+	killAt time.Time
+	// closed is set once the listener closes, and closedAtOnce once it does so without waiting.
+	closed, closedAtOnce bool
+	stopped              bool
 }
 
 // stopRequested begins the graceful shutdown. The instance first reports not ready and
@@ -82,6 +83,7 @@
 	}
 	if n.graceEnding() {
 		n.refuseWaiting()
+		n.closeListenerAtOnce()
 	}
 	if s.stopped || n.now.Before(s.closeAt) {
 		return
@@ -95,3 +97,13 @@
 		n.emit(Stopped{})
 	}
 }
+
+// closeListenerAtOnce closes the listener, also if it still waits until no connections arrive.
+func (n *Node) closeListenerAtOnce() {
+	s := &n.lifecycle
+	if s.closedAtOnce {
+		return
+	}
+	s.closed, s.closedAtOnce = true, true
+	n.emit(CloseListener{AtOnce: true})
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -64,7 +64,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return links.Run(ctx) })
 	group.Go(func() error { return loop.Run(ctx, exec) })
-	group.Go(func() error { return server.Serve(listeners.callers) })
+	group.Go(func() error { return serveCallers(ctx, listeners.callers, server) })
 	group.Go(func() error { return serveAdmin(ctx, listeners.operators, loop, counters) })
 	group.Go(func() error { return serveReady(ctx, listeners.ready, loop) })
 	group.Go(func() error { return reload.run(ctx) })
@@ -144,6 +144,14 @@
 	}
 }
 
+// serveCallers serves callers until their listener is closed. At the latest that is when the process ends: it must not
+// accept requests that the core no longer gets.
+func serveCallers(ctx context.Context, l net.Listener, server *proxy.Server) error {
+	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
+	defer stop()
+	return server.Serve(l)
+}
+
 // dialect returns the callers' interface that the settings select.
 func dialect(s *settings.Settings) proxy.Dialect {
 	if s.Dialect == settings.DialectPlatform {
--- a/internal/daemon/executor.go
+++ b/internal/daemon/executor.go
@@ -52,7 +52,7 @@
 	case core.SetReady:
 		x.proxy.SetReady(e.Ready)
 	case core.CloseListener:
-		go x.proxy.CloseListener()
+		x.closeListener(e)
 	case core.PollReport:
 		go x.pollReport(e)
 	case core.Stopped:
@@ -60,6 +60,14 @@
 	}
 }
 
+func (x *executor) closeListener(e core.CloseListener) {
+	if e.AtOnce {
+		go x.proxy.CloseListenerAtOnce()
+		return
+	}
+	go x.proxy.CloseListener()
+}
+
 // startStoreCall starts a store call if the effect is one, and reports whether it is.
 func (x *executor) startStoreCall(effect core.Effect) bool {
 	switch e := effect.(type) {
--- a/internal/proxy/listener.go
+++ b/internal/proxy/listener.go
@@ -55,11 +55,27 @@
 	go s.Drain()
 }
 
+// CloseListenerAtOnce closes the listener as CloseListener does, but does not wait until no connections arrive. It ends such
+// a wait.
+func (s *Server) CloseListenerAtOnce() {
+	s.mu.Lock()
+	s.closeAtOnce = true
+	waiting := s.closing
+	s.mu.Unlock()
+	if !waiting {
+		s.CloseListener()
+	}
+}
+
 // acceptsQuiet reports whether no connection has arrived for AcceptQuiet, or whether the wait
 // has exceeded AcceptMax: some client then connects regardless of readiness.
 func (s *Server) acceptsQuiet(begun time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.closeAtOnce {
+		klog.InfoS("closing the listener before the process ends", "sinceLastAccept", time.Since(s.lastAccept))
+		return true
+	}
 	if time.Since(begun) > s.options.AcceptMax {
 		klog.InfoS("closing the listener although new connections still arrive", "waited", s.options.AcceptMax)
 		return true
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -44,6 +44,8 @@
 	conns     map[*callerConn]struct{}
 	listener  net.Listener
 	closing   bool
+	// closeAtOnce is set once the listener closes whether or not connections still arrive.
+	closeAtOnce bool
 	// lastAccept is the time of the last new connection.
 	lastAccept time.Time
 	// acceptEnded is set once the accept loop has ended.
