Close no caller's connection while a further request waits on it

What callers saw: a request that was sent on a kept connection before the one before it was answered got nothing if the instance stopped. The instance had read the second one whole: ahead, to notice a caller who leaves, or in the HTTP library's buffer.

Cause: whether an answer closes the connection was decided when its request arrived, and without regard to what follows on the connection.

Change: it is decided when the answer is ready, and only if no byte of a further request has arrived. The further one is then answered or refused, and its answer closes the connection. Whether the library holds such bytes is counted: what it has read, less the size of the requests that were processed. Of a body in chunks the size is not known; what the library has read behind it is not noticed, what is read ahead is.

TestStoppingInstanceLeavesNoRequestUnanswered failed in its last two cases and passes. With the wait ignored, the cases with a second request of TestResponseClosesConnectionUnlessRequestWaits fail (run by hand); the others, which must close, pass in both.

--- a/internal/proxy/callerconn.go
+++ b/internal/proxy/callerconn.go
@@ -38,6 +38,7 @@
 	server *Server
 	// readAhead holds bytes that watchClose has read.
 	readAhead []byte
+	next      nextRequest
 
 	mu sync.Mutex
 	// idleSince is zero while a request is read or processed.
@@ -57,17 +58,18 @@
 	if len(c.readAhead) > 0 {
 		n := copy(p, c.readAhead)
 		c.readAhead = c.readAhead[n:]
-		c.markBusy()
+		c.next.ahead.Store(len(c.readAhead) > 0)
+		c.markRead(n)
 		return n, nil
 	}
 	n, err := c.Conn.Read(p)
 	if n > 0 {
-		c.markBusy()
+		c.markRead(n)
 		return n, err
 	}
 	if isTimeout(err) && c.isRetired() {
 		if n := c.readAvailable(p); n > 0 {
-			c.markBusy()
+			c.markRead(n)
 			return n, nil
 		}
 		c.sendRetireNotice()
@@ -152,6 +154,15 @@
 	c.unread = true
 }
 
+// markRead records that the HTTP library has read n bytes of a request.
+func (c *callerConn) markRead(n int) {
+	c.mu.Lock()
+	idle := !c.idleSince.IsZero()
+	c.mu.Unlock()
+	c.next.readByLibrary(n, idle)
+	c.markBusy()
+}
+
 // markBusy records that a request is arriving, and revokes a retirement: a request that
 // began to arrive before the connection was closed is served.
 func (c *callerConn) markBusy() {
@@ -227,6 +238,9 @@
 		for len(c.readAhead) < maxReadAhead {
 			n, err := c.Conn.Read(b[:])
 			c.readAhead = append(c.readAhead, b[:n]...)
+			if n > 0 {
+				c.next.ahead.Store(true)
+			}
 			if err != nil {
 				if !isTimeout(err) && !errors.Is(err, net.ErrClosed) {
 					gone()
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -254,9 +254,15 @@
 }
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
-	if s.notReady.Load() {
-		ctx.SetConnectionClose()
+	if c, ok := ctx.Conn().(*callerConn); ok {
+		c.next.processed(&ctx.Request)
 	}
+	s.respond(ctx)
+	s.announceClose(ctx)
+}
+
+// respond processes a request up to the first byte of its response.
+func (s *Server) respond(ctx *fasthttp.RequestCtx) {
 	id := s.nextID()
 	request, rejected := s.options.Dialect.ReadRequest(ctx, id, s.options.Now())
 	if rejected != nil {
