A test that fails: a request that arrived at the idle timeout is not read

The read deadline of an idle connection passes before a request is read that has already arrived, as on a machine that gives the process little time. The read returns the timeout, and the connection closes with the request unread.

--- a/internal/proxy/callerconn_test.go
+++ b/internal/proxy/callerconn_test.go
@@ -41,3 +41,21 @@
 	require.Equal(t, request, string(p[:n]))
 	require.False(t, c.isRetired(), "it is served on this connection")
 }
+
+// Guards against an instance that closes a connection at its idle timeout although a request has arrived: on a busy
+// machine the timeout passes before the request is read.
+func TestIdleTimeoutReadsArrivedRequest(t *testing.T) {
+	const request = "POST /v1/chat/completions HTTP/1.1\r\n"
+	caller, instance := connPair(t)
+	c := &callerConn{Conn: instance, server: &Server{options: Options{Dialect: Native{}}}}
+	c.markIdle()
+	_, err := caller.Write([]byte(request))
+	require.NoError(t, err)
+	require.NoError(t, c.SetReadDeadline(time.Now().Add(-time.Millisecond)))
+	var p [64]byte
+	n, err := c.Read(p[:])
+	require.NoError(t, err)
+	require.Equal(t, request, string(p[:n]))
+	_, err = c.Read(p[:])
+	require.True(t, isTimeout(err), "the timeout of a request that is read stays: %v", err)
+}
