Read a request that has arrived when its connection's idle timeout passes

Callers whose request crosses the idle timeout of a kept connection saw it close without an answer. The Go runtime fails a read whose deadline has passed even if bytes are there; an instance with little processor time may be late by more than the slack. A connection that is retired by a stop looked again already; one whose idle timeout passes now does so too. TestIdleTimeoutReadsArrivedRequest failed with an i/o timeout, and passes.

--- a/internal/proxy/callerconn.go
+++ b/internal/proxy/callerconn.go
@@ -67,18 +67,28 @@
 		c.markRead(n)
 		return n, err
 	}
-	if isTimeout(err) && c.isRetired() {
-		if n := c.readAvailable(p); n > 0 {
-			c.markRead(n)
-			return n, nil
-		}
-		c.sendRetireNotice()
-		return 0, net.ErrClosed
+	if isTimeout(err) && c.isIdle() {
+		return c.readAtTimeout(p, err)
 	}
 	return n, err
 }
 
-// readAvailable reads the bytes that have arrived on a retired connection, without blocking.
+// readAtTimeout reads a request that has arrived on a connection that was idle for too long, or ends the connection.
+func (c *callerConn) readAtTimeout(p []byte, timeout error) (int, error) {
+	retired := c.isRetired()
+	if n := c.readAvailable(p); n > 0 {
+		c.markRead(n)
+		c.restoreReadDeadline()
+		return n, nil
+	}
+	if !retired {
+		return 0, timeout
+	}
+	c.sendRetireNotice()
+	return 0, net.ErrClosed
+}
+
+// readAvailable reads the bytes that have arrived on an idle connection, without blocking.
 // After the read deadline has passed, an ordinary read returns no data: on a busy
 // machine a request may have arrived unread while the connection seems idle.
 func (c *callerConn) readAvailable(p []byte) int {
@@ -114,6 +124,13 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
+// restoreReadDeadline applies the deadline of the HTTP library again.
+func (c *callerConn) restoreReadDeadline() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_ = c.Conn.SetReadDeadline(c.deadline)
+}
+
 // Write writes p unless the caller accepts no byte for WriteStall. A caller that reads
 // slowly is not cut: the engine then waits for it, and this instance buffers no more
 // than one event and the kernel's buffers for it.
@@ -194,6 +211,12 @@
 	_ = c.Conn.SetReadDeadline(pastDeadline)
 }
 
+func (c *callerConn) isIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.idleSince.IsZero()
+}
+
 func (c *callerConn) isRetired() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
