Log and count who ended a caller's connection without an answer, and in which phase

A close without an answer left no trace but what the caller saw. One line and one counter now tell for each connection that ends while a request on it has no whole answer: who ended it and by which event, the request and its phase (arriving, waiting, dialling, sent, responding, behind another one, arrived and unread), and the time since its last byte. At the end of the grace time one line for each such connection is written before the process ends. The line of a refusal says what the request waited for.

--- a/internal/core/admission.go
+++ b/internal/core/admission.go
@@ -14,6 +14,8 @@
 type refusal struct {
 	reason     reason.Reason
 	retryAfter time.Duration
+	// waiting is what the request waited for; see Finish.Waiting.
+	waiting WaitPhase
 }
 
 // admissionState holds the admission controller of each service and, for the customers'
--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -316,6 +316,7 @@
 // deadlinePassed ends a request at its deadline without waiting for the attempt in
 // progress. Otherwise a frozen backend server would block the caller.
 func (n *Node) deadlinePassed(r *request) {
+	r.waiting = r.waitsFor()
 	if r.running {
 		r.mayHaveRun = true
 		n.attemptDone(r)
--- a/internal/core/effect.go
+++ b/internal/core/effect.go
@@ -124,8 +124,24 @@
 	Utilization Utilization `json:"fill,omitzero"`
 	// ForwardFailure is set if the caller gets the failure response of a backend server.
 	ForwardFailure bool `json:"pass_on,omitempty"`
+	// Waiting is what the request waited for when its caller left, its deadline passed or the process was about to end;
+	// empty if it was at a backend server.
+	Waiting WaitPhase `json:"waiting,omitempty"`
 }
 
+// WaitPhase is what a request waits for while it is not at a backend server, for logging.
+type WaitPhase string
+
+// The phases.
+const (
+	WaitsForStart  WaitPhase = "start"
+	WaitsForLookup WaitPhase = "stream-lookup"
+	WaitsForClaim  WaitPhase = "claim"
+	WaitsForSlot   WaitPhase = "slot"
+	// WaitsForRetry is the pause between two attempts.
+	WaitsForRetry WaitPhase = "retry"
+)
+
 // Utilization is an instance's estimate of a service's utilization, for logging.
 type Utilization struct {
 	// Load is the number of requests in flight on the service's backend servers, and
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -97,6 +97,8 @@
 	claimExpires uint32
 	// callerGone is set once the caller has disconnected.
 	callerGone bool
+	// waiting is what the request waits for when it is given up; see Finish.Waiting.
+	waiting WaitPhase
 	// ended is set once the request has ended.
 	ended  bool
 	timers []*requestTimer
@@ -246,9 +248,24 @@
 	e.Request, e.Customer, e.Service = r.arrived.Request, r.arrived.Customer, r.service.Name
 	e.Content = uint64(r.poison.Content)
 	e.Continues = r.arrived.Continues.first()
+	e.Waiting = r.waiting
 	n.emit(e)
 }
 
+// waitsFor returns what the request waits for, "" if it is at a backend server.
+func (r *request) waitsFor() WaitPhase {
+	switch {
+	case r.inProgress() > 0:
+		return ""
+	case r.needsClaim() && !r.claimed:
+		return WaitsForClaim
+	case r.slotAsk != nil:
+		return WaitsForSlot
+	default:
+		return WaitsForRetry
+	}
+}
+
 // first returns the caller's ID of the request that began the stream, "" if there is none.
 func (c *Continuation) first() string {
 	if c == nil {
@@ -284,6 +301,7 @@
 		Reason:     r.reason,
 		RetryAfter: r.retryAfter,
 		Generation: n.generation(),
+		Waiting:    r.waiting,
 	}
 	if t.service != nil {
 		finish.Service = t.service.Name
@@ -303,6 +321,7 @@
 		return
 	}
 	r.callerGone = true
+	r.waiting = r.waitsFor()
 	if !r.running {
 		n.giveUp(r, reason.CallerGone)
 		return
--- a/internal/core/startwait.go
+++ b/internal/core/startwait.go
@@ -38,6 +38,6 @@
 	if !ok {
 		return false
 	}
-	n.refuseWith(arrived, target{}, &refusal{reason: reason.CallerGone})
+	n.refuseWith(arrived, target{}, &refusal{reason: reason.CallerGone, waiting: WaitsForStart})
 	return true
 }
--- a/internal/core/stop.go
+++ b/internal/core/stop.go
@@ -71,6 +71,7 @@
 func (n *Node) refuseWaiting() {
 	for _, id := range slices.Sorted(maps.Keys(n.requests)) {
 		if r := n.requests[id]; r.inProgress() == 0 && n.endsWithGrace(r.deadline) {
+			r.waiting = r.waitsFor()
 			n.giveUp(r, reason.Stopping)
 		}
 	}
--- a/internal/core/stopwaiters_test.go
+++ b/internal/core/stopwaiters_test.go
@@ -105,3 +105,23 @@
 		})
 	}
 }
+
+// Guards against a log that does not tell what a request waited for when its caller left.
+func TestCallerGoneNamesWhatRequestWaitedFor(t *testing.T) {
+	for name, c := range map[string]struct {
+		start    func(*testing.T) *nodeDriver
+		send     func(*nodeDriver) []core.Effect
+		expected core.WaitPhase
+	}{
+		"claim": {stoppableDriver, (*nodeDriver).claimRequest, core.WaitsForClaim},
+		"start": {newStartingNodeDriver, func(r *nodeDriver) []core.Effect { return r.sendWithDeadline("waits", time.Minute) }, core.WaitsForStart},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := c.start(t)
+			require.Empty(t, effectsOf[core.Finish](c.send(r)))
+			finish := onlyEffect[core.Finish](t, r.handle(core.CallerGone{Request: "waits"}))
+			require.Equal(t, reason.CallerGone, finish.Reason)
+			require.Equal(t, c.expected, finish.Waiting)
+		})
+	}
+}
--- a/internal/core/streamlookups.go
+++ b/internal/core/streamlookups.go
@@ -247,7 +247,7 @@
 		}
 		arrived := l.Waiting[i].arrived
 		l.Waiting = slices.Delete(l.Waiting, i, i+1)
-		n.refuseWith(arrived, target{}, &refusal{reason: reason.CallerGone})
+		n.refuseWith(arrived, target{}, &refusal{reason: reason.CallerGone, waiting: WaitsForLookup})
 		return true
 	}
 	return false
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -73,7 +73,10 @@
 		case <-signals.Stop:
 			klog.InfoS("stop requested", "instance", s.Name)
 			loop.Post(core.StopRequested{})
-			enforceGracePeriod(ctx, time.Duration(grace.Load()), cancel)
+			enforceGracePeriod(ctx, time.Duration(grace.Load()), func() {
+				server.ReportUnanswered()
+				cancel()
+			})
 		case <-ctx.Done():
 		}
 		return nil
@@ -132,14 +135,14 @@
 
 // enforceGracePeriod ends the process shortly before it would be killed, unless grace is 0.
 // Requests still in progress would be aborted by the kill anyway; here they end in an orderly way.
-func enforceGracePeriod(ctx context.Context, grace time.Duration, cancel context.CancelFunc) {
+func enforceGracePeriod(ctx context.Context, grace time.Duration, end func()) {
 	if grace == 0 {
 		return
 	}
 	select {
 	case <-time.After(max(0, grace-stopMargin)):
 		klog.InfoS("graceful shutdown aborted at the end of the grace period", "grace", grace)
-		cancel()
+		end()
 	case <-ctx.Done():
 	}
 }
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -28,6 +28,7 @@
 	callerBytes   prometheus.Counter
 	dials         *prometheus.CounterVec
 	relays        *prometheus.CounterVec
+	connEnds      *prometheus.CounterVec
 	generation    prometheus.Gauge
 	ready         prometheus.Gauge
 	platformCalls *prometheus.CounterVec
@@ -46,6 +47,7 @@
 		responseTime:  newHistogramVec("answer_seconds", "Time from the arrival of a request to the end of its response."),
 		callerBytes:   prometheus.NewCounter(prometheus.CounterOpts{Name: "ebonydyke_caller_bytes_total", Help: "Bytes of response bodies sent to callers."}),
 		dials:         newCounterVec("backend_dials_total", "Attempts to open a connection to a backend server, by reason.", "reason"),
+		connEnds:      newCounterVec("unanswered_connections_total", "Connections of callers that ended while a request had no whole response, by its phase and the event.", "phase", "cause"),
 		relays:        newCounterVec("relay_requests_total", "Requests of peers to relay a connection to a backend server, by result.", "result"),
 		generation:    newGauge("generation", "Generation of the configuration in force, 0 if there is none."),
 		ready:         newGauge("ready", "1 until the graceful shutdown starts, then 0."),
@@ -53,7 +55,7 @@
 		coreEvents:    newCounterVec("core_events_total", "Events counted by the core, such as messages that it shed.", "counter", "label"),
 	}
 	m.registry.MustRegister(
-		m.refusals, m.retries, m.attemptEnds, m.firstByte, m.responseTime, m.callerBytes, m.dials, m.relays, m.generation, m.ready,
+		m.refusals, m.retries, m.attemptEnds, m.firstByte, m.responseTime, m.callerBytes, m.dials, m.relays, m.connEnds, m.generation, m.ready,
 		m.platformCalls, m.coreEvents,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
@@ -127,6 +129,11 @@
 // Dialled implements proxy.Metrics.
 func (m *Metrics) Dialled(r proxy.DialReason) { m.dials.WithLabelValues(string(r)).Inc() }
 
+// ConnEnded implements proxy.Metrics.
+func (m *Metrics) ConnEnded(phase proxy.ConnPhase, end proxy.ConnEnd) {
+	m.connEnds.WithLabelValues(string(phase), string(end)).Inc()
+}
+
 // Relayed implements relay.Metrics.
 func (m *Metrics) Relayed(r paths.Result) { m.relays.WithLabelValues(string(r)).Inc() }
 
--- a/internal/proxy/callerconn.go
+++ b/internal/proxy/callerconn.go
@@ -39,6 +39,7 @@
 	// readAhead holds bytes that watchClose has read.
 	readAhead []byte
 	next      nextRequest
+	state     connProgress
 
 	mu sync.Mutex
 	// idleSince is zero while a request is read or processed.
@@ -68,7 +69,10 @@
 		return n, err
 	}
 	if isTimeout(err) && c.isIdle() {
-		return c.readAtTimeout(p, err)
+		n, err = c.readAtTimeout(p, err)
+	}
+	if err != nil {
+		c.state.ended(connEndOf(err))
 	}
 	return n, err
 }
@@ -142,7 +146,11 @@
 		}
 		n, err := c.Conn.Write(p[written:])
 		written += n
-		if err == nil || n == 0 || !isTimeout(err) {
+		if err == nil {
+			return written, nil
+		}
+		if n == 0 || !isTimeout(err) {
+			c.state.ended(writeEndOf(err))
 			return written, err
 		}
 	}
@@ -157,6 +165,7 @@
 	if closed {
 		return nil
 	}
+	c.reportClose(unread)
 	if unread {
 		c.linger()
 	}
@@ -177,6 +186,7 @@
 	idle := !c.idleSince.IsZero()
 	c.mu.Unlock()
 	c.next.readByLibrary(n, idle)
+	c.state.read(false)
 	c.markBusy()
 }
 
@@ -263,9 +273,11 @@
 			c.readAhead = append(c.readAhead, b[:n]...)
 			if n > 0 {
 				c.next.ahead.Store(true)
+				c.state.read(true)
 			}
 			if err != nil {
 				if !isTimeout(err) && !errors.Is(err, net.ErrClosed) {
+					c.reportGone(err)
 					gone()
 				}
 				return
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -29,7 +29,9 @@
 	startedAt time.Time
 	effects   chan core.Effect
 	response  *callerResponse
-	stopWatch func()
+	// responding is set once the response is written.
+	responding atomic.Bool
+	stopWatch  func()
 
 	race *race
 	// heldFailure is a failure response of a backend server. It is held until no
@@ -56,6 +58,7 @@
 func (x *exchange) run() {
 	x.server.register(x)
 	if c, ok := x.ctx.Conn().(*callerConn); ok {
+		c.state.process(x)
 		x.stopWatch = c.watchClose(func() { x.server.post(core.CallerGone{Request: x.id}) })
 	}
 	x.server.post(x.request.Arrived)
@@ -63,6 +66,7 @@
 		x.finish(*e)
 		return
 	}
+	x.responding.Store(true)
 	x.response.sendHead()
 }
 
@@ -138,6 +142,10 @@
 // release stops the watch on the caller's connection and unregisters the exchange.
 func (x *exchange) release() {
 	x.stopWatch()
+	x.responding.Store(true)
+	if c, ok := x.ctx.Conn().(*callerConn); ok && x.response.bodyErr != nil {
+		c.state.ended(endByBrokenResponse)
+	}
 	x.server.unregister(x.id)
 }
 
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -51,6 +51,8 @@
 	attempts []core.SendAttempt
 	refused  map[reason.Reason]int
 	dialled  map[proxy.DialReason]int
+	// connEnds are the ends of connections without a whole response.
+	connEnds []string
 }
 
 // Execute executes the effects that concern the proxy.
@@ -112,6 +114,13 @@
 	i.dialled[r]++
 }
 
+// ConnEnded implements proxy.Metrics.
+func (i *instance) ConnEnded(phase proxy.ConnPhase, end proxy.ConnEnd) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.connEnds = append(i.connEnds, fmt.Sprint(phase, " ", end))
+}
+
 func (i *instance) dials(r proxy.DialReason) int {
 	i.mu.Lock()
 	defer i.mu.Unlock()
--- a/internal/proxy/options.go
+++ b/internal/proxy/options.go
@@ -106,6 +106,9 @@
 	CallerBytes(n int)
 	// Dialled counts an attempt to open a connection to a backend server.
 	Dialled(DialReason)
+	// ConnEnded counts a caller's connection that ended while a request on it had no whole response, by the phase of
+	// the request and by the event that ended the connection.
+	ConnEnded(ConnPhase, ConnEnd)
 }
 
 type noMetrics struct{}
@@ -116,3 +119,4 @@
 func (noMetrics) Answered(string, time.Duration, time.Duration) {}
 func (noMetrics) CallerBytes(int)                               {}
 func (noMetrics) Dialled(DialReason)                            {}
+func (noMetrics) ConnEnded(ConnPhase, ConnEnd)                  {}
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -104,6 +104,7 @@
 	case fasthttp.StateActive:
 		c.markBusy()
 	case fasthttp.StateIdle:
+		c.state.answered()
 		c.markIdle()
 	default:
 	}
@@ -228,7 +229,7 @@
 		"reason", e.Reason, "customer", e.Customer, "service", e.Service,
 		"backend", e.Backend, "attempt", e.Attempt, "retryAfterMs", e.RetryAfter.Milliseconds(),
 		"passedOn", e.ForwardFailure, "load", e.Utilization.Load, "capacity", e.Utilization.Capacity, "servers", e.Utilization.Servers,
-		"generation", e.Generation, "detail", detail, "content", hexContent(e.Content), "continues", e.Continues)
+		"generation", e.Generation, "detail", detail, "content", hexContent(e.Content), "continues", e.Continues, "waiting", e.Waiting)
 }
 
 // connDeadline converts a time of the core's clock to a connection deadline. The result has
@@ -256,6 +257,7 @@
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	if c, ok := ctx.Conn().(*callerConn); ok {
 		c.next.processed(&ctx.Request)
+		c.state.process(nil)
 	}
 	s.respond(ctx)
 	s.announceClose(ctx)
