--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -59,6 +59,11 @@
 		m.platformCalls, m.coreEvents,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
+	for _, phase := range proxy.ConnPhases {
+		for _, end := range proxy.ConnEnds {
+			m.connEnds.WithLabelValues(string(phase), string(end))
+		}
+	}
 	for _, r := range reason.All {
 		m.refusals.WithLabelValues(string(r))
 		m.retries.WithLabelValues(string(r))
