--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -87,8 +87,9 @@
 	select {
 	case x.effects <- effect:
 	default:
-		// This case is unreachable, because the queue holds more effects than the core
-		// sends. Blocking here would stop every other request.
+		// The queue holds more effects than the core sends. Blocking here would stop every
+		// other request.
+		x.server.log.put("effect dropped", "request", x.id, "effect", effect.EffectName())
 	}
 }
 
