Fleet tests: choose ports under a lock

TestStoppingInstanceLeavesNoRequestUnanswered starts its fleets in parallel, and failed once in 24 runs: the process of the test ended at the start of a run, without a failed case. With the race detector each run showed a race on the map of used ports; none does now.

--- a/test/fleet/harness_test.go
+++ b/test/fleet/harness_test.go
@@ -162,10 +162,15 @@
 )
 
 // usedPorts holds the ports that freeAddress has returned. It returns none twice, because the
-// instances bind their ports only later.
-var usedPorts = make(map[int]bool)
+// instances bind their ports only later. usedPortsMu guards it.
+var (
+	usedPortsMu sync.Mutex
+	usedPorts   = make(map[int]bool)
+)
 
 func freeAddress(t *testing.T) string {
+	usedPortsMu.Lock()
+	defer usedPortsMu.Unlock()
 	for {
 		port := lowPort + rand.IntN(highPort-lowPort)
 		address := fmt.Sprintf("127.0.0.1:%d", port)
