--- a/internal/soak/wirecallers.go
+++ b/internal/soak/wirecallers.go
@@ -16,14 +16,15 @@
 )
 
 const (
-	// callersPerWireCaller is the number of ordinary callers for each one that writes its requests to the wire itself.
-	callersPerWireCaller = 4
+	// callersPerWireCaller is the number of ordinary callers for each one that writes its requests to the wire itself, and
+	// callersPerWireCallerOfPauses the same beside pauses only, where no other fault needs the servers' slots.
+	callersPerWireCaller, callersPerWireCallerOfPauses = 4, 2
 	// maxPieces bounds the pieces in which a request is sent, and maxPieceGap the time between two of them.
 	maxPieces, maxPieceGap = 5, 120 * time.Millisecond
 	// wireBodySize is the size in bytes of a body, so that its pieces arrive in several reads.
 	wireBodySize = 6000
 	// pipelineOdds is one in how many requests are followed by another one before the response.
-	pipelineOdds = 3
+	pipelineOdds = 2
 	// maxKeptPause bounds the pause before the next request on a kept connection. It exceeds the time after which a
 	// stopping instance closes an idle connection.
 	maxKeptPause = 450 * time.Millisecond
@@ -50,6 +51,14 @@
 	request  *http.Request
 }
 
+// wireCallers returns the number of these callers.
+func (w *World) wireCallers() int {
+	if w.options.Faults == FaultsPauses {
+		return max(1, w.options.Callers/callersPerWireCallerOfPauses)
+	}
+	return max(1, w.options.Callers/callersPerWireCaller)
+}
+
 // runWireCaller sends requests on one connection after another until ctx ends.
 func (w *World) runWireCaller(ctx context.Context, number int) {
 	c := &wireCaller{world: w, random: rand.New(rand.NewPCG(w.options.Seed, uint64(2000+number))), name: fmt.Sprintf("k%d", number)}
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -170,7 +170,7 @@
 	for n := range o.Callers {
 		callers.Go(func() { w.runCaller(callCtx, n) })
 	}
-	for n := range max(1, o.Callers/callersPerWireCaller) {
+	for n := range w.wireCallers() {
 		callers.Go(func() { w.runWireCaller(callCtx, n) })
 	}
 	callers.Go(func() { w.probeVersions(callCtx) })
