--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -34,12 +34,14 @@
 		require.NoError(t, err)
 		require.Empty(t, result.Violations, "seed %d", seed)
 		require.Positive(t, result.Counts["answered"])
+		require.Positive(t, result.Counts["responses on kept connections"])
 		t.Logf("seed %d: %v", seed, result.Counts)
 	}
 }
 
 // Guards against requests that an instance passed on and ended without a whole answer because a sound backend server fell
-// silent for a second or two, beside changes of the configuration, reloads and planned stops.
+// silent for a second or two, or left without an answer or an end of their connection, beside changes of the configuration,
+// reloads and planned stops.
 func TestPausedServersLoseNoRequest(t *testing.T) {
 	binary := buildDaemon(t)
 	for _, seed := range pauseSeeds {
@@ -51,6 +53,7 @@
 		require.Empty(t, result.Violations, "seed %d", seed)
 		require.Positive(t, result.Counts["waves of pauses"])
 		require.Positive(t, result.Counts["passed on without unplanned faults"])
+		require.Positive(t, result.Counts["responses on kept connections"])
 		t.Logf("seed %d: %v", seed, result.Counts)
 	}
 }
