--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -240,6 +240,8 @@
 		n.giveUp(r, reason.CallerGone)
 	case !n.now.Before(r.deadline):
 		n.giveUp(r, reason.DeadlineExceeded)
+	case n.endsWithGrace(r.deadline):
+		n.giveUp(r, reason.Stopping)
 	case outcome == retry.NotSent && n.noneReached(r):
 		n.giveUp(r, why)
 	case r.resumesOnSameBackend(outcome):
@@ -315,6 +317,7 @@
 // deadlinePassed ends a request at its deadline without waiting for the attempt in
 // progress. Otherwise a frozen backend server would block the caller.
 func (n *Node) deadlinePassed(r *request) {
+	r.waiting = r.waitsFor()
 	if r.running {
 		r.mayHaveRun = true
 		n.attemptDone(r)
--- a/internal/core/startwait.go
+++ b/internal/core/startwait.go
@@ -16,7 +16,7 @@
 // waitForStart queues a request that arrives while the instance is starting, and reports
 // whether it did.
 func (n *Node) waitForStart(e RequestArrived) bool {
-	if !n.starting() || !n.startQueue.Add(e, e.HeaderBytes+e.BodyBytes, e.Deadline, n.now) {
+	if !n.starting() || n.graceEnding() || !n.startQueue.Add(e, e.HeaderBytes+e.BodyBytes, e.Deadline, n.now) {
 		return false
 	}
 	n.recordWaitingCaller()
@@ -38,6 +38,6 @@
 	if !ok {
 		return false
 	}
-	n.refuseWith(arrived, target{}, &refusal{reason: reason.CallerGone})
+	n.refuseWith(arrived, target{}, &refusal{reason: reason.CallerGone, waiting: WaitsForStart})
 	return true
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -64,7 +64,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return links.Run(ctx) })
 	group.Go(func() error { return loop.Run(ctx, exec) })
-	group.Go(func() error { return server.Serve(listeners.callers) })
+	group.Go(func() error { return serveCallers(ctx, listeners.callers, server) })
 	group.Go(func() error { return serveAdmin(ctx, listeners.operators, loop, counters) })
 	group.Go(func() error { return serveReady(ctx, listeners.ready, loop) })
 	group.Go(func() error { return reload.run(ctx) })
@@ -73,7 +73,10 @@
 		case <-signals.Stop:
 			klog.InfoS("stop requested", "instance", s.Name)
 			loop.Post(core.StopRequested{})
-			enforceGracePeriod(ctx, time.Duration(grace.Load()), cancel)
+			enforceGracePeriod(ctx, time.Duration(grace.Load()), func() {
+				server.ReportUnanswered()
+				cancel()
+			})
 		case <-ctx.Done():
 		}
 		return nil
@@ -132,18 +135,26 @@
 
 // enforceGracePeriod ends the process shortly before it would be killed, unless grace is 0.
 // Requests still in progress would be aborted by the kill anyway; here they end in an orderly way.
-func enforceGracePeriod(ctx context.Context, grace time.Duration, cancel context.CancelFunc) {
+func enforceGracePeriod(ctx context.Context, grace time.Duration, end func()) {
 	if grace == 0 {
 		return
 	}
 	select {
 	case <-time.After(max(0, grace-stopMargin)):
 		klog.InfoS("graceful shutdown aborted at the end of the grace period", "grace", grace)
-		cancel()
+		end()
 	case <-ctx.Done():
 	}
 }
 
+// serveCallers serves callers until their listener is closed. At the latest that is when the process ends: it must not
+// accept requests that the core no longer gets.
+func serveCallers(ctx context.Context, l net.Listener, server *proxy.Server) error {
+	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
+	defer stop()
+	return server.Serve(l)
+}
+
 // dialect returns the callers' interface that the settings select.
 func dialect(s *settings.Settings) proxy.Dialect {
 	if s.Dialect == settings.DialectPlatform {
