A server that cannot be reached has no room beside ones that are only full

Cause: a server that ended and is still registered shows load 0, so it is the only candidate with room while the others are full; ranked last among candidates, it was chosen all the same, by each attempt. So placement never found 'no room', and no slot was borrowed. Change: Pick takes no candidate that cannot be reached while another one can be and is only full. Placement then finds no room: a slot is borrowed, or the request is refused at once as saturated. Each 500 ms one request of a service may try such a server, since it may be back before its backoff (0.5 to 16 s) ends. If none can be reached, nothing changes: a pool of one, or an instance that is cut off, tries as before.

--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -42,6 +42,9 @@
 		n.giveUp(r, refusal)
 		return
 	}
+	if c.Unreachable {
+		n.pool(r.service.Name).unreachableTriedAt = n.now
+	}
 	n.sendTo(r, c, e)
 }
 
--- a/internal/core/placement.go
+++ b/internal/core/placement.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"time"
 
 	"github.com/ebonydyke/ebonydyke/internal/core/load"
 	"github.com/ebonydyke/ebonydyke/internal/core/reason"
@@ -9,6 +10,10 @@
 	"github.com/ebonydyke/ebonydyke/internal/core/routing"
 )
 
+// unreachableTrialInterval is the interval at which a request tries a server that cannot be reached while all others are
+// full: it may be back before its backoff ends.
+const unreachableTrialInterval = 500 * time.Millisecond
+
 // place selects the backend server for the request's next attempt.
 func (n *Node) place(r *request) (*routing.Candidate, reason.Reason) {
 	p := n.pool(r.service.Name)
@@ -44,6 +49,8 @@
 		Tried:         r.tried,
 		Quiet:         r.quiet,
 		NewVersions:   n.newVersions(r),
+
+		TryUnreachable: n.now.Sub(p.unreachableTriedAt) >= unreachableTrialInterval,
 	}
 	if r.software != nil {
 		choice.MatchVersion, choice.Version, choice.Unverified = true, r.software.Version, n.unverifiedServers()
--- a/internal/core/pools.go
+++ b/internal/core/pools.go
@@ -31,7 +31,9 @@
 	// of their loads.
 	unreachableCount int
 	unreachableLoad  float64
-	budget           *retry.Budget
+	// unreachableTriedAt is the time of the last attempt at an unreachable candidate.
+	unreachableTriedAt time.Time
+	budget             *retry.Budget
 	// retryPart is this instance's part of the fleet's retries.
 	retryPart *retry.Part
 	// leaving holds the backend servers that get no new requests but still have cached
@@ -159,6 +161,7 @@
 	p := &pool{
 		service: name, index: make(map[string]int), model: svc.Kind == config.Model,
 		budget: old.budget, retryPart: old.retryPart, used: old.used, joinTimes: make(map[string]time.Time),
+		unreachableTriedAt: old.unreachableTriedAt,
 	}
 	if p.budget == nil {
 		p.budget = retry.NewBudget(svc.RetryShare, max(defaultRetryBurst, svc.RetryBurst))
--- a/internal/core/routing/routing.go
+++ b/internal/core/routing/routing.go
@@ -75,9 +75,13 @@
 	// ranked lower if Draw is above Slots divided by the load, that is, for the fraction
 	// of requests that exceeds the slots.
 	Draw float64
+	// TryUnreachable permits a candidate that cannot be reached although another one can be and is only full.
+	TryUnreachable bool
 	// SpreadBelow is set for requests that many instances place at the same moment, before any of them sees where the
 	// others' go. They are spread over all candidates by how far the load of each is below it.
 	SpreadBelow float64
+	// reachableOnly excludes the candidates that cannot be reached.
+	reachableOnly bool
 }
 
 // None is the index for no candidate.
@@ -99,12 +103,26 @@
 // Pick returns the index of the chosen candidate, or None if every one exceeds its
 // capacity or the outer limit. Candidates must be sorted by name.
 //
-// One pass finds the candidate with the highest score in the lowest rank, which is the one
-// that sorting by rank and score would put first.
+// A candidate that cannot be reached has no room while another one is only full: its load looks low because
+// nothing runs there.
 func Pick(candidates []Candidate, choice *Choice) int {
 	if choice.Hinted >= 0 && choice.hintUsable(&candidates[choice.Hinted]) {
 		return choice.Hinted
 	}
+	best := pick(candidates, choice)
+	if best == None || !candidates[best].Unreachable || choice.TryUnreachable || !choice.anyIsOnlyFull(candidates) {
+		return best
+	}
+	reachable := *choice
+	reachable.reachableOnly = true
+	return pick(candidates, &reachable)
+}
+
+// pick returns the index of the best candidate.
+//
+// One pass finds the candidate with the highest score in the lowest rank, which is the one
+// that sorting by rank and score would put first.
+func pick(candidates []Candidate, choice *Choice) int {
 	if choice.SpreadBelow > 0 {
 		return spread(candidates, choice)
 	}
@@ -154,10 +172,10 @@
 
 // rank returns the rank of a candidate, or more than rankLast if it must not be chosen.
 func (ch *Choice) rank(c *Candidate) int {
-	load := c.Load + 1
-	if c.Full || load > c.Capacity || load > ch.Limits.Outer || !ch.VersionAllowed(c) {
+	if !ch.hasRoom(c) || !ch.VersionAllowed(c) || ch.reachableOnly && c.Unreachable {
 		return rankLast + 1
 	}
+	load := c.Load + 1
 	rank := 0
 	spread := ch.SpreadBelow > 0
 	if !spread && load > ch.Limits.Inner || c.Slots > 0 && load*ch.Draw > c.Slots {
@@ -184,6 +202,22 @@
 	return rank
 }
 
+func (ch *Choice) hasRoom(c *Candidate) bool {
+	load := c.Load + 1
+	return !c.Full && load <= c.Capacity && load <= ch.Limits.Outer
+}
+
+// anyIsOnlyFull reports whether a candidate could be chosen if it had room.
+func (ch *Choice) anyIsOnlyFull(candidates []Candidate) bool {
+	for i := range candidates {
+		c := &candidates[i]
+		if !c.Unreachable && ch.VersionAllowed(c) && !ch.hasRoom(c) {
+			return true
+		}
+	}
+	return false
+}
+
 // VersionAllowed reports whether the candidate has the version that the request needs, if it needs one.
 func (ch *Choice) VersionAllowed(c *Candidate) bool {
 	return !ch.MatchVersion || c.Version == ch.Version && !slices.Contains(ch.Unverified, c.Name)
