A lent slot of a server that cannot be reached is returned

Cause: the owner of a slot lends one of the server with the lowest load. It need not know that a server has ended, which shows load 0; the borrower knew, and sent the request there all the same. Change: the borrower returns such a slot and asks the next owner. Test: TestLentSlotOfEndedServerIsNotUsed failed before (the attempt went to the ended server).

--- a/internal/core/silentloans_test.go
+++ b/internal/core/silentloans_test.go
@@ -74,3 +74,20 @@
 	effects = append(effects, r.advance(5*time.Second)...)
 	require.Len(t, slotMessages(effects, core.ReturnSlot), 1)
 }
+
+// Guards against sending a request on a lent slot of a server that has ended: its owner need not know so, and it seems to have
+// the most room.
+func TestLentSlotOfEndedServerIsNotUsed(t *testing.T) {
+	t.Parallel()
+	r := limitServers(t)
+	first := onlyEffect[core.SendAttempt](t, r.sendRequest("/progress/x", "key-1"))
+	again := onlyEffect[core.SendAttempt](t, r.refuseConnection(first))
+	require.NotEqual(t, first.Backend, again.Backend)
+	_, ask := r.fillOwnSlots()
+	effects := r.handle(core.PeerReceived{From: ask.To, Message: core.PeerMessage{
+		Slot: &core.SlotMessage{Action: core.GrantSlot, Token: ask.Message.Slot.Token, Server: first.Backend},
+	}})
+	require.Empty(t, effectsOf[core.SendAttempt](effects))
+	require.Len(t, slotMessages(effects, core.ReturnSlot), 1)
+	require.Len(t, slotMessages(effects, core.AskSlot), 1, "another owner is asked")
+}
--- a/internal/core/slotloans.go
+++ b/internal/core/slotloans.go
@@ -250,7 +250,7 @@
 	ask.loan.Server = cmp.Or(m.Server, ask.loan.Server)
 	r := n.requests[ask.request]
 	p := n.poolByBackend[ask.loan.Server]
-	if r == nil || r.slotAsk != ask || p == nil || p.service != ask.loan.Service {
+	if r == nil || r.slotAsk != ask || p == nil || p.service != ask.loan.Service || p.find(ask.loan.Server).Unreachable {
 		n.sendSlot(from, SlotMessage{Action: ReturnSlot, Token: m.Token})
 		n.askNextOwner(ask)
 		return
