Failing test: bytes that arrive when a silence is due to be checked put the check off by a second

The log: sent at 10:04:10.112, 'backend server silent' at 12.132 with silentMs=74.

Cause: bytes of a body end the part at hand, so the next ones are the first of a part. recordRead then schedules the check anew if it is due and has not run, a whole partTimeout later. The processors were busy, so the timer ran late. The test sets the due time to a moment ago, before the timer runs: no report within half a second in place of 50 ms.

TestBytesWithoutEndDelayNoRequest logs the longest reply of each case. No check is changed.

--- a/internal/proxy/endless_test.go
+++ b/internal/proxy/endless_test.go
@@ -120,6 +120,7 @@
 // check checks the replies of a case.
 func (c *endlessCase) check(t *testing.T) {
 	p, want := c.fleet.path, c.fleet.path.expects(c.row, c.pace)
+	t.Logf("%d requests, %d at the bad server, the longest %v", len(c.replies), c.asked, c.longest().Round(time.Millisecond))
 	require.Positive(t, c.asked, "the server that sends bytes without end was not asked")
 	for n, got := range c.replies {
 		require.Less(t, got.took, endlessDeadline+closeSlack, "request %d: %v", n+1, got)
@@ -152,6 +153,15 @@
 	}
 }
 
+// longest returns the longest time that a reply took.
+func (c *endlessCase) longest() time.Duration {
+	longest := time.Duration(0)
+	for _, got := range c.replies {
+		longest = max(longest, got.took)
+	}
+	return longest
+}
+
 // countAsked counts the replies for which the bad server was asked.
 func countAsked(replies []endlessReply) int {
 	asked := 0
--- a/internal/proxy/silencewatch_test.go
+++ b/internal/proxy/silencewatch_test.go
@@ -64,3 +64,16 @@
 	s.release(silent)
 	require.Empty(t, s.quiet("other"), "no attempt is left there")
 }
+
+// Guards against a hedge that is a second late because bytes arrive at the moment at which the silence is due to be checked.
+func TestBytesPutOffNoDueCheck(t *testing.T) {
+	const timeout = 50 * time.Millisecond
+	w, posted := newTestWatch(timeout, 0)
+	w.start()
+	defer w.stop()
+	w.mu.Lock()
+	w.dueAt = sinceStart() - 1 // The timer has not run yet.
+	w.mu.Unlock()
+	w.recordRead(1)
+	require.Eventually(t, func() bool { return len(posted) > 0 }, partTimeout/2, 5*time.Millisecond)
+}
