Failing test: a hedge that wins is handed over before its claim has recorded the last event

Cause: claim sends the winner to the goroutine that serves the caller, and reads its sequence afterwards. If that goroutine has read on by then, the last event on record is one that was not delivered. A hedge that is started after it leaves that event out.

--- a/internal/proxy/race_test.go
+++ b/internal/proxy/race_test.go
@@ -35,3 +35,25 @@
 	}
 	require.False(t, started, "the response has gone on since")
 }
+
+// Guards against an event that is taken for a delivered one, and missing from the response, because the goroutine that serves
+// the caller reads on at the hedge that has won before its claim has recorded what it delivers.
+func TestWinnerIsHandedOverOnceItsClaimIsRecorded(t *testing.T) {
+	const rounds = 20_000
+	for range rounds {
+		r := newRace(0)
+		first := &attemptResponse{attempt: core.SendAttempt{Attempt: 1}, call: &call{}, events: &eventReader{}}
+		winner := &attemptResponse{attempt: core.SendAttempt{Attempt: 2}, call: &call{}, events: &eventReader{}}
+		r.start(first)
+		require.True(t, r.startHedge(winner, func() { winner.sequence.last = 1 }))
+		read := make(chan struct{})
+		go func() {
+			defer close(read)
+			a := <-r.won
+			a.sequence.last++ // It reads the next event.
+		}()
+		require.True(t, r.claim(winner))
+		require.Equal(t, uint64(1), r.lastEvent)
+		<-read
+	}
+}
