A store that loses the history of each watch is listed with a pause

Cause: a lost history started a list at once, and its end the next watch. Change: there is no pause the first time, and then the pause of a watch that returns changes, up to 1.2 s.

--- a/internal/core/backendentries.go
+++ b/internal/core/backendentries.go
@@ -57,6 +57,8 @@
 	// entries change.
 	nextCall time.Time
 	pace     pacing.Watch
+	// lostHistories spaces out the lists while the store keeps losing the watches' histories.
+	lostHistories pacing.Watch
 	// versionsReadAt is when the entries are read because peers have sent some without the servers'
 	// versions, zero if there is no need.
 	versionsReadAt time.Time
@@ -126,6 +128,7 @@
 	switch {
 	case e.Status == StoreHistoryLost:
 		b.restartList()
+		b.nextCall = n.now.Add(n.jitter(b.lostHistories.PauseAfterRepeat(n.now)))
 		return
 	case e.Status != StoreOK && e.Status != StoreUnchanged, n.storeRolledBack(e.Revision):
 		n.backendsFailed()
--- a/internal/core/pacing/watch.go
+++ b/internal/core/pacing/watch.go
@@ -31,3 +31,14 @@
 	w.pause = min(max(MinWatchPause, 2*w.pause), MaxWatchPause)
 	return w.pause
 }
+
+// PauseAfterRepeat returns the pause before the next call after a result that is rare at a sound
+// store. There is none after the first one of a series.
+func (w *Watch) PauseAfterRepeat(now time.Time) time.Duration {
+	first := now.Sub(w.changedAt) > watchQuietPeriod
+	pause := w.PauseAfterChange(now)
+	if first {
+		return 0
+	}
+	return pause
+}
