Test: bytes of a peer that complete no message (fails: links stay open)

Committed as it fails, with the counter that is to count them: TestUnfinishedBulkFrameClosesLink, a frame on the bulk stream of which a byte comes each 100 ms, and TestEndlessFramesWithoutMessageCloseLink, multiplexer frames at full speed. TestPausedPeerKeepsItsLink passes.

--- a/internal/peer/stats.go
+++ b/internal/peer/stats.go
@@ -105,6 +105,7 @@
 	wireOut       atomic.Uint64
 	rejectedConns atomic.Uint64
 	badFrames     atomic.Uint64
+	endlessInputs atomic.Uint64
 	frameBytesIn  atomic.Uint64
 	frameBytesOut atomic.Uint64
 }
@@ -119,13 +120,15 @@
 	RejectedConns uint64
 	// BadFrames counts links closed because of an invalid frame.
 	BadFrames uint64
+	// EndlessInputs counts links closed because their peer sent too many bytes, or took too long, without completing a message.
+	EndlessInputs uint64
 }
 
 // Snapshot reads the counters.
 func (s *Stats) Snapshot() Snapshot {
 	out := Snapshot{
 		In: make(map[Kind]Count), Out: make(map[Kind]Count), Dropped: make(map[Kind]uint64),
-		RejectedConns: s.rejectedConns.Load(), BadFrames: s.badFrames.Load(),
+		RejectedConns: s.rejectedConns.Load(), BadFrames: s.badFrames.Load(), EndlessInputs: s.endlessInputs.Load(),
 	}
 	for k := range LinkOverhead {
 		out.In[k] = s.in[k].load()
