A frame on the bulk stream of a link has a time limit

What was seen: a peer whose frame on the bulk stream never ends, with a byte now and then, kept its link and the frame's memory for good, while its digests kept the control stream alive. Cause: that stream may be idle for good, so it had no read timeout at all, not even within a frame. Change: from its first byte on, a frame has the idle limit of the link to be complete. Its link is closed then, with a log line and counted as endless-input, as is one whose frame on the control stream has begun.

--- a/internal/daemon/controlmetrics.go
+++ b/internal/daemon/controlmetrics.go
@@ -18,7 +18,7 @@
 		for kind, n := range now.Dropped {
 			c.Dropped[kind.String()] = n
 		}
-		c.RejectedConns, c.BadFrames = now.RejectedConns, now.BadFrames
+		c.RejectedConns, c.BadFrames, c.EndlessInputs = now.RejectedConns, now.BadFrames, now.EndlessInputs
 		return c
 	}
 }
--- a/internal/metrics/control.go
+++ b/internal/metrics/control.go
@@ -31,6 +31,8 @@
 	RejectedConns uint64
 	// BadFrames counts links closed because of bytes that are not a valid frame.
 	BadFrames uint64
+	// EndlessInputs counts links closed because their peer's bytes completed no message within the limits.
+	EndlessInputs uint64
 }
 
 // controlCollector is a collector that reads the counters of the links at each scrape. The links
@@ -75,4 +77,5 @@
 	}
 	out <- prometheus.MustNewConstMetric(c.rejected, prometheus.CounterValue, float64(stats.RejectedConns), "stranger")
 	out <- prometheus.MustNewConstMetric(c.rejected, prometheus.CounterValue, float64(stats.BadFrames), "bad-frame")
+	out <- prometheus.MustNewConstMetric(c.rejected, prometheus.CounterValue, float64(stats.EndlessInputs), "endless-input")
 }
--- a/internal/peer/endlessframes_test.go
+++ b/internal/peer/endlessframes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"io"
 	"net"
 	"runtime"
 	"testing"
@@ -120,6 +121,9 @@
 			_, err := conn.Write(append(yamuxFrame(1, syn, 1, 0), yamuxFrame(1, syn, 3, 0)...))
 			require.NoError(t, err)
 			goroutines := runtime.NumGoroutine()
+			if tt.name != "pings" {
+				go func() { _, _ = io.Copy(io.Discard, conn) }()
+			}
 			piece := make([]byte, 0, 1024*len(tt.frame))
 			stream := uint32(5)
 			begun := time.Now()
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -11,6 +11,7 @@
 
 	"github.com/hashicorp/yamux"
 	"golang.org/x/sync/errgroup"
+	"k8s.io/klog/v2"
 
 	"github.com/ebonydyke/ebonydyke/api/peerpb"
 	"github.com/ebonydyke/ebonydyke/internal/core"
@@ -36,6 +37,9 @@
 	errTooManyLinks     = errors.New("peer: too many links")
 )
 
+// errUnfinished means that a frame is not complete within its time limit.
+var errUnfinished = errors.New("peer: unfinished frame")
+
 // link is a connection to a peer on which the handshake is complete.
 type link struct {
 	owner   *Links
@@ -214,8 +218,8 @@
 	k.conn.addStream(control)
 	k.conn.addStream(bulk)
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return k.read(control, k.owner.cfg.IdleLimit) })
-	group.Go(func() error { return k.read(bulk, 0) })
+	group.Go(func() error { return k.read(control, k.nextDigest) })
+	group.Go(func() error { return k.read(bulk, k.nextBulkFrame) })
 	group.Go(func() error { return k.write(ctx, control, k.control) })
 	group.Go(func() error { return k.write(ctx, bulk, k.bulk) })
 	group.Go(func() error {
@@ -236,17 +240,14 @@
 	return k.session.AcceptStreamWithContext(ctx)
 }
 
-// read posts the messages that the peer sends. It returns an error, which closes the link, if
-// nothing arrives for longer than idle: the connection is half open or the peer is frozen. A
-// closed link alone does not mark the peer as gone.
-func (k *link) read(stream *yamux.Stream, idle time.Duration) error {
+// read posts the messages that the peer sends. It waits for the first byte of each with await, which also sets the time limit
+// of the whole frame. An error closes the link; a closed link alone does not mark the peer as gone.
+func (k *link) read(stream *yamux.Stream, await func(*yamux.Stream, *bufio.Reader) error) error {
 	r := bufio.NewReader(stream)
 	d := NewDecoder()
 	for {
-		if idle > 0 {
-			if err := k.conn.setReadTimeout(stream, idle); err != nil {
-				return err
-			}
+		if err := await(stream, r); err != nil {
+			return err
 		}
 		frame, err := readFrame(r, maxFrame)
 		if err != nil {
@@ -264,13 +265,46 @@
 	}
 }
 
+// nextDigest waits for a frame on the control stream. It returns an error if none is complete within the idle limit: the
+// connection is half open, or the peer is frozen.
+func (k *link) nextDigest(stream *yamux.Stream, r *bufio.Reader) error {
+	if err := k.conn.setReadTimeout(stream, k.owner.cfg.IdleLimit); err != nil {
+		return err
+	}
+	_, err := r.Peek(1)
+	return err
+}
+
+// nextBulkFrame waits for a frame on the bulk stream, which may be idle for good. Once it has begun, it has to be complete
+// within the idle limit.
+func (k *link) nextBulkFrame(stream *yamux.Stream, r *bufio.Reader) error {
+	if err := k.conn.clearReadTimeout(stream); err != nil {
+		return err
+	}
+	if _, err := r.Peek(1); err != nil {
+		return err
+	}
+	return k.conn.setReadTimeout(stream, k.owner.cfg.IdleLimit)
+}
+
+// readError counts and logs the error of a frame that has begun.
 func (k *link) readError(err error) error {
-	if errors.Is(err, errFrame) {
+	switch {
+	case errors.Is(err, errFrame):
 		k.owner.stats.badFrame()
+	case errors.Is(err, yamux.ErrTimeout):
+		err = fmt.Errorf("%w: %w", errUnfinished, err)
+		k.owner.endlessInput(k.peer.Name, err)
 	}
 	return err
 }
 
+// endlessInput counts and logs that a link is closed because no message of its peer ends.
+func (l *Links) endlessInput(peer string, err error) {
+	l.stats.endlessInput()
+	klog.InfoS("peer link closed: its bytes complete no message", "peer", peer, "error", err)
+}
+
 // write sends the queued messages. The link is closed if the peer accepts no bytes for
 // writeTimeout. Until then messages that find the queue full are dropped, so senders never block.
 func (k *link) write(ctx context.Context, stream *yamux.Stream, queue <-chan core.PeerMessage) error {
--- a/internal/peer/linkconn.go
+++ b/internal/peer/linkconn.go
@@ -55,18 +55,27 @@
 	return c.setTimeout(stream.SetReadDeadline, timeout)
 }
 
+// clearReadTimeout removes the timeout of the next read from a stream.
+func (c *linkConn) clearReadTimeout(stream *yamux.Stream) error {
+	return c.setDeadline(stream.SetReadDeadline, time.Time{})
+}
+
 // setWriteTimeout sets the timeout of the next write to a stream.
 func (c *linkConn) setWriteTimeout(stream *yamux.Stream, timeout time.Duration) error {
 	return c.setTimeout(stream.SetWriteDeadline, timeout)
 }
 
-// setTimeout sets a deadline unless the connection is closed. After Close, a new deadline would
-// replace the expired one.
 func (c *linkConn) setTimeout(set func(time.Time) error, timeout time.Duration) error {
+	return c.setDeadline(set, time.Now().Add(timeout))
+}
+
+// setDeadline sets a deadline unless the connection is closed. After Close, a new deadline would
+// replace the expired one.
+func (c *linkConn) setDeadline(set func(time.Time) error, deadline time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
 		return net.ErrClosed
 	}
-	return set(time.Now().Add(timeout))
+	return set(deadline)
 }
--- a/internal/peer/stats.go
+++ b/internal/peer/stats.go
@@ -172,6 +172,10 @@
 	s.badFrames.Add(1)
 }
 
+func (s *Stats) endlessInput() {
+	s.endlessInputs.Add(1)
+}
+
 // WireSize returns the number of bytes on the connection for a frame of the given size.
 func WireSize(frame int) int {
 	return YamuxHeaderSize + len(binary.AppendUvarint(nil, uint64(frame))) + frame
