Frames that belong to no message close the link

What was seen: a peer that sends the multiplexer's keep-alive frames at full speed and reads nothing made an instance start a goroutine for each: 580,000 more after 5.5 s. Empty frames, window updates, data of unknown streams and new streams took a processor for as long as they came, or until the idle limit of 15 s, which one digest within it renews. Cause: only whole messages were judged, not what comes between them. Change: an input limit beneath the session follows its frames. The link is closed, with a log line and counted as endless-input.

--- a/internal/peer/endlessframes_test.go
+++ b/internal/peer/endlessframes_test.go
@@ -27,15 +27,15 @@
 	return conn
 }
 
-// openStreams opens the streams of a link, and sends a digest on the control stream each 100 ms.
-func openStreams(t *testing.T, conn net.Conn) (control, bulk *yamux.Stream) {
+// openStreams opens the streams of a link, sends a digest on the control stream each 100 ms, and returns the bulk stream.
+func openStreams(t *testing.T, conn net.Conn) *yamux.Stream {
 	t.Helper()
 	session, err := openSession(conn, true)
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = session.Close() })
-	control, err = session.OpenStream()
+	control, err := session.OpenStream()
 	require.NoError(t, err)
-	bulk, err = session.OpenStream()
+	bulk, err := session.OpenStream()
 	require.NoError(t, err)
 	go func() {
 		e := NewEncoder()
@@ -50,14 +50,14 @@
 			time.Sleep(100 * time.Millisecond)
 		}
 	}()
-	return control, bulk
+	return bulk
 }
 
 // Guards against a link that stays open for good while a frame on its bulk stream is never completed.
 func TestUnfinishedBulkFrameClosesLink(t *testing.T) {
 	const idle = time.Second
 	b := newInstanceWithIdleLimit(t, idle, "b", 1)
-	_, bulk := openStreams(t, connect(t, b))
+	bulk := openStreams(t, connect(t, b))
 	_, err := bulk.Write(binary.AppendUvarint(nil, maxFrame))
 	require.NoError(t, err)
 	for end := time.Now().Add(4 * idle); err == nil && time.Now().Before(end); {
@@ -72,7 +72,7 @@
 func TestPausedPeerKeepsItsLink(t *testing.T) {
 	const idle, pause = 2500 * time.Millisecond, 1400 * time.Millisecond
 	b := newInstanceWithIdleLimit(t, idle, "b", 1)
-	_, bulk := openStreams(t, connect(t, b))
+	bulk := openStreams(t, connect(t, b))
 	time.Sleep(idle + 500*time.Millisecond)
 	e := NewEncoder()
 	for range 2 {
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -100,6 +100,7 @@
 	if peer.Name == l.cfg.Name || (name != "" && peer.Name != name) {
 		return errWrongPeer
 	}
+	conn.limitInput(func(err error) { l.endlessInput(peer.Name, err) })
 	session, err := openSession(conn, dialed)
 	if err != nil {
 		return err
@@ -257,6 +258,7 @@
 		if err != nil {
 			return k.readError(err)
 		}
+		k.conn.limit.messageCompleted()
 		k.owner.stats.received(KindOf(m), len(frame))
 		if m.Digest != nil {
 			m.Digest.Incarnation = k.peer.Incarnation
--- a/internal/peer/linkconn.go
+++ b/internal/peer/linkconn.go
@@ -20,11 +20,33 @@
 // and yamux calls this Close before it yields.
 type linkConn struct {
 	net.Conn
+	// limit bounds the input of the session, and refused is called once when the input exceeds it. limit is nil before the session
+	// is opened.
+	limit   *inputLimit
+	refused func(error)
 	mu      sync.Mutex
 	streams []*yamux.Stream
 	closed  bool
 }
 
+// limitInput bounds the input from now on.
+func (c *linkConn) limitInput(refused func(error)) {
+	c.limit, c.refused = &inputLimit{}, refused
+}
+
+// Read implements net.Conn.
+func (c *linkConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if c.limit == nil {
+		return n, err
+	}
+	if err := c.limit.check(b[:n]); err != nil {
+		c.refused(err)
+		return 0, err
+	}
+	return n, err
+}
+
 // Close aborts pending reads and writes on the streams and closes the connection.
 func (c *linkConn) Close() error {
 	c.mu.Lock()
