Test: requests of callers that do not end (fails: a timeout in a chunk's line is a bad request)

Committed as it fails: TestEndlessInputIsClosed, 36 combinations on a new connection and 36 on a kept one. All are closed within the read timeout and the 2 s of the linger. Those that are cut within a chunk extension get 400, which is never retried, in place of 408, which says not-run.

--- /dev/null
+++ b/internal/proxy/endlessinput_test.go
@@ -0,0 +1,127 @@
+package proxy_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/ebonydyke/ebonydyke/internal/proxy"
+)
+
+// inputPace is the speed at which an endless request is sent.
+type inputPace struct {
+	name     string
+	piece    int
+	interval time.Duration
+}
+
+// inputPaces are full speed, and a byte or a few now and then.
+var inputPaces = []inputPace{
+	{name: "fast", piece: 16 << 10},
+	{name: "byte", piece: 1, interval: 100 * time.Millisecond},
+	{name: "slow", piece: 30, interval: 100 * time.Millisecond},
+}
+
+// sendEndless sends head, and then text again and again until a write fails. It returns the number of bytes sent.
+func sendEndless(conn net.Conn, p inputPace, head, text string) int {
+	repeated := strings.Repeat(text, 1+2*p.piece/len(text))
+	n, err := io.WriteString(conn, head)
+	for at := 0; err == nil; at = (at + p.piece) % len(text) {
+		time.Sleep(p.interval)
+		var more int
+		more, err = io.WriteString(conn, repeated[at:at+p.piece])
+		n += more
+	}
+	return n
+}
+
+// readUntilClosed returns the status of the last response, 0 if there is none, and when the connection was closed for reading.
+func readUntilClosed(conn net.Conn) (status int, ended time.Time, err error) {
+	in := bufio.NewReader(conn)
+	for {
+		resp, failed := http.ReadResponse(in, nil)
+		if failed != nil {
+			break
+		}
+		status = resp.StatusCode
+		_, _ = io.Copy(io.Discard, resp.Body)
+	}
+	_, err = io.Copy(io.Discard, in)
+	return status, time.Now(), err
+}
+
+// endlessInputs are requests that do not end, with the status that each gets at full speed and at a slow pace, 0 if none.
+var endlessInputs = []struct {
+	name, head, text string
+	fast, slow       int
+}{
+	{"empty lines", "", "\r\n", 0, 0},
+	{"request line", "GET /", "path", 431, 408},
+	{"header fields", chatHead, "X-Field: value\r\n", 431, 408},
+	{"one header field", chatHead + "X-Field: ", "value", 431, 408},
+	{"chunk size", chunkedHead, "0", 400, 400},
+	{"chunk extension", chunkedHead + "1;", "extension", 400, 408},
+	{"chunks", chunkedHead, "1\r\nx\r\n", 413, 408},
+	{"large chunk", chunkedHead + "700000\r\n", "x", 400, 408},
+	{"trailers", chunkedHead + "0\r\n", "X-Field: value\r\n", 431, 408},
+	{"body", chatHead + "Content-Length: 8000000\r\n\r\n", "x", 431, 408},
+	{"body over the limit", chatHead + "Content-Length: 800000000\r\n\r\n", "x", 413, 413},
+	{"expected body", chatHead + "Expect: 100-continue\r\nContent-Length: 8000000\r\n\r\n", "x", 431, 408},
+}
+
+const chunkedHead = chatHead + "Transfer-Encoding: chunked\r\n\r\n"
+
+// Guards against a connection that is held for good, or takes a processor or memory for long, by bytes that never become a request.
+func TestEndlessInputIsClosed(t *testing.T) {
+	const (
+		readTimeout = 2 * time.Second
+		// linger is how long an instance reads on after a response to a request that was not read whole.
+		linger = 2 * time.Second
+		margin = 1500 * time.Millisecond
+	)
+	_, addresses := startEngines(t, 1, time.Millisecond)
+	i := startInstance(t, fleetConfig(addresses, nil), proxy.Options{ReadTimeout: readTimeout})
+	for _, p := range inputPaces {
+		for _, kept := range []bool{false, true} {
+			for _, tt := range endlessInputs {
+				name := p.name + "/" + tt.name
+				if kept {
+					name += " on a kept connection"
+				}
+				t.Run(name, func(t *testing.T) {
+					t.Parallel()
+					conn := dial(t, i.address)
+					if kept {
+						require.NoError(t, newChat(t, i.url, false, nil).Write(conn))
+						resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+						require.NoError(t, err)
+						_, err = io.Copy(io.Discard, resp.Body)
+						require.NoError(t, err)
+					}
+					begun := time.Now()
+					require.NoError(t, conn.SetDeadline(begun.Add(4*readTimeout+4*linger)))
+					sent := make(chan int, 1)
+					go func() { sent <- sendEndless(conn, p, tt.head, tt.text) }()
+					status, ended, err := readUntilClosed(conn)
+					bytes := <-sent
+					t.Logf("status %d after %v, %v, %d bytes in %v", status, ended.Sub(begun), err, bytes, time.Since(begun))
+					require.NotErrorIs(t, err, os.ErrDeadlineExceeded, "the connection is still open")
+					want := tt.slow
+					if p.interval == 0 {
+						want = tt.fast
+					}
+					require.Equal(t, want, status)
+					require.Less(t, ended.Sub(begun), readTimeout+margin)
+					require.Less(t, time.Since(begun), readTimeout+linger+margin)
+				})
+			}
+		}
+	}
+}
