A request that is cut off by its time limit within a chunk's line gets 408

What was seen: a caller that pauses too long between a chunk's size and the end of its line got 400, and did not retry. The time limit is told by 408, which says that the request has not run. Cause: the HTTP library hides the error of the read there. Change: the connection remembers that a read ended at its deadline.

--- a/internal/proxy/callerconn.go
+++ b/internal/proxy/callerconn.go
@@ -49,6 +49,8 @@
 	closed  bool
 	// unread is set if a request was rejected before all of it was read.
 	unread bool
+	// timedOut is set once a read has ended at its deadline.
+	timedOut bool
 }
 
 // Read returns bytes that watchClose has read, or reads from the connection. If the
@@ -65,7 +67,10 @@
 		c.markBusy()
 		return n, err
 	}
-	if isTimeout(err) && c.isRetired() {
+	if !isTimeout(err) {
+		return n, err
+	}
+	if c.isRetired() {
 		if n := c.readAvailable(p); n > 0 {
 			c.markBusy()
 			return n, nil
@@ -73,6 +78,7 @@
 		c.sendRetireNotice()
 		return 0, net.ErrClosed
 	}
+	c.markTimedOut()
 	return n, err
 }
 
@@ -152,6 +158,20 @@
 	c.unread = true
 }
 
+// markTimedOut records that a read has ended at its deadline.
+func (c *callerConn) markTimedOut() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.timedOut = true
+}
+
+// hasTimedOut reports whether a read has ended at its deadline. The HTTP library hides that error where a chunk's line is cut.
+func (c *callerConn) hasTimedOut() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.timedOut
+}
+
 // markBusy records that a request is arriving, and revokes a retirement: a request that
 // began to arrive before the connection was closed is served.
 func (c *callerConn) markBusy() {
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -33,16 +33,17 @@
 // library then closes the connection, because the start of the next request is unknown.
 func (s *Server) rejectUnreadable(ctx *fasthttp.RequestCtx, err error) {
 	rejected := BadRequestf("the request cannot be read")
+	c, ok := ctx.Conn().(*callerConn)
 	var small *fasthttp.ErrSmallBuffer
 	switch {
 	case errors.As(err, &small):
 		rejected = &Rejection{http.StatusRequestHeaderFieldsTooLarge, reason.TooLarge, "the header is too large"}
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		rejected = &Rejection{http.StatusRequestEntityTooLarge, reason.TooLarge, "the body is too large"}
-	case isTimeout(err):
+	case isTimeout(err), ok && c.hasTimedOut():
 		rejected = &Rejection{http.StatusRequestTimeout, reason.BadRequest, "the request came too slowly"}
 	}
-	if c, ok := ctx.Conn().(*callerConn); ok {
+	if ok {
 		c.markUnread()
 	}
 	s.reject(ctx, s.nextID(), rejected)
