--- a/internal/proxy/endlessinput_test.go
+++ b/internal/proxy/endlessinput_test.go
@@ -80,11 +80,14 @@
 
 // Guards against a connection that is held for good, or takes a processor or memory for long, by bytes that never become a request.
 func TestEndlessInputIsClosed(t *testing.T) {
+	t.Parallel()
 	const (
 		readTimeout = 2 * time.Second
 		// linger is how long an instance reads on after a response to a request that was not read whole.
 		linger = 2 * time.Second
 		margin = 1500 * time.Millisecond
+		// maxBytes is what an instance reads at most, with the buffers of the kernel.
+		maxBytes = 160 << 20
 	)
 	_, addresses := startEngines(t, 1, time.Millisecond)
 	i := startInstance(t, fleetConfig(addresses, nil), proxy.Options{ReadTimeout: readTimeout})
@@ -120,6 +123,7 @@
 					require.Equal(t, want, status)
 					require.Less(t, ended.Sub(begun), readTimeout+margin)
 					require.Less(t, time.Since(begun), readTimeout+linger+margin)
+					require.Less(t, bytes, maxBytes)
 				})
 			}
 		}
