What is read after a refusal is bounded in bytes as well

What was seen: a caller that sends at full speed after its request was refused had 0.2 to 1.9 GB read and discarded in the two seconds of the linger, which takes a processor. Change: 128 MB at most are discarded, more than any caller sends that reads its response only after the last byte of a body of 100 MB.

--- a/internal/proxy/callerconn.go
+++ b/internal/proxy/callerconn.go
@@ -19,6 +19,8 @@
 	// lingerTimeout is how long a connection waits for the caller to close its end, so
 	// that a reset does not discard the notice or response.
 	lingerTimeout = 2 * time.Second
+	// maxLinger is the number of bytes that are discarded meanwhile.
+	maxLinger = 128 << 20
 	// maxReadAhead is the number of bytes of the next request that may be read while the
 	// current request is processed.
 	maxReadAhead = 4096
@@ -233,7 +235,7 @@
 	}
 	_ = tcp.SetReadDeadline(time.Now().Add(lingerTimeout))
 	if err := tcp.CloseWrite(); err == nil {
-		_, _ = io.Copy(io.Discard, tcp)
+		_, _ = io.CopyN(io.Discard, tcp, maxLinger)
 	}
 }
 
