--- a/internal/proxy/endlessinput_test.go
+++ b/internal/proxy/endlessinput_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -57,6 +58,16 @@
 	return status, time.Now(), err
 }
 
+// keepWithOneRequest sends a request on a connection and reads its response.
+func keepWithOneRequest(t *testing.T, i *instance, conn net.Conn) {
+	t.Helper()
+	require.NoError(t, newChat(t, i.url, false, nil).Write(conn))
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	_, err = io.Copy(io.Discard, resp.Body)
+	require.NoError(t, err)
+}
+
 // endlessInputs are requests that do not end, with the status that each gets at full speed and at a slow pace, 0 if none.
 var endlessInputs = []struct {
 	name, head, text string
@@ -103,11 +114,7 @@
 					t.Parallel()
 					conn := dial(t, i.address)
 					if kept {
-						require.NoError(t, newChat(t, i.url, false, nil).Write(conn))
-						resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
-						require.NoError(t, err)
-						_, err = io.Copy(io.Discard, resp.Body)
-						require.NoError(t, err)
+						keepWithOneRequest(t, i, conn)
 					}
 					begun := time.Now()
 					require.NoError(t, conn.SetDeadline(begun.Add(4*readTimeout+4*linger)))
@@ -130,3 +137,67 @@
 		}
 	}
 }
+
+// Guards against waiting for the rest of a request line that has begun with bytes of another protocol.
+func TestGarbageIsRefusedAtOnce(t *testing.T) {
+	t.Parallel()
+	_, addresses := startEngines(t, 1, time.Millisecond)
+	i := startInstance(t, fleetConfig(addresses, nil), proxy.Options{ReadTimeout: waitTimeout})
+	for name, text := range map[string]string{
+		"handshake of TLS": "\x16\x03\x01\x02\x00\x01\x00", "zeros": "\x00", "garbage": "garbage\x00", "text": "{\"model\":",
+		"long method": "METHOD",
+	} {
+		for _, kept := range []bool{false, true} {
+			t.Run(fmt.Sprint(name, ", kept ", kept), func(t *testing.T) {
+				t.Parallel()
+				conn := dial(t, i.address)
+				if kept {
+					keepWithOneRequest(t, i, conn)
+				}
+				begun := time.Now()
+				go sendEndless(conn, inputPace{piece: 10, interval: 100 * time.Millisecond}, "", text)
+				status, ended, err := readUntilClosed(conn)
+				require.NoError(t, err)
+				require.Equal(t, http.StatusBadRequest, status)
+				require.Less(t, ended.Sub(begun), 2*time.Second)
+			})
+		}
+	}
+}
+
+// Guards against refusing what may become a request: any method, after empty lines, in pieces, and several requests at once.
+func TestRequestLinesInPiecesAreServed(t *testing.T) {
+	t.Parallel()
+	_, addresses := startEngines(t, 1, time.Millisecond)
+	b := startRawBackend(t, func(_ int, _ *http.Request, conn net.Conn) bool {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		return true
+	})
+	i := startInstance(t, fleetConfig(addresses, []string{b.address}), proxy.Options{})
+	request := func(method string) string {
+		return method + " /services/portal/x HTTP/1.1\r\nHost: fleet\r\nEbonydyke-Customer: branch-recife\r\n\r\n"
+	}
+	all := request("GET") + "\r\n" + request("M-SEARCH") + request("PROPFIND") + "\r\n\r\n" + request("DELETE")
+	for _, size := range []int{1, 2, 3, 7, 60, 100, 150, len(all)} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			t.Parallel()
+			conn := dial(t, i.address)
+			go func() {
+				for rest := all; rest != ""; {
+					n := min(size, len(rest))
+					_, _ = io.WriteString(conn, rest[:n])
+					rest = rest[n:]
+					time.Sleep(5 * time.Millisecond)
+				}
+			}()
+			in := bufio.NewReader(conn)
+			for range 4 {
+				resp, err := http.ReadResponse(in, nil)
+				require.NoError(t, err)
+				require.Equal(t, http.StatusOK, resp.StatusCode)
+				_, err = io.Copy(io.Discard, resp.Body)
+				require.NoError(t, err)
+			}
+		})
+	}
+}
