Bytes that can begin no request are refused at once

What was seen: a caller that speaks another protocol (a handshake of TLS, binary data, JSON without a head) kept its connection until the read timeout, a minute by default, with a byte now and then. Cause: the HTTP library judges a request line once it has a line end, and before that only by its length (32 KB). Change: the connection checks the method's bytes as they arrive: token characters, 32 at most, after any empty lines. The caller gets 400. A request whose first bytes the library has read together with the request before is not checked, as these bytes cannot be told apart there.

--- a/internal/proxy/callerconn.go
+++ b/internal/proxy/callerconn.go
@@ -40,6 +40,9 @@
 	server *Server
 	// readAhead holds bytes that watchClose has read.
 	readAhead []byte
+	// method checks the request that arrives, and badInput is set once it cannot become one. Only Read uses them.
+	method   methodCheck
+	badInput error
 
 	mu sync.Mutex
 	// idleSince is zero while a request is read or processed.
@@ -55,9 +58,25 @@
 	timedOut bool
 }
 
-// Read returns bytes that watchClose has read, or reads from the connection. If the
-// connection is retired and no request has arrived, it ends the connection.
+// Read returns the next bytes of a request. After bytes that cannot begin one it returns an error.
+//
+// The HTTP library reads the first byte of a request by itself, unless it has read it with the request before. Such a
+// pipelined request is not checked here.
 func (c *callerConn) Read(p []byte) (int, error) {
+	if c.badInput != nil {
+		return 0, c.badInput
+	}
+	if len(p) == 1 && c.isIdle() {
+		c.method.begin()
+	}
+	n, err := c.readNext(p)
+	c.badInput = c.method.check(p[:n])
+	return n, err
+}
+
+// readNext returns bytes that watchClose has read, or reads from the connection. If the
+// connection is retired and no request has arrived, it ends the connection.
+func (c *callerConn) readNext(p []byte) (int, error) {
 	if len(c.readAhead) > 0 {
 		n := copy(p, c.readAhead)
 		c.readAhead = c.readAhead[n:]
@@ -186,6 +205,12 @@
 	}
 }
 
+func (c *callerConn) isIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.idleSince.IsZero()
+}
+
 // markIdle records that the connection is idle.
 func (c *callerConn) markIdle() {
 	c.mu.Lock()
--- /dev/null
+++ b/internal/proxy/methodcheck.go
@@ -0,0 +1,52 @@
+package proxy
+
+import (
+	"errors"
+	"strings"
+)
+
+// maxMethod is the maximum length of a request's method in bytes. The longest that is registered has 17.
+const maxMethod = 32
+
+// errNoRequest means that the bytes of a caller cannot begin a request.
+var errNoRequest = errors.New("proxy: not a request")
+
+// methodCheck checks the method of a request as its bytes arrive. The HTTP library checks a request line only once it is complete,
+// and would wait for the rest of bytes that are none, such as a handshake of TLS.
+type methodCheck struct {
+	// checking is set until the method is complete, and length is the number of its bytes.
+	checking bool
+	length   int
+}
+
+// begin starts the check of the next request.
+func (m *methodCheck) begin() { *m = methodCheck{checking: true} }
+
+// check returns an error if the method cannot be one with the next bytes b.
+func (m *methodCheck) check(b []byte) error {
+	for _, c := range b {
+		switch {
+		case !m.checking:
+			return nil
+		case m.length == 0 && (c == '\r' || c == '\n'):
+			// Empty lines before a request are skipped.
+		case m.length > 0 && c == ' ':
+			m.checking = false
+		case m.length == maxMethod, !isTokenByte(c):
+			return errNoRequest
+		default:
+			m.length++
+		}
+	}
+	return nil
+}
+
+// isTokenByte reports whether c may occur in a token (RFC 9110, section 5.6.2).
+func isTokenByte(c byte) bool {
+	switch {
+	case '0' <= c && c <= '9', 'a' <= c && c <= 'z', 'A' <= c && c <= 'Z':
+		return true
+	default:
+		return strings.IndexByte("!#$%&'*+-.^_`|~", c) >= 0
+	}
+}
