--- a/internal/core/config/check.go
+++ b/internal/core/config/check.go
@@ -130,6 +130,7 @@
 	c.checkPositive("claims.window", float64(c.text.Claims.Window))
 	c.checkPositive("limits.max_header", float64(c.text.Limits.MaxHeader))
 	c.checkPositive("limits.max_body", float64(c.text.Limits.MaxBody))
+	c.checkPositive("limits.header_timeout", float64(c.text.Limits.HeaderTimeout))
 }
 
 // checkPositive adds a finding if the value is present in the text and 0 or less.
--- a/internal/core/config/types.go
+++ b/internal/core/config/types.go
@@ -193,6 +193,8 @@
 	MaxHeader int `json:"max_header,omitempty"`
 	// MaxBody limits a request's body, in bytes.
 	MaxBody int `json:"max_body,omitempty"`
+	// HeaderTimeout limits the time from a request's first byte to the end of its headers.
+	HeaderTimeout Duration `json:"header_timeout,omitzero"`
 }
 
 // Envelope is the value stored in the platform under the configuration key.
--- a/internal/proxy/callerconn_test.go
+++ b/internal/proxy/callerconn_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"os"
 	"testing"
 	"time"
 
@@ -41,3 +42,21 @@
 	require.Equal(t, request, string(p[:n]))
 	require.False(t, c.isRetired(), "it is served on this connection")
 }
+
+// Guards against refusing a request as too slow that has arrived in time: an instance that was paused reads it only after the
+// deadline. What arrives later is not waited for.
+func TestArrivedBytesAreReadAfterDeadline(t *testing.T) {
+	const request = "POST /v1/chat/completions HTTP/1.1\r\n"
+	caller, instance := connPair(t)
+	c := &callerConn{Conn: instance, server: &Server{options: Options{Dialect: Native{}}}}
+	_, err := caller.Write([]byte(request))
+	require.NoError(t, err)
+	time.Sleep(50 * time.Millisecond)
+	require.NoError(t, c.SetReadDeadline(time.Now().Add(-time.Second)))
+	var p [64]byte
+	n, err := c.Read(p[:])
+	require.NoError(t, err)
+	require.Equal(t, request, string(p[:n]))
+	_, err = c.Read(p[:])
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+}
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -46,7 +46,9 @@
 	// onNotReady is called when the instance reports that it is not ready.
 	onNotReady func()
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// applied is the generation of the configuration that was applied last.
+	applied  uint64
 	finishes []core.Finish
 	attempts []core.SendAttempt
 	refused  map[reason.Reason]int
@@ -68,6 +70,8 @@
 	case core.Finish:
 		i.finishes = append(i.finishes, e)
 		go i.server.Deliver(e.Request, e)
+	case core.ConfigApplied:
+		i.applied = e.Generation
 	case core.SetReady:
 		i.server.SetReady(e.Ready)
 		if i.onNotReady != nil {
