Bytes that arrived before the read deadline are read after it

What was seen: an instance that was paused, or had no processor, while a request arrived refused it as too slow (408): a read after the deadline returns no data, also where it lies in the kernel. Change: after its deadline a connection is read once more without waiting, as a retired one already was. What does not lie there is not waited for. Test: TestArrivedBytesAreReadAfterDeadline failed before, passes now.

--- a/internal/proxy/callerconn.go
+++ b/internal/proxy/callerconn.go
@@ -99,13 +99,26 @@
 		c.sendRetireNotice()
 		return 0, net.ErrClosed
 	}
+	if n := c.readAvailable(p); n > 0 {
+		return n, c.restoreDeadline()
+	}
 	c.markTimedOut()
-	return n, err
+	return 0, errors.Join(err, c.restoreDeadline())
+}
+
+// restoreDeadline sets the deadline again that readAvailable has removed.
+func (c *callerConn) restoreDeadline() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.retired {
+		return c.Conn.SetReadDeadline(pastDeadline)
+	}
+	return c.Conn.SetReadDeadline(c.deadline)
 }
 
-// readAvailable reads the bytes that have arrived on a retired connection, without blocking.
+// readAvailable reads the bytes that have arrived, without blocking, and removes the deadline.
 // After the read deadline has passed, an ordinary read returns no data: on a busy
-// machine a request may have arrived unread while the connection seems idle.
+// machine a request may have arrived unread while the connection seems idle, or its sender slow.
 func (c *callerConn) readAvailable(p []byte) int {
 	conn, ok := c.Conn.(syscall.Conn)
 	if !ok {
