The operators' limits apply while a request of a caller is read

What was seen: headers that take longer than the operators' timeout were read until the instance's own (a minute), and a body over their limit was read whole, up to the instance's own limit (8 MB) and time, before it was refused. Cause: the timeout was not decoded, and the size of a body was judged only once the core got the request. Change: limits.header_timeout of the configuration (headerTimeoutMs in the platform's format) and limits.max_body reach the proxy with each configuration that is applied. From a request's first byte its headers have that time, its body what is left of the read timeout, and a body is refused by its announced length, or by the first chunk over the limit. Limits apply from the next request on, also on open connections. The idle timeout of the operators stays out of force: a request may cross the close, and an idle connection costs little. Test: TestHeaderTimeoutIsInForce, TestBodyOverOperatorsLimitIsRefusedAtOnce, TestCallerLimitsFollowConfiguration and TestDecodeConfig failed before, pass now; TestHeaderTimeoutDoesNotLimitBody passes. A body over the limit gets 413 before its customer is looked up now.

--- a/internal/core/configs.go
+++ b/internal/core/configs.go
@@ -185,7 +185,7 @@
 	n.configs.storeBehind = false
 	n.rebuildPools()
 	n.routesChanged()
-	n.emit(ConfigApplied{Generation: env.Generation, Edit: env.Edit, Source: source})
+	n.emit(ConfigApplied{Generation: env.Generation, Edit: env.Edit, Source: source, Limits: snapshot.Limits})
 	if conflict && !n.settings.ConfigReadOnly {
 		n.sendConfigToPeers()
 	}
--- a/internal/core/effect.go
+++ b/internal/core/effect.go
@@ -230,6 +230,8 @@
 	Generation uint64       `json:"generation"`
 	Edit       string       `json:"edit"`
 	Source     ConfigSource `json:"source"`
+	// Limits are the limits on callers' requests that are now in force.
+	Limits config.CallerLimits `json:"limits,omitzero"`
 }
 
 // ConfigRefused reports that a configuration failed validation and that the previous one
--- a/internal/daemon/executor.go
+++ b/internal/daemon/executor.go
@@ -41,6 +41,7 @@
 	case core.SendPeer:
 		x.links.Send(e.To, e.Message)
 	case core.ConfigApplied:
+		x.proxy.SetCallerLimits(e.Limits)
 		x.proxy.Log("configuration applied", "generation", e.Generation, "edit", e.Edit, "source", e.Source)
 	case core.ConfigRefused:
 		x.proxy.Log("configuration refused", "generation", e.Generation, "findings", e.Findings.Error(), "source", e.Source)
--- a/internal/proxy/callerconn.go
+++ b/internal/proxy/callerconn.go
@@ -47,8 +47,9 @@
 	mu sync.Mutex
 	// idleSince is zero while a request is read or processed.
 	idleSince time.Time
-	// deadline is the read deadline that the HTTP library set.
+	// deadline is the read deadline that the HTTP library set, within the bounds of the request that arrives, if any.
 	deadline time.Time
+	arriving *requestDeadlines
 	// retired is set while the connection is being closed for being idle.
 	retired bool
 	closed  bool
@@ -145,6 +146,9 @@
 func (c *callerConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.arriving != nil && !t.IsZero() {
+		t = c.arriving.bound(t)
+	}
 	c.deadline = t
 	if c.retired {
 		return nil
@@ -229,6 +233,15 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.idleSince = time.Now()
+	c.arriving = nil
+}
+
+// beginRequest bounds the time of a request whose first byte has arrived.
+func (c *callerConn) beginRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	bounds := c.server.beginRequest(time.Now())
+	c.arriving = &bounds
 }
 
 // retire makes the connection close itself if it has been idle since t or earlier.
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -71,6 +71,7 @@
 		i.finishes = append(i.finishes, e)
 		go i.server.Deliver(e.Request, e)
 	case core.ConfigApplied:
+		i.server.SetCallerLimits(e.Limits)
 		i.applied = e.Generation
 	case core.SetReady:
 		i.server.SetReady(e.Ready)
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -32,6 +32,7 @@
 	activities *backendActivities
 	engine     *engineClient
 	ends       endChecker
+	limits     callerLimits
 	// notReady is set while the load balancer must not send new requests.
 	notReady atomic.Bool
 	// lastRequestID and requestIDPrefix form the request IDs.
@@ -73,6 +74,7 @@
 		Handler:                      s.handle,
 		ErrorHandler:                 s.rejectUnreadable,
 		ConnState:                    connState,
+		HeaderReceived:               s.bodyLimits,
 		MaxRequestBodySize:           o.MaxBody,
 		ReadBufferSize:               o.MaxHeader,
 		ReadTimeout:                  o.ReadTimeout,
@@ -101,6 +103,7 @@
 	switch state {
 	case fasthttp.StateActive:
 		c.markBusy()
+		c.beginRequest()
 	case fasthttp.StateIdle:
 		c.markIdle()
 	default:
