A stop ends at its grace time also while callers connect again and again

What was seen: a client that ignores readiness and connects each 50 ms (as a TCP check does) kept an instance with the default settings running 3 s and more after its grace time, until it is killed. Cause: the listener closes once no connection has arrived for accept_quiet, or after accept_max (2 min by default). The end of the grace period ended everything else, and then waited for the accept loop. Change: the end of the grace period closes the listener as well. With the users' accept_max of 1 s it could not be seen there.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -64,7 +64,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return links.Run(ctx) })
 	group.Go(func() error { return loop.Run(ctx, exec) })
-	group.Go(func() error { return server.Serve(listeners.callers) })
+	group.Go(func() error { return serveCallers(ctx, server, listeners.callers) })
 	group.Go(func() error { return serveAdmin(ctx, listeners.operators, loop, counters) })
 	group.Go(func() error { return serveReady(ctx, listeners.ready, loop) })
 	group.Go(func() error { return reload.run(ctx) })
@@ -86,6 +86,14 @@
 	return nil
 }
 
+// serveCallers accepts connections of callers until the server closes the listener or ctx is done. A stopping server closes it
+// only once no new connections arrive, which may not happen within the grace period.
+func serveCallers(ctx context.Context, server *proxy.Server, l net.Listener) error {
+	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
+	defer stop()
+	return server.Serve(l)
+}
+
 // applyReloaded applies the settings that can change without a restart. The core must know the time until the process is
 // killed as well: it refuses requests that could still be in progress then.
 func applyReloaded(s *settings.Settings, grace *atomic.Int64, calls *storeCalls, post func(core.Event)) {
