--- a/internal/proxy/endlessinput_test.go
+++ b/internal/proxy/endlessinput_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -201,3 +202,57 @@
 		})
 	}
 }
+
+// Guards against reading on without bound while a request is processed, or losing its response.
+func TestBytesBesideARequestAreNotReadAhead(t *testing.T) {
+	t.Parallel()
+	const answerAfter = time.Second
+	_, addresses := startEngines(t, 1, time.Millisecond)
+	b := startRawBackend(t, func(_ int, _ *http.Request, conn net.Conn) bool {
+		time.Sleep(answerAfter)
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		return true
+	})
+	i := startInstance(t, fleetConfig(addresses, []string{b.address}), proxy.Options{ReadTimeout: 2 * time.Second})
+	for _, p := range inputPaces {
+		for _, text := range []string{"garbage\x00", "X-Field: value\r\n", "\r\n"} {
+			t.Run(fmt.Sprintf("%s %q", p.name, text), func(t *testing.T) {
+				t.Parallel()
+				conn := dial(t, i.address)
+				require.NoError(t, conn.(*net.TCPConn).SetWriteBuffer(64<<10))
+				_, err := io.WriteString(conn, "GET /services/portal/x HTTP/1.1\r\nHost: fleet\r\nEbonydyke-Customer: branch-recife\r\n\r\n")
+				require.NoError(t, err)
+				var beforeAnswer atomic.Int64
+				done := make(chan struct{})
+				go func() {
+					defer close(done)
+					sendEndless(writeCounter{conn, &beforeAnswer}, p, "", text)
+				}()
+				in := bufio.NewReader(conn)
+				resp, err := http.ReadResponse(in, nil)
+				require.NoError(t, err)
+				require.Less(t, beforeAnswer.Load(), int64(16<<20), "the kernel's buffers alone")
+				require.Equal(t, http.StatusOK, resp.StatusCode)
+				body, err := io.ReadAll(resp.Body)
+				require.NoError(t, err)
+				require.Equal(t, "ok", string(body))
+				_, err = io.Copy(io.Discard, in)
+				require.NoError(t, err, "the connection ends in an orderly way")
+				<-done
+			})
+		}
+	}
+}
+
+// writeCounter counts the bytes written to a connection.
+type writeCounter struct {
+	net.Conn
+	n *atomic.Int64
+}
+
+// Write implements net.Conn.
+func (w writeCounter) Write(p []byte) (int, error) {
+	n, err := w.Conn.Write(p)
+	w.n.Add(int64(n))
+	return n, err
+}
