--- a/cmd/ebonyctl/instances.go
+++ b/cmd/ebonyctl/instances.go
@@ -18,7 +18,7 @@
 const (
 	// callTimeout limits one request to one instance.
 	callTimeout = 3 * time.Second
-	// maxResponseBytes is the maximum size of an instance's response in bytes.
+	// maxResponseBytes is the maximum size of a response that is kept in memory, in bytes.
 	maxResponseBytes = 16 << 20
 	// maxConcurrentCalls limits the concurrent requests to instances.
 	maxConcurrentCalls = 32
@@ -74,7 +74,7 @@
 		return fmt.Errorf("no answer from the instance at %s: %w", address, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	body, err := readLimited(resp.Body)
 	if err != nil {
 		return fmt.Errorf("instance at %s: %w", address, err)
 	}
@@ -90,6 +90,18 @@
 	return nil
 }
 
+// errResponseTooLarge means that a response exceeds maxResponseBytes.
+var errResponseTooLarge = fmt.Errorf("response over %d bytes", maxResponseBytes)
+
+// readLimited reads a body of at most maxResponseBytes. With an error it returns what it has read.
+func readLimited(r io.Reader) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(r, maxResponseBytes+1))
+	if len(body) > maxResponseBytes {
+		return body[:maxResponseBytes], errResponseTooLarge
+	}
+	return body, err
+}
+
 // callFirst sends a request to the instances in --instances in order until one succeeds.
 func (c *cli) callFirst(ctx context.Context, path string, query url.Values, v any) error {
 	var lastErr error
--- a/cmd/ebonyctl/send.go
+++ b/cmd/ebonyctl/send.go
@@ -111,17 +111,19 @@
 	return req, nil
 }
 
-// readBody prints the response body as it arrives, or stores it in s for JSON output.
+// readBody prints the response body as it arrives, or stores it in s for JSON output, whose size is limited.
 func (c *sendCommand) readBody(global *cli, resp *http.Response, s *sendResult) {
-	var buffer strings.Builder
-	out := global.stdout
-	if global.JSON {
-		out = &buffer
+	if !global.JSON {
+		if _, err := io.Copy(global.stdout, resp.Body); err != nil {
+			s.ReadError = err.Error()
+		}
+		return
 	}
-	if _, err := io.Copy(out, resp.Body); err != nil {
+	body, err := readLimited(resp.Body)
+	if err != nil {
 		s.ReadError = err.Error()
 	}
-	s.Body = buffer.String()
+	s.Body = string(body)
 }
 
 func (s *sendResult) responder() string {
