--- a/internal/peer/endlessframes_test.go
+++ b/internal/peer/endlessframes_test.go
@@ -1,6 +1,8 @@
 package peer
 
 import (
+	"bytes"
+	"context"
 	"encoding/binary"
 	"io"
 	"net"
@@ -11,8 +13,10 @@
 	"github.com/hashicorp/yamux"
 	"github.com/stretchr/testify/require"
 
+	"github.com/ebonydyke/ebonydyke/api/peerpb"
 	"github.com/ebonydyke/ebonydyke/internal/core"
 	"github.com/ebonydyke/ebonydyke/internal/core/config"
+	"github.com/ebonydyke/ebonydyke/internal/core/paths"
 )
 
 // connect opens a connection to an instance and completes the handshake.
@@ -146,3 +150,68 @@
 		})
 	}
 }
+
+// Guards against a connection that is held for good, or buffers without bound, by a first frame that does not end.
+func TestEndlessHandshakesAreClosed(t *testing.T) {
+	t.Parallel()
+	b := newInstance(t, "b", 1)
+	frame := binary.AppendUvarint(nil, maxHello)
+	for name, first := range map[string][]byte{
+		"length": {}, "frame": frame, "names": append(frame, 0x12, 0xff, 0xff, 0xff, 0xff, 0x0f), "large frame": binary.AppendUvarint(nil, 1<<40),
+	} {
+		for pace, interval := range map[string]time.Duration{"fast": 0, "slow": 100 * time.Millisecond} {
+			t.Run(pace+"/"+name, func(t *testing.T) {
+				t.Parallel()
+				conn, err := net.Dial("tcp", b.address)
+				require.NoError(t, err)
+				t.Cleanup(func() { _ = conn.Close() })
+				begun := time.Now()
+				_, err = conn.Write(first)
+				for err == nil && time.Since(begun) < 3*helloTimeout {
+					time.Sleep(interval)
+					_, err = conn.Write([]byte{0x80})
+				}
+				require.Error(t, err, "the connection is still open")
+				require.Less(t, time.Since(begun), helloTimeout+time.Second)
+			})
+		}
+	}
+}
+
+// Guards against a request that waits beyond its time for a relay whose hello or reply does not end.
+func TestEndlessRelayRepliesEndWithTheTimeout(t *testing.T) {
+	t.Parallel()
+	const limit = 500 * time.Millisecond
+	hello, err := NewEncoder().hello(&peerpb.Hello{Version: protocolVersion, Name: "b", Zone: "z", Incarnation: 1, Fleet: "f"})
+	require.NoError(t, err)
+	frame := binary.AppendUvarint(nil, maxHello)
+	for name, first := range map[string][]byte{
+		"hello": frame, "reply": append(bytes.Clone(hello), frame...), "length": hello, "large reply": append(bytes.Clone(hello), 0xff, 0xff, 0x7f),
+	} {
+		for pace, interval := range map[string]time.Duration{"fast": 0, "slow": 50 * time.Millisecond} {
+			t.Run(pace+"/"+name, func(t *testing.T) {
+				t.Parallel()
+				l, err := net.Listen("tcp", "127.0.0.1:0")
+				require.NoError(t, err)
+				t.Cleanup(func() { _ = l.Close() })
+				go func() {
+					conn, err := l.Accept()
+					if err != nil {
+						return
+					}
+					_, err = conn.Write(first)
+					for err == nil {
+						time.Sleep(interval)
+						_, err = conn.Write([]byte{0x80})
+					}
+				}()
+				ctx, cancel := context.WithTimeout(t.Context(), limit)
+				defer cancel()
+				begun := time.Now()
+				_, err = RelayDialer{Fleet: "f", Name: "a"}.DialContext(ctx, core.PeerAddress{Name: "b", Address: l.Addr().String()}, "server")
+				require.Equal(t, paths.NoRelay, paths.ResultOf(err))
+				require.Less(t, time.Since(begun), limit+500*time.Millisecond)
+			})
+		}
+	}
+}
