Test, known red: memory for bodies of callers that are announced and never sent

Cause: the HTTP library allocates the announced length of a body, or of a chunk, before it reads it; the pages are touched, so that they are resident. Not mended: with the library's streamed bodies the memory would follow the bytes received, but the header buffer of max_header then stays with each connection, also an idle one.

--- a/internal/proxy/endlessinput_test.go
+++ b/internal/proxy/endlessinput_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -256,3 +257,31 @@
 	w.n.Add(int64(n))
 	return n, err
 }
+
+// Guards against memory that is taken by bodies which are announced and never sent.
+func TestAnnouncedBodiesTakeNoMemory(t *testing.T) {
+	const connections, allowed = 32, 32 << 20
+	_, addresses := startEngines(t, 1, time.Millisecond)
+	i := startInstance(t, fleetConfig(addresses, nil), proxy.Options{})
+	for name, head := range map[string]string{
+		"length": chatHead + "Content-Length: 8000000\r\n\r\n",
+		"chunk":  chunkedHead + "7a1200\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			before := heapInUse()
+			for range connections {
+				conn := dial(t, i.address)
+				_, err := io.WriteString(conn, head+"x")
+				require.NoError(t, err)
+			}
+			require.Never(t, func() bool { return heapInUse() > before+allowed }, time.Second, 50*time.Millisecond)
+		})
+	}
+}
+
+// heapInUse returns the bytes of the heap that are in use or not collected yet.
+func heapInUse() uint64 {
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
