A relay reads at most 128 MB after its backend server has closed

What was seen: after the end of the backend server a relay read and discarded what its requester sent for as long as that sent, which takes a processor and one of the 256 places for relayed connections. Change: bounded in bytes, with a log line and a reset. It has no bound in time: the requester closes once its own caller has read the answer. Test: TestBytesAfterTheServersEndAreBounded failed before, passes now.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -35,6 +35,9 @@
 	// matter: its machine acknowledges.
 	ackTimeout = 5 * time.Second
 	bufferSize = 4 << 10
+	// maxDiscarded is the number of bytes that a requester may send after its backend server has closed. It is far above the rest of a
+	// request that was answered early.
+	maxDiscarded = 128 << 20
 )
 
 // Metrics receives the measurements of a Server. Its methods must be safe for concurrent use.
@@ -148,7 +151,12 @@
 func (s *Server) passRequests(server, requester net.Conn) {
 	if err := s.pass(server, requester); errors.Is(err, errWrite) {
 		// The server has closed. What the requester still sends is discarded until it has closed as well.
-		_ = s.pass(io.Discard, requester)
+		rest := io.LimitedReader{R: requester, N: maxDiscarded}
+		_ = s.pass(io.Discard, &rest)
+		if rest.N == 0 {
+			klog.InfoS("relayed connection reset: its requester sends on without end", "bytes", maxDiscarded)
+			abort(requester)
+		}
 	}
 	abort(server)
 }
