Test: bytes that arrive after the read deadline (fails: read for as long as they come)

Committed as it fails: TestBytesThatArriveAfterDeadlineAreNotRead. It was found with the race detector, where TestEndlessInputIsClosed/fast/chunks and the same on a kept connection were still open after 16 s with a read timeout of 2 s, 52 MB read.

--- a/internal/proxy/callerconn_test.go
+++ b/internal/proxy/callerconn_test.go
@@ -60,3 +60,26 @@
 	_, err = c.Read(p[:])
 	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
 }
+
+// Guards against a caller that is read on after the deadline for as long as it keeps sending.
+func TestBytesThatArriveAfterDeadlineAreNotRead(t *testing.T) {
+	caller, instance := connPair(t)
+	c := &callerConn{Conn: instance, server: &Server{options: Options{Dialect: Native{}}}}
+	write := func(text string) {
+		_, err := caller.Write([]byte(text))
+		require.NoError(t, err)
+		time.Sleep(50 * time.Millisecond)
+	}
+	write("in time")
+	require.NoError(t, c.SetReadDeadline(time.Now().Add(-time.Second)))
+	var p [4]byte
+	n, err := c.Read(p[:])
+	require.NoError(t, err)
+	require.Equal(t, "in t", string(p[:n]))
+	write("late")
+	n, err = c.Read(p[:])
+	require.NoError(t, err)
+	require.Equal(t, "ime", string(p[:n]))
+	_, err = c.Read(p[:])
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+}
