Only bytes that lay in the kernel at the deadline are read after it

What was seen: with the race detector, TestEndlessInputIsClosed/fast/chunks (and on a kept connection) was still open after 16 s with a read timeout of 2 s. A caller at full speed, whose bytes take longer to read than to come, was read on after the deadline up to the limit of bytes. Change: the first read after the deadline asks the kernel how many bytes lie there, and no more are read after it. Test: TestBytesThatArriveAfterDeadlineAreNotRead failed before, passes now. TestEndlessInputIsClosed passes with the race detector.

--- a/internal/proxy/callerconn.go
+++ b/internal/proxy/callerconn.go
@@ -8,6 +8,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/ebonydyke/ebonydyke/internal/core"
 	"github.com/ebonydyke/ebonydyke/internal/core/reason"
 )
@@ -50,6 +52,9 @@
 	// deadline is the read deadline that the HTTP library set, within the bounds of the request that arrives, if any.
 	deadline time.Time
 	arriving *requestDeadlines
+	// arrived is the number of bytes that may still be read after the deadline, if arrivedKnown is set.
+	arrived      int
+	arrivedKnown bool
 	// retired is set while the connection is being closed for being idle.
 	retired bool
 	closed  bool
@@ -100,13 +105,40 @@
 		c.sendRetireNotice()
 		return 0, net.ErrClosed
 	}
-	if n := c.readAvailable(p); n > 0 {
+	if n := c.readArrived(p); n > 0 {
 		return n, c.restoreDeadline()
 	}
 	c.markTimedOut()
 	return 0, errors.Join(err, c.restoreDeadline())
 }
 
+// readArrived reads bytes after the deadline that lay in the kernel at the first read after it.
+func (c *callerConn) readArrived(p []byte) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.arrivedKnown {
+		c.arrivedKnown, c.arrived = true, c.queuedBytes()
+	}
+	if c.arrived == 0 {
+		return 0
+	}
+	n := c.readAvailable(p[:min(len(p), c.arrived)])
+	c.arrived -= n
+	return n
+}
+
+// queuedBytes returns the number of bytes that have arrived and are not read.
+func (c *callerConn) queuedBytes() (n int) {
+	err := control(c.Conn, func(fd int) (err error) {
+		n, err = unix.IoctlGetInt(fd, unix.TIOCINQ)
+		return err
+	})
+	if err != nil {
+		return 0 // The connection is closed.
+	}
+	return n
+}
+
 // restoreDeadline sets the deadline again that readAvailable has removed.
 func (c *callerConn) restoreDeadline() error {
 	c.mu.Lock()
@@ -149,7 +181,7 @@
 	if c.arriving != nil && !t.IsZero() {
 		t = c.arriving.bound(t)
 	}
-	c.deadline = t
+	c.deadline, c.arrivedKnown = t, false
 	if c.retired {
 		return nil
 	}
