--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -101,6 +101,9 @@
 	MaxConns int `json:"max_conns"`
 	// MaxBody is the maximum size of a request body in bytes.
 	MaxBody int `json:"max_body"`
+	// MaxResponse is the maximum size of a response body in bytes if it has a length. If it has none, it may have no end,
+	// and half of that is its maximum. It does not apply to streams of events.
+	MaxResponse int64 `json:"max_response"`
 	// MaxHeader is the maximum size of a request or response header in bytes.
 	MaxHeader int `json:"max_header"`
 	// ReadTimeout limits the time to read one complete request.
@@ -147,6 +150,7 @@
 		Limits: Limits{
 			MaxConns:    proxy.DefaultMaxConns,
 			MaxBody:     proxy.DefaultMaxBody,
+			MaxResponse: proxy.DefaultMaxResponse,
 			MaxHeader:   proxy.DefaultMaxHeader,
 			ReadTimeout: config.Duration(proxy.DefaultReadTimeout),
 			CallerIdle:  config.Duration(proxy.DefaultCallerIdle),
@@ -285,6 +289,7 @@
 	}{
 		{"max_conns", int64(l.MaxConns)},
 		{"max_body", int64(l.MaxBody)},
+		{"max_response", l.MaxResponse},
 		{"max_header", int64(l.MaxHeader)},
 		{"read_timeout", int64(l.ReadTimeout)},
 		{"caller_idle", int64(l.CallerIdle)},
