--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -203,6 +203,7 @@
 		Metrics:     m,
 		MaxConns:    l.MaxConns,
 		MaxBody:     l.MaxBody,
+		MaxResponse: l.MaxResponse,
 		MaxHeader:   l.MaxHeader,
 		ReadTimeout: time.Duration(l.ReadTimeout),
 		CallerIdle:  time.Duration(l.CallerIdle),
--- a/internal/peer/linkconn.go
+++ b/internal/peer/linkconn.go
@@ -20,11 +20,33 @@
 // and yamux calls this Close before it yields.
 type linkConn struct {
 	net.Conn
+	// limit bounds the input of the session, and refused is called once when the input exceeds it. limit is nil before the session
+	// is opened.
+	limit   *inputLimit
+	refused func(error)
 	mu      sync.Mutex
 	streams []*yamux.Stream
 	closed  bool
 }
 
+// limitInput bounds the input from now on.
+func (c *linkConn) limitInput(refused func(error)) {
+	c.limit, c.refused = &inputLimit{}, refused
+}
+
+// Read implements net.Conn.
+func (c *linkConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if c.limit == nil {
+		return n, err
+	}
+	if err := c.limit.check(b[:n]); err != nil {
+		c.refused(err)
+		return 0, err
+	}
+	return n, err
+}
+
 // Close aborts pending reads and writes on the streams and closes the connection.
 func (c *linkConn) Close() error {
 	c.mu.Lock()
@@ -55,18 +77,27 @@
 	return c.setTimeout(stream.SetReadDeadline, timeout)
 }
 
+// clearReadTimeout removes the timeout of the next read from a stream.
+func (c *linkConn) clearReadTimeout(stream *yamux.Stream) error {
+	return c.setDeadline(stream.SetReadDeadline, time.Time{})
+}
+
 // setWriteTimeout sets the timeout of the next write to a stream.
 func (c *linkConn) setWriteTimeout(stream *yamux.Stream, timeout time.Duration) error {
 	return c.setTimeout(stream.SetWriteDeadline, timeout)
 }
 
-// setTimeout sets a deadline unless the connection is closed. After Close, a new deadline would
-// replace the expired one.
 func (c *linkConn) setTimeout(set func(time.Time) error, timeout time.Duration) error {
+	return c.setDeadline(set, time.Now().Add(timeout))
+}
+
+// setDeadline sets a deadline unless the connection is closed. After Close, a new deadline would
+// replace the expired one.
+func (c *linkConn) setDeadline(set func(time.Time) error, deadline time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
 		return net.ErrClosed
 	}
-	return set(time.Now().Add(timeout))
+	return set(deadline)
 }
--- a/internal/proxy/callerconn_test.go
+++ b/internal/proxy/callerconn_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"os"
 	"testing"
 	"time"
 
@@ -59,3 +60,44 @@
 	_, err = c.Read(p[:])
 	require.True(t, isTimeout(err), "the timeout of a request that is read stays: %v", err)
 }
+
+// Guards against refusing a request as too slow that has arrived in time: an instance that was paused reads it only after the
+// deadline. What arrives later is not waited for.
+func TestArrivedBytesAreReadAfterDeadline(t *testing.T) {
+	const request = "POST /v1/chat/completions HTTP/1.1\r\n"
+	caller, instance := connPair(t)
+	c := &callerConn{Conn: instance, server: &Server{options: Options{Dialect: Native{}}}}
+	_, err := caller.Write([]byte(request))
+	require.NoError(t, err)
+	time.Sleep(50 * time.Millisecond)
+	require.NoError(t, c.SetReadDeadline(time.Now().Add(-time.Second)))
+	var p [64]byte
+	n, err := c.Read(p[:])
+	require.NoError(t, err)
+	require.Equal(t, request, string(p[:n]))
+	_, err = c.Read(p[:])
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+}
+
+// Guards against a caller that is read on after the deadline for as long as it keeps sending.
+func TestBytesThatArriveAfterDeadlineAreNotRead(t *testing.T) {
+	caller, instance := connPair(t)
+	c := &callerConn{Conn: instance, server: &Server{options: Options{Dialect: Native{}}}}
+	write := func(text string) {
+		_, err := caller.Write([]byte(text))
+		require.NoError(t, err)
+		time.Sleep(50 * time.Millisecond)
+	}
+	write("in time")
+	require.NoError(t, c.SetReadDeadline(time.Now().Add(-time.Second)))
+	var p [4]byte
+	n, err := c.Read(p[:])
+	require.NoError(t, err)
+	require.Equal(t, "in t", string(p[:n]))
+	write("late")
+	n, err = c.Read(p[:])
+	require.NoError(t, err)
+	require.Equal(t, "ime", string(p[:n]))
+	_, err = c.Read(p[:])
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+}
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -32,6 +32,7 @@
 	activities *backendActivities
 	engine     *engineClient
 	ends       endChecker
+	limits     callerLimits
 	// notReady is set while the load balancer must not send new requests.
 	notReady atomic.Bool
 	// lastRequestID and requestIDPrefix form the request IDs.
@@ -75,6 +76,7 @@
 		Handler:                      s.handle,
 		ErrorHandler:                 s.rejectUnreadable,
 		ConnState:                    connState,
+		HeaderReceived:               s.bodyLimits,
 		MaxRequestBodySize:           o.MaxBody,
 		ReadBufferSize:               o.MaxHeader,
 		ReadTimeout:                  o.ReadTimeout,
@@ -103,6 +105,7 @@
 	switch state {
 	case fasthttp.StateActive:
 		c.markBusy()
+		c.beginRequest()
 	case fasthttp.StateIdle:
 		c.state.answered()
 		c.markIdle()
