Failing test: a server that only repeats events or sends comments is asked anew after each hold

Cause: a whole event that is no progress ends the part, so the silence is no fault; the server counts as an outlier only, which takes three failures after each hold.

--- a/internal/proxy/endless_test.go
+++ b/internal/proxy/endless_test.go
@@ -231,3 +231,38 @@
 		})
 	}
 }
+
+const (
+	// spacedTime is how long requests are sent, and spacing the time between two of them: longer than a server is first left.
+	spacedTime = 9 * time.Second
+	spacing    = 200 * time.Millisecond
+)
+
+// Guards against a server that never brings an answer nearer and gets requests again and again, because it is left for seconds
+// only and then takes as many requests as at first until it is left again.
+func TestServerWithoutProgressStaysLeft(t *testing.T) {
+	t.Parallel()
+	p := routePath("resumable stream", "resumable")
+	var fleets []*endlessFleet
+	var group sync.WaitGroup
+	for _, e := range streamRows() {
+		if p.expects(e, piecewise) != servedElsewhere {
+			continue
+		}
+		f := startEndlessFleet(t, p, e, piecewise)
+		fleets = append(fleets, f)
+		group.Go(func() {
+			for began := time.Now(); time.Since(began) < spacedTime; time.Sleep(spacing) {
+				f.ask(t)
+			}
+		})
+	}
+	group.Wait()
+	for _, f := range fleets {
+		t.Run(f.bad.row.name, func(t *testing.T) {
+			asked := f.bad.requests.Load()
+			require.Positive(t, asked, "the server that sends bytes without end was not asked")
+			require.LessOrEqual(t, asked, int64(handful))
+		})
+	}
+}
