Do not put off a check of a silence that is due

Bytes that arrived between the time of the check and its timer's firing moved it on by a second: on a busy machine requests at a server that drips a body were hedged after 2.0 to 2.4 s, where 1.2 s are due (3 cases of TestBytesWithoutEndDelayNoRequest; TestBytesPutOffNoDueCheck makes it happen).

--- a/internal/proxy/silence.go
+++ b/internal/proxy/silence.go
@@ -57,10 +57,11 @@
 	lastRead int64
 	// firstByte is the timeout until a part of the response is delivered, and stall the one between two parts; 0 means none.
 	firstByte, stall time.Duration
-	// timer is nil before the first check is scheduled, and dueAt is the time of the next one.
-	timer   *time.Timer
-	dueAt   int64
-	stopped bool
+	// timer is nil before the first check is scheduled, and dueAt is the time of the next one, if one is scheduled.
+	timer     *time.Timer
+	dueAt     int64
+	scheduled bool
+	stopped   bool
 	// postponed is set if the last check was late and has decided nothing.
 	postponed bool
 	// logged is set once a line was written for the silence at hand.
@@ -97,6 +98,7 @@
 		return
 	}
 	w.dueAt = sinceStart() + int64(after)
+	w.scheduled = true
 	if w.timer == nil {
 		w.timer = time.AfterFunc(after, w.check)
 		return
@@ -136,7 +138,7 @@
 	w.lastRead = sinceStart()
 	if w.partBytes == 0 {
 		w.partAt = w.totalWait()
-		if untilCheck := time.Duration(w.dueAt - w.lastRead); w.timer == nil || untilCheck <= 0 || untilCheck > partTimeout {
+		if untilCheck := time.Duration(w.dueAt - w.lastRead); !w.scheduled || untilCheck > partTimeout {
 			w.schedule(partTimeout)
 		}
 	}
@@ -214,6 +216,7 @@
 // check reports the silence if it has lasted for the timeout, and schedules the next check.
 func (w *silenceWatch) check() {
 	w.mu.Lock()
+	w.scheduled = false
 	late := sinceStart()-w.dueAt > int64(lateCheck) && !w.postponed
 	w.postponed = late
 	left, stuck := w.untilSilent()
