--- a/internal/proxy/callerconn.go
+++ b/internal/proxy/callerconn.go
@@ -45,6 +45,8 @@
 	// method checks the request that arrives, and badInput is set once it cannot become one. Only Read uses them.
 	method   methodCheck
 	badInput error
+	next     nextRequest
+	state    connProgress
 
 	mu sync.Mutex
 	// idleSince is zero while a request is read or processed.
@@ -86,30 +88,43 @@
 	if len(c.readAhead) > 0 {
 		n := copy(p, c.readAhead)
 		c.readAhead = c.readAhead[n:]
-		c.markBusy()
+		c.next.ahead.Store(len(c.readAhead) > 0)
+		c.markRead(n)
 		return n, nil
 	}
 	n, err := c.Conn.Read(p)
 	if n > 0 {
-		c.markBusy()
+		c.markRead(n)
 		return n, err
 	}
-	if !isTimeout(err) {
-		return n, err
+	if isTimeout(err) {
+		n, err = c.readAtTimeout(p, err)
+	}
+	if err != nil {
+		c.state.ended(connEndOf(err))
 	}
-	if c.isRetired() {
-		if n := c.readAvailable(p); n > 0 {
-			c.markBusy()
-			return n, nil
+	return n, err
+}
+
+// readAtTimeout reads what has arrived on a connection whose time has passed, or ends the connection.
+func (c *callerConn) readAtTimeout(p []byte, timeout error) (int, error) {
+	if !c.isRetired() {
+		n := c.readArrived(p)
+		if n == 0 {
+			c.markTimedOut()
+			return 0, timeout
 		}
-		c.sendRetireNotice()
-		return 0, net.ErrClosed
+		c.markRead(n)
+		c.restoreReadDeadline()
+		return n, nil
 	}
-	if n := c.readArrived(p); n > 0 {
-		return n, c.restoreDeadline()
+	if n := c.readAvailable(p); n > 0 {
+		c.markRead(n)
+		c.restoreReadDeadline()
+		return n, nil
 	}
-	c.markTimedOut()
-	return 0, errors.Join(err, c.restoreDeadline())
+	c.sendRetireNotice()
+	return 0, net.ErrClosed
 }
 
 // readArrived reads bytes after the deadline that lay in the kernel at the first read after it.
@@ -139,16 +154,6 @@
 	return n
 }
 
-// restoreDeadline sets the deadline again that readAvailable has removed.
-func (c *callerConn) restoreDeadline() error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.retired {
-		return c.Conn.SetReadDeadline(pastDeadline)
-	}
-	return c.Conn.SetReadDeadline(c.deadline)
-}
-
 // readAvailable reads the bytes that have arrived, without blocking, and removes the deadline.
 // After the read deadline has passed, an ordinary read returns no data: on a busy
 // machine a request may have arrived unread while the connection seems idle, or its sender slow.
@@ -188,6 +193,13 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
+// restoreReadDeadline applies the deadline of the HTTP library again.
+func (c *callerConn) restoreReadDeadline() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_ = c.Conn.SetReadDeadline(c.deadline)
+}
+
 // Write writes p unless the caller accepts no byte for WriteStall. A caller that reads
 // slowly is not cut: the engine then waits for it, and this instance buffers no more
 // than one event and the kernel's buffers for it.
@@ -199,7 +211,11 @@
 		}
 		n, err := c.Conn.Write(p[written:])
 		written += n
-		if err == nil || n == 0 || !isTimeout(err) {
+		if err == nil {
+			return written, nil
+		}
+		if n == 0 || !isTimeout(err) {
+			c.state.ended(writeEndOf(err))
 			return written, err
 		}
 	}
@@ -214,6 +230,7 @@
 	if closed {
 		return nil
 	}
+	c.reportClose(unread)
 	if unread {
 		c.linger()
 	}
@@ -242,6 +259,16 @@
 	return c.timedOut
 }
 
+// markRead records that the HTTP library has read n bytes of a request.
+func (c *callerConn) markRead(n int) {
+	c.mu.Lock()
+	idle := !c.idleSince.IsZero()
+	c.mu.Unlock()
+	c.next.readByLibrary(n, idle)
+	c.state.read(false)
+	c.markBusy()
+}
+
 // markBusy records that a request is arriving, and revokes a retirement: a request that
 // began to arrive before the connection was closed is served.
 func (c *callerConn) markBusy() {
@@ -254,12 +281,6 @@
 	}
 }
 
-func (c *callerConn) isIdle() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return !c.idleSince.IsZero()
-}
-
 // markIdle records that the connection is idle.
 func (c *callerConn) markIdle() {
 	c.mu.Lock()
@@ -288,6 +309,12 @@
 	_ = c.Conn.SetReadDeadline(pastDeadline)
 }
 
+func (c *callerConn) isIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.idleSince.IsZero()
+}
+
 func (c *callerConn) isRetired() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -332,8 +359,13 @@
 		for len(c.readAhead) < maxReadAhead {
 			n, err := c.Conn.Read(b[:])
 			c.readAhead = append(c.readAhead, b[:n]...)
+			if n > 0 {
+				c.next.ahead.Store(true)
+				c.state.read(true)
+			}
 			if err != nil {
 				if !isTimeout(err) && !errors.Is(err, net.ErrClosed) {
+					c.reportGone(err)
 					gone()
 				}
 				return
--- a/internal/proxy/callerconn_test.go
+++ b/internal/proxy/callerconn_test.go
@@ -43,6 +43,24 @@
 	require.False(t, c.isRetired(), "it is served on this connection")
 }
 
+// Guards against an instance that closes a connection at its idle timeout although a request has arrived: on a busy
+// machine the timeout passes before the request is read.
+func TestIdleTimeoutReadsArrivedRequest(t *testing.T) {
+	const request = "POST /v1/chat/completions HTTP/1.1\r\n"
+	caller, instance := connPair(t)
+	c := &callerConn{Conn: instance, server: &Server{options: Options{Dialect: Native{}}}}
+	c.markIdle()
+	_, err := caller.Write([]byte(request))
+	require.NoError(t, err)
+	require.NoError(t, c.SetReadDeadline(time.Now().Add(-time.Millisecond)))
+	var p [64]byte
+	n, err := c.Read(p[:])
+	require.NoError(t, err)
+	require.Equal(t, request, string(p[:n]))
+	_, err = c.Read(p[:])
+	require.True(t, isTimeout(err), "the timeout of a request that is read stays: %v", err)
+}
+
 // Guards against refusing a request as too slow that has arrived in time: an instance that was paused reads it only after the
 // deadline. What arrives later is not waited for.
 func TestArrivedBytesAreReadAfterDeadline(t *testing.T) {
