--- a/internal/daemon/stopinput_test.go
+++ b/internal/daemon/stopinput_test.go
@@ -34,7 +34,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
-	answer := "HTTP/1.1 200 OK\r\nContent-Length: 67108864\r\n\r\n" + strings.Repeat("x", 64<<20)
+	answer := "HTTP/1.1 200 OK\r\nContent-Length: 16777216\r\n\r\n" + strings.Repeat("x", 16<<20)
 	go func() {
 		for {
 			conn, err := l.Accept()
--- a/internal/proxy/endlessinput_test.go
+++ b/internal/proxy/endlessinput_test.go
@@ -109,6 +109,7 @@
 	)
 	_, addresses := startEngines(t, 1, time.Millisecond)
 	i := startInstance(t, fleetConfig(addresses, nil), proxy.Options{ReadTimeout: readTimeout, MaxBody: maxBody})
+	floods := make(chan struct{}, 1) // One at a time, beside the tests that run in parallel.
 	for _, p := range inputPaces {
 		for _, kept := range []bool{false, true} {
 			for _, tt := range endlessInputs {
@@ -118,6 +119,10 @@
 				}
 				t.Run(name, func(t *testing.T) {
 					t.Parallel()
+					if p.interval == 0 {
+						floods <- struct{}{}
+						defer func() { <-floods }()
+					}
 					conn := dial(t, i.address)
 					if kept {
 						keepWithOneRequest(t, i, conn)
