Start no dial that may still be open when the process ends

A request that dials when the grace time ends is cut without an answer. The margin in which nothing starts that outlasts the process was a constant that covered dials of a second; operators may allow longer ones. It now follows dial_timeout, up to half of the grace time, and the time for which a request may wait for the start. The listener has a margin of its own, 1.5 s.

TestNoLongDialStartsAtEndOfGrace failed with a dial timeout of 3 s (an attempt started 2.5 s before the kill), and passes.

--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -59,6 +59,8 @@
 	// StopGrace is the time from the stop request until the process is killed; 0 means
 	// that it is not killed.
 	StopGrace time.Duration `json:"stop_grace,omitempty"`
+	// DialTimeout is the time in which the proxy opens a connection to a backend server, or fails.
+	DialTimeout time.Duration `json:"dial_timeout,omitempty"`
 }
 
 // Defaults of the settings with the same names.
--- a/internal/core/routes_test.go
+++ b/internal/core/routes_test.go
@@ -51,8 +51,15 @@
 // servers of each service.
 func newNodeDriver(t *testing.T, n int) *nodeDriver {
 	t.Helper()
-	r := &nodeDriver{t: t, now: epoch, node: core.New(core.Settings{Name: "entry-0", Zone: "zone-0", Incarnation: 1, Seed: 7, NoPolls: true,
-		AcceptDelay: 2500 * time.Millisecond, StopGrace: 8 * time.Second})}
+	return newNodeDriverWith(t, n, core.Settings{})
+}
+
+// newNodeDriverWith is newNodeDriver with settings of the node beside those that all have.
+func newNodeDriverWith(t *testing.T, n int, s core.Settings) *nodeDriver {
+	t.Helper()
+	s.Name, s.Zone, s.Incarnation, s.Seed, s.NoPolls = "entry-0", "zone-0", 1, 7, true
+	s.AcceptDelay, s.StopGrace = 2500*time.Millisecond, 8*time.Second
+	r := &nodeDriver{t: t, now: epoch, node: core.New(s)}
 	r.handle(core.ConfigOffered{Envelope: config.Envelope{Generation: 1, Edit: "first", Text: routesConfig}})
 	require.Empty(t, effectsOf[core.ConfigRefused](r.effects))
 	alone := []membership.Member{{Name: "entry-0", Role: membership.RoleInstance, Zone: "zone-0", Incarnation: 1, State: membership.Live}}
--- a/internal/core/startqueue/startqueue.go
+++ b/internal/core/startqueue/startqueue.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	// maxWait is the maximum time that a request is queued: twice the time of a read with a
+	// MaxWait is the maximum time that a request is queued: twice the time of a read with a
 	// long configuration text over a slow link.
-	maxWait = time.Second
+	MaxWait = time.Second
 	// maxRequests is the maximum number of queued requests, half of the connections that an instance accepts: a
 	// balancer may give it most new ones as soon as it starts. maxBytes is the maximum size in bytes of their
 	// headers and bodies, a quarter of an instance's memory.
@@ -42,7 +42,7 @@
 	if len(q.requests) >= maxRequests || q.bytes+size > maxBytes {
 		return false
 	}
-	wait := maxWait
+	wait := MaxWait
 	if !deadline.IsZero() {
 		wait = min(wait, deadline.Sub(now)/2)
 	}
--- a/internal/core/startqueue/startqueue_test.go
+++ b/internal/core/startqueue/startqueue_test.go
@@ -35,8 +35,8 @@
 	require.False(t, q.Add("none left", 1, start, start))
 	require.Empty(t, q.Take(start.Add(99*time.Millisecond), true))
 	require.Equal(t, []string{"short"}, values(q.Take(start.Add(100*time.Millisecond), true)))
-	require.Empty(t, q.Take(start.Add(maxWait-1), true))
-	require.Equal(t, []string{"no deadline"}, values(q.Take(start.Add(maxWait), true)))
+	require.Empty(t, q.Take(start.Add(MaxWait-1), true))
+	require.Equal(t, []string{"no deadline"}, values(q.Take(start.Add(MaxWait), true)))
 }
 
 // Guards against memory that is never given back, or without bound.
--- a/internal/core/stop.go
+++ b/internal/core/stop.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/ebonydyke/ebonydyke/internal/core/reason"
+	"github.com/ebonydyke/ebonydyke/internal/core/startqueue"
 )
 
 // claimSettleTimeout is how long a stopping instance without requests in flight keeps
@@ -16,9 +17,12 @@
 // before it.
 const stopMargin = 500 * time.Millisecond
 
-// waitMargin is the time before the kill from which a request that may outlast the process waits for nothing. What it
-// waits for until then, the start or a connection, ends a second later at the latest, and still before stopMargin.
-const waitMargin = 1600 * time.Millisecond
+// waitSlack is the time until a tick has ended a wait that is over.
+const waitSlack = 2 * TickInterval
+
+// listenerMargin is the time before the kill at which the listener closes at the latest. It suffices to empty the accept
+// queue and to answer what came from it.
+const listenerMargin = stopMargin + time.Second
 
 // lifecycleState is the progress of this instance's graceful shutdown.
 type lifecycleState struct {
@@ -61,10 +65,22 @@
 	return n.graceEnding() && n.exceedsStopGrace(deadline)
 }
 
-// graceEnding reports whether the process will be killed so soon that nothing may start that outlasts it.
+// graceEnding reports whether the process will be killed so soon that no request may wait or be sent that outlasts it.
 func (n *Node) graceEnding() bool {
+	return n.killedWithin(waitMargin(n.settings.DialTimeout, n.settings.StopGrace))
+}
+
+// killedWithin reports whether the process will be killed within d.
+func (n *Node) killedWithin(d time.Duration) bool {
 	s := &n.lifecycle
-	return !s.killAt.IsZero() && !n.now.Before(s.killAt.Add(-waitMargin))
+	return !s.killAt.IsZero() && !n.now.Before(s.killAt.Add(-d))
+}
+
+// waitMargin is the time before the kill from which a request that may outlast the process waits for nothing. What it
+// waits for until then, the start or a connection, is over by stopMargin. A dial that may take most of the grace time is
+// not waited for: it would leave no time to serve.
+func waitMargin(dial, grace time.Duration) time.Duration {
+	return stopMargin + waitSlack + max(startqueue.MaxWait, min(dial, grace/2))
 }
 
 // refuseWaiting ends the requests that wait for something other than a backend server.
@@ -84,6 +100,8 @@
 	}
 	if n.graceEnding() {
 		n.refuseWaiting()
+	}
+	if n.killedWithin(listenerMargin) {
 		n.closeListenerAtOnce()
 	}
 	if s.stopped || n.now.Before(s.closeAt) {
--- a/internal/core/stopwaiters_test.go
+++ b/internal/core/stopwaiters_test.go
@@ -14,6 +14,8 @@
 const (
 	// shortGrace is the grace time of these tests. It ends before a claim is given up, soon after the listener closes.
 	shortGrace = 3 * time.Second
+	// stopMargin is how long before the kill the latest deadline of a request is.
+	stopMargin = 500 * time.Millisecond
 	// answerMargin is how long before the kill a request must have its answer, so that it is delivered.
 	answerMargin = 450 * time.Millisecond
 )
@@ -91,6 +93,30 @@
 	require.Len(t, effectsOf[core.SendAttempt](r.endAttempt(short, retry.Refused)), 1, "its deadline passes before the process ends")
 }
 
+// Guards against an attempt that still dials when the process ends, where operators allow dials to take long.
+func TestNoLongDialStartsAtEndOfGrace(t *testing.T) {
+	for name, c := range map[string]struct {
+		dialTimeout time.Duration
+		refused     bool
+	}{
+		"short": {100 * time.Millisecond, false},
+		"long":  {3 * time.Second, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newNodeDriverWith(t, 4, core.Settings{DialTimeout: c.dialTimeout})
+			sent := onlyEffect[core.SendAttempt](t, r.sendRequest("/question/x", "key-1"))
+			r.handle(core.StopRequested{})
+			r.advance(8*time.Second - stopMargin - 2*time.Second)
+			effects := r.endAttempt(sent, retry.Refused)
+			if c.refused {
+				requireRefused(t, effects, reason.Stopping)
+				return
+			}
+			require.Len(t, effectsOf[core.SendAttempt](effects), 1)
+		})
+	}
+}
+
 // Guards against callers who connect while a stopping instance waits for its listener to become quiet, and get nothing
 // because the process ends first.
 func TestListenerClosesBeforeProcessEnds(t *testing.T) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -111,6 +111,7 @@
 		StoreSettle:    time.Duration(s.PlatformSettle),
 		AcceptDelay:    time.Duration(s.AcceptDelay),
 		StopGrace:      time.Duration(s.StopGrace),
+		DialTimeout:    time.Duration(s.Limits.DialTimeout),
 		ConfigReadOnly: s.Dialect == settings.DialectPlatform,
 		NoPolls:        s.Dialect == settings.DialectPlatform,
 	}
