--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -42,6 +42,9 @@
 		n.giveUp(r, refusal)
 		return
 	}
+	if c.Unreachable {
+		n.pool(r.service.Name).unreachableTriedAt = n.now
+	}
 	n.sendTo(r, c, e)
 }
 
@@ -178,6 +181,7 @@
 		n.streams.endedAt[r.backend] = n.now
 	}
 	n.attemptDone(r)
+	n.countResponse(r, &e)
 	if e.Outcome == retry.Superseded {
 		n.attemptSuperseded(r, e.Unsent)
 		return
--- a/internal/proxy/connpool.go
+++ b/internal/proxy/connpool.go
@@ -9,6 +9,14 @@
 	"github.com/valyala/fasthttp"
 )
 
+// idleCheckInterval is the interval at which idle connections are checked: what a server sends on one belongs to no
+// response, and would fill the kernel's buffers.
+const idleCheckInterval = time.Second
+
+// distrustTime is the time for which connections to a server are not used again after it has sent more than a response on
+// one: such bytes may arrive just as the next request is sent, which would then be lost.
+const distrustTime = 10 * time.Second
+
 // errNoIdleConn means that the client library's pool holds no idle connection to a server.
 var errNoIdleConn = errors.New("proxy: no idle connection")
 
@@ -18,6 +26,14 @@
 type connPool struct {
 	mu       sync.Mutex
 	adopting net.Conn
+
+	// idleMu guards idleConns, the connections that no call uses, and idleCheck, which checks them, nil before the first
+	// one. It is scheduled while there are any.
+	idleMu    sync.Mutex
+	idleConns map[*backendConn]struct{}
+	idleCheck *time.Timer
+	// distrusted holds the times until which connections to addresses are not used again. It is guarded by idleMu.
+	distrusted map[string]time.Time
 }
 
 // pooledConn is a connection of the pool. Release returns it to the pool if reuse is set, or closes it.
@@ -78,11 +94,74 @@
 		hc.CloseConn(cc)
 		return pooledConn{}, errors.New("proxy: unexpected connection type")
 	}
+	p.removeIdle(conn)
 	return pooledConn{conn: conn, release: func(reuse bool) {
 		if reuse {
+			p.addIdle(conn)
 			hc.ReleaseConn(cc)
 			return
 		}
 		hc.CloseConn(cc)
 	}}, nil
 }
+
+// addIdle records that no call uses a connection.
+func (p *connPool) addIdle(conn *backendConn) {
+	p.idleMu.Lock()
+	defer p.idleMu.Unlock()
+	if p.idleConns == nil {
+		p.idleConns = make(map[*backendConn]struct{})
+	}
+	p.idleConns[conn] = struct{}{}
+	if len(p.idleConns) > 1 {
+		return
+	}
+	if p.idleCheck == nil {
+		p.idleCheck = time.AfterFunc(idleCheckInterval, p.checkIdle)
+		return
+	}
+	p.idleCheck.Reset(idleCheckInterval)
+}
+
+// removeIdle records that a call is about to use a connection.
+func (p *connPool) removeIdle(conn *backendConn) {
+	p.idleMu.Lock()
+	defer p.idleMu.Unlock()
+	delete(p.idleConns, conn)
+}
+
+// checkIdle closes the idle connections that have ended or on which bytes have arrived.
+func (p *connPool) checkIdle() {
+	p.idleMu.Lock()
+	defer p.idleMu.Unlock()
+	for conn := range p.idleConns {
+		if !conn.openAndSilent() {
+			conn.reset()
+			delete(p.idleConns, conn)
+		}
+	}
+	if len(p.idleConns) > 0 {
+		p.idleCheck.Reset(idleCheckInterval)
+	}
+}
+
+// distrust records that a server has sent more than a response.
+func (p *connPool) distrust(address string, now time.Time) {
+	p.idleMu.Lock()
+	defer p.idleMu.Unlock()
+	if p.distrusted == nil {
+		p.distrusted = make(map[string]time.Time)
+	}
+	p.distrusted[address] = now.Add(distrustTime)
+}
+
+// trusts reports whether connections to a server may be used again.
+func (p *connPool) trusts(address string, now time.Time) bool {
+	p.idleMu.Lock()
+	defer p.idleMu.Unlock()
+	until, distrusted := p.distrusted[address]
+	if distrusted && !now.Before(until) {
+		delete(p.distrusted, address)
+	}
+	return !distrusted || !now.Before(until)
+}
