--- a/internal/proxy/nextrequest.go
+++ b/internal/proxy/nextrequest.go
@@ -6,9 +6,6 @@
 	"github.com/valyala/fasthttp"
 )
 
-// chunkedLength is the HTTP library's content length of a body in chunks.
-const chunkedLength = -1
-
 // nextRequest tells whether a further request has begun to arrive on a connection before the response to the current one.
 // The connection must then not be closed after that response: the caller would wait for the second one in vain.
 type nextRequest struct {
