--- a/internal/proxy/connend.go
+++ b/internal/proxy/connend.go
@@ -168,6 +168,7 @@
 	}
 }
 
+// endText is the text of the line about a connection that ended without a response.
 const endText = "caller connection ended without a response"
 
 // endLine returns the fields of the line about the end of the connection, and counts it. It returns false if it was
