Soak: servers that send bytes without end in place of answers (failing)

A new fault, alone (--faults endless) or beside all others: one backend server at a time sends, for 4 to 6 s, garbage in place of a head, header fields, interim responses, a chunk extension, trailers, a body that ends with its connection, comments alone, or an event without the end of its line, until its caller closes; at 16 MB/s, or some 30 bytes each 100 ms. Requests get the kinds in turn. Checks, in the mode alone: a repeatable request is answered, the median begins within 2 s (bodies of plain requests that end with their connection aside: they are passed on); less than half as many requests as at the others reach the server from 2 s on; it is asked as before within 20 s (the longest time that a failing server is left, 16 s, and the 4 s for which it is remembered). In both modes: each ends by the timeout, and none passes for whole. Callers leave a body of 256 KB; answers have at most 1 KB.

--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -64,6 +64,9 @@
 
 	fault    atomic.Int32
 	inFlight atomic.Int32
+	// endless is set while the server sends bytes without end in place of answers, and asked counts its requests.
+	endless atomic.Pointer[endlessFault]
+	asked   atomic.Int64
 	// leavingAt is when the store recorded that the server is leaving, in nanoseconds since the
 	// start of the soak. It is 0 before that and -1 after a crash.
 	leavingAt atomic.Int64
@@ -126,6 +129,7 @@
 		fakeplatform.WriteMisdirected(w, b.name)
 		return
 	}
+	b.asked.Add(1)
 	b.checkArrival(attempt)
 	fakeplatform.SetRequestID(w, attempt.ID)
 	fakeplatform.SetLoad(w, int(b.inFlight.Load()), backendSlots)
@@ -151,6 +155,10 @@
 	}
 	fakeplatform.SetSeal(w, expectedSeal(attempt.ID))
 	b.holdAt(beforeHead, w)
+	if f := b.endless.Load(); f != nil {
+		b.respondEndless(w, r, attempt, f)
+		return
+	}
 	if isUnframed(kind, attempt.ID) {
 		b.respondUnframed(w, r, attempt, kind)
 	} else {
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -60,6 +60,7 @@
 	}
 	startedAt := w.recorder.elapsed()
 	w.recordSent(i, kind, id)
+	defer w.beginRequest(i, kind, id)()
 	resp, err := client.Do(req)
 	w.checkResponseTime(i, id, startedAt, err)
 	if err != nil {
@@ -109,14 +110,18 @@
 		w.readEvents(&callerStream{name: id}, id, resp.Body)
 		return
 	}
-	body, err := io.ReadAll(resp.Body)
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
 	switch {
 	case err != nil:
 		w.recorder.count("broken off")
 		w.recordCut(id, err)
+	case len(body) == maxAnswerBytes:
+		w.recorder.count("left a body without end")
+		w.recordLeft(id)
 	case string(body) != expectedBody(id):
 		w.recorder.recordViolation("the whole answer", id, fmt.Sprintf("%d bytes", len(body)))
 	default:
 		w.recorder.count("answered")
+		w.recordWhole(id)
 	}
 }
--- a/internal/soak/lost.go
+++ b/internal/soak/lost.go
@@ -85,6 +85,9 @@
 
 // recordCut records that a request ended without a whole answer, unless its caller ended it.
 func (w *World) recordCut(id string, how error) {
+	if errors.Is(how, context.Canceled) {
+		w.recordLeft(id)
+	}
 	if errors.Is(how, context.Canceled) || errors.Is(how, context.DeadlineExceeded) {
 		return
 	}
--- a/internal/soak/recorder.go
+++ b/internal/soak/recorder.go
@@ -84,8 +84,11 @@
 	r.violations = append(r.violations, Violation{At: r.elapsed(), Guarantee: guarantee, Request: id, Detail: detail})
 }
 
-func (r *recorder) count(name string) {
+func (r *recorder) count(name string) { r.add(name, 1) }
+
+// add adds to a count.
+func (r *recorder) add(name string, n int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.counts[name]++
+	r.counts[name] += n
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -22,6 +22,12 @@
 	1,
 }
 
+// endlessSeeds lists the seeds of every run with bytes without end only, likewise.
+var endlessSeeds = []uint64{
+	2, // streams of comments alone, without an event, or with trailers without end
+	3, // the same
+}
+
 // Guards against wrong, truncated or late responses, requests that run twice or after a
 // refusal, and instances that do not recover. Processes of a real fleet are killed, stopped,
 // paused and cut off from the store and the backend servers while the configuration changes.
@@ -55,6 +61,22 @@
 	}
 }
 
+// Guards against requests that wait for the end of bytes that are no answer, which a backend server sends until its caller
+// closes the connection, and against such a server that is asked like the others, or not again once it is sound.
+func TestBytesWithoutEndAreNoAnswer(t *testing.T) {
+	binary := buildDaemon(t)
+	for _, seed := range endlessSeeds {
+		result, err := soak.Run(t.Context(), soak.Options{
+			Binary: binary, Seed: seed, Instances: 4, Backends: 6, Callers: 24, Duration: 12 * time.Second,
+			Faults: soak.FaultsEndless, Logs: t.TempDir(),
+		})
+		require.NoError(t, err)
+		require.Empty(t, result.Violations, "seed %d", seed)
+		require.Positive(t, result.Counts["sent bytes without end"])
+		t.Logf("seed %d: %v", seed, result.Counts)
+	}
+}
+
 func buildDaemon(t *testing.T) string {
 	t.Helper()
 	binary := filepath.Join(t.TempDir(), "ebonydyked")
--- a/internal/soak/streams.go
+++ b/internal/soak/streams.go
@@ -126,6 +126,7 @@
 		}
 	}()
 	w.recordSent(i, kindStream, id)
+	defer w.beginRequest(i, kindStream, id)()
 	resp, err := client.Do(req)
 	w.checkResponseTime(i, id, startedAt, err)
 	if err != nil {
@@ -173,6 +174,7 @@
 		}
 		if s.received == s.leaveAfter {
 			s.leaveAfter = 0
+			w.recordLeft(id)
 			return false
 		}
 	}
@@ -185,6 +187,7 @@
 		w.recorder.recordViolation("the whole answer", id, fmt.Sprintf("%d of %d events", s.received, expectedEventCount(s.name)))
 	default:
 		w.recorder.count("answered")
+		w.recordWhole(id)
 	}
 	return true
 }
@@ -204,6 +207,7 @@
 		return false
 	}
 	s.received = number
+	w.recordBegun(id)
 	return true
 }
 
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -38,6 +38,8 @@
 	FaultsAll Faults = "all"
 	// FaultsPauses selects sound backend servers that fall silent beside planned work, and nothing else.
 	FaultsPauses Faults = "pauses"
+	// FaultsEndless selects backend servers that send bytes without end in place of answers, and nothing else.
+	FaultsEndless Faults = "endless"
 )
 
 // Options sets the size and duration of a soak.
@@ -88,6 +90,8 @@
 	poison *poisonRecorder
 	// lost holds the observations of requests that end without a whole answer.
 	lost *lostRecorder
+	// endless holds the observations of requests to which servers send bytes without end.
+	endless *endlessRecorder
 	// choices are what the operators last chose.
 	choices operatorChoices
 	// limitedSince is the time from which all backend servers announce a limit on their rejections, in
@@ -156,7 +160,7 @@
 // Run runs one soak. It ends only processes that it has started.
 func Run(ctx context.Context, o Options) (*Result, error) {
 	w := &World{
-		options: o, recorder: newRecorder(), poison: newPoisonRecorder(), lost: newLostRecorder(), choices: firstChoices(), store: fakeplatform.New(),
+		options: o, recorder: newRecorder(), poison: newPoisonRecorder(), lost: newLostRecorder(), endless: newEndlessRecorder(), choices: firstChoices(), store: fakeplatform.New(),
 		versionSteps: rand.New(rand.NewPCG(o.Seed, 1<<32)), nextVersion: 1, version: softwareVersions[0], assignedAddresses: make(map[string]bool),
 	}
 	if err := w.start(); err != nil {
@@ -171,13 +175,19 @@
 		callers.Go(func() { w.runCaller(callCtx, n) })
 	}
 	callers.Go(func() { w.probeVersions(callCtx) })
-	inject := w.injectPauses
-	if o.Faults != FaultsPauses {
+	faultCtx, cancel := context.WithTimeout(ctx, o.Duration)
+	defer cancel()
+	var inject func(context.Context)
+	switch o.Faults {
+	case FaultsPauses:
+		inject = w.injectPauses
+	case FaultsEndless:
+		inject = w.injectEndless
+	default:
 		inject = w.injectFaults
 		callers.Go(func() { w.sendPoisonRequests(callCtx) })
+		callers.Go(func() { w.injectEndless(faultCtx) })
 	}
-	faultCtx, cancel := context.WithTimeout(ctx, o.Duration)
-	defer cancel()
 	inject(faultCtx)
 	w.checkRecovery(ctx)
 	stopCalling()
@@ -189,6 +199,7 @@
 	w.checkSharing()
 	w.checkCrowded()
 	w.checkLost()
+	w.checkEndless()
 	w.recorder.mu.Lock()
 	defer w.recorder.mu.Unlock()
 	return &Result{Violations: w.recorder.violations, Counts: w.recorder.counts}, nil
