--- a/internal/core/stop.go
+++ b/internal/core/stop.go
@@ -1,6 +1,12 @@
 package core
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/ebonydyke/ebonydyke/internal/core/reason"
+)
 
 // claimSettleTimeout is how long a stopping instance without requests in flight keeps
 // trying to record the ends of its claims, counted from closeAt.
@@ -10,14 +16,19 @@
 // before it.
 const stopMargin = 500 * time.Millisecond
 
+// waitMargin is the time before the kill from which a request that may outlast the process waits for nothing. What it
+// waits for until then, the start or a connection, ends a second later at the latest, and still before stopMargin.
+const waitMargin = 1600 * time.Millisecond
+
 // lifecycleState is the progress of this instance's graceful shutdown.
 type lifecycleState struct {
 	stopping bool
 	closeAt  time.Time
 	// killAt is when the process will be killed, zero if it will not.
-	killAt  time.Time
-	closed  bool
-	stopped bool
+	killAt time.Time
+	// closed is set once the listener closes, and closedAtOnce once it does so without waiting.
+	closed, closedAtOnce bool
+	stopped              bool
 }
 
 // stopRequested begins the graceful shutdown. The instance first reports not ready and
@@ -34,17 +45,48 @@
 	n.emit(SetReady{Ready: false})
 }
 
-// exceedsStopGrace reports whether a request that arrives after closeAt could still be
-// in flight when the process is killed. Such requests arrive on kept-alive connections.
-// They are refused before they run, so that the caller can retry at another instance.
+// exceedsStopGrace reports whether a request that is not at a backend server could still be in flight when the process
+// is killed. It is refused, so that the caller can retry at another instance: from closeAt on if it arrives, on a
+// kept-alive connection, and near the kill wherever it waits.
 func (n *Node) exceedsStopGrace(deadline time.Time) bool {
 	s := &n.lifecycle
-	return !s.killAt.IsZero() && !n.now.Before(s.closeAt) && deadline.After(s.killAt.Add(-stopMargin))
+	if s.killAt.IsZero() || !deadline.After(s.killAt.Add(-stopMargin)) {
+		return false
+	}
+	return !n.now.Before(s.closeAt) || n.graceEnding()
+}
+
+// endsWithGrace reports whether a request that may outlast the process must not wait any longer.
+func (n *Node) endsWithGrace(deadline time.Time) bool {
+	return n.graceEnding() && n.exceedsStopGrace(deadline)
+}
+
+// graceEnding reports whether the process will be killed so soon that nothing may start that outlasts it.
+func (n *Node) graceEnding() bool {
+	s := &n.lifecycle
+	return !s.killAt.IsZero() && !n.now.Before(s.killAt.Add(-waitMargin))
+}
+
+// refuseWaiting ends the requests that wait for something other than a backend server.
+func (n *Node) refuseWaiting() {
+	for _, id := range slices.Sorted(maps.Keys(n.requests)) {
+		if r := n.requests[id]; r.inProgress() == 0 && n.endsWithGrace(r.deadline) {
+			r.waiting = r.waitsFor()
+			n.giveUp(r, reason.Stopping)
+		}
+	}
 }
 
 func (n *Node) tickLifecycle() {
 	s := &n.lifecycle
-	if !s.stopping || s.stopped || n.now.Before(s.closeAt) {
+	if !s.stopping {
+		return
+	}
+	if n.graceEnding() {
+		n.refuseWaiting()
+		n.closeListenerAtOnce()
+	}
+	if s.stopped || n.now.Before(s.closeAt) {
 		return
 	}
 	if !s.closed {
@@ -56,3 +98,13 @@
 		n.emit(Stopped{})
 	}
 }
+
+// closeListenerAtOnce closes the listener, also if it still waits until no connections arrive.
+func (n *Node) closeListenerAtOnce() {
+	s := &n.lifecycle
+	if s.closedAtOnce {
+		return
+	}
+	s.closed, s.closedAtOnce = true, true
+	n.emit(CloseListener{AtOnce: true})
+}
--- a/internal/proxy/callerconn.go
+++ b/internal/proxy/callerconn.go
@@ -38,6 +38,8 @@
 	server *Server
 	// readAhead holds bytes that watchClose has read.
 	readAhead []byte
+	next      nextRequest
+	state     connProgress
 
 	mu sync.Mutex
 	// idleSince is zero while a request is read or processed.
@@ -57,26 +59,40 @@
 	if len(c.readAhead) > 0 {
 		n := copy(p, c.readAhead)
 		c.readAhead = c.readAhead[n:]
-		c.markBusy()
+		c.next.ahead.Store(len(c.readAhead) > 0)
+		c.markRead(n)
 		return n, nil
 	}
 	n, err := c.Conn.Read(p)
 	if n > 0 {
-		c.markBusy()
+		c.markRead(n)
 		return n, err
 	}
-	if isTimeout(err) && c.isRetired() {
-		if n := c.readAvailable(p); n > 0 {
-			c.markBusy()
-			return n, nil
-		}
-		c.sendRetireNotice()
-		return 0, net.ErrClosed
+	if isTimeout(err) && c.isIdle() {
+		n, err = c.readAtTimeout(p, err)
+	}
+	if err != nil {
+		c.state.ended(connEndOf(err))
 	}
 	return n, err
 }
 
-// readAvailable reads the bytes that have arrived on a retired connection, without blocking.
+// readAtTimeout reads a request that has arrived on a connection that was idle for too long, or ends the connection.
+func (c *callerConn) readAtTimeout(p []byte, timeout error) (int, error) {
+	retired := c.isRetired()
+	if n := c.readAvailable(p); n > 0 {
+		c.markRead(n)
+		c.restoreReadDeadline()
+		return n, nil
+	}
+	if !retired {
+		return 0, timeout
+	}
+	c.sendRetireNotice()
+	return 0, net.ErrClosed
+}
+
+// readAvailable reads the bytes that have arrived on an idle connection, without blocking.
 // After the read deadline has passed, an ordinary read returns no data: on a busy
 // machine a request may have arrived unread while the connection seems idle.
 func (c *callerConn) readAvailable(p []byte) int {
@@ -112,6 +128,13 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
+// restoreReadDeadline applies the deadline of the HTTP library again.
+func (c *callerConn) restoreReadDeadline() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_ = c.Conn.SetReadDeadline(c.deadline)
+}
+
 // Write writes p unless the caller accepts no byte for WriteStall. A caller that reads
 // slowly is not cut: the engine then waits for it, and this instance buffers no more
 // than one event and the kernel's buffers for it.
@@ -123,7 +146,11 @@
 		}
 		n, err := c.Conn.Write(p[written:])
 		written += n
-		if err == nil || n == 0 || !isTimeout(err) {
+		if err == nil {
+			return written, nil
+		}
+		if n == 0 || !isTimeout(err) {
+			c.state.ended(writeEndOf(err))
 			return written, err
 		}
 	}
@@ -138,6 +165,7 @@
 	if closed {
 		return nil
 	}
+	c.reportClose(unread)
 	if unread {
 		c.linger()
 	}
@@ -152,6 +180,16 @@
 	c.unread = true
 }
 
+// markRead records that the HTTP library has read n bytes of a request.
+func (c *callerConn) markRead(n int) {
+	c.mu.Lock()
+	idle := !c.idleSince.IsZero()
+	c.mu.Unlock()
+	c.next.readByLibrary(n, idle)
+	c.state.read(false)
+	c.markBusy()
+}
+
 // markBusy records that a request is arriving, and revokes a retirement: a request that
 // began to arrive before the connection was closed is served.
 func (c *callerConn) markBusy() {
@@ -183,6 +221,12 @@
 	_ = c.Conn.SetReadDeadline(pastDeadline)
 }
 
+func (c *callerConn) isIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.idleSince.IsZero()
+}
+
 func (c *callerConn) isRetired() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -227,8 +271,13 @@
 		for len(c.readAhead) < maxReadAhead {
 			n, err := c.Conn.Read(b[:])
 			c.readAhead = append(c.readAhead, b[:n]...)
+			if n > 0 {
+				c.next.ahead.Store(true)
+				c.state.read(true)
+			}
 			if err != nil {
 				if !isTimeout(err) && !errors.Is(err, net.ErrClosed) {
+					c.reportGone(err)
 					gone()
 				}
 				return
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -178,6 +178,9 @@
 	for n := range o.Callers {
 		callers.Go(func() { w.runCaller(callCtx, n) })
 	}
+	for n := range w.wireCallers() {
+		callers.Go(func() { w.runWireCaller(callCtx, n) })
+	}
 	callers.Go(func() { w.probeVersions(callCtx) })
 	faultCtx, cancel := context.WithTimeout(ctx, o.Duration)
 	defer cancel()
@@ -205,6 +208,7 @@
 	w.checkLost()
 	w.checkBlamed()
 	w.checkEndless()
+	w.checkUnanswered()
 	w.recorder.mu.Lock()
 	defer w.recorder.mu.Unlock()
 	return &Result{Violations: w.recorder.violations, Counts: w.recorder.counts, Notes: w.ended.blamed}, nil
--- a/test/fleet/harness_test.go
+++ b/test/fleet/harness_test.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -101,8 +102,10 @@
 	name, zone                      string
 	callerAddr, peerAddr, adminAddr string
 	settingsFile                    string
-	process                         *exec.Cmd
-	exited                          chan struct{}
+	// ownSettings are added to those of every instance.
+	ownSettings map[string]any
+	process     *exec.Cmd
+	exited      chan struct{}
 }
 
 func (i *instance) signal(t *testing.T, s syscall.Signal) {
@@ -159,10 +162,15 @@
 )
 
 // usedPorts holds the ports that freeAddress has returned. It returns none twice, because the
-// instances bind their ports only later.
-var usedPorts = make(map[int]bool)
+// instances bind their ports only later. usedPortsMu guards it.
+var (
+	usedPortsMu sync.Mutex
+	usedPorts   = make(map[int]bool)
+)
 
 func freeAddress(t *testing.T) string {
+	usedPortsMu.Lock()
+	defer usedPortsMu.Unlock()
 	for {
 		port := lowPort + rand.IntN(highPort-lowPort)
 		address := fmt.Sprintf("127.0.0.1:%d", port)
@@ -262,11 +270,13 @@
 }
 
 func (f *fleet) start(i *instance) {
-	settings, err := json.Marshal(map[string]string{
+	all := map[string]any{
 		"name": i.name, "zone": i.zone, "listen": i.callerAddr, "peer_listen": i.peerAddr,
 		"admin_listen": i.adminAddr, "platform": "http://" + f.storeRelays[i.zone].Address(),
 		"accept_delay": "200ms",
-	})
+	}
+	maps.Copy(all, i.ownSettings)
+	settings, err := json.Marshal(all)
 	require.NoError(f.t, err)
 	i.settingsFile = filepath.Join(f.t.TempDir(), i.name+".json")
 	require.NoError(f.t, os.WriteFile(i.settingsFile, settings, 0o600))
