--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -202,6 +202,14 @@
 	w.replacing.Wait()
 	// Requests in transit may still run and violate a guarantee.
 	time.Sleep(time.Second)
+	w.checkAtEnd()
+	w.recorder.mu.Lock()
+	defer w.recorder.mu.Unlock()
+	return &Result{Violations: w.recorder.violations, Counts: w.recorder.counts, Notes: w.ended.blamed}, nil
+}
+
+// checkAtEnd makes the checks that need what was recorded until the end.
+func (w *World) checkAtEnd() {
 	w.checkContinuedStreams()
 	w.checkSharing()
 	w.checkCrowded()
@@ -209,9 +217,6 @@
 	w.checkBlamed()
 	w.checkEndless()
 	w.checkUnanswered()
-	w.recorder.mu.Lock()
-	defer w.recorder.mu.Unlock()
-	return &Result{Violations: w.recorder.violations, Counts: w.recorder.counts, Notes: w.ended.blamed}, nil
 }
 
 // start starts the store, the backend servers and the instances.
