--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -65,6 +65,9 @@
 
 	fault    atomic.Int32
 	inFlight atomic.Int32
+	// endless is set while the server sends bytes without end in place of answers, and asked counts its requests.
+	endless atomic.Pointer[endlessFault]
+	asked   atomic.Int64
 	// leavingAt is when the store recorded that the server is leaving, in nanoseconds since the
 	// start of the soak. It is 0 before that and -1 after a crash.
 	leavingAt atomic.Int64
@@ -73,6 +76,8 @@
 	random *rand.Rand
 	// rejections are the times of the last rejections for lack of room.
 	rejections []time.Time
+	// running maps the requests that the server holds to the parts of their prompts.
+	running map[string][]string
 }
 
 func (w *World) newBackend(name, zone, version string) (*backend, error) {
@@ -86,7 +91,7 @@
 	}
 	b := &backend{
 		world: w, name: name, zone: zone, version: version, relay: r, startedAt: time.Now(),
-		random: rand.New(rand.NewPCG(w.options.Seed, uint64(len(name)))),
+		random: rand.New(rand.NewPCG(w.options.Seed, uint64(len(name)))), running: make(map[string][]string),
 	}
 	b.server = &http.Server{Handler: b, IdleTimeout: 3 * time.Second}
 	go func() { _ = b.server.Serve(&silentListener{Listener: l, silence: &b.silence}) }()
@@ -104,6 +109,7 @@
 // close stops the backend server at once, as a crash does.
 func (b *backend) close() {
 	b.world.beginUnplanned(b)()
+	b.recordEnded()
 	b.silence.end()
 	b.relay.Close()
 	_ = b.server.Close()
@@ -127,6 +133,7 @@
 		fakeplatform.WriteMisdirected(w, b.name)
 		return
 	}
+	b.asked.Add(1)
 	b.checkArrival(attempt)
 	fakeplatform.SetRequestID(w, attempt.ID)
 	fakeplatform.SetLoad(w, int(b.inFlight.Load()), backendSlots)
@@ -142,6 +149,7 @@
 	defer b.inFlight.Add(-1)
 	kind, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
 	b.world.recorder.recordRun(attempt.ID, kind == kindOnce || kind == kindReview)
+	defer b.begin(attempt.ID, attempt.Parts)()
 	brokeOff, endRun := true, b.world.recordServerRun(b, attempt.ID)
 	defer func() { endRun(brokeOff) }()
 	if content, marked := poisonContent(r.URL.Path); marked {
@@ -152,6 +160,10 @@
 	}
 	fakeplatform.SetSeal(w, expectedSeal(attempt.ID))
 	b.holdAt(beforeHead, w)
+	if f := b.endless.Load(); f != nil {
+		b.respondEndless(w, r, attempt, f)
+		return
+	}
 	if isUnframed(kind, attempt.ID) {
 		b.respondUnframed(w, r, attempt, kind)
 	} else {
