Retry budget: a limit over a sliding period whose fractions add up

A token bucket that can hold one retry exceeds the part of an instance that is less than one, and a smaller one permits none. Limit permits the part plus what the requests of the last ten seconds earned, less what was spent in them. The fraction is rounded up at as many instances as make up the sum. Earnings count less their standard deviation, one retry at most, since each instance spends at its peak. Nothing uses it yet. Unit tests of the sums, of each period and of the one retry in advance; the tests of the bucket are unchanged.

--- a/internal/core/retry/retry.go
+++ b/internal/core/retry/retry.go
@@ -2,6 +2,7 @@
 package retry
 
 import (
+	"math"
 	"time"
 
 	"github.com/ebonydyke/ebonydyke/internal/core/reason"
@@ -64,12 +65,19 @@
 // the burst. In any period, an instance thus retries at most the burst, plus the refill,
 // plus the share of the period's requests. The fleet's allowance is divided among the
 // instances, so that the same limit holds for the fleet without coordination.
+//
+// Where the part of an instance is less than a retry, a bucket that can hold one exceeds the allowance, and a smaller one
+// permits none. Limit counts requests and retries over the period in its place.
 type Budget struct {
 	share      float64
 	burst      float64
 	refillRate float64
 	tokens     float64
 	refilledAt time.Time
+	// limited is set if limit and the recent requests and retries decide in place of the tokens.
+	limited bool
+	limit   float64
+	recent  window
 }
 
 // NewBudget returns a full budget that gains share tokens a request.
@@ -78,35 +86,76 @@
 }
 
 // Earn adds the share of one request.
-func (b *Budget) Earn() { b.add(b.share) }
+func (b *Budget) Earn() {
+	b.add(b.share)
+	b.recent.current().requests++
+}
 
 // Resize sets the share, the burst and the refill a second when the fleet or the
 // configuration changes. Existing tokens are kept up to the new burst; a larger burst adds
 // none.
 func (b *Budget) Resize(share, burst, refill float64) {
-	b.share, b.burst, b.refillRate = share, burst, refill
+	b.share, b.burst, b.refillRate, b.limited = share, burst, refill, false
 	b.tokens = min(b.tokens, burst)
 }
 
+// Limit permits an allowance in any period, and the share of the period's requests. The fraction of a retry that
+// is left is rounded up if it and rounding add up to one: if the roundings of all instances are spread evenly
+// over [0, 1), they spend together what their fractions add up to.
+func (b *Budget) Limit(share, allowance, rounding float64) {
+	b.share, b.limit, b.limited = share, allowance+rounding, true
+}
+
 // Refill adds the refill for the time up to now.
 func (b *Budget) Refill(now time.Time) {
 	if !b.refilledAt.IsZero() {
 		b.add(b.refillRate * now.Sub(b.refilledAt).Seconds())
 	}
 	b.refilledAt = now
+	b.recent.advance(now)
 }
 
-// Take spends one token and reports whether there was one.
+// Take spends one retry and reports whether there was one.
 func (b *Budget) Take() bool {
-	if b.tokens < 1 {
+	if !b.permits() {
 		return false
 	}
-	b.tokens--
+	b.tokens = max(0, b.tokens-1)
+	b.recent.current().retries++
 	return true
 }
 
-// Refund returns a token that was spent in vain.
-func (b *Budget) Refund() { b.add(1) }
+// permits reports whether a retry may be spent.
+func (b *Budget) permits() bool {
+	if !b.limited {
+		return b.tokens >= 1
+	}
+	requests, retries := b.recent.counts()
+	return float64(retries+1) <= b.limit+b.earned(float64(requests))
+}
+
+// earned returns the retries that the requests of a period earn: their share, less its standard deviation, but at most one
+// retry less. Each instance retries when chance has given it more requests than usual, so that the highest counts of
+// all add up to more than the fleet's requests.
+func (b *Budget) earned(requests float64) float64 {
+	return b.share*requests - min(1, b.share*math.Sqrt(requests))
+}
+
+// TakeInAdvance spends one retry that the instance's part does not hold yet, if none was spent in the period. It is for
+// failures of single servers, of which few instances see one.
+func (b *Budget) TakeInAdvance() bool {
+	if _, retries := b.recent.counts(); !b.limited || retries > 0 {
+		return false
+	}
+	b.recent.current().retries++
+	return true
+}
+
+// Refund returns a retry that was spent in vain.
+func (b *Budget) Refund() {
+	b.add(1)
+	b.recent.refund()
+}
 
 func (b *Budget) add(tokens float64) { b.tokens = min(b.burst, b.tokens+tokens) }
 
--- a/internal/core/retry/retry_test.go
+++ b/internal/core/retry/retry_test.go
@@ -108,3 +108,90 @@
 		require.Equal(t, name == "crowded", first > 0.4, name)
 	}
 }
+
+// newLimitedBudgets returns a budget for each of a number of instances that divide an allowance.
+func newLimitedBudgets(instances int, allowance float64, now time.Time) []*retry.Budget {
+	budgets := make([]*retry.Budget, instances)
+	for i := range budgets {
+		budgets[i] = retry.NewBudget(0.2, allowance)
+		budgets[i].Refill(now)
+		budgets[i].Limit(0.2, allowance/float64(instances), 1-float64(i)/float64(instances))
+	}
+	return budgets
+}
+
+func takeAll(b *retry.Budget) int {
+	taken := 0
+	for b.Take() {
+		taken++
+	}
+	return taken
+}
+
+// Guards against instances whose parts are less than a retry, and that spend a whole one each, or none.
+func TestPartsBelowOneRetryAddUpToTheAllowance(t *testing.T) {
+	const allowance = 56
+	for _, instances := range []int{1, 3, 7, 60, 350} {
+		sum := 0
+		for _, b := range newLimitedBudgets(instances, allowance, time.Unix(1_800_000_000, 0)) {
+			sum += takeAll(b)
+		}
+		require.GreaterOrEqual(t, sum, allowance, "%d instances", instances)
+		require.LessOrEqual(t, sum, allowance+1, "%d instances", instances)
+	}
+}
+
+// Guards against retries beyond the allowance and the share of the requests in any period, and against none in a later one.
+func TestLimitHoldsInEachPeriod(t *testing.T) {
+	const allowance, seconds = 3.0, 100
+	now := time.Unix(1_800_000_000, 0)
+	b := newLimitedBudgets(1, allowance, now)[0]
+	b.Limit(0.2, allowance, 0)
+	var requests, taken [seconds]int
+	for second := range seconds {
+		now = now.Add(time.Second)
+		b.Refill(now)
+		requests[second] = second % 7 * 5
+		for range requests[second] {
+			b.Earn()
+		}
+		taken[second] = takeAll(b)
+	}
+	const period = int(retry.Period / time.Second)
+	for first := period; first < seconds-period; first++ {
+		spent, earned := 0, 0
+		for i := range period {
+			spent += taken[first+i]
+			earned = max(earned, sumOf(requests[first+i-period+1:first+i+1]))
+		}
+		require.LessOrEqual(t, float64(spent), allowance+0.2*float64(earned), "from %d", first)
+		require.NotZero(t, spent, "from %d", first)
+	}
+}
+
+func sumOf(counts []int) int {
+	sum := 0
+	for _, n := range counts {
+		sum += n
+	}
+	return sum
+}
+
+// Guards against a second retry in advance within a period, and against one that is not counted.
+func TestOneRetryInAdvance(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	b := newLimitedBudgets(350, 56, now)[349]
+	require.False(t, b.Take())
+	require.True(t, b.TakeInAdvance())
+	require.False(t, b.TakeInAdvance())
+	for range 5 {
+		b.Earn()
+	}
+	require.False(t, b.Take())
+	b.Refund()
+	require.True(t, b.TakeInAdvance())
+	b.Refill(now.Add(retry.Period + time.Second))
+	require.True(t, b.TakeInAdvance())
+	b.Resize(0.2, 10, 0)
+	require.False(t, b.TakeInAdvance())
+}
