Divide the retry allowance by a limit over a period, not one retry at once for each instance

Cause: each instance could spend one retry at once, whatever its part: 350 where 45 are divided. Change: each spends its part of the allowance and what its requests earned in the last ten seconds, fractions rounded up at as many instances as make up the sum. One retry is spent in advance where single servers fail: after the end of a server's process, and for a hedge while another server is sending a response.

--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -281,7 +281,7 @@
 		n.giveUp(r, reason.AttemptsExhausted)
 	case spent:
 		n.giveUp(r, why)
-	case n.chargesRetryBudget(r, outcome) && !n.takeRetry(r.service.Name):
+	case n.chargesRetryBudget(r, outcome) && !n.takeRetry(r.service.Name) && !n.takeRetryAfterEnd(r):
 		n.giveUp(r, reason.RetryBudget)
 	default:
 		again(n, r)
@@ -294,13 +294,6 @@
 	return r.route == nil || outcome != retry.NotSent
 }
 
-func (n *Node) takeRetry(service string) bool {
-	p := n.pool(service)
-	n.resizeBudget(p, n.snapshot.Service(service))
-	p.budget.Refill(n.now)
-	return p.budget.Take()
-}
-
 // resumeWithDelay resumes a stream immediately after the first attempt, and after a pause
 // from then on, so that an unresponsive engine gets time to recover.
 func (n *Node) resumeWithDelay(r *request) {
--- a/internal/core/hedges.go
+++ b/internal/core/hedges.go
@@ -68,7 +68,7 @@
 		n.countHedge(labelHedgeNone)
 		return
 	}
-	if !n.takeRetry(r.service.Name) {
+	if !n.takeHedge(r, e.Quiet) {
 		n.countHedge(labelHedgeBudget)
 		return
 	}
--- a/internal/core/pools.go
+++ b/internal/core/pools.go
@@ -46,59 +46,6 @@
 	joinTimes map[string]time.Time
 }
 
-const (
-	// defaultRetryBurst is the number of retries that a service may spend at one instance
-	// before it earns any, if the configuration sets none.
-	defaultRetryBurst = 10
-	// burstFraction is the fraction of the fleet's retry allowance that is divided among the
-	// known instances. The rest is reserved for new instances, which do not know the size of
-	// the fleet yet.
-	burstFraction = 0.8
-	// burstPeriod is the period that the allowance covers.
-	burstPeriod = 10 * time.Second
-	// burstMinInstances is the smallest number of instances among which the allowance is
-	// divided. An instance that knows no peers may not have discovered them yet.
-	burstMinInstances = 4
-)
-
-// resizeBudget sets this instance's part of a service's retry allowance. What may be spent at once is at least
-// one retry: in a large fleet a part is less than that, and no instance could ever
-// retry. The budget of a service that was removed keeps its size for the requests in progress.
-func (n *Node) resizeBudget(p *pool, svc *config.Service) {
-	if svc == nil {
-		return
-	}
-	if svc.RetryBurst == 0 {
-		p.budget.Resize(svc.RetryShare, defaultRetryBurst, 0)
-		return
-	}
-	burst, refill := p.retryPart.Of(max(burstMinInstances, len(n.liveInstances())), n.poison.store.hearsAll)
-	allowance := burstFraction * svc.RetryBurst
-	atOnce := max(1, allowance*burst)
-	p.budget.Resize(svc.RetryShare, atOnce, max(0, allowance*(burst+refill)-atOnce)/burstPeriod.Seconds())
-}
-
-// tickRetryParts follows this instance's share of each service's requests.
-func (n *Node) tickRetryParts() {
-	for name, p := range n.pools {
-		if p.retryPart != nil {
-			p.retryPart.Sample(float64(n.admission.service(name).InProgress()), p.totalLoad)
-		}
-	}
-}
-
-// resizeBudgets adjusts the retry budgets of all services to the current size of the fleet.
-func (n *Node) resizeBudgets() {
-	if n.snapshot == nil {
-		return
-	}
-	for name, p := range n.pools {
-		if svc := n.snapshot.Service(name); svc != nil && p.budget != nil {
-			n.resizeBudget(p, svc)
-		}
-	}
-}
-
 // pool returns the pool of a service, and creates it if there is none.
 func (n *Node) pool(service string) *pool {
 	p := n.pools[service]
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -168,7 +168,9 @@
 	}
 	n.requests[e.Request] = r
 	if t.route != nil {
-		n.pool(t.service.Name).budget.Earn()
+		budget := n.pool(t.service.Name).budget
+		budget.Refill(n.now)
+		budget.Earn()
 	}
 	if r.needsClaim() {
 		n.capDeadline(r)
