--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -42,6 +42,9 @@
 		n.giveUp(r, refusal)
 		return
 	}
+	if c.Unreachable {
+		n.pool(r.service.Name).unreachableTriedAt = n.now
+	}
 	n.sendTo(r, c, e)
 }
 
@@ -178,6 +181,7 @@
 		n.streams.endedAt[r.backend] = n.now
 	}
 	n.attemptDone(r)
+	n.countResponse(r, &e)
 	if e.Outcome == retry.Superseded {
 		n.attemptSuperseded(r, e.Unsent)
 		return
@@ -239,6 +243,8 @@
 		n.giveUp(r, reason.CallerGone)
 	case !n.now.Before(r.deadline):
 		n.giveUp(r, reason.DeadlineExceeded)
+	case n.endsWithGrace(r.deadline):
+		n.giveUp(r, reason.Stopping)
 	case outcome == retry.NotSent && n.noneReached(r):
 		n.giveUp(r, why)
 	case r.resumesOnSameBackend(outcome):
@@ -307,6 +313,7 @@
 // deadlinePassed ends a request at its deadline without waiting for the attempt in
 // progress. Otherwise a frozen backend server would block the caller.
 func (n *Node) deadlinePassed(r *request) {
+	r.waiting = r.waitsFor()
 	if r.running {
 		r.mayHaveRun = true
 		n.attemptDone(r)
--- a/internal/core/pools.go
+++ b/internal/core/pools.go
@@ -31,7 +31,9 @@
 	// of their loads.
 	unreachableCount int
 	unreachableLoad  float64
-	budget           *retry.Budget
+	// unreachableTriedAt is the time of the last attempt at an unreachable candidate.
+	unreachableTriedAt time.Time
+	budget             *retry.Budget
 	// retryPart is this instance's part of the fleet's retries.
 	retryPart *retry.Part
 	// leaving holds the backend servers that get no new requests but still have cached
@@ -39,6 +41,8 @@
 	leaving []routing.Candidate
 	// marksFull reports whether candidates may be marked as full, because the servers limit their rejections.
 	marksFull bool
+	// marksLeft reports whether candidates may be marked as left.
+	marksLeft bool
 	// used reports whether a request was placed in this pool.
 	used bool
 	// joinTimes holds the time at which each backend server joined the pool. It is
@@ -106,6 +110,7 @@
 	p := &pool{
 		service: name, index: make(map[string]int), model: svc.Kind == config.Model,
 		budget: old.budget, retryPart: old.retryPart, used: old.used, joinTimes: make(map[string]time.Time),
+		unreachableTriedAt: old.unreachableTriedAt,
 	}
 	if p.budget == nil {
 		p.budget = retry.NewBudget(svc.RetryShare, max(defaultRetryBurst, svc.RetryBurst))
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -44,6 +44,8 @@
 	conns     map[*callerConn]struct{}
 	listener  net.Listener
 	closing   bool
+	// closeAtOnce is set once the listener closes whether or not connections still arrive.
+	closeAtOnce bool
 	// lastAccept is the time of the last new connection.
 	lastAccept time.Time
 	// acceptEnded is set once the accept loop has ended.
@@ -102,6 +104,7 @@
 	case fasthttp.StateActive:
 		c.markBusy()
 	case fasthttp.StateIdle:
+		c.state.answered()
 		c.markIdle()
 	default:
 	}
@@ -226,7 +229,7 @@
 		"reason", e.Reason, "customer", e.Customer, "service", e.Service,
 		"backend", e.Backend, "attempt", e.Attempt, "retryAfterMs", e.RetryAfter.Milliseconds(),
 		"passedOn", e.ForwardFailure, "load", e.Utilization.Load, "capacity", e.Utilization.Capacity, "servers", e.Utilization.Servers,
-		"generation", e.Generation, "detail", detail, "content", hexContent(e.Content), "continues", e.Continues)
+		"generation", e.Generation, "detail", detail, "content", hexContent(e.Content), "continues", e.Continues, "waiting", e.Waiting)
 }
 
 // connDeadline converts a time of the core's clock to a connection deadline. The result has
@@ -252,9 +255,16 @@
 }
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
-	if s.notReady.Load() {
-		ctx.SetConnectionClose()
+	if c, ok := ctx.Conn().(*callerConn); ok {
+		c.next.processed(&ctx.Request)
+		c.state.process(nil)
 	}
+	s.respond(ctx)
+	s.announceClose(ctx)
+}
+
+// respond processes a request up to the first byte of its response.
+func (s *Server) respond(ctx *fasthttp.RequestCtx) {
 	id := s.nextID()
 	request, rejected := s.options.Dialect.ReadRequest(ctx, id, s.options.Now())
 	if rejected != nil {
