--- a/internal/core/hedges.go
+++ b/internal/core/hedges.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"github.com/ebonydyke/ebonydyke/internal/core/hedge"
 	"github.com/ebonydyke/ebonydyke/internal/core/reason"
 	"github.com/ebonydyke/ebonydyke/internal/core/retry"
 	"github.com/ebonydyke/ebonydyke/internal/core/routing"
@@ -30,10 +31,11 @@
 		return
 	}
 	n.countSilence(r, &e)
-	if !n.now.Before(r.deadline) || !r.mayHedge(&e) || n.poison.tracker.Stops(&r.poison, r.runs+r.inProgress()) {
+	target := r.hedgeTarget(&e)
+	if !n.now.Before(r.deadline) || target == hedge.None || n.poison.tracker.Stops(&r.poison, r.runs+r.inProgress()) {
 		return
 	}
-	if r.route == nil && e.LastEventID != "" {
+	if target == hedge.SameServer {
 		n.hedgeOnSameBackend(r, e.LastEventID)
 		return
 	}
@@ -56,23 +58,17 @@
 	}
 }
 
-// mayHedge reports whether a further attempt may run beside those in progress. What a silence of a request without a route
-// means is not known, since nobody says how long it may take; it is hedged at another server only if its server is stuck.
-func (r *request) mayHedge(e *AttemptSilent) bool {
-	switch {
-	case slices.ContainsFunc(r.others, func(a attempt) bool { return !a.silent }):
-		return false
-	case r.attempts >= r.policy.maxAttempts:
-		return false
-	case r.route == nil && e.LastEventID != "":
-		return true
-	case r.route == nil && !e.Stuck:
-		return false
-	case !r.policy.repeatable, r.runs+r.inProgress() >= r.policy.maxRuns:
-		return false
-	default:
-		return !r.responseStarted || r.policy.resumable && e.LastEventID != ""
-	}
+// hedgeTarget returns where a further attempt may be sent beside those in progress.
+func (r *request) hedgeTarget(e *AttemptSilent) hedge.Target {
+	state := hedge.Request{
+		OwnInterface: r.route == nil,
+		OthersBusy:   slices.ContainsFunc(r.others, func(a attempt) bool { return !a.silent }),
+		Attempts:     r.attempts, MaxAttempts: r.policy.maxAttempts,
+		Runs: r.runs + r.inProgress(), MaxRuns: r.policy.maxRuns,
+		Repeatable: r.policy.repeatable, Resumable: r.policy.resumable,
+		ResponseStarted: r.responseStarted,
+	}
+	return state.Target(hedge.Silence{HasEvents: e.LastEventID != "", Stuck: e.Stuck})
 }
 
 // hedge sends the request to another server beside the attempts in progress, unless there is none with room that may
