--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/ebonydyke/ebonydyke/internal/core/claims"
+	"github.com/ebonydyke/ebonydyke/internal/core/hedge"
 	"github.com/ebonydyke/ebonydyke/internal/core/reason"
 	"github.com/ebonydyke/ebonydyke/internal/core/retry"
 	"github.com/ebonydyke/ebonydyke/internal/core/routing"
@@ -66,35 +67,17 @@
 	return refusal == reason.StreamUnknown || refusal == reason.StreamVersionGone
 }
 
-// Timeouts after which the server of an attempt counts as silent, if the request may also run on another server. A
-// hedge is started then: a server that hangs or is cut off would else block the caller until the deadline.
-const (
-	// firstByteGoalFactor is the timeout for the first bytes as a multiple of the route's
-	// latency goal.
-	firstByteGoalFactor = 2
-	// minFirstByteTimeout is the minimum timeout for the first bytes: an engine that runs the
-	// prefill of another request's long prompt sends nothing for a few hundred milliseconds.
-	minFirstByteTimeout = 250 * time.Millisecond
-	// minStreamFirstByteTimeout is the minimum for a stream, which the engine may queue.
-	minStreamFirstByteTimeout = 1200 * time.Millisecond
-	// stallPauseGoalFactor is the stall timeout of a stream as a multiple of the route's
-	// pause goal. Callers disconnect after eight times the pause goal.
-	stallPauseGoalFactor = 3
-	// minStallTimeout is the minimum stall timeout.
-	minStallTimeout = 700 * time.Millisecond
-)
-
 // responseTimeouts returns the first-byte and stall timeouts of the next attempt. There are
 // none if the request must not run again or no run is left after this one.
 func (r *request) responseTimeouts() (first, stall time.Duration) {
 	if r.route == nil || !r.policy.repeatable || r.runs+len(r.others)+1 >= r.policy.maxRuns {
 		return 0, 0
 	}
-	first = max(minFirstByteTimeout, firstByteGoalFactor*time.Duration(r.route.Goal))
+	goal, pauseGoal := time.Duration(r.route.Goal), time.Duration(r.route.PauseGoal)
 	if !r.policy.resumable {
-		return first, 0
+		return hedge.FirstByteTimeout(goal), 0
 	}
-	return max(first, minStreamFirstByteTimeout), max(minStallTimeout, stallPauseGoalFactor*time.Duration(r.route.PauseGoal))
+	return hedge.StreamTimeouts(goal, pauseGoal)
 }
 
 // responseTimeouts returns the timeouts of the next attempt. A stream that no other server could go on with has none.
