Soak: a late answer is reported with what its instance logged, and how long the soak itself stood still

The open case 'an answer in time' (14.2 s, two requests; race detector, ten busy loops on one processor) could not be told from a caller that got no processor: callers leave after 8 s, so 14.2 s is no time that only an instance can cause.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/ebonydyke/ebonydyke/platform/fakeplatform"
@@ -77,7 +78,8 @@
 func (w *World) checkResponseTime(i *instance, id string, startedAt time.Duration, err error) {
 	took := w.recorder.elapsed() - startedAt
 	if took > routeTimeout+responseSlack && !i.disturbedSince(startedAt) && !errors.Is(err, context.Canceled) {
-		w.recorder.recordViolation("an answer in time", id, fmt.Sprintf("%v at %s", took, i.name))
+		w.recorder.recordViolation("an answer in time", id, fmt.Sprintf("%v at %s, the soak itself stood still for %v of it; log: %s",
+			took, i.name, w.standstills.within(startedAt, startedAt+took), strings.Join(i.loggedEnds(id), "; ")))
 	}
 }
 
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -92,6 +92,8 @@
 	poison *poisonRecorder
 	// lost holds the observations of requests that end without a whole answer.
 	lost *lostRecorder
+	// standstills holds the times at which the soak's own process did nothing.
+	standstills standstills
 	// ended holds the backend servers that have ended, with what ran there.
 	ended *endedRecorder
 	// endless holds the observations of requests to which servers send bytes without end.
@@ -182,6 +184,7 @@
 		callers.Go(func() { w.runWireCaller(callCtx, n) })
 	}
 	callers.Go(func() { w.probeVersions(callCtx) })
+	callers.Go(func() { w.standstills.watch(callCtx, w.recorder.elapsed) })
 	faultCtx, cancel := context.WithTimeout(ctx, o.Duration)
 	defer cancel()
 	var inject func(context.Context)
