--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/ebonydyke/ebonydyke/platform/fakeplatform"
@@ -60,6 +61,7 @@
 	}
 	startedAt := w.recorder.elapsed()
 	w.recordSent(i, kind, id)
+	defer w.beginRequest(i, kind, id)()
 	resp, err := client.Do(w.traceWholeSent(req, id))
 	w.checkResponseTime(i, id, startedAt, err)
 	if err != nil {
@@ -76,7 +78,8 @@
 func (w *World) checkResponseTime(i *instance, id string, startedAt time.Duration, err error) {
 	took := w.recorder.elapsed() - startedAt
 	if took > routeTimeout+responseSlack && !i.disturbedSince(startedAt) && !errors.Is(err, context.Canceled) {
-		w.recorder.recordViolation("an answer in time", id, fmt.Sprintf("%v at %s", took, i.name))
+		w.recorder.recordViolation("an answer in time", id, fmt.Sprintf("%v at %s, the soak itself stood still for %v of it; log: %s",
+			took, i.name, w.standstills.within(startedAt, startedAt+took), strings.Join(i.loggedEnds(id), "; ")))
 	}
 }
 
@@ -109,14 +112,18 @@
 		w.readEvents(&callerStream{name: id}, id, resp.Body)
 		return
 	}
-	body, err := io.ReadAll(resp.Body)
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
 	switch {
 	case err != nil:
 		w.recorder.count("broken off")
 		w.recordCut(id, err)
+	case len(body) == maxAnswerBytes:
+		w.recorder.count("left a body without end")
+		w.recordLeft(id)
 	case string(body) != expectedBody(id):
 		w.recorder.recordViolation("the whole answer", id, fmt.Sprintf("%d bytes", len(body)))
 	default:
 		w.recorder.count("answered")
+		w.recordWhole(id)
 	}
 }
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -38,6 +38,8 @@
 	FaultsAll Faults = "all"
 	// FaultsPauses selects sound backend servers that fall silent beside planned work, and nothing else.
 	FaultsPauses Faults = "pauses"
+	// FaultsEndless selects backend servers that send bytes without end in place of answers, and nothing else.
+	FaultsEndless Faults = "endless"
 )
 
 // Options sets the size and duration of a soak.
@@ -63,6 +65,8 @@
 type Result struct {
 	Violations []Violation
 	Counts     map[string]int
+	// Notes tell of cases that violate nothing and are rare enough to be traced.
+	Notes []string
 }
 
 // World is the state of one soak.
@@ -88,6 +92,12 @@
 	poison *poisonRecorder
 	// lost holds the observations of requests that end without a whole answer.
 	lost *lostRecorder
+	// standstills holds the times at which the soak's own process did nothing.
+	standstills standstills
+	// ended holds the backend servers that have ended, with what ran there.
+	ended *endedRecorder
+	// endless holds the observations of requests to which servers send bytes without end.
+	endless *endlessRecorder
 	// choices are what the operators last chose.
 	choices operatorChoices
 	// limitedSince is the time from which all backend servers announce a limit on their rejections, in
@@ -156,7 +166,7 @@
 // Run runs one soak. It ends only processes that it has started.
 func Run(ctx context.Context, o Options) (*Result, error) {
 	w := &World{
-		options: o, recorder: newRecorder(), poison: newPoisonRecorder(), lost: newLostRecorder(), choices: firstChoices(), store: fakeplatform.New(),
+		options: o, recorder: newRecorder(), poison: newPoisonRecorder(), lost: newLostRecorder(), endless: newEndlessRecorder(), ended: newEndedRecorder(), choices: firstChoices(), store: fakeplatform.New(),
 		versionSteps: rand.New(rand.NewPCG(o.Seed, 1<<32)), nextVersion: 1, version: softwareVersions[0], assignedAddresses: make(map[string]bool),
 	}
 	if err := w.start(); err != nil {
@@ -174,13 +184,20 @@
 		callers.Go(func() { w.runWireCaller(callCtx, n) })
 	}
 	callers.Go(func() { w.probeVersions(callCtx) })
-	inject := w.injectPauses
-	if o.Faults != FaultsPauses {
+	callers.Go(func() { w.standstills.watch(callCtx, w.recorder.elapsed) })
+	faultCtx, cancel := context.WithTimeout(ctx, o.Duration)
+	defer cancel()
+	var inject func(context.Context)
+	switch o.Faults {
+	case FaultsPauses:
+		inject = w.injectPauses
+	case FaultsEndless:
+		inject = w.injectEndless
+	default:
 		inject = w.injectFaults
 		callers.Go(func() { w.sendPoisonRequests(callCtx) })
+		callers.Go(func() { w.injectEndless(faultCtx) })
 	}
-	faultCtx, cancel := context.WithTimeout(ctx, o.Duration)
-	defer cancel()
 	inject(faultCtx)
 	w.checkRecovery(ctx)
 	stopCalling()
@@ -188,14 +205,21 @@
 	w.replacing.Wait()
 	// Requests in transit may still run and violate a guarantee.
 	time.Sleep(time.Second)
+	w.checkAtEnd()
+	w.recorder.mu.Lock()
+	defer w.recorder.mu.Unlock()
+	return &Result{Violations: w.recorder.violations, Counts: w.recorder.counts, Notes: w.ended.blamed}, nil
+}
+
+// checkAtEnd makes the checks that need what was recorded until the end.
+func (w *World) checkAtEnd() {
 	w.checkContinuedStreams()
 	w.checkSharing()
 	w.checkCrowded()
 	w.checkLost()
+	w.checkBlamed()
+	w.checkEndless()
 	w.checkUnanswered()
-	w.recorder.mu.Lock()
-	defer w.recorder.mu.Unlock()
-	return &Result{Violations: w.recorder.violations, Counts: w.recorder.counts}, nil
 }
 
 // start starts the store, the backend servers and the instances.
