--- a/internal/proxy/callerconn.go
+++ b/internal/proxy/callerconn.go
@@ -42,11 +42,11 @@
 	server *Server
 	// readAhead holds bytes that watchClose has read.
 	readAhead []byte
+	next      nextRequest
+	state     connProgress
 	// method checks the request that arrives, and badInput is set once it cannot become one. Only Read uses them.
 	method   methodCheck
 	badInput error
-	next     nextRequest
-	state    connProgress
 
 	mu sync.Mutex
 	// idleSince is zero while a request is read or processed.
@@ -106,25 +106,22 @@
 	return n, err
 }
 
-// readAtTimeout reads what has arrived on a connection whose time has passed, or ends the connection.
+// readAtTimeout reads what had arrived on a connection at its deadline, or ends it.
 func (c *callerConn) readAtTimeout(p []byte, timeout error) (int, error) {
-	if !c.isRetired() {
-		n := c.readArrived(p)
-		if n == 0 {
-			c.markTimedOut()
-			return 0, timeout
+	if c.isRetired() {
+		if n := c.readAvailable(p); n > 0 {
+			c.markRead(n)
+			return n, c.restoreDeadline()
 		}
-		c.markRead(n)
-		c.restoreReadDeadline()
-		return n, nil
+		c.sendRetireNotice()
+		return 0, net.ErrClosed
 	}
-	if n := c.readAvailable(p); n > 0 {
+	if n := c.readArrived(p); n > 0 {
 		c.markRead(n)
-		c.restoreReadDeadline()
-		return n, nil
+		return n, c.restoreDeadline()
 	}
-	c.sendRetireNotice()
-	return 0, net.ErrClosed
+	c.markTimedOut()
+	return 0, errors.Join(timeout, c.restoreDeadline())
 }
 
 // readArrived reads bytes after the deadline that lay in the kernel at the first read after it.
@@ -154,6 +151,16 @@
 	return n
 }
 
+// restoreDeadline sets the deadline again that readAvailable has removed.
+func (c *callerConn) restoreDeadline() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.retired {
+		return c.Conn.SetReadDeadline(pastDeadline)
+	}
+	return c.Conn.SetReadDeadline(c.deadline)
+}
+
 // readAvailable reads the bytes that have arrived, without blocking, and removes the deadline.
 // After the read deadline has passed, an ordinary read returns no data: on a busy
 // machine a request may have arrived unread while the connection seems idle, or its sender slow.
@@ -193,13 +200,6 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
-// restoreReadDeadline applies the deadline of the HTTP library again.
-func (c *callerConn) restoreReadDeadline() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	_ = c.Conn.SetReadDeadline(c.deadline)
-}
-
 // Write writes p unless the caller accepts no byte for WriteStall. A caller that reads
 // slowly is not cut: the engine then waits for it, and this instance buffers no more
 // than one event and the kernel's buffers for it.
@@ -245,6 +245,16 @@
 	c.unread = true
 }
 
+// markRead records that the HTTP library has read n bytes of a request.
+func (c *callerConn) markRead(n int) {
+	c.mu.Lock()
+	idle := !c.idleSince.IsZero()
+	c.mu.Unlock()
+	c.next.readByLibrary(n, idle)
+	c.state.read(false)
+	c.markBusy()
+}
+
 // markTimedOut records that a read has ended at its deadline.
 func (c *callerConn) markTimedOut() {
 	c.mu.Lock()
@@ -259,16 +269,6 @@
 	return c.timedOut
 }
 
-// markRead records that the HTTP library has read n bytes of a request.
-func (c *callerConn) markRead(n int) {
-	c.mu.Lock()
-	idle := !c.idleSince.IsZero()
-	c.mu.Unlock()
-	c.next.readByLibrary(n, idle)
-	c.state.read(false)
-	c.markBusy()
-}
-
 // markBusy records that a request is arriving, and revokes a retirement: a request that
 // began to arrive before the connection was closed is served.
 func (c *callerConn) markBusy() {
@@ -281,6 +281,12 @@
 	}
 }
 
+func (c *callerConn) isIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.idleSince.IsZero()
+}
+
 // markIdle records that the connection is idle.
 func (c *callerConn) markIdle() {
 	c.mu.Lock()
@@ -309,12 +315,6 @@
 	_ = c.Conn.SetReadDeadline(pastDeadline)
 }
 
-func (c *callerConn) isIdle() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return !c.idleSince.IsZero()
-}
-
 func (c *callerConn) isRetired() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
