--- a/internal/proxy/race.go
+++ b/internal/proxy/race.go
@@ -86,12 +86,11 @@
 	if a.superseded || r.finished || a.attempt.Attempt <= r.cancelledUpTo {
 		return false
 	}
-	if r.current != a {
+	wins := r.current != a
+	if wins {
 		r.supersede(r.current)
 		r.current = a
 		r.stream, r.atEngine = a.stream, a.stream.id != ""
-		// There is room: no hedge starts before the last winner has been taken over.
-		r.won <- a
 	}
 	for _, hedge := range r.hedges {
 		if hedge != a {
@@ -103,6 +102,10 @@
 	r.lastEvent = a.sequence.last
 	r.resumable = a.resumable(r.stream)
 	r.finished = a.complete
+	if wins {
+		// There is room: no hedge starts before the last winner has been taken over. From here on another goroutine uses a.
+		r.won <- a
+	}
 	return true
 }
 
