--- a/internal/proxy/endlessinput_test.go
+++ b/internal/proxy/endlessinput_test.go
@@ -294,3 +294,18 @@
 	runtime.ReadMemStats(&m)
 	return m.HeapAlloc
 }
+
+// Guards against a reset, which may discard a response that the caller has not read, because empty lines follow its request.
+func TestEmptyLinesDoNotResetConnection(t *testing.T) {
+	t.Parallel()
+	_, addresses := startEngines(t, 1, time.Millisecond)
+	i := startInstance(t, fleetConfig(addresses, nil), proxy.Options{})
+	conn := dial(t, i.address)
+	require.NoError(t, newChat(t, i.url, false, nil).Write(conn))
+	_, err := io.WriteString(conn, strings.Repeat("\r\n", 256<<10))
+	require.NoError(t, err)
+	time.Sleep(500 * time.Millisecond)
+	status, _, err := readUntilClosed(conn)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, status)
+}
