--- a/internal/proxy/endlessinput_test.go
+++ b/internal/proxy/endlessinput_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -45,19 +46,26 @@
 	return n
 }
 
-// readUntilClosed returns the status of the last response, 0 if there is none, and when the connection was closed for reading.
+// readUntilClosed returns the status of the last response, 0 if there is none, when the connection was closed for reading, and the
+// error that ended it, nil if its end was orderly.
 func readUntilClosed(conn net.Conn) (status int, ended time.Time, err error) {
 	in := bufio.NewReader(conn)
 	for {
-		resp, failed := http.ReadResponse(in, nil)
-		if failed != nil {
-			break
+		if _, err := in.Peek(1); err != nil {
+			if errors.Is(err, io.EOF) {
+				err = nil
+			}
+			return status, time.Now(), err
+		}
+		resp, err := http.ReadResponse(in, nil)
+		if err != nil {
+			return status, time.Now(), err
 		}
 		status = resp.StatusCode
-		_, _ = io.Copy(io.Discard, resp.Body)
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+			return status, time.Now(), err
+		}
 	}
-	_, err = io.Copy(io.Discard, in)
-	return status, time.Now(), err
 }
 
 // keepWithOneRequest sends a request on a connection and reads its response.
