Empty lines behind a request do not reset the connection

What was seen: once, with the race detector beside load, TestBytesBesideARequestAreNotReadAhead (fast, empty lines): connection reset by peer. Cause: the HTTP library takes up to 32 KB of empty lines for the end of the connection and closes it without a response, over bytes that were not read, which resets it. A reset may discard the response before, where the caller has not read it.

--- a/internal/proxy/callerconn.go
+++ b/internal/proxy/callerconn.go
@@ -79,6 +79,9 @@
 	}
 	n, err := c.readNext(p)
 	c.badInput = c.method.check(p[:n])
+	if c.badInput != nil {
+		c.markUnread()
+	}
 	return n, err
 }
 
