--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -78,6 +78,8 @@
 	rejections []time.Time
 	// running maps the requests that the server holds to the parts of their prompts.
 	running map[string][]string
+	// endRecorded is set once the end of the server is recorded.
+	endRecorded bool
 }
 
 func (w *World) newBackend(name, zone, version string) (*backend, error) {
--- a/internal/soak/endedservers.go
+++ b/internal/soak/endedservers.go
@@ -60,14 +60,18 @@
 	}
 }
 
-// recordEnded records that the backend server ends, unless it has left before.
+// recordEnded records that the backend server ends, unless that is recorded or it has left before.
 func (b *backend) recordEnded() {
 	if b.leavingAt.Load() > 0 {
 		return
 	}
 	b.mu.Lock()
-	running := maps.Clone(b.running)
+	running, recorded := maps.Clone(b.running), b.endRecorded
+	b.endRecorded = true
 	b.mu.Unlock()
+	if recorded {
+		return
+	}
 	r := b.world.ended
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/soak/poison.go
+++ b/internal/soak/poison.go
@@ -60,6 +60,7 @@
 	w.recordPoisonSend(content, maxEnds, id)
 	time.Sleep(time.Duration(10+rand.IntN(100)) * time.Millisecond)
 	if b.leavingAt.CompareAndSwap(0, -1) {
+		b.recordEnded()
 		w.recordPoisonEnd(content, maxEnds)
 		w.replacing.Go(func() { w.replaceEnded(b) })
 	}
