--- a/internal/core/hedges.go
+++ b/internal/core/hedges.go
@@ -53,7 +53,7 @@
 		n.countOutcome(r, retry.Superseded)
 	}
 	r.silent = true
-	if e.Stuck {
+	if e.Heard || e.Stuck {
 		n.countFault(r)
 	}
 }
--- a/internal/soak/lost.go
+++ b/internal/soak/lost.go
@@ -40,6 +40,8 @@
 	kind     string
 	instance *instance
 	sentAt   time.Duration
+	// behind is the request before it on its connection if that was not answered yet, "" if there was none.
+	behind string
 	// wholeAt is when its last byte was sent, 0 if that is not known.
 	wholeAt time.Duration
 	// endedAt and cut are set if the request ended without a whole answer; cut says how.
--- a/internal/soak/unanswered.go
+++ b/internal/soak/unanswered.go
@@ -72,11 +72,30 @@
 		return "within the slack"
 	case p.endedAt-p.sentAt >= l.timeoutOf(p):
 		return "at the timeout"
+	case l.behindBrokenResponse(p):
+		return "behind a broken response"
 	default:
 		return ""
 	}
 }
 
+// behindBrokenResponse reports whether a request waited on its connection behind one whose response an unplanned fault broke:
+// the close of the connection is what tells the caller so.
+func (l *lostRecorder) behindBrokenResponse(p *passage) bool {
+	first := l.requests[p.behind]
+	return first != nil && first.cut != "" && l.unplanned(first, l.runs[first.id])
+}
+
+// recordBehind records that a request follows another one on its connection before that is answered.
+func (w *World) recordBehind(id, first string) {
+	l := w.lost
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if p := l.requests[id]; p != nil {
+		p.behind = first
+	}
+}
+
 // loggedCloses returns the instance's log lines about the connection of a request that closed without a response.
 func (i *instance) loggedCloses(id string) string {
 	text, err := os.ReadFile(i.settings + ".log")
--- a/internal/soak/wirecallers.go
+++ b/internal/soak/wirecallers.go
@@ -158,6 +158,9 @@
 		time.Sleep(piece.pause)
 		if n == 0 || writes[n-1].last {
 			w.recordSent(i, piece.of.kind, piece.of.id)
+			if n > 0 {
+				w.recordBehind(piece.of.id, writes[0].of.id)
+			}
 		}
 		if _, err := conn.Write(piece.bytes); err != nil {
 			return
