Test: requests behind a chunked body or an empty line at an instance that stops

"the second with chunks": a request in chunks and a second one arrive in one read. The response to the first one asks to close the connection although the second one is there whole; it is read by nobody and gets neither an answer nor a refusal. Cause: nextRequest.processed sets what the library has read to 0 behind a chunked body.

"behind an empty line": a caller that sends an empty line before its request, as the method check permits, is not told that the instance stops: the empty line is counted as the start of a further request. Such a caller keeps its connection until the grace time ends.

--- a/internal/proxy/nextrequest_test.go
+++ b/internal/proxy/nextrequest_test.go
@@ -45,6 +45,7 @@
 		"with spaces in fields":    {[]string{lines("GET /services/portal/x?a=b HTTP/1.1\nHost:   h  \nEbonydyke-Customer:branch-recife\nX-Other: \n\n")}, []bool{true}},
 		"an absolute target":       {[]string{lines("GET http://h/services/portal/x HTTP/1.1\n" + head + "\n")}, []bool{true}},
 		"in chunks":                {[]string{lines("POST /services/portal/x HTTP/1.1\n" + head + "Transfer-Encoding: chunked\n\n3\nabc\n0\n\n")}, []bool{true}},
+		"behind an empty line":     {[]string{"\r\n" + plainRequest}, []bool{true}},
 		"rejected":                 {[]string{lines("GET /unknown HTTP/1.1\n" + head + "\n")}, []bool{true}},
 		"two in one write":         {[]string{plainRequest + plainRequest}, []bool{false, true}},
 		"three in one write":       {[]string{plainRequest + plainRequest + plainRequest}, []bool{false, false, true}},
@@ -52,6 +53,7 @@
 		"the second in pieces":     {[]string{plainRequest + plainRequest[:9], plainRequest[9:]}, []bool{false, true}},
 		"the second is long":       {[]string{plainRequest, strings.Replace(plainRequest, "3\r\n\r\nabc", "9000\r\n\r\n"+strings.Repeat("x", 9000), 1)}, []bool{false, true}},
 		"the second behind chunks": {[]string{lines("POST /services/portal/x HTTP/1.1\n" + head + "Transfer-Encoding: chunked\n\n3\nabc\n0\n\n"), plainRequest}, []bool{false, true}},
+		"the second with chunks":   {[]string{lines("POST /services/portal/x HTTP/1.1\n"+head+"Transfer-Encoding: chunked\n\n3\nabc\n0\n\n") + plainRequest}, []bool{false, true}},
 		"the second is rejected":   {[]string{plainRequest + lines("GET /unknown HTTP/1.1\n"+head+"\n")}, []bool{false, true}},
 	} {
 		t.Run(name, func(t *testing.T) {
