--- a/internal/core/retryfew_test.go
+++ b/internal/core/retryfew_test.go
@@ -60,12 +60,7 @@
 						}
 					}
 				}
-				most, allowed := 0, 0.0
-				for _, from := range f.attempts["engines"].repeats {
-					if n := countIn(f.attempts["engines"].repeats, from, retryWindow); n > most {
-						most, allowed = n, f.attempts["engines"].maxRepeats(from)
-					}
-				}
+				most, allowed := mostRepeats(f.attempts["engines"])
 				text := fmt.Sprintf("seed %d: %d attempts refused, %d requests ended for want of retries, at most %d retries in a window with %.0f allowed", 771+seed, refused, ended, most, allowed)
 				t.Log(text)
 				assert.True(t, ended == 0 || float64(most) > allowed/2, text)
@@ -73,3 +68,19 @@
 		})
 	}
 }
+
+// mostRepeats returns the largest number of retries in a window, and how many were allowed in it.
+func mostRepeats(count *attemptCount) (most int, allowed float64) {
+	for i, from := range count.repeats {
+		n := 0
+		for _, at := range count.repeats[i:] {
+			if at.Before(from.Add(retryWindow)) {
+				n++
+			}
+		}
+		if n > most {
+			most, allowed = n, count.maxRepeats(from)
+		}
+	}
+	return most, allowed
+}
