--- a/internal/proxy/bodyreader.go
+++ b/internal/proxy/bodyreader.go
@@ -2,10 +2,8 @@
 
 import (
 	"bufio"
-	"errors"
 	"io"
 	"net/http"
-	"net/http/httputil"
 
 	"github.com/valyala/fasthttp"
 )
@@ -16,13 +14,13 @@
 
 // newBodyReader returns a reader of the body that follows a response header, by the length of the header. It returns
 // io.EOF at the end of the body: with its last byte if the header gives its length, and before the trailers if it is in
-// chunks. The standard library bounds the lines between chunks.
+// chunks.
 func newBodyReader(r *bufio.Reader, length int) io.Reader {
 	switch {
 	case length >= 0:
 		return &lengthReader{reader: r, left: length}
 	case length == chunkedLength:
-		return httputil.NewChunkedReader(r)
+		return &chunkReader{reader: r}
 	default:
 		return r
 	}
@@ -41,14 +39,10 @@
 	}
 	n, err := b.reader.Read(p[:min(len(p), b.left)])
 	b.left -= n
-	switch {
-	case b.left == 0:
+	if b.left == 0 {
 		return n, io.EOF
-	case errors.Is(err, io.EOF):
-		return n, io.ErrUnexpectedEOF
-	default:
-		return n, err
 	}
+	return n, unexpectedEOF(err)
 }
 
 // hasBody reports whether a body follows a response header (RFC 9110, 6.4.1).
--- a/internal/proxy/transport.go
+++ b/internal/proxy/transport.go
@@ -399,12 +399,11 @@
 	if err := conn.SetReadDeadline(time.Now().Add(framingEndTimeout)); err != nil {
 		return false
 	}
-	const emptyLine = "\r\n"
-	line, err := c.reader.Peek(len(emptyLine))
-	if err != nil || string(line) != emptyLine {
+	line, err := c.reader.Peek(len(lineEnd))
+	if err != nil || string(line) != lineEnd {
 		return false
 	}
-	_, err = c.reader.Discard(len(emptyLine))
+	_, err = c.reader.Discard(len(lineEnd))
 	return err == nil && conn.SetReadDeadline(time.Time{}) == nil
 }
 
