A connection with unread bytes is closed after it has lingered

Change: the close looks whether bytes have arrived that were not read, whatever ended the connection, and lets it linger then. Test: TestEmptyLinesDoNotResetConnection/with_the_request, new, failed before (reset), passes now.

--- a/internal/proxy/callerconn.go
+++ b/internal/proxy/callerconn.go
@@ -234,7 +234,7 @@
 		return nil
 	}
 	c.reportClose(unread)
-	if unread {
+	if unread || c.hasUnread() {
 		c.linger()
 	}
 	c.server.connClosed(c)
--- a/internal/proxy/endlessinput_test.go
+++ b/internal/proxy/endlessinput_test.go
@@ -308,12 +308,22 @@
 	t.Parallel()
 	_, addresses := startEngines(t, 1, time.Millisecond)
 	i := startInstance(t, fleetConfig(addresses, nil), proxy.Options{})
-	conn := dial(t, i.address)
-	require.NoError(t, newChat(t, i.url, false, nil).Write(conn))
-	_, err := io.WriteString(conn, strings.Repeat("\r\n", 256<<10))
-	require.NoError(t, err)
-	time.Sleep(500 * time.Millisecond)
-	status, _, err := readUntilClosed(conn)
-	require.NoError(t, err)
-	require.Equal(t, http.StatusOK, status)
+	body := `{"model":"underwriting","messages":[{"role":"user","content":"review"}]}`
+	request := fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", chatHead, len(body), body)
+	lines := strings.Repeat("\r\n", 256<<10)
+	for name, pieces := range map[string][]string{"with the request": {request + lines}, "after the request": {request, lines}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			conn := dial(t, i.address)
+			for _, piece := range pieces {
+				_, err := io.WriteString(conn, piece)
+				require.NoError(t, err)
+				time.Sleep(100 * time.Millisecond)
+			}
+			time.Sleep(500 * time.Millisecond)
+			status, _, err := readUntilClosed(conn)
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, status)
+		})
+	}
 }
