A link that is closed for its input is counted once

What was seen: TestEndlessFramesWithoutMessageCloseLink/data_of_unknown_streams failed once in six runs of the package beside load, 2 links counted in place of 1 (and the package once before, without its log). Cause: the multiplexer goes on after an error of a read in the middle of data that it discards, reads again, and is refused again. Change: after the first refusal each read returns it.

--- a/internal/peer/endlessframes_test.go
+++ b/internal/peer/endlessframes_test.go
@@ -215,3 +215,22 @@
 		}
 	}
 }
+
+// Guards against a link that is counted several times, and read on, because its session goes on after an error of a read.
+func TestRefusedInputIsCountedOnce(t *testing.T) {
+	local, remote := net.Pipe()
+	t.Cleanup(func() { _, _ = local.Close(), remote.Close() })
+	refusals := 0
+	conn := &linkConn{Conn: local}
+	conn.limitInput(func(error) { refusals++ })
+	go func() {
+		for range 2 {
+			_, _ = remote.Write(yamuxFrame(yamuxPing, yamuxSYN, 0, 7))
+		}
+	}()
+	for range 2 {
+		_, err := conn.Read(make([]byte, YamuxHeaderSize))
+		require.ErrorIs(t, err, errPing)
+	}
+	require.Equal(t, 1, refusals)
+}
--- a/internal/peer/linkconn.go
+++ b/internal/peer/linkconn.go
@@ -24,6 +24,8 @@
 	// is opened.
 	limit   *inputLimit
 	refused func(error)
+	// refusal is the error of the first input over the limit. The session may read on after it.
+	refusal error
 	mu      sync.Mutex
 	streams []*yamux.Stream
 	closed  bool
@@ -36,13 +38,16 @@
 
 // Read implements net.Conn.
 func (c *linkConn) Read(b []byte) (int, error) {
+	if c.refusal != nil {
+		return 0, c.refusal
+	}
 	n, err := c.Conn.Read(b)
 	if c.limit == nil {
 		return n, err
 	}
-	if err := c.limit.check(b[:n]); err != nil {
-		c.refused(err)
-		return 0, err
+	if c.refusal = c.limit.check(b[:n]); c.refusal != nil {
+		c.refused(c.refusal)
+		return 0, c.refusal
 	}
 	return n, err
 }
