Soak: a block of ports for each soak that runs

Two soaks at a time on a machine drew ports from one block if their process ids agreed modulo 20. Each soak now claims its block by a listener on its first port.

--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -267,20 +267,41 @@
 }
 
 // The ports of instances are below the system's ephemeral range, so that no outgoing
-// connection takes a port before its instance starts. Each soak draws from a block that
-// depends on its process id, because the ports of killed instances are briefly free.
+// connection takes a port before its instance starts. Each soak draws from a block of its own,
+// because the ports of killed instances are briefly free.
 const (
 	firstPort      = 16_000
 	portBlockSize  = 190
 	portBlockCount = 20
 )
 
+// portBlock is a block of ports that no other soak on this machine uses while claim, on its first port, is open.
+type portBlock struct {
+	first int
+	claim net.Listener
+}
+
+// ownPortBlock claims a block for as long as the process runs.
+var ownPortBlock = sync.OnceValues(func() (*portBlock, error) {
+	var err error
+	for n := range portBlockCount {
+		b := &portBlock{first: firstPort + (os.Getpid()+n)%portBlockCount*portBlockSize}
+		if b.claim, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", b.first)); err == nil {
+			return b, nil
+		}
+	}
+	return nil, fmt.Errorf("soak: no free block of ports: %w", err)
+})
+
 // freeAddress returns a random address that has no listener and is not assigned to another
 // instance. Instances bind their addresses later, so a free port alone is not enough.
 func (w *World) freeAddress() (string, error) {
-	low := firstPort + os.Getpid()%portBlockCount*portBlockSize
+	block, err := ownPortBlock()
+	if err != nil {
+		return "", err
+	}
 	for range 1000 {
-		address := fmt.Sprintf("127.0.0.1:%d", low+rand.IntN(portBlockSize))
+		address := fmt.Sprintf("127.0.0.1:%d", block.first+1+rand.IntN(portBlockSize-1))
 		if w.assignedAddresses[address] {
 			continue
 		}
