Soak: a request behind a response that an unplanned fault broke off may lose its connection

Traced: each was sent ahead on a kept connection, behind k0-7 and k5-44, whose server sent a body without end. The instance passed that on for 3 s and then closed the connection, as it must, for the response must not look whole (log: 'body over the size limit', broken-response, nextWaits true). The request behind it reached no server. The check excuses such a request only if the response before it was cut and an unplanned fault touched that one, so that it is excused itself; one that is cut for another reason is reported twice, as before. A response whose rest cannot be read counts as cut now; its error was ignored.

--- a/internal/soak/lost.go
+++ b/internal/soak/lost.go
@@ -45,6 +45,8 @@
 	// endedAt and cut are set if the request ended without a whole answer; cut says how.
 	endedAt time.Duration
 	cut     string
+	// behindCut is the request before on the connection if its response was cut, "" if not.
+	behindCut string
 	// answered is set if it ended with a failure's whole response.
 	answered bool
 }
--- a/internal/soak/unanswered.go
+++ b/internal/soak/unanswered.go
@@ -72,11 +72,20 @@
 		return "within the slack"
 	case p.endedAt-p.sentAt >= l.timeoutOf(p):
 		return "at the timeout"
+	case l.behindUnplanned(p):
+		return "behind a response that an unplanned fault broke off"
 	default:
 		return ""
 	}
 }
 
+// behindUnplanned reports whether an unplanned fault touched the request before on the connection, whose response was cut. The
+// connection must end there: that response must not look whole.
+func (l *lostRecorder) behindUnplanned(p *passage) bool {
+	ahead := l.requests[p.behindCut]
+	return ahead != nil && l.unplanned(ahead, l.runs[ahead.id])
+}
+
 // loggedCloses returns the instance's log lines about the connection of a request that closed without a response.
 func (i *instance) loggedCloses(id string) string {
 	text, err := os.ReadFile(i.settings + ".log")
--- a/internal/soak/wirecallers.go
+++ b/internal/soak/wirecallers.go
@@ -183,7 +183,10 @@
 		w.checkResponseTime(i, r.id, startedAt, nil)
 		w.checkResponse(i, r.kind, r.id, resp)
 		// What is left of a failure's body precedes the next response.
-		_, _ = io.Copy(io.Discard, resp.Body)
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil && ctx.Err() == nil {
+			w.recordCut(r.id, err)
+			w.recordBehindCut(batch[n+1:], r.id)
+		}
 		_ = resp.Body.Close()
 		w.recorder.count("responses on kept connections")
 		again = again && !resp.Close
@@ -191,6 +194,17 @@
 	return again
 }
 
+// recordBehindCut records that the response before those to some requests was cut.
+func (w *World) recordBehindCut(behind []*wireRequest, ahead string) {
+	w.lost.mu.Lock()
+	defer w.lost.mu.Unlock()
+	for _, r := range behind {
+		if p := w.lost.requests[r.id]; p != nil {
+			p.behindCut = ahead
+		}
+	}
+}
+
 // recordEnd records the requests that a connection's end leaves without a response.
 func (c *wireCaller) recordEnd(ctx context.Context, i *instance, left []*wireRequest, startedAt time.Duration, err error) {
 	if ctx.Err() != nil {
