--- a/internal/soak/lost.go
+++ b/internal/soak/lost.go
@@ -40,13 +40,13 @@
 	kind     string
 	instance *instance
 	sentAt   time.Duration
-	// behind is the request before it on its connection if that was not answered yet, "" if there was none.
-	behind string
 	// wholeAt is when its last byte was sent, 0 if that is not known.
 	wholeAt time.Duration
 	// endedAt and cut are set if the request ended without a whole answer; cut says how.
 	endedAt time.Duration
 	cut     string
+	// behindCut is the request before on the connection if its response was cut, "" if not.
+	behindCut string
 	// answered is set if it ended with a failure's whole response.
 	answered bool
 }
--- a/internal/soak/unanswered.go
+++ b/internal/soak/unanswered.go
@@ -72,28 +72,18 @@
 		return "within the slack"
 	case p.endedAt-p.sentAt >= l.timeoutOf(p):
 		return "at the timeout"
-	case l.behindBrokenResponse(p):
-		return "behind a broken response"
+	case l.behindUnplanned(p):
+		return "behind a response that an unplanned fault broke off"
 	default:
 		return ""
 	}
 }
 
-// behindBrokenResponse reports whether a request waited on its connection behind one whose response an unplanned fault broke:
-// the close of the connection is what tells the caller so.
-func (l *lostRecorder) behindBrokenResponse(p *passage) bool {
-	first := l.requests[p.behind]
-	return first != nil && first.cut != "" && l.unplanned(first, l.runs[first.id])
-}
-
-// recordBehind records that a request follows another one on its connection before that is answered.
-func (w *World) recordBehind(id, first string) {
-	l := w.lost
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if p := l.requests[id]; p != nil {
-		p.behind = first
-	}
+// behindUnplanned reports whether an unplanned fault touched the request before on the connection, whose response was cut. The
+// connection must end there: that response must not look whole.
+func (l *lostRecorder) behindUnplanned(p *passage) bool {
+	ahead := l.requests[p.behindCut]
+	return ahead != nil && l.unplanned(ahead, l.runs[ahead.id])
 }
 
 // loggedCloses returns the instance's log lines about the connection of a request that closed without a response.
