Tell where a request in chunks ends; no limit on the length of a header without a body

An empty line before a request is no further request. A response to HEAD, or 304, has a length and no body, and is not refused for it (TestHeaderOfLongAnswerIsAnswered, 502).

--- a/internal/proxy/attemptresponse.go
+++ b/internal/proxy/attemptresponse.go
@@ -147,7 +147,7 @@
 	if a.call.length < 0 {
 		a.call.maxBody /= 2
 	}
-	if int64(a.call.length) > a.call.maxBody {
+	if a.call.body != nil && int64(a.call.length) > a.call.maxBody {
 		a.abort(retry.Broken, "", errBodyTooLarge)
 		return false
 	}
--- a/internal/proxy/callerconn.go
+++ b/internal/proxy/callerconn.go
@@ -92,12 +92,12 @@
 		n := copy(p, c.readAhead)
 		c.readAhead = c.readAhead[n:]
 		c.next.ahead.Store(len(c.readAhead) > 0)
-		c.markRead(n)
+		c.markRead(p[:n])
 		return n, nil
 	}
 	n, err := c.Conn.Read(p)
 	if n > 0 {
-		c.markRead(n)
+		c.markRead(p[:n])
 		return n, err
 	}
 	if isTimeout(err) {
@@ -113,14 +113,14 @@
 func (c *callerConn) readAtTimeout(p []byte, timeout error) (int, error) {
 	if c.isRetired() {
 		if n := c.readAvailable(p); n > 0 {
-			c.markRead(n)
+			c.markRead(p[:n])
 			return n, c.restoreDeadline()
 		}
 		c.sendRetireNotice()
 		return 0, net.ErrClosed
 	}
 	if n := c.readArrived(p); n > 0 {
-		c.markRead(n)
+		c.markRead(p[:n])
 		return n, c.restoreDeadline()
 	}
 	c.markTimedOut()
@@ -248,12 +248,12 @@
 	c.unread = true
 }
 
-// markRead records that the HTTP library has read n bytes of a request.
-func (c *callerConn) markRead(n int) {
+// markRead records that the HTTP library has read bytes of a request.
+func (c *callerConn) markRead(p []byte) {
 	c.mu.Lock()
 	idle := !c.idleSince.IsZero()
 	c.mu.Unlock()
-	c.next.readByLibrary(n, idle)
+	c.next.readByLibrary(p, idle)
 	c.state.read(false)
 	c.markBusy()
 }
