A refusal's or failure's body that is long or late is no fault of its server

A body with a length may be long or late. One without that does not end in time may have no end, and still counts (refusal's chunks, failure's chunks of TestBytesWithoutEndDelayNoRequest).

--- a/internal/proxy/attemptresponse.go
+++ b/internal/proxy/attemptresponse.go
@@ -123,11 +123,7 @@
 func (a *attemptResponse) handleHead() bool {
 	switch a.head.Verdict {
 	case NotStarted:
-		a.call.deadline = time.Now().Add(refusalBodyTimeout)
-		_, err := io.CopyN(io.Discard, a.call, maxRefusalBody)
-		whole := errors.Is(err, io.EOF)
-		a.close(whole)
-		a.reportEnd(core.AttemptEnded{Outcome: retry.Refused, RetryAfter: a.head.RetryAfter, Malformed: !whole}, errRefused)
+		a.endRefused()
 		return false
 	case Failure:
 		a.holdFailure()
@@ -164,6 +160,19 @@
 	return a.completeFirstRead(a.readFirstBytes())
 }
 
+// endRefused reads the body of a refusal, so that the connection can be reused, and reports it. A body with a length may come
+// late or be long. One without that does not end in time may have no end, which is a fault of the server.
+func (a *attemptResponse) endRefused() {
+	a.call.deadline = time.Now().Add(refusalBodyTimeout)
+	_, err := io.CopyN(io.Discard, a.call, maxRefusalBody)
+	whole := errors.Is(err, io.EOF)
+	endless := a.call.length < 0 && !whole || int64(a.call.length) > a.call.maxBody
+	a.close(whole)
+	a.reportEnd(core.AttemptEnded{
+		Outcome: retry.Refused, RetryAfter: a.head.RetryAfter, Malformed: endless || errors.Is(err, errMalformed),
+	}, errRefused)
+}
+
 // handleResumedHead handles the header of an attempt that resumes a stream at its engine. It checks that the
 // engine continues the same stream of the same incarnation; any other stream would
 // join two different outputs.
--- a/internal/proxy/heldresponse.go
+++ b/internal/proxy/heldresponse.go
@@ -22,8 +22,12 @@
 // cut off, or too large to buffer, is reported as broken.
 func (a *attemptResponse) holdFailure() {
 	body, err := io.ReadAll(io.LimitReader(a, maxBufferedBody+1))
-	if err == nil && len(body) > maxBufferedBody {
-		err = errBodyTooLarge
+	switch {
+	case err != nil, len(body) <= maxBufferedBody:
+	case a.call.length < 0, int64(a.call.length) > a.call.maxBody:
+		err = errBodyTooLarge // It may have no end.
+	default:
+		err = errLongFailure
 	}
 	if err != nil {
 		a.abort(retry.Broken, "", fmt.Errorf("%w with an incomplete body: %w", errBackendFailure, err))
--- a/internal/proxy/response.go
+++ b/internal/proxy/response.go
@@ -22,7 +22,7 @@
 	framingEndTimeout = 100 * time.Millisecond
 	// maxRefusalBody limits the bytes that are read from the body of a refusal so
 	// that its connection can be reused.
-	maxRefusalBody = 4096
+	maxRefusalBody = 64 << 10
 	// refusalBodyTimeout limits the wait for the body of a refusal, for which another attempt waits.
 	refusalBodyTimeout = 100 * time.Millisecond
 )
@@ -33,6 +33,7 @@
 	errStreamLost     = errors.New("proxy: engine no longer holds the stream")
 	errRefused        = errors.New("proxy: request refused by the backend server")
 	errBackendFailure = errors.New("proxy: backend server returned a failure")
+	errLongFailure    = errors.New("proxy: too large to be held")
 	errMismatched     = errors.New("proxy: response does not belong to this request")
 	errSuperseded     = errors.New("proxy: another attempt delivered first")
 )
