Limit only bodies without a length; take no comments, and no short slow answers, for faults; hedge at a left server if there is no other

A body with a length is bounded by it; limits.max_response is for those without one, 48 MiB. Bytes of a body are progress, whenever they come; comments keep a connection alive. Neither is a fault; that bytes came tells only that the path is not what is silent. A left server ranks last, and a hedge may go there.

--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -138,9 +138,9 @@
 	// Quiet are the backend servers that owe this instance bytes and have sent none for a while, sorted. They may be
 	// silent too.
 	Quiet []string `json:"quiet,omitempty"`
-	// Heard is set if bytes have arrived since the response last came further: its server is reached.
+	// Heard is set if bytes have arrived since the response last came further, or a part of its body: its server is reached.
 	Heard bool `json:"heard,omitempty"`
-	// Stuck is set if such bytes are a part of the response, such as of a header or an event, whose rest is missing.
+	// Stuck is set if such bytes are more than comments that keep the connection alive, or the server does not read the request.
 	Stuck bool `json:"stuck,omitempty"`
 }
 
--- a/internal/core/hedges.go
+++ b/internal/core/hedges.go
@@ -53,7 +53,7 @@
 		n.countOutcome(r, retry.Superseded)
 	}
 	r.silent = true
-	if e.Heard || e.Stuck {
+	if e.Stuck {
 		n.countFault(r)
 	}
 }
@@ -129,7 +129,7 @@
 	r.tried, r.quiet = excluded, quiet
 	c, refusal := n.place(r)
 	r.tried, r.quiet = tried, nil
-	if refusal != reason.None || c.Unreachable || c.Left || slices.Contains(excluded, c.Name) {
+	if refusal != reason.None || c.Unreachable || slices.Contains(excluded, c.Name) {
 		return nil
 	}
 	return c
--- a/internal/proxy/attemptresponse.go
+++ b/internal/proxy/attemptresponse.go
@@ -140,12 +140,8 @@
 		a.abort(retry.Broken, "", errNoFraming)
 		return false
 	}
-	if a.call.length < 0 {
-		a.call.maxBody /= 2
-	}
-	if a.call.body != nil && int64(a.call.length) > a.call.maxBody {
-		a.abort(retry.Broken, "", errBodyTooLarge)
-		return false
+	if a.call.length >= 0 {
+		a.call.maxBody = math.MaxInt64 // Its length is its limit.
 	}
 	if a.head.Events {
 		a.exchange.race.setStream(a, streamRef{address: a.attempt.Address, id: a.head.StreamID, incarnation: a.head.Incarnation})
@@ -166,7 +162,7 @@
 	a.call.deadline = time.Now().Add(refusalBodyTimeout)
 	_, err := io.CopyN(io.Discard, a.call, maxRefusalBody)
 	whole := errors.Is(err, io.EOF)
-	endless := a.call.length < 0 && !whole || int64(a.call.length) > a.call.maxBody
+	endless := a.call.length < 0 && !whole || a.call.length > maxUnreadLength
 	a.close(whole)
 	a.reportEnd(core.AttemptEnded{
 		Outcome: retry.Refused, RetryAfter: a.head.RetryAfter, Malformed: endless || errors.Is(err, errMalformed),
--- a/internal/proxy/heldresponse.go
+++ b/internal/proxy/heldresponse.go
@@ -24,8 +24,8 @@
 	body, err := io.ReadAll(io.LimitReader(a, maxBufferedBody+1))
 	switch {
 	case err != nil, len(body) <= maxBufferedBody:
-	case a.call.length < 0, int64(a.call.length) > a.call.maxBody:
-		err = errBodyTooLarge // It may have no end.
+	case a.call.length < 0, a.call.length > maxUnreadLength:
+		err = errNoEnd
 	default:
 		err = errLongFailure
 	}
--- a/internal/proxy/options.go
+++ b/internal/proxy/options.go
@@ -21,8 +21,8 @@
 	MaxBody int
 	// MaxHeader is the maximum size of the header of a request or response in bytes.
 	MaxHeader int
-	// MaxResponse is the maximum size of a response body with a length in bytes, and half of it that of one without, which may
-	// have no end. A stream of events has no limit: each event has one.
+	// MaxResponse is the maximum size in bytes of a response body without a length, which may have no end. A longer one is broken
+	// off. A stream of events has no limit: each event has one.
 	MaxResponse int64
 	// ReadTimeout limits the time to read a whole request.
 	ReadTimeout time.Duration
@@ -56,7 +56,7 @@
 const (
 	DefaultMaxConns    = 8192
 	DefaultMaxBody     = 8 << 20
-	DefaultMaxResponse = 64 << 20
+	DefaultMaxResponse = 48 << 20
 	DefaultMaxHeader   = 32 << 10
 	DefaultReadTimeout = time.Minute
 	DefaultCallerIdle  = 10 * time.Minute
--- a/internal/proxy/response.go
+++ b/internal/proxy/response.go
@@ -23,6 +23,8 @@
 	// maxRefusalBody limits the bytes that are read from the body of a refusal so
 	// that its connection can be reused.
 	maxRefusalBody = 64 << 10
+	// maxUnreadLength is the largest length in bytes that the body of a sound refusal or failure may announce.
+	maxUnreadLength = 64 << 20
 	// refusalBodyTimeout limits the wait for the body of a refusal, for which another attempt waits.
 	refusalBodyTimeout = 100 * time.Millisecond
 )
--- a/internal/proxy/responsebody.go
+++ b/internal/proxy/responsebody.go
@@ -76,7 +76,11 @@
 		a.call.watch.progress()
 		return nil
 	}
-	a.call.watch.endPart()
+	if e.data {
+		a.call.watch.endPart()
+	} else {
+		a.call.watch.keepAlive()
+	}
 	return a.events.passOver(len(e.text))
 }
 
--- a/internal/proxy/silence.go
+++ b/internal/proxy/silence.go
@@ -47,8 +47,10 @@
 	// has waited before that.
 	waitingSince int64
 	waited       time.Duration
-	// progressAt is the wait after which progress was last made, and bytes the number of bytes since then.
+	// progressAt is the wait after which progress was last made. heard is set once bytes have arrived since, and bytes is the
+	// number of those that do not just keep the connection alive.
 	progressAt time.Duration
+	heard      bool
 	bytes      int
 	// partAt is the wait after which the first bytes of an unfinished part arrived, and partBytes their number.
 	partAt    time.Duration
@@ -144,6 +146,7 @@
 	}
 	w.partBytes += n
 	w.bytes += n
+	w.heard = true
 }
 
 // setSending records whether the request is being sent.
@@ -160,6 +163,14 @@
 	w.partBytes = 0
 }
 
+// keepAlive records that the bytes up to now keep the connection alive, which a server that works may do for long.
+func (w *silenceWatch) keepAlive() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.bytes -= w.partBytes
+	w.partBytes = 0
+}
+
 // readBody records that bytes of a body that is no stream of events have arrived.
 func (w *silenceWatch) readBody() {
 	w.progress()
@@ -172,7 +183,7 @@
 func (w *silenceWatch) progress() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.partBytes, w.bytes = 0, 0
+	w.partBytes, w.bytes, w.heard = 0, 0, false
 	w.progressAt = w.totalWait()
 	w.activity.lastProgress.Store(sinceStart())
 }
@@ -219,7 +230,7 @@
 	w.scheduled = false
 	late := sinceStart()-w.dueAt > int64(lateCheck) && !w.postponed
 	w.postponed = late
-	left, stuck := w.untilSilent()
+	left := w.untilSilent()
 	silent := left <= 0 && !late && !w.stopped
 	log := silent && !w.logged
 	w.logged = silent
@@ -231,7 +242,7 @@
 	default:
 		w.schedule(left)
 	}
-	seen := w.seen(stuck)
+	seen := w.seen()
 	w.mu.Unlock()
 	if silent {
 		w.report(seen, log)
@@ -241,10 +252,9 @@
 // noTimeout is the time until an attempt without a timeout is silent.
 const noTimeout = time.Hour
 
-// untilSilent returns the time until the attempt is silent, and whether a part of the request or the response is missing its
-// rest. It is called with mu held.
-func (w *silenceWatch) untilSilent() (left time.Duration, stuck bool) {
-	left = noTimeout
+// untilSilent returns the time until the attempt is silent. It is called with mu held.
+func (w *silenceWatch) untilSilent() time.Duration {
+	left := noTimeout
 	timeout, silence := w.stall, w.totalWait()-w.progressAt
 	if !w.delivered {
 		timeout, silence = w.firstByte, time.Duration(sinceStart()-w.sentAt)
@@ -256,13 +266,13 @@
 		left = timeout - silence
 	}
 	if w.partBytes == 0 {
-		return left, w.sending || w.bodyBegun && !w.delivered
+		return left
 	}
-	untilStuck := partTimeout
+	untilMissed := partTimeout
 	if w.waitingSince != 0 {
-		untilStuck -= w.totalWait() - w.partAt
+		untilMissed -= w.totalWait() - w.partAt
 	}
-	return min(left, untilStuck), true
+	return min(left, untilMissed)
 }
 
 // silence is what is known of a silence.
@@ -271,13 +281,17 @@
 	sinceProgress time.Duration
 	bytes         int
 	delivered     bool
-	// stuck is set if a part of the response was begun whose rest is missing.
-	stuck bool
+	// heard is set if bytes have arrived, stuck if the request or the response came no further by some, and partMissing if
+	// those are the beginning of a part.
+	heard, stuck, partMissing bool
 }
 
 // seen returns what is known of the silence. It is called with mu held.
-func (w *silenceWatch) seen(stuck bool) silence {
-	return silence{sinceProgress: w.totalWait() - w.progressAt, bytes: w.bytes, delivered: w.delivered, stuck: stuck}
+func (w *silenceWatch) seen() silence {
+	return silence{
+		sinceProgress: w.totalWait() - w.progressAt, bytes: w.bytes, delivered: w.delivered,
+		heard: w.heard || w.bodyBegun, stuck: w.sending || w.bytes > 0, partMissing: w.partBytes > 0,
+	}
 }
 
 func (w *silenceWatch) report(s silence, log bool) {
@@ -288,12 +302,12 @@
 			"silentMs", s.sinceProgress.Milliseconds(), "bytes", s.bytes, "stuck", s.stuck, "delivered", s.delivered, "quietServers", len(quiet))
 	}
 	lastEvent := x.race.lastEventID()
-	if s.stuck && !x.race.begun() {
+	if s.partMissing && !x.race.begun() {
 		lastEvent = "" // The stream can begin anew elsewhere.
 	}
 	x.server.post(core.AttemptSilent{
 		Request: x.id, Attempt: a.attempt.Attempt, LastEventID: lastEvent, Quiet: quiet,
-		Heard: s.bytes > 0, Stuck: s.stuck,
+		Heard: s.heard, Stuck: s.stuck,
 	})
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -101,8 +101,8 @@
 	MaxConns int `json:"max_conns"`
 	// MaxBody is the maximum size of a request body in bytes.
 	MaxBody int `json:"max_body"`
-	// MaxResponse is the maximum size of a response body in bytes if it has a length. If it has none, it may have no end,
-	// and half of that is its maximum. It does not apply to streams of events.
+	// MaxResponse is the maximum size in bytes of a response body without a length, which may have no end. A longer one is broken
+	// off. It does not apply to streams of events.
 	MaxResponse int64 `json:"max_response"`
 	// MaxHeader is the maximum size of a request or response header in bytes.
 	MaxHeader int `json:"max_header"`
