--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -270,7 +270,7 @@
 		n.giveUp(r, reason.AttemptsExhausted)
 	case spent:
 		n.giveUp(r, why)
-	case n.chargesRetryBudget(r, outcome) && !n.takeRetry(r.service.Name) && !n.takeRetryAfterEnd(r):
+	case n.chargesRetryBudget(r, outcome) && !n.takeRetry(r.service.Name) && !n.takeRetryInAdvance(r, outcome):
 		n.giveUp(r, reason.RetryBudget)
 	default:
 		again(n, r)
--- a/internal/core/retries.go
+++ b/internal/core/retries.go
@@ -6,6 +6,7 @@
 
 	"github.com/ebonydyke/ebonydyke/internal/core/config"
 	"github.com/ebonydyke/ebonydyke/internal/core/rendezvous"
+	"github.com/ebonydyke/ebonydyke/internal/core/retry"
 )
 
 const (
@@ -98,10 +99,27 @@
 	return p.budget.Take()
 }
 
-// takeRetryAfterEnd spends one retry in advance after an attempt whose server's process has ended: of the other attempts
-// that end with it few were sent by the same instance.
-func (n *Node) takeRetryAfterEnd(r *request) bool {
-	return n.streams.endedAt[r.backend].Equal(n.now) && n.pool(r.service.Name).budget.TakeInAdvance()
+// takeRetryInAdvance spends one retry in advance after an attempt that failed at one server only: its process has ended, or it
+// has refused the request although the servers of its service have room. Few such attempts are sent by one instance.
+func (n *Node) takeRetryInAdvance(r *request, outcome retry.Outcome) bool {
+	p := n.pool(r.service.Name)
+	failedAlone := n.streams.endedAt[r.backend].Equal(n.now) || outcome == retry.Refused && p.hasRoom()
+	return failedAlone && p.budget.TakeInAdvance()
+}
+
+// roomShare is the share of a service's slots up to which its load leaves room: loads are known late.
+const roomShare = 0.5
+
+// hasRoom reports whether the servers that can be reached have slots to spare.
+func (p *pool) hasRoom() bool {
+	load, slots := 0.0, 0.0
+	for i := range p.candidates {
+		if c := &p.candidates[i]; !c.Unreachable {
+			load += c.Load
+			slots += c.Slots
+		}
+	}
+	return load < roomShare*slots
 }
 
 // takeHedge spends a retry on a hedge, in advance if only some of the service's servers are silent.
--- a/internal/core/retryallowance_test.go
+++ b/internal/core/retryallowance_test.go
@@ -46,7 +46,7 @@
 					for service, count := range f.attempts {
 						most, allowed := 0, 0.0
 						for _, from := range count.repeats {
-							n := countIn(count.repeats, from, retryWindow)
+							n := countIn(count.repeats, from)
 							assert.LessOrEqual(t, float64(n), count.maxRepeats(from), "seed %d, %s", 441+seed, service)
 							if n > most {
 								most, allowed = n, count.maxRepeats(from)
--- a/internal/core/retryfew_test.go
+++ b/internal/core/retryfew_test.go
@@ -62,7 +62,7 @@
 				}
 				most, allowed := 0, 0.0
 				for _, from := range f.attempts["engines"].repeats {
-					if n := countIn(f.attempts["engines"].repeats, from, retryWindow); n > most {
+					if n := countIn(f.attempts["engines"].repeats, from); n > most {
 						most, allowed = n, f.attempts["engines"].maxRepeats(from)
 					}
 				}
--- a/internal/core/silentwave_test.go
+++ b/internal/core/silentwave_test.go
@@ -17,15 +17,15 @@
 func (c *attemptCount) maxRepeats(from time.Time) float64 {
 	requests := 0
 	for _, start := range []time.Time{from, from.Add(-retryWindow / 2), from.Add(-retryWindow)} {
-		requests = max(requests, countIn(c.requests, start, retryWindow))
+		requests = max(requests, countIn(c.requests, start))
 	}
 	return silentRetryBurst + silentRetryShare*float64(requests)
 }
 
-func countIn(times []time.Time, from time.Time, window time.Duration) int {
+func countIn(times []time.Time, from time.Time) int {
 	n := 0
 	for _, at := range times {
-		if !at.Before(from) && at.Before(from.Add(window)) {
+		if !at.Before(from) && at.Before(from.Add(retryWindow)) {
 			n++
 		}
 	}
@@ -52,7 +52,7 @@
 					count := f.attempts[service]
 					most, allowed := 0, 0.0
 					for _, from := range count.repeats {
-						n := countIn(count.repeats, from, retryWindow)
+						n := countIn(count.repeats, from)
 						assert.LessOrEqual(t, float64(n), count.maxRepeats(from), "seed %d, %s", 391+seed, service)
 						if n > most {
 							most, allowed = n, count.maxRepeats(from)
