--- a/internal/proxy/attemptresponse.go
+++ b/internal/proxy/attemptresponse.go
@@ -123,11 +123,7 @@
 func (a *attemptResponse) handleHead() bool {
 	switch a.head.Verdict {
 	case NotStarted:
-		a.call.deadline = time.Now().Add(refusalBodyTimeout)
-		_, err := io.CopyN(io.Discard, a.call, maxRefusalBody)
-		whole := errors.Is(err, io.EOF)
-		a.close(whole)
-		a.reportEnd(core.AttemptEnded{Outcome: retry.Refused, RetryAfter: a.head.RetryAfter, Malformed: !whole}, errRefused)
+		a.endRefused()
 		return false
 	case Failure:
 		a.holdFailure()
@@ -144,12 +140,8 @@
 		a.abort(retry.Broken, "", errNoFraming)
 		return false
 	}
-	if a.call.length < 0 {
-		a.call.maxBody /= 2
-	}
-	if int64(a.call.length) > a.call.maxBody {
-		a.abort(retry.Broken, "", errBodyTooLarge)
-		return false
+	if a.call.length >= 0 {
+		a.call.maxBody = math.MaxInt64 // Its length is its limit.
 	}
 	if a.head.Events {
 		a.exchange.race.setStream(a, streamRef{address: a.attempt.Address, id: a.head.StreamID, incarnation: a.head.Incarnation})
@@ -164,6 +156,19 @@
 	return a.completeFirstRead(a.readFirstBytes())
 }
 
+// endRefused reads the body of a refusal, so that the connection can be reused, and reports it. A body with a length may come
+// late or be long. One without that does not end in time may have no end, which is a fault of the server.
+func (a *attemptResponse) endRefused() {
+	a.call.deadline = time.Now().Add(refusalBodyTimeout)
+	_, err := io.CopyN(io.Discard, a.call, maxRefusalBody)
+	whole := errors.Is(err, io.EOF)
+	endless := a.call.length < 0 && !whole || a.call.length > maxUnreadLength
+	a.close(whole)
+	a.reportEnd(core.AttemptEnded{
+		Outcome: retry.Refused, RetryAfter: a.head.RetryAfter, Malformed: endless || errors.Is(err, errMalformed),
+	}, errRefused)
+}
+
 // handleResumedHead handles the header of an attempt that resumes a stream at its engine. It checks that the
 // engine continues the same stream of the same incarnation; any other stream would
 // join two different outputs.
--- a/internal/soak/wirecallers.go
+++ b/internal/soak/wirecallers.go
@@ -158,9 +158,6 @@
 		time.Sleep(piece.pause)
 		if n == 0 || writes[n-1].last {
 			w.recordSent(i, piece.of.kind, piece.of.id)
-			if n > 0 {
-				w.recordBehind(piece.of.id, writes[0].of.id)
-			}
 		}
 		if _, err := conn.Write(piece.bytes); err != nil {
 			return
@@ -186,7 +183,10 @@
 		w.checkResponseTime(i, r.id, startedAt, nil)
 		w.checkResponse(i, r.kind, r.id, resp)
 		// What is left of a failure's body precedes the next response.
-		_, _ = io.Copy(io.Discard, resp.Body)
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil && ctx.Err() == nil {
+			w.recordCut(r.id, err)
+			w.recordBehindCut(batch[n+1:], r.id)
+		}
 		_ = resp.Body.Close()
 		w.recorder.count("responses on kept connections")
 		again = again && !resp.Close
@@ -194,6 +194,17 @@
 	return again
 }
 
+// recordBehindCut records that the response before those to some requests was cut.
+func (w *World) recordBehindCut(behind []*wireRequest, ahead string) {
+	w.lost.mu.Lock()
+	defer w.lost.mu.Unlock()
+	for _, r := range behind {
+		if p := w.lost.requests[r.id]; p != nil {
+			p.behindCut = ahead
+		}
+	}
+}
+
 // recordEnd records the requests that a connection's end leaves without a response.
 func (c *wireCaller) recordEnd(ctx context.Context, i *instance, left []*wireRequest, startedAt time.Duration, err error) {
 	if ctx.Err() != nil {
