Give a left server no share of the load; distrust servers whose stray bytes come late

TestLateBytesEndReuseOfConnections: bytes that a server sends 30 ms after a response closed one connection, and the others were used on; they are now as much a reason to open new ones as bytes that come with it.

--- a/internal/core/pools.go
+++ b/internal/core/pools.go
@@ -61,14 +61,30 @@
 }
 
 // reachableLoad returns the total load and the number of the backend servers among which
-// requests are distributed: the reachable ones, or all if none is reachable.
+// requests are distributed: the reachable ones that are not left, or else the reachable ones, or all if none is reachable.
 func (p *pool) reachableLoad() (float64, int) {
+	if p.marksLeft {
+		if total, count := p.loadOf((*routing.Candidate).Usable); count > 0 {
+			return total, count
+		}
+	}
 	if p.unreachableCount == len(p.candidates) {
 		return p.totalLoad, len(p.candidates)
 	}
 	return p.totalLoad - p.unreachableLoad, len(p.candidates) - p.unreachableCount
 }
 
+// loadOf returns the total load and the number of the candidates for which include returns true.
+func (p *pool) loadOf(include func(*routing.Candidate) bool) (total float64, count int) {
+	for i := range p.candidates {
+		if c := &p.candidates[i]; include(c) {
+			total += c.Load
+			count++
+		}
+	}
+	return total, count
+}
+
 // capacity returns the total capacity of count backend servers of the pool, each taken at the
 // mean capacity of all its servers.
 func (p *pool) capacity(count int) float64 {
@@ -79,16 +95,10 @@
 	return sum * float64(count) / float64(max(1, len(p.candidates)))
 }
 
-// reachableLoadInZone returns the total load and the number of the reachable candidates in
-// this instance's zone.
+// reachableLoadInZone returns the total load and the number of the candidates in this instance's zone that are reachable and not
+// left.
 func (p *pool) reachableLoadInZone() (total float64, count int) {
-	for i := range p.candidates {
-		if c := &p.candidates[i]; !c.OtherZone && !c.Unreachable {
-			total += c.Load
-			count++
-		}
-	}
-	return total, count
+	return p.loadOf(func(c *routing.Candidate) bool { return !c.OtherZone && c.Usable() })
 }
 
 // rebuildPools rebuilds the candidates of every service after a change of the configuration
--- a/internal/core/routing/routing.go
+++ b/internal/core/routing/routing.go
@@ -39,6 +39,9 @@
 	WithheldShare float64
 }
 
+// Usable reports whether nothing speaks against the candidate but its load.
+func (c *Candidate) Usable() bool { return !c.Unreachable && !c.Left }
+
 // Limits are the maximum loads, including the new request, at which a backend server is
 // chosen.
 type Limits struct {
@@ -192,7 +195,7 @@
 	if ch.isQuiet(c) {
 		rank |= rankQuiet
 	}
-	if c.Unreachable || c.Left {
+	if !c.Usable() {
 		rank |= rankUnreachable
 	}
 	if c.OtherZone && ch.PreferOwnZone && !spread {
@@ -233,7 +236,7 @@
 	if load > ch.Limits.Hinted*(1-c.WithheldShare) || load > ch.Limits.Outer || load > c.Capacity {
 		return false
 	}
-	return !c.Full && !c.Unreachable && !c.Left && !slices.Contains(ch.Tried, c.Name) && !ch.isQuiet(c)
+	return !c.Full && c.Usable() && !slices.Contains(ch.Tried, c.Name) && !ch.isQuiet(c)
 }
 
 // Placement of the inner and hinted limits.
--- a/internal/proxy/connpool.go
+++ b/internal/proxy/connpool.go
@@ -27,10 +27,10 @@
 	mu       sync.Mutex
 	adopting net.Conn
 
-	// idleMu guards idleConns, the connections that no call uses, and idleCheck, which checks them, nil before the first
-	// one. It is scheduled while there are any.
+	// idleMu guards idleConns, the addresses of the connections that no call uses, and idleCheck, which checks them, nil before
+	// the first one. It is scheduled while there are any.
 	idleMu    sync.Mutex
-	idleConns map[*backendConn]struct{}
+	idleConns map[*backendConn]string
 	idleCheck *time.Timer
 	// distrusted holds the times until which connections to addresses are not used again. It is guarded by idleMu.
 	distrusted map[string]time.Time
@@ -97,7 +97,7 @@
 	p.removeIdle(conn)
 	return pooledConn{conn: conn, release: func(reuse bool) {
 		if reuse {
-			p.addIdle(conn)
+			p.addIdle(conn, hc.Addr)
 			hc.ReleaseConn(cc)
 			return
 		}
@@ -106,13 +106,13 @@
 }
 
 // addIdle records that no call uses a connection.
-func (p *connPool) addIdle(conn *backendConn) {
+func (p *connPool) addIdle(conn *backendConn, address string) {
 	p.idleMu.Lock()
 	defer p.idleMu.Unlock()
 	if p.idleConns == nil {
-		p.idleConns = make(map[*backendConn]struct{})
+		p.idleConns = make(map[*backendConn]string)
 	}
-	p.idleConns[conn] = struct{}{}
+	p.idleConns[conn] = address
 	if len(p.idleConns) > 1 {
 		return
 	}
@@ -134,11 +134,16 @@
 func (p *connPool) checkIdle() {
 	p.idleMu.Lock()
 	defer p.idleMu.Unlock()
-	for conn := range p.idleConns {
-		if !conn.openAndSilent() {
-			conn.reset()
-			delete(p.idleConns, conn)
+	for conn, address := range p.idleConns {
+		silent, hasBytes := conn.peek()
+		if silent {
+			continue
 		}
+		if hasBytes {
+			p.setDistrusted(address, conn.now())
+		}
+		conn.reset()
+		delete(p.idleConns, conn)
 	}
 	if len(p.idleConns) > 0 {
 		p.idleCheck.Reset(idleCheckInterval)
@@ -149,6 +154,11 @@
 func (p *connPool) distrust(address string, now time.Time) {
 	p.idleMu.Lock()
 	defer p.idleMu.Unlock()
+	p.setDistrusted(address, now)
+}
+
+// setDistrusted is distrust for callers that hold idleMu.
+func (p *connPool) setDistrusted(address string, now time.Time) {
 	if p.distrusted == nil {
 		p.distrusted = make(map[string]time.Time)
 	}
--- a/internal/proxy/connreuse.go
+++ b/internal/proxy/connreuse.go
@@ -76,6 +76,12 @@
 	}
 }
 
+// hasBytes reports whether bytes have arrived on an idle connection, which belong to no request.
+func (c *backendConn) hasBytes() bool {
+	_, hasBytes := c.peek()
+	return hasBytes
+}
+
 // maxIdle returns the longest idle time after which the connection may be reused.
 func (c *backendConn) maxIdle() time.Duration {
 	if c.keepAlive == 0 {
@@ -90,22 +96,27 @@
 // abandoned request would be taken for the response to the next request. Both are
 // detected by a read, without consuming bytes, on a connection that must be silent.
 func (c *backendConn) openAndSilent() bool {
+	silent, _ := c.peek()
+	return silent
+}
+
+// peek reports whether the connection is open and silent, or has bytes to read.
+func (c *backendConn) peek() (silent, hasBytes bool) {
 	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return false
+		return false, false
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return false, false
 	}
-	quiet := false
 	err = raw.Read(func(fd uintptr) bool {
 		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = errors.Is(err, syscall.EAGAIN)
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		silent, hasBytes = errors.Is(err, syscall.EAGAIN), err == nil && n > 0
 		return true
 	})
-	return err == nil && quiet
+	return err == nil && silent, err == nil && hasBytes
 }
 
 // parseKeepAlive returns the idle timeout that a server announces in its Keep-Alive
--- a/internal/proxy/transport.go
+++ b/internal/proxy/transport.go
@@ -176,7 +176,7 @@
 		if err != nil {
 			return fmt.Errorf("%w: %w", errConnect, err)
 		}
-		if unfit := pooled.conn.unusableReason(c.zone, c.now()); unfit != "" {
+		if unfit := c.unfitness(hc, pooled.conn); unfit != "" {
 			why = unfit
 			pooled.release(false)
 			continue
@@ -186,6 +186,18 @@
 	return c.open(hc, why)
 }
 
+// unfitness returns the reason why a pooled connection must not be reused, or "" if it may be.
+func (c *call) unfitness(hc *fasthttp.HostClient, conn *backendConn) DialReason {
+	unfit := conn.unusableReason(c.zone, c.now())
+	if unfit == ServerClosed && conn.hasBytes() {
+		c.pool.distrust(hc.Addr, c.now())
+	}
+	if unfit == "" && !c.pool.trusts(hc.Addr, c.now()) {
+		return ServerClosed
+	}
+	return unfit
+}
+
 // open opens a connection over the paths that the core has planned. One that a peer relays is used for
 // this call only: whether its path is still good cannot be seen from here when it is idle.
 func (c *call) open(hc *fasthttp.HostClient, why DialReason) error {
