Test: pipelined requests in chunks, and what follows a body, are mistaken at a stop

"two in chunks" and "two behind chunks": with two requests in chunks in one read, or two plain ones with the same body behind one in chunks, the response before the last asks to close the connection although a whole request waits. That one gets neither an answer nor a refusal. Cause: processed takes the end of what was read for the end of the current request if the bytes are alike (tail and requestEnd), but they are also those of the last request in the read.

"before an empty line" and "with trailers": the response does not ask to close the connection although nothing waits. A caller that ends its bodies with an empty line, or sends trailers, is never told that the instance stops, and may use its connection until the grace time is over.

No code is changed.

--- a/internal/proxy/nextrequest_test.go
+++ b/internal/proxy/nextrequest_test.go
@@ -54,6 +54,10 @@
 		"the second is long":       {[]string{plainRequest, strings.Replace(plainRequest, "3\r\n\r\nabc", "9000\r\n\r\n"+strings.Repeat("x", 9000), 1)}, []bool{false, true}},
 		"the second behind chunks": {[]string{lines("POST /services/portal/x HTTP/1.1\n" + head + "Transfer-Encoding: chunked\n\n3\nabc\n0\n\n"), plainRequest}, []bool{false, true}},
 		"the second with chunks":   {[]string{lines("POST /services/portal/x HTTP/1.1\n"+head+"Transfer-Encoding: chunked\n\n3\nabc\n0\n\n") + plainRequest}, []bool{false, true}},
+		"two in chunks":            {[]string{lines("POST /services/portal/x HTTP/1.1\n"+head+"Transfer-Encoding: chunked\n\n3\nabc\n0\n\n") + lines("POST /services/portal/x HTTP/1.1\n"+head+"Transfer-Encoding: chunked\n\n3\nabc\n0\n\n")}, []bool{false, true}},
+		"two behind chunks":        {[]string{lines("POST /services/portal/x HTTP/1.1\n"+head+"Transfer-Encoding: chunked\n\n3\nabc\n0\n\n") + plainRequest + plainRequest}, []bool{false, false, true}},
+		"before an empty line":     {[]string{plainRequest + "\r\n"}, []bool{true}},
+		"with trailers":            {[]string{lines("POST /services/portal/x HTTP/1.1\n" + head + "Transfer-Encoding: chunked\n\n3\nabc\n0\nX-Sum: 1\n\n")}, []bool{true}},
 		"the second is rejected":   {[]string{plainRequest + lines("GET /unknown HTTP/1.1\n"+head+"\n")}, []bool{false, true}},
 	} {
 		t.Run(name, func(t *testing.T) {
