Tell where requests end that came in one chunk, have trailers or are followed by an empty line

The size of a body in one chunk, and of trailers, is counted; behind several chunks the connection is closed once it is idle.

--- a/internal/core/placement.go
+++ b/internal/core/placement.go
@@ -24,7 +24,7 @@
 		return nil, refusal
 	}
 	n.markFull(p)
-	n.markLeft(p)
+	n.markEjected(p)
 	choice := n.routingChoice(r, p)
 	i := routing.Pick(p.candidates, &choice)
 	if r.poison.IsTrial && r.software == nil {
--- a/internal/core/pools.go
+++ b/internal/core/pools.go
@@ -41,8 +41,8 @@
 	leaving []routing.Candidate
 	// marksFull reports whether candidates may be marked as full, because the servers limit their rejections.
 	marksFull bool
-	// marksLeft reports whether candidates may be marked as left.
-	marksLeft bool
+	// marksEjected reports whether candidates may be marked as ejected.
+	marksEjected bool
 	// used reports whether a request was placed in this pool.
 	used bool
 	// joinTimes holds the time at which each backend server joined the pool. It is
@@ -61,9 +61,9 @@
 }
 
 // reachableLoad returns the total load and the number of the backend servers among which
-// requests are distributed: the reachable ones that are not left, or else the reachable ones, or all if none is reachable.
+// requests are distributed: the reachable ones that are not ejected, or else the reachable ones, or all if none is reachable.
 func (p *pool) reachableLoad() (float64, int) {
-	if p.marksLeft {
+	if p.marksEjected {
 		if total, count := p.loadOf((*routing.Candidate).Usable); count > 0 {
 			return total, count
 		}
@@ -96,7 +96,7 @@
 }
 
 // reachableLoadInZone returns the total load and the number of the candidates in this instance's zone that are reachable and not
-// left.
+// ejected.
 func (p *pool) reachableLoadInZone() (total float64, count int) {
 	return p.loadOf(func(c *routing.Candidate) bool { return !c.OtherZone && c.Usable() })
 }
@@ -134,6 +134,9 @@
 		c.Load = n.load.Estimate(c.Name)
 		p.totalLoad += c.Load
 		p.joinTimes[c.Name] = old.joinedAt(c, n.now)
+		if before := old.find(c.Name); before != nil && before.Incarnation != c.Incarnation {
+			n.quarantine.Forget(c.Name)
+		}
 		if n.reach.Unreachable(c.Name, n.now) {
 			p.setUnreachable(c, true)
 		}
--- a/internal/core/quarantine/quarantine.go
+++ b/internal/core/quarantine/quarantine.go
@@ -7,10 +7,10 @@
 import "time"
 
 const (
-	// minFaults is the number of faults in a row, without an answer between them, after which a server is left. A sound
+	// minFaults is the number of faults in a row, without an answer between them, after which a server is ejected. A sound
 	// server may spoil a response now and then.
 	minFaults = 2
-	// minHold is the time for which a server is first left. It doubles with each fault after that, up to maxHold.
+	// minHold is the time for which a server is first ejected. It doubles with each fault after that, up to maxHold.
 	minHold = 2 * time.Second
 	maxHold = 16 * time.Second
 	// memory is the time after a hold for which faults are remembered.
@@ -25,7 +25,7 @@
 // server is the state of one backend server that has not answered since its last fault.
 type server struct {
 	faults int
-	// hold is the length of the last hold, 0 if the server was not left yet, and heldUntil is the end of it.
+	// hold is the length of the last hold, 0 if the server was not ejected yet, and heldUntil is the end of it.
 	hold      time.Duration
 	heldUntil time.Time
 }
@@ -33,8 +33,8 @@
 // New returns a tracker of servers without faults.
 func New() *Tracker { return &Tracker{servers: make(map[string]*server)} }
 
-// Fault records a response that is none, and reports whether the server is left from now on.
-func (t *Tracker) Fault(name string, now time.Time) (left bool) {
+// Fault records a response that is none, and reports whether the server is ejected from now on.
+func (t *Tracker) Fault(name string, now time.Time) (ejected bool) {
 	s := t.servers[name]
 	if s == nil {
 		s = &server{heldUntil: now}
@@ -44,13 +44,13 @@
 	if s.faults < minFaults || now.Before(s.heldUntil) {
 		return false
 	}
-	left = s.hold == 0
+	ejected = s.hold == 0
 	s.hold = min(max(minHold, 2*s.hold), maxHold)
 	s.heldUntil = now.Add(s.hold)
-	return left
+	return ejected
 }
 
-// Answered records a whole answer of a server, and reports whether it was left until now.
+// Answered records a whole answer of a server, and reports whether it was ejected until now.
 func (t *Tracker) Answered(name string) (back bool) {
 	s := t.servers[name]
 	delete(t.servers, name)
@@ -66,8 +66,8 @@
 	Sound State = iota
 	// OnTrial servers get one request at a time.
 	OnTrial
-	// Left servers get none while others can serve them.
-	Left
+	// Ejected servers get none while others can serve them.
+	Ejected
 )
 
 // StateOf returns the state of a server.
@@ -77,12 +77,15 @@
 	case s == nil || s.hold == 0:
 		return Sound
 	case now.Before(s.heldUntil):
-		return Left
+		return Ejected
 	default:
 		return OnTrial
 	}
 }
 
+// Forget drops the faults of a server whose process was replaced.
+func (t *Tracker) Forget(name string) { delete(t.servers, name) }
+
 // Empty reports whether no server has faults.
 func (t *Tracker) Empty() bool { return len(t.servers) == 0 }
 
--- a/internal/core/quarantine/quarantine_test.go
+++ b/internal/core/quarantine/quarantine_test.go
@@ -19,12 +19,12 @@
 	require.True(t, tracker.Fault("a", now))
 	require.False(t, tracker.Fault("a", now), "a response to a request that was sent before")
 	for _, hold := range []time.Duration{2, 4, 8, 16, 16} {
-		require.Equal(t, quarantine.Left, tracker.StateOf("a", now.Add(hold*time.Second-1)))
+		require.Equal(t, quarantine.Ejected, tracker.StateOf("a", now.Add(hold*time.Second-1)))
 		now = now.Add(hold * time.Second)
 		require.Equal(t, quarantine.OnTrial, tracker.StateOf("a", now))
-		require.False(t, tracker.Fault("a", now), "it is left already")
+		require.False(t, tracker.Fault("a", now), "it is ejected already")
 	}
-	require.Equal(t, quarantine.Left, tracker.StateOf("a", now))
+	require.Equal(t, quarantine.Ejected, tracker.StateOf("a", now))
 	require.True(t, tracker.Answered("a"))
 	require.Equal(t, quarantine.Sound, tracker.StateOf("a", now))
 	require.True(t, tracker.Empty())
@@ -51,7 +51,7 @@
 	keep := func(name string) bool { return name != "gone" }
 	tracker.Keep(start, keep)
 	require.Equal(t, quarantine.Sound, tracker.StateOf("gone", start))
-	require.Equal(t, quarantine.Left, tracker.StateOf("idle", start))
+	require.Equal(t, quarantine.Ejected, tracker.StateOf("idle", start))
 	tracker.Keep(start.Add(time.Hour), keep)
 	require.True(t, tracker.Empty())
 }
--- a/internal/core/quarantines.go
+++ b/internal/core/quarantines.go
@@ -12,7 +12,7 @@
 	}
 	r.faulty = true
 	if n.quarantine.Fault(r.backend, n.now) {
-		n.emit(StateChanged{Subject: SubjectBackend, Name: r.backend, State: "left", Cause: "what it sends is no response"})
+		n.emit(StateChanged{Subject: SubjectBackend, Name: r.backend, State: "ejected", Cause: "what it sends is no response"})
 	}
 }
 
@@ -28,15 +28,15 @@
 	}
 }
 
-// markLeft marks the candidates that get no requests while others can serve them. It is called before each placement.
-func (n *Node) markLeft(p *pool) {
-	if n.quarantine.Empty() && !p.marksLeft {
+// markEjected marks the candidates that get no requests while others can serve them. It is called before each placement.
+func (n *Node) markEjected(p *pool) {
+	if n.quarantine.Empty() && !p.marksEjected {
 		return
 	}
-	p.marksLeft = !n.quarantine.Empty()
+	p.marksEjected = !n.quarantine.Empty()
 	for i := range p.candidates {
 		c := &p.candidates[i]
 		state := n.quarantine.StateOf(c.Name, n.now)
-		c.Left = state == quarantine.Left || state == quarantine.OnTrial && n.load.Parts(c.Name).Own > 0
+		c.Ejected = state == quarantine.Ejected || state == quarantine.OnTrial && n.load.Parts(c.Name).Own > 0
 	}
 }
--- a/internal/core/routing/routing.go
+++ b/internal/core/routing/routing.go
@@ -31,8 +31,8 @@
 	Full bool
 	// Unreachable means that this instance recently failed to connect to it.
 	Unreachable bool
-	// Left means that what it sends is no response.
-	Left bool
+	// Ejected means that what it sends is no response.
+	Ejected bool
 	// WithheldShare is the fraction, under 1, of its share of requests that a flapping
 	// backend server does not receive yet. It lowers the rank and refuses nothing: it has
 	// no effect unless other backend servers have free capacity.
@@ -40,7 +40,7 @@
 }
 
 // Usable reports whether nothing speaks against the candidate but its load.
-func (c *Candidate) Usable() bool { return !c.Unreachable && !c.Left }
+func (c *Candidate) Usable() bool { return !c.Unreachable && !c.Ejected }
 
 // Limits are the maximum loads, including the new request, at which a backend server is
 // chosen.
--- a/internal/proxy/connpool.go
+++ b/internal/proxy/connpool.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"maps"
 	"net"
 	"sync"
 	"time"
@@ -145,6 +146,7 @@
 		conn.reset()
 		delete(p.idleConns, conn)
 	}
+	maps.DeleteFunc(p.distrusted, func(_ string, until time.Time) bool { return time.Now().After(until) })
 	if len(p.idleConns) > 0 {
 		p.idleCheck.Reset(idleCheckInterval)
 	}
--- a/internal/proxy/nextrequest.go
+++ b/internal/proxy/nextrequest.go
@@ -2,11 +2,15 @@
 
 import (
 	"bytes"
+	"strconv"
 	"sync/atomic"
 
 	"github.com/valyala/fasthttp"
 )
 
+// maxTail is the number of the last bytes that are kept.
+const maxTail = 8
+
 // nextRequest tells whether a further request has begun to arrive on a connection before the response to the current one.
 // The connection must then not be closed after that response: the caller would wait for the second one in vain.
 type nextRequest struct {
@@ -18,18 +22,13 @@
 	// that were read. Only the goroutine that serves the connection uses them.
 	leading bool
 	tail    []byte
-	// uncounted is set while taken counts bytes of chunks. Only that goroutine uses it.
-	uncounted bool
 }
 
-// lastChunk is how a body in chunks ends, if it has no trailers.
-const lastChunk = "0\r\n\r\n"
-
 // readByLibrary records that the HTTP library has read bytes. While the connection is idle the library has none left.
 func (r *nextRequest) readByLibrary(p []byte, idle bool) {
 	if idle {
 		r.taken.Store(0)
-		r.leading, r.uncounted = true, false
+		r.leading = true
 	}
 	if r.leading {
 		p = bytes.TrimLeft(p, "\r\n")
@@ -37,35 +36,33 @@
 	}
 	r.taken.Add(int64(len(p)))
 	r.tail = append(r.tail, p...)
-	r.tail = r.tail[max(0, len(r.tail)-len(lastChunk)):]
+	r.tail = r.tail[max(0, len(r.tail)-maxTail):]
 }
 
-// processed records that a request is processed. What its chunks took is not known; from then on the last bytes that were read
-// tell whether a further request has begun.
+// processed records that a request is processed. If it came in several chunks, what they took is not known, and a further request
+// may seem to wait: the connection is then closed once it is idle.
 func (r *nextRequest) processed(req *fasthttp.Request) {
-	r.uncounted = r.uncounted || req.Header.ContentLength() == chunkedLength
-	if !r.uncounted {
-		size := headerBytes(&req.Header) + len(req.Body())
-		r.taken.Store(max(0, r.taken.Load()-int64(size)))
-		return
-	}
-	if bytes.HasSuffix(r.tail, requestEnd(req)) {
-		r.taken.Store(0)
-		r.uncounted = false
+	left := max(0, int(r.taken.Load())-requestSize(req))
+	if left <= len(r.tail) && len(bytes.Trim(r.tail[len(r.tail)-left:], lineEnd)) == 0 {
+		left = 0 // Empty lines between requests.
 	}
+	r.taken.Store(int64(left))
 }
 
-// requestEnd returns the last bytes of a request as it was sent, if it has no trailers.
-func requestEnd(req *fasthttp.Request) []byte {
-	body := req.Body()
-	switch {
-	case req.Header.ContentLength() == chunkedLength:
-		return []byte(lastChunk)
-	case len(body) == 0:
-		return []byte("\r\n\r\n")
-	default:
-		return body[max(0, len(body)-len(lastChunk)):]
+// requestSize returns the size of a request as it was sent, if its body came with a length or in one chunk.
+func requestSize(req *fasthttp.Request) int {
+	size := headerBytes(&req.Header) + len(req.Body())
+	if req.Header.ContentLength() != chunkedLength {
+		return size
+	}
+	if n := len(req.Body()); n > 0 {
+		size += len(strconv.FormatInt(int64(n), hexadecimal)) + 2*len(lineEnd)
+	}
+	size += len("0") + 2*len(lineEnd)
+	for name := range req.Header.Trailers() {
+		size += len(name) + len(": ") + len(req.Header.PeekBytes(name)) + len(lineEnd)
 	}
+	return size
 }
 
 // waits reports whether a further request has begun to arrive.
