--- a/internal/proxy/silence_test.go
+++ b/internal/proxy/silence_test.go
@@ -174,6 +174,8 @@
 	started  sync.Mutex
 	// retryBurst replaces the default of the retry budget, unless it is 0.
 	retryBurst float64
+	// dialTimeout limits the time to open a connection, 0 for the default.
+	dialTimeout time.Duration
 }
 
 // spendQuery marks a request that is only to spend the retry budget.
@@ -300,6 +302,7 @@
 func (p silentPath) start(t *testing.T, f *silentFleet) *instance {
 	t.Helper()
 	addresses, options := f.addresses(), p.options
+	options.DialTimeout = f.dialTimeout
 	if p.relayed {
 		relay := mapRelay{}
 		for n, address := range addresses {
