--- a/review/_cases/main.go
+++ b/review/_cases/main.go
@@ -23,6 +23,7 @@
 	"last-key":      playLastKey,
 	"descriptors":   playDescriptors,
 	"frozen-config": playFrozenConfig,
+	"memory":        playMemory,
 }
 
 func main() {
