--- a/review/_cases/frozenconfig.go
+++ b/review/_cases/frozenconfig.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"syscall"
 	"time"
 )
 
@@ -41,5 +42,43 @@
 	c.Version, c.Tenants = 8, []tenant{{Name: "hule930", APIKeys: []string{secondKey}}}
 	w.configure(c)
 	time.Sleep(configApply + 2*time.Second)
-	return append(broken, probeKeys(w, "version 8", map[string]bool{firstKey: false, secondKey: true, unknownKey: false})...)
+	broken = append(broken, probeKeys(w, "version 8", map[string]bool{firstKey: false, secondKey: true, unknownKey: false})...)
+	return append(broken, w.killAll()...)
+}
+
+const (
+	// recoverTime is the site file's bound of recoverS, and restartDelay the delay after which a killed process starts again.
+	recoverTime  = 12 * time.Second
+	restartDelay = 500 * time.Millisecond
+	// probes is the number of requests at each instance after its return, of which a quarter has to be served.
+	probes = 20
+)
+
+// killAll kills the processes of all instances, lets them start again, and checks RECOVER.
+func (w *world) killAll() (broken []string) {
+	for _, i := range w.instances {
+		w.signal(i, syscall.SIGKILL)
+		<-i.exited
+	}
+	time.Sleep(restartDelay)
+	for _, i := range w.instances {
+		w.start(i)
+	}
+	time.Sleep(recoverTime + time.Second)
+	served, total := 0, 0
+	for _, i := range w.instances {
+		c := newConsumer(w, w.nextName(), i.front)
+		for range probes {
+			total++
+			if a := c.send(pushRequest(secondKey)); a.status == http.StatusOK {
+				served++
+			}
+		}
+		c.close()
+	}
+	fmt.Printf("after all processes were killed: %d of %d requests served\n", served, total)
+	if 4*served < total {
+		broken = append(broken, fmt.Sprintf("RECOVER: %v after all processes were killed and started again, %d of %d requests are served", recoverTime, served, total))
+	}
+	return broken
 }
