--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -23,6 +23,7 @@
 	refusals      *prometheus.CounterVec
 	retries       *prometheus.CounterVec
 	attemptEnds   *prometheus.CounterVec
+	responses     *prometheus.CounterVec
 	firstByte     *prometheus.HistogramVec
 	responseTime  *prometheus.HistogramVec
 	callerBytes   prometheus.Counter
@@ -43,6 +44,7 @@
 		refusals:      newCounterVec("refusals_total", "Requests answered by the fleet itself, as refusals or failures, by reason.", "reason"),
 		retries:       newCounterVec("retries_total", "Attempts after the first of a request, by reason.", "reason"),
 		attemptEnds:   newCounterVec("attempt_ends_total", "Ends of attempts at backend servers, by the timer or event that ended them.", "cause"),
+		responses:     newCounterVec("backend_responses_total", "Responses of backend servers, by the request that they name.", "names"),
 		firstByte:     newHistogramVec("first_byte_seconds", "Time from the arrival of a request to the first byte of its response."),
 		responseTime:  newHistogramVec("answer_seconds", "Time from the arrival of a request to the end of its response."),
 		callerBytes:   prometheus.NewCounter(prometheus.CounterOpts{Name: "ebonydyke_caller_bytes_total", Help: "Bytes of response bodies sent to callers."}),
@@ -55,7 +57,7 @@
 		coreEvents:    newCounterVec("core_events_total", "Events counted by the core, such as messages that it shed.", "counter", "label"),
 	}
 	m.registry.MustRegister(
-		m.refusals, m.retries, m.attemptEnds, m.firstByte, m.responseTime, m.callerBytes, m.dials, m.relays, m.connEnds, m.generation, m.ready,
+		m.refusals, m.retries, m.attemptEnds, m.responses, m.firstByte, m.responseTime, m.callerBytes, m.dials, m.relays, m.connEnds, m.generation, m.ready,
 		m.platformCalls, m.coreEvents,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
@@ -71,6 +73,9 @@
 	for _, c := range proxy.EndCauses {
 		m.attemptEnds.WithLabelValues(string(c))
 	}
+	for _, i := range proxy.Identities {
+		m.responses.WithLabelValues(string(i))
+	}
 	for _, r := range proxy.DialReasons {
 		m.dials.WithLabelValues(string(r))
 	}
@@ -122,6 +127,9 @@
 // AttemptEnded implements proxy.Metrics.
 func (m *Metrics) AttemptEnded(c proxy.EndCause) { m.attemptEnds.WithLabelValues(string(c)).Inc() }
 
+// ResponseIdentified implements proxy.Metrics.
+func (m *Metrics) ResponseIdentified(i proxy.Identity) { m.responses.WithLabelValues(string(i)).Inc() }
+
 // Answered implements proxy.Metrics.
 func (m *Metrics) Answered(service string, firstByte, total time.Duration) {
 	m.firstByte.WithLabelValues(service).Observe(firstByte.Seconds())
--- a/internal/proxy/attemptresponse.go
+++ b/internal/proxy/attemptresponse.go
@@ -81,6 +81,8 @@
 		now:              s.options.Now,
 		countDial:        s.options.Metrics.Dialled,
 		maxBody:          s.options.MaxResponse,
+		id:               s.options.Dialect.AttemptID(x.request, &e),
+		responseID:       s.options.Dialect.ResponseID,
 	}
 	a.call.watch = newSilenceWatch(a)
 	return a
@@ -101,6 +103,7 @@
 	}
 	a.status, a.framing = a.resp.StatusCode(), a.call.framing()
 	options := &x.server.options
+	options.Metrics.ResponseIdentified(a.call.identity)
 	a.head = options.Dialect.ReadHead(&a.resp.Header, x.request, &a.attempt, options.Now())
 	// The end of a relay's process also closes a connection in order, and must not look like the end
 	// of a response.
--- a/internal/proxy/backendconn.go
+++ b/internal/proxy/backendconn.go
@@ -17,6 +17,8 @@
 	now     func() time.Time
 	// watch is that of the attempt in progress.
 	watch *silenceWatch
+	// carried are the requests that the connection has carried.
+	carried carriedRequests
 	// openedAt is the time from which the connection leads to one process of the server, and process the
 	// incarnation of that process if the server was asked for it, or 0.
 	openedAt time.Time
--- a/internal/proxy/dialect.go
+++ b/internal/proxy/dialect.go
@@ -19,6 +19,10 @@
 	// WriteAttempt writes the headers of a request to a backend server. The caller's
 	// deadline expires after remaining. The proxy sets the target and the body.
 	WriteAttempt(to, from *fasthttp.Request, e *core.SendAttempt, remaining time.Duration)
+	// AttemptID returns the ID by which a response names the request of an attempt, and ResponseID the ID that a response
+	// names, "" if it names none.
+	AttemptID(r *Request, e *core.SendAttempt) string
+	ResponseID(h *fasthttp.ResponseHeader) string
 	// ReadHead interprets the header of a backend server's response.
 	ReadHead(h *fasthttp.ResponseHeader, r *Request, e *core.SendAttempt, now time.Time) Head
 	// WriteHead writes the response header for the caller from that of a backend server.
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -116,6 +116,9 @@
 // AttemptEnded implements proxy.Metrics.
 func (i *instance) AttemptEnded(proxy.EndCause) {}
 
+// ResponseIdentified implements proxy.Metrics.
+func (i *instance) ResponseIdentified(proxy.Identity) {}
+
 // Answered implements proxy.Metrics.
 func (i *instance) Answered(string, time.Duration, time.Duration) {}
 
--- /dev/null
+++ b/internal/proxy/identity.go
@@ -0,0 +1,67 @@
+package proxy
+
+import (
+	"hash/maphash"
+	"slices"
+)
+
+// Identity says which request a backend server's response names.
+type Identity string
+
+// The identities.
+const (
+	// NoResponse means that no response header was read.
+	NoResponse Identity = ""
+	// NamesNone means that the response names no request.
+	NamesNone Identity = "none"
+	// NamesThis means that the response names the request, of which the connection had carried no earlier attempt.
+	NamesThis Identity = "this"
+	// NamesRepeated means that the response names the request, but that it may answer an earlier attempt on the same connection:
+	// all attempts of a request bear the same ID.
+	NamesRepeated Identity = "repeated"
+	// NamesOther means that the response names another request.
+	NamesOther Identity = "other"
+)
+
+// Identities lists the identities of responses.
+var Identities = []Identity{NamesNone, NamesThis, NamesRepeated, NamesOther}
+
+// carriedSeed keeps callers from choosing IDs with equal hashes.
+var carriedSeed = maphash.MakeSeed()
+
+// carriedRequests are the requests that a connection has carried, by the IDs that their responses name. The zero value is a
+// new connection.
+//
+// A backend server may send any of its responses on the connection a second time, at the point where a later one is expected.
+type carriedRequests struct {
+	// hashes are those of the IDs.
+	hashes []uint64
+}
+
+// add records that the connection carries a request.
+func (c *carriedRequests) add(id string) {
+	c.hashes = append(c.hashes, maphash.String(carriedSeed, id))
+}
+
+// has reports whether the connection may have carried a request with the ID.
+func (c *carriedRequests) has(id string) bool {
+	return slices.Contains(c.hashes, maphash.String(carriedSeed, id))
+}
+
+// count returns the number of requests that the connection has carried.
+func (c *carriedRequests) count() int { return len(c.hashes) }
+
+// identityOf returns the identity of a response that names an ID, "" for none, to a request with the ID own. Repeated is set if
+// the connection had carried a request with that ID before.
+func identityOf(named, own string, repeated bool) Identity {
+	switch {
+	case named == "":
+		return NamesNone
+	case named != own:
+		return NamesOther
+	case repeated:
+		return NamesRepeated
+	default:
+		return NamesThis
+	}
+}
--- a/internal/proxy/native.go
+++ b/internal/proxy/native.go
@@ -141,6 +141,12 @@
 	to.Header.Set(HeaderRequestID, string(e.Request))
 }
 
+// AttemptID returns the fleet's ID of the request.
+func (Native) AttemptID(_ *Request, e *core.SendAttempt) string { return string(e.Request) }
+
+// ResponseID returns the ID that a backend server has echoed.
+func (Native) ResponseID(h *fasthttp.ResponseHeader) string { return string(h.Peek(HeaderRequestID)) }
+
 // ReadHead accepts every response except one which states that the backend server did
 // not start the request: backend servers of this interface mark no other kind.
 func (Native) ReadHead(h *fasthttp.ResponseHeader, r *Request, e *core.SendAttempt, now time.Time) Head {
--- a/internal/proxy/options.go
+++ b/internal/proxy/options.go
@@ -104,6 +104,8 @@
 	Retried(reason.Reason)
 	// AttemptEnded counts the end of an attempt by the timer or event that ended it.
 	AttemptEnded(EndCause)
+	// ResponseIdentified counts a response of a backend server by the request that it names.
+	ResponseIdentified(Identity)
 	// Answered records a whole response with the times from the request's arrival to the
 	// response's first and last byte.
 	Answered(service string, firstByte, total time.Duration)
@@ -121,6 +123,7 @@
 func (noMetrics) Refused(reason.Reason)                         {}
 func (noMetrics) Retried(reason.Reason)                         {}
 func (noMetrics) AttemptEnded(EndCause)                         {}
+func (noMetrics) ResponseIdentified(Identity)                   {}
 func (noMetrics) Answered(string, time.Duration, time.Duration) {}
 func (noMetrics) CallerBytes(int)                               {}
 func (noMetrics) Dialled(DialReason)                            {}
--- a/internal/proxy/transport.go
+++ b/internal/proxy/transport.go
@@ -69,6 +69,14 @@
 	pool             *connPool
 	// relay is the name of the peer that relays the connection, "" if none does.
 	relay string
+	// id is the ID that a response to the call names, and responseID reads that of a response.
+	id         string
+	responseID func(*fasthttp.ResponseHeader) string
+	// identity says which request the response names, repeated is set if the connection had carried an earlier attempt of the
+	// request, and carried is the number of requests that it had carried.
+	identity Identity
+	repeated bool
+	carried  int
 
 	host *fasthttp.HostClient
 	// release returns the connection to the pool if reuse is set, or closes it.
@@ -262,6 +270,7 @@
 	if err := c.conn.SetDeadline(c.deadline); err != nil {
 		return fmt.Errorf("proxy: set deadline: %w", err)
 	}
+	c.recordCarried()
 	c.watch.wait()
 	defer c.watch.pause()
 	if err := c.send(req); err != nil {
@@ -276,10 +285,17 @@
 	}
 	c.watch.progress()
 	c.resp = resp
+	c.identity = identityOf(c.responseID(&resp.Header), c.id, c.repeated)
 	c.conn.keepAlive = parseKeepAlive(&resp.Header)
 	return nil
 }
 
+// recordCarried records that the connection carries the request.
+func (c *call) recordCarried() {
+	c.repeated, c.carried = c.conn.carried.has(c.id), c.conn.carried.count()
+	c.conn.carried.add(c.id)
+}
+
 // send writes the whole request.
 func (c *call) send(req *fasthttp.Request) error {
 	c.watch.setSending(true)
