--- /dev/null
+++ b/internal/proxy/latecopies_test.go
@@ -0,0 +1,209 @@
+package proxy_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/ebonydyke/ebonydyke/platform/fakeplatform"
+)
+
+// lateCopyServer is a backend server that sends a text in front of the next response on a connection.
+type lateCopyServer struct {
+	*rawBackend
+	// late returns the text that follows the response to a request late, "" for none.
+	late func(id string) string
+	// refuses reports whether a request is refused.
+	refuses func(id string, nth int) bool
+
+	mu sync.Mutex
+	// pending are the texts by connection, arrivals and runs the requests by ID, and sent the number of texts that were sent.
+	pending        map[net.Conn]string
+	arrivals, runs map[string]int
+	sent           int
+}
+
+func startLateCopyServer(t testing.TB) *lateCopyServer {
+	s := &lateCopyServer{
+		late: func(string) string { return "" }, refuses: func(string, int) bool { return false },
+		pending: make(map[net.Conn]string), arrivals: make(map[string]int), runs: make(map[string]int),
+	}
+	s.rawBackend = startRawBackend(t, func(_ int, r *http.Request, conn net.Conn) bool {
+		_, err := io.WriteString(conn, s.respond(fakeplatform.ReadAttempt(r).ID, conn))
+		return err == nil
+	})
+	return s
+}
+
+// respond returns the response to a request, behind the text that is due on its connection.
+func (s *lateCopyServer) respond(id string, conn net.Conn) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before := s.pending[conn]
+	if before != "" {
+		s.sent++
+	}
+	s.pending[conn] = s.late(id)
+	s.arrivals[id]++
+	if s.refuses(id, s.arrivals[id]) {
+		return before + refusalOf(id)
+	}
+	s.runs[id]++
+	return before + answerOf(id)
+}
+
+// state returns how often a request has run, and how many late texts were sent.
+func (s *lateCopyServer) state(id string) (runs, sent int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runs[id], s.sent
+}
+
+func refusalOf(id string) string {
+	return "HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: " + id + "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+}
+
+func misdirectedOf(id string) string {
+	return "HTTP/1.1 421 Misdirected Request\r\nAttempt-Id: " + id + "\r\nInstance-Id: i-9\r\nContent-Length: 0\r\n\r\n"
+}
+
+func answerOf(id string) string {
+	body := "answer to " + id
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Seal: s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func chunkedAnswerOf(id string) string {
+	return "HTTP/1.1 200 OK\r\nAttempt-Id: " + id + "\r\nServer-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n" +
+		chunk("answer to "+id) + lastChunk
+}
+
+// serveOnce starts an instance before one server, with a route for requests that may run once.
+func serveOnce(t *testing.T, server *lateCopyServer) (send func(id string) reply) {
+	path := routePath("once", "once")
+	i := startInstance(t, endlessConfig(path, []string{server.address}), path.options)
+	return func(id string) reply {
+		req, err := fakeplatform.NewRequest(t.Context(), fakeplatform.Call{
+			Address: i.address, Host: routeHost, Path: "/once/x", ID: id, Key: endlessKey, Timeout: endlessDeadline,
+		})
+		require.NoError(t, err)
+		got, err := call(req)
+		require.NoError(t, err)
+		return got
+	}
+}
+
+// promised reports whether a status tells a caller that its request has not run.
+func promised(status int) bool {
+	return slices.Contains([]int{
+		http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable,
+	}, status)
+}
+
+// Guards against a request that runs twice, or runs and is answered as not run, because a late response that names another
+// request is taken for its own.
+func TestLateResponseToAnotherRequestIsNotTakenForOwn(t *testing.T) {
+	t.Parallel()
+	for name, late := range map[string]string{
+		"refusal":           refusalOf("other"),
+		"misdirected":       misdirectedOf("other"),
+		"answer":            answerOf("other"),
+		"answer in chunks":  chunkedAnswerOf("other"),
+		"several responses": refusalOf("other") + answerOf("another") + misdirectedOf("third"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			server := startLateCopyServer(t)
+			server.late = func(id string) string {
+				if id == "first" {
+					return late
+				}
+				return ""
+			}
+			send := serveOnce(t, server)
+			require.Equal(t, http.StatusOK, send("first").status)
+			got := send("second")
+			runs, sent := server.state("second")
+			require.Equal(t, 1, sent, "late responses")
+			require.Equal(t, 1, runs, "runs")
+			require.Equal(t, http.StatusOK, got.status, "the answer that is ready is delivered")
+			require.Equal(t, "answer to second", got.body)
+			require.Equal(t, "answer to third", send("third").body, "the server stays in use")
+		})
+	}
+}
+
+// Guards against a request that runs twice, or runs and is answered as not run, because a late response that names no request
+// is taken for its own.
+func TestLateResponseWithoutIDIsNoRefusal(t *testing.T) {
+	t.Parallel()
+	for name, late := range map[string]string{
+		"refusal":     "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+		"misdirected": "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: i-9\r\nContent-Length: 0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			server := startLateCopyServer(t)
+			server.late = func(id string) string {
+				if id == "first" {
+					return late
+				}
+				return ""
+			}
+			send := serveOnce(t, server)
+			require.Equal(t, http.StatusOK, send("first").status)
+			got := send("second")
+			runs, sent := server.state("second")
+			require.Equal(t, 1, sent, "late responses")
+			require.Equal(t, 1, runs, "runs")
+			require.False(t, promised(got.status), "status %d says that the request has not run", got.status)
+			require.Equal(t, "answer to third", send("third").body, "the server stays in use")
+		})
+	}
+}
+
+// Guards against a request that runs twice, or runs and is answered as not run, because a copy of the refusal of its first
+// attempt is taken for the answer to the second one: both bear the caller's ID.
+func TestLateCopyOfOwnRefusalIsNotTakenForNextAttempt(t *testing.T) {
+	t.Parallel()
+	server := startLateCopyServer(t)
+	server.refuses = func(id string, nth int) bool { return id == "refused" && nth == 1 }
+	server.late = func(id string) string {
+		if id == "refused" {
+			return refusalOf(id)
+		}
+		return ""
+	}
+	send := serveOnce(t, server)
+	require.Equal(t, http.StatusOK, send("first").status)
+	got := send("refused")
+	runs, _ := server.state("refused")
+	require.Equal(t, 1, runs, "runs")
+	require.Equal(t, http.StatusOK, got.status)
+	require.Equal(t, "answer to refused", got.body)
+}
+
+// Guards against a request that is answered as not run while it runs, because a caller has given two requests the same ID and
+// a late copy of the first one's refusal is taken for the answer to the second one.
+func TestLateCopyIsNotTakenForRequestWithSameID(t *testing.T) {
+	t.Parallel()
+	server := startLateCopyServer(t)
+	server.late = func(id string) string {
+		if id == "same" {
+			return refusalOf(id)
+		}
+		return ""
+	}
+	send := serveOnce(t, server)
+	for n := range 3 {
+		got := send("same")
+		require.Equal(t, http.StatusOK, got.status, "request %d", n)
+		runs, _ := server.state("same")
+		require.Equal(t, n+1, runs, "runs")
+	}
+}
