Proxy: no connection carries two attempts of the same request

Callers saw requests refused as not run that had run, and requests that ran twice. A server refuses an attempt, the request returns to the same server on the same connection, and the server sends the refusal a second time before it runs the request. All attempts of a request bear the caller's ID, so the copy bears the right one: the instance sent the request to a third attempt, or answered 503.

A connection remembers the IDs of the requests that it has carried, and a request that returns, or another one to which the caller gave the same ID, takes another one. On that connection a response that bears the ID can only be the answer. It costs a connection for each retry at the same server, and 8 bytes a request.

--- a/internal/proxy/connreuse.go
+++ b/internal/proxy/connreuse.go
@@ -54,13 +54,18 @@
 	// Relayed means that a peer relays the connection, because none could be opened directly or its
 	// path is known to be lost.
 	Relayed DialReason = "relayed"
+	// SameRequest means that the pooled connection had carried an earlier attempt of the request: a late copy of the response to
+	// that one could not be told from the response to this one.
+	SameRequest DialReason = "same-request"
+	// UsedUp means that the pooled connection had carried as many requests as are remembered.
+	UsedUp DialReason = "used-up"
 	// EndCheck means that a connection had closed early, and that the dial was to show whether the
 	// server has ended.
 	EndCheck DialReason = "end-check"
 )
 
 // DialReasons lists all reasons for opening a connection.
-var DialReasons = []DialReason{NoneIdle, ServerClosed, IdleTooLong, ZoneSilent, Relayed, EndCheck}
+var DialReasons = []DialReason{NoneIdle, ServerClosed, IdleTooLong, ZoneSilent, SameRequest, UsedUp, Relayed, EndCheck}
 
 // unusableReason returns the reason why the connection must not be reused, or "" if it may be.
 func (c *backendConn) unusableReason(zone *zoneActivity, now time.Time) DialReason {
--- a/internal/proxy/identity.go
+++ b/internal/proxy/identity.go
@@ -26,6 +26,9 @@
 // Identities lists the identities of responses.
 var Identities = []Identity{NamesNone, NamesThis, NamesRepeated, NamesOther}
 
+// maxCarried is the number of requests after which a connection is not used again: it remembers 8 bytes for each.
+const maxCarried = 1024
+
 // carriedSeed keeps callers from choosing IDs with equal hashes.
 var carriedSeed = maphash.MakeSeed()
 
@@ -48,6 +51,18 @@
 	return slices.Contains(c.hashes, maphash.String(carriedSeed, id))
 }
 
+// unfitness returns the reason why the connection must not carry a request, or "" if it may.
+func (c *carriedRequests) unfitness(id string) DialReason {
+	switch {
+	case c.has(id):
+		return SameRequest
+	case c.count() >= maxCarried:
+		return UsedUp
+	default:
+		return ""
+	}
+}
+
 // count returns the number of requests that the connection has carried.
 func (c *carriedRequests) count() int { return len(c.hashes) }
 
--- a/internal/proxy/transport.go
+++ b/internal/proxy/transport.go
@@ -203,10 +203,14 @@
 	if unfit == ServerClosed && conn.hasBytes() {
 		c.pool.distrust(hc.Addr, c.now())
 	}
-	if unfit == "" && !c.pool.trusts(hc.Addr, c.now()) {
+	switch {
+	case unfit != "":
+		return unfit
+	case !c.pool.trusts(hc.Addr, c.now()):
 		return ServerClosed
+	default:
+		return conn.carried.unfitness(c.id)
 	}
-	return unfit
 }
 
 // open opens a connection over the paths that the core has planned. One that a peer relays is used for
