Proxy: a response is believed only if it certainly answers the attempt

Callers saw requests refused as not run that had run, and requests that ran twice. A server sends a response a second time, late, at the point where the next one is due. A late answer of any other kind cost the caller the answer, which came right behind it.

Which request a response names is now found out before anything else is read of it. Responses that name another one are passed over, as far as their ends are marked, and the own one behind them is delivered. What the response says is believed if it names the request, or names none on a connection that had carried nothing else; otherwise the request may have run. Engines of the own interface name it in Engine-Request-Id.

--- a/internal/proxy/attemptresponse.go
+++ b/internal/proxy/attemptresponse.go
@@ -52,6 +52,8 @@
 	dialReason DialReason
 	// firstByte is the time from the request's arrival to the first bytes of the response, 0 until then.
 	firstByte time.Duration
+	// origin tells where the response comes from.
+	origin responseOrigin
 	// relay is the name of the peer that relayed the connection, if one did.
 	relay string
 	// endCheck is the check whether the server has ended that an unframed response needed; nil if it needed none.
@@ -83,6 +85,7 @@
 		maxBody:          s.options.MaxResponse,
 		id:               s.options.Dialect.AttemptID(x.request, &e),
 		responseID:       s.options.Dialect.ResponseID,
+		countResponse:    s.options.Metrics.ResponseIdentified,
 	}
 	a.call.watch = newSilenceWatch(a)
 	return a
@@ -96,14 +99,13 @@
 	req.SetUserValue(callKey, a.call)
 	a.resp = fasthttp.AcquireResponse()
 	err := x.server.backends.Do(req, a.resp)
-	a.dialReason, a.relay = a.call.dialReason, a.call.relay
+	a.dialReason, a.relay, a.origin = a.call.dialReason, a.call.relay, a.call.origin
 	if err != nil {
 		a.abort(outcomeWithoutResponse(a.call), "", err)
 		return false
 	}
 	a.status, a.framing = a.resp.StatusCode(), a.call.framing()
 	options := &x.server.options
-	options.Metrics.ResponseIdentified(a.call.identity)
 	a.head = options.Dialect.ReadHead(&a.resp.Header, x.request, &a.attempt, options.Now())
 	// The end of a relay's process also closes a connection in order, and must not look like the end
 	// of a response.
@@ -126,13 +128,17 @@
 func (a *attemptResponse) handleHead() bool {
 	switch a.head.Verdict {
 	case NotStarted:
+		if !a.origin.answersAttempt() {
+			a.mismatched()
+			return false
+		}
 		a.endRefused()
 		return false
 	case Failure:
 		a.holdFailure()
 		return false
 	case Mismatched:
-		a.abort(retry.Spoiled, "", errMismatched)
+		a.mismatched()
 		return false
 	}
 	if a.status == http.StatusSwitchingProtocols {
@@ -159,6 +165,12 @@
 	return a.completeFirstRead(a.readFirstBytes())
 }
 
+// mismatched ends an attempt whose response is not known to be its own. Nothing that the response says is believed.
+func (a *attemptResponse) mismatched() {
+	a.load, a.head.RejectionLimit = nil, 0
+	a.abort(retry.Spoiled, "", errMismatched)
+}
+
 // endRefused reads the body of a refusal, so that the connection can be reused, and reports it. A body with a length may come
 // late or be long. One without that does not end in time may have no end, which is a fault of the server.
 func (a *attemptResponse) endRefused() {
--- a/internal/proxy/headers.go
+++ b/internal/proxy/headers.go
@@ -33,6 +33,8 @@
 	// HeaderNotStarted with the value "true" on an error response states that the
 	// backend server did not start the request.
 	HeaderNotStarted = "Engine-Not-Started"
+	// HeaderAnswers is the value of HeaderRequestID in the request that a response answers.
+	HeaderAnswers = "Engine-Request-Id"
 	// HeaderLoad is the number of requests in flight at the backend server.
 	HeaderLoad = "Engine-Load"
 	// HeaderIncarnation is a number that increases with each start of the backend server.
--- a/internal/proxy/identity.go
+++ b/internal/proxy/identity.go
@@ -66,6 +66,23 @@
 // count returns the number of requests that the connection has carried.
 func (c *carriedRequests) count() int { return len(c.hashes) }
 
+// responseOrigin tells where the response to an attempt comes from. The zero value is that of an attempt without one.
+type responseOrigin struct {
+	identity Identity
+	// repeated is set if the connection had carried an earlier attempt of the request, and carried is the number of requests
+	// that it had carried.
+	repeated bool
+	carried  int
+	// passedOver is the number of responses to other requests that came before the response.
+	passedOver int
+}
+
+// answersAttempt reports whether the response is certainly the answer to the attempt. One that names no request is if the
+// connection had carried nothing else.
+func (o responseOrigin) answersAttempt() bool {
+	return o.identity == NamesThis || o.identity == NamesNone && o.carried == 0
+}
+
 // identityOf returns the identity of a response that names an ID, "" for none, to a request with the ID own. Repeated is set if
 // the connection had carried a request with that ID before.
 func identityOf(named, own string, repeated bool) Identity {
--- /dev/null
+++ b/internal/proxy/lateresponses.go
@@ -0,0 +1,66 @@
+package proxy
+
+import (
+	"io"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// A backend server may send a response a second time, late, at the point where the response to a later request on the
+// connection is due. That one follows.
+
+const (
+	// maxPassedOver limits the responses to other requests that are passed over while one is awaited.
+	maxPassedOver = 16
+	// passOverTimeout limits the time to read the rest of one, for which the own response waits.
+	passOverTimeout = time.Second
+)
+
+// readOwnHeader reads the response header. It passes over responses that name other requests, as far as their ends are marked.
+func (c *call) readOwnHeader(req *fasthttp.Request, resp *fasthttp.Response) error {
+	for {
+		if err := c.readHeader(resp); err != nil {
+			return err
+		}
+		if c.origin.identity != NamesOther {
+			return nil
+		}
+		c.pool.distrust(c.host.Addr, c.now())
+		if c.origin.passedOver == maxPassedOver || !c.passOver(req, resp) {
+			return nil
+		}
+		c.origin.passedOver++
+		c.watch.keepAlive()
+	}
+}
+
+// passOver reads the body of a response to another request, and reports whether the next response follows it.
+func (c *call) passOver(req *fasthttp.Request, resp *fasthttp.Response) bool {
+	length := resp.Header.ContentLength()
+	if length < chunkedLength || resp.ConnectionClose() {
+		return false
+	}
+	if !hasBody(req, resp.StatusCode()) {
+		return true
+	}
+	if err := c.conn.SetReadDeadline(earlier(time.Now().Add(passOverTimeout), c.deadline)); err != nil {
+		return false
+	}
+	// One byte more than the limit is read if the body is longer.
+	_, err := io.CopyN(io.Discard, newBodyReader(c.reader, length), c.maxBody+1)
+	if err != io.EOF || length == chunkedLength && !c.readLineEnd() {
+		return false
+	}
+	return c.conn.SetReadDeadline(c.deadline) == nil
+}
+
+// readLineEnd reads the empty line that ends a body in chunks, and reports whether it was there.
+func (c *call) readLineEnd() bool {
+	line, err := c.reader.Peek(len(lineEnd))
+	if err != nil || string(line) != lineEnd {
+		return false
+	}
+	_, err = c.reader.Discard(len(lineEnd))
+	return err == nil
+}
--- a/internal/proxy/native.go
+++ b/internal/proxy/native.go
@@ -145,7 +145,7 @@
 func (Native) AttemptID(_ *Request, e *core.SendAttempt) string { return string(e.Request) }
 
 // ResponseID returns the ID that a backend server has echoed.
-func (Native) ResponseID(h *fasthttp.ResponseHeader) string { return string(h.Peek(HeaderRequestID)) }
+func (Native) ResponseID(h *fasthttp.ResponseHeader) string { return string(h.Peek(HeaderAnswers)) }
 
 // ReadHead accepts every response except one which states that the backend server did
 // not start the request: backend servers of this interface mark no other kind.
--- a/internal/proxy/transport.go
+++ b/internal/proxy/transport.go
@@ -72,11 +72,9 @@
 	// id is the ID that a response to the call names, and responseID reads that of a response.
 	id         string
 	responseID func(*fasthttp.ResponseHeader) string
-	// identity says which request the response names, repeated is set if the connection had carried an earlier attempt of the
-	// request, and carried is the number of requests that it had carried.
-	identity Identity
-	repeated bool
-	carried  int
+	// origin tells where the response comes from, and countResponse counts responses.
+	origin        responseOrigin
+	countResponse func(Identity)
 
 	host *fasthttp.HostClient
 	// release returns the connection to the pool if reuse is set, or closes it.
@@ -281,22 +279,31 @@
 		return fmt.Errorf("proxy: send: %w", err)
 	}
 	c.reader = c.host.AcquireReader(c.conn)
+	if err := c.readOwnHeader(req, resp); err != nil {
+		return err
+	}
+	c.watch.progress()
+	c.resp = resp
+	c.conn.keepAlive = parseKeepAlive(&resp.Header)
+	return nil
+}
+
+// readHeader reads a response header and finds out which request it names.
+func (c *call) readHeader(resp *fasthttp.Response) error {
 	if err := c.checkStart(); err != nil {
 		return err
 	}
 	if err := resp.ReadLimitBody(c.reader, 0); err != nil {
 		return fmt.Errorf("proxy: read header: %w", c.readError(err))
 	}
-	c.watch.progress()
-	c.resp = resp
-	c.identity = identityOf(c.responseID(&resp.Header), c.id, c.repeated)
-	c.conn.keepAlive = parseKeepAlive(&resp.Header)
+	c.origin.identity = identityOf(c.responseID(&resp.Header), c.id, c.origin.repeated)
+	c.countResponse(c.origin.identity)
 	return nil
 }
 
 // recordCarried records that the connection carries the request.
 func (c *call) recordCarried() {
-	c.repeated, c.carried = c.conn.carried.has(c.id), c.conn.carried.count()
+	c.origin.repeated, c.origin.carried = c.conn.carried.has(c.id), c.conn.carried.count()
 	c.conn.carried.add(c.id)
 }
 
@@ -438,12 +445,7 @@
 	if err := conn.SetReadDeadline(time.Now().Add(framingEndTimeout)); err != nil {
 		return false
 	}
-	line, err := c.reader.Peek(len(lineEnd))
-	if err != nil || string(line) != lineEnd {
-		return false
-	}
-	_, err = c.reader.Discard(len(lineEnd))
-	return err == nil && conn.SetReadDeadline(time.Time{}) == nil
+	return c.readLineEnd() && conn.SetReadDeadline(time.Time{}) == nil
 }
 
 func isTimeout(err error) bool {
--- a/test/standin/engine/engine.go
+++ b/test/standin/engine/engine.go
@@ -101,7 +101,7 @@
 	}
 	f := s.faults.Next()
 	s.setHeaders(w)
-	if s.refuse(w, f) {
+	if s.refuse(w, r, f) {
 		return
 	}
 	st := s.startRun(r, request.Stream)
@@ -128,13 +128,14 @@
 
 // refuse refuses the request if the fault or the state of the engine requires it, and reports
 // whether it did.
-func (s *Server) refuse(w http.ResponseWriter, f Fault) bool {
+func (s *Server) refuse(w http.ResponseWriter, r *http.Request, f Fault) bool {
 	s.mu.Lock()
 	leaving := s.leaving
 	s.mu.Unlock()
 	switch {
 	case f.Kind == Refuse || leaving:
 		w.Header().Set(proxy.HeaderNotStarted, "true")
+		w.Header().Set(proxy.HeaderAnswers, r.Header.Get(proxy.HeaderRequestID))
 		w.Header().Set("Retry-After", "3")
 		w.WriteHeader(http.StatusServiceUnavailable)
 	case f.Kind == Busy:
--- a/test/standin/plain/plain.go
+++ b/test/standin/plain/plain.go
@@ -42,6 +42,7 @@
 	switch f.Kind {
 	case engine.Refuse:
 		w.Header().Set(proxy.HeaderNotStarted, "true")
+		w.Header().Set(proxy.HeaderAnswers, r.Header.Get(proxy.HeaderRequestID))
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	case engine.Busy:
