Process check: a late response is not the server's report

A caller's stream got no answer: on a kept connection the server sent a response to an earlier request once more, where its report was due. It was taken for a report that does not tell the process, the request was sent behind it, and the report came as its answer, which may have run then. A refusal without an ID behind a report was believed as on a connection that has carried nothing.

A response that names a request is no report: the connection is given up, and nothing of the request has been sent. A report counts among what a connection has carried.

The new tests fail with these two lines taken out.

--- a/internal/proxy/processcheck.go
+++ b/internal/proxy/processcheck.go
@@ -24,6 +24,9 @@
 // errProcessReplaced means that another process than the expected one runs under a server's name.
 var errProcessReplaced = errors.New("proxy: another process runs under the backend server's name")
 
+// errLateResponse means that a response to an earlier request came in place of the server's report.
+var errLateResponse = errors.New("proxy: late response to another request")
+
 // checkProcess makes sure that a connection leads to the process that the core expects, if it expects one.
 // A server's name does not tell: another process, with other software, may run under it, and its entry may
 // not have arrived yet. Nothing of the request has been sent on the connection.
@@ -64,6 +67,7 @@
 	if err := conn.SetDeadline(earlier(time.Now().Add(processCheckTimeout(c.attempt)), c.deadline)); err != nil {
 		return nil, err
 	}
+	conn.carried.add("")
 	if err := writeRequest(conn, req); err != nil {
 		return nil, err
 	}
@@ -71,6 +75,9 @@
 	if err := resp.ReadLimitBody(reader, maxReportSize); err != nil {
 		return nil, err
 	}
+	if c.responseID(&resp.Header) != "" {
+		return nil, errLateResponse
+	}
 	if resp.ConnectionClose() || reader.Buffered() > 0 {
 		return nil, errors.New("the connection cannot be used again")
 	}
--- a/internal/proxy/processcheck_test.go
+++ b/internal/proxy/processcheck_test.go
@@ -27,7 +27,7 @@
 	t.Cleanup(func() { _ = raw.Close() })
 	c := &call{
 		deadline: time.Now().Add(time.Second), process: &core.ProcessCheck{Incarnation: 7, KnownAsOf: time.Now().Add(-time.Second)},
-		processPath: "/process", host: &fasthttp.HostClient{Addr: address},
+		processPath: "/process", host: &fasthttp.HostClient{Addr: address}, responseID: Native{}.ResponseID,
 		sameProcess: func(body []byte, incarnation uint64) (same, known bool) {
 			return string(body) == fmt.Sprint(incarnation), len(body) > 0
 		},
@@ -76,6 +76,24 @@
 	require.False(t, c.processCertain)
 }
 
+// Guards against a request that gets the server's report as its response, because a late response to an earlier request was taken
+// for the report.
+func TestProcessCheckRejectsLateResponse(t *testing.T) {
+	c, conn := checkedCall(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(HeaderAnswers, "earlier")
+		_, _ = fmt.Fprint(w, "an answer")
+	})
+	require.ErrorIs(t, c.checkProcess(conn), errLateResponse)
+}
+
+// Guards against believing a refusal without an ID on a connection on which the server's report was requested: it may be a late
+// copy of the answer to that.
+func TestProcessCheckCountsAsCarried(t *testing.T) {
+	c, conn := checkedCall(t, answerProcess("7"))
+	require.NoError(t, c.checkProcess(conn))
+	require.Equal(t, 1, conn.carried.count())
+}
+
 // Guards against waiting for the deadline when the server does not answer.
 func TestProcessCheckTimesOut(t *testing.T) {
 	release := make(chan struct{})
