Core: a request may have run until there is proof for each attempt

The core noted in each path by which an attempt ends that the request may have run now (mayHaveRun, false at first), so a path that forgot it, or an attempt in progress, would have been answered 503.

internal/core/execution turns it round: an attempt counts as one that may have run from the moment at which it is handed over for sending until there is proof that it has not, nothing sent or the server's word in its own answer. Every answer takes its outcome from this one record.

--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -27,7 +27,7 @@
 }
 
 func (n *Node) placeAndSend(r *request, e SendAttempt) {
-	if n.poison.tracker.Stops(&r.poison, r.runs) {
+	if n.poison.tracker.Stops(&r.poison, r.execution.Runs()) {
 		n.giveUp(r, reason.PoisonRequest)
 		return
 	}
@@ -79,7 +79,7 @@
 // responseTimeouts returns the first-byte and stall timeouts of the next attempt. There are
 // none if the request must not run again or no run is left after this one.
 func (r *request) responseTimeouts() (first, stall time.Duration) {
-	if r.route == nil || !r.policy.repeatable || r.runs+len(r.others)+1 >= r.policy.maxRuns {
+	if r.route == nil || !r.policy.repeatable || r.execution.Runs()+len(r.others)+1 >= r.policy.maxRuns {
 		return 0, 0
 	}
 	goal, pauseGoal := time.Duration(r.route.Goal), time.Duration(r.route.PauseGoal)
@@ -132,6 +132,7 @@
 func (n *Node) send(r *request, e SendAttempt) {
 	r.attempts++
 	r.number = r.attempts
+	r.execution.Sent()
 	r.running, r.outcomeCounted, r.withdrawn = true, false, false
 	r.warmOnly, r.permitIssuer = false, ""
 	r.sentAt = n.now
@@ -191,6 +192,7 @@
 	n.observeAttemptEnd(r, &e, verdict)
 	n.attemptDone(r)
 	if r.withdrawn && e.Outcome == retry.NotSent {
+		r.execution.NotRun()
 		n.attemptWithdrawn(r)
 		return
 	}
@@ -230,8 +232,9 @@
 // recordFailedAttempt records in the request what an attempt without a complete response has left.
 func (n *Node) recordFailedAttempt(r *request, e *AttemptEnded) {
 	if e.Outcome.MayHaveRun() {
-		r.mayHaveRun = true
-		r.runs++
+		r.execution.Ended()
+	} else {
+		r.execution.NotRun()
 	}
 	if e.Outcome == retry.NotSent {
 		n.refundRetry(r)
@@ -281,7 +284,7 @@
 			r.tried = append(r.tried, r.backend)
 			n.resumeOnAnotherBackend(r, why)
 		})
-	case r.responseStarted, !r.policy.repeatable && r.mayHaveRun:
+	case r.responseStarted, !r.policy.repeatable && r.execution.MayHaveRun():
 		n.giveUp(r, why)
 	default:
 		n.retryOrGiveUp(r, outcome, func(n *Node, r *request) {
@@ -306,7 +309,7 @@
 // sent reached no backend server, so its retry costs no budget.
 func (n *Node) retryOrGiveUp(r *request, outcome retry.Outcome, again func(*Node, *request)) {
 	why := outcome.Reason()
-	spent := r.attempts-r.withdrawals >= r.policy.maxAttempts || r.runs >= r.policy.maxRuns
+	spent := r.attempts-r.withdrawals >= r.policy.maxAttempts || r.execution.Runs() >= r.policy.maxRuns
 	switch {
 	case n.poison.tracker.RetryEndsAnother(&r.poison):
 		n.giveUp(r, reason.PoisonRequest)
@@ -346,7 +349,6 @@
 	r.waiting = r.waitsFor()
 	n.recordWaitInVain(r)
 	if r.running {
-		r.mayHaveRun = true
 		n.attemptDone(r)
 		n.emit(CancelAttempt{Request: r.arrived.Request, Attempt: r.attempts})
 	}
@@ -356,10 +358,8 @@
 // giveUp ends a request without a complete successful response. The caller gets an error
 // response, or the failure response of a backend server.
 func (n *Node) giveUp(r *request, why reason.Reason) {
-	outcome := reason.NotRun
-	if r.mayHaveRun {
-		outcome = reason.Unknown
-	} else if r.claimed {
+	outcome := r.outcome()
+	if outcome == reason.NotRun && r.claimed {
 		n.endClaim(r, claims.Released)
 	}
 	n.finish(r, Finish{
--- a/internal/core/hedges.go
+++ b/internal/core/hedges.go
@@ -41,7 +41,7 @@
 
 // hedgeTarget returns where a further attempt may be sent now beside those in progress.
 func (n *Node) hedgeTarget(r *request, e *AttemptSilent) hedge.Target {
-	if !n.now.Before(r.deadline) || n.poison.tracker.Stops(&r.poison, r.runs+r.inProgress()) {
+	if !n.now.Before(r.deadline) || n.poison.tracker.Stops(&r.poison, r.execution.Runs()+r.inProgress()) {
 		return hedge.None
 	}
 	return r.hedgeTarget(e)
@@ -69,7 +69,7 @@
 		OwnInterface: r.route == nil,
 		OthersBusy:   slices.ContainsFunc(r.others, func(a attempt) bool { return !a.silent }),
 		Attempts:     r.attempts - r.withdrawals, MaxAttempts: r.policy.maxAttempts,
-		Runs: r.runs + r.inProgress(), MaxRuns: r.policy.maxRuns,
+		Runs: r.execution.Runs() + r.inProgress(), MaxRuns: r.policy.maxRuns,
 		Repeatable: r.policy.repeatable, Resumable: r.policy.resumable,
 		ResponseStarted: r.responseStarted,
 	}
@@ -172,10 +172,10 @@
 // its server unless that was silent, which has been counted.
 func (n *Node) attemptSuperseded(r *request, unsent bool) {
 	if unsent {
+		r.execution.NotRun()
 		n.refundRetry(r)
 	} else {
-		r.mayHaveRun = true
-		r.runs++
+		r.execution.Ended()
 	}
 	if r.silent {
 		r.tried = append(r.tried, r.backend)
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/ebonydyke/ebonydyke/internal/core/claims"
+	"github.com/ebonydyke/ebonydyke/internal/core/execution"
 	"github.com/ebonydyke/ebonydyke/internal/core/poison"
 	"github.com/ebonydyke/ebonydyke/internal/core/reason"
 	"github.com/ebonydyke/ebonydyke/internal/core/streams"
@@ -60,10 +61,10 @@
 	waited time.Duration
 	// poison is what the request may end backend servers by, and the process of the last attempt's.
 	poison poison.Request
-	// attempts counts the attempts, and runs the ended ones in which a backend server may
-	// have started the request.
-	// withdrawals counts the attempts that were withdrawn before anything was sent.
-	attempts, runs, withdrawals int
+	// attempts counts the attempts, and withdrawals those that were withdrawn before anything was sent.
+	attempts, withdrawals int
+	// execution tells whether a backend server may have started the request.
+	execution execution.Record
 	// attempt is the attempt that the event at hand is about, or the last one, and others are the other ones in progress;
 	// see selectAttempt.
 	attempt
@@ -99,9 +100,6 @@
 	// hasFailureResponse is set once the proxy holds a complete failure response of a
 	// backend server. The caller gets it if no later attempt succeeds.
 	hasFailureResponse bool
-	// mayHaveRun is set once an attempt ended without certainty that the backend server
-	// did not start the request. From then on the outcome must not be not-run.
-	mayHaveRun bool
 	// responseStarted is set once the first byte of a response was sent to the caller.
 	responseStarted bool
 	// claimed is set once the claim on the request's idempotency key was granted.
@@ -248,7 +246,7 @@
 	if r.ended {
 		return
 	}
-	finish := Finish{Outcome: reason.NotRun, RetryAfter: defaultRetryAfter}
+	finish := Finish{Outcome: r.outcome(), RetryAfter: defaultRetryAfter}
 	switch reply.Verdict {
 	case claims.Duplicate:
 		finish.Outcome, finish.Reason = reason.Duplicate, reason.ClaimDuplicate
@@ -262,6 +260,14 @@
 	n.finish(r, finish)
 }
 
+// outcome returns what the caller is told of a request that ends without a whole response.
+func (r *request) outcome() reason.Outcome {
+	if r.execution.MayHaveRun() {
+		return reason.Unknown
+	}
+	return reason.NotRun
+}
+
 // finish ends a request and emits its final result.
 func (n *Node) finish(r *request, e Finish) {
 	n.release(r)
