--- a/internal/proxy/lateresponses.go
+++ b/internal/proxy/lateresponses.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"errors"
 	"io"
 	"time"
 
@@ -49,7 +50,7 @@
 	}
 	// One byte more than the limit is read if the body is longer.
 	_, err := io.CopyN(io.Discard, newBodyReader(c.reader, length), c.maxBody+1)
-	if err != io.EOF || length == chunkedLength && !c.readLineEnd() {
+	if !errors.Is(err, io.EOF) || length == chunkedLength && !c.readLineEnd() {
 		return false
 	}
 	return c.conn.SetReadDeadline(c.deadline) == nil
