Proxy: a refusal without an ID behind another response is not believed

Callers would have seen requests run again, or answered 503, that had run: on a new connection a server sends a response that names another request, which is passed over, and behind it a refusal that names none. The connection had carried no request, so the refusal was taken for the answer to the attempt. A connection on which one foreign response came may bring a second one.

A response that names no request is believed only if no other one came before it.

No deployment was seen to do this; found by reading.

--- a/internal/proxy/identity.go
+++ b/internal/proxy/identity.go
@@ -78,9 +78,9 @@
 }
 
 // answersAttempt reports whether the response is certainly the answer to the attempt. One that names no request is if the
-// connection had carried nothing else.
+// connection had carried nothing else, neither a request nor a response.
 func (o responseOrigin) answersAttempt() bool {
-	return o.identity == NamesThis || o.identity == NamesNone && o.carried == 0
+	return o.identity == NamesThis || o.identity == NamesNone && o.carried == 0 && o.passedOver == 0
 }
 
 // identityOf returns the identity of a response that names an ID, "" for none, to a request with the ID own. Repeated is set if
--- a/internal/proxy/latecopies_test.go
+++ b/internal/proxy/latecopies_test.go
@@ -207,3 +207,19 @@
 		require.Equal(t, n+1, runs, "runs")
 	}
 }
+
+// Guards against a request that runs and is answered as not run, because a server has sent a response to another request on a
+// new connection, and a refusal without an ID behind it.
+func TestRefusalWithoutIDBehindAnotherResponseIsNotBelieved(t *testing.T) {
+	t.Parallel()
+	server := startLateCopyServer(t)
+	server.rawBackend = startRawBackend(t, func(_ int, r *http.Request, conn net.Conn) bool {
+		own := server.respond(fakeplatform.ReadAttempt(r).ID, conn)
+		_, err := io.WriteString(conn, answerOf("other")+"HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"+own)
+		return err == nil
+	})
+	got := serveOnce(t, server)("first")
+	runs, _ := server.state("first")
+	require.Equal(t, 1, runs, "runs")
+	require.False(t, promised(got.status), "status %d says that the request has not run", got.status)
+}
