Proxy: after a HEAD request no late response with a body is passed over

A request that had run would have been sent again, or answered 503: a HEAD request waits on a kept connection, and the server first sends the response to an earlier request once more, which has a body. It was passed over like an answer to HEAD, without a body, and the body was read as the next response; a body that looks like a refusal was believed. The other way round, bytes of the own answer were skipped for the body that a late answer to HEAD announces.

A connection remembers that it has carried a HEAD request. From then on a late response that announces a body is not passed over, and the request may have run.

TestBodyOfLateResponseIsNoResponseToHead failed before with 2 runs. No deployment was seen to do this; found by reading. The comparison with io.EOF is the one that the linter asks for.

--- a/internal/proxy/identity.go
+++ b/internal/proxy/identity.go
@@ -39,11 +39,14 @@
 type carriedRequests struct {
 	// hashes are those of the IDs.
 	hashes []uint64
+	// head is set if one of them was a HEAD request.
+	head bool
 }
 
 // add records that the connection carries a request.
-func (c *carriedRequests) add(id string) {
+func (c *carriedRequests) add(id string, head bool) {
 	c.hashes = append(c.hashes, maphash.String(carriedSeed, id))
+	c.head = c.head || head
 }
 
 // has reports whether the connection may have carried a request with the ID.
--- a/internal/proxy/latecopies_test.go
+++ b/internal/proxy/latecopies_test.go
@@ -223,3 +223,32 @@
 	require.Equal(t, 1, runs, "runs")
 	require.False(t, promised(got.status), "status %d says that the request has not run", got.status)
 }
+
+// Guards against a HEAD request that runs and is answered as not run, because the body of a late response to another request is
+// taken for a response: the late one has a body although the answer to a HEAD request has none.
+func TestBodyOfLateResponseIsNoResponseToHead(t *testing.T) {
+	t.Parallel()
+	server := startLateCopyServer(t)
+	server.late = func(id string) string {
+		body := refusalOf("head")
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Seal: s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+	}
+	path := routePath("once", "once")
+	i := startInstance(t, endlessConfig(path, []string{server.address}), path.options)
+	sendWith := func(method, id string) reply {
+		req, err := fakeplatform.NewRequest(t.Context(), fakeplatform.Call{
+			Address: i.address, Host: routeHost, Path: "/once/x", ID: id, Key: endlessKey, Timeout: endlessDeadline,
+		})
+		require.NoError(t, err)
+		req.Method = method
+		got, err := call(req)
+		require.NoError(t, err)
+		return got
+	}
+	require.Equal(t, http.StatusOK, sendWith(http.MethodPost, "first").status)
+	got := sendWith(http.MethodHead, "head")
+	runs, sent := server.state("head")
+	require.Equal(t, 1, sent, "late responses")
+	require.Equal(t, 1, runs, "runs")
+	require.False(t, promised(got.status), "status %d says that the request has not run", got.status)
+}
--- a/internal/proxy/lateresponses.go
+++ b/internal/proxy/lateresponses.go
@@ -1,7 +1,9 @@
 package proxy
 
 import (
+	"errors"
 	"io"
+	"net/http"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -18,7 +20,7 @@
 )
 
 // readOwnHeader reads the response header. It passes over responses that name other requests, as far as their ends are marked.
-func (c *call) readOwnHeader(req *fasthttp.Request, resp *fasthttp.Response) error {
+func (c *call) readOwnHeader(resp *fasthttp.Response) error {
 	for {
 		if err := c.readHeader(resp); err != nil {
 			return err
@@ -27,7 +29,7 @@
 			return nil
 		}
 		c.pool.distrust(c.host.Addr, c.now())
-		if c.origin.passedOver == maxPassedOver || !c.passOver(req, resp) {
+		if c.origin.passedOver == maxPassedOver || !c.passOver(resp) {
 			return nil
 		}
 		c.origin.passedOver++
@@ -36,20 +38,24 @@
 }
 
 // passOver reads the body of a response to another request, and reports whether the next response follows it.
-func (c *call) passOver(req *fasthttp.Request, resp *fasthttp.Response) bool {
+func (c *call) passOver(resp *fasthttp.Response) bool {
 	length := resp.Header.ContentLength()
 	if length < chunkedLength || resp.ConnectionClose() {
 		return false
 	}
-	if !hasBody(req, resp.StatusCode()) {
+	switch status := resp.StatusCode(); {
+	case status == http.StatusNoContent, status == http.StatusNotModified, length == 0:
 		return true
+	case c.conn.carried.head:
+		// Whether the announced body follows depends on the method of the request that the response names.
+		return false
 	}
 	if err := c.conn.SetReadDeadline(earlier(time.Now().Add(passOverTimeout), c.deadline)); err != nil {
 		return false
 	}
 	// One byte more than the limit is read if the body is longer.
 	_, err := io.CopyN(io.Discard, newBodyReader(c.reader, length), c.maxBody+1)
-	if err != io.EOF || length == chunkedLength && !c.readLineEnd() {
+	if !errors.Is(err, io.EOF) || length == chunkedLength && !c.readLineEnd() {
 		return false
 	}
 	return c.conn.SetReadDeadline(c.deadline) == nil
--- a/internal/proxy/transport.go
+++ b/internal/proxy/transport.go
@@ -272,14 +272,14 @@
 	if err := c.conn.SetDeadline(c.deadline); err != nil {
 		return fmt.Errorf("proxy: set deadline: %w", err)
 	}
-	c.recordCarried()
+	c.recordCarried(req)
 	c.watch.wait()
 	defer c.watch.pause()
 	if err := c.send(req); err != nil {
 		return fmt.Errorf("proxy: send: %w", err)
 	}
 	c.reader = c.host.AcquireReader(c.conn)
-	if err := c.readOwnHeader(req, resp); err != nil {
+	if err := c.readOwnHeader(resp); err != nil {
 		return err
 	}
 	c.watch.progress()
@@ -302,9 +302,9 @@
 }
 
 // recordCarried records that the connection carries the request.
-func (c *call) recordCarried() {
+func (c *call) recordCarried(req *fasthttp.Request) {
 	c.origin.repeated, c.origin.carried = c.conn.carried.has(c.id), c.conn.carried.count()
-	c.conn.carried.add(c.id)
+	c.conn.carried.add(c.id, req.Header.IsHead())
 }
 
 // send writes the whole request.
