Proxy: a response to another request is never delivered, whatever the dialect

A caller of the own interface got the answer to another request: an engine sends a response to an earlier request once more, late, with Connection: close, so that it cannot be passed over. It names the other request, but only the platform's dialect compared the ID; the own one accepts every response that is no refusal.

The attempt ends as one whose response is not its own before the dialect's verdict counts.

TestLateResponseThatIsNotPassedOverIsNotDelivered failed before: 200 with the other body.

--- a/internal/proxy/attemptresponse.go
+++ b/internal/proxy/attemptresponse.go
@@ -126,6 +126,10 @@
 
 // handleHead handles the header of an attempt that does not resume a stream at its engine, and waits for the first bytes.
 func (a *attemptResponse) handleHead() bool {
+	if a.origin.identity == NamesOther {
+		a.mismatched()
+		return false
+	}
 	switch a.head.Verdict {
 	case NotStarted:
 		if !a.origin.answersAttempt() {
--- a/internal/proxy/latecopies_test.go
+++ b/internal/proxy/latecopies_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/ebonydyke/ebonydyke/internal/proxy"
 	"github.com/ebonydyke/ebonydyke/platform/fakeplatform"
 )
 
@@ -252,3 +253,22 @@
 	require.Equal(t, 1, runs, "runs")
 	require.False(t, promised(got.status), "status %d says that the request has not run", got.status)
 }
+
+// Guards against a request of the own interface that gets the response to another one as its answer, because that one cannot be
+// passed over.
+func TestLateResponseThatIsNotPassedOverIsNotDelivered(t *testing.T) {
+	t.Parallel()
+	b := startRawBackend(t, func(nth int, _ *http.Request, conn net.Conn) bool {
+		if nth == 1 {
+			respondOK(conn, "ok")
+			return true
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+proxy.HeaderAnswers+": other\r\nConnection: close\r\nContent-Length: 5\r\n\r\nwrong")
+		return false
+	})
+	i := startInstance(t, oneBackendConfig(b.address), proxy.Options{})
+	require.Equal(t, "ok", sendAtMostOnce(t, i).body)
+	got := sendAtMostOnce(t, i)
+	require.Equal(t, http.StatusBadGateway, got.status)
+	require.NotContains(t, got.body, "wrong")
+}
