Test: what follows the last chunk of a late response is no response

No test noticed if a late response in chunks was passed over without a look at the empty line that ends it.

--- a/internal/proxy/latecopies_test.go
+++ b/internal/proxy/latecopies_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 
@@ -272,3 +273,20 @@
 	require.Equal(t, http.StatusBadGateway, got.status)
 	require.NotContains(t, got.body, "wrong")
 }
+
+// Guards against a request that runs twice, or runs and is answered as not run, because what follows the last chunk of a late
+// response is taken for a response.
+func TestTrailersOfLateResponseAreNoResponse(t *testing.T) {
+	t.Parallel()
+	server := startLateCopyServer(t)
+	server.late = func(id string) string {
+		return strings.TrimSuffix(chunkedAnswerOf(id), "\r\n") + refusalOf("second")
+	}
+	send := serveOnce(t, server)
+	require.Equal(t, http.StatusOK, send("first").status)
+	got := send("second")
+	runs, sent := server.state("second")
+	require.Equal(t, 1, sent, "late responses")
+	require.Equal(t, 1, runs, "runs")
+	require.False(t, promised(got.status), "status %d says that the request has not run", got.status)
+}
