Test: a connection that has brought a late response is not used again

No test noticed if readOwnHeader did not distrust the server: the next request then takes the connection on which responses come late, and pays with the time to pass over another one, or with an unknown outcome if that has no marked end. The new check failed with that call taken out, in all five cases.

--- a/internal/proxy/latecopies_test.go
+++ b/internal/proxy/latecopies_test.go
@@ -67,6 +67,13 @@
 	return s.runs[id], s.sent
 }
 
+// connections returns the number of connections that have carried a request.
+func (s *lateCopyServer) connections() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.pending)
+}
+
 func refusalOf(id string) string {
 	return "HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: " + id + "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
 }
@@ -136,6 +143,7 @@
 			require.Equal(t, http.StatusOK, got.status, "the answer that is ready is delivered")
 			require.Equal(t, "answer to second", got.body)
 			require.Equal(t, "answer to third", send("third").body, "the server stays in use")
+			require.Greater(t, server.connections(), 1, "a connection with a late response is not used again")
 		})
 	}
 }
