--- a/internal/proxy/identity.go
+++ b/internal/proxy/identity.go
@@ -39,11 +39,14 @@
 type carriedRequests struct {
 	// hashes are those of the IDs.
 	hashes []uint64
+	// head is set if one of them was a HEAD request.
+	head bool
 }
 
 // add records that the connection carries a request.
-func (c *carriedRequests) add(id string) {
+func (c *carriedRequests) add(id string, head bool) {
 	c.hashes = append(c.hashes, maphash.String(carriedSeed, id))
+	c.head = c.head || head
 }
 
 // has reports whether the connection may have carried a request with the ID.
@@ -78,9 +81,9 @@
 }
 
 // answersAttempt reports whether the response is certainly the answer to the attempt. One that names no request is if the
-// connection had carried nothing else.
+// connection had carried nothing else, neither a request nor a response.
 func (o responseOrigin) answersAttempt() bool {
-	return o.identity == NamesThis || o.identity == NamesNone && o.carried == 0
+	return o.identity == NamesThis || o.identity == NamesNone && o.carried == 0 && o.passedOver == 0
 }
 
 // identityOf returns the identity of a response that names an ID, "" for none, to a request with the ID own. Repeated is set if
--- a/internal/proxy/latecopies_test.go
+++ b/internal/proxy/latecopies_test.go
@@ -6,11 +6,13 @@
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/ebonydyke/ebonydyke/internal/proxy"
 	"github.com/ebonydyke/ebonydyke/platform/fakeplatform"
 )
 
@@ -65,6 +67,13 @@
 	return s.runs[id], s.sent
 }
 
+// connections returns the number of connections that have carried a request.
+func (s *lateCopyServer) connections() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.pending)
+}
+
 func refusalOf(id string) string {
 	return "HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: " + id + "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
 }
@@ -134,6 +143,7 @@
 			require.Equal(t, http.StatusOK, got.status, "the answer that is ready is delivered")
 			require.Equal(t, "answer to second", got.body)
 			require.Equal(t, "answer to third", send("third").body, "the server stays in use")
+			require.Greater(t, server.connections(), 1, "a connection with a late response is not used again")
 		})
 	}
 }
@@ -207,3 +217,84 @@
 		require.Equal(t, n+1, runs, "runs")
 	}
 }
+
+// Guards against a request that runs and is answered as not run, because a server has sent a response to another request on a
+// new connection, and a refusal without an ID behind it.
+func TestRefusalWithoutIDBehindAnotherResponseIsNotBelieved(t *testing.T) {
+	t.Parallel()
+	server := startLateCopyServer(t)
+	server.rawBackend = startRawBackend(t, func(_ int, r *http.Request, conn net.Conn) bool {
+		own := server.respond(fakeplatform.ReadAttempt(r).ID, conn)
+		_, err := io.WriteString(conn, answerOf("other")+"HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"+own)
+		return err == nil
+	})
+	got := serveOnce(t, server)("first")
+	runs, _ := server.state("first")
+	require.Equal(t, 1, runs, "runs")
+	require.False(t, promised(got.status), "status %d says that the request has not run", got.status)
+}
+
+// Guards against a HEAD request that runs and is answered as not run, because the body of a late response to another request is
+// taken for a response: the late one has a body although the answer to a HEAD request has none.
+func TestBodyOfLateResponseIsNoResponseToHead(t *testing.T) {
+	t.Parallel()
+	server := startLateCopyServer(t)
+	server.late = func(id string) string {
+		body := refusalOf("head")
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Seal: s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+	}
+	path := routePath("once", "once")
+	i := startInstance(t, endlessConfig(path, []string{server.address}), path.options)
+	sendWith := func(method, id string) reply {
+		req, err := fakeplatform.NewRequest(t.Context(), fakeplatform.Call{
+			Address: i.address, Host: routeHost, Path: "/once/x", ID: id, Key: endlessKey, Timeout: endlessDeadline,
+		})
+		require.NoError(t, err)
+		req.Method = method
+		got, err := call(req)
+		require.NoError(t, err)
+		return got
+	}
+	require.Equal(t, http.StatusOK, sendWith(http.MethodPost, "first").status)
+	got := sendWith(http.MethodHead, "head")
+	runs, sent := server.state("head")
+	require.Equal(t, 1, sent, "late responses")
+	require.Equal(t, 1, runs, "runs")
+	require.False(t, promised(got.status), "status %d says that the request has not run", got.status)
+}
+
+// Guards against a request of the own interface that gets the response to another one as its answer, because that one cannot be
+// passed over.
+func TestLateResponseThatIsNotPassedOverIsNotDelivered(t *testing.T) {
+	t.Parallel()
+	b := startRawBackend(t, func(nth int, _ *http.Request, conn net.Conn) bool {
+		if nth == 1 {
+			respondOK(conn, "ok")
+			return true
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+proxy.HeaderAnswers+": other\r\nConnection: close\r\nContent-Length: 5\r\n\r\nwrong")
+		return false
+	})
+	i := startInstance(t, oneBackendConfig(b.address), proxy.Options{})
+	require.Equal(t, "ok", sendAtMostOnce(t, i).body)
+	got := sendAtMostOnce(t, i)
+	require.Equal(t, http.StatusBadGateway, got.status)
+	require.NotContains(t, got.body, "wrong")
+}
+
+// Guards against a request that runs twice, or runs and is answered as not run, because what follows the last chunk of a late
+// response is taken for a response.
+func TestTrailersOfLateResponseAreNoResponse(t *testing.T) {
+	t.Parallel()
+	server := startLateCopyServer(t)
+	server.late = func(id string) string {
+		return strings.TrimSuffix(chunkedAnswerOf(id), "\r\n") + refusalOf("second")
+	}
+	send := serveOnce(t, server)
+	require.Equal(t, http.StatusOK, send("first").status)
+	got := send("second")
+	runs, sent := server.state("second")
+	require.Equal(t, 1, sent, "late responses")
+	require.Equal(t, 1, runs, "runs")
+	require.False(t, promised(got.status), "status %d says that the request has not run", got.status)
+}
