--- a/internal/core/membership/membership.go
+++ b/internal/core/membership/membership.go
@@ -96,20 +96,11 @@
 	WorkTime int `json:"work_time,omitempty"`
 }
 
-// Bounds of the figures in a report. No server has a fraction of either.
-const (
-	// maxReported is the highest number of requests or slots.
-	maxReported = 1_000_000
-	// maxWorkTime is the longest work time, in percent of the usual time.
-	maxWorkTime = 100_000
-)
-
 // Valid reports whether the figures of a report can be true. A server that reports a negative or a huge load, or
 // more running requests than slots, would attract or repel the traffic of its service.
 func (r *Report) Valid() bool {
-	inRange := func(figure, limit int) bool { return figure >= 0 && figure <= limit }
-	if !inRange(r.InFlight, maxReported) || !inRange(r.Running, maxReported) || !inRange(r.Slots, maxReported) {
+	if !inRange(r.InFlight, MaxRequests) || !inRange(r.Running, MaxRequests) || !inRange(r.Slots, MaxRequests) {
 		return false
 	}
-	return inRange(r.WorkTime, maxWorkTime) && r.Running <= r.InFlight && (r.Slots == 0 || r.Running <= r.Slots)
+	return inRange(r.WorkTime, MaxWorkTime) && r.Running <= r.InFlight && (r.Slots == 0 || r.Running <= r.Slots)
 }
--- a/internal/core/pools.go
+++ b/internal/core/pools.go
@@ -259,7 +259,7 @@
 // that it reports or else taken from the configuration.
 func capacityOf(svc *config.Service, member membership.Member) float64 {
 	if member.Slots > 0 {
-		return float64(member.Slots * (1 + routing.QueuePerSlot))
+		return float64(member.Slots) * (1 + routing.QueuePerSlot)
 	}
 	return float64(svc.Capacity)
 }
