Peers: a server with an impossible number of slots is not taken over

An instance of an earlier build passes on the entry of a server with slots of 2^62, cut to the 31 bits of the wire, and this build used it: the server counted as one with room for 2^31 requests, and hid that the others were full.

Such an entry is now known as one that cannot be used, as if this instance had read it from the store itself, and such a member in a digest is left out. Loads need no bound: the wire limits them to 32 bits, and their sums are float64.

TestEntriesOfPeersAreBounded and TestMembersInDigestsAreBounded failed before from 1000001 on; both pass.

--- a/internal/peer/decode.go
+++ b/internal/peer/decode.go
@@ -293,7 +293,9 @@
 		if err != nil {
 			return err
 		}
-		out.Members = append(out.Members, member)
+		if member.Check() == nil {
+			out.Members = append(out.Members, member)
+		}
 	}
 	return nil
 }
@@ -404,7 +406,12 @@
 			if err != nil {
 				return nil, err
 			}
-			entry.Backend = &backend
+			// An instance of an earlier build passes on what this one does not use.
+			if backend.Check() == nil {
+				entry.Backend = &backend
+			} else {
+				entry.Unreadable = true
+			}
 		}
 		if e.History != nil {
 			entry.History = decodeHistory(e.History)
