--- a/internal/core/config/check.go
+++ b/internal/core/config/check.go
@@ -32,6 +32,9 @@
 	MaxServices = 1_000
 	// MaxAttemptsLimit is the maximum of max_attempts.
 	MaxAttemptsLimit = 10
+	// MaxDuration is the maximum of a route's timeout and goals. No caller waits longer, and multiples of it are far from the
+	// range of durations.
+	MaxDuration = Duration(24 * time.Hour)
 	// MaxWarmUp is the maximum of a warm-up's duration.
 	MaxWarmUp = Duration(10 * time.Minute)
 	// MinClaimWindow is the minimum claim window. It leaves a request with a key time to
--- a/internal/core/config/check_test.go
+++ b/internal/core/config/check_test.go
@@ -60,6 +60,8 @@
 		{"regions as text", `"c1"`, `"c1", "regions": "north"`, `t:6:41: expected a list, found text`},
 		{"region of a route", `"claims"`, `"routes": [{"name": "r", "host": "h", "prefix": "/", "kind": "stream", "timeout": "1s",
  "split": [{"service": "llm", "weight": 1}], "regions": [""]}], "claims"`, `t:8:58: regions[0] "", expected up to 64 letters`},
+		{"goal of a route", `"claims"`, `"routes": [{"name": "r", "host": "h", "prefix": "/", "kind": "stream", "timeout": "1s", "goal": "2000000h",
+ "split": [{"service": "llm", "weight": 1}]}], "claims"`, `timeout or goal 2000000h0m0s, expected at most 24h0m0s`},
 		{"limit", `"c1"`, `"c1", "max_in_flight": -1`, `t:6:47: max_in_flight -1, expected 0 for no bound`},
 		{"too many services", `{"name": "llm"`, strings.Repeat(`{"name": "s"},`, config.MaxServices) + `{"name": "llm"`, `t:2:13: 1002 services, expected at most 1000`},
 		{"not UTF-8", `"c1"`, "\"c\xff\"", `t:1:1: bytes that are not UTF-8`},
--- a/internal/core/config/checkroutes.go
+++ b/internal/core/config/checkroutes.go
@@ -1,6 +1,9 @@
 package config
 
-import "strings"
+import (
+	"strings"
+	"time"
+)
 
 // checkRoutes validates the routes and finds those with the same name or the same host and
 // prefix.
@@ -45,6 +48,9 @@
 	if r.Goal < 0 || r.PauseGoal < 0 {
 		c.doc.Add(path+".goal", "goals must not be under 0")
 	}
+	if longest := max(r.Timeout, r.Goal, r.PauseGoal); longest > MaxDuration {
+		c.doc.Add(path+".timeout", "timeout or goal %v, expected at most %v", time.Duration(longest), time.Duration(MaxDuration))
+	}
 	if r.MaxRuns < 1 || r.MaxRuns > MaxAttemptsLimit {
 		c.doc.Add(path+".max_runs", "max_runs %d, expected 1 to %d", r.MaxRuns, MaxAttemptsLimit)
 	}
