Proxy: a huge announced idle timeout does not end the reuse of connections

TestKeepAliveTimeoutIsBounded failed before with (a timeout of -2562047h). Retry-After and the load header are bounded already, by an hour and by the check of reports; their tests passed before and are kept.

--- a/internal/proxy/connreuse.go
+++ b/internal/proxy/connreuse.go
@@ -131,7 +131,7 @@
 		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
 		seconds, err := strconv.Atoi(strings.TrimSpace(value))
 		if strings.EqualFold(name, "timeout") && err == nil && seconds > 0 {
-			return min(time.Duration(seconds)*time.Second, maxKeepAlive)
+			return time.Duration(min(seconds, int(maxKeepAlive.Seconds()))) * time.Second
 		}
 	}
 	return 0
