Streams: an event number out of range counts as none

A caller whose backend server numbered one event with 20 digits or more got no later event of the stream, without notice: the number was taken for 2^64-1, and all events after it for repeated ones.

Cause: strconv.ParseUint returns the largest number beside its error, which was dropped. The numbers are now read in one place, at most 2^63-1, as the core compares them as signed integers, and anything else is no number.

--- a/internal/proxy/eventreader.go
+++ b/internal/proxy/eventreader.go
@@ -111,13 +111,25 @@
 	}
 }
 
+// maxEventIDBits is the size of an event number in bits. The core compares them as signed integers.
+const maxEventIDBits = 63
+
+// ParseEventID returns the number in the ID of an event, or 0 if the ID is no number in range.
+func ParseEventID(text string) uint64 {
+	number, err := strconv.ParseUint(text, 10, maxEventIDBits)
+	if err != nil {
+		return 0
+	}
+	return number
+}
+
 // parseLine parses one line of the event.
 func (e *streamEvent) parseLine(line []byte) {
 	field, value, _ := bytes.Cut(line, []byte(":"))
 	value = bytes.TrimPrefix(value, []byte(" "))
 	switch string(field) {
 	case "id":
-		e.id, _ = strconv.ParseUint(string(value), 10, 64)
+		e.id = ParseEventID(string(value))
 	case "data":
 		e.data = true
 		e.end = string(value) == endMark
--- a/internal/proxy/oddnumbers_test.go
+++ b/internal/proxy/oddnumbers_test.go
@@ -1,7 +1,9 @@
 package proxy
 
 import (
+	"io"
 	"math"
+	"strings"
 	"testing"
 	"time"
 
@@ -59,3 +61,17 @@
 	huge := membership.Report{InFlight: math.MaxInt}
 	require.False(t, huge.Valid(), "the core drops it")
 }
+
+// Guards against an event number out of range that makes all later events of a stream count as repeated.
+func TestEventNumberOutOfRangeIsNone(t *testing.T) {
+	for _, number := range oddNumbers {
+		events, err := readEvents(strings.NewReader("id: " + number + "\ndata: a\n\nid: 1\ndata: b\n\n"))
+		require.ErrorIs(t, err, io.EOF)
+		require.Len(t, events, 2)
+		require.NotEqual(t, uint64(math.MaxUint64), events[0].id, number)
+		sequence := eventSequence{last: ParseEventID(number)}
+		isNew, err := sequence.accept(streamEvent{id: math.MaxUint64 - 1, data: true}, false)
+		require.NoError(t, err)
+		require.True(t, isNew, number)
+	}
+}
