Poison records: the numbers of a stored record are bounded

A record under servers-ended/ with an age of -9e18 ns kept its requests blocked for 292 years, as far as this instance was concerned: callers got a refusal for each. One with trials made an instance that starts a trial at that moment index a list with a negative number, and end.

Cause: ages and counts of the JSON in the store were taken at any size, ages are subtracted from the clock, and trials are counted on. Peers cannot send such numbers, because the wire holds 32 bits without a sign.

--- a/internal/core/poison/exchange.go
+++ b/internal/core/poison/exchange.go
@@ -158,6 +158,33 @@
 	return Extent{len(r.ends) - voided, voided, r.trials}, true
 }
 
+// Limits of the numbers in a record from outside.
+const (
+	// MaxCount is the highest position, and the highest number of trials.
+	MaxCount = 1_000_000
+	// maxAge is the longest age. All that is older is forgotten.
+	maxAge = 2 * blockedRetention
+)
+
+// Bounded returns the record with each number within its range. The key and the ends hold whatever their ages are, and an age
+// in the future would keep them for ever.
+func (r Record) Bounded() Record {
+	r.Position, r.Trials = boundedCount(r.Position), boundedCount(r.Trials)
+	r.ChangeAge, r.UseAge = boundedAge(r.ChangeAge), boundedAge(r.UseAge)
+	r.Ends, r.Proofs = slices.Clone(r.Ends), slices.Clone(r.Proofs)
+	for i := range r.Ends {
+		r.Ends[i].Age = boundedAge(r.Ends[i].Age)
+	}
+	for i := range r.Proofs {
+		r.Proofs[i].Age = boundedAge(r.Proofs[i].Age)
+	}
+	return r
+}
+
+func boundedCount(n int) int { return max(0, min(n, MaxCount)) }
+
+func boundedAge(age time.Duration) time.Duration { return max(0, min(age, maxAge)) }
+
 // Merge merges a record of another instance and reports whether it brought anything new. A record
 // that this instance would have forgotten is ignored.
 func (t *Tracker) Merge(in Record, now time.Time) bool {
--- a/internal/daemon/poisonrecords.go
+++ b/internal/daemon/poisonrecords.go
@@ -47,5 +47,5 @@
 		klog.InfoS("invalid poison record", "key", i.Key, "error", err)
 		return records
 	}
-	return append(records, record)
+	return append(records, record.Bounded())
 }
