Configuration: weights of a split do not add up to infinity

With two weights of 1e308 in the split of a route, all requests went to the last service of the split, even if that had the weight 0.

Cause: the weights are added, and no draw is below a weight once the sum is infinite. Weights are now at most 1e9. In the fleet's own format a larger weight, of a service or a customer, is a finding.

--- a/internal/core/config/check.go
+++ b/internal/core/config/check.go
@@ -35,6 +35,9 @@
 	// MaxDuration is the maximum of a route's timeout and goals. No caller waits longer, and multiples of it are far from the
 	// range of durations.
 	MaxDuration = Duration(24 * time.Hour)
+	// MaxWeight is the maximum weight of a service in a split, and of a customer. Sums of weights are far from infinite, and
+	// smaller shares than one in MaxWeight are none.
+	MaxWeight = 1e9
 	// MaxWarmUp is the maximum of a warm-up's duration.
 	MaxWarmUp = Duration(10 * time.Minute)
 	// MinClaimWindow is the minimum claim window. It leaves a request with a key time to
@@ -305,6 +308,9 @@
 		} else {
 			seen[customer.Name] = i
 		}
+		if customer.Weight > MaxWeight {
+			c.doc.Add(path+".weight", "weight %v, expected at most %v", customer.Weight, MaxWeight)
+		}
 		if customer.MaxInFlight < 0 {
 			c.doc.Add(path+".max_in_flight", "max_in_flight %d, expected 0 for no bound, or more", customer.MaxInFlight)
 		}
--- a/internal/core/config/checkroutes.go
+++ b/internal/core/config/checkroutes.go
@@ -63,8 +63,8 @@
 		if _, ok := c.services[s.Service]; !ok {
 			c.doc.Add(elementPath(path, i)+".service", "unknown service %q, expected a service of this text", s.Service)
 		}
-		if s.Weight < 0 {
-			c.doc.Add(elementPath(path, i)+".weight", "weight %v, expected 0 or more", s.Weight)
+		if s.Weight < 0 || s.Weight > MaxWeight {
+			c.doc.Add(elementPath(path, i)+".weight", "weight %v, expected 0 to %v", s.Weight, MaxWeight)
 		}
 		sum += s.Weight
 	}
