Polls: an impossible load in a reply is no load

With one server whose reply to a poll said 9e18 requests in progress, all requests of its service were refused.

Cause: the loads in responses and in peers' messages are checked, the one in the reply to a poll was only checked for a sign, and was added to the loads of the other servers, so that the service counted as saturated. The reply is now checked where it is decoded, with the same limits, and the core drops and counts a report that does not pass, before it is sent to peers.

TestHugeLoadInAPollLeavesTheOthers failed before with 60 of 60 requests refused, and TestInvalidLoadReport with 1000001 and above.

--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -146,6 +146,11 @@
 	if e.Failed {
 		return
 	}
+	if !e.Report.Valid() {
+		n.emit(Counted{Counter: counterBadReports, N: 1})
+		return
+	}
+	n.forwardPollReport(e.Report)
 	if n.view.ApplyReport(n.now, e.Report, true) {
 		n.membersChanged([]string{e.Report.Backend})
 	}
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -209,7 +209,6 @@
 	case CallerGone:
 		n.callerGone(e)
 	case BackendReported:
-		n.forwardPollReport(e)
 		n.backendReported(e)
 	case ConfigOffered:
 		n.offerConfig(ConfigOffer(e), SourceSettings)
--- a/internal/core/oddslots_test.go
+++ b/internal/core/oddslots_test.go
@@ -5,8 +5,11 @@
 	"math"
 	"testing"
 
+	"github.com/stretchr/testify/require"
+
 	"github.com/ebonydyke/ebonydyke/internal/core"
 	"github.com/ebonydyke/ebonydyke/internal/core/entries"
+	"github.com/ebonydyke/ebonydyke/internal/core/membership"
 	"github.com/ebonydyke/ebonydyke/internal/core/retry"
 )
 
@@ -27,3 +30,12 @@
 		})
 	}
 }
+
+// Guards against one server's impossible load in the reply to a poll, which is added to the loads of the others.
+func TestHugeLoadInAPollLeavesTheOthers(t *testing.T) {
+	s := newNodeHarness(t, liveEngines(3))
+	s.handle(core.BackendReported{Report: membership.Report{
+		Backend: "engine-0", Incarnation: 1, State: membership.Live, InFlight: 9e18, At: s.now,
+	}})
+	require.NotContains(t, s.countByBackend("underwriting"), "", "no request is refused")
+}
--- a/internal/core/polls.go
+++ b/internal/core/polls.go
@@ -71,14 +71,13 @@
 
 // forwardPollReport sends a poll's report to the peers if they may not know it. It must be called
 // before the report is applied.
-func (n *Node) forwardPollReport(e BackendReported) {
-	backend := e.Report.Backend
-	if e.Failed || n.polls.owned[backend] == nil {
+func (n *Node) forwardPollReport(report membership.Report) {
+	if n.polls.owned[report.Backend] == nil {
 		return
 	}
-	n.recordBackendReport(backend)
-	if n.unexpected(e.Report) {
-		n.queueReport(e.Report)
+	n.recordBackendReport(report.Backend)
+	if n.unexpected(report) {
+		n.queueReport(report)
 	}
 }
 
--- a/internal/proxy/engineclient.go
+++ b/internal/proxy/engineclient.go
@@ -90,9 +90,9 @@
 	if err := json.Unmarshal(resp.Body(), &l); err != nil {
 		return report, fmt.Errorf("proxy: load report of %s: %w", backend, err)
 	}
-	if l.InFlight < 0 || (l.State != membership.Live && l.State != membership.Leaving) {
+	report.Incarnation, report.State, report.InFlight = l.Incarnation, l.State, l.InFlight
+	if !report.Valid() || (l.State != membership.Live && l.State != membership.Leaving) {
 		return report, fmt.Errorf("proxy: load report of %s: invalid load or state", backend)
 	}
-	report.Incarnation, report.State, report.InFlight = l.Incarnation, l.State, l.InFlight
 	return report, nil
 }
--- a/internal/proxy/engineclient_test.go
+++ b/internal/proxy/engineclient_test.go
@@ -50,7 +50,10 @@
 
 // An invalid load report must yield an error, not a load.
 func TestInvalidLoadReport(t *testing.T) {
-	for _, body := range []string{"", "{", `{"in_flight":-1,"state":"live"}`, `{"in_flight":1,"state":"well"}`, `[]`} {
+	for _, body := range []string{
+		"", "{", `{"in_flight":-1,"state":"live"}`, `{"in_flight":1,"state":"well"}`, `[]`,
+		`{"in_flight":1000001,"state":"live"}`, `{"in_flight":4611686018427387904,"state":"live"}`, `{"in_flight":1e300,"state":"live"}`,
+	} {
 		b := startRawBackend(t, func(_ int, _ *http.Request, conn net.Conn) bool {
 			respondOK(conn, body)
 			return true
