--- a/internal/core/config/checkroutes.go
+++ b/internal/core/config/checkroutes.go
@@ -1,6 +1,9 @@
 package config
 
-import "strings"
+import (
+	"strings"
+	"time"
+)
 
 // checkRoutes validates the routes and finds those with the same name or the same host and
 // prefix.
@@ -45,6 +48,9 @@
 	if r.Goal < 0 || r.PauseGoal < 0 {
 		c.doc.Add(path+".goal", "goals must not be under 0")
 	}
+	if longest := max(r.Timeout, r.Goal, r.PauseGoal); longest > MaxDuration {
+		c.doc.Add(path+".timeout", "timeout or goal %v, expected at most %v", time.Duration(longest), time.Duration(MaxDuration))
+	}
 	if r.MaxRuns < 1 || r.MaxRuns > MaxAttemptsLimit {
 		c.doc.Add(path+".max_runs", "max_runs %d, expected 1 to %d", r.MaxRuns, MaxAttemptsLimit)
 	}
@@ -57,8 +63,8 @@
 		if _, ok := c.services[s.Service]; !ok {
 			c.doc.Add(elementPath(path, i)+".service", "unknown service %q, expected a service of this text", s.Service)
 		}
-		if s.Weight < 0 {
-			c.doc.Add(elementPath(path, i)+".weight", "weight %v, expected 0 or more", s.Weight)
+		if s.Weight < 0 || s.Weight > MaxWeight {
+			c.doc.Add(elementPath(path, i)+".weight", "weight %v, expected 0 to %v", s.Weight, MaxWeight)
 		}
 		sum += s.Weight
 	}
