Proxy: failing test of late responses to requests of another method

Callers see: 502 for a request that has run and whose answer is ready, once a late response to a HEAD request comes before the answer to another method, or the other way round. Nothing is refused wrongly or runs twice.

Cause: passOver decides by the method of the own request whether a body follows the late response's header. The method of the request that it answers is not remembered. Fails on this code; HEAD before HEAD passes.

--- /dev/null
+++ b/internal/proxy/passedover_test.go
@@ -0,0 +1,71 @@
+package proxy_test
+
+import (
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/ebonydyke/ebonydyke/platform/fakeplatform"
+)
+
+// headAnswerOf is the answer to a HEAD request: its length is that of a body that does not follow.
+func headAnswerOf(id string) string {
+	return strings.TrimSuffix(answerOf(id), "answer to "+id)
+}
+
+// Guards against an answer that is lost because a late response to a request of another method is passed over with the own
+// method's rule whether a body follows: no body follows the header that answers HEAD.
+func TestLateResponseToRequestOfAnotherMethodIsPassedOver(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		first, second string
+		late          string
+	}{
+		"HEAD before POST": {http.MethodHead, http.MethodPost, headAnswerOf("first")},
+		"POST before HEAD": {http.MethodPost, http.MethodHead, answerOf("first")},
+		"HEAD before HEAD": {http.MethodHead, http.MethodHead, headAnswerOf("first")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var runs atomic.Int64
+			b := startRawBackend(t, func(_ int, r *http.Request, conn net.Conn) bool {
+				id, text := fakeplatform.ReadAttempt(r).ID, ""
+				if id == "second" {
+					text = c.late
+					runs.Add(1)
+				}
+				if r.Method == http.MethodHead {
+					text += headAnswerOf(id)
+				} else {
+					text += answerOf(id)
+				}
+				_, err := conn.Write([]byte(text))
+				return err == nil
+			})
+			path := routePath("once", "once")
+			i := startInstance(t, endlessConfig(path, []string{b.address}), path.options)
+			ask := func(method, id string) reply {
+				req, err := fakeplatform.NewRequest(t.Context(), fakeplatform.Call{
+					Address: i.address, Host: routeHost, Path: "/once/x", ID: id, Key: endlessKey, Timeout: endlessDeadline,
+				})
+				require.NoError(t, err)
+				req.Method = method
+				if method == http.MethodHead {
+					req.Body, req.ContentLength = nil, 0
+				}
+				return send(t, req)
+			}
+			require.Equal(t, http.StatusOK, ask(c.first, "first").status)
+			began := time.Now()
+			got := ask(c.second, "second")
+			require.EqualValues(t, 1, runs.Load(), "runs")
+			require.Equal(t, http.StatusOK, got.status, "the answer that is ready is delivered")
+			require.Less(t, time.Since(began), time.Second)
+		})
+	}
+}
