Proxy: failing test of a late copy of a server's report on itself

Callers see: an attempt of a resumable stream is lost, and the stream runs again, if a copy of the server's report comes before its answer.

Cause: the report names no request, so on a connection that carried a process check the response is neither believed nor passed over. Servers that name the request in each answer to one need not be doubted so.

--- a/internal/proxy/passedover_test.go
+++ b/internal/proxy/passedover_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -10,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/ebonydyke/ebonydyke/internal/core"
 	"github.com/ebonydyke/ebonydyke/platform/fakeplatform"
 )
 
@@ -89,3 +91,32 @@
 		})
 	}
 }
+
+// Guards against an answer that is lost because a late copy of the server's report on itself comes before it.
+func TestLateReportIsPassedOver(t *testing.T) {
+	t.Parallel()
+	const startedAtMs = 1750000000000
+	recorder := httptest.NewRecorder()
+	fakeplatform.WriteReport(recorder, time.UnixMilli(startedAtMs))
+	report := recorder.Body.String()
+	var runs atomic.Int64
+	server := startRawBackend(t, func(_ int, r *http.Request, conn net.Conn) bool {
+		if r.URL.Path == fakeplatform.ReportPath {
+			respondOK(conn, report)
+			return true
+		}
+		own := fakeplatform.ReadAttempt(r).ID
+		if runs.Add(1) == 1 {
+			respondOK(conn, report)
+		}
+		text := headOf(r, "200 OK", "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n") + chunk(streamOf(own, "")) + lastChunk
+		_, err := conn.Write([]byte(text))
+		return err == nil
+	})
+	path := routePath("resumable", "resumable")
+	i := startInstance(t, endlessConfig(path, []string{server.address}), path.options)
+	i.process = &core.ProcessCheck{Incarnation: startedAtMs, KnownAsOf: time.Now().Add(-time.Hour)}
+	got := send(t, path.request(t, i, 1))
+	require.Equal(t, http.StatusOK, got.status)
+	require.EqualValues(t, 1, runs.Load(), "runs")
+}
