Proxy: late copies of any kind cost no caller the answer behind them

Callers got 502 for a request that had run and whose answer was ready, or a stream ran again, when one of three kinds of late responses came before it: one to a request of another method (whether a body follows was decided by the own method), a 204 or 304 without a length (its length was looked at first), and the server's report, which names no request and was neither believed nor passed over.

A connection remembers of each request that it has carried whether it was a HEAD request, and whether a report was asked for. A response without an ID is passed over on a connection with a process check: servers that have one name the request in every answer.

--- a/internal/proxy/identity.go
+++ b/internal/proxy/identity.go
@@ -37,21 +37,48 @@
 //
 // A backend server may send any of its responses on the connection a second time, at the point where a later one is expected.
 type carriedRequests struct {
-	// hashes are those of the IDs.
-	hashes []uint64
-	// head is set if one of them was a HEAD request.
-	head bool
+	// keys hold a hash of each ID and, in the lowest bit, whether the request was a HEAD request.
+	keys []uint64
+	// head is set if any was a HEAD request, and processCheck if one asked for the server's report, whose response names no request.
+	head, processCheck bool
 }
 
+// headBit marks the key of a HEAD request.
+const headBit = 1
+
+func carriedKey(id string) uint64 { return maphash.String(carriedSeed, id) &^ headBit }
+
 // add records that the connection carries a request.
 func (c *carriedRequests) add(id string, head bool) {
-	c.hashes = append(c.hashes, maphash.String(carriedSeed, id))
+	key := carriedKey(id)
+	if head {
+		key |= headBit
+	}
+	c.keys = append(c.keys, key)
 	c.head = c.head || head
 }
 
+// addProcessCheck records that the connection carries a request for the server's report.
+func (c *carriedRequests) addProcessCheck() {
+	c.add("", false)
+	c.processCheck = true
+}
+
 // has reports whether the connection may have carried a request with the ID.
-func (c *carriedRequests) has(id string) bool {
-	return slices.Contains(c.hashes, maphash.String(carriedSeed, id))
+func (c *carriedRequests) has(id string) bool { return c.find(id) >= 0 }
+
+func (c *carriedRequests) find(id string) int {
+	return slices.IndexFunc(c.keys, func(key uint64) bool { return key&^headBit == carriedKey(id) })
+}
+
+// wasHead reports whether the request with the ID was a HEAD request. It is not certain if the connection has not carried the
+// request, but has carried others of that kind.
+func (c *carriedRequests) wasHead(id string) (head, certain bool) {
+	i := c.find(id)
+	if i < 0 {
+		return false, !c.head
+	}
+	return c.keys[i]&headBit != 0, true
 }
 
 // unfitness returns the reason why the connection must not carry a request, or "" if it may.
@@ -67,7 +94,7 @@
 }
 
 // count returns the number of requests that the connection has carried.
-func (c *carriedRequests) count() int { return len(c.hashes) }
+func (c *carriedRequests) count() int { return len(c.keys) }
 
 // responseOrigin tells where the response to an attempt comes from. The zero value is that of an attempt without one.
 type responseOrigin struct {
--- a/internal/proxy/lateresponses.go
+++ b/internal/proxy/lateresponses.go
@@ -19,13 +19,13 @@
 	passOverTimeout = time.Second
 )
 
-// readOwnHeader reads the response header. It passes over responses that name other requests, as far as their ends are marked.
+// readOwnHeader reads the response header. It passes over responses to other requests, as far as their ends are marked.
 func (c *call) readOwnHeader(resp *fasthttp.Response) error {
 	for {
 		if err := c.readHeader(resp); err != nil {
 			return err
 		}
-		if c.origin.identity != NamesOther {
+		if !c.isLateCopy() {
 			return nil
 		}
 		c.pool.distrust(c.host.Addr, c.now())
@@ -37,19 +37,33 @@
 	}
 }
 
+// isLateCopy reports whether the response was sent before, to another request. One that names none is if the connection has
+// carried a process check and responses to requests name them, which holds wherever there are process checks.
+func (c *call) isLateCopy() bool {
+	return c.origin.identity == NamesOther || c.origin.identity == NamesNone && c.conn.carried.processCheck
+}
+
 // passOver reads the body of a response to another request, and reports whether the next response follows it.
 func (c *call) passOver(resp *fasthttp.Response) bool {
-	length := resp.Header.ContentLength()
-	if length < chunkedLength || resp.ConnectionClose() {
+	if resp.ConnectionClose() {
 		return false
 	}
-	switch status := resp.StatusCode(); {
-	case status == http.StatusNoContent, status == http.StatusNotModified, length == 0:
+	if resp.StatusCode() == http.StatusNoContent || resp.StatusCode() == http.StatusNotModified {
+		return true
+	}
+	head, certain := c.conn.carried.wasHead(c.responseID(&resp.Header))
+	switch length := resp.Header.ContentLength(); {
+	case certain && head, length == 0:
 		return true
-	case c.conn.carried.head:
-		// Whether the announced body follows depends on the method of the request that the response names.
+	case !certain, length < chunkedLength:
 		return false
+	default:
+		return c.skipBody(length)
 	}
+}
+
+// skipBody reads a body with a marked end, and reports whether it came to that in time.
+func (c *call) skipBody(length int) bool {
 	if err := c.conn.SetReadDeadline(earlier(time.Now().Add(passOverTimeout), c.deadline)); err != nil {
 		return false
 	}
--- a/internal/proxy/processcheck.go
+++ b/internal/proxy/processcheck.go
@@ -67,7 +67,7 @@
 	if err := conn.SetDeadline(earlier(time.Now().Add(processCheckTimeout(c.attempt)), c.deadline)); err != nil {
 		return nil, err
 	}
-	conn.carried.add("", false)
+	conn.carried.addProcessCheck()
 	if err := writeRequest(conn, req); err != nil {
 		return nil, err
 	}
