Configuration: routes require an API key as soon as the text lists customers

Whether a route requires a key followed from the number of keys in force, which may fall to zero: "none listed" was taken for "none required".

It follows now from what the operator wrote: there is a list of customers, even if it is empty or none has a key any more, and the route is not anonymous. An empty list on the platform stays an empty list, and a missing one requires no key, as before.

--- a/internal/core/config/snapshot.go
+++ b/internal/core/config/snapshot.go
@@ -36,6 +36,8 @@
 	customers map[string]*Customer
 	// customersByKey maps API keys to their customers.
 	customersByKey map[string]*Customer
+	// listsCustomers is set if the text has a list of customers.
+	listsCustomers bool
 	// routes maps hosts to their routes by prefix.
 	routes        map[string]map[string]*Route
 	serviceNames  []string
@@ -66,8 +68,9 @@
 // the platform's store.
 func (s *Snapshot) FromPlatform() bool { return s.fromPlatform }
 
-// HasAPIKeys reports whether callers on routes must present API keys.
-func (s *Snapshot) HasAPIKeys() bool { return len(s.customersByKey) > 0 }
+// RequiresAPIKeys reports whether callers on routes that are not anonymous must present API keys: the text has a list of
+// customers, even if that is empty or none of them has a key any more.
+func (s *Snapshot) RequiresAPIKeys() bool { return s.listsCustomers }
 
 // Route returns the route of a host with the longest prefix that matches path, or nil. The
 // path must not include the query.
@@ -118,6 +121,7 @@
 		models:           make(map[string]*Service),
 		customers:        make(map[string]*Customer, len(t.Customers)),
 		customersByKey:   make(map[string]*Customer),
+		listsCustomers:   t.Customers != nil,
 		routes:           make(map[string]map[string]*Route),
 		serviceOfBackend: make(map[string]string),
 		dependencies:     transitiveDependencies(t.Services),
--- a/internal/core/config/types.go
+++ b/internal/core/config/types.go
@@ -45,7 +45,8 @@
 type Text struct {
 	// Services are the model services and plain services of the fleet.
 	Services []Service `json:"services"`
-	// Customers are the customers whose requests are accepted.
+	// Customers are the customers whose requests are accepted. If there is a list, even an empty one, callers on
+	// routes must present API keys, but for anonymous routes.
 	Customers []Customer `json:"customers"`
 	// Routes map requests to services by host and path, for callers that name no service.
 	Routes []Route `json:"routes,omitempty"`
--- a/internal/core/resolve.go
+++ b/internal/core/resolve.go
@@ -117,7 +117,7 @@
 	if customer := n.snapshot.CustomerByKey(key); customer != nil {
 		return customer
 	}
-	if route.Anonymous || !n.snapshot.HasAPIKeys() {
+	if route.Anonymous || !n.snapshot.RequiresAPIKeys() {
 		return anonymousCustomer
 	}
 	return nil
--- a/internal/core/routes_test.go
+++ b/internal/core/routes_test.go
@@ -36,6 +36,28 @@
      "max_runs": 2, "split": [{"service": "portal", "weight": 1}]}],
 }`
 
+// Guards against requests of all callers, with any key or none, once the last API key or the last customer is taken away.
+func TestKeysAreRequiredWithoutAnyInForce(t *testing.T) {
+	for name, customers := range map[string]string{
+		"a customer without keys":         `[{"name": "bakery"}]`,
+		"a customer with an empty list":   `[{"name": "bakery", "api_keys": []}]`,
+		"another customer has a key":      `[{"name": "bakery"}, {"name": "mill", "api_keys": ["key-2"]}]`,
+		"the list of customers is empty":  `[]`,
+		"all customers are without a key": `[{"name": "bakery"}, {"name": "mill"}]`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newNodeDriver(t, 2)
+			const withKey = `[{"name": "bakery", "api_keys": ["key-1"]}]`
+			text := strings.Replace(routesConfig, withKey, customers, 1)
+			d.handle(core.ConfigOffered{Envelope: config.Envelope{Generation: 2, Edit: "second", Text: text}})
+			for _, key := range []string{"", "key-1", "never-held"} {
+				out := d.sendRequest("/record/x", key)
+				require.Equal(t, reason.UnknownKey, onlyEffect[core.Finish](t, out).Reason, "key %q", key)
+			}
+		})
+	}
+}
+
 // nodeDriver drives one node step by step.
 type nodeDriver struct {
 	t       *testing.T
