Soak: a backend server's 421 names the request, as on the platform

No caller saw this: the soak's stand-in sent its 421 without the ID of the request, which the platform's servers echo in every response, so that a 421 that belongs to the attempt looked like one of unknown origin. The ID is now set before the name is compared. The full run of the soak's tests was not made on this commit alone.

--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -155,6 +155,7 @@
 		return
 	}
 	attempt := fakeplatform.ReadAttempt(r)
+	fakeplatform.SetRequestID(w, attempt.ID)
 	if attempt.Expected != b.name {
 		fakeplatform.WriteMisdirected(w, b.name)
 		return
@@ -162,7 +163,6 @@
 	b.asked.Add(1)
 	b.checkArrival(attempt)
 	b.countCold(attempt.ID)
-	fakeplatform.SetRequestID(w, attempt.ID)
 	fakeplatform.SetLoad(w, int(b.inFlight.Load()), backendSlots)
 	if limit, _ := b.world.rejectionLimit(); limit > 0 {
 		fakeplatform.SetRejectionLimit(w, limit)
