Soak: servers that send any of their responses a second time, late

The soak could not show what callers saw in the incident, requests that ran twice or were refused and ran: net/http sends no response twice. A wrapper of the connection now records each response, and the fault "copies" sends it again in front of a later one: once the next request has arrived, up to two others later, once or twice, early or right before the response. Meanwhile servers refuse a share of the requests, fail some and answer some in chunks; some copies are a 421 that names the request. `--faults copies` injects this alone.

Beside the checks there are, a request that fails although no server ran it and nothing but copies disturbed it is reported: the server's own answer is right behind, so a copy may cost nobody the answer.

--- a/cmd/ebonysoak/main.go
+++ b/cmd/ebonysoak/main.go
@@ -26,7 +26,7 @@
 	Backends  int           `default:"9" help:"Number of backend servers."`
 	Callers   int           `default:"24" help:"Number of concurrent callers."`
 	Duration  time.Duration `default:"12s" help:"How long faults are injected."`
-	Faults    string        `default:"all" enum:"all,pauses,endless,zones,restarts" help:"Faults: all, or only pauses of sound servers beside planned work (pauses), or only servers that send bytes without end (endless), or evacuated zones and cold servers beside faults of instances and the store (zones), or restarts of all instances at once beside releases (restarts)."`
+	Faults    string        `default:"all" enum:"all,pauses,endless,zones,restarts,copies" help:"Faults: all, or only pauses of sound servers beside planned work (pauses), or only servers that send bytes without end (endless), or evacuated zones and cold servers beside faults of instances and the store (zones), or restarts of all instances at once beside releases (restarts), or only servers that send responses a second time, late (copies)."`
 	Logs      string        `default:"out/soak" help:"Folder for the processes' logs."`
 	Binary    string        `help:"Path of the daemon; built from this tree if empty."`
 }
--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -68,6 +68,8 @@
 	// endless is set while the server sends bytes without end in place of answers, and asked counts its requests.
 	endless atomic.Pointer[endlessFault]
 	asked   atomic.Int64
+	// copies is set while the server sends responses a second time, late.
+	copies atomic.Pointer[copyFault]
 	// leavingAt is when the store recorded that the server is leaving, in nanoseconds since the
 	// start of the soak. It is 0 before that and -1 after a crash.
 	leavingAt atomic.Int64
@@ -106,8 +108,8 @@
 		world: w, name: name, zone: zone, version: version, relay: r, startedAt: time.Now(),
 		random: rand.New(rand.NewPCG(w.options.Seed, uint64(len(name)))), running: make(map[string][]string),
 	}
-	b.server = &http.Server{Handler: b, IdleTimeout: 3 * time.Second}
-	go func() { _ = b.server.Serve(&silentListener{Listener: l, silence: &b.silence}) }()
+	b.server = &http.Server{Handler: b, IdleTimeout: 3 * time.Second, ConnContext: withConn}
+	go func() { _ = b.server.Serve(&copyListener{&silentListener{Listener: l, silence: &b.silence}}) }()
 	return b, nil
 }
 
@@ -150,6 +152,7 @@
 
 // ServeHTTP responds to a request as the platform's backend servers do.
 func (b *backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	b.beginResponse(r)
 	if r.URL.Path == fakeplatform.ReportPath {
 		fakeplatform.WriteReport(w, b.startedAt)
 		return
@@ -167,7 +170,7 @@
 	if limit, _ := b.world.rejectionLimit(); limit > 0 {
 		fakeplatform.SetRejectionLimit(w, limit)
 	}
-	if int(b.inFlight.Add(1)) > b.room() {
+	if int(b.inFlight.Add(1)) > b.room() || b.refusesByChance() {
 		b.inFlight.Add(-1)
 		fakeplatform.WriteNotStarted(w)
 		b.recordRejection()
@@ -236,12 +239,11 @@
 }
 
 func (b *backend) respond(w http.ResponseWriter, r *http.Request, attempt fakeplatform.Attempt, kind string) {
+	if b.failsByChance() {
+		http.Error(w, "failed", http.StatusInternalServerError)
+		return
+	}
 	switch backendFault(b.fault.Load()) {
-	case failing:
-		if b.chance(0.5) {
-			http.Error(w, "failed", http.StatusInternalServerError)
-			return
-		}
 	case swapping:
 		if b.chance(0.2) {
 			fakeplatform.SetRequestID(w, "another-request")
@@ -259,6 +261,7 @@
 		b.stream(w, r, attempt)
 		return
 	}
+	b.chunkByChance(w)
 	b.holdAt(afterHead, w)
 	time.Sleep(10 * time.Millisecond)
 	body := expectedBody(attempt.ID)
--- a/internal/soak/coldservers.go
+++ b/internal/soak/coldservers.go
@@ -37,7 +37,7 @@
 // warmUp returns the warm-up that the operators' configuration announces for the backend servers.
 func (w *World) warmUp() fakeplatform.WarmUp {
 	switch w.options.Faults {
-	case FaultsPauses, FaultsEndless, FaultsRestarts:
+	case FaultsPauses, FaultsEndless, FaultsRestarts, FaultsCopies:
 		return fakeplatform.WarmUp{}
 	case FaultsZones:
 		return fakeplatform.WarmUp{Duration: coldDuration, PerSecond: coldPerSecond}
--- a/internal/soak/wirecallers.go
+++ b/internal/soak/wirecallers.go
@@ -17,7 +17,7 @@
 
 const (
 	// callersPerWireCaller is the number of ordinary callers for each one that writes its requests to the wire itself, and
-	// callersPerWireCallerOfPauses the same beside pauses only, where no other fault needs the servers' slots.
+	// callersPerWireCallerOfPauses the same beside pauses or late copies only, where no other fault needs the servers' slots.
 	callersPerWireCaller, callersPerWireCallerOfPauses = 4, 2
 	// maxPieces bounds the pieces in which a request is sent, and maxPieceGap the time between two of them.
 	maxPieces, maxPieceGap = 5, 120 * time.Millisecond
@@ -53,7 +53,7 @@
 
 // wireCallers returns the number of these callers.
 func (w *World) wireCallers() int {
-	if w.options.Faults == FaultsPauses {
+	if w.options.Faults == FaultsPauses || w.options.Faults == FaultsCopies {
 		return max(1, w.options.Callers/callersPerWireCallerOfPauses)
 	}
 	return max(1, w.options.Callers/callersPerWireCaller)
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -45,6 +45,8 @@
 	FaultsZones Faults = "zones"
 	// FaultsRestarts selects restarts of all instances at once beside releases, and nothing else.
 	FaultsRestarts Faults = "restarts"
+	// FaultsCopies selects backend servers that send responses a second time, late, and refuse some requests, and nothing else.
+	FaultsCopies Faults = "copies"
 )
 
 // Options sets the size and duration of a soak.
@@ -224,6 +226,8 @@
 		w.injectZones(faultCtx)
 	case FaultsRestarts:
 		w.injectRestarts(faultCtx)
+	case FaultsCopies:
+		w.injectCopies(faultCtx)
 	default:
 		callers.Go(func() { w.sendPoisonRequests(callCtx) })
 		callers.Go(func() { w.injectEndless(faultCtx) })
@@ -244,6 +248,7 @@
 	w.checkEvacuated()
 	w.checkColdBound()
 	w.checkRefusedBesideRoom()
+	w.checkCopies()
 }
 
 // start starts the store, the backend servers and the instances.
@@ -300,6 +305,9 @@
 		}
 	}
 	i.settings = filepath.Join(logs, i.name+".json")
+	if i.world.options.Faults == FaultsCopies {
+		return i.writeSettings(copiesRetryBurst)
+	}
 	return i.writeSettings(retryBurst)
 }
 
