Soak: late copies among all faults, and a short seeded run of them, failing on this code

A late copy of a server's report on itself costs a caller the answer that follows right behind: it names no request, is not passed over, and the request ends with 502, one that may run once and had run included. TestLateCopiesOfResponses shows it with seed 1 (about 18 s, most of it the soak's checks of recovery).

One more fault in the list changes what the seeds with all faults draw.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -40,7 +40,7 @@
 		w.storeFault, w.storeFault, w.impairStoreLink, w.compactStore, w.reconfigure, w.reconfigure,
 		w.crashBackend, w.drainBackend, w.drainBackend, w.injectBackendFault, w.injectBackendFault, w.impairBackendLink, w.limitRejections,
 		w.release, w.release, w.restartUnderName, w.crowd, w.pauseBesideWork,
-		w.evacuateZones, w.restartZoneCold, w.restartOneCold,
+		w.evacuateZones, w.restartZoneCold, w.restartOneCold, w.sendCopies,
 	}
 	random := rand.New(rand.NewPCG(w.options.Seed, 0))
 	var pending sync.WaitGroup
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -34,6 +34,11 @@
 	1,
 }
 
+// copySeeds lists the seeds of every run with late copies only, likewise.
+var copySeeds = []uint64{
+	1, // a copy of a server's report on itself, in front of the answer to the request for which it was asked
+}
+
 // Guards against wrong, truncated or late responses, requests that run twice or after a
 // refusal, and instances that do not recover. Processes of a real fleet are killed, stopped,
 // paused and cut off from the store and the backend servers while the configuration changes.
@@ -111,6 +116,23 @@
 	}
 }
 
+// Guards against requests that run twice, or run and are answered as not run, or are not answered although the answer follows, because
+// a backend server sends any of its responses a second time, late.
+func TestLateCopiesOfResponses(t *testing.T) {
+	binary := buildDaemon(t)
+	for _, seed := range copySeeds {
+		result, err := soak.Run(t.Context(), soak.Options{
+			Binary: binary, Seed: seed, Instances: 4, Backends: 12, Callers: 32, Duration: 2 * time.Second,
+			Faults: soak.FaultsCopies, Logs: t.TempDir(),
+		})
+		require.NoError(t, err)
+		require.Empty(t, result.Violations, "seed %d", seed)
+		require.Positive(t, result.Counts["late copies 200 OK with a length"])
+		require.Positive(t, result.Counts["late copies 503 Service Unavailable with a length"])
+		t.Logf("seed %d: %v", seed, result.Counts)
+	}
+}
+
 func buildDaemon(t *testing.T) string {
 	t.Helper()
 	binary := filepath.Join(t.TempDir(), "ebonydyked")
