Streams: young knowledge of the store does not tell the only version

Callers saw streams that had begun at replicas of a new version, broke during a release, were continued at an instance that was out of step for some seconds, and went on there at the old version.

An instance without a record of a stream went on at the only version that it knew if its knowledge of the store was younger than the operators' bound, because nobody begins a stream at a version known for less. Two cases break that rule. Where all servers of the old version leave as those of the new one join, no server of another version is usable, and streams begin at the new one at once. Where two versions join together, an instance that starts just then takes the first of them for one that all know. An instance that is cut off, or hears the others late, then guesses wrong for up to the bound.

Now the instance must know the store as of the arrival of the request or later, or all keepers of the stream's record must answer that they have none. It asks them meanwhile and waits for at most the bound, and the caller is refused as before if neither comes. An instance that knows of no other goes by its young knowledge as before. So a stream of a service of one version that has no record waits for the keepers' answers.

--- a/internal/core/fleettest/fleet.go
+++ b/internal/core/fleettest/fleet.go
@@ -75,6 +75,9 @@
 	Incarnation uint64
 	Dead        bool
 	FrozenUntil time.Time
+	// HearsFrom is the time until which nothing that peers and the store send arrives. It then arrives in order, heldSpacing apart.
+	HearsFrom time.Time
+	held      int
 	// EarlierBuild is set for an instance that knows nothing of versions.
 	EarlierBuild bool
 	Peers        map[string]bool
@@ -261,11 +264,33 @@
 		})
 		return
 	}
+	if wait := m.HearsFrom.Sub(f.Now); wait > 0 && fromPeerOrStore(event) {
+		m.held++
+		f.Schedule(wait+time.Duration(m.held)*heldSpacing, func() {
+			if m.Incarnation == incarnation {
+				f.Deliver(m, event)
+			}
+		})
+		return
+	}
 	if !m.Dead {
 		f.handle(m, event)
 	}
 }
 
+// heldSpacing is the time between two events that arrive late.
+const heldSpacing = 50 * time.Microsecond
+
+// fromPeerOrStore reports whether an event is caused by what a peer or the store has sent.
+func fromPeerOrStore(event core.Event) bool {
+	switch event.(type) {
+	case core.Ticked, core.RequestArrived, core.CallerGone, core.AnswerStarted, core.AttemptEnded:
+		return false
+	default:
+		return true
+	}
+}
+
 // handle passes an event to a node at once and carries out the resulting effects.
 func (f *Fleet) handle(m *FakeInstance, event core.Event) {
 	if e, ok := event.(core.RequestArrived); ok {
--- a/internal/core/fleettest/streams/fleet_test.go
+++ b/internal/core/fleettest/streams/fleet_test.go
@@ -42,6 +42,11 @@
 	storeFaultEnds time.Time
 	// cutOff are the instances that reach neither each other nor the store.
 	cutOff map[*fleettest.FakeInstance]bool
+	// cutStore and cutPeers are the instances that do not reach the store, or the other instances. deaf ones get no messages of
+	// others over their links, and mute ones send none.
+	cutStore, cutPeers, deaf, mute map[*fleettest.FakeInstance]bool
+	// steer returns the instance that a caller asks, nil for any, if it is set.
+	steer func(s *callerStream) *fleettest.FakeInstance
 	// path is the path of the callers' requests.
 	path string
 	// resetShare is the share of streams whose caller loses its connection once.
@@ -107,6 +112,8 @@
 		Fleet: fleettest.NewFleet(seed, size.Instances, size.Zones, fleettest.StreamConfig(0)), zones: size.Zones,
 		engines: make(map[string]*versionedEngine), streams: make(map[core.RequestID]*callerStream),
 		faultEnds: make(map[*fleettest.FakeInstance]time.Time), cutOff: make(map[*fleettest.FakeInstance]bool),
+		cutStore: make(map[*fleettest.FakeInstance]bool), cutPeers: make(map[*fleettest.FakeInstance]bool),
+		deaf: make(map[*fleettest.FakeInstance]bool), mute: make(map[*fleettest.FakeInstance]bool),
 		refusals: make(map[reason.Reason]int), path: "/question/x",
 	}
 	f.NoPolls = true
@@ -114,8 +121,10 @@
 	f.OnFinish = f.finished
 	f.OnCancel = f.cancelled
 	f.OnSend = f.throughEarlierBuilds
-	f.LinkCut = func(a, b *fleettest.FakeInstance) bool { return f.cutOff[a] || f.cutOff[b] }
-	f.PlatformCut = func(m *fleettest.FakeInstance) bool { return f.cutOff[m] }
+	f.LinkCut = func(a, b *fleettest.FakeInstance) bool {
+		return f.cutOff[a] || f.cutOff[b] || f.cutPeers[a] || f.cutPeers[b]
+	}
+	f.PlatformCut = func(m *fleettest.FakeInstance) bool { return f.cutOff[m] || f.cutStore[m] }
 	f.PutConfig(1, "first", fleettest.StreamConfig(0))
 	for i := range streamEngines {
 		f.startEngine("engines", versions[i/size.Zones%len(versions)])
@@ -126,6 +135,9 @@
 
 // throughEarlierBuilds removes from a message what an instance of an earlier build does not send or read.
 func (f *streamFleet) throughEarlierBuilds(from, to *fleettest.FakeInstance, m core.PeerMessage) (core.PeerMessage, bool) {
+	if f.mute[from] || f.deaf[to] {
+		return m, false
+	}
 	if m.StreamOffer != nil {
 		f.Calls["stream-bytes"] += m.WireEstimate()
 		f.Calls["stream-records"] += len(m.StreamOffer.Records)
@@ -392,6 +404,11 @@
 // chooseInstance returns an instance for a request, or nil if no instance answers. The balancer knows
 // which ones are down, but not which ones are frozen.
 func (f *streamFleet) chooseInstance(s *callerStream) *fleettest.FakeInstance {
+	if f.steer != nil {
+		if m := f.steer(s); m != nil && !m.Dead {
+			return m
+		}
+	}
 	var own, any []*fleettest.FakeInstance
 	for _, m := range f.Instances {
 		if m.Dead || m == s.instance {
--- a/internal/core/streamlookups.go
+++ b/internal/core/streamlookups.go
@@ -152,6 +152,10 @@
 		return false
 	}
 	until := n.now.Add(streams.LookupTimeout)
+	if _, only := n.streams.versions.Only(t.service.Name); only {
+		// Fresher knowledge of the store may arrive first.
+		until = n.now.Add(n.settings.ChangeBound)
+	}
 	if half := n.now.Add(deadlineOf(&e, t, at).Sub(n.now) / 2); half.Before(until) {
 		until = half
 	}
@@ -199,7 +203,8 @@
 		n.endLookup(l, "found")
 		return
 	}
-	if l.AllAnswered() && !n.streams.stored.reading {
+	_, only := n.streams.versions.Only(l.Service)
+	if l.AllAnswered() && !n.streams.stored.reading && (l.Vouched || !only) {
 		n.endLookup(l, "not-found")
 	}
 }
@@ -211,17 +216,31 @@
 			n.endLookup(l, "timed-out")
 			continue
 		}
+		if n.lookupIsFresh(l) {
+			n.endLookup(l, "fresh")
+			continue
+		}
 		n.sendQuestion(l)
 	}
 }
 
+// lookupIsFresh reports whether this instance has learnt by now that only one version has served before each of the waiting
+// requests arrived.
+func (n *Node) lookupIsFresh(l *streams.Lookup[lookupWaiter]) bool {
+	_, only := n.streams.versions.Only(l.Service)
+	if !only || n.streams.stored.reading || len(l.Waiting) == 0 {
+		return false
+	}
+	return n.knowsVersions(l.Service, l.Waiting[len(l.Waiting)-1].since, streamView{vouched: l.Vouched})
+}
+
 // endLookup continues the requests that wait for a lookup, or refuses them. That no instance knows of another version says nothing
 // unless one of them knows all: they may have started together.
 func (n *Node) endLookup(l *streams.Lookup[lookupWaiter], result string) {
 	n.streams.lookups.End(l.Key)
 	n.emit(Counted{Counter: counterStreamLookups, Label: result, N: 1})
 	for _, w := range l.Waiting {
-		n.startContinuation(w.arrived, w.since, streamView{asked: true, vouched: l.Vouched})
+		n.startContinuation(w.arrived, w.since, streamView{asked: true, vouched: l.Vouched, all: l.AllAnswered()})
 	}
 }
 
--- a/internal/core/streamorigins.go
+++ b/internal/core/streamorigins.go
@@ -140,8 +140,8 @@
 type streamView struct {
 	// asked is set once they have been asked.
 	asked bool
-	// vouched is set if they have confirmed which versions have served lately.
-	vouched bool
+	// vouched is set if one of them has confirmed which versions have served lately, and all if all have answered.
+	vouched, all bool
 }
 
 // continued is what a request that continues a stream goes by.
@@ -157,7 +157,7 @@
 	if record, ok := n.streams.registry.Get(n.now, key); ok {
 		c.Record = &record
 	} else {
-		c.Only = n.onlySoftware(t, view)
+		c.Only = n.onlySoftware(t, at, view)
 	}
 	switch decision, software := c.Decide(); decision {
 	case streams.GoOn:
@@ -180,12 +180,9 @@
 	return slices.ContainsFunc(t.route.Split, func(s config.Share) bool { return s.Service == service && s.Weight > 0 })
 }
 
-// onlySoftware returns the software at which each stream of the route must have begun, nil if there may be several.
-//
-// Nobody begins a stream at a version that has been in the store for less than ChangeBound (see
-// newVersions). So an instance whose knowledge of the store is younger than that, or confirmed by one whose is,
-// knows all versions at which streams have begun.
-func (n *Node) onlySoftware(t target, view streamView) *streams.Software {
+// onlySoftware returns the software at which each stream of the route must have begun that a request continues which arrived
+// at a time, nil if there may be several.
+func (n *Node) onlySoftware(t target, arrived time.Time, view streamView) *streams.Software {
 	if n.ambiguousRoute(routeID(t.route)) {
 		return nil
 	}
@@ -193,23 +190,43 @@
 		return &streams.Software{Service: t.service.Name}
 	}
 	version, only := n.streams.versions.Only(t.service.Name)
-	if !only || !view.vouched && !n.vouchesForVersions(t.service.Name) {
+	if !only || !n.knowsVersions(t.service.Name, arrived, view) {
 		return nil
 	}
 	return &streams.Software{Service: t.service.Name, Version: version}
 }
 
+// knowsVersions reports whether this instance knows all versions at which streams may have begun before a time.
+//
+// A stream begins at once at a version that has just joined if no server of another one is usable. So beside other instances it
+// is not enough that the knowledge of the store is young: it must be of that time or later, or all who may have the record of the
+// stream must have none.
+func (n *Node) knowsVersions(service string, before time.Time, view streamView) bool {
+	switch {
+	case view.vouched && view.all:
+		return true
+	case len(n.liveInstances()) <= 1 && n.vouchesForVersions(service):
+		return true
+	}
+	return !n.entriesKnownAsOf().Before(before) && (view.vouched || n.knowsFormerVersions(service))
+}
+
+// entriesKnownAsOf returns the time as of which this instance knows all entries, zero if it does not.
+func (n *Node) entriesKnownAsOf() time.Time { return later(n.knownAsOf(), n.follow.EntriesAsOf()) }
+
+// knowsFormerVersions reports whether this instance knows the versions of a service that have served lately and left.
+func (n *Node) knowsFormerVersions(service string) bool {
+	return n.streams.history.Covers(service) || n.now.Sub(n.startedAt) >= settledAfter
+}
+
 // vouchesForVersions reports whether this instance knows all versions of a service that served lately.
 func (n *Node) vouchesForVersions(service string) bool {
-	at := n.knownAsOf()
-	if own := n.follow.EntriesAsOf(); own.After(at) {
-		at = own
-	}
+	at := n.entriesKnownAsOf()
 	// Until it is outdated, an instance that has just started may know only what a peer knew long ago.
 	if n.outdatedStore() || at.IsZero() || n.now.Sub(at) > n.settings.ChangeBound {
 		return false
 	}
-	return n.streams.history.Covers(service) || n.now.Sub(n.startedAt) >= settledAfter
+	return n.knowsFormerVersions(service)
 }
 
 // tickStreams shares records that have become necessary, ends lookups, and updates the history.
