Proxy: a response without an ID is passed over only where all responses have one

Found by the merged tests, seen by no caller: with a dialect that asks servers which process they are, but whose responses name no request, the answer behind a process check was taken for a late report and passed over, and the request waited for its deadline. The dialect says whether all responses name their requests.

--- a/internal/proxy/attemptresponse.go
+++ b/internal/proxy/attemptresponse.go
@@ -85,6 +85,7 @@
 		maxBody:          s.options.MaxResponse,
 		id:               s.options.Dialect.AttemptID(x.request, &e),
 		responseID:       s.options.Dialect.ResponseID,
+		namesAll:         s.options.Dialect.NamesAllResponses(),
 		countResponse:    s.options.Metrics.ResponseIdentified,
 	}
 	a.call.watch = newSilenceWatch(a)
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -49,6 +49,8 @@
 	// id is the ID that a response to the call names, and responseID reads that of a response.
 	id         string
 	responseID func(*fasthttp.ResponseHeader) string
+	// namesAll is set if the server names the request in each response to one.
+	namesAll bool
 	// origin tells where the response comes from, and countResponse counts responses.
 	origin        responseOrigin
 	countResponse func(Identity)
--- a/internal/proxy/dialect.go
+++ b/internal/proxy/dialect.go
@@ -23,6 +23,8 @@
 	// names, "" if it names none.
 	AttemptID(r *Request, e *core.SendAttempt) string
 	ResponseID(h *fasthttp.ResponseHeader) string
+	// NamesAllResponses reports whether backend servers name the request in each response to one.
+	NamesAllResponses() bool
 	// ReadHead interprets the header of a backend server's response.
 	ReadHead(h *fasthttp.ResponseHeader, r *Request, e *core.SendAttempt, now time.Time) Head
 	// WriteHead writes the response header for the caller from that of a backend server.
--- a/internal/proxy/lateresponses.go
+++ b/internal/proxy/lateresponses.go
@@ -37,10 +37,11 @@
 	}
 }
 
-// isLateCopy reports whether the response was sent before, to another request. One that names none is if the connection has
-// carried a process check and responses to requests name them, which holds wherever there are process checks.
+// isLateCopy reports whether the response was sent before, to another request. One that names none is a report on the server if
+// responses to requests name them and the connection has carried a process check.
 func (c *call) isLateCopy() bool {
-	return c.origin.identity == NamesOther || c.origin.identity == NamesNone && c.conn.carried.processCheck
+	isReport := c.origin.identity == NamesNone && c.namesAll && c.conn.carried.processCheck
+	return c.origin.identity == NamesOther || isReport
 }
 
 // passOver reads the body of a response to another request, and reports whether the next response follows it.
--- a/internal/proxy/native.go
+++ b/internal/proxy/native.go
@@ -147,6 +147,9 @@
 // ResponseID returns the ID that a backend server has echoed.
 func (Native) ResponseID(h *fasthttp.ResponseHeader) string { return string(h.Peek(HeaderAnswers)) }
 
+// NamesAllResponses returns false: to name the request is optional.
+func (Native) NamesAllResponses() bool { return false }
+
 // ReadHead accepts every response except one which states that the backend server did
 // not start the request: backend servers of this interface mark no other kind.
 func (Native) ReadHead(h *fasthttp.ResponseHeader, r *Request, e *core.SendAttempt, now time.Time) Head {
