--- a/internal/proxy/identity.go
+++ b/internal/proxy/identity.go
@@ -46,6 +46,7 @@
 // headBit marks the key of a HEAD request.
 const headBit = 1
 
+// carriedKey returns the key of a request of another method than HEAD.
 func carriedKey(id string) uint64 { return maphash.String(carriedSeed, id) &^ headBit }
 
 // add records that the connection carries a request.
@@ -67,8 +68,10 @@
 // has reports whether the connection may have carried a request with the ID.
 func (c *carriedRequests) has(id string) bool { return c.find(id) >= 0 }
 
+// find returns the index of the key of the request with the ID, -1 if there is none.
 func (c *carriedRequests) find(id string) int {
-	return slices.IndexFunc(c.keys, func(key uint64) bool { return key&^headBit == carriedKey(id) })
+	wanted := carriedKey(id)
+	return slices.IndexFunc(c.keys, func(key uint64) bool { return key&^headBit == wanted })
 }
 
 // wasHead reports whether the request with the ID was a HEAD request. It is not certain if the connection has not carried the
