--- a/internal/proxy/latecopies_test.go
+++ b/internal/proxy/latecopies_test.go
@@ -102,6 +102,16 @@
 	clear(s.runs)
 }
 
+// behind returns a function for lateCopyServer.late: a text follows late behind the response to the request with an ID.
+func behind(id, text string) func(string) string {
+	return func(answered string) string {
+		if answered == id {
+			return text
+		}
+		return ""
+	}
+}
+
 func refusalOf(id string) string {
 	return "HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: " + id + "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
 }
@@ -156,12 +166,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			server := startLateCopyServer(t)
-			server.late = func(id string) string {
-				if id == "first" {
-					return late
-				}
-				return ""
-			}
+			server.late = behind("first", late)
 			send := serveOnce(t, server)
 			got := server.sendBehindLate(t, func() reply { return send("first") }, func() reply { return send("second") })
 			runs, _ := server.state("second")
@@ -185,12 +190,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			server := startLateCopyServer(t)
-			server.late = func(id string) string {
-				if id == "first" {
-					return late
-				}
-				return ""
-			}
+			server.late = behind("first", late)
 			send := serveOnce(t, server)
 			got := server.sendBehindLate(t, func() reply { return send("first") }, func() reply { return send("second") })
 			runs, _ := server.state("second")
@@ -207,12 +207,7 @@
 	t.Parallel()
 	server := startLateCopyServer(t)
 	server.refuses = func(id string, nth int) bool { return id == "refused" && nth == 1 }
-	server.late = func(id string) string {
-		if id == "refused" {
-			return refusalOf(id)
-		}
-		return ""
-	}
+	server.late = behind("refused", refusalOf("refused"))
 	send := serveOnce(t, server)
 	require.Equal(t, http.StatusOK, send("first").status)
 	got := send("refused")
@@ -227,12 +222,7 @@
 func TestLateCopyIsNotTakenForRequestWithSameID(t *testing.T) {
 	t.Parallel()
 	server := startLateCopyServer(t)
-	server.late = func(id string) string {
-		if id == "same" {
-			return refusalOf(id)
-		}
-		return ""
-	}
+	server.late = behind("same", refusalOf("same"))
 	send := serveOnce(t, server)
 	for n := range 3 {
 		got := send("same")
@@ -263,13 +253,8 @@
 func TestBodyOfLateResponseIsNoResponseToHead(t *testing.T) {
 	t.Parallel()
 	server := startLateCopyServer(t)
-	server.late = func(id string) string {
-		if id != "first" {
-			return ""
-		}
-		body := refusalOf("head")
-		return fmt.Sprintf("HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Seal: s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
-	}
+	body := refusalOf("head")
+	server.late = behind("first", fmt.Sprintf("HTTP/1.1 200 OK\r\nAttempt-Id: first\r\nServer-Seal: s\r\nContent-Length: %d\r\n\r\n%s", len(body), body))
 	path := routePath("once", "once")
 	i := startInstance(t, endlessConfig(path, []string{server.address}), path.options)
 	sendWith := func(method, id string) reply {
@@ -312,12 +297,7 @@
 func TestTrailersOfLateResponseAreNoResponse(t *testing.T) {
 	t.Parallel()
 	server := startLateCopyServer(t)
-	server.late = func(id string) string {
-		if id != "first" {
-			return ""
-		}
-		return strings.TrimSuffix(chunkedAnswerOf(id), "\r\n") + refusalOf("second")
-	}
+	server.late = behind("first", strings.TrimSuffix(chunkedAnswerOf("first"), "\r\n")+refusalOf("second"))
 	send := serveOnce(t, server)
 	got := server.sendBehindLate(t, func() reply { return send("first") }, func() reply { return send("second") })
 	runs, _ := server.state("second")
--- a/internal/proxy/lateresponses.go
+++ b/internal/proxy/lateresponses.go
@@ -13,7 +13,8 @@
 // connection is due. That one follows.
 
 const (
-	// maxPassedOver limits the responses to other requests that are passed over while one is awaited.
+	// maxPassedOver limits the responses to other requests that are passed over while one is awaited: a server may send copies
+	// without end.
 	maxPassedOver = 16
 	// passOverTimeout limits the time to read the rest of one, for which the own response waits.
 	passOverTimeout = time.Second
--- a/internal/proxy/passedover_test.go
+++ b/internal/proxy/passedover_test.go
@@ -89,12 +89,7 @@
 		t.Run(status, func(t *testing.T) {
 			t.Parallel()
 			server := startLateCopyServer(t)
-			server.late = func(id string) string {
-				if id == "first" {
-					return "HTTP/1.1 " + status + "\r\nAttempt-Id: other\r\nServer-Seal: s\r\n\r\n"
-				}
-				return ""
-			}
+			server.late = behind("first", "HTTP/1.1 "+status+"\r\nAttempt-Id: other\r\nServer-Seal: s\r\n\r\n")
 			send := serveOnce(t, server)
 			require.Equal(t, http.StatusOK, send("first").status)
 			require.Equal(t, "answer to second", send("second").body)
