--- a/internal/proxy/latecopies_test.go
+++ b/internal/proxy/latecopies_test.go
@@ -130,15 +130,25 @@
 		chunk("answer to "+id) + lastChunk
 }
 
-// serveOnce starts an instance before one server, with a route for requests that may run once.
+// serveOnce starts an instance before one server, with a route for requests that may run once, and returns a function that sends one.
 func serveOnce(t *testing.T, server *lateCopyServer) (send func(id string) reply) {
+	sendWith := serveOnceAt(t, server.address)
+	return func(id string) reply { return sendWith(http.MethodPost, id) }
+}
+
+// serveOnceAt is serveOnce for the server at an address and requests of any method.
+func serveOnceAt(t *testing.T, address string) (send func(method, id string) reply) {
 	path := routePath("once", "once")
-	i := startInstance(t, endlessConfig(path, []string{server.address}), path.options)
-	return func(id string) reply {
+	i := startInstance(t, endlessConfig(path, []string{address}), path.options)
+	return func(method, id string) reply {
 		req, err := fakeplatform.NewRequest(t.Context(), fakeplatform.Call{
 			Address: i.address, Host: routeHost, Path: "/once/x", ID: id, Key: endlessKey, Timeout: endlessDeadline,
 		})
 		require.NoError(t, err)
+		req.Method = method
+		if method == http.MethodHead {
+			req.Body, req.ContentLength = nil, 0
+		}
 		got, err := call(req)
 		require.NoError(t, err)
 		return got
@@ -255,18 +265,7 @@
 	server := startLateCopyServer(t)
 	body := refusalOf("head")
 	server.late = behind("first", fmt.Sprintf("HTTP/1.1 200 OK\r\nAttempt-Id: first\r\nServer-Seal: s\r\nContent-Length: %d\r\n\r\n%s", len(body), body))
-	path := routePath("once", "once")
-	i := startInstance(t, endlessConfig(path, []string{server.address}), path.options)
-	sendWith := func(method, id string) reply {
-		req, err := fakeplatform.NewRequest(t.Context(), fakeplatform.Call{
-			Address: i.address, Host: routeHost, Path: "/once/x", ID: id, Key: endlessKey, Timeout: endlessDeadline,
-		})
-		require.NoError(t, err)
-		req.Method = method
-		got, err := call(req)
-		require.NoError(t, err)
-		return got
-	}
+	sendWith := serveOnceAt(t, server.address)
 	got := server.sendBehindLate(t, func() reply { return sendWith(http.MethodPost, "first") }, func() reply { return sendWith(http.MethodHead, "head") })
 	runs, _ := server.state("head")
 	require.Equal(t, 1, runs, "runs")
--- a/internal/proxy/passedover_test.go
+++ b/internal/proxy/passedover_test.go
@@ -1,6 +1,7 @@
 package proxy_test
 
 import (
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -55,19 +56,7 @@
 				_, err := conn.Write([]byte(text))
 				return err == nil
 			})
-			path := routePath("once", "once")
-			i := startInstance(t, endlessConfig(path, []string{b.address}), path.options)
-			ask := func(method, id string) reply {
-				req, err := fakeplatform.NewRequest(t.Context(), fakeplatform.Call{
-					Address: i.address, Host: routeHost, Path: "/once/x", ID: id, Key: endlessKey, Timeout: endlessDeadline,
-				})
-				require.NoError(t, err)
-				req.Method = method
-				if method == http.MethodHead {
-					req.Body, req.ContentLength = nil, 0
-				}
-				return send(t, req)
-			}
+			ask := serveOnceAt(t, b.address)
 			for tries := 0; tries < maxLateTries && sent.Load() == 0; tries++ {
 				require.Equal(t, http.StatusOK, ask(c.first, "first").status)
 				runs.Store(0)
@@ -82,6 +71,41 @@
 	}
 }
 
+// Guards against a request that runs and is answered as not run, because its own answer is taken for the body of a late response to
+// HEAD that names a request of another connection, and the body of that answer for a refusal.
+func TestLateResponseOfUnknownMethodIsNotPassedOver(t *testing.T) {
+	t.Parallel()
+	body := refusalOf("second")
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nAttempt-Id: second\r\nServer-Seal: s\r\nContent-Length: %d\r\n\r\n", len(body))
+	late := fmt.Sprintf("HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nServer-Seal: s\r\nContent-Length: %d\r\n\r\n", len(head))
+	var runs, sent atomic.Int64
+	var firstConn atomic.Value
+	b := startRawBackend(t, func(_ int, r *http.Request, conn net.Conn) bool {
+		text := headAnswerOf("first")
+		if r.Method == http.MethodHead {
+			firstConn.Store(conn)
+		} else {
+			text = head + body
+			runs.Add(1)
+		}
+		if r.Method == http.MethodPost && firstConn.Load() == conn {
+			text = late + text
+			sent.Add(1)
+		}
+		_, err := conn.Write([]byte(text))
+		return err == nil
+	})
+	send := serveOnceAt(t, b.address)
+	for tries := 0; tries < maxLateTries && sent.Load() == 0; tries++ {
+		require.Equal(t, http.StatusOK, send(http.MethodHead, "first").status)
+		runs.Store(0)
+		got := send(http.MethodPost, "second")
+		require.EqualValues(t, 1, runs.Load(), "runs")
+		require.False(t, promised(got.status), "status %d says that the request has not run", got.status)
+	}
+	require.EqualValues(t, 1, sent.Load(), "late responses")
+}
+
 // Guards against an answer that is lost because a late response without a body has no length that could be missing.
 func TestLateResponseWithoutContentIsPassedOver(t *testing.T) {
 	t.Parallel()
