--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -118,7 +118,7 @@
 	x.server.log.put("attempt ended", "request", x.id, "attempt", event.Attempt, "backend", a.attempt.Backend,
 		"version", a.attempt.Version, "outcome", event.Outcome, "status", a.status, "sinceArrivalMs", time.Since(x.startedAt).Milliseconds(),
 		"firstMs", a.firstByte.Milliseconds(), "lastEvent", a.sequence.last, "dialled", a.dialReason, "error", event.Detail, "endedBy", cause, "silentMs", ageMillis(a.silence),
-		"serverEnded", event.ServerEnded, "relay", a.relay, "responseNames", a.origin.identity, "connCarried", a.origin.carried, "passedOver", a.origin.passedOver, "endChecks", event.EndChecks, "framing", a.framing,
+		"serverEnded", event.ServerEnded, "relay", a.relay, "responseNames", a.origin.identity, "connCarried", a.origin.carried, "skipped", a.origin.skipped, "endChecks", event.EndChecks, "framing", a.framing,
 		"parts", x.loggedParts(&event))
 	x.server.post(event)
 }
--- a/internal/proxy/identity.go
+++ b/internal/proxy/identity.go
@@ -35,7 +35,7 @@
 // carriedRequests are the requests that a connection has carried, by the IDs that their responses name. The zero value is a
 // new connection.
 //
-// A backend server may send any of its responses on the connection a second time, at the point where a later one is expected.
+// They tell a stale response on the connection, one to an earlier request, from the response to the last one.
 type carriedRequests struct {
 	// keys hold a hash of each ID and, in the lowest bit, whether the request was a HEAD request.
 	keys []uint64
@@ -106,14 +106,14 @@
 	// that it had carried.
 	repeated bool
 	carried  int
-	// passedOver is the number of responses to other requests that came before the response.
-	passedOver int
+	// skipped is the number of responses to other requests that came before the response.
+	skipped int
 }
 
 // answersAttempt reports whether the response is certainly the answer to the attempt. One that names no request is if the
 // connection had carried nothing else, neither a request nor a response.
 func (o responseOrigin) answersAttempt() bool {
-	return o.identity == NamesThis || o.identity == NamesNone && o.carried == 0 && o.passedOver == 0
+	return o.identity == NamesThis || o.identity == NamesNone && o.carried == 0 && o.skipped == 0
 }
 
 // identityOf returns the identity of a response that names an ID, "" for none, to a request with the ID own. Repeated is set if
--- a/internal/proxy/latecopies_test.go
+++ b/internal/proxy/latecopies_test.go
@@ -273,8 +273,8 @@
 }
 
 // Guards against a request of the own interface that gets the response to another one as its answer, because that one cannot be
-// passed over.
-func TestLateResponseThatIsNotPassedOverIsNotDelivered(t *testing.T) {
+// skipped.
+func TestLateResponseThatIsNotSkippedIsNotDelivered(t *testing.T) {
 	t.Parallel()
 	b := startRawBackend(t, func(nth int, _ *http.Request, conn net.Conn) bool {
 		if nth == 1 {
--- a/internal/proxy/passedover_test.go
+++ b/internal/proxy/skippedresponses_test.go
@@ -21,9 +21,9 @@
 	return strings.TrimSuffix(answerOf(id), "answer to "+id)
 }
 
-// Guards against an answer that is lost because a late response to a request of another method is passed over with the own
+// Guards against an answer that is lost because a late response to a request of another method is skipped with the own
 // method's rule whether a body follows: no body follows the header that answers HEAD.
-func TestLateResponseToRequestOfAnotherMethodIsPassedOver(t *testing.T) {
+func TestLateResponseToRequestOfAnotherMethodIsSkipped(t *testing.T) {
 	t.Parallel()
 	for name, c := range map[string]struct {
 		first, second string
@@ -73,7 +73,7 @@
 
 // Guards against a request that runs and is answered as not run, because its own answer is taken for the body of a late response to
 // HEAD that names a request of another connection, and the body of that answer for a refusal.
-func TestLateResponseOfUnknownMethodIsNotPassedOver(t *testing.T) {
+func TestLateResponseOfUnknownMethodIsNotSkipped(t *testing.T) {
 	t.Parallel()
 	body := refusalOf("second")
 	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nAttempt-Id: second\r\nServer-Seal: s\r\nContent-Length: %d\r\n\r\n", len(body))
@@ -107,7 +107,7 @@
 }
 
 // Guards against an answer that is lost because a late response without a body has no length that could be missing.
-func TestLateResponseWithoutContentIsPassedOver(t *testing.T) {
+func TestLateResponseWithoutContentIsSkipped(t *testing.T) {
 	t.Parallel()
 	for _, status := range []string{"204 No Content", "304 Not Modified"} {
 		t.Run(status, func(t *testing.T) {
@@ -122,7 +122,7 @@
 }
 
 // Guards against an answer that is lost because a late copy of the server's report on itself comes before it.
-func TestLateReportIsPassedOver(t *testing.T) {
+func TestLateReportIsSkipped(t *testing.T) {
 	t.Parallel()
 	const startedAtMs = 1750000000000
 	recorder := httptest.NewRecorder()
--- a/internal/proxy/lateresponses.go
+++ b/internal/proxy/staleresponses.go
@@ -9,44 +9,43 @@
 	"github.com/valyala/fasthttp"
 )
 
-// A backend server may send a response a second time, late, at the point where the response to a later request on the
-// connection is due. That one follows.
+// A connection may bring a stale response: a duplicate of the response to an earlier request, ahead of the one to the last request.
 
 const (
-	// maxPassedOver limits the responses to other requests that are passed over while one is awaited: a server may send copies
+	// maxSkipped limits the responses to other requests that are skipped while one is awaited: a server may send copies
 	// without end.
-	maxPassedOver = 16
-	// passOverTimeout limits the time to read the rest of one, for which the own response waits.
-	passOverTimeout = time.Second
+	maxSkipped = 16
+	// skipTimeout limits the time to read the rest of one, for which the own response waits.
+	skipTimeout = time.Second
 )
 
-// readOwnHeader reads the response header. It passes over responses to other requests, as far as their ends are marked.
+// readOwnHeader reads the response header. It skips responses to other requests, as far as their ends are marked.
 func (c *call) readOwnHeader(resp *fasthttp.Response) error {
 	for {
 		if err := c.readHeader(resp); err != nil {
 			return err
 		}
-		if !c.isLateCopy() {
+		if !c.isStale() {
 			return nil
 		}
 		c.pool.distrust(c.host.Addr, c.now())
-		if c.origin.passedOver == maxPassedOver || !c.passOver(resp) {
+		if c.origin.skipped == maxSkipped || !c.skipResponse(resp) {
 			return nil
 		}
-		c.origin.passedOver++
+		c.origin.skipped++
 		c.watch.keepAlive()
 	}
 }
 
-// isLateCopy reports whether the response was sent before, to another request. One that names none is a report on the server if
+// isStale reports whether the response was sent before, to another request. One that names none is a report on the server if
 // responses to requests name them and the connection has carried a process check.
-func (c *call) isLateCopy() bool {
+func (c *call) isStale() bool {
 	isReport := c.origin.identity == NamesNone && c.namesAll && c.conn.carried.processCheck
 	return c.origin.identity == NamesOther || isReport
 }
 
-// passOver reads the body of a response to another request, and reports whether the next response follows it.
-func (c *call) passOver(resp *fasthttp.Response) bool {
+// skipResponse reads the body of a response to another request, and reports whether the next response follows it.
+func (c *call) skipResponse(resp *fasthttp.Response) bool {
 	if resp.ConnectionClose() {
 		return false
 	}
@@ -66,7 +65,7 @@
 
 // skipBody reads a body with a marked end, and reports whether it came to that in time.
 func (c *call) skipBody(length int) bool {
-	if err := c.conn.SetReadDeadline(earlier(time.Now().Add(passOverTimeout), c.deadline)); err != nil {
+	if err := c.conn.SetReadDeadline(earlier(time.Now().Add(skipTimeout), c.deadline)); err != nil {
 		return false
 	}
 	// One byte more than the limit is read if the body is longer.
