--- a/internal/peer/decode.go
+++ b/internal/peer/decode.go
@@ -293,6 +293,7 @@
 		if err != nil {
 			return err
 		}
+		// An instance of an earlier build passes on what this one does not use; those that read the store report the entry.
 		if member.Check() == nil {
 			out.Members = append(out.Members, member)
 		}
@@ -406,7 +407,7 @@
 			if err != nil {
 				return nil, err
 			}
-			// An instance of an earlier build passes on what this one does not use.
+			// As for members. The entry counts as one that cannot be read, which the core reports.
 			if backend.Check() == nil {
 				entry.Backend = &backend
 			} else {
