Configuration: an element that cannot be used costs only itself

What callers saw: an operators' configuration that the store had accepted was refused whole by every instance because of one element (a customer named with a blank or a letter beyond ASCII, a key listed twice, a service that is not listed, 1,200 services, a timeout of another type), with all later versions. Keys that they took away still ran, and after a restart of all instances 0 of 60 requests were served.

Change: config.Adopt takes the place of CheckText. It refuses nothing; an element that cannot be used is bounded, read in its strictest way or left out, and reported (log, status, ebonyctl, config_adjustments). A route without a service stays and refuses (route-unusable), so that no shorter prefix takes its requests; a customer that no header can name is refused, not anonymous.

--- a/cmd/ebonyctl/status.go
+++ b/cmd/ebonyctl/status.go
@@ -204,6 +204,7 @@
 			c.printf("%s refused a newer configuration:\n%v\n", r.Status.Instance, r.Status.Findings)
 		}
 	}
+	c.printAdjustments(s)
 	if s.StoreError != "" {
 		c.printf("store: not read from here: %s\n", s.StoreError)
 	} else {
@@ -217,6 +218,21 @@
 	}
 }
 
+// printAdjustments prints the elements that are not in force as they were written, as the first instance with the newest
+// configuration tells them: all instances read a configuration alike.
+func (c *cli) printAdjustments(s *fleetStatus) {
+	for _, r := range s.Instances {
+		if r.Status == nil || r.Status.Generation != s.Newest || len(r.Status.Adjusted) == 0 {
+			continue
+		}
+		c.printf("generation %d has elements that are not in force as written:\n", s.Newest)
+		for _, a := range r.Status.Adjusted {
+			c.printf("  %v\n", a)
+		}
+		return
+	}
+}
+
 func formatGeneration(g uint64) string {
 	if g == 0 {
 		return "none"
--- a/internal/core/config/check.go
+++ b/internal/core/config/check.go
@@ -50,8 +50,9 @@
 	modelPattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._:/@-]*$`)
 )
 
-// Check parses and validates the text of an envelope. The error is of type Findings and
-// holds every finding, in the order of the text.
+// Check parses and validates the text of an envelope in the fleet's own format. The error is of type Findings and
+// holds every finding, in the order of the text. It refuses a text with findings whole, because its writer checks it in the same
+// way before the store accepts it, and sees the findings.
 func Check(file string, env Envelope) (*Snapshot, error) {
 	if problem := storageProblem(env.Text); problem != "" {
 		return nil, Findings{{File: file, Line: 1, Column: 1, Message: problem}}
@@ -72,23 +73,6 @@
 	return newSnapshot(env, t), nil
 }
 
-// CheckText validates a configuration that was read from another format, such as the
-// platform's, and builds its snapshot. All findings have the position of the beginning of
-// the file, as they have no position in a text of the fleet's own format.
-func CheckText(file string, env Envelope, t Text) (*Snapshot, error) {
-	doc, err := jsonc.Parse(file, []byte("{}"))
-	if err != nil {
-		return nil, err
-	}
-	c := checker{doc: doc, text: &t, services: make(map[string]int), backends: make(map[string]string)}
-	fillDefaults(&t)
-	c.check()
-	if err := doc.Err(); err != nil {
-		return nil, err
-	}
-	return newSnapshot(env, t), nil
-}
-
 // Defaults returns the configuration of one service and one customer with all optional
 // fields at their defaults.
 func Defaults() Text {
@@ -145,8 +129,7 @@
 	c.checkPositive("limits.header_timeout", float64(c.text.Limits.HeaderTimeout))
 }
 
-// checkRegions finds invalid names of regions. It is for texts in the fleet's own format, whose writer sees the findings: in another
-// format, such a name must not prevent the rest of the configuration from being applied.
+// checkRegions finds invalid names of regions.
 func (c *checker) checkRegions(path string, regions []string) {
 	for i, name := range regions {
 		c.checkName(elementPath(path, i), name)
--- a/internal/core/config/snapshot.go
+++ b/internal/core/config/snapshot.go
@@ -36,10 +36,14 @@
 	customers map[string]*Customer
 	// customersByKey maps API keys to their customers.
 	customersByKey map[string]*Customer
+	// refusedKeys are the API keys of customers whose requests cannot be served.
+	refusedKeys map[string]bool
 	// listsCustomers is set if the text has a list of customers.
 	listsCustomers bool
 	// routes maps hosts to their routes by prefix.
-	routes        map[string]map[string]*Route
+	routes map[string]map[string]*Route
+	// openPrefixes holds the routes of each host whose prefixes end within a segment of the path, the longest first.
+	openPrefixes  map[string][]*Route
 	serviceNames  []string
 	urgencyLevels map[urgency]int
 	// regions are those that any route or customer names, sorted.
@@ -64,6 +68,9 @@
 // CustomerByKey returns the customer with the given API key, or nil.
 func (s *Snapshot) CustomerByKey(key string) *Customer { return s.customersByKey[key] }
 
+// RefusesKey reports whether an API key is that of a customer whose requests cannot be served, on any route.
+func (s *Snapshot) RefusesKey(key string) bool { return s.refusedKeys[key] }
+
 // FromPlatform reports whether any service takes its backend servers from the entries in
 // the platform's store.
 func (s *Snapshot) FromPlatform() bool { return s.fromPlatform }
@@ -75,6 +82,20 @@
 // Route returns the route of a host with the longest prefix that matches path, or nil. The
 // path must not include the query.
 func (s *Snapshot) Route(host, path string) *Route {
+	whole := s.segmentRoute(host, path)
+	for _, open := range s.openPrefixes[host] {
+		if whole != nil && len(whole.Prefix) > len(open.Prefix) {
+			break
+		}
+		if strings.HasPrefix(path, open.Prefix) {
+			return open
+		}
+	}
+	return whole
+}
+
+// segmentRoute returns the route of a host with the longest matching prefix that ends with a slash, or nil.
+func (s *Snapshot) segmentRoute(host, path string) *Route {
 	routes := s.routes[host]
 	for end := len(path); end > 0; {
 		slash := strings.LastIndexByte(path[:end], '/')
@@ -91,6 +112,11 @@
 
 // EachRoute calls f for every route, in no particular order.
 func (s *Snapshot) EachRoute(f func(*Route)) {
+	for _, routes := range s.openPrefixes {
+		for _, route := range routes {
+			f(route)
+		}
+	}
 	for _, routes := range s.routes {
 		for _, route := range routes {
 			f(route)
@@ -123,6 +149,7 @@
 		customersByKey:   make(map[string]*Customer),
 		listsCustomers:   t.Customers != nil,
 		routes:           make(map[string]map[string]*Route),
+		openPrefixes:     make(map[string][]*Route),
 		serviceOfBackend: make(map[string]string),
 		dependencies:     transitiveDependencies(t.Services),
 	}
@@ -141,6 +168,9 @@
 		s.addRoute(&t.Routes[i])
 		s.regions = append(s.regions, t.Routes[i].Regions...)
 	}
+	for _, routes := range s.openPrefixes {
+		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
 	s.urgencyLevels = urgencyLevels(t.Routes, t.Customers)
 	slices.Sort(s.regions)
 	s.regions = slices.Compact(s.regions)
@@ -148,6 +178,10 @@
 }
 
 func (s *Snapshot) addRoute(r *Route) {
+	if !strings.HasSuffix(r.Prefix, "/") {
+		s.openPrefixes[r.Host] = append(s.openPrefixes[r.Host], r)
+		return
+	}
 	if s.routes[r.Host] == nil {
 		s.routes[r.Host] = make(map[string]*Route)
 	}
--- a/internal/core/config/types.go
+++ b/internal/core/config/types.go
@@ -78,7 +78,7 @@
 	// Host is the host name in callers' requests.
 	Host string `json:"host"`
 	// Prefix begins and ends with a slash. The longest prefix that matches the path
-	// applies.
+	// applies. In an adopted configuration it may end without one.
 	Prefix string `json:"prefix"`
 	// Split divides the requests among services by weight.
 	Split []Share `json:"split"`
--- a/internal/core/configs.go
+++ b/internal/core/configs.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/ebonydyke/ebonydyke/internal/core/config"
@@ -42,6 +43,8 @@
 	// counterConfigWriteBacks counts writes of the configuration in force to a store that had
 	// lost it.
 	counterConfigWriteBacks = "config_write_backs"
+	// counterConfigAdjustments counts elements that are not in force as they were written, by effect.
+	counterConfigAdjustments = "config_adjustments"
 )
 
 // configState tracks the configuration key of the platform's store.
@@ -72,6 +75,8 @@
 	rejected config.Envelope
 	// findings are the reasons for its rejection.
 	findings config.Findings
+	// adjusted are the elements of the configuration in force that are not in force as they were written.
+	adjusted []config.Adjustment
 }
 
 // tickConfig keeps one call on the configuration key in progress.
@@ -190,19 +195,24 @@
 	if env.Generation == n.configs.rejected.Generation && env.Edit == n.configs.rejected.Edit && n.configs.findings != nil {
 		return
 	}
-	snapshot, err := offer.check()
+	snapshot, adjusted, err := offer.check()
 	if err != nil {
 		var findings config.Findings
 		errors.As(err, &findings)
 		n.rejectConfig(env, findings, source)
 		return
 	}
+	keysLifted := n.snapshot != nil && n.snapshot.RequiresAPIKeys() && !snapshot.RequiresAPIKeys()
 	n.snapshot = snapshot
-	n.configs.inForce, n.configs.findings = env, nil
+	n.configs.inForce, n.configs.findings, n.configs.adjusted = env, nil, adjusted
 	n.configs.storeBehind = false
 	n.rebuildPools()
 	n.routesChanged()
-	n.emit(ConfigApplied{Generation: env.Generation, Edit: env.Edit, Source: source, Limits: snapshot.Limits})
+	n.emit(ConfigApplied{
+		Generation: env.Generation, Edit: env.Edit, Source: source, Limits: snapshot.Limits,
+		Adjusted: adjusted, KeysLifted: keysLifted,
+	})
+	n.countAdjustments(adjusted)
 	if conflict && !n.settings.ConfigReadOnly {
 		n.sendConfigToPeers()
 	}
@@ -218,12 +228,21 @@
 	}
 }
 
-// check parses and validates the offered configuration.
-func (o *ConfigOffer) check() (*config.Snapshot, error) {
+// check builds the snapshot of the offered configuration. Only a text in the fleet's own format can be refused.
+func (o *ConfigOffer) check() (*config.Snapshot, []config.Adjustment, error) {
 	if o.Text != nil {
-		return config.CheckText(ConfigKey, o.Envelope, *o.Text)
+		snapshot, adjusted := config.Adopt(o.Envelope, *o.Text)
+		return snapshot, append(slices.Clip(o.Adjusted), adjusted...), nil
+	}
+	snapshot, err := config.Check(ConfigKey, o.Envelope)
+	return snapshot, nil, err
+}
+
+// countAdjustments counts the elements of a configuration that are not in force as they were written.
+func (n *Node) countAdjustments(adjusted []config.Adjustment) {
+	for _, a := range adjusted {
+		n.emit(Counted{Counter: counterConfigAdjustments, Label: string(a.Effect), N: 1})
 	}
-	return config.Check(ConfigKey, o.Envelope)
 }
 
 // rejectConfig keeps the configuration in force and records the findings for the status.
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -188,6 +188,8 @@
 	Envelope config.Envelope `json:"envelope"`
 	// Text is the parsed configuration, as in ConfigOffer.
 	Text *config.Text `json:"-"`
+	// Adjusted are the elements that Text does not have as they were written.
+	Adjusted []config.Adjustment `json:"-"`
 }
 
 // StoreStatus is the result status of a call to the platform's store.
--- a/internal/core/peermsg.go
+++ b/internal/core/peermsg.go
@@ -111,6 +111,8 @@
 	// Text is the parsed form of the envelope's text, if the text is in the platform's format
 	// and was parsed outside the core. If it is nil, the core parses the text.
 	Text *config.Text `json:"-"`
+	// Adjusted are the elements that Text does not have as they were written.
+	Adjusted []config.Adjustment `json:"-"`
 }
 
 // ConfigWanted requests the configuration in force at a peer.
--- a/internal/core/reason/reason.go
+++ b/internal/core/reason/reason.go
@@ -37,6 +37,8 @@
 	UnknownService Reason = "unknown-service"
 	// UnknownRoute means that no route matches the host and path.
 	UnknownRoute Reason = "unknown-route"
+	// RouteUnusable means that the configuration leads the route to no service.
+	RouteUnusable Reason = "route-unusable"
 	// UnknownCustomer means that the customer is not in the configuration.
 	UnknownCustomer Reason = "unknown-customer"
 	// UnknownKey means that the API key is missing or not in the configuration.
@@ -109,7 +111,8 @@
 
 // All lists every reason, for metrics and documentation.
 var All = []Reason{
-	BadRequest, TooLarge, HeaderTooLarge, UnknownService, UnknownRoute, UnknownCustomer, UnknownKey, NoConfiguration,
+	BadRequest, TooLarge, HeaderTooLarge, UnknownService, UnknownRoute, RouteUnusable, UnknownCustomer, UnknownKey,
+	NoConfiguration,
 	NoBackend, NoRegion, ZoneEvacuated, Saturated, WaitTooLong, CustomerShare, CustomerLimit, DependencyUnavailable,
 	DeadlineExceeded, RetryBudget, AttemptsExhausted, BackendUnreachable,
 	BackendRefused, BackendLost, BackendFailed, BackendSpoiled, BackendSilent, BrokenStream, CallerGone, ClaimDuplicate,
--- a/internal/core/resolve.go
+++ b/internal/core/resolve.go
@@ -101,6 +101,9 @@
 	if route == nil {
 		return target{}, reason.UnknownRoute
 	}
+	if len(route.Split) == 0 {
+		return target{}, reason.RouteUnusable
+	}
 	t := target{route: route, service: n.snapshot.Service(selectSplit(route, e.Request))}
 	t.customer = n.customerForKey(route, e.APIKey)
 	if t.customer == nil {
@@ -112,15 +115,15 @@
 }
 
 // customerForKey returns the customer of an API key. It returns nil if the route
-// requires a key and this one is missing or unknown.
+// requires a key and this one is missing or unknown, or if its customer cannot be served.
 func (n *Node) customerForKey(route *config.Route, key string) *config.Customer {
 	if customer := n.snapshot.CustomerByKey(key); customer != nil {
 		return customer
 	}
-	if route.Anonymous || !n.snapshot.RequiresAPIKeys() {
-		return anonymousCustomer
+	if n.snapshot.RefusesKey(key) || n.snapshot.RequiresAPIKeys() && !route.Anonymous {
+		return nil
 	}
-	return nil
+	return anonymousCustomer
 }
 
 func (n *Node) routePolicy(route *config.Route, customer *config.Customer) policy {
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -33,7 +33,9 @@
 	Edit string `json:"edit,omitempty"`
 	// Findings are the validation errors of the last refused configuration, if any.
 	Findings config.Findings `json:"findings,omitempty"`
-	Platform PlatformStatus  `json:"platform"`
+	// Adjusted are the elements of the configuration in force that are not in force as they were written.
+	Adjusted []config.Adjustment `json:"adjusted,omitempty"`
+	Platform PlatformStatus      `json:"platform"`
 	// InFlight is the number of this instance's requests in flight.
 	InFlight int `json:"in_flight"`
 	// ConfigReadOnly is set where only the platform's operators may write the configuration and the evacuations.
@@ -200,6 +202,7 @@
 		Zone:     n.settings.Zone,
 		Stopping: n.lifecycle.stopping,
 		Findings: n.configs.findings,
+		Adjusted: n.configs.adjusted,
 		Platform: n.observed.platform,
 		InFlight: len(n.requests),
 	}
--- a/internal/daemon/executor.go
+++ b/internal/daemon/executor.go
@@ -43,8 +43,7 @@
 	case core.SendPeer:
 		x.links.Send(e.To, e.Message)
 	case core.ConfigApplied:
-		x.proxy.SetCallerLimits(e.Limits)
-		x.proxy.Log("configuration applied", "generation", e.Generation, "edit", e.Edit, "source", e.Source)
+		x.configApplied(e)
 	case core.ConfigRefused:
 		x.proxy.Log("configuration refused", "generation", e.Generation, "findings", e.Findings.Error(), "source", e.Source)
 	case core.StateChanged:
@@ -63,6 +62,20 @@
 	}
 }
 
+// maxLoggedAdjustments bounds the adjustments of one configuration that are logged. The status has all.
+const maxLoggedAdjustments = 20
+
+func (x *executor) configApplied(e core.ConfigApplied) {
+	x.proxy.SetCallerLimits(e.Limits)
+	x.proxy.Log("configuration applied", "generation", e.Generation, "edit", e.Edit, "source", e.Source, "adjusted", len(e.Adjusted))
+	for _, a := range e.Adjusted[:min(len(e.Adjusted), maxLoggedAdjustments)] {
+		x.proxy.Log("element of the configuration not in force as written", "generation", e.Generation, "element", a.Element, "problem", a.Problem, "effect", a.Effect)
+	}
+	if e.KeysLifted {
+		x.proxy.Log("API keys no longer needed: the configuration has no list of customers", "generation", e.Generation)
+	}
+}
+
 func (x *executor) closeListener(e core.CloseListener) {
 	if e.AtOnce {
 		go x.proxy.CloseListenerAtOnce()
--- a/internal/daemon/storecalls.go
+++ b/internal/daemon/storecalls.go
@@ -99,15 +99,15 @@
 // decode translates the operators' configuration. The envelope holds the original, because each
 // instance translates it with its own bounds.
 func (o *configTranslator) decode(value []byte) (core.ConfigOffer, error) {
-	text, version, err := platform.DecodeConfig(value, *o.bounds.Load())
+	decoded, err := platform.DecodeConfig(value, *o.bounds.Load())
 	if err != nil {
 		return core.ConfigOffer{}, err
 	}
 	return core.ConfigOffer{
 		Envelope: config.Envelope{
-			Generation: version, Edit: fmt.Sprintf("operators-%04d", o.boundsChanges.Load()), Text: string(value),
+			Generation: decoded.Version, Edit: fmt.Sprintf("operators-%04d", o.boundsChanges.Load()), Text: string(value),
 		},
-		Text: &text,
+		Text: &decoded.Text, Adjusted: decoded.Adjustments,
 	}, nil
 }
 
