Regions: an empty list allows no region

What callers saw: once the last name was taken out of a route's or a customer's list of regions, its requests and their bodies went to any region.

Change: only a missing field lifts the restriction. An empty list allows nothing: requests are refused at once as no-region, and the element is reported as refusing. That is the reading that breaks no promise if the operators meant the other: a refusal says not-run and is true.

The row "empty lists" of TestRequestsThatNameNoRegionGoAnywhere held the opposite and moved to the new test, where it must be refused.

--- a/internal/core/allowedzones.go
+++ b/internal/core/allowedzones.go
@@ -42,7 +42,7 @@
 	if customer != nil {
 		ofCustomer = customer.Regions
 	}
-	if len(ofRoute) == 0 && len(ofCustomer) == 0 {
+	if ofRoute == nil && ofCustomer == nil {
 		return regions.Zones{}
 	}
 	return n.regions.zones.Allowed(ofRoute, ofCustomer)
--- a/internal/core/config/adopt.go
+++ b/internal/core/config/adopt.go
@@ -73,6 +73,7 @@
 			a.adjust(Refusing, path+".name", "%s", problem)
 			continue
 		}
+		a.reportRegions(path+".regions", c.Regions)
 		adopted = append(adopted, c)
 	}
 	return adopted
@@ -135,6 +136,12 @@
 	return max(0, limit)
 }
 
+func (a *adopter) reportRegions(path string, regions []string) {
+	if regions != nil && len(regions) == 0 {
+		a.adjust(Refusing, path, "an empty list allows no region")
+	}
+}
+
 // adoptRoutes leaves out the routes that no request can match, or that another one before them has the match of.
 func (a *adopter) adoptRoutes(routes []Route) []Route {
 	adopted := make([]Route, 0, len(routes))
@@ -171,6 +178,7 @@
 	r.PauseGoal = a.adoptGoal(path+".pause_goal", r.PauseGoal)
 	r.MaxRuns = a.adoptMaxRuns(path+".max_runs", r.MaxRuns)
 	r.Split = a.adoptSplit(path+".split", r.Split)
+	a.reportRegions(path+".regions", r.Regions)
 	return r
 }
 
--- a/internal/core/config/types.go
+++ b/internal/core/config/types.go
@@ -100,9 +100,9 @@
 	MaxRuns int `json:"max_runs,omitempty"`
 	// Anonymous routes accept requests without an API key.
 	Anonymous bool `json:"anonymous,omitempty"`
-	// Regions are those in which the route's requests may be processed; empty means all. A
-	// zone's region is in the instances' settings.
-	Regions []string `json:"regions,omitempty"`
+	// Regions are those in which the route's requests may be processed. Without a list all are
+	// allowed, and with an empty one none. A zone's region is in the instances' settings.
+	Regions []string `json:"regions,omitzero"`
 }
 
 // Share is one service's share of a route's requests.
@@ -196,9 +196,9 @@
 	APIKeys []string `json:"api_keys,omitempty"`
 	// Priority overrides the routes' priorities, if set.
 	Priority *int `json:"priority,omitempty"`
-	// Regions are those in which the customer's requests may be processed; empty means all.
-	// Those of a route apply as well.
-	Regions []string `json:"regions,omitempty"`
+	// Regions are those in which the customer's requests may be processed. Without a list all are
+	// allowed, and with an empty one none. Those of a route apply as well.
+	Regions []string `json:"regions,omitzero"`
 }
 
 // Claims configures the ledger of idempotency keys.
--- a/internal/core/regions/regions.go
+++ b/internal/core/regions/regions.go
@@ -46,9 +46,10 @@
 // Conflict reports whether the instance's own region differs from that of its zone.
 func (m *Map) Conflict() bool { return m.ownRegion != "" && m.zones[m.ownZone] != m.ownRegion }
 
-// Allowed returns the zones whose region is in each list that is not empty. If all lists are empty, all zones are allowed.
+// Allowed returns the zones whose region is in each list that is not nil. If all lists are nil, all zones are allowed; an empty
+// list allows none.
 func (m *Map) Allowed(lists ...[]string) Zones {
-	lists = slices.DeleteFunc(slices.Clone(lists), func(list []string) bool { return len(list) == 0 })
+	lists = slices.DeleteFunc(slices.Clone(lists), func(list []string) bool { return list == nil })
 	if len(lists) == 0 {
 		return Zones{}
 	}
--- a/internal/core/regions/regions_test.go
+++ b/internal/core/regions/regions_test.go
@@ -18,7 +18,9 @@
 		all                   bool
 	}{
 		"no list":                   {all: true},
-		"empty lists":               {route: []string{}, customer: []string{}, all: true},
+		"empty lists":               {route: []string{}, customer: []string{}},
+		"empty list of the route":   {route: []string{}, customer: []string{"south"}},
+		"empty list, the other nil": {customer: []string{}},
 		"route":                     {route: []string{"north"}, want: []string{"zone-0", "zone-2"}},
 		"customer":                  {customer: []string{"south"}, want: []string{"zone-1"}},
 		"both, the same":            {route: []string{"south"}, customer: []string{"south"}, want: []string{"zone-1"}},
--- a/internal/core/regions_test.go
+++ b/internal/core/regions_test.go
@@ -204,7 +204,7 @@
 func TestRequestsThatNameNoRegionGoAnywhere(t *testing.T) {
 	t.Parallel()
 	for name, named := range map[string]regionsOf{
-		"no list": {}, "empty lists": {routes: map[string][]string{"/review/": {}}, customer: []string{}},
+		"no list":       {},
 		"another route": {routes: map[string][]string{"/question/": {"south"}}},
 	} {
 		r := newRegionDriver(t, 6, named)
@@ -218,6 +218,20 @@
 	}
 }
 
+// Guards against requests that may go anywhere once the last region is taken out of a list, because an empty list is read as none.
+func TestEmptyListOfRegionsAllowsNone(t *testing.T) {
+	t.Parallel()
+	for name, named := range map[string]regionsOf{
+		"of the route":    {routes: map[string][]string{"/review/": {}}},
+		"of the customer": {customer: []string{}},
+		"of both":         {routes: map[string][]string{"/review/": {}}, customer: []string{}},
+		"of one of both":  {routes: map[string][]string{"/review/": {"north"}}, customer: []string{}},
+	} {
+		r := newRegionDriver(t, 6, named)
+		require.Equal(t, reason.NoRegion, onlyEffect[core.Finish](t, r.sendRequest("/review/x", "key-1")).Reason, name)
+	}
+}
+
 // Guards against a region reason for a service that has no server at all, or one whose servers are full, and against a region without
 // a server of the service that is served elsewhere.
 func TestRefusalsNameTheRightReason(t *testing.T) {
