Configuration: a text that cannot be read outlasts no restart of all instances

What callers saw: after a text that instances refuse or cannot read, and a restart of all of them, there was no configuration and every request was refused until the next good text. Before the restart, a text of the operators that was no JSON passed for a store that fails: each instance asked the store itself, about once a second, and held what it knew for outdated.

Cause: the store holds the newest text alone, and the accepted one before it lived in the instances' memory. The adapter returned the error of the decoding as the status of the call.

Change: an unreadable text is an answer; it is reported once and the watch goes on. After a refusal the followers keep a copy of the accepted configuration under a second key (package configcopy), and an instance without a configuration reads it while the store's is refused. No call is made before a refusal.

TestCopyOfConfigurationFollowsAcceptedOnes fails without the copy, and with one that is written after refusals only.

--- a/internal/core/configs.go
+++ b/internal/core/configs.go
@@ -75,6 +75,8 @@
 	rejected config.Envelope
 	// findings are the reasons for its rejection.
 	findings config.Findings
+	// unreadableVersion is the version of the key at which its value was last unreadable.
+	unreadableVersion uint64
 	// adjusted are the elements of the configuration in force that are not in force as they were written.
 	adjusted []config.Adjustment
 }
@@ -112,6 +114,8 @@
 	case n.claimStoreReplied(e):
 	case e.Op == n.configs.call.op:
 		n.handleConfigResult(e)
+	case e.Op == n.configCopies.op:
+		n.handleConfigCopyResult(e)
 	case e.Op == n.configs.writeBackOp:
 		n.handleWriteBackResult(e)
 	case e.Op == n.streams.historyWrite.op:
@@ -135,7 +139,6 @@
 			n.follow.ConfigShown(call.AsOf(n.now, changed))
 		}
 	default:
-		// The configuration may be unreadable although the call succeeded.
 		n.mergeStoredEvacuations(e.Evacuations)
 		c.failures++
 		n.follow.Failed(n.now)
@@ -159,18 +162,33 @@
 }
 
 func (n *Node) applyStoredConfig(e StoreReplied) {
-	if e.Config != nil {
-		n.offerConfig(*e.Config, SourceStore)
-		n.compareStoredConfig(e.Config.Envelope)
+	offer, err := e.storedConfig()
+	if err != nil {
+		n.rejectUnreadable(e.Version, err)
 		return
 	}
+	n.offerConfig(*offer, SourceStore)
+	if n.configs.findings != nil && n.configs.rejected.Generation == offer.Envelope.Generation {
+		n.configCopies.keeper.Refused(n.now.Add(n.spreadDelay(configCopyDelay)))
+	} else {
+		n.configCopies.keeper.Accepted()
+	}
+	n.compareStoredConfig(offer.Envelope)
+}
+
+// storedConfig returns the configuration in the value of a reply, or an error if it is unreadable.
+func (e *StoreReplied) storedConfig() (*ConfigOffer, error) {
+	switch {
+	case e.Config != nil:
+		return e.Config, nil
+	case e.Problem != "":
+		return nil, &unreadableError{e.Problem}
+	}
 	var env config.Envelope
 	if err := json.Unmarshal(e.Value, &env); err != nil {
-		n.rejectConfig(env, config.Findings{{File: ConfigKey, Line: 1, Column: 1, Message: err.Error()}}, SourceStore)
-		return
+		return nil, err
 	}
-	n.offerConfig(ConfigOffer{Envelope: env}, SourceStore)
-	n.compareStoredConfig(env)
+	return &ConfigOffer{Envelope: env}, nil
 }
 
 // offerConfig applies a configuration if it is newer than the one in force.
@@ -251,6 +269,18 @@
 	n.emit(ConfigRefused{Generation: env.Generation, Findings: findings, Source: source})
 }
 
+// rejectUnreadable keeps the configuration in force while the store holds a value that cannot be read, in which not even a generation
+// is known. It is reported once for each version of the key.
+func (n *Node) rejectUnreadable(version uint64, err error) {
+	c := &n.configs
+	if c.unreadableVersion == version {
+		return
+	}
+	c.unreadableVersion = version
+	n.rejectConfig(config.Envelope{}, config.Findings{{File: ConfigKey, Line: 1, Column: 1, Message: err.Error()}}, SourceStore)
+	n.configCopies.keeper.Refused(n.now.Add(n.spreadDelay(configCopyDelay)))
+}
+
 // compareStoredConfig compares the configuration in the store with the one in force.
 //
 // A store that was restored from a backup, or lost an acknowledged write, holds an older one. A
--- a/internal/core/effect.go
+++ b/internal/core/effect.go
@@ -288,6 +288,8 @@
 const (
 	// SourceStore is the platform's store.
 	SourceStore ConfigSource = "the store"
+	// SourceCopy is the instances' copy in the platform's store.
+	SourceCopy ConfigSource = "the copy in the store"
 	// SourceSettings is a configuration given to this process itself, or one that was read
 	// again because its settings changed.
 	SourceSettings ConfigSource = "the settings"
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -222,6 +222,8 @@
 	Value   []byte      `json:"value,omitempty"`
 	// Config is the configuration in Value if Value has the platform's own format.
 	Config *ConfigOffer `json:"-"`
+	// Problem says why Value could not be read outside the core, "" if it could.
+	Problem string `json:"problem,omitempty"`
 	// Evacuations is set in a successful result for ConfigKey: what the answer shows of the evacuated zones.
 	Evacuations *evacuation.Read `json:"evacuations,omitempty"`
 }
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -116,9 +116,11 @@
 	startQueue startqueue.Queue[RequestArrived]
 	timers     timerqueue.Queue[requestAction]
 	configs    configState
-	members    memberState
-	backends   backendsState
-	follow     *freshness.Tracker
+	// configCopies is the copy of the accepted configuration in the store.
+	configCopies configCopies
+	members      memberState
+	backends     backendsState
+	follow       *freshness.Tracker
 	// evacuations holds the zones whose backend servers get no new requests.
 	evacuations evacuationState
 	// registration is the state of this instance's own entry in the store.
@@ -276,6 +278,7 @@
 	n.tickTimers()
 	n.tickFollow()
 	n.tickConfig()
+	n.tickConfigCopy()
 	n.tickMembers()
 	n.tickPlacement()
 	n.tickEvacuations()
--- a/internal/core/restartofall_test.go
+++ b/internal/core/restartofall_test.go
@@ -43,23 +43,67 @@
 	}
 }
 
+// refuseStored puts a text or a value into the store that is refused, and gives the instances time to notice.
+func (f *fleet) refuseStored(generation uint64, unreadable bool) {
+	if unreadable {
+		v := f.store.value(core.ConfigKey)
+		v.value, v.version = []byte("{"), v.version+1
+		f.store.notifyWaiters(v)
+	} else {
+		f.putConfig(generation, "with findings", `{"services": [{"name": ""}]}`)
+	}
+	f.run(20 * time.Second)
+}
+
 // Guards against a fleet without a configuration after a restart of all instances, because the store holds only a later
-// text that was refused.
+// text that was refused, or that cannot be read.
 func TestConfigurationInForceSurvivesRestartOfAll(t *testing.T) {
-	if !runsByHand() {
-		return
+	for name, unreadable := range map[string]bool{"refused": false, "unreadable": true} {
+		t.Run(name, func(t *testing.T) {
+			forEachRestarted(t, func(t *testing.T, size fleetSize) {
+				f, text := configFleet(t, 1001, size.instances, size.zones)
+				f.refuseStored(2, unreadable)
+				f.requireGeneration(t, 1)
+				f.restartAll(time.Second)
+				f.run(20 * time.Second)
+				f.requireGeneration(t, 1)
+				f.putConfig(3, "good", text)
+				f.run(10 * time.Second)
+				f.requireGeneration(t, 3)
+			})
+		})
 	}
+}
+
+// Guards against a copy of the configuration that stays behind, so that a restart of all instances after the next refusal takes
+// back what was accepted in between.
+func TestCopyOfConfigurationFollowsAcceptedOnes(t *testing.T) {
 	forEachRestarted(t, func(t *testing.T, size fleetSize) {
-		f, _ := configFleet(t, 1001, size.instances, size.zones)
-		f.putConfig(2, "with findings", `{"services": [{"name": ""}]}`)
-		f.run(20 * time.Second)
-		f.requireGeneration(t, 1)
+		f, text := configFleet(t, 1007, size.instances, size.zones)
+		f.refuseStored(2, false)
+		f.putConfig(3, "good", text)
+		f.run(10 * time.Second)
+		f.requireGeneration(t, 3)
+		f.putConfig(4, "with findings", `{"services": [{"name": ""}]}`)
+		f.run(50 * time.Millisecond)
 		f.restartAll(time.Second)
 		f.run(20 * time.Second)
-		f.requireGeneration(t, 1)
+		f.requireGeneration(t, 3)
 	})
 }
 
+// Guards against calls to the store for a copy of the configuration that nobody needs.
+func TestNoCopyOfConfigurationBeforeARefusal(t *testing.T) {
+	f, text := configFleet(t, 1008, 7, 3)
+	for generation := range uint64(5) {
+		f.putConfig(2+generation, fmt.Sprint("edit-", generation), text)
+		f.run(3 * time.Second)
+	}
+	f.requireGeneration(t, 6)
+	require.Zero(t, f.counters["config_copies/"])
+	require.Zero(t, f.store.value(core.ConfigCopyKey).version)
+}
+
 // restoreAndRestart takes a fleet to its second configuration, restores the first one in the store, and restarts all instances.
 func restoreAndRestart(t *testing.T, size fleetSize, readOnly bool) *fleet {
 	t.Helper()
--- a/internal/daemon/operatorkeys.go
+++ b/internal/daemon/operatorkeys.go
@@ -114,8 +114,7 @@
 func (s *storeCalls) postReadResult(reply core.StoreReplied, key string, item store.Item, err error) {
 	reply.Version, reply.Value = item.Revision, item.Value
 	if err == nil && s.translator != nil {
-		reply.Value = nil
-		reply.Config, err = s.translate(item.Value)
+		s.translate(&reply, item.Value)
 	}
 	if err != nil && !errors.Is(err, store.ErrAbsent) {
 		klog.V(1).InfoS("failed to read from the store", "key", key, "error", err)
--- a/internal/daemon/storecalls.go
+++ b/internal/daemon/storecalls.go
@@ -14,6 +14,7 @@
 
 	"github.com/ebonydyke/ebonydyke/internal/core"
 	"github.com/ebonydyke/ebonydyke/internal/core/config"
+	"github.com/ebonydyke/ebonydyke/internal/core/configcopy"
 	"github.com/ebonydyke/ebonydyke/internal/core/entries"
 	"github.com/ebonydyke/ebonydyke/internal/core/membership"
 	"github.com/ebonydyke/ebonydyke/internal/settings"
@@ -145,17 +146,33 @@
 	if err != nil && !errors.Is(err, store.ErrAbsent) {
 		klog.V(1).InfoS("failed to read from the store", "key", e.Key, "error", err)
 	}
-	s.post(core.StoreReplied{Op: e.Op, Status: storeStatus(err), Version: version, Value: value})
+	reply := core.StoreReplied{Op: e.Op, Status: storeStatus(err), Version: version, Value: value}
+	if err == nil && e.Key == core.ConfigCopyKey && s.translator != nil {
+		s.translateCopy(&reply)
+	}
+	s.post(reply)
 }
 
-// translate returns the operators' configuration as an offer.
-func (s *storeCalls) translate(value []byte) (*core.ConfigOffer, error) {
-	offer, err := s.translator.decode(value)
+// translate replaces the value of a reply by the operators' configuration in it. The call has succeeded even if the text cannot be
+// read: the store has nothing newer.
+func (s *storeCalls) translate(reply *core.StoreReplied, text []byte) {
+	reply.Value = nil
+	offer, err := s.translator.decode(text)
 	if err != nil {
-		klog.ErrorS(err, "failed to decode the configuration", "key", platform.ConfigKey)
-		return nil, err
+		reply.Problem = err.Error()
+		return
+	}
+	reply.Config = &offer
+}
+
+// translateCopy replaces the value of a reply by the configuration in the instances' copy.
+func (s *storeCalls) translateCopy(reply *core.StoreReplied) {
+	env, err := configcopy.Decode(reply.Value)
+	if err != nil {
+		reply.Value, reply.Problem = nil, err.Error()
+		return
 	}
-	return &offer, nil
+	s.translate(reply, []byte(env.Text))
 }
 
 func (s *storeCalls) swap(e core.StoreSwap) {
