Configuration: many priorities do not take the memory of an instance

What callers would see: a configuration with some thousand priorities of routes and of customers, which fits in the store, ends each instance that reads it, and again after each restart.

Cause: the levels of urgency were computed for each combination of a route's and a customer's priority, as a list and a map.

Change: the combinations are counted. A level is found with two binary searches; the levels are the same as before.

--- a/internal/core/config/snapshot.go
+++ b/internal/core/config/snapshot.go
@@ -43,9 +43,9 @@
 	// routes maps hosts to their routes by prefix.
 	routes map[string]map[string]*Route
 	// openPrefixes holds the routes of each host whose prefixes end within a segment of the path, the longest first.
-	openPrefixes  map[string][]*Route
-	serviceNames  []string
-	urgencyLevels map[urgency]int
+	openPrefixes map[string][]*Route
+	serviceNames []string
+	urgencyScale urgencyScale
 	// regions are those that any route or customer names, sorted.
 	regions []string
 	// fromPlatform is set if any service takes its backend servers from the platform.
@@ -171,7 +171,7 @@
 	for _, routes := range s.openPrefixes {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
-	s.urgencyLevels = urgencyLevels(t.Routes, t.Customers)
+	s.urgencyScale = newUrgencyScale(t.Routes, t.Customers)
 	slices.Sort(s.regions)
 	s.regions = slices.Compact(s.regions)
 	return s
--- a/internal/core/config/urgency.go
+++ b/internal/core/config/urgency.go
@@ -1,9 +1,6 @@
 package config
 
-import (
-	"cmp"
-	"slices"
-)
+import "slices"
 
 // MaxUrgencyLevel is the level of the least urgent requests. It is the highest priority that engines take.
 const MaxUrgencyLevel = 9
@@ -12,10 +9,6 @@
 // customer's priority replaced the route's, all requests of customers with the same priority would be equally urgent.
 type urgency struct{ first, route int }
 
-func compareUrgency(a, b urgency) int {
-	return cmp.Or(cmp.Compare(a.first, b.first), cmp.Compare(a.route, b.route))
-}
-
 func urgencyOf(route *Route, customer *Customer) urgency {
 	if customer.Priority != nil {
 		return urgency{first: *customer.Priority, route: route.Priority}
@@ -23,39 +16,69 @@
 	return urgency{first: route.Priority, route: route.Priority}
 }
 
-// urgencyLevels assigns the levels from 0, the most urgent, to the combinations of priorities in a text. If there are more
-// combinations than levels, neighbours share one.
-func urgencyLevels(routes []Route, customers []Customer) map[urgency]int {
-	byPriority := make(map[int]*Route)
+// urgencyScale assigns the levels from 0, the most urgent, to the combinations of priorities in a text. If there are more
+// combinations than levels, neighbours share one. The combinations are counted and not listed: a text may have thousands of
+// priorities of routes and as many of customers.
+type urgencyScale struct {
+	// routes are the priorities of the routes, and firsts those of the routes and of the customers; both are sorted.
+	routes, firsts []int
+	// before holds, for each of firsts, the number of combinations that are more urgent than all that begin with it, and at its
+	// end the number of all combinations.
+	before []int
+	// own are the priorities of customers. Each of them is combined with all routes, and any other first only with itself.
+	own map[int]bool
+}
+
+func newUrgencyScale(routes []Route, customers []Customer) urgencyScale {
+	s := urgencyScale{own: make(map[int]bool)}
 	for i := range routes {
-		byPriority[routes[i].Priority] = &routes[i]
+		s.routes = append(s.routes, routes[i].Priority)
 	}
-	ownPriorities := map[int]*Customer{}
+	s.routes = sortedDistinct(s.routes)
+	s.firsts = slices.Clone(s.routes)
 	for i := range customers {
-		if customers[i].Priority != nil {
-			ownPriorities[*customers[i].Priority] = &customers[i]
+		if priority := customers[i].Priority; priority != nil && !s.own[*priority] {
+			s.own[*priority] = true
+			s.firsts = append(s.firsts, *priority)
 		}
 	}
-	var all []urgency
-	for _, route := range byPriority {
-		all = append(all, urgencyOf(route, &Customer{}))
-		for _, customer := range ownPriorities {
-			all = append(all, urgencyOf(route, customer))
+	s.firsts = sortedDistinct(s.firsts)
+	count := 0
+	for _, first := range s.firsts {
+		s.before = append(s.before, count)
+		if s.own[first] {
+			count += len(s.routes)
+		} else {
+			count++
 		}
 	}
-	slices.SortFunc(all, compareUrgency)
-	all = slices.Compact(all)
-	levels := make(map[urgency]int, len(all))
-	for i, u := range all {
-		levels[u] = i
-		if len(all) > MaxUrgencyLevel+1 {
-			levels[u] = i * MaxUrgencyLevel / (len(all) - 1)
-		}
+	s.before = append(s.before, count)
+	return s
+}
+
+func sortedDistinct(list []int) []int {
+	slices.Sort(list)
+	return slices.Compact(list)
+}
+
+// level returns the level of a combination, 0 for one that the text does not have.
+func (s *urgencyScale) level(u urgency) int {
+	first, found := slices.BinarySearch(s.firsts, u.first)
+	if !found {
+		return 0
+	}
+	position := s.before[first]
+	if s.own[u.first] {
+		route, _ := slices.BinarySearch(s.routes, u.route)
+		position += route
+	}
+	if count := s.before[len(s.before)-1]; count > MaxUrgencyLevel+1 {
+		return position * MaxUrgencyLevel / (count - 1)
 	}
-	return levels
+	return position
 }
 
 // UrgencyLevel returns the level of a customer's requests on a route, from 0, the most urgent, to MaxUrgencyLevel.
 func (s *Snapshot) UrgencyLevel(route *Route, customer *Customer) int {
-	return s.urgencyLevels[urgencyOf(route, customer)]
+	return s.urgencyScale.level(urgencyOf(route, customer))
 }
--- a/internal/core/config/urgency_test.go
+++ b/internal/core/config/urgency_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -40,3 +41,24 @@
 		}
 	}
 }
+
+// Guards against a configuration that takes more memory than an instance has, because it has many priorities of routes and of
+// customers.
+func TestManyPrioritiesCostLittle(t *testing.T) {
+	text := config.Text{Services: []config.Service{{Name: "s", Kind: config.Plain, FromPlatform: true}}}
+	const many = 3_000
+	for i := range many {
+		r := route(fmt.Sprintf("/%d/", i), config.Idempotent)
+		r.Priority = i
+		text.Routes = append(text.Routes, r)
+		text.Customers = append(text.Customers, config.Customer{Name: fmt.Sprint("customer-", i), Priority: &i})
+	}
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	s, _ := config.Adopt(config.Envelope{}, text)
+	runtime.ReadMemStats(&after)
+	require.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(64<<20), "bytes")
+	first, last := s.Customer("customer-0"), s.Customer(fmt.Sprint("customer-", many-1))
+	require.Zero(t, s.UrgencyLevel(s.Route("h", "/0/"), first))
+	require.Equal(t, config.MaxUrgencyLevel, s.UrgencyLevel(s.Route("h", fmt.Sprintf("/%d/", many-1)), last))
+}
