Configuration: many services leave an instance time for requests

What callers would see: with a configuration of some thousand services, which fits in the store, instances answer late or not at all, from the moment at which it is applied, and again after a restart.

Cause: three costs grew with the square of the number of services: dropping controllers searched a list at each tick, a new configuration went through all routes for each service, and the latter was repeated whenever a backend server came or went.

Change: both look things up. Above 1,000 services those that no route names are left out and reported; each service costs time at each tick, and these get no requests.

--- a/internal/core/admission.go
+++ b/internal/core/admission.go
@@ -1,7 +1,6 @@
 package core
 
 import (
-	"slices"
 	"time"
 
 	"github.com/ebonydyke/ebonydyke/internal/core/admission"
@@ -120,7 +119,7 @@
 		}
 	}
 	for name, c := range n.admission.services {
-		if c.Idle() && !slices.Contains(n.snapshot.Services(), name) {
+		if c.Idle() && n.snapshot.Service(name) == nil {
 			delete(n.admission.services, name)
 		}
 	}
--- a/internal/core/adoptedconfig_test.go
+++ b/internal/core/adoptedconfig_test.go
@@ -1,6 +1,7 @@
 package core_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -9,6 +10,7 @@
 	"github.com/ebonydyke/ebonydyke/internal/core"
 	"github.com/ebonydyke/ebonydyke/internal/core/config"
 	"github.com/ebonydyke/ebonydyke/internal/core/reason"
+	"github.com/ebonydyke/ebonydyke/test/racedetector"
 )
 
 // adoptedText is a configuration decoded from the operators' format: a route to everything of a host, and one beneath it.
@@ -72,3 +74,27 @@
 	text.Customers = nil
 	require.True(t, onlyEffect[core.ConfigApplied](t, r.adopt(text)).KeysLifted)
 }
+
+// Guards against an instance that has no time left for requests, because a new configuration or a tick takes the square of the
+// number of services.
+func TestManyServicesLeaveTimeForRequests(t *testing.T) {
+	r := newNodeDriver(t, 2)
+	text := config.Text{}
+	for i := range racedetector.Choose(6_000, 2_000) {
+		name := fmt.Sprint("service-", i)
+		text.Services = append(text.Services, config.Service{Name: name, Kind: config.Plain, FromPlatform: true, SkewBound: 2, RetryShare: 0.2, RetryBurst: 56})
+		text.Routes = append(text.Routes, config.Route{Host: "h.example", Prefix: "/" + name + "/", Kind: config.Idempotent, Timeout: config.Duration(time.Second), Split: []config.Share{{Service: name, Weight: 1}}})
+	}
+	started := time.Now()
+	r.adopt(text)
+	require.Less(t, time.Since(started), time.Second)
+	r.advance(3 * time.Second)
+	shortest := time.Hour
+	for range 5 {
+		started := time.Now()
+		r.tick()
+		shortest = min(shortest, time.Since(started))
+	}
+	t.Logf("%d services: %v", len(text.Services), shortest)
+	require.Less(t, shortest, core.TickInterval)
+}
--- a/internal/core/config/adopt.go
+++ b/internal/core/config/adopt.go
@@ -16,7 +16,7 @@
 // read in the way that lets nothing happen that the operators did not permit.
 func Adopt(env Envelope, t Text) (*Snapshot, []Adjustment) {
 	a := adopter{services: make(map[string]bool), keyOwners: make(map[string]string), refusedKeys: make(map[string]bool)}
-	t.Services = a.adoptServices(t.Services)
+	t.Services = a.adoptServices(t.Services, t.Routes)
 	t.Customers = a.adoptCustomers(t.Customers)
 	t.Routes = a.adoptRoutes(t.Routes)
 	t.Limits = a.adoptLimits(t.Limits)
@@ -41,9 +41,11 @@
 	a.adjustments = append(a.adjustments, Adjustment{Element: element, Problem: fmt.Sprintf(format, args...), Effect: effect})
 }
 
-// adoptServices leaves out the services that no route can name, or that another one before them has the name of.
-func (a *adopter) adoptServices(services []Service) []Service {
-	adopted := make([]Service, 0, len(services))
+// adoptServices leaves out the services that no route can name, or that another one before them has the name of. Above MaxServices,
+// it leaves out those that no route names: each service costs an instance time at each tick, and they get no requests.
+func (a *adopter) adoptServices(services []Service, routes []Route) []Service {
+	routed := routedServices(routes)
+	adopted, idle := make([]Service, 0, len(services)), 0
 	for i, s := range services {
 		path := elementPath("services", i) + ".name"
 		switch {
@@ -51,14 +53,30 @@
 			a.adjust(LeftOut, path, "no name")
 		case a.services[s.Name]:
 			a.adjust(LeftOut, path, "service %s is declared before", quoted(s.Name))
+		case len(services) > MaxServices && !routed[s.Name]:
+			idle++
 		default:
 			a.services[s.Name] = true
 			adopted = append(adopted, s)
 		}
 	}
+	if idle > 0 {
+		a.adjust(LeftOut, "services", "%d services that no route names, because there are over %d", idle, MaxServices)
+	}
 	return adopted
 }
 
+// routedServices returns the names of the services that any route names.
+func routedServices(routes []Route) map[string]bool {
+	routed := make(map[string]bool)
+	for i := range routes {
+		for _, s := range routes[i].Split {
+			routed[s.Service] = true
+		}
+	}
+	return routed
+}
+
 // adoptCustomers keeps nil, which means that no API keys are needed, apart from a list in which nothing can be used.
 func (a *adopter) adoptCustomers(customers []Customer) []Customer {
 	if customers == nil {
--- a/internal/core/config/check.go
+++ b/internal/core/config/check.go
@@ -28,7 +28,7 @@
 	// labels.
 	MaxNameBytes = 64
 	// MaxServices limits the services and thereby the work of resolving their
-	// dependencies.
+	// dependencies. In an adopted configuration it limits those that no route names.
 	MaxServices = 1_000
 	// MaxAttemptsLimit is the maximum of max_attempts.
 	MaxAttemptsLimit = 10
--- a/internal/core/config/snapshot.go
+++ b/internal/core/config/snapshot.go
@@ -46,6 +46,8 @@
 	openPrefixes map[string][]*Route
 	serviceNames []string
 	urgencyScale urgencyScale
+	// goals holds for each service the shortest latency goal of the routes that lead to it, if any has one.
+	goals map[string]Duration
 	// regions are those that any route or customer names, sorted.
 	regions []string
 	// fromPlatform is set if any service takes its backend servers from the platform.
@@ -124,6 +126,9 @@
 	}
 }
 
+// ShortestGoal returns the shortest latency goal of the routes that lead to a service, 0 if none has one.
+func (s *Snapshot) ShortestGoal(service string) Duration { return s.goals[service] }
+
 // ServiceOfBackend returns the service that lists a backend server in the text, or "".
 func (s *Snapshot) ServiceOfBackend(backend string) string { return s.serviceOfBackend[backend] }
 
@@ -150,6 +155,7 @@
 		listsCustomers:   t.Customers != nil,
 		routes:           make(map[string]map[string]*Route),
 		openPrefixes:     make(map[string][]*Route),
+		goals:            make(map[string]Duration),
 		serviceOfBackend: make(map[string]string),
 		dependencies:     transitiveDependencies(t.Services),
 	}
@@ -178,6 +184,11 @@
 }
 
 func (s *Snapshot) addRoute(r *Route) {
+	for _, share := range r.Split {
+		if goal := s.goals[share.Service]; r.Goal > 0 && (goal == 0 || r.Goal < goal) {
+			s.goals[share.Service] = r.Goal
+		}
+	}
 	if !strings.HasSuffix(r.Prefix, "/") {
 		s.openPrefixes[r.Host] = append(s.openPrefixes[r.Host], r)
 		return
--- a/internal/core/shedding.go
+++ b/internal/core/shedding.go
@@ -31,14 +31,7 @@
 	if s.controller == nil {
 		s.controller = shedding.New()
 	}
-	s.goal = 0
-	n.snapshot.EachRoute(func(r *config.Route) {
-		for _, share := range r.Split {
-			if goal := time.Duration(r.Goal); share.Service == svc.Name && goal > 0 && (s.goal == 0 || goal < s.goal) {
-				s.goal = goal
-			}
-		}
-	})
+	s.goal = time.Duration(n.snapshot.ShortestGoal(svc.Name))
 	return s
 }
 
