Peers: an answer to the process before counts for no question of this one

What callers could see: more requests at a server than its instances or its warm-up permit, for a moment after an instance has started again.

Cause: questions for slots, retries and permits are matched by the peer and a token, and tokens began at 1 in each process. A peer that was frozen answers a question of the process before on the link of the new one. Class: a word is believed because of where it arrives. Limits only: no such answer says that a request has not run.

Change: tokens begin at a number that follows from the incarnation.

--- a/internal/core/coldservers.go
+++ b/internal/core/coldservers.go
@@ -49,8 +49,8 @@
 	nextSweep time.Time
 }
 
-func newColdState() coldState {
-	return coldState{servers: warmup.New(), permits: newPermitState()}
+func newColdState(incarnation uint64) coldState {
+	return coldState{servers: warmup.New(), permits: newPermitState(incarnation)}
 }
 
 // warmUpLimits returns the limits of a service's cold servers; they are not active if the service has no warm-up.
--- a/internal/core/peerask/peerask.go
+++ b/internal/core/peerask/peerask.go
@@ -7,6 +7,9 @@
 	"slices"
 )
 
+// tokensPerProcess is the number of tokens after which those of one process may be those of another.
+const tokensPerProcess = 1 << 16
+
 // Questions holds the questions without an answer, each with its subject, a T. Its zero value is empty. It is not safe for
 // concurrent use.
 type Questions[T any] struct {
@@ -19,6 +22,12 @@
 	about T
 }
 
+// New returns the questions of a process. incarnation is that of the process: a peer may answer a question of the process that had
+// this instance's name before it, and its token must not be that of another question.
+func New[T any](incarnation uint64) Questions[T] {
+	return Questions[T]{lastToken: incarnation % tokensPerProcess * tokensPerProcess}
+}
+
 // Ask records a question to a peer and returns its token, which identifies it among the questions of this instance.
 func (q *Questions[T]) Ask(peer string, about T) uint64 {
 	if q.open == nil {
--- a/internal/core/peerask/peerask_test.go
+++ b/internal/core/peerask/peerask_test.go
@@ -50,3 +50,15 @@
 	p.Expire(now.Add(time.Second))
 	require.Zero(t, p.Len())
 }
+
+// Guards against an answer to a question of the process before this one that is taken for the answer to a question of this one:
+// their tokens began alike.
+func TestAnswerToTheProcessBeforeCountsForNoQuestion(t *testing.T) {
+	before, now := New[string](1_796_000_000_123), New[string](1_796_000_001_517)
+	late := before.Ask("b", "slot at server 1")
+	for range 100 {
+		now.Ask("b", "slot at server 2")
+	}
+	_, ok := now.Take("b", late)
+	require.False(t, ok)
+}
--- a/internal/core/permits.go
+++ b/internal/core/permits.go
@@ -73,8 +73,8 @@
 	asks peerask.Questions[*permitAsk]
 }
 
-func newPermitState() permitState {
-	return permitState{issuer: warmup.NewIssuer(), asker: warmup.NewAsker()}
+func newPermitState(incarnation uint64) permitState {
+	return permitState{issuer: warmup.NewIssuer(), asker: warmup.NewAsker(), asks: peerask.New[*permitAsk](incarnation)}
 }
 
 // knowsInstances reports whether this instance has learned which other instances exist.
--- a/internal/core/retry/borrowing.go
+++ b/internal/core/retry/borrowing.go
@@ -50,8 +50,10 @@
 	NoneToAsk bool
 }
 
-// NewBorrowing returns the state of an instance that has asked no other.
-func NewBorrowing[R any]() *Borrowing[R] { return &Borrowing[R]{lenders: NewLenders()} }
+// NewBorrowing returns the state of an instance that has asked no other. incarnation is that of its process.
+func NewBorrowing[R any](incarnation uint64) *Borrowing[R] {
+	return &Borrowing[R]{lenders: NewLenders(), questions: peerask.New[*Ask[R]](incarnation)}
+}
 
 // Begin returns the state of a request that is to wait for a retry of a service. It asks nobody yet.
 func (*Borrowing[R]) Begin(request R, service string, now time.Time) *Ask[R] {
--- a/internal/core/retry/borrowing_test.go
+++ b/internal/core/retry/borrowing_test.go
@@ -27,7 +27,7 @@
 // Guards against a request that asks a silent or denying instance again, or goes on asking without end.
 func TestLendersAreAskedInTurn(t *testing.T) {
 	now := time.Unix(1_800_000_000, 0)
-	b := retry.NewBorrowing[string]()
+	b := retry.NewBorrowing[string](1)
 	ask := b.Begin("r", "engines", now)
 	first := b.Next(ask, fewLenders("b", "c"), now)
 	require.Equal(t, "b", first.Lender)
@@ -46,7 +46,7 @@
 // Guards against a request that waits for links beyond its time, and one that is asked for twice when two links come up.
 func TestFirstLinkEndsTheWait(t *testing.T) {
 	now := time.Unix(1_800_000_000, 0)
-	b := retry.NewBorrowing[string]()
+	b := retry.NewBorrowing[string](1)
 	ask := b.Begin("r", "engines", now)
 	step := b.Next(ask, fewLenders(), now)
 	require.Equal(t, []string{"b", "c"}, step.Links)
--- a/internal/core/slotloans.go
+++ b/internal/core/slotloans.go
@@ -67,8 +67,8 @@
 	asks peerask.Questions[*slotAsk]
 }
 
-func newSlotState() slotState {
-	return slotState{loans: headroom.NewLoans(), borrower: headroom.NewBorrower()}
+func newSlotState(incarnation uint64) slotState {
+	return slotState{loans: headroom.NewLoans(), borrower: headroom.NewBorrower(), asks: peerask.New[*slotAsk](incarnation)}
 }
 
 // borrowSlot sends a request that found no slot on one that is borrowed already, or asks an owner for one. It
