Callers: an instance without descriptors goes on

Cause: an error of accept ended the accept loop and with it the daemon; the limit of connections was twice what the process could open; the operators' idle timeout was not enforced. Class: an error that passes ends the process.

Change: such an error is waited out and counted. The limit follows from the descriptors; the longest idle connections make room near it; idleTimeoutMs is enforced; a dial that finds no descriptor makes room and tries again.

--- a/internal/core/config/adopt.go
+++ b/internal/core/config/adopt.go
@@ -143,6 +143,7 @@
 	l.MaxHeader = a.positiveOrNone("limits.max_header", l.MaxHeader)
 	l.MaxBody = a.positiveOrNone("limits.max_body", l.MaxBody)
 	l.HeaderTimeout = Duration(a.positiveOrNone("limits.header_timeout", int(l.HeaderTimeout)))
+	l.IdleTimeout = Duration(a.positiveOrNone("limits.idle_timeout", int(l.IdleTimeout)))
 	return l
 }
 
--- a/internal/core/config/check.go
+++ b/internal/core/config/check.go
@@ -127,6 +127,7 @@
 	c.checkPositive("limits.max_header", float64(c.text.Limits.MaxHeader))
 	c.checkPositive("limits.max_body", float64(c.text.Limits.MaxBody))
 	c.checkPositive("limits.header_timeout", float64(c.text.Limits.HeaderTimeout))
+	c.checkPositive("limits.idle_timeout", float64(c.text.Limits.IdleTimeout))
 }
 
 // checkRegions finds invalid names of regions.
--- a/internal/core/config/types.go
+++ b/internal/core/config/types.go
@@ -217,6 +217,8 @@
 	MaxBody int `json:"max_body,omitempty"`
 	// HeaderTimeout limits the time from a request's first byte to the end of its headers.
 	HeaderTimeout Duration `json:"header_timeout,omitzero"`
+	// IdleTimeout is how long an idle connection is kept open. It must be longer than callers use a connection that is idle.
+	IdleTimeout Duration `json:"idle_timeout,omitzero"`
 }
 
 // Envelope is the value stored in the platform under the configuration key.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -51,10 +51,14 @@
 	links := newLinks(s, incarnation, listeners.peers, calls.translateOffers(loop.Post), relays)
 	counters.RegisterControl(readControl(links))
 	options := proxyOptions(&s.Limits, counters)
+	if options.MaxConns, err = callerConns(s.Limits.MaxConns, s.Limits.MaxDescriptors); err != nil {
+		return err
+	}
 	options.Now = loop.Now
 	options.Dialect = dialect(s)
 	options.Relays = peer.RelayDialer{Fleet: s.Fleet, Name: s.Name}
 	server := proxy.New(loop.Post, options)
+	counters.RegisterCallerConns(server.CallerConns, options.MaxConns)
 	exec := &executor{ctx: ctx, post: loop.Post, store: calls, proxy: server, links: links, relay: relays, stop: cancel}
 	var grace atomic.Int64
 	grace.Store(int64(s.StopGrace))
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -30,6 +30,8 @@
 	dials         *prometheus.CounterVec
 	relays        *prometheus.CounterVec
 	connEnds      *prometheus.CounterVec
+	acceptErrors  prometheus.Counter
+	idleCloses    *prometheus.CounterVec
 	generation    prometheus.Gauge
 	ready         prometheus.Gauge
 	platformCalls *prometheus.CounterVec
@@ -50,6 +52,8 @@
 		callerBytes:   prometheus.NewCounter(prometheus.CounterOpts{Name: "ebonydyke_caller_bytes_total", Help: "Bytes of response bodies sent to callers."}),
 		dials:         newCounterVec("backend_dials_total", "Attempts to open a connection to a backend server, by reason.", "reason"),
 		connEnds:      newCounterVec("unanswered_connections_total", "Connections of callers that ended while a request had no whole response, by its phase and the event.", "phase", "cause"),
+		acceptErrors:  prometheus.NewCounter(prometheus.CounterOpts{Name: "ebonydyke_accept_errors_total", Help: "Errors of accepting a caller's connection that were waited out."}),
+		idleCloses:    newCounterVec("idle_connections_closed_total", "Idle connections of callers that this instance closed, by reason.", "reason"),
 		relays:        newCounterVec("relay_requests_total", "Requests of peers to relay a connection to a backend server, by result.", "result"),
 		generation:    newGauge("generation", "Generation of the configuration in force, 0 if there is none."),
 		ready:         newGauge("ready", "1 until the graceful shutdown starts, then 0."),
@@ -58,6 +62,7 @@
 	}
 	m.registry.MustRegister(
 		m.refusals, m.retries, m.attemptEnds, m.responses, m.firstByte, m.responseTime, m.callerBytes, m.dials, m.relays, m.connEnds, m.generation, m.ready,
+		m.acceptErrors, m.idleCloses,
 		m.platformCalls, m.coreEvents,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
@@ -70,6 +75,9 @@
 		m.refusals.WithLabelValues(string(r))
 		m.retries.WithLabelValues(string(r))
 	}
+	for _, why := range proxy.IdleCloses {
+		m.idleCloses.WithLabelValues(string(why))
+	}
 	for _, c := range proxy.EndCauses {
 		m.attemptEnds.WithLabelValues(string(c))
 	}
@@ -110,6 +118,16 @@
 	}, f))
 }
 
+// RegisterCallerConns registers the gauge of callers' connections, read from f at each scrape, and that of their limit.
+func (m *Metrics) RegisterCallerConns(f func() int, limit int) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "ebonydyke_caller_connections", Help: "Open connections of callers.",
+	}, func() float64 { return float64(f()) }))
+	most := newGauge("caller_connections_limit", "Limit of open connections of callers, from the settings and the file descriptors.")
+	most.Set(float64(limit))
+	m.registry.MustRegister(most)
+}
+
 // RegisterStaleness registers the gauge of the age, in seconds, of what the instance knows of the
 // store. It is read from f at each scrape.
 func (m *Metrics) RegisterStaleness(f func() float64) {
@@ -130,6 +148,12 @@
 // ResponseIdentified implements proxy.Metrics.
 func (m *Metrics) ResponseIdentified(i proxy.Identity) { m.responses.WithLabelValues(string(i)).Inc() }
 
+// AcceptFailed implements proxy.Metrics.
+func (m *Metrics) AcceptFailed() { m.acceptErrors.Inc() }
+
+// IdleClosed implements proxy.Metrics.
+func (m *Metrics) IdleClosed(why proxy.IdleClose) { m.idleCloses.WithLabelValues(string(why)).Inc() }
+
 // Answered implements proxy.Metrics.
 func (m *Metrics) Answered(service string, firstByte, total time.Duration) {
 	m.firstByte.WithLabelValues(service).Observe(firstByte.Seconds())
--- a/internal/proxy/callerconn.go
+++ b/internal/proxy/callerconn.go
@@ -9,9 +9,6 @@
 	"time"
 
 	"golang.org/x/sys/unix"
-
-	"github.com/ebonydyke/ebonydyke/internal/core"
-	"github.com/ebonydyke/ebonydyke/internal/core/reason"
 )
 
 // pastDeadline is a deadline that makes a blocked read or write return at once.
@@ -320,15 +317,16 @@
 }
 
 // retire makes the connection close itself if it has been idle since t or earlier.
-// Its reader decides: a request that has arrived by then is still served.
-func (c *callerConn) retire(t time.Time) {
+// Its reader decides: a request that has arrived by then is still served. It reports whether the reader was told now.
+func (c *callerConn) retire(t time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.idleSince.IsZero() || c.idleSince.After(t) || c.retired {
-		return
+		return false
 	}
 	c.retired = true
 	_ = c.Conn.SetReadDeadline(pastDeadline)
+	return true
 }
 
 func (c *callerConn) isRetired() bool {
@@ -394,37 +392,3 @@
 		_ = c.SetReadDeadline(time.Time{})
 	}
 }
-
-// callerListener wraps each accepted connection in a callerConn.
-type callerListener struct {
-	net.Listener
-	server *Server
-}
-
-// Accept waits for a connection. A connection over the limit receives an overload
-// response and is closed: each connection holds buffers, and running out of memory
-// would break all others.
-func (l callerListener) Accept() (net.Conn, error) {
-	for {
-		conn, err := l.Listener.Accept()
-		if err != nil {
-			return nil, err
-		}
-		c := &callerConn{Conn: conn, server: l.server}
-		c.markIdle()
-		if l.server.connOpened(c) {
-			return c, nil
-		}
-		l.server.recordFinish(&core.Finish{Outcome: reason.NotRun, Reason: reason.Overloaded}, "")
-		go c.refuseOverloaded()
-	}
-}
-
-// refuseOverloaded sends the overload response and closes the connection.
-func (c *callerConn) refuseOverloaded() {
-	_ = c.SetWriteDeadline(time.Now().Add(lingerTimeout))
-	if _, err := c.Conn.Write([]byte(overloadResponse)); err == nil {
-		c.linger()
-	}
-	_ = c.Conn.Close()
-}
--- a/internal/proxy/dialplan.go
+++ b/internal/proxy/dialplan.go
@@ -34,12 +34,29 @@
 
 // planDialer returns the dialer of an attempt at a backend server.
 func (s *Server) planDialer(backend string) planDialer {
-	var direct net.Dialer
-	return planDialer{direct: direct.DialContext, relays: s.options.Relays, report: func(results []paths.Observation) {
+	return planDialer{direct: s.dialDirect, relays: s.options.Relays, report: func(results []paths.Observation) {
 		s.post(core.BackendDialed{Backend: backend, Results: results})
 	}}
 }
 
+// dialDirect connects to a backend server. If this process has no descriptor left, it makes room and tries again: that says nothing
+// about the server.
+func (s *Server) dialDirect(ctx context.Context, network, address string) (net.Conn, error) {
+	var dialer net.Dialer
+	for {
+		conn, err := dialer.DialContext(ctx, network, address)
+		if err == nil || !lacksDescriptors(err) {
+			return conn, err
+		}
+		s.makeRoom()
+		select {
+		case <-ctx.Done():
+			return nil, err
+		case <-time.After(minAcceptDelay):
+		}
+	}
+}
+
 // pathDial is one dial of an attempt to connect; relay is nil for the direct one.
 type pathDial struct {
 	relay *core.PeerAddress
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -11,6 +11,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -53,6 +54,8 @@
 	attempts []core.SendAttempt
 	refused  map[reason.Reason]int
 	dialled  map[proxy.DialReason]int
+	// acceptErrors and idleCloses count errors of accepting connections and idle ones that were closed.
+	acceptErrors, idleCloses atomic.Int64
 	// connEnds are the ends of connections without a whole response.
 	connEnds []string
 	// firstStates are the times at which the core first reported each state of a backend server.
@@ -133,6 +136,10 @@
 }
 
 // ConnEnded implements proxy.Metrics.
+func (i *instance) AcceptFailed() { i.acceptErrors.Add(1) }
+
+func (i *instance) IdleClosed(proxy.IdleClose) { i.idleCloses.Add(1) }
+
 func (i *instance) ConnEnded(phase proxy.ConnPhase, end proxy.ConnEnd) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
--- a/internal/proxy/options.go
+++ b/internal/proxy/options.go
@@ -113,6 +113,10 @@
 	CallerBytes(n int)
 	// Dialled counts an attempt to open a connection to a backend server.
 	Dialled(DialReason)
+	// AcceptFailed counts an error of accepting a caller's connection that was waited out.
+	AcceptFailed()
+	// IdleClosed counts an idle connection of a caller that is closed.
+	IdleClosed(IdleClose)
 	// ConnEnded counts a caller's connection that ended while a request on it had no whole response, by the phase of
 	// the request and by the event that ended the connection.
 	ConnEnded(ConnPhase, ConnEnd)
@@ -127,4 +131,6 @@
 func (noMetrics) Answered(string, time.Duration, time.Duration) {}
 func (noMetrics) CallerBytes(int)                               {}
 func (noMetrics) Dialled(DialReason)                            {}
+func (noMetrics) AcceptFailed()                                 {}
+func (noMetrics) IdleClosed(IdleClose)                          {}
 func (noMetrics) ConnEnded(ConnPhase, ConnEnd)                  {}
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -51,6 +51,8 @@
 	closeAtOnce bool
 	// lastAccept is the time of the last new connection.
 	lastAccept time.Time
+	// acceptFailureLogged is when an error of the accept loop was last logged. Only that loop uses it.
+	acceptFailureLogged time.Time
 	// acceptEnded is set once the accept loop has ended.
 	acceptEnded bool
 }
@@ -128,6 +130,9 @@
 	if closing {
 		return l.Close()
 	}
+	stop := make(chan struct{})
+	defer close(stop)
+	go s.sweepIdle(stop)
 	return s.http.Serve(callerListener{Listener: l, server: s})
 }
 
@@ -161,6 +166,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lastAccept = time.Now()
+	if len(s.conns) >= s.nearLimit() {
+		s.closeLongestIdle(max(1, s.options.MaxConns/roomShare/2))
+	}
 	if len(s.conns) >= s.options.MaxConns {
 		return false
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -109,8 +109,11 @@
 
 // Limits are the limits on an instance's resources that callers and backend servers can use.
 type Limits struct {
-	// MaxConns is the maximum number of connections from callers.
+	// MaxConns is the maximum number of connections from callers. It is lower if the process may open fewer file descriptors
+	// than that and a quarter of them.
 	MaxConns int `json:"max_conns"`
+	// MaxDescriptors is the number of file descriptors that the process may open; 0 means the limit that the system tells it.
+	MaxDescriptors int `json:"max_descriptors"`
 	// MaxBody is the maximum size of a request body in bytes.
 	MaxBody int `json:"max_body"`
 	// MaxResponse is the maximum size in bytes of a response body without a length, which may have no end. A longer one is broken
@@ -303,6 +306,9 @@
 }
 
 func checkLimits(doc *jsonc.Document, l *Limits) {
+	if l.MaxDescriptors < 0 {
+		doc.Add("limits.max_descriptors", "max_descriptors %d, expected 0 or more", l.MaxDescriptors)
+	}
 	for _, limit := range []struct {
 		path  string
 		value int64
