Callers: the memory for the bodies of all requests is bounded

What callers saw: 61 bodies of the permitted size at once took an instance over its memory.

Cause: each body was bounded, their sum was not. Class: a limit on one of many is taken for a limit on all.

Change: memory for a body is taken before it is read and returned when its request has ended. The limit follows from the memory that the platform tells, 128 MiB without.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -50,6 +50,7 @@
 	relays := relay.NewServer(counters)
 	links := newLinks(s, incarnation, listeners.peers, calls.translateOffers(loop.Post), relays)
 	counters.RegisterControl(readControl(links))
+	limitHeap(s.Limits.MaxMemory)
 	options := proxyOptions(&s.Limits, counters)
 	if options.MaxConns, err = callerConns(s.Limits.MaxConns, s.Limits.MaxDescriptors); err != nil {
 		return err
@@ -59,6 +60,7 @@
 	options.Relays = peer.RelayDialer{Fleet: s.Fleet, Name: s.Name}
 	server := proxy.New(loop.Post, options)
 	counters.RegisterCallerConns(server.CallerConns, options.MaxConns)
+	counters.RegisterBodyBytes(server.BodyBytes, options.MaxBodies)
 	exec := &executor{ctx: ctx, post: loop.Post, store: calls, proxy: server, links: links, relay: relays, stop: cancel}
 	var grace atomic.Int64
 	grace.Store(int64(s.StopGrace))
@@ -211,6 +213,7 @@
 		Metrics:     m,
 		MaxConns:    l.MaxConns,
 		MaxBody:     l.MaxBody,
+		MaxBodies:   bodyMemory(l.MaxBodies, l.MaxMemory),
 		MaxResponse: l.MaxResponse,
 		MaxHeader:   l.MaxHeader,
 		ReadTimeout: time.Duration(l.ReadTimeout),
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -128,6 +128,17 @@
 	m.registry.MustRegister(most)
 }
 
+// RegisterBodyBytes registers the gauge of the bytes that the bodies of requests take, read from f at each scrape, and that of their
+// limit.
+func (m *Metrics) RegisterBodyBytes(f func() int64, limit int) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "ebonydyke_request_body_bytes", Help: "Memory that is taken for the bodies of requests.",
+	}, func() float64 { return float64(f()) }))
+	most := newGauge("request_body_bytes_limit", "Limit of the memory for the bodies of requests.")
+	most.Set(float64(limit))
+	m.registry.MustRegister(most)
+}
+
 // RegisterStaleness registers the gauge of the age, in seconds, of what the instance knows of the
 // store. It is read from f at each scrape.
 func (m *Metrics) RegisterStaleness(f func() float64) {
--- a/internal/proxy/callerbody.go
+++ b/internal/proxy/callerbody.go
@@ -46,8 +46,9 @@
 }
 
 // readBody reads the body of a request whose header the HTTP library has read, and restores the length in its header. The
-// memory that it takes is proportional to what has arrived. A body that exceeds limit bytes is refused before it is read.
-func (c *callerConn) readBody(req *fasthttp.Request, limit int) error {
+// memory that it takes is proportional to what has arrived, and counts in grant. A body that exceeds limit bytes is refused before
+// it is read.
+func (c *callerConn) readBody(req *fasthttp.Request, limit int, grant *bodyGrant) error {
 	length := announcedLength(&req.Header)
 	if !c.head.ended() {
 		return errHeadEnd
@@ -60,12 +61,14 @@
 	case length > limit:
 		return fasthttp.ErrBodyTooLarge
 	case length == chunkedLength:
-		body, err = c.readChunks(&req.Header, limit)
+		body, err = c.readChunks(&req.Header, limit, grant)
 		if len(body) == 0 {
 			length = 0
 		}
 	default:
-		body, err = c.readLength(length)
+		if err = grant.take(length); err == nil {
+			body, err = c.readLength(length)
+		}
 	}
 	if err != nil {
 		return err
@@ -104,7 +107,7 @@
 }
 
 // readChunks reads a body in chunks and its trailers, which become part of the header.
-func (c *callerConn) readChunks(h *fasthttp.RequestHeader, limit int) (body []byte, err error) {
+func (c *callerConn) readChunks(h *fasthttp.RequestHeader, limit int, grant *bodyGrant) (body []byte, err error) {
 	in := c.server.chunkBuffers.acquire(bodySource{c}, c.server.options.MaxHeader)
 	defer func() {
 		rest, _ := in.Peek(in.Buffered())
@@ -122,7 +125,7 @@
 		case size > limit-len(body):
 			return nil, fasthttp.ErrBodyTooLarge
 		}
-		body, err = appendBody(in, body, size, limit)
+		body, err = appendBody(in, body, size, limit, grant)
 		if err == nil {
 			err = lines.readEnd()
 		}
@@ -133,10 +136,14 @@
 }
 
 // appendBody reads n bytes and appends them to body, which has at most most bytes in the end.
-func appendBody(r io.Reader, body []byte, n, most int) ([]byte, error) {
+func appendBody(r io.Reader, body []byte, n, most int, grant *bodyGrant) ([]byte, error) {
 	for left := n; left > 0; {
 		if len(body) == cap(body) {
-			body = growBody(body, most, 0)
+			larger := growBody(body, most, 0)
+			if err := grant.take(cap(larger) - cap(body)); err != nil {
+				return nil, err
+			}
+			body = larger
 		}
 		read, err := r.Read(body[len(body):min(cap(body), len(body)+left)])
 		body = body[:len(body)+read]
--- a/internal/proxy/callerbody_test.go
+++ b/internal/proxy/callerbody_test.go
@@ -28,7 +28,7 @@
 	if err = req.ContinueReadBody(in, maxTestBody, false); err != nil {
 		return nil, "", err
 	}
-	err = c.readBody(req, maxTestBody)
+	err = c.readBody(req, maxTestBody, &bodyGrant{budget: newBodyBudget(DefaultMaxBodies)})
 	return req, string(c.readAhead), err
 }
 
--- a/internal/proxy/dialect.go
+++ b/internal/proxy/dialect.go
@@ -75,6 +75,8 @@
 	Status  int
 	Reason  reason.Reason
 	Message string
+	// RetryAfter is when the caller may come back, 0 if it should not.
+	RetryAfter time.Duration
 }
 
 // Verdict classifies the response of a backend server by its header.
--- a/internal/proxy/native.go
+++ b/internal/proxy/native.go
@@ -36,7 +36,7 @@
 	if !h.IsHTTP11() {
 		// An HTTP/1.0 response of unknown length ends when the connection closes, so the
 		// caller could not tell a truncated response from a whole one.
-		return nil, &Rejection{http.StatusHTTPVersionNotSupported, reason.BadRequest, "HTTP/1.1 is needed"}
+		return nil, &Rejection{Status: http.StatusHTTPVersionNotSupported, Reason: reason.BadRequest, Message: "HTTP/1.1 is needed"}
 	}
 	r := &Request{Arrived: core.RequestArrived{
 		Request:  id,
@@ -94,7 +94,7 @@
 	}
 	rest, ok := strings.CutPrefix(path, servicePrefix)
 	if !ok {
-		return &Rejection{http.StatusNotFound, reason.UnknownService, "no such path"}
+		return &Rejection{Status: http.StatusNotFound, Reason: reason.UnknownService, Message: "no such path"}
 	}
 	name, target, _ := strings.Cut(rest, "/")
 	if name == "" {
@@ -116,7 +116,7 @@
 
 func readChat(r *Request, ctx *fasthttp.RequestCtx) *Rejection {
 	if !ctx.IsPost() {
-		return &Rejection{http.StatusMethodNotAllowed, reason.BadRequest, "a chat is sent by POST"}
+		return &Rejection{Status: http.StatusMethodNotAllowed, Reason: reason.BadRequest, Message: "a chat is sent by POST"}
 	}
 	var chat struct {
 		Model  string `json:"model"`
@@ -239,6 +239,9 @@
 	out.Header.Set(HeaderRequestID, string(id))
 	out.Header.Set(HeaderOutcome, string(reason.NotRun))
 	out.Header.Set(HeaderReason, string(rejected.Reason))
+	if rejected.RetryAfter > 0 {
+		out.Header.Set("Retry-After", ceilSeconds(rejected.RetryAfter))
+	}
 	out.SetBodyRaw(encodeError(rejected.Message, reason.NotRun, rejected.Reason))
 }
 
--- a/internal/proxy/options.go
+++ b/internal/proxy/options.go
@@ -19,6 +19,8 @@
 	MaxConns int
 	// MaxBody is the maximum size of a request body in bytes.
 	MaxBody int
+	// MaxBodies is the maximum number of bytes that the bodies of all requests take together.
+	MaxBodies int
 	// MaxHeader is the maximum size of the header of a request or response in bytes.
 	MaxHeader int
 	// MaxResponse is the maximum size in bytes of a response body without a length, which may have no end. A longer one is broken
@@ -56,6 +58,7 @@
 const (
 	DefaultMaxConns    = 8192
 	DefaultMaxBody     = 8 << 20
+	DefaultMaxBodies   = 128 << 20
 	DefaultMaxResponse = 48 << 20
 	DefaultMaxHeader   = 32 << 10
 	DefaultReadTimeout = time.Minute
@@ -81,6 +84,7 @@
 	}
 	o.MaxConns = cmp.Or(o.MaxConns, DefaultMaxConns)
 	o.MaxBody = cmp.Or(o.MaxBody, DefaultMaxBody)
+	o.MaxBodies = cmp.Or(o.MaxBodies, DefaultMaxBodies)
 	o.MaxResponse = cmp.Or(o.MaxResponse, DefaultMaxResponse)
 	o.MaxHeader = cmp.Or(o.MaxHeader, DefaultMaxHeader)
 	o.ReadTimeout = cmp.Or(o.ReadTimeout, DefaultReadTimeout)
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -25,6 +25,8 @@
 		Request: id,
 		Outcome: reason.NotRun,
 		Reason:  rejected.Reason,
+
+		RetryAfter: rejected.RetryAfter,
 	}, rejected.Message)
 	s.options.Dialect.WriteRejection(&ctx.Response, id, rejected)
 }
@@ -37,11 +39,16 @@
 	var small *fasthttp.ErrSmallBuffer
 	switch {
 	case errors.As(err, &small):
-		rejected = &Rejection{http.StatusRequestHeaderFieldsTooLarge, reason.TooLarge, "the header is too large"}
+		rejected = &Rejection{Status: http.StatusRequestHeaderFieldsTooLarge, Reason: reason.TooLarge, Message: "the header is too large"}
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
-		rejected = &Rejection{http.StatusRequestEntityTooLarge, reason.TooLarge, "the body is too large"}
+		rejected = &Rejection{Status: http.StatusRequestEntityTooLarge, Reason: reason.TooLarge, Message: "the body is too large"}
+	case errors.Is(err, errNoBodyMemory):
+		rejected = &Rejection{
+			Status: http.StatusServiceUnavailable, Reason: reason.Overloaded, Message: "the bodies of other requests take all memory for them",
+			RetryAfter: bodyRetryAfter,
+		}
 	case isTimeout(err), ok && c.hasTimedOut():
-		rejected = &Rejection{http.StatusRequestTimeout, reason.BadRequest, "the request came too slowly"}
+		rejected = &Rejection{Status: http.StatusRequestTimeout, Reason: reason.BadRequest, Message: "the request came too slowly"}
 	}
 	if ok {
 		c.markUnread()
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -33,6 +33,8 @@
 	engine     *engineClient
 	ends       endChecker
 	limits     callerLimits
+	// bodies bounds the memory for the bodies of requests.
+	bodies *bodyBudget
 	// chunkBuffers holds the buffers for bodies in chunks.
 	chunkBuffers readerPool
 	// notReady is set while the load balancer must not send new requests.
@@ -73,6 +75,7 @@
 		engine:          newEngineClient(o, log),
 		requestIDPrefix: strconv.FormatInt(time.Now().UnixNano(), 36),
 		log:             log,
+		bodies:          newBodyBudget(o.MaxBodies),
 		exchanges:       make(map[core.RequestID]*exchange),
 		conns:           make(map[*callerConn]struct{}),
 	}
@@ -136,6 +139,9 @@
 	return s.http.Serve(callerListener{Listener: l, server: s})
 }
 
+// BodyBytes returns the number of bytes that the bodies of requests take.
+func (s *Server) BodyBytes() int64 { return s.bodies.Held() }
+
 // SetReady sets whether the load balancer may send new requests. While it may not,
 // every response asks the caller to close the connection.
 func (s *Server) SetReady(ready bool) { s.notReady.Store(!ready) }
@@ -269,7 +275,9 @@
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	if c, ok := ctx.Conn().(*callerConn); ok {
-		if err := c.readBody(&ctx.Request, s.maxBody()); err != nil {
+		grant := bodyGrant{budget: s.bodies}
+		defer grant.release()
+		if err := c.readBody(&ctx.Request, s.maxBody(), &grant); err != nil {
 			s.rejectUnreadable(ctx, err)
 			ctx.SetConnectionClose()
 			return
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -116,6 +116,11 @@
 	MaxDescriptors int `json:"max_descriptors"`
 	// MaxBody is the maximum size of a request body in bytes.
 	MaxBody int `json:"max_body"`
+	// MaxBodies is the maximum number of bytes that the bodies of all requests take together. It is lower if max_memory is
+	// known and two fifths of it are less.
+	MaxBodies int `json:"max_bodies"`
+	// MaxMemory is the memory in megabytes that the process may take before it is killed; 0 means that it is not known.
+	MaxMemory int `json:"max_memory"`
 	// MaxResponse is the maximum size in bytes of a response body without a length, which may have no end. A longer one is broken
 	// off. It does not apply to streams of events.
 	MaxResponse int64 `json:"max_response"`
@@ -166,6 +171,7 @@
 		Limits: Limits{
 			MaxConns:    proxy.DefaultMaxConns,
 			MaxBody:     proxy.DefaultMaxBody,
+			MaxBodies:   proxy.DefaultMaxBodies,
 			MaxResponse: proxy.DefaultMaxResponse,
 			MaxHeader:   proxy.DefaultMaxHeader,
 			ReadTimeout: config.Duration(proxy.DefaultReadTimeout),
@@ -309,10 +315,14 @@
 	if l.MaxDescriptors < 0 {
 		doc.Add("limits.max_descriptors", "max_descriptors %d, expected 0 or more", l.MaxDescriptors)
 	}
+	if l.MaxMemory < 0 {
+		doc.Add("limits.max_memory", "max_memory %d, expected 0 or more", l.MaxMemory)
+	}
 	for _, limit := range []struct {
 		path  string
 		value int64
 	}{
+		{"max_bodies", int64(l.MaxBodies)},
 		{"max_conns", int64(l.MaxConns)},
 		{"max_body", int64(l.MaxBody)},
 		{"max_response", l.MaxResponse},
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -85,7 +85,7 @@
 s.json:10:82: retry_burst -1, expected 0 or more
 s.json:11:26: max_body must be above 0
 s.json:11:43: duration: expected text such as "30s", found "fast"
-s.json:11:51: unknown field "max_headers", expected one of max_conns, max_descriptors, max_body, max_response, max_header, read_timeout, caller_idle, write_stall, accept_quiet, accept_max, drain_idle, dial_timeout, backend_idle, inactivity
+s.json:11:51: unknown field "max_headers", expected one of max_conns, max_descriptors, max_body, max_bodies, max_memory, max_response, max_header, read_timeout, caller_idle, write_stall, accept_quiet, accept_max, drain_idle, dial_timeout, backend_idle, inactivity
 s.json:12:20: log_verbosity 10, expected from 0 to 9
 s.json:13:3: unknown field "zone_names", expected one of name, fleet, zone, region, zones, listen, peer_listen, admin_listen, dialect, ready_listen, platform, config_bound, drain_bound, evacuate_bound, platform_settle, seeds, accept_delay, stop_grace, bounds, limits, log_verbosity
 `))
