Proxy: a request's target reaches the backend server unchanged

Cause: the target was set as part of a URI, which has no empty query.

Change: it is set as the path of the URI, which is written as it is.

Evidence: TestTargetIsForwardedUnchanged failed with "/once/x?" before.

--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -171,7 +171,9 @@
 	req := fasthttp.AcquireRequest()
 	remaining := e.Deadline.Sub(x.server.options.Now())
 	x.server.options.Dialect.WriteAttempt(req, &x.ctx.Request, e, remaining)
-	req.SetRequestURI("http://" + e.Address + x.request.Target)
+	req.SetRequestURI("http://" + e.Address + "/")
+	// As a path, the target is written as it was received. As a URI, it would lose a question mark without a query.
+	req.URI().SetPath(x.request.Target)
 	if body := x.ctx.PostBody(); len(body) > 0 {
 		req.SetBodyRaw(body)
 	}
--- a/internal/proxy/native.go
+++ b/internal/proxy/native.go
@@ -107,11 +107,11 @@
 
 // rawQuery returns the query as received, with its question mark, or "".
 func rawQuery(ctx *fasthttp.RequestCtx) string {
-	query := ctx.URI().QueryString()
-	if len(query) == 0 {
+	_, query, found := strings.Cut(string(ctx.RequestURI()), "?")
+	if !found {
 		return ""
 	}
-	return "?" + string(query)
+	return "?" + query
 }
 
 func readChat(r *Request, ctx *fasthttp.RequestCtx) *Rejection {
