Callers: trailers of a body become no fields of the header

What callers could do: a field behind a body in chunks, such as Model, took the place of the header's own on the way to the backend server.

Cause: the HTTP library reads trailers into the header.

Change: they are read, within the same limits, and not kept.

Evidence: TestTrailersBecomeNoFieldsOfTheHeader failed before. TestBodiesAreReadAsByTheLibrary and FuzzCallerChunks compare with the library's reading of the header alone now.

--- a/internal/proxy/callerbody.go
+++ b/internal/proxy/callerbody.go
@@ -61,7 +61,7 @@
 	case length > limit:
 		return fasthttp.ErrBodyTooLarge
 	case length == chunkedLength:
-		body, err = c.readChunks(&req.Header, limit, grant)
+		body, err = c.readChunks(limit, grant)
 		if len(body) == 0 {
 			length = 0
 		}
@@ -106,8 +106,8 @@
 	return larger
 }
 
-// readChunks reads a body in chunks and its trailers, which become part of the header.
-func (c *callerConn) readChunks(h *fasthttp.RequestHeader, limit int, grant *bodyGrant) (body []byte, err error) {
+// readChunks reads a body in chunks. Its trailers are read and not kept.
+func (c *callerConn) readChunks(limit int, grant *bodyGrant) (body []byte, err error) {
 	in := c.server.chunkBuffers.acquire(bodySource{c}, c.server.options.MaxHeader)
 	defer func() {
 		rest, _ := in.Peek(in.Buffered())
@@ -121,7 +121,10 @@
 		case err != nil:
 			return nil, unexpectedEOF(err)
 		case size == 0:
-			return body, unexpectedEOF(h.ReadTrailer(in))
+			// What trails the body is no field of the header: it would be passed on as one, in place of what the caller's
+			// client or an intermediary has checked.
+			var trailers fasthttp.RequestHeader
+			return body, unexpectedEOF(trailers.ReadTrailer(in))
 		case size > limit-len(body):
 			return nil, fasthttp.ErrBodyTooLarge
 		}
