Soak: every third configuration has an element that cannot be used

The soak's checks (keys and routes that a version takes away, in force everywhere in time, never back) see a configuration that is refused whole.

--- a/internal/soak/configs.go
+++ b/internal/soak/configs.go
@@ -56,6 +56,15 @@
 	w.writeNextConfig()
 }
 
+// oddElement returns the element that cannot be used and that a version has beside the others, nil for two versions in three. It
+// follows from the version, so that what a seed draws does not depend on it.
+func oddElement(version int) *fakeplatform.OddElement {
+	if version%3 != 0 {
+		return nil
+	}
+	return &fakeplatform.OddElements[version/3%len(fakeplatform.OddElements)]
+}
+
 // writeNextConfig writes the next version of the operators' configuration. The new version has
 // its own key and its own spare route in place of those of the previous version.
 func (w *World) writeNextConfig() {
@@ -83,6 +92,7 @@
 		Version: w.nextVersion, Services: []string{"work"}, Customer: "t1",
 		Keys: []string{callerKey, fmt.Sprint("key-", w.nextVersion)}, Routes: routes,
 		MaxBody: c.maxBody, IdleTimeout: c.idleTimeout, WarmUp: w.warmUp(),
+		Odd: oddElement(w.nextVersion),
 	})
 	w.writtenVersions = append(w.writtenVersions, w.nextVersion)
 	w.nextVersion += 1 + w.versionSteps.IntN(3)
