--- a/internal/proxy/listener_test.go
+++ b/internal/proxy/listener_test.go
@@ -25,7 +25,8 @@
 
 func newHeldListener(t *testing.T) *heldListener {
 	t.Helper()
-	l, err := proxy.Listen(context.Background(), "127.0.0.1:0")
+	// No other process listens on this address: one that took the port of the closed listener would accept its callers.
+	l, err := proxy.Listen(context.Background(), "127.4.0.1:0")
 	require.NoError(t, err)
 	return &heldListener{TCPListener: l.(*net.TCPListener), hold: make(chan struct{}), beforeClose: func() {}}
 }
