Core: what operators are told has a package of its own

The types of the status stood in five files of package core, between the decisions that they tell of, under names that repeated the word. They are plain data; package status holds them, and core fills them in.

--- a/cmd/ebonyctl/instances.go
+++ b/cmd/ebonyctl/instances.go
@@ -11,8 +11,9 @@
 	"sync"
 	"time"
 
+	"github.com/ebonydyke/ebonydyke/internal/core/status"
+
 	"github.com/ebonydyke/ebonydyke/internal/admin"
-	"github.com/ebonydyke/ebonydyke/internal/core"
 )
 
 const (
@@ -26,9 +27,9 @@
 
 // statusResult is the result of a status request to one instance.
 type statusResult struct {
-	Address string       `json:"address"`
-	Status  *core.Status `json:"status,omitempty"`
-	Error   string       `json:"error,omitempty"`
+	Address string         `json:"address"`
+	Status  *status.Status `json:"status,omitempty"`
+	Error   string         `json:"error,omitempty"`
 }
 
 // fetchStatuses requests the status of every instance in --instances and returns the results
@@ -49,7 +50,7 @@
 }
 
 func fetchStatus(ctx context.Context, address string) statusResult {
-	var s core.Status
+	var s status.Status
 	if err := call(ctx, http.MethodGet, address, admin.PathStatus, nil, &s); err != nil {
 		return statusResult{Address: address, Error: err.Error()}
 	}
--- a/cmd/ebonyctl/placement.go
+++ b/cmd/ebonyctl/placement.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net/url"
 
+	"github.com/ebonydyke/ebonydyke/internal/core/status"
+
 	"github.com/ebonydyke/ebonydyke/internal/admin"
 	"github.com/ebonydyke/ebonydyke/internal/core"
 )
@@ -53,12 +55,12 @@
 func (c *backendsCommand) Run(global *cli) error {
 	ctx, cancel := global.context()
 	defer cancel()
-	var status core.Status
-	if err := global.callFirst(ctx, admin.PathStatus, nil, &status); err != nil {
+	var own status.Status
+	if err := global.callFirst(ctx, admin.PathStatus, nil, &own); err != nil {
 		return fmt.Errorf("backends: %w", err)
 	}
-	services := make([]core.ServiceStatus, 0, len(status.Services))
-	for _, service := range status.Services {
+	services := make([]status.Service, 0, len(own.Services))
+	for _, service := range own.Services {
 		if c.Service == "" || c.Service == service.Name {
 			services = append(services, service)
 		}
@@ -73,11 +75,11 @@
 		}
 	}
 	t.flush()
-	global.printf("as %s sees them; OWN is its own part of the load\n", status.Instance)
+	global.printf("as %s sees them; OWN is its own part of the load\n", own.Instance)
 	return nil
 }
 
-func backendState(b core.BackendStatus) string {
+func backendState(b status.Backend) string {
 	if b.Cold != nil {
 		return coldState(b)
 	}
@@ -94,7 +96,7 @@
 }
 
 // coldState describes a backend server that warms up: until when and why, and who permits how many requests a second.
-func coldState(b core.BackendStatus) string {
+func coldState(b status.Backend) string {
 	until := "until it is reached"
 	if !b.Cold.Until.IsZero() {
 		until = "until " + b.Cold.Until.UTC().Format("15:04:05.000")
--- a/cmd/ebonyctl/services.go
+++ b/cmd/ebonyctl/services.go
@@ -8,7 +8,8 @@
 	"strings"
 	"time"
 
-	"github.com/ebonydyke/ebonydyke/internal/core"
+	"github.com/ebonydyke/ebonydyke/internal/core/status"
+
 	"github.com/ebonydyke/ebonydyke/internal/core/reason"
 )
 
@@ -61,7 +62,7 @@
 	return list
 }
 
-func (v *serviceLoad) add(s *core.OverloadStatus) {
+func (v *serviceLoad) add(s *status.Overload) {
 	v.reporting++
 	v.load += s.Load
 	v.capacity += s.Capacity
--- a/cmd/ebonyctl/status.go
+++ b/cmd/ebonyctl/status.go
@@ -8,7 +8,8 @@
 	"slices"
 	"time"
 
-	"github.com/ebonydyke/ebonydyke/internal/core"
+	"github.com/ebonydyke/ebonydyke/internal/core/status"
+
 	"github.com/ebonydyke/ebonydyke/internal/core/membership"
 	"github.com/ebonydyke/ebonydyke/internal/edit"
 )
@@ -42,7 +43,7 @@
 
 // unqueriedInstance is a live instance that was not queried.
 type unqueriedInstance struct {
-	core.PeerStatus
+	status.Peer
 	// Silent is set if its peers receive no digests from it although the platform lists it.
 	Silent bool `json:"silent,omitempty"`
 }
@@ -121,7 +122,7 @@
 		}
 		for _, p := range r.Status.Peers {
 			if p.LastDigestAt.After(latest[p.Name].LastDigestAt) {
-				latest[p.Name] = unqueriedInstance{PeerStatus: p, Silent: r.Status.At.Sub(p.LastDigestAt) > silentThreshold}
+				latest[p.Name] = unqueriedInstance{Peer: p, Silent: r.Status.At.Sub(p.LastDigestAt) > silentThreshold}
 			}
 		}
 	}
@@ -131,7 +132,7 @@
 		}
 		p, ok := latest[name]
 		if !ok {
-			p = unqueriedInstance{PeerStatus: core.PeerStatus{Name: name}, Silent: true}
+			p = unqueriedInstance{Peer: status.Peer{Name: name}, Silent: true}
 		}
 		s.Unqueried = append(s.Unqueried, p)
 	}
@@ -240,7 +241,7 @@
 	return fmt.Sprintf("generation %d", g)
 }
 
-func instanceState(s *core.Status) string {
+func instanceState(s *status.Status) string {
 	switch {
 	case s.Stopping:
 		return "draining"
@@ -262,7 +263,7 @@
 	}
 }
 
-func platformState(s *core.Status) string {
+func platformState(s *status.Status) string {
 	p := s.Platform
 	switch {
 	case !p.Known:
--- a/cmd/ebonyctl/status_test.go
+++ b/cmd/ebonyctl/status_test.go
@@ -7,9 +7,9 @@
 	"testing"
 	"time"
 
-	"github.com/stretchr/testify/require"
+	"github.com/ebonydyke/ebonydyke/internal/core/status"
 
-	"github.com/ebonydyke/ebonydyke/internal/core"
+	"github.com/stretchr/testify/require"
 )
 
 // newFleetStatus returns the status of a fleet of n instances in three zones, with generation 7 in
@@ -17,9 +17,9 @@
 func newFleetStatus(n int) *fleetStatus {
 	s := &fleetStatus{Newest: 7, Stored: 7}
 	for i := range n {
-		s.Instances = append(s.Instances, statusResult{Address: fmt.Sprintf("10.0.0.%d:7090", i), Status: &core.Status{
+		s.Instances = append(s.Instances, statusResult{Address: fmt.Sprintf("10.0.0.%d:7090", i), Status: &status.Status{
 			Instance: fmt.Sprintf("entry-%02d", i), Zone: fmt.Sprint("zone-", i%3), Generation: 7, InFlight: 10,
-			Platform: core.PlatformStatus{Known: true, Reachable: true},
+			Platform: status.Platform{Known: true, Reachable: true},
 		}})
 	}
 	return s
@@ -40,7 +40,7 @@
 func TestLargeFleetStatusFitsOneScreen(t *testing.T) {
 	s := newFleetStatus(91)
 	s.Instances[4].Status.Generation = 5
-	s.Instances[5].Status.Platform = core.PlatformStatus{Known: true, Since: time.Unix(0, 0).UTC()}
+	s.Instances[5].Status.Platform = status.Platform{Known: true, Since: time.Unix(0, 0).UTC()}
 	s.Instances[6].Status = nil
 	out := statusOutput(t, s, false)
 	require.LessOrEqual(t, strings.Count(out, "\n"), maxListedInstances)
@@ -72,7 +72,7 @@
 func TestStatusShowsSeparatedZones(t *testing.T) {
 	s := newFleetStatus(4)
 	since := time.Date(2030, 1, 2, 3, 4, 5, 0, time.UTC)
-	s.Instances[0].Status.SeparatedZones = []core.SeparatedZone{{Zone: "zone-1", Since: since.Add(time.Second)}}
-	s.Instances[2].Status.SeparatedZones = []core.SeparatedZone{{Zone: "zone-1", Since: since}}
+	s.Instances[0].Status.SeparatedZones = []status.SeparatedZone{{Zone: "zone-1", Since: since.Add(time.Second)}}
+	s.Instances[2].Status.SeparatedZones = []status.SeparatedZone{{Zone: "zone-1", Since: since}}
 	require.Contains(t, statusOutput(t, s, true), "zone zone-1: cut off from 2 of 4 instances since 2030-01-02T03:04:05Z\n")
 }
--- a/cmd/ebonyctl/zones.go
+++ b/cmd/ebonyctl/zones.go
@@ -5,7 +5,7 @@
 	"maps"
 	"slices"
 
-	"github.com/ebonydyke/ebonydyke/internal/core"
+	"github.com/ebonydyke/ebonydyke/internal/core/status"
 )
 
 // maxListedInstances is the maximum number of instances that are listed in one row each. With
@@ -43,7 +43,7 @@
 	return totals[name]
 }
 
-func (z *zoneTotals) add(s *core.Status, newest uint64) {
+func (z *zoneTotals) add(s *status.Status, newest uint64) {
 	z.instances++
 	z.inFlight += s.InFlight
 	if !s.Stopping && s.Generation > 0 {
@@ -57,7 +57,7 @@
 	}
 }
 
-func platformUnreachable(s *core.Status) bool { return s.Platform.Known && !s.Platform.Reachable }
+func platformUnreachable(s *status.Status) bool { return s.Platform.Known && !s.Platform.Reachable }
 
 // needsAttention reports whether the instance is not in its normal state.
 func (r *statusResult) needsAttention(newest uint64) bool {
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -11,6 +11,8 @@
 	"net/http"
 	"time"
 
+	"github.com/ebonydyke/ebonydyke/internal/core/status"
+
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"k8s.io/klog/v2"
@@ -48,7 +50,7 @@
 // Instance is the instance that the endpoints report on and control.
 type Instance interface {
 	// Status returns the instance's status.
-	Status(context.Context) (core.Status, error)
+	Status(context.Context) (status.Status, error)
 	// Explain returns the placement decision for a query and the reasons for it.
 	Explain(context.Context, core.ExplainQuery) (core.Explanation, error)
 	// Ready reports whether the instance accepts new requests.
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"time"
 
+	"github.com/ebonydyke/ebonydyke/internal/core/status"
+
 	"github.com/stretchr/testify/require"
 
 	"github.com/ebonydyke/ebonydyke/internal/admin"
@@ -32,8 +34,8 @@
 	return errors.New("the core does not answer")
 }
 
-func (f *fakeInstance) Status(ctx context.Context) (core.Status, error) {
-	return core.Status{Instance: "entry-1", Generation: 7}, f.waitIfStuck(ctx)
+func (f *fakeInstance) Status(ctx context.Context) (status.Status, error) {
+	return status.Status{Instance: "entry-1", Generation: 7}, f.waitIfStuck(ctx)
 }
 
 func (f *fakeInstance) Explain(ctx context.Context, q core.ExplainQuery) (core.Explanation, error) {
@@ -82,7 +84,7 @@
 	require.Equal(t, http.StatusOK, code)
 
 	_, body := call(http.MethodGet, admin.PathStatus)
-	var s core.Status
+	var s status.Status
 	require.NoError(t, json.Unmarshal([]byte(body), &s))
 	require.Equal(t, uint64(7), s.Generation)
 	_, body = call(http.MethodGet, admin.PathExplain+"?service=llm&customer=c&chat=d")
--- a/internal/core/coldservers.go
+++ b/internal/core/coldservers.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"time"
 
+	"github.com/ebonydyke/ebonydyke/internal/core/status"
+
 	"github.com/ebonydyke/ebonydyke/internal/core/membership"
 	"github.com/ebonydyke/ebonydyke/internal/core/retry"
 	"github.com/ebonydyke/ebonydyke/internal/core/routing"
@@ -361,30 +363,14 @@
 	return change
 }
 
-// ColdStatus is the state of a backend server that warms up, as an instance knows it.
-type ColdStatus struct {
-	// Until is the time until which it is cold; zero if it must be reached first.
-	Until time.Time `json:"until,omitzero"`
-	// Cause is why it is cold.
-	Cause warmup.Cause `json:"cause"`
-	// Issuer is the instance that permits requests to it, "" if it is not known.
-	Issuer string `json:"issuer,omitempty"`
-	// PerSecond is the number of requests that one issuer permits a second, and Granted the number that this instance has
-	// granted within the last one.
-	PerSecond int `json:"per_second"`
-	Granted   int `json:"granted"`
-	// Ends is the number of its ends while it was cold, within the last minute.
-	Ends int `json:"ends,omitempty"`
-}
-
 // coldStatus returns the warm-up state of a server, nil if it is warm.
-func (n *Node) coldStatus(c *routing.Candidate) *ColdStatus {
+func (n *Node) coldStatus(c *routing.Candidate) *status.Cold {
 	limits, p := n.limitsOfServer(c.Name)
 	state, cold := n.cold.servers.Describe(c.Name, n.now)
 	if p == nil || !cold {
 		return nil
 	}
-	return &ColdStatus{
+	return &status.Cold{
 		Until: state.Until, Cause: state.Cause, Issuer: n.issuerOf(c), PerSecond: limits.Permits(state.Ends),
 		Granted: n.cold.permits.issuer.Granted(c.Name, n.now), Ends: state.Ends,
 	}
--- a/internal/core/evacuations.go
+++ b/internal/core/evacuations.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/ebonydyke/ebonydyke/internal/core/status"
+
 	"github.com/ebonydyke/ebonydyke/internal/core/evacuation"
 	"github.com/ebonydyke/ebonydyke/internal/core/membership"
 	"github.com/ebonydyke/ebonydyke/internal/core/reason"
@@ -323,25 +325,11 @@
 	return member != nil && member.State != membership.Live
 }
 
-// EvacuationStatus is an evacuated zone as this instance sees it.
-type EvacuationStatus struct {
-	Zone string `json:"zone"`
-	// Revision is the store's revision at which the evacuation was requested.
-	Revision uint64 `json:"revision"`
-	// Since is when this instance learned of it.
-	Since time.Time `json:"since"`
-	// Servers is the number of the zone's backend servers, 0 if no server is known there.
-	Servers int `json:"servers"`
-	// Own is the number of this instance's requests in progress there, and Load the estimated number of all.
-	Own  int     `json:"own"`
-	Load float64 `json:"load"`
-}
-
 // Evacuations returns the evacuated zones, sorted by name.
-func (n *Node) Evacuations() []EvacuationStatus {
-	var list []EvacuationStatus
+func (n *Node) Evacuations() []status.Evacuation {
+	var list []status.Evacuation
 	for _, z := range n.evacuations.set.Zones() {
-		s := EvacuationStatus{Zone: z.Name, Revision: z.Revision, Since: n.evacuations.set.Since(z.Name)}
+		s := status.Evacuation{Zone: z.Name, Revision: z.Revision, Since: n.evacuations.set.Since(z.Name)}
 		s.Servers, s.Own = n.zoneRequests(z.Name)
 		for _, p := range n.pools {
 			for i := range p.leaving {
@@ -356,8 +344,8 @@
 }
 
 // evacuatedBackends lists a service's live backend servers in evacuated zones.
-func (n *Node) evacuatedBackends(service string) []BackendStatus {
-	var list []BackendStatus
+func (n *Node) evacuatedBackends(service string) []status.Backend {
+	var list []status.Backend
 	p := n.pool(service)
 	for i := range p.leaving {
 		if c := &p.leaving[i]; n.isEvacuated(c) {
--- a/internal/core/explain.go
+++ b/internal/core/explain.go
@@ -5,6 +5,8 @@
 	"slices"
 	"strings"
 
+	"github.com/ebonydyke/ebonydyke/internal/core/status"
+
 	"github.com/ebonydyke/ebonydyke/internal/core/reason"
 	"github.com/ebonydyke/ebonydyke/internal/core/rendezvous"
 	"github.com/ebonydyke/ebonydyke/internal/core/routing"
@@ -51,7 +53,7 @@
 
 // RankedBackend is one usable backend server in the chat's ranking.
 type RankedBackend struct {
-	BackendStatus
+	status.Backend
 	// Why is the reason for which it is chosen or skipped.
 	Why string `json:"why"`
 }
@@ -114,8 +116,8 @@
 	})
 	for i := range ranked {
 		x.Ranking = append(x.Ranking, RankedBackend{
-			BackendStatus: n.candidateStatus(&ranked[i]),
-			Why:           x.why(&ranked[i], r),
+			Backend: n.candidateStatus(&ranked[i]),
+			Why:     x.why(&ranked[i], r),
 		})
 	}
 }
--- a/internal/core/overloadstatus.go
+++ b/internal/core/overloadstatus.go
@@ -7,6 +7,8 @@
 	"strings"
 	"time"
 
+	"github.com/ebonydyke/ebonydyke/internal/core/status"
+
 	"github.com/ebonydyke/ebonydyke/internal/core/config"
 	"github.com/ebonydyke/ebonydyke/internal/core/overloadstats"
 	"github.com/ebonydyke/ebonydyke/internal/core/reason"
@@ -120,42 +122,8 @@
 	n.emit(StateChanged{Subject: SubjectService, Name: service, State: state, Cause: b.String()})
 }
 
-// OverloadStatus is what an instance knows of the load of a service and of the requests that it refused.
-type OverloadStatus struct {
-	// Load is the estimated number of requests at the reachable servers, Capacity the number up to which requests are sent, Servers
-	// the number of these servers, and ReportAge the age of the oldest of their last reports, negative if there is none.
-	Load      float64       `json:"load"`
-	Capacity  float64       `json:"capacity"`
-	Servers   int           `json:"servers"`
-	ReportAge time.Duration `json:"report_age,omitempty"`
-	// Overloaded is set while the service refuses requests for lack of room, and Since is when that last changed.
-	Overloaded bool      `json:"overloaded,omitempty"`
-	Since      time.Time `json:"since,omitzero"`
-	// Levels are the levels with recent requests or an expected wait, in ascending order: -1 for requests without a route, then from
-	// the most urgent.
-	Levels []LevelStatus `json:"levels,omitempty"`
-	// Refused holds the requests that were refused in the last overloadstats.RecentSeconds, by reason.
-	Refused []RefusedStatus `json:"refused,omitempty"`
-}
-
-// LevelStatus is the state of the requests of one urgency.
-type LevelStatus struct {
-	Level int `json:"level"`
-	// Wait is how long a request is expected to wait for the first byte of its response, 0 if that is not known.
-	Wait time.Duration `json:"wait,omitempty"`
-	// Admitted and Refused are the numbers of requests in the last overloadstats.RecentSeconds.
-	Admitted int `json:"admitted"`
-	Refused  int `json:"refused"`
-}
-
-// RefusedStatus is the number of recent refusals for one reason.
-type RefusedStatus struct {
-	Reason reason.Reason `json:"reason"`
-	Count  int           `json:"count"`
-}
-
-func (n *Node) overloadStatus(service string) *OverloadStatus {
-	v := &OverloadStatus{ReportAge: -1}
+func (n *Node) overloadStatus(service string) *status.Overload {
+	v := &status.Overload{ReportAge: -1}
 	p := n.pool(service)
 	load := p.reachableLoad()
 	v.Load, v.Servers, v.Capacity = load.Total, int(load.Servers), p.candidates.Capacity(load.Servers)
@@ -167,19 +135,19 @@
 	v.Overloaded, v.Since = n.overload.Overloaded(service)
 	recent := n.overload.Recent(service, n.now)
 	for _, r := range recent.Reasons {
-		v.Refused = append(v.Refused, RefusedStatus{Reason: r.Reason, Count: r.Refused})
+		v.Refused = append(v.Refused, status.Refused{Reason: r.Reason, Count: r.Refused})
 	}
 	for _, l := range recent.Levels {
-		v.Levels = append(v.Levels, LevelStatus{Level: int(l.Level), Admitted: l.Admitted, Refused: l.Refused})
+		v.Levels = append(v.Levels, status.Level{Level: int(l.Level), Admitted: l.Admitted, Refused: l.Refused})
 	}
 	for level := range config.MaxUrgencyLevel + 1 {
 		wait := p.waits.Expected(level, n.now)
 		if wait == 0 {
 			continue
 		}
-		i, found := slices.BinarySearchFunc(v.Levels, level, func(l LevelStatus, level int) int { return cmp.Compare(l.Level, level) })
+		i, found := slices.BinarySearchFunc(v.Levels, level, func(l status.Level, level int) int { return cmp.Compare(l.Level, level) })
 		if !found {
-			v.Levels = slices.Insert(v.Levels, i, LevelStatus{Level: level})
+			v.Levels = slices.Insert(v.Levels, i, status.Level{Level: level})
 		}
 		v.Levels[i].Wait = wait
 	}
@@ -203,7 +171,7 @@
 type SlowServer struct {
 	Service, Server string
 	Slowness        float64
-	Basis           SlownessBasis
+	Basis           status.SlownessBasis
 }
 
 // OverloadMetrics returns a copy of the figures for a scrape.
@@ -238,28 +206,17 @@
 	return m
 }
 
-// SlownessBasis is the basis of an estimate of a server's slowness.
-type SlownessBasis string
-
-// The bases of an estimate.
-const (
-	// SlownessReported means that the server's report is recent and counts fully.
-	SlownessReported SlownessBasis = "reported"
-	// SlownessFading means that the report is older, so that its effect decreases with its age.
-	SlownessFading SlownessBasis = "fading"
-)
-
 // slowness returns the estimated slowness of a backend server, as a multiple of the usual time, and the basis of the estimate. It returns
 // 0 for a server that is not slower than usual.
-func (n *Node) slowness(server string) (float64, SlownessBasis) {
+func (n *Node) slowness(server string) (float64, status.SlownessBasis) {
 	slowness, full := n.speed.Estimate(server, n.now)
 	switch {
 	case slowness <= 1:
 		return 0, ""
 	case full:
-		return slowness, SlownessReported
+		return slowness, status.SlownessReported
 	default:
-		return slowness, SlownessFading
+		return slowness, status.SlownessFading
 	}
 }
 
--- a/internal/core/overloadstatus_test.go
+++ b/internal/core/overloadstatus_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/ebonydyke/ebonydyke/internal/core/status"
+
 	"github.com/stretchr/testify/require"
 
 	"github.com/ebonydyke/ebonydyke/internal/core"
@@ -52,13 +54,13 @@
 	require.Contains(t, lines[0].Cause, fmt.Sprintf("load %d.0 of 8 at 2 servers", len(attempts)))
 	require.Contains(t, lines[0].Cause, fmt.Sprintf("level -1: %d sent, %d refused", len(attempts), 30-len(attempts)))
 
-	status := node.Status().Services[0].Overload
-	require.True(t, status.Overloaded)
-	require.Equal(t, []core.LevelStatus{{Level: -1, Admitted: len(attempts), Refused: 30 - len(attempts)}}, status.Levels)
+	shown := node.Status().Services[0].Overload
+	require.True(t, shown.Overloaded)
+	require.Equal(t, []status.Level{{Level: -1, Admitted: len(attempts), Refused: 30 - len(attempts)}}, shown.Levels)
 	metrics := node.OverloadMetrics()
 	for why, count := range counts {
 		require.Contains(t, lines[0].Cause, fmt.Sprintf(" %d %s", count, why))
-		require.Contains(t, status.Refused, core.RefusedStatus{Reason: why, Count: count})
+		require.Contains(t, shown.Refused, status.Refused{Reason: why, Count: count})
 		key := overloadstats.RefusalKey{Service: "underwriting", Level: overloadstats.NoLevel, Reason: why}
 		require.EqualValues(t, count, metrics.Refused[key])
 	}
@@ -101,7 +103,7 @@
 	require.Greater(t, wait, 200*time.Millisecond)
 	for _, s := range r.node.Status().Services {
 		if s.Name == "engines" {
-			require.Equal(t, []core.LevelStatus{{Level: sent.Priority, Wait: wait, Admitted: 1}}, s.Overload.Levels)
+			require.Equal(t, []status.Level{{Level: sent.Priority, Wait: wait, Admitted: 1}}, s.Overload.Levels)
 		}
 	}
 	r.advance(2 * time.Second)
@@ -191,7 +193,7 @@
 	}
 	slow := node.OverloadMetrics().Slow
 	require.Len(t, slow, overloadstats.MaxSlowServers)
-	require.Equal(t, core.SlowServer{Service: "underwriting", Server: "engine-500", Slowness: 4.2, Basis: core.SlownessReported}, slow[0])
+	require.Equal(t, core.SlowServer{Service: "underwriting", Server: "engine-500", Slowness: 4.2, Basis: status.SlownessReported}, slow[0])
 	for _, b := range node.Status().Services[0].Backends {
 		switch b.Name {
 		case "engine-500":
@@ -201,7 +203,7 @@
 		}
 	}
 	node.Handle(start.Add(500*time.Millisecond), core.Ticked{})
-	require.Equal(t, core.SlownessFading, node.OverloadMetrics().Slow[0].Basis)
+	require.Equal(t, status.SlownessFading, node.OverloadMetrics().Slow[0].Basis)
 }
 
 // Guards against a log that is flooded when a service of a whole fleet is overloaded for seconds: twelve instances before a plain
--- a/internal/core/separatedzones.go
+++ b/internal/core/separatedzones.go
@@ -6,6 +6,8 @@
 	"strings"
 	"time"
 
+	"github.com/ebonydyke/ebonydyke/internal/core/status"
+
 	"github.com/ebonydyke/ebonydyke/internal/core/membership"
 	"github.com/ebonydyke/ebonydyke/internal/core/paths"
 	"github.com/ebonydyke/ebonydyke/internal/core/poison"
@@ -226,21 +228,12 @@
 	return true
 }
 
-// SeparatedZone is a zone from which this instance is cut off.
-type SeparatedZone struct {
-	Zone  string    `json:"zone"`
-	Since time.Time `json:"since"`
-	// Servers is the number of the zone's backend servers, and Instances that of its live instances.
-	Servers   int `json:"servers"`
-	Instances int `json:"instances"`
-}
-
 // SeparatedZones returns the zones from which this instance is cut off, sorted by name.
-func (n *Node) SeparatedZones() []SeparatedZone {
-	var list []SeparatedZone
+func (n *Node) SeparatedZones() []status.SeparatedZone {
+	var list []status.SeparatedZone
 	for _, zone := range n.separation.Zones() {
 		since, _ := n.separation.Separated(zone)
-		s := SeparatedZone{Zone: zone, Since: since, Servers: n.serversInZone(zone)}
+		s := status.SeparatedZone{Zone: zone, Since: since, Servers: n.serversInZone(zone)}
 		n.view.Each(func(member *membership.Member) {
 			if member.Role == membership.RoleInstance && member.State == membership.Live && member.Zone == zone {
 				s.Instances++
--- a/internal/core/status_test.go
+++ b/internal/core/status_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/ebonydyke/ebonydyke/internal/core/status"
+
 	"github.com/stretchr/testify/require"
 
 	"github.com/ebonydyke/ebonydyke/internal/core"
@@ -29,11 +31,11 @@
 
 	n.Handle(at(0), core.ConfigOffered{Envelope: config.Envelope{Generation: 4, Edit: "e", Text: statusConfig}})
 	n.Handle(at(1), core.StoreReplied{Op: 1, Status: core.StoreOK})
-	require.Equal(t, core.PlatformStatus{Known: true, Reachable: true, Since: at(1), LastCall: at(1)}, n.Status().Platform)
+	require.Equal(t, status.Platform{Known: true, Reachable: true, Since: at(1), LastCall: at(1)}, n.Status().Platform)
 	n.Handle(at(2), core.StoreReplied{Op: 2, Status: core.StoreUnknown})
 	n.Handle(at(9), core.InstancesListed{Op: 3, Failed: true})
 	s := n.Status()
-	require.Equal(t, core.PlatformStatus{Known: true, Since: at(2), LastCall: at(9)}, s.Platform)
+	require.Equal(t, status.Platform{Known: true, Since: at(2), LastCall: at(9)}, s.Platform)
 	require.Equal(t, uint64(4), s.Generation)
 	n.Handle(at(10), core.StoreReplied{Op: 4, Status: core.StoreUnchanged})
 	require.Equal(t, at(10), n.Status().Platform.Since)
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"time"
 
+	"github.com/ebonydyke/ebonydyke/internal/core/status"
+
 	"github.com/ebonydyke/ebonydyke/internal/admin"
 	"github.com/ebonydyke/ebonydyke/internal/core"
 	"github.com/ebonydyke/ebonydyke/internal/metrics"
@@ -23,7 +25,7 @@
 }
 
 // Status returns the instance's status.
-func (v coreView) Status(ctx context.Context) (core.Status, error) {
+func (v coreView) Status(ctx context.Context) (status.Status, error) {
 	return Inspect(ctx, v.loop, (*core.Node).Status)
 }
 
--- a/internal/metrics/overload_test.go
+++ b/internal/metrics/overload_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"github.com/ebonydyke/ebonydyke/internal/core/status"
+
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/stretchr/testify/require"
 
@@ -48,7 +50,7 @@
 	}
 	for i := range overloadstats.MaxSlowServers {
 		m.Slow = append(m.Slow, core.SlowServer{
-			Service: name("service", i), Server: name("server", i), Slowness: 2.123456789123456, Basis: core.SlownessReported,
+			Service: name("service", i), Server: name("server", i), Slowness: 2.123456789123456, Basis: status.SlownessReported,
 		})
 	}
 	return m
@@ -96,7 +98,7 @@
 		Customers:  map[string]overloadstats.Counts{"branch": {Admitted: 4, Refused: 3}},
 		Overloaded: map[string]bool{"llm": true},
 		Placements: map[overloadstats.PlacementKey]uint64{{Service: "llm", Why: overloadstats.Session}: 2},
-		Slow:       []core.SlowServer{{Service: "llm", Server: "e1", Slowness: 2.5, Basis: core.SlownessFading}},
+		Slow:       []core.SlowServer{{Service: "llm", Server: "e1", Slowness: 2.5, Basis: status.SlownessFading}},
 		Waits:      map[overloadstats.LevelKey]time.Duration{{Service: "llm", Level: 7}: 1500 * time.Millisecond},
 	})
 	for _, line := range []string{
