Configuration: many elements that cannot be used take little memory and time

What callers would see: a configuration of a megabyte with hundreds of thousands of empty elements, which fits in the store, takes an instance's memory or some seconds of its processor, again after each restart. Found on reading the new code: each such element had a report, and was decoded alone.

Idle connections are searched for at most each 20 ms when callers' connections are near their limit.

--- a/internal/core/config/adjustment.go
+++ b/internal/core/config/adjustment.go
@@ -36,6 +36,37 @@
 	return fmt.Sprintf("%s: %s (%s)", a.Element, a.Problem, a.Effect)
 }
 
+// MaxAdjustments limits the adjustments of one configuration that are kept. Further ones are only counted: a text has room for
+// hundreds of thousands of elements.
+const MaxAdjustments = 100
+
+// Adjustments collects the adjustments of one configuration. The zero value is empty.
+type Adjustments struct {
+	// List holds the first MaxAdjustments, and Omitted is the number of the others.
+	List    []Adjustment
+	Omitted int
+}
+
+// Add adds an adjustment with a formatted problem.
+func (a *Adjustments) Add(effect Effect, element, format string, args ...any) {
+	if len(a.List) >= MaxAdjustments {
+		a.Omitted++
+		return
+	}
+	a.List = append(a.List, Adjustment{Element: element, Problem: fmt.Sprintf(format, args...), Effect: effect})
+}
+
+// Append adds those of other.
+func (a *Adjustments) Append(other Adjustments) {
+	for _, adjustment := range other.List {
+		a.Add(adjustment.Effect, adjustment.Element, "%s", adjustment.Problem)
+	}
+	a.Omitted += other.Omitted
+}
+
+// Count returns the number of all adjustments.
+func (a *Adjustments) Count() int { return len(a.List) + a.Omitted }
+
 // maxQuoted is the length, in bytes, to which quoted names are cut in problems.
 const maxQuoted = 80
 
--- a/internal/core/config/adopt.go
+++ b/internal/core/config/adopt.go
@@ -14,7 +14,7 @@
 // has accepted that text, and nobody would see a finding before the text counts, so it is never refused: refusing it would keep
 // keys in force that it revokes, and keep out all later texts. An element that cannot be used as written costs only itself, and is
 // read in the way that lets nothing happen that the operators did not permit.
-func Adopt(env Envelope, t Text) (*Snapshot, []Adjustment) {
+func Adopt(env Envelope, t Text) (*Snapshot, Adjustments) {
 	a := adopter{services: make(map[string]bool), keyOwners: make(map[string]string), refusedKeys: make(map[string]bool)}
 	t.Services = a.adoptServices(t.Services, t.Routes)
 	t.Customers = a.adoptCustomers(t.Customers)
@@ -28,7 +28,7 @@
 
 // adopter collects the adjustments of one text.
 type adopter struct {
-	adjustments []Adjustment
+	adjustments Adjustments
 	// services are the names of the adopted services.
 	services map[string]bool
 	// keyOwners maps API keys to the customers that hold them.
@@ -38,7 +38,7 @@
 }
 
 func (a *adopter) adjust(effect Effect, element, format string, args ...any) {
-	a.adjustments = append(a.adjustments, Adjustment{Element: element, Problem: fmt.Sprintf(format, args...), Effect: effect})
+	a.adjustments.Add(effect, element, format, args...)
 }
 
 // adoptServices leaves out the services that no route can name, or that another one before them has the name of. Above MaxServices,
--- a/internal/core/config/adopt_test.go
+++ b/internal/core/config/adopt_test.go
@@ -21,7 +21,7 @@
 		Routes:   []config.Route{route("/", config.Idempotent), route("/ab", config.Idempotent), route("/abc", config.Idempotent), route("/abc/", config.Idempotent), route("/abc/d", config.Idempotent)},
 	}
 	s, adjusted := config.Adopt(config.Envelope{}, text)
-	require.Empty(t, adjusted)
+	require.Empty(t, adjusted.List)
 	for path, want := range map[string]string{
 		"/": "/", "/a": "/", "/ab": "/ab", "/ab/x": "/ab", "/abx/y": "/ab", "/abc": "/abc", "/abcd/e/f": "/abc", "/abc/": "/abc/", "/abc/x/y": "/abc/",
 		"/abc/d": "/abc/d", "/abc/dx/y": "/abc/d", "/b/abc/": "/",
@@ -43,8 +43,8 @@
 		Routes:   []config.Route{route("/a/", config.NonIdempotent), second},
 	}
 	s, adjusted := config.Adopt(config.Envelope{}, text)
-	require.Len(t, adjusted, 1)
-	require.Equal(t, config.Adjustment{Element: "routes[1].prefix", Problem: "host and prefix are those of a route that is declared before", Effect: config.LeftOut}, adjusted[0])
+	require.Len(t, adjusted.List, 1)
+	require.Equal(t, config.Adjustment{Element: "routes[1].prefix", Problem: "host and prefix are those of a route that is declared before", Effect: config.LeftOut}, adjusted.List[0])
 	require.Equal(t, config.NonIdempotent, s.Route("h", "/a/x").Kind)
 	require.False(t, s.Route("h", "/a/x").Anonymous)
 }
@@ -56,14 +56,14 @@
 		{Name: "", APIKeys: []string{"refused"}}, {Name: "a", APIKeys: []string{"refused", "of-a"}}, {Name: "b", APIKeys: []string{"of-a", "of-b"}}, {Name: "a", APIKeys: []string{"of-a-too"}},
 	}}
 	s, adjusted := config.Adopt(config.Envelope{}, text)
-	require.Len(t, adjusted, 3)
+	require.Len(t, adjusted.List, 3)
 	require.True(t, s.RefusesKey("refused"))
 	require.Nil(t, s.CustomerByKey("refused"))
 	for key, customer := range map[string]string{"of-a": "a", "of-a-too": "a", "of-b": "b"} {
 		require.Equal(t, customer, s.CustomerByKey(key).Name, key)
 		require.False(t, s.RefusesKey(key))
 	}
-	for _, a := range adjusted {
+	for _, a := range adjusted.List {
 		require.NotContains(t, a.String(), "of-a")
 	}
 }
--- a/internal/core/config/urgency_test.go
+++ b/internal/core/config/urgency_test.go
@@ -26,7 +26,7 @@
 			text.Customers = append(text.Customers, config.Customer{Name: fmt.Sprint("customer-", i), Weight: 1, APIKeys: []string{fmt.Sprint("key-", i)}, Priority: &i})
 		}
 		s, adjusted := config.Adopt(config.Envelope{Generation: 1}, text)
-		require.Empty(t, adjusted)
+		require.Empty(t, adjusted.List)
 		previous := -1
 		for customer := range counts.customers {
 			for route := range counts.routes {
--- a/internal/core/configs.go
+++ b/internal/core/configs.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"errors"
-	"slices"
 	"time"
 
 	"github.com/ebonydyke/ebonydyke/internal/core/config"
@@ -222,15 +221,15 @@
 	}
 	keysLifted := n.snapshot != nil && n.snapshot.RequiresAPIKeys() && !snapshot.RequiresAPIKeys()
 	n.snapshot = snapshot
-	n.configs.inForce, n.configs.findings, n.configs.adjusted = env, nil, adjusted
+	n.configs.inForce, n.configs.findings, n.configs.adjusted = env, nil, adjusted.List
 	n.configs.storeBehind = false
 	n.rebuildPools()
 	n.routesChanged()
 	n.emit(ConfigApplied{
 		Generation: env.Generation, Edit: env.Edit, Source: source, Limits: snapshot.Limits,
-		Adjusted: adjusted, KeysLifted: keysLifted,
+		Adjusted: adjusted.List, AdjustedCount: adjusted.Count(), KeysLifted: keysLifted,
 	})
-	n.countAdjustments(adjusted)
+	n.countAdjustments(adjusted.List)
 	if conflict && !n.settings.ConfigReadOnly {
 		n.sendConfigToPeers()
 	}
@@ -247,13 +246,15 @@
 }
 
 // check builds the snapshot of the offered configuration. Only a text in the fleet's own format can be refused.
-func (o *ConfigOffer) check() (*config.Snapshot, []config.Adjustment, error) {
+func (o *ConfigOffer) check() (*config.Snapshot, config.Adjustments, error) {
 	if o.Text != nil {
-		snapshot, adjusted := config.Adopt(o.Envelope, *o.Text)
-		return snapshot, append(slices.Clip(o.Adjusted), adjusted...), nil
+		adjusted := o.Adjusted
+		snapshot, more := config.Adopt(o.Envelope, *o.Text)
+		adjusted.Append(more)
+		return snapshot, adjusted, nil
 	}
 	snapshot, err := config.Check(ConfigKey, o.Envelope)
-	return snapshot, nil, err
+	return snapshot, config.Adjustments{}, err
 }
 
 // countAdjustments counts the elements of a configuration that are not in force as they were written.
--- a/internal/core/effect.go
+++ b/internal/core/effect.go
@@ -266,8 +266,10 @@
 	Source     ConfigSource `json:"source"`
 	// Limits are the limits on callers' requests that are now in force.
 	Limits config.CallerLimits `json:"limits,omitzero"`
-	// Adjusted are the elements that are not in force as they were written.
-	Adjusted []config.Adjustment `json:"adjusted,omitempty"`
+	// Adjusted are the elements that are not in force as they were written, up to config.MaxAdjustments, and AdjustedCount is the
+	// number of all.
+	Adjusted      []config.Adjustment `json:"adjusted,omitempty"`
+	AdjustedCount int                 `json:"adjusted_count,omitempty"`
 	// KeysLifted is set if callers needed API keys under the configuration before, and need none now.
 	KeysLifted bool `json:"keys_lifted,omitempty"`
 }
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -189,7 +189,7 @@
 	// Text is the parsed configuration, as in ConfigOffer.
 	Text *config.Text `json:"-"`
 	// Adjusted are the elements that Text does not have as they were written.
-	Adjusted []config.Adjustment `json:"-"`
+	Adjusted config.Adjustments `json:"-"`
 }
 
 // StoreStatus is the result status of a call to the platform's store.
--- a/internal/core/peermsg.go
+++ b/internal/core/peermsg.go
@@ -112,7 +112,7 @@
 	// and was parsed outside the core. If it is nil, the core parses the text.
 	Text *config.Text `json:"-"`
 	// Adjusted are the elements that Text does not have as they were written.
-	Adjusted []config.Adjustment `json:"-"`
+	Adjusted config.Adjustments `json:"-"`
 }
 
 // ConfigWanted requests the configuration in force at a peer.
--- a/internal/daemon/executor.go
+++ b/internal/daemon/executor.go
@@ -62,12 +62,12 @@
 	}
 }
 
-// maxLoggedAdjustments bounds the adjustments of one configuration that are logged. The status has all.
+// maxLoggedAdjustments bounds the adjustments of one configuration that are logged. The status has more.
 const maxLoggedAdjustments = 20
 
 func (x *executor) configApplied(e core.ConfigApplied) {
 	x.proxy.SetCallerLimits(e.Limits)
-	x.proxy.Log("configuration applied", "generation", e.Generation, "edit", e.Edit, "source", e.Source, "adjusted", len(e.Adjusted))
+	x.proxy.Log("configuration applied", "generation", e.Generation, "edit", e.Edit, "source", e.Source, "adjusted", e.AdjustedCount)
 	for _, a := range e.Adjusted[:min(len(e.Adjusted), maxLoggedAdjustments)] {
 		x.proxy.Log("element of the configuration not in force as written", "generation", e.Generation, "element", a.Element, "problem", a.Problem, "effect", a.Effect)
 	}
--- a/internal/peer/codec_test.go
+++ b/internal/peer/codec_test.go
@@ -134,7 +134,7 @@
 		}
 		if m.ConfigOffer != nil {
 			// Each instance reads the text itself, and finds the same adjustments.
-			require.Empty(t, got.ConfigOffer.Adjusted)
+			require.Zero(t, got.ConfigOffer.Adjusted.Count())
 			got.ConfigOffer.Adjusted = m.ConfigOffer.Adjusted
 		}
 		require.Equal(t, m, got)
--- a/internal/proxy/calleridle.go
+++ b/internal/proxy/calleridle.go
@@ -14,6 +14,8 @@
 	// minRoomIdle is how long a connection must have been idle to be closed for room. A caller that sends its next request at
 	// once would only connect again.
 	minRoomIdle = 500 * time.Millisecond
+	// minRoomInterval is the minimum time between two searches for idle connections.
+	minRoomInterval = 20 * time.Millisecond
 )
 
 // IdleClose is why an idle connection of a caller is closed.
@@ -49,7 +51,12 @@
 
 // closeLongestIdle closes up to count connections, those that have been idle for longest. The server's mutex must be held.
 func (s *Server) closeLongestIdle(count int) {
-	limit := time.Now().Add(-minRoomIdle)
+	now := time.Now()
+	if now.Sub(s.roomMadeAt) < minRoomInterval {
+		return
+	}
+	s.roomMadeAt = now
+	limit := now.Add(-minRoomIdle)
 	var idle []time.Time
 	for c := range s.conns {
 		if since, ok := c.idleSinceBefore(limit); ok {
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -51,6 +51,8 @@
 	closing   bool
 	// closeAtOnce is set once the listener closes whether or not connections still arrive.
 	closeAtOnce bool
+	// roomMadeAt is when idle connections were last searched for.
+	roomMadeAt time.Time
 	// lastAccept is the time of the last new connection.
 	lastAccept time.Time
 	// acceptFailureLogged is when an error of the accept loop was last logged. Only that loop uses it.
