Daemon: how late the core handles events is measured and logged

A request that waits for the core ended as deadline-exceeded without a word of why, so work of the core could not be told from a slow backend server. Events are queued with their time; ebonydyke_event_wait_seconds, _event_seconds_total and _events_total tell the wait and the work by kind, and a line a second says that the loop is behind and what it does. A request carries the time at which it was read: its route's timeout counts from there, and its final line has queuedMs.

--- a/internal/core/effect.go
+++ b/internal/core/effect.go
@@ -140,6 +140,8 @@
 	// Waiting is what the request waited for when its caller left, its deadline passed or the process was about to end;
 	// empty if it was at a backend server.
 	Waiting WaitPhase `json:"waiting,omitempty"`
+	// Queued is how long the request had waited for the core before its first decision.
+	Queued time.Duration `json:"queued,omitempty"`
 }
 
 // WaitPhase is what a request waits for while it is not at a backend server, for logging.
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -55,6 +55,8 @@
 	Key string `json:"key,omitempty"`
 	// Deadline is the caller's deadline, zero if it set none.
 	Deadline time.Time `json:"deadline,omitzero"`
+	// ReadAt is the time at which the whole request was read, zero if it is not known. It may have waited for the core since.
+	ReadAt time.Time `json:"read_at,omitzero"`
 	// Hint is the opaque placement hint returned with the chat's previous turn.
 	Hint string `json:"hint,omitempty"`
 	// CallerID is the caller's own ID of this request, by which a later one may name it; "" if it
@@ -62,6 +64,8 @@
 	CallerID string `json:"caller_id,omitempty"`
 	// Continues is set if the caller has received a part of a stream and asks for the rest.
 	Continues *Continuation `json:"continues,omitempty"`
+	// queued is how long the request waited for the core.
+	queued time.Duration
 }
 
 // Continuation says which stream a request continues.
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -117,8 +117,12 @@
 }
 
 func (n *Node) requestArrived(e RequestArrived) {
+	if e.ReadAt.IsZero() || e.ReadAt.After(n.now) {
+		e.ReadAt = n.now
+	}
+	e.queued = n.now.Sub(e.ReadAt)
 	if !n.waitForStart(e) {
-		n.startRequest(e, n.now)
+		n.startRequest(e, e.ReadAt)
 	}
 }
 
@@ -274,7 +278,7 @@
 	e.Request, e.Customer, e.Service = r.arrived.Request, r.arrived.Customer, r.service.Name
 	e.Content = uint64(r.poison.Content)
 	e.Continues = r.arrived.Continues.first()
-	e.Waiting = r.waiting
+	e.Waiting, e.Queued = r.waiting, r.arrived.queued
 	n.countRefused(&r.target, &e)
 	n.emit(e)
 }
@@ -331,6 +335,7 @@
 		RetryAfter: r.retryAfter,
 		Generation: n.generation(),
 		Waiting:    r.waiting,
+		Queued:     e.queued,
 	}
 	if t.service != nil {
 		finish.Service = t.service.Name
--- a/internal/core/startqueue/startqueue.go
+++ b/internal/core/startqueue/startqueue.go
@@ -22,8 +22,6 @@
 // Request is a queued request.
 type Request[T any] struct {
 	Value T
-	// Since is the time of its arrival.
-	Since time.Time
 
 	size  int
 	until time.Time
@@ -50,7 +48,7 @@
 		return false
 	}
 	q.bytes += size
-	q.requests = append(q.requests, Request[T]{Value: value, Since: now, size: size, until: now.Add(wait)})
+	q.requests = append(q.requests, Request[T]{Value: value, size: size, until: now.Add(wait)})
 	return true
 }
 
--- a/internal/core/startwait.go
+++ b/internal/core/startwait.go
@@ -27,7 +27,7 @@
 // arrival. Each is served, or refused with the reason that applies now.
 func (n *Node) releaseStartWaiters() {
 	for _, r := range n.startQueue.Take(n.now, n.starting()) {
-		n.startRequest(r.Value, r.Since)
+		n.startRequest(r.Value, r.Value.ReadAt)
 	}
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -59,6 +59,7 @@
 	options.Dialect = dialect(s)
 	options.Relays = peer.RelayDialer{Fleet: s.Fleet, Name: s.Name}
 	server := proxy.New(loop.Post, options)
+	loop.SetLog(server.Log)
 	counters.RegisterCallerConns(server.CallerConns, options.MaxConns)
 	counters.RegisterBodyBytes(server.BodyBytes, options.MaxBodies)
 	exec := &executor{ctx: ctx, post: loop.Post, store: calls, proxy: server, links: links, relay: relays, stop: cancel}
--- a/internal/daemon/loop.go
+++ b/internal/daemon/loop.go
@@ -25,26 +25,38 @@
 type Loop struct {
 	node        *core.Node
 	clock       *clock.Clock
-	events      chan core.Event
+	events      chan queuedEvent
 	inspections chan func(*core.Node)
 	exec        Executor
 	meter       *meter
+	lag         *loopLag
 	done        chan struct{}
 }
 
+// queuedEvent is an event that waits for the core since a time of the system's monotonic clock.
+type queuedEvent struct {
+	core.Event
+	since time.Time
+}
+
 // NewLoop returns an event loop for node.
 func NewLoop(node *core.Node) *Loop {
 	return &Loop{
 		node:        node,
 		clock:       clock.New(),
-		events:      make(chan core.Event, eventQueueSize),
+		events:      make(chan queuedEvent, eventQueueSize),
 		inspections: make(chan func(*core.Node)),
+		lag:         newLoopLag(),
 		done:        make(chan struct{}),
 	}
 }
 
 // SetMetrics counts events and effects in m. It must be called before Run.
-func (l *Loop) SetMetrics(m *metrics.Metrics) { l.meter = newMeter(m) }
+func (l *Loop) SetMetrics(m *metrics.Metrics) { l.meter, l.lag.metrics = newMeter(m), m }
+
+// SetLog writes a line with log for each second in which events waited for long. log must not block. SetLog must be called before
+// Run.
+func (l *Loop) SetLog(log func(text string, keysAndValues ...any)) { l.lag.log = log }
 
 // Now returns the time on the core's clock. Components that pass times to the core use the same
 // clock.
@@ -54,7 +66,7 @@
 // ended, so that goroutines that post a final event can return.
 func (l *Loop) Post(event core.Event) {
 	select {
-	case l.events <- event:
+	case l.events <- queuedEvent{event, time.Now()}:
 	case <-l.done:
 	}
 }
@@ -65,7 +77,7 @@
 	l.exec = exec
 	ticker := time.NewTicker(core.TickInterval)
 	defer ticker.Stop()
-	l.handle(core.Ticked{})
+	l.handle(queuedEvent{core.Ticked{}, time.Now()})
 	for {
 		select {
 		case <-ctx.Done():
@@ -74,18 +86,20 @@
 			l.handle(event)
 		case inspect := <-l.inspections:
 			inspect(l.node)
-		case <-ticker.C:
-			l.handle(core.Ticked{})
+		case due := <-ticker.C:
+			l.handle(queuedEvent{core.Ticked{}, due})
 		}
 	}
 }
 
-func (l *Loop) handle(event core.Event) {
-	l.meter.event(event)
-	for _, effect := range l.node.Handle(l.clock.Now(), event) {
+func (l *Loop) handle(e queuedEvent) {
+	began := time.Now()
+	l.meter.event(e.Event)
+	for _, effect := range l.node.Handle(l.clock.Now(), e.Event) {
 		l.meter.effect(effect)
 		l.exec.Execute(effect)
 	}
+	l.lag.handled(e.Event, e.since, began, time.Now(), len(l.events))
 }
 
 // Inspect runs f on the goroutine that owns the core and returns its result, or an error if ctx is
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -36,6 +36,7 @@
 	ready         prometheus.Gauge
 	platformCalls *prometheus.CounterVec
 	coreEvents    *prometheus.CounterVec
+	loop          loopMetrics
 }
 
 // New returns metrics with every reason's counters initialised to zero, so that a rate over
@@ -59,7 +60,9 @@
 		ready:         newGauge("ready", "1 until the graceful shutdown starts, then 0."),
 		platformCalls: newCounterVec("platform_calls_total", "Completed calls to the platform, by kind and result; a long-polling watch is one call.", "kind", "result"),
 		coreEvents:    newCounterVec("core_events_total", "Events counted by the core, such as messages that it shed.", "counter", "label"),
+		loop:          newLoopMetrics(),
 	}
+	m.loop.register(m.registry)
 	m.registry.MustRegister(
 		m.refusals, m.retries, m.attemptEnds, m.responses, m.firstByte, m.responseTime, m.callerBytes, m.dials, m.relays, m.connEnds, m.generation, m.ready,
 		m.acceptErrors, m.idleCloses,
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -250,7 +250,7 @@
 		"reason", e.Reason, "customer", e.Customer, "service", e.Service,
 		"backend", e.Backend, "attempt", e.Attempt, "retryAfterMs", e.RetryAfter.Milliseconds(),
 		"passedOn", e.ForwardFailure, "load", e.Utilization.Load, "capacity", e.Utilization.Capacity, "servers", e.Utilization.Servers,
-		"generation", e.Generation, "detail", detail, "content", hexContent(e.Content), "continues", e.Continues, "waiting", e.Waiting)
+		"generation", e.Generation, "detail", detail, "content", hexContent(e.Content), "continues", e.Continues, "waiting", e.Waiting, "queuedMs", e.Queued.Milliseconds())
 }
 
 // connDeadline converts a time of the core's clock to a connection deadline. The result has
@@ -294,11 +294,13 @@
 // respond processes a request up to the first byte of its response.
 func (s *Server) respond(ctx *fasthttp.RequestCtx) {
 	id := s.nextID()
-	request, rejected := s.options.Dialect.ReadRequest(ctx, id, s.options.Now())
+	now := s.options.Now()
+	request, rejected := s.options.Dialect.ReadRequest(ctx, id, now)
 	if rejected != nil {
 		s.reject(ctx, id, rejected)
 		return
 	}
+	request.Arrived.ReadAt = now
 	request.Arrived.HeaderBytes = headerBytes(&ctx.Request.Header)
 	request.Arrived.BodyBytes = len(ctx.Request.Body())
 	request.Arrived.Content = contentHash(&ctx.Request, request)
