--- a/internal/core/poison/blame.go
+++ b/internal/core/poison/blame.go
@@ -43,6 +43,7 @@
 	if t.blocked != nil {
 		return
 	}
+	t.decisions++
 	t.blocked = make(map[Key]bool)
 	b := newBlame(t.suspects())
 	for least := b.leastNeeded(); least != nil; least = b.leastNeeded() {
--- a/internal/core/poison/tracker.go
+++ b/internal/core/poison/tracker.go
@@ -43,8 +43,9 @@
 	answers answers
 	// blocked holds the blocked requests. It is nil after a change.
 	blocked map[Key]bool
-	// evicted counts the records that were dropped because there were too many.
-	evicted int
+	// evicted counts the records that were dropped because there were too many, and decisions how often the blocked requests were
+	// determined.
+	evicted, decisions int
 }
 
 // NewTracker returns a tracker without records.
@@ -256,6 +257,13 @@
 	return n
 }
 
+// TakeDecisions returns how often the blocked requests were determined since the last call.
+func (t *Tracker) TakeDecisions() int {
+	n := t.decisions
+	t.decisions = 0
+	return n
+}
+
 // Expire forgets the requests that have not been seen for long.
 func (t *Tracker) Expire(now time.Time) {
 	for key, r := range t.records {
--- a/internal/core/poisonrequests.go
+++ b/internal/core/poisonrequests.go
@@ -34,6 +34,8 @@
 	labelUnblocked     = "unblocked"
 	labelTrial         = "trial"
 	labelRecordEvicted = "record-evicted"
+	// labelDecided counts how often the blocked requests were determined, which takes time in proportion to the suspects.
+	labelDecided = "decided"
 )
 
 // poisonState holds what this instance knows of requests under which backend servers ended.
@@ -197,6 +199,9 @@
 func (n *Node) tickPoison() {
 	n.voidAlive()
 	n.tickPoisonStore()
+	if decisions := n.poison.tracker.TakeDecisions(); decisions > 0 {
+		n.emit(Counted{Counter: counterPoison, Label: labelDecided, N: decisions})
+	}
 	if n.now.Before(n.poison.expireAt) {
 		return
 	}
