Poison: what is blocked is decided from the suspects alone

What callers saw: requests that waited until their callers had left, on instances that were busy with records of ended servers.

Cause: after each change of any record the decision went through all of up to 4,096 records, counted each one's ends anew (a search in its proofs for each), and weighed each end of a suspect against all other suspects of its server.

Now a record keeps its count of ends, and what it explains, up to date with each change; records of fewer than three ends have no part in a decision and discard none. Weights follow from the number of holders, and the least needed suspect is taken from a heap, as weights only grow in a search.

--- a/internal/core/poison/blame.go
+++ b/internal/core/poison/blame.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"container/heap"
 	"math"
 	"slices"
 	"time"
@@ -18,16 +19,23 @@
 	position int
 	// proven is set for a part that was answered shortly before the ends.
 	proven bool
-	// weight is the weight of the ends, given the other suspects that are blamed.
-	weight    int
-	reachedAt time.Time
+	// weight is the weight of the ends, given the other suspects that are blamed, and ranked the weight by which the search has ranked
+	// the suspect.
+	weight, ranked int
+	reachedAt      time.Time
 }
 
 // blame is the search for the contents and parts to blame among the suspects.
 type blame struct {
-	blamed []*suspect
+	blamed ranking
 	// holders maps each server to the blamed suspects that it held when it ended.
-	holders map[Server][]*suspect
+	holders map[Server]*holders
+}
+
+// holders are the blamed suspects that a server held when it ended. unproven is the number of those that no answer proves.
+type holders struct {
+	suspects []*suspect
+	unproven int
 }
 
 // solve determines the blocked contents and parts: the fewest that explain the ended servers.
@@ -55,22 +63,15 @@
 }
 
 // suspects returns the contents and parts with enough ends to be blocked, sorted, so that all instances
-// decide alike.
+// decide alike. A part that was answered lately is not to blame for the ends that a part without an answer explains, even while too few
+// servers have ended under the other one.
 func (t *Tracker) suspects() []*suspect {
-	var list []*suspect
-	var unproven map[Server]bool
-	for key, r := range t.records {
-		if r.count() < MaxEnds {
-			continue
-		}
-		s := &suspect{key: key, position: r.position, proven: r.proven(), reachedAt: r.reachedAt}
-		if s.proven && unproven == nil {
-			unproven = t.heldByUnproven()
-		}
-		for server, e := range r.ends {
-			if r.counts(e) && (!s.proven || !unproven[server]) {
-				s.ends = append(s.ends, server)
-			}
+	list := make([]*suspect, 0, len(t.suspected))
+	for key, r := range t.suspected {
+		s := &suspect{key: key, position: r.position, proven: r.isProven, reachedAt: r.reachedAt}
+		s.ends = r.counting
+		if s.proven {
+			s.ends = slices.DeleteFunc(slices.Clone(s.ends), func(server Server) bool { return t.unproven[server] > 0 })
 		}
 		if len(s.ends) >= MaxEnds {
 			list = append(list, s)
@@ -82,77 +83,98 @@
 	return list[:min(len(list), maxSuspects)]
 }
 
-// heldByUnproven returns the servers that ended while they held a request with a part that nothing proves. A part that was
-// answered lately is not to blame for them, even while too few servers have ended under the other one.
-func (t *Tracker) heldByUnproven() map[Server]bool {
-	held := make(map[Server]bool)
-	for _, r := range t.records {
-		if r.position == 0 || r.proven() {
-			continue
-		}
-		for server, e := range r.ends {
-			if r.counts(e) {
-				held[server] = true
-			}
-		}
-	}
-	return held
-}
-
 func newBlame(suspects []*suspect) *blame {
-	b := &blame{blamed: suspects, holders: make(map[Server][]*suspect)}
+	b := &blame{blamed: suspects, holders: make(map[Server]*holders)}
 	for _, s := range suspects {
 		for _, server := range s.ends {
-			b.holders[server] = append(b.holders[server], s)
+			b.hold(server, s)
 		}
 	}
 	for _, s := range suspects {
-		s.weight = b.weightOf(s)
+		for _, server := range s.ends {
+			s.weight += b.holders[server].weight(s.proven)
+		}
+		s.ranked = s.weight
 	}
+	heap.Init(&b.blamed)
 	return b
 }
 
-// weightOf returns the weight of a suspect's ends.
-func (b *blame) weightOf(s *suspect) int {
-	weight := 0
-	for _, server := range s.ends {
-		weight += s.endWeight(b.holders[server])
+// hold records that a server held a suspect when it ended.
+func (b *blame) hold(server Server, s *suspect) {
+	h := b.holders[server]
+	if h == nil {
+		h = &holders{}
+		b.holders[server] = h
+	}
+	h.suspects = append(h.suspects, s)
+	if !s.proven {
+		h.unproven++
 	}
-	return weight
 }
 
-// endWeight returns the weight of the end of a server that holders held, of which the suspect is one. A part that was answered
-// lately explains nothing that one that was not explains as well, and takes nothing from it.
-func (s *suspect) endWeight(holders []*suspect) int {
-	weight := unexplainedWeight
-	for _, other := range holders {
-		switch {
-		case other == s:
-		case s.proven && !other.proven:
-			return 0
-		case s.proven == other.proven:
-			weight = explainedWeight
-		}
+// weight returns the weight of the server's end for each of its suspects that an answer proves, or for each other one. A part that was
+// answered lately explains nothing that one that was not explains as well, and takes nothing from it.
+func (h *holders) weight(proven bool) int {
+	alike := h.unproven
+	if proven {
+		alike = len(h.suspects) - h.unproven
+	}
+	switch {
+	case proven && h.unproven > 0:
+		return 0
+	case alike > 1:
+		return explainedWeight
+	default:
+		return unexplainedWeight
 	}
-	return weight
 }
 
-// leastNeeded returns the blamed suspect whose ends weigh least, or nil if all of them weigh enough
-// to be blocked.
+// leastNeeded removes the blamed suspect whose ends weigh least and returns it, or returns nil if all of them weigh enough to be
+// blocked. Weights only grow in a search, so a suspect that weighs what it is ranked by is the least one.
 func (b *blame) leastNeeded() *suspect {
-	var least *suspect
-	for _, s := range b.blamed {
-		if s.weight < unexplainedWeight*MaxEnds && (least == nil || s.lessNeeded(least)) {
-			least = s
+	for len(b.blamed) > 0 {
+		least := b.blamed[0]
+		switch {
+		case least.weight > least.ranked:
+			least.ranked = least.weight
+			heap.Fix(&b.blamed, 0)
+		case least.weight >= unexplainedWeight*MaxEnds:
+			return nil
+		default:
+			heap.Pop(&b.blamed)
+			return least
 		}
 	}
-	return least
+	return nil
+}
+
+// ranking is a heap of suspects, the least needed one first.
+type ranking []*suspect
+
+// Len implements heap.Interface.
+func (r ranking) Len() int { return len(r) }
+
+// Less implements heap.Interface.
+func (r ranking) Less(i, j int) bool { return r[i].lessNeeded(r[j]) }
+
+// Swap implements heap.Interface.
+func (r ranking) Swap(i, j int) { r[i], r[j] = r[j], r[i] }
+
+// Push implements heap.Interface.
+func (r *ranking) Push(x any) { *r = append(*r, x.(*suspect)) }
+
+// Pop implements heap.Interface.
+func (r *ranking) Pop() any {
+	last := (*r)[len(*r)-1]
+	*r = (*r)[:len(*r)-1]
+	return last
 }
 
 // lessNeeded reports whether s is to be acquitted before another suspect.
 func (s *suspect) lessNeeded(other *suspect) bool {
 	return cmp.Or(
-		cmp.Compare(s.weight, other.weight), compareBools(other.proven, s.proven), cmp.Compare(s.specificity(), other.specificity()),
+		cmp.Compare(s.ranked, other.ranked), compareBools(other.proven, s.proven), cmp.Compare(s.specificity(), other.specificity()),
 		other.reachedAt.Compare(s.reachedAt), cmp.Compare(other.key, s.key),
 	) < 0
 }
@@ -176,16 +198,31 @@
 	}
 }
 
-// acquit removes a suspect from the blamed ones. What only it explained beside others weighs more for them then.
+// acquit removes a suspect that is no longer blamed from what servers held. What only it explained beside others weighs more for them
+// then.
 func (b *blame) acquit(acquitted *suspect) {
 	isAcquitted := func(s *suspect) bool { return s == acquitted }
-	b.blamed = slices.DeleteFunc(b.blamed, isAcquitted)
 	for _, server := range acquitted.ends {
-		before := slices.Clone(b.holders[server])
-		rest := slices.DeleteFunc(b.holders[server], isAcquitted)
-		b.holders[server] = rest
-		for _, s := range rest {
-			s.weight += s.endWeight(rest) - s.endWeight(before)
+		h := b.holders[server]
+		provenBefore, unprovenBefore := h.weight(true), h.weight(false)
+		h.suspects = slices.DeleteFunc(h.suspects, isAcquitted)
+		if !acquitted.proven {
+			h.unproven--
+		}
+		h.reweigh(h.weight(true)-provenBefore, h.weight(false)-unprovenBefore)
+	}
+}
+
+// reweigh changes the weights of the suspects that an answer proves, and those of the others.
+func (h *holders) reweigh(proven, unproven int) {
+	if proven == 0 && unproven == 0 {
+		return
+	}
+	for _, s := range h.suspects {
+		if s.proven {
+			s.weight += proven
+		} else {
+			s.weight += unproven
 		}
 	}
 }
--- a/internal/core/poison/exchange.go
+++ b/internal/core/poison/exchange.go
@@ -48,18 +48,21 @@
 	return 0
 }
 
-// widelyToldParts is the number of parts at the beginning of a prompt whose ends all instances are told of at once.
+// widelyToldParts is the number of parts at the beginning of a prompt of whose ends all instances of a small fleet are told at once.
 const widelyToldParts = 2
 
-// GathersAtHome reports whether the ends under a part are gathered at one instance, its home, which tells all once the part is
-// blocked. A long prompt has dozens of parts, and each of them is suspected if a server ends under it: telling every instance of
-// each would take more bytes than all loads. So all are told at once of contents and of the first parts of a prompt only.
-func (t *Tracker) GathersAtHome(key Key) bool { return t.Position(key) > widelyToldParts }
+// GathersAtHome reports whether the ends under a content or a part are gathered at one instance, its home, which tells all once it is
+// blocked. Each server that ends leaves a record for every request that it held and for each part of their prompts, so what all are
+// told at once costs every instance work in proportion to the servers that have ended. Only a small fleet is told at once of contents
+// and of the first parts of a prompt; a long prompt has dozens of later ones.
+func (t *Tracker) GathersAtHome(key Key, largeFleet bool) bool {
+	return (largeFleet || t.Position(key) > widelyToldParts) && !t.Blocked(key)
+}
 
-// Disproves reports whether this tracker knows answers that disprove what a record from another instance blames on a part that is
-// gathered at a home. Whoever learned of the answers may have known of no end by then, and told nobody.
+// Disproves reports whether this tracker knows answers that disprove what a record from another instance blames on a part. Whoever
+// learned of the answers may have known of no end by then, and told nobody.
 func (t *Tracker) Disproves(in Record, now time.Time) bool {
-	return in.Position > widelyToldParts && in.Suspects(now) && !t.Suspected(in.Key)
+	return in.Position > 0 && in.Suspects(now) && !t.Suspected(in.Key)
 }
 
 // Suspicious reports whether more than one server ended under a content or a part.
@@ -70,6 +73,9 @@
 
 // Suspects reports whether enough servers ended under the content or the part to block it, as far as the record tells.
 func (r Record) Suspects(now time.Time) bool {
+	if len(r.Ends) < MaxEnds {
+		return false
+	}
 	t := NewTracker()
 	t.Merge(r, now)
 	return t.Suspected(r.Key)
@@ -105,7 +111,7 @@
 // no request with it was answered lately.
 func (t *Tracker) LikelyEnds(part Key) bool {
 	r := t.records[part]
-	return r != nil && r.count() > 1 && !r.proven()
+	return r != nil && r.count() > 1 && !r.isProven
 }
 
 // Record returns the record of a request for other instances, and whether there is one.
@@ -210,8 +216,8 @@
 		return changed
 	}
 	for _, proof := range in.Proofs {
-		if r.prove(proof.Software, now.Add(-proof.Age)) {
-			t.blocked, changed = nil, true
+		if t.prove(in.Key, r, proof.Software, now.Add(-proof.Age)) {
+			changed = true
 		}
 	}
 	r.usedAt = later(r.usedAt, now.Add(-in.UseAge))
@@ -235,7 +241,7 @@
 		r.ends[server] = known
 	}
 	known.voided = true
-	t.blocked = nil
+	t.changed(key, r)
 	t.evict(key)
 	return true
 }
--- a/internal/core/poison/poison.go
+++ b/internal/core/poison/poison.go
@@ -111,6 +111,10 @@
 	changedAt, usedAt time.Time
 	// reachedAt is the time of the end with which MaxEnds were reached.
 	reachedAt time.Time
+	// counting are the servers whose ends count, explains those of a part without a proof, and isProven is what proven returns.
+	// Tracker.changed keeps them up to date.
+	counting, explains []Server
+	isProven           bool
 }
 
 // end is the end of a server.
@@ -153,14 +157,21 @@
 }
 
 // count returns the number of ends that count.
-func (r *record) count() int {
-	n := 0
-	for _, e := range r.ends {
+func (r *record) count() int { return len(r.counting) }
+
+// derive computes what the decision needs of the record.
+func (r *record) derive() {
+	r.counting = r.counting[:0]
+	for server, e := range r.ends {
 		if r.counts(e) {
-			n++
+			r.counting = append(r.counting, server)
 		}
 	}
-	return n
+	r.isProven = r.proven()
+	r.explains = nil
+	if r.position > 0 && !r.isProven {
+		r.explains = slices.Clone(r.counting)
+	}
 }
 
 // proven reports whether the part was answered shortly before one of the ends that count, by the same software.
@@ -174,18 +185,17 @@
 	return false
 }
 
-// prove records an answer by a software and reports whether that lowers the suspicion.
+// prove records an answer by a software and reports whether that is news.
 func (r *record) prove(software string, at time.Time) bool {
 	if !at.After(r.proofs[software]) {
 		return false
 	}
-	count, proven := r.count(), r.proven()
 	if r.proofs == nil {
 		r.proofs = make(map[string]time.Time)
 	}
 	r.proofs[software] = at
 	r.dropOldestProof()
-	return r.count() < count || r.proven() && !proven
+	return true
 }
 
 // dropOldestProof bounds the proofs.
--- a/internal/core/poison/tracker.go
+++ b/internal/core/poison/tracker.go
@@ -41,7 +41,11 @@
 	voidedContents map[Server]time.Time
 	// answers are the latest answers to requests with each part.
 	answers answers
-	// blocked holds the blocked requests. It is nil after a change.
+	// suspected holds the records with enough ends to be blocked, and unproven the number of parts without a proof for which the end of
+	// a server counts. Both follow each change, so that a decision does not go through all records.
+	suspected map[Key]*record
+	unproven  map[Server]int
+	// blocked holds the blocked requests. It is nil after a change that may change the decision.
 	blocked map[Key]bool
 	// evicted counts the records that were dropped because there were too many, and decisions how often the blocked requests were
 	// determined.
@@ -53,6 +57,7 @@
 	return &Tracker{
 		records: make(map[Key]*record), ended: make(map[Server]time.Time),
 		voided: make(map[Server]time.Time), voidedContents: make(map[Server]time.Time),
+		suspected: make(map[Key]*record), unproven: make(map[Server]int),
 	}
 }
 
@@ -70,9 +75,14 @@
 // add adds the end of a server.
 func (t *Tracker) add(key Key, position int, server Server, e *end, now time.Time) bool {
 	r := t.record(key)
-	r.setPosition(position)
+	if r.setPosition(position) {
+		t.changed(key, r)
+	}
 	if known := r.ends[server]; known != nil {
-		known.software = cmp.Or(known.software, e.software)
+		if known.software == "" && e.software != "" {
+			known.software = e.software
+			t.changed(key, r)
+		}
 		return false
 	}
 	if !r.makeRoom(e) {
@@ -86,24 +96,76 @@
 		r.prove(e.software, answeredAt)
 	}
 	r.changedAt = later(r.changedAt, e.at)
+	t.changed(key, r)
 	if r.count() == MaxEnds {
 		r.reachedAt = r.changedAt
 	}
 	if _, known := t.ended[server]; !known && !voided {
 		t.ended[server] = now
 	}
-	t.blocked = nil
 	t.evict(key)
 	return true
 }
 
-// setPosition records that the record is that of a part. What an earlier version had told of it before, as of a content,
-// is forgotten.
-func (r *record) setPosition(position int) {
-	if r.position == 0 && position > 0 {
+// changed updates what is derived from a record after a change of it. It discards the decision if the change may matter to that: most
+// records have too few ends for that, however many there are.
+func (t *Tracker) changed(key Key, r *record) {
+	wasSuspected, explained := r.count() >= MaxEnds, r.explains
+	r.derive()
+	suspected := r.count() >= MaxEnds
+	if wasSuspected || suspected {
+		t.blocked = nil
+	}
+	if suspected {
+		t.suspected[key] = r
+	} else {
+		delete(t.suspected, key)
+	}
+	t.countUnproven(explained, r.explains)
+}
+
+// countUnproven updates the number of parts without a proof that explain the ends of servers.
+func (t *Tracker) countUnproven(before, after []Server) {
+	for _, server := range after {
+		if slices.Contains(before, server) {
+			continue
+		}
+		t.unproven[server]++
+		if t.unproven[server] == 1 {
+			t.blocked = nil
+		}
+	}
+	for _, server := range before {
+		if slices.Contains(after, server) {
+			continue
+		}
+		t.unproven[server]--
+		if t.unproven[server] == 0 {
+			delete(t.unproven, server)
+			t.blocked = nil
+		}
+	}
+}
+
+// drop forgets a record.
+func (t *Tracker) drop(key Key) {
+	r := t.records[key]
+	clear(r.ends)
+	t.changed(key, r)
+	delete(t.records, key)
+}
+
+// setPosition records that the record is that of a part, and reports whether that is a change. What an earlier version had told of it
+// before, as of a content, is forgotten.
+func (r *record) setPosition(position int) bool {
+	if position <= r.position {
+		return false
+	}
+	if r.position == 0 {
 		clear(r.ends)
 	}
-	r.position = max(r.position, position)
+	r.position = position
+	return true
 }
 
 // makeRoom makes room for an end, and reports whether there is some. A part that many requests share meets many ends that
@@ -149,7 +211,7 @@
 		for _, e := range r.ends {
 			e.voided = true
 		}
-		t.blocked = nil
+		t.changed(content, r)
 		return []Key{content}
 	}
 	var changed []Key
@@ -167,19 +229,32 @@
 	var changed []Key
 	for _, part := range parts {
 		t.answers.add(part, software, beganAt)
-		if r := t.records[part]; r != nil && r.prove(software, beganAt) {
-			t.blocked = nil
+		if r := t.records[part]; r != nil && t.prove(part, r, software, beganAt) {
 			changed = append(changed, part)
 		}
 	}
 	return changed
 }
 
+// prove records an answer to a request with a part and reports whether that lowers the suspicion.
+func (t *Tracker) prove(part Key, r *record, software string, at time.Time) bool {
+	count, proven := r.count(), r.isProven
+	if !r.prove(software, at) {
+		return false
+	}
+	t.changed(part, r)
+	return r.count() < count || r.isProven && !proven
+}
+
 // Void records that the end of a server is to be held against no request: the server did not end,
 // or its end was planned. It returns the requests whose records changed, sorted.
 func (t *Tracker) Void(server Server, now time.Time) []Key {
 	delete(t.ended, server)
+	_, voided := t.voided[server]
 	t.voided[server] = now
+	if voided {
+		return nil // No record has taken up its end as one that counts since.
+	}
 	return t.void(server, func(*record) bool { return true })
 }
 
@@ -189,12 +264,10 @@
 	for key, r := range t.records {
 		if e := r.ends[server]; e != nil && !e.voided && matches(r) {
 			e.voided = true
+			t.changed(key, r)
 			changed = append(changed, key)
 		}
 	}
-	if len(changed) > 0 {
-		t.blocked = nil
-	}
 	slices.Sort(changed)
 	return changed
 }
@@ -234,7 +307,7 @@
 
 // Blocked reports whether a request is blocked.
 func (t *Tracker) Blocked(key Key) bool {
-	if t.records[key] == nil {
+	if r := t.records[key]; r == nil || r.count() < MaxEnds {
 		return false
 	}
 	t.solve()
@@ -247,6 +320,9 @@
 	return slices.Sorted(maps.Keys(t.blocked))
 }
 
+// Has reports whether there is a record of a request.
+func (t *Tracker) Has(key Key) bool { return t.records[key] != nil }
+
 // Len returns the number of records.
 func (t *Tracker) Len() int { return len(t.records) }
 
@@ -272,10 +348,9 @@
 			retention, since = blockedRetention, r.lastUse()
 		}
 		if now.Sub(since) > retention {
-			delete(t.records, key)
+			t.drop(key)
 		}
 	}
-	t.blocked = nil
 	t.dropUnusedServers()
 	for _, voided := range []map[Server]time.Time{t.voided, t.voidedContents} {
 		maps.DeleteFunc(voided, func(_ Server, at time.Time) bool { return now.Sub(at) > blockedRetention })
@@ -302,11 +377,10 @@
 	keys := slices.SortedFunc(maps.Keys(t.records), t.compareUse)
 	for _, key := range keys[:evictedRecords] {
 		if key != kept {
-			delete(t.records, key)
+			t.drop(key)
 			t.evicted++
 		}
 	}
-	t.blocked = nil
 }
 
 // compareUse orders records by their use, those that are dropped first coming first.
