Core: records of ended servers are gathered before a large fleet is told

Cause: each request that an ended server held, and each part of its prompt, made a record, and every record went to every instance over several links. Each message with one made its receiver decide anew what is blocked, queue the record for all its peers and make their digests due. Work of messages times records times servers, in every instance, on the thread that decides on requests.

In a fleet that is no full mesh a record goes to its home only, until the home blocks the content or the part; then all are told. An instance that learns from a peer of what is blocked tells on after 0.25 s if it still holds: a sound part that many requests share is cleared by the first instances that know an answer, before the fleet hears of it. A peer gets such records four times a second at most, in one digest for all changes. Changes are told, what is blocked is decided and logged once a tick, not for each message. Peers that were told of a blame are told of what clears it, too.

--- a/internal/core/fleettest/scale/ended_test.go
+++ b/internal/core/fleettest/scale/ended_test.go
@@ -18,6 +18,8 @@
 	maxDecisions = int(time.Second / core.TickInterval)
 	// calm and trouble are the times that are compared.
 	calm, trouble = 4 * time.Second, 8 * time.Second
+	// warmUp is the time after which the rounds of digests have the length that the traffic needs.
+	warmUp = 10 * time.Second
 )
 
 // work is what all instances did in some time.
@@ -61,8 +63,8 @@
 				return
 			}
 			f := newEngineFleet(size, 320, 1)
-			f.requests(1500, time.Second+calm+trouble)
-			f.Run(time.Second)
+			f.requests(1500, warmUp+calm+trouble)
+			f.Run(warmUp)
 			before := f.measure(calm).perSecond(size.Instances, calm)
 			served := f.served
 			f.endShare(0.25)
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -194,6 +194,8 @@
 	pendingAnswers map[string]outlier.Count
 	// pendingPoison are the requests whose poison records the peer is to be sent.
 	pendingPoison map[poison.Key]bool
+	// poisonDue is the earliest time of the next digest with such records.
+	poisonDue time.Time
 	// pendingRestarts are the servers whose ends the peer is to be told, with the times of the signs.
 	pendingRestarts warmup.Restarts
 }
@@ -358,6 +360,9 @@
 			continue
 		}
 		n.sendDigest(p)
+		if len(p.pendingPoison) > 0 {
+			p.advancePoison(n.now)
+		}
 	}
 	n.tickPolls()
 }
--- a/internal/core/poisonhomes.go
+++ b/internal/core/poisonhomes.go
@@ -10,7 +10,7 @@
 // toldToAll reports whether all instances are told of a record. While instances may not hear each other, a home may be
 // out of reach.
 func (n *Node) toldToAll(key poison.Key) bool {
-	return !n.poison.tracker.GathersAtHome(key) || n.poison.store.separation.Separated() || n.poison.tracker.Blocked(key)
+	return n.poison.store.separation.Separated() || !n.poison.tracker.GathersAtHome(key, n.multiHop())
 }
 
 // queueForHome queues a record for the next instance on the way to its home, unless it came from there.
@@ -21,7 +21,18 @@
 	}
 	p := n.peer(next)
 	p.pendingPoison[key] = true
-	p.digestDue = n.now
+	p.advancePoison(n.now)
+}
+
+// poisonReceivers returns the peers that are sent the records of which all instances are told, but for one peer.
+func (n *Node) poisonReceivers(except poisonSource) []*peerState {
+	var list []*peerState
+	for name, p := range n.peers.byName {
+		if name != string(except) && n.receivesPoison(name) {
+			list = append(list, p)
+		}
+	}
+	return list
 }
 
 // nextTowardsHome returns the next instance on the way to the home of a part, or this one's name at the home.
--- a/internal/core/poisonrequests.go
+++ b/internal/core/poisonrequests.go
@@ -17,6 +17,11 @@
 const (
 	// maxDigestPoison is the maximum number of poison records in a digest.
 	maxDigestPoison = 32
+	// poisonInterval is the minimum interval between two digests with poison records to a peer of a fleet that is no full mesh. While
+	// many servers end, each record changes several times within it.
+	poisonInterval = 250 * time.Millisecond
+	// poisonHold is the time for which an instance keeps to itself what a peer has blocked.
+	poisonHold = 250 * time.Millisecond
 	// poisonExpiryInterval is the interval between checks for records to be forgotten.
 	poisonExpiryInterval = 10 * time.Second
 	// blockedRetryAfter is the Retry-After delay of a blocked request that is not to be sent again
@@ -46,6 +51,12 @@
 	// blocked are the blocked requests that were last logged.
 	blocked  poison.BlockedList
 	expireAt time.Time
+	// changed holds the sources of the records that have changed since the last tick, of which peers are to be told.
+	changed map[poison.Key]changeSources
+	// held are the changes, told by peers, of which this instance does not tell others yet.
+	held map[poison.Key]heldChange
+	// told are the contents and parts of which all peers were told. They are told of each later change: it may clear what they blame.
+	told map[poison.Key]bool
 	// store holds which records are to be written to the platform's store.
 	store poisonStoreState
 }
@@ -53,6 +64,7 @@
 func newPoisonState() poisonState {
 	return poisonState{
 		tracker: poison.NewTracker(), late: poison.NewLateAnswers(), store: newPoisonStoreState(),
+		changed: make(map[poison.Key]changeSources), held: make(map[poison.Key]heldChange), told: make(map[poison.Key]bool),
 	}
 }
 
@@ -80,7 +92,7 @@
 	}
 	for _, key := range n.poison.tracker.BlockedAmong(&r.poison) {
 		n.poison.tracker.Trial(key, n.now)
-		n.queuePoison(sourceSelf, key)
+		n.poisonChanged(sourceSelf, key)
 	}
 	n.emit(Counted{Counter: counterPoison, Label: labelTrial, N: 1})
 }
@@ -195,10 +207,12 @@
 	}
 }
 
-// tickPoison forgets old records, and voids the ends of servers that turned out to be alive.
+// tickPoison tells of changed records, forgets old ones, and voids the ends of servers that turned out to be alive.
 func (n *Node) tickPoison() {
 	n.voidAlive()
 	n.tickPoisonStore()
+	n.tellPoisonChanges()
+	n.logBlocked()
 	if decisions := n.poison.tracker.TakeDecisions(); decisions > 0 {
 		n.emit(Counted{Counter: counterPoison, Label: labelDecided, N: decisions})
 	}
@@ -207,8 +221,8 @@
 	}
 	n.poison.expireAt = n.now.Add(poisonExpiryInterval)
 	n.poison.tracker.Expire(n.now)
+	maps.DeleteFunc(n.poison.told, func(key poison.Key, _ bool) bool { return !n.poison.tracker.Has(key) })
 	n.poison.store.writer.Expire(n.poison.tracker)
-	n.logBlocked()
 	if evicted := n.poison.tracker.TakeEvicted(); evicted > 0 {
 		n.emit(Counted{Counter: counterPoison, Label: labelRecordEvicted, N: evicted})
 	}
@@ -227,44 +241,112 @@
 	}
 }
 
-// poisonChanged queues changed records for the peers other than the one from which they came, and
-// for the store, and logs which requests are blocked now.
+// changeSources are the sources from which a record has changed.
+type changeSources struct {
+	// from is the source, or the first of several.
+	from    poisonSource
+	several bool
+	// observed is set if one of them is not a peer: this instance or the store.
+	observed bool
+}
+
+// poisonChanged notes changed records. Peers are told with the next digests, and what is blocked is determined by then once for all
+// changes: it would take the processor time of the requests if each message did so.
 func (n *Node) poisonChanged(from poisonSource, keys ...poison.Key) {
-	if len(keys) == 0 {
+	for _, key := range keys {
+		n.noteUnstored(from, key)
+		sources, known := n.poison.changed[key]
+		if !known {
+			sources.from = from
+		}
+		sources.several = sources.several || sources.from != from
+		sources.observed = sources.observed || from == sourceSelf || from == sourceStore
+		n.poison.changed[key] = sources
+	}
+}
+
+// heldChange is a change of a record of which a large fleet is told only if the request is still blocked some time later.
+type heldChange struct {
+	sources changeSources
+	until   time.Time
+}
+
+// tellPoisonChanges queues the records that have changed since the last tick for the peers.
+func (n *Node) tellPoisonChanges() {
+	if len(n.poison.changed)+len(n.poison.held) == 0 {
 		return
 	}
-	for _, key := range keys {
-		n.queuePoison(from, key)
+	receivers := make(map[poisonSource][]*peerState)
+	for key, held := range n.poison.held {
+		if !n.now.Before(held.until) {
+			delete(n.poison.held, key)
+			n.queuePoison(key, held.sources, receivers)
+		}
 	}
-	n.logBlocked()
+	for key, sources := range n.poison.changed {
+		if n.holdsBack(key, sources) {
+			n.poison.held[key] = heldChange{sources, n.now.Add(poisonHold)}
+			continue
+		}
+		n.queuePoison(key, sources, receivers)
+	}
+	clear(n.poison.changed)
+	for _, list := range receivers {
+		for _, p := range list {
+			p.advancePoison(n.now)
+		}
+	}
+}
+
+// holdsBack reports whether the peers are to be told of a change later. Where digests take several hops, what a peer blames on a sound part
+// that many requests share spreads to the whole fleet before the answers that clear it. Held for a moment at each hop, it ends at the
+// first instances that know such an answer.
+func (n *Node) holdsBack(key poison.Key, sources changeSources) bool {
+	_, held := n.poison.held[key]
+	return n.multiHop() && !sources.observed && !held && !n.poison.told[key] && n.poison.tracker.Blocked(key)
 }
 
 // queuePoison queues a record for all peers other than the one from which it came. In a full mesh a
 // record that came from a peer has reached all others, unless their links are down. It is then
-// forwarded only if several servers ended under the request.
-func (n *Node) queuePoison(from poisonSource, key poison.Key) {
-	n.noteUnstored(from, key)
-	if !n.toldToAll(key) && !n.poison.blocked.Has(key) {
-		n.queueForHome(from, key)
+// forwarded only if several servers ended under the request. receivers caches the peers that are told, by the one that is not.
+func (n *Node) queuePoison(key poison.Key, sources changeSources, receivers map[poisonSource][]*peerState) {
+	except := sources.from
+	if sources.several {
+		except = sourceSelf
+	}
+	if !n.toldToAll(key) && !n.poison.told[key] {
+		n.queueForHome(except, key)
 		return
 	}
-	fromPeer := from != sourceSelf && from != sourceStore
-	if fromPeer && !n.multiHop() && !n.poison.tracker.Suspicious(key) {
+	n.poison.told[key] = true
+	if !sources.observed && !n.multiHop() && !n.poison.tracker.Suspicious(key) {
 		return
 	}
-	for name, p := range n.peers.byName {
-		if name != string(from) && n.receivesPoison(name) {
-			p.pendingPoison[key] = true
-		}
+	list, known := receivers[except]
+	if !known {
+		list = n.poisonReceivers(except)
+		receivers[except] = list
+	}
+	for _, p := range list {
+		p.pendingPoison[key] = true
+	}
+}
+
+// advancePoison makes the next digest to a peer due as soon as it may carry records.
+func (p *peerState) advancePoison(now time.Time) {
+	if due := later(now, p.poisonDue); due.Before(p.digestDue) {
+		p.digestDue = due
 	}
-	n.sendDigestsNow()
 }
 
 // addPoison adds the records that the peer is to be sent, those of the most suspicious requests first.
 func (n *Node) addPoison(p *peerState, d *Digest) {
-	if len(p.pendingPoison) == 0 {
+	if len(p.pendingPoison) == 0 || n.now.Before(p.poisonDue) {
 		return
 	}
+	if n.multiHop() {
+		p.poisonDue = n.now.Add(poisonInterval)
+	}
 	for _, key := range n.poison.tracker.Select(slices.Collect(maps.Keys(p.pendingPoison)), maxDigestPoison) {
 		delete(p.pendingPoison, key)
 		if record, ok := n.poison.tracker.Record(key, n.now); ok {
--- a/internal/core/poisonstore.go
+++ b/internal/core/poisonstore.go
@@ -126,7 +126,7 @@
 	n.emit(StateChanged{Subject: SubjectLink, State: stateSeparated})
 	for _, key := range n.poison.tracker.ChangedSince(n.now.Add(-separationWindow)) {
 		for name := range n.peers.inLayout {
-			if !n.receivesFacts(name) || n.poison.tracker.GathersAtHome(key) {
+			if !n.receivesFacts(name) || n.poison.tracker.GathersAtHome(key, n.multiHop()) {
 				n.peer(name).pendingPoison[key] = true
 			}
 		}
