Core: a caller that leaves during a dial blames no server

What operators saw: servers that flip between unreachable and reachable by hundreds a second at instances whose requests are late.

Cause: the dial that is given up as its caller leaves ends as not sent, and that marked the server as unreachable. Callers leave in numbers just when an instance is slow, so it then avoided sound servers.

TestCallerThatLeavesDuringDialBlamesNoServer failed before: engine-0 became unreachable.

--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -201,7 +201,10 @@
 		n.attemptSuperseded(r, e.Unsent)
 		return
 	}
-	n.judgeServer(r, e, verdict)
+	if !r.callerGone || e.Outcome != retry.NotSent {
+		// A connection that was given up because the caller left says nothing about the server.
+		n.judgeServer(r, e, verdict)
+	}
 	if e.Outcome == retry.Answered {
 		n.requestAnswered(r)
 		return
