--- a/internal/daemon/loop_test.go
+++ b/internal/daemon/loop_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/ebonydyke/ebonydyke/internal/core"
+	"github.com/ebonydyke/ebonydyke/internal/core/config"
 	"github.com/ebonydyke/ebonydyke/internal/daemon"
 )
 
@@ -64,3 +65,71 @@
 		t.Fatal("no line after an event of 400 ms")
 	}
 }
+
+// slowLinks takes a time for each change of a link, and tells of the end of a request.
+type slowLinks struct {
+	takes    time.Duration
+	finished chan core.Finish
+}
+
+func (s slowLinks) Execute(effect core.Effect) {
+	switch e := effect.(type) {
+	case core.StateChanged:
+		if e.Subject == core.SubjectLink {
+			time.Sleep(s.takes)
+		}
+	case core.Finish:
+		s.finished <- e
+	}
+}
+
+// Guards against requests that wait behind messages between instances until their callers have left.
+func TestRequestsGoBeforeControlWork(t *testing.T) {
+	const messages, takes = 400, 5 * time.Millisecond
+	loop := daemon.NewLoop(core.New(core.Settings{Name: "entry-1"}))
+	for range messages {
+		loop.Post(core.PeerConnected{Peer: "entry-2", Incarnation: 1})
+	}
+	loop.Post(core.ConfigOffered{Envelope: config.Envelope{Generation: 1, Edit: "first", Text: `{"customers": [{"name": "branch"}]}`}})
+	exec := slowLinks{takes, make(chan core.Finish, 100)}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _ = loop.Run(ctx, exec) }()
+	for range 20 {
+		sent := time.Now()
+		loop.Post(core.RequestArrived{Request: "r", Customer: "branch", Service: "none", Deadline: loop.Now().Add(100 * time.Millisecond)})
+		<-exec.finished
+		require.Less(t, time.Since(sent), messages*takes/4, "the messages take 2 s")
+	}
+}
+
+// Guards against an instance that no longer follows the fleet while requests keep it busy.
+func TestControlWorkGoesOnBesideRequests(t *testing.T) {
+	loop := daemon.NewLoop(core.New(core.Settings{Name: "entry-1"}))
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	posting, stopPosting := context.WithCancel(ctx)
+	for range 4 {
+		go func() {
+			for posting.Err() == nil {
+				loop.Post(core.CallerGone{Request: "none"})
+			}
+		}()
+	}
+	links := make(chan struct{}, 2000)
+	go func() { _ = loop.Run(ctx, countLinks(links)) }()
+	for range 1000 {
+		loop.Post(core.PeerConnected{Peer: "entry-2", Incarnation: 1})
+	}
+	require.Eventually(t, func() bool { return len(links) == 1000 }, 10*time.Second, 10*time.Millisecond)
+	stopPosting()
+}
+
+// countLinks counts changes of links.
+type countLinks chan struct{}
+
+func (c countLinks) Execute(effect core.Effect) {
+	if e, ok := effect.(core.StateChanged); ok && e.Subject == core.SubjectLink {
+		c <- struct{}{}
+	}
+}
