Proxy: no attempt begins or goes on after the caller has left

What callers saw: requests that were sent on up to 5.4 s after their callers had left (GONE).

Cause: the close of a caller's connection only became an event behind the request's own. The core sent the request first, and the proxy passed it on, although it knew of the close by then.

The proxy ends all attempts of a request whose caller has left, also one that the core sends later, and the core learns of the close before the ends. The watch on the connection begins after the request is posted, so that its close cannot overtake it.

--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -32,6 +33,9 @@
 	// responding is set once the response is written.
 	responding atomic.Bool
 	stopWatch  func()
+	// left is set once the caller has disconnected, and leftReported is closed once the core has been told.
+	left         atomic.Bool
+	leftReported chan struct{}
 
 	race *race
 	// heldFailure is a failure response of a backend server. It is held until no
@@ -48,7 +52,9 @@
 		startedAt: time.Now(),
 		effects:   make(chan core.Effect, effectQueueSize),
 		stopWatch: func() {},
-		race:      newRace(r.LastEventID),
+
+		leftReported: make(chan struct{}),
+		race:         newRace(r.LastEventID),
 	}
 	x.response = &callerResponse{exchange: x, race: x.race}
 	return x
@@ -59,9 +65,11 @@
 	x.server.register(x)
 	if c, ok := x.ctx.Conn().(*callerConn); ok {
 		c.state.process(x)
-		x.stopWatch = c.watchClose(func() { x.server.post(core.CallerGone{Request: x.id}) })
 	}
 	x.server.post(x.request.Arrived)
+	if c, ok := x.ctx.Conn().(*callerConn); ok {
+		x.stopWatch = c.watchClose(x.callerLeft)
+	}
 	if e := x.response.awaitSource(); e != nil {
 		x.finish(*e)
 		return
@@ -70,6 +78,15 @@
 	x.response.sendHead()
 }
 
+// callerLeft ends all attempts, also those that the core has yet to send, and tells the core that the caller has disconnected. The core
+// may be behind.
+func (x *exchange) callerLeft() {
+	x.left.Store(true)
+	x.race.cancel(math.MaxInt, false)
+	x.server.post(core.CallerGone{Request: x.id})
+	close(x.leftReported)
+}
+
 // deliver accepts an effect from the core's goroutine. It never blocks.
 func (x *exchange) deliver(effect core.Effect) {
 	switch e := effect.(type) {
@@ -120,6 +137,9 @@
 		"firstMs", a.firstByte.Milliseconds(), "lastEvent", a.sequence.last, "dialled", a.dialReason, "error", event.Detail, "endedBy", cause, "silentMs", ageMillis(a.silence),
 		"serverEnded", event.ServerEnded, "relay", a.relay, "responseNames", a.origin.identity, "connCarried", a.origin.carried, "skipped", a.origin.skipped, "endChecks", event.EndChecks, "framing", a.framing,
 		"parts", x.loggedParts(&event))
+	if x.left.Load() {
+		<-x.leftReported // The core would take the end for a failure of the server, and try another.
+	}
 	x.server.post(event)
 }
 
