--- a/internal/core/poison/tracker.go
+++ b/internal/core/poison/tracker.go
@@ -57,7 +57,7 @@
 	return &Tracker{
 		records: make(map[Key]*record), ended: make(map[Server]time.Time),
 		voided: make(map[Server]time.Time), voidedContents: make(map[Server]time.Time),
-		suspected: make(map[Key]*record), unproven: make(map[Server]int),
+		suspected: make(map[Key]*record), unproven: make(map[Server]int), blocked: make(map[Key]bool),
 	}
 }
 
