Core: ticks and facts do less where nothing has changed

While returning servers ramp up, each tick rebuilt the pools of their services; it updates their shares. The facts of one digest rebuild the pools once, not once each.

--- a/internal/core/digests.go
+++ b/internal/core/digests.go
@@ -191,9 +191,7 @@
 		p.receivedMembers[member.Name] = member.Incarnation
 	}
 	n.mergeMembers(d.Members)
-	for _, f := range d.Facts {
-		n.mergeFact(f)
-	}
+	n.mergeFacts(d.Facts...)
 	for _, r := range d.Reports {
 		n.applyBackendReport(r)
 		n.recordBackendReport(r.Backend)
@@ -238,7 +236,7 @@
 // process's own.
 func (n *Node) recordPeerLeaving(name string) {
 	if member := n.view.Get(name); member != nil {
-		n.mergeFact(membership.Fact{Name: name, Incarnation: member.Incarnation, State: membership.Leaving})
+		n.mergeFacts(membership.Fact{Name: name, Incarnation: member.Incarnation, State: membership.Leaving})
 	}
 }
 
--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -54,9 +54,7 @@
 
 func (n *Node) tickMembers() {
 	n.tickInstanceList()
-	if n.snapshot != nil {
-		n.refreshPools(n.view.ChangedShares(n.now))
-	}
+	n.refreshShares(n.view.ChangedShares(n.now))
 	if !n.now.Before(n.members.expireAt) {
 		n.members.expireAt = n.now.Add(tombstoneExpiryInterval)
 		n.view.Expire(n.now)
@@ -177,11 +175,24 @@
 	n.members.lastPeerContactAt = n.now
 }
 
-// mergeFact merges a fact from any source into the membership view.
-func (n *Node) mergeFact(f membership.Fact) {
-	if n.view.ApplyFact(n.now, f) {
-		n.membersChanged([]string{f.Name})
+// refreshShares updates the shares of requests that returning backend servers get.
+func (n *Node) refreshShares(names []string) {
+	for _, name := range names {
+		if p := n.poolByBackend[name]; p != nil {
+			n.updateWithheldShare(&p.candidates[p.index[name]])
+		}
+	}
+}
+
+// mergeFacts merges facts from any source into the membership view.
+func (n *Node) mergeFacts(facts ...membership.Fact) {
+	var changed []string
+	for _, f := range facts {
+		if n.view.ApplyFact(n.now, f) {
+			changed = append(changed, f.Name)
+		}
 	}
+	n.membersChanged(changed)
 }
 
 // mergeMembers merges membership records received from a peer. They can add instances that this
--- a/internal/core/outliers.go
+++ b/internal/core/outliers.go
@@ -5,6 +5,7 @@
 
 	"github.com/ebonydyke/ebonydyke/internal/core/outlier"
 	"github.com/ebonydyke/ebonydyke/internal/core/retry"
+	"github.com/ebonydyke/ebonydyke/internal/core/routing"
 )
 
 const (
@@ -100,17 +101,21 @@
 			n.emit(StateChanged{Subject: SubjectBackend, Name: name, State: "suspect", Cause: "its failure rate is higher than that of the other servers"})
 		}
 		for i := range p.candidates {
-			c := &p.candidates[i]
-			c.WithheldShare = 1 - n.view.LoadShare(c.Name, n.now)
-			if n.outliers.tracker.IsOutlier(c.Name, n.now) {
-				c.WithheldShare = max(c.WithheldShare, outlierWithheld)
-			}
+			n.updateWithheldShare(&p.candidates[i])
 		}
 	}
 	n.outliers.tracker.Keep(func(name string) bool { return n.poolByBackend[name] != nil })
 	n.speed.Keep(func(name string) bool { return n.poolByBackend[name] != nil })
 }
 
+// updateWithheldShare updates the share of requests that a backend server does not get because it has just returned or fails often.
+func (n *Node) updateWithheldShare(c *routing.Candidate) {
+	c.WithheldShare = 1 - n.view.LoadShare(c.Name, n.now)
+	if n.outliers.tracker.IsOutlier(c.Name, n.now) {
+		c.WithheldShare = max(c.WithheldShare, outlierWithheld)
+	}
+}
+
 // addAnswers adds the response counts since the last digest, for servers with failures.
 // Servers without failures are left out: their counts would only make the others look
 // worse.
--- a/internal/core/peers_test.go
+++ b/internal/core/peers_test.go
@@ -225,7 +225,7 @@
 	f.cut = func(a, b string) bool { return a == disconnected || b == disconnected }
 	f.listed = nil
 	f.run(time.Second)
-	f.nodes["entry-05"].mergeFact(membership.Fact{Name: "engine-1", Incarnation: 4, State: membership.Leaving})
+	f.nodes["entry-05"].mergeFacts(membership.Fact{Name: "engine-1", Incarnation: 4, State: membership.Leaving})
 	f.run(3 * time.Second)
 	for _, name := range f.names() {
 		want := membership.Leaving
--- a/internal/core/permits.go
+++ b/internal/core/permits.go
@@ -69,6 +69,9 @@
 	issuer  *warmup.Issuer
 	asker   *warmup.Asker
 	ranking warmup.Ranking
+	// rankedSeq is the view's sequence number from which ranking was set, provided that ranked is set.
+	rankedSeq uint64
+	ranked    bool
 	// asks are the questions without an answer.
 	asks peerask.Questions[*permitAsk]
 }
@@ -82,13 +85,18 @@
 	return !n.joining() && (!n.members.readAt.IsZero() || n.view.Seq() > 0)
 }
 
-// rankIssuers updates the list of the instances that may issue permits.
+// rankIssuers updates the list of the instances that may issue permits if the view has changed.
 func (n *Node) rankIssuers() {
 	s := &n.cold.permits
 	if !n.knowsInstances() {
 		s.ranking.Forget()
+		s.ranked = false
 		return
 	}
+	if s.ranked && s.rankedSeq == n.view.Seq() {
+		return
+	}
+	s.ranked, s.rankedSeq = true, n.view.Seq()
 	names := n.liveInstances()
 	list := make([]warmup.Instance, 0, len(names))
 	for _, name := range names {
@@ -105,6 +113,7 @@
 func (n *Node) permitPeerConnected(e PeerConnected) {
 	s := &n.cold.permits
 	if s.ranking.Exclude(e.Peer, e.NoPermits) {
+		s.ranked = false
 		n.rankIssuers()
 	}
 	for _, ask := range s.asks.To(e.Peer) {
