--- a/internal/core/stopgrace_test.go
+++ b/internal/core/stopgrace_test.go
@@ -41,3 +41,39 @@
 		})
 	}
 }
+
+// Guards against requests that a stopping instance takes late in its grace time, passes on, and cuts at the end of it.
+func TestNothingTakenDuringTheGraceOutlastsIt(t *testing.T) {
+	const grace, margin = 8 * time.Second, 300 * time.Millisecond
+	for _, path := range []string{"/question/x", "/review/x", "/record/x", "/progress/x"} {
+		for _, left := range []time.Duration{0, time.Second, 3 * time.Second, 6 * time.Second, 12 * time.Second} {
+			for _, queued := range []time.Duration{0, 2 * time.Second} {
+				for at := 100 * time.Millisecond; at < grace; at += 300 * time.Millisecond {
+					requireEndsWithGrace(t, path, left, queued, at, grace, margin)
+				}
+			}
+		}
+	}
+}
+
+// requireEndsWithGrace sends a request to an instance that was stopped some time ago. The request had waited for the core for queued.
+// What arrives before the listener closes, 2.5 s after the stop, may last as long as at any time.
+func requireEndsWithGrace(t *testing.T, path string, left, queued, at, grace, margin time.Duration) {
+	t.Helper()
+	r := newNodeDriver(t, 2)
+	r.handle(core.StopGraceSet{Grace: grace})
+	r.handle(core.StopRequested{})
+	r.advance(at)
+	e := core.RequestArrived{Request: "late", Host: "h.example", Path: path, APIKey: "key-1", ReadAt: r.now.Add(-queued)}
+	if left > 0 {
+		e.Deadline = e.ReadAt.Add(left)
+	}
+	if len(effectsOf[core.Finish](r.handle(e))) > 0 || at < 2500*time.Millisecond {
+		return
+	}
+	ended := false
+	for elapsed := at; elapsed < grace-margin; elapsed += core.TickInterval {
+		ended = ended || len(effectsOf[core.Finish](r.advance(core.TickInterval))) > 0
+	}
+	require.True(t, ended, "%s, %v left, %v after the stop: the request is still in progress at the end", path, left, at)
+}
--- a/internal/relay/endless_test.go
+++ b/internal/relay/endless_test.go
@@ -45,3 +45,22 @@
 	require.NoError(t, err)
 	require.Equal(t, "answer", string(answer))
 }
+
+// Guards against a relay that keeps what a faulty server sends without end while nobody reads it.
+func TestBytesWithoutEndFromAServerAreNotKept(t *testing.T) {
+	const piece, buffers, settle = 1 << 16, 32 << 20, time.Second
+	in := startRelay(t)
+	requester, server := connect(t, in)
+	sent := 0
+	require.NoError(t, server.SetWriteDeadline(time.Now().Add(settle)))
+	for {
+		n, err := server.Write(make([]byte, piece))
+		sent += n
+		if err != nil {
+			break
+		}
+	}
+	require.Less(t, sent, buffers, "the buffers of the kernel and of the relay")
+	require.NoError(t, requester.Close())
+	require.Eventually(t, func() bool { return in.Active() == 0 }, testTimeout, 10*time.Millisecond)
+}
