Poison: which changes are told, and when, is a module of its own

Spread (internal/core/poison) holds what has changed, what is held and what all were told; package core asks it once a tick.

--- a/internal/core/poisonhomes.go
+++ b/internal/core/poisonhomes.go
@@ -13,10 +13,48 @@
 	return n.poison.store.separation.Separated() || !n.poison.tracker.GathersAtHome(key, n.multiHop())
 }
 
+// tellPoisonChanges queues the records that have changed since the last tick for the peers.
+func (n *Node) tellPoisonChanges() {
+	receivers := make(map[string][]*peerState)
+	for _, change := range n.poison.spread.Take(n.now, n.holdsPoison) {
+		n.queuePoison(change, receivers)
+	}
+	for _, list := range receivers {
+		for _, p := range list {
+			p.advancePoison(n.now)
+		}
+	}
+}
+
+// holdsPoison reports whether what a peer has told of a record is told on later.
+func (n *Node) holdsPoison(key poison.Key) bool { return n.multiHop() && n.poison.tracker.Blocked(key) }
+
+// queuePoison queues a record for all peers other than the one from which it came, or for the way to its home. In a full mesh a
+// record that came from a peer has reached all others, unless their links are down. It is then
+// forwarded only if several servers ended under the request. receivers caches the peers that are told, by the one that is not.
+func (n *Node) queuePoison(change poison.Change, receivers map[string][]*peerState) {
+	if !n.toldToAll(change.Key) && !n.poison.spread.ToldAll(change.Key) {
+		n.queueForHome(change.From, change.Key)
+		return
+	}
+	n.poison.spread.TellAll(change.Key)
+	if !change.Observed && !n.multiHop() && !n.poison.tracker.Suspicious(change.Key) {
+		return
+	}
+	list, known := receivers[change.From]
+	if !known {
+		list = n.poisonReceivers(change.From)
+		receivers[change.From] = list
+	}
+	for _, p := range list {
+		p.pendingPoison[change.Key] = true
+	}
+}
+
 // queueForHome queues a record for the next instance on the way to its home, unless it came from there.
-func (n *Node) queueForHome(from poisonSource, key poison.Key) {
+func (n *Node) queueForHome(from string, key poison.Key) {
 	next := n.nextTowardsHome(key)
-	if next == n.settings.Name || next == string(from) {
+	if next == n.settings.Name || next == from {
 		return
 	}
 	p := n.peer(next)
@@ -25,10 +63,10 @@
 }
 
 // poisonReceivers returns the peers that are sent the records of which all instances are told, but for one peer.
-func (n *Node) poisonReceivers(except poisonSource) []*peerState {
+func (n *Node) poisonReceivers(except string) []*peerState {
 	var list []*peerState
 	for name, p := range n.peers.byName {
-		if name != string(except) && n.receivesPoison(name) {
+		if name != except && n.receivesPoison(name) {
 			list = append(list, p)
 		}
 	}
--- a/internal/core/poisonrequests.go
+++ b/internal/core/poisonrequests.go
@@ -20,8 +20,6 @@
 	// poisonInterval is the minimum interval between two digests with poison records to a peer of a fleet that is no full mesh. While
 	// many servers end, each record changes several times within it.
 	poisonInterval = 250 * time.Millisecond
-	// poisonHold is the time for which an instance keeps to itself what a peer has blocked.
-	poisonHold = 250 * time.Millisecond
 	// poisonExpiryInterval is the interval between checks for records to be forgotten.
 	poisonExpiryInterval = 10 * time.Second
 	// blockedRetryAfter is the Retry-After delay of a blocked request that is not to be sent again
@@ -51,12 +49,8 @@
 	// blocked are the blocked requests that were last logged.
 	blocked  poison.BlockedList
 	expireAt time.Time
-	// changed holds the sources of the records that have changed since the last tick, of which peers are to be told.
-	changed map[poison.Key]changeSources
-	// held are the changes, told by peers, of which this instance does not tell others yet.
-	held map[poison.Key]heldChange
-	// told are the contents and parts of which all peers were told. They are told of each later change: it may clear what they blame.
-	told map[poison.Key]bool
+	// spread holds the changed records of which peers are to be told.
+	spread *poison.Spread
 	// store holds which records are to be written to the platform's store.
 	store poisonStoreState
 }
@@ -64,7 +58,7 @@
 func newPoisonState() poisonState {
 	return poisonState{
 		tracker: poison.NewTracker(), late: poison.NewLateAnswers(), store: newPoisonStoreState(),
-		changed: make(map[poison.Key]changeSources), held: make(map[poison.Key]heldChange), told: make(map[poison.Key]bool),
+		spread: poison.NewSpread(),
 	}
 }
 
@@ -221,7 +215,7 @@
 	}
 	n.poison.expireAt = n.now.Add(poisonExpiryInterval)
 	n.poison.tracker.Expire(n.now)
-	maps.DeleteFunc(n.poison.told, func(key poison.Key, _ bool) bool { return !n.poison.tracker.Has(key) })
+	n.poison.spread.Expire(n.poison.tracker)
 	n.poison.store.writer.Expire(n.poison.tracker)
 	if evicted := n.poison.tracker.TakeEvicted(); evicted > 0 {
 		n.emit(Counted{Counter: counterPoison, Label: labelRecordEvicted, N: evicted})
@@ -241,94 +235,16 @@
 	}
 }
 
-// changeSources are the sources from which a record has changed.
-type changeSources struct {
-	// from is the source, or the first of several.
-	from    poisonSource
-	several bool
-	// observed is set if one of them is not a peer: this instance or the store.
-	observed bool
-}
-
 // poisonChanged notes changed records. Peers are told with the next digests, and what is blocked is determined by then once for all
 // changes: it would take the processor time of the requests if each message did so.
 func (n *Node) poisonChanged(from poisonSource, keys ...poison.Key) {
 	for _, key := range keys {
 		n.noteUnstored(from, key)
-		sources, known := n.poison.changed[key]
-		if !known {
-			sources.from = from
-		}
-		sources.several = sources.several || sources.from != from
-		sources.observed = sources.observed || from == sourceSelf || from == sourceStore
-		n.poison.changed[key] = sources
-	}
-}
-
-// heldChange is a change of a record of which a large fleet is told only if the request is still blocked some time later.
-type heldChange struct {
-	sources changeSources
-	until   time.Time
-}
-
-// tellPoisonChanges queues the records that have changed since the last tick for the peers.
-func (n *Node) tellPoisonChanges() {
-	if len(n.poison.changed)+len(n.poison.held) == 0 {
-		return
-	}
-	receivers := make(map[poisonSource][]*peerState)
-	for key, held := range n.poison.held {
-		if !n.now.Before(held.until) {
-			delete(n.poison.held, key)
-			n.queuePoison(key, held.sources, receivers)
-		}
-	}
-	for key, sources := range n.poison.changed {
-		if n.holdsBack(key, sources) {
-			n.poison.held[key] = heldChange{sources, n.now.Add(poisonHold)}
-			continue
+		if from == sourceSelf || from == sourceStore {
+			n.poison.spread.Observed(key)
+		} else {
+			n.poison.spread.ToldBy(key, string(from))
 		}
-		n.queuePoison(key, sources, receivers)
-	}
-	clear(n.poison.changed)
-	for _, list := range receivers {
-		for _, p := range list {
-			p.advancePoison(n.now)
-		}
-	}
-}
-
-// holdsBack reports whether the peers are to be told of a change later. Where digests take several hops, what a peer blames on a sound part
-// that many requests share spreads to the whole fleet before the answers that clear it. Held for a moment at each hop, it ends at the
-// first instances that know such an answer.
-func (n *Node) holdsBack(key poison.Key, sources changeSources) bool {
-	_, held := n.poison.held[key]
-	return n.multiHop() && !sources.observed && !held && !n.poison.told[key] && n.poison.tracker.Blocked(key)
-}
-
-// queuePoison queues a record for all peers other than the one from which it came. In a full mesh a
-// record that came from a peer has reached all others, unless their links are down. It is then
-// forwarded only if several servers ended under the request. receivers caches the peers that are told, by the one that is not.
-func (n *Node) queuePoison(key poison.Key, sources changeSources, receivers map[poisonSource][]*peerState) {
-	except := sources.from
-	if sources.several {
-		except = sourceSelf
-	}
-	if !n.toldToAll(key) && !n.poison.told[key] {
-		n.queueForHome(except, key)
-		return
-	}
-	n.poison.told[key] = true
-	if !sources.observed && !n.multiHop() && !n.poison.tracker.Suspicious(key) {
-		return
-	}
-	list, known := receivers[except]
-	if !known {
-		list = n.poisonReceivers(except)
-		receivers[except] = list
-	}
-	for _, p := range list {
-		p.pendingPoison[key] = true
 	}
 }
 
