Core: a large fleet whose instances may not hear each other tells less, too

While an instance and one of its peers may not hear each other, every record of an ended server was told to all instances, since a home may be out of reach. One instance that is killed separates its peers and theirs, which in a fleet of 300 are all.

A large fleet is then told of what two servers have ended under. A record goes to its home otherwise, which is in the first zone in rank whose aggregator is not silent, and to the store as before.

Records of the last seconds are told anew once an instance is separated.

--- a/internal/core/mesh/mesh.go
+++ b/internal/core/mesh/mesh.go
@@ -237,7 +237,8 @@
 }
 
 // NextTowardsHome returns the next instance on the way from this one to the home of a shard, or this one's name at the
-// home: the aggregator of the shard in the first row of one zone. All links on the way are in the layout.
+// home: the aggregator of the shard in the first row of one zone, the first in rank that has one that is not silent. All links on the
+// way are in the layout.
 func (l *Layout) NextTowardsHome(shard int, silent func(string) bool) string {
 	if next := l.Aggregator(shard, silent); next != l.self {
 		return next
@@ -245,12 +246,16 @@
 	if next := l.ownZone.aggregator(0, shard, silent); next != l.self {
 		return next
 	}
-	zones := slices.Collect(maps.Keys(l.otherZones))
-	home := rendezvous.Top(shardKey(shard), append(zones, l.zoneName), 1)[0]
-	if home == l.zoneName {
-		return l.self
+	zones := append(slices.Collect(maps.Keys(l.otherZones)), l.zoneName)
+	for _, home := range rendezvous.Top(shardKey(shard), zones, len(zones)) {
+		if home == l.zoneName {
+			return l.self
+		}
+		if next := l.otherZones[home].aggregator(0, shard, silent); !silent(next) {
+			return next
+		}
 	}
-	return l.otherZones[home].aggregator(0, shard, silent)
+	return l.self
 }
 
 // RemoteAggregators holds aggregators of a shard in other zones: Receivers get the sum of
--- a/internal/core/poison/exchange.go
+++ b/internal/core/poison/exchange.go
@@ -51,12 +51,28 @@
 // widelyToldParts is the number of parts at the beginning of a prompt of whose ends all instances of a small fleet are told at once.
 const widelyToldParts = 2
 
+// Audience tells which instances can be told of a record, and which must be.
+type Audience struct {
+	// Large is set if the fleet is no full mesh, so that a record reaches all instances over several links.
+	Large bool
+	// Separated is set while instances may not hear each other, so that a home may be out of reach.
+	Separated bool
+}
+
 // GathersAtHome reports whether the ends under a content or a part are gathered at one instance, its home, which tells all once it is
 // blocked. Each server that ends leaves a record for every request that it held and for each part of their prompts, so what all are
-// told at once costs every instance work in proportion to the servers that have ended. Only a small fleet is told at once of contents
-// and of the first parts of a prompt; a long prompt has dozens of later ones.
-func (t *Tracker) GathersAtHome(key Key, largeFleet bool) bool {
-	return (largeFleet || t.Position(key) > widelyToldParts) && !t.Blocked(key)
+// told at once costs every instance work in proportion to the servers that have ended. A small fleet is told at once of contents and of
+// the first parts of a prompt; a long prompt has dozens of later ones. While instances may not hear each other, a small fleet is told of
+// all, and a large one of what several servers have ended under.
+func (t *Tracker) GathersAtHome(key Key, a Audience) bool {
+	switch {
+	case a.Large && a.Separated:
+		return !t.Suspicious(key)
+	case a.Large:
+		return !t.Blocked(key)
+	default:
+		return !a.Separated && t.Position(key) > widelyToldParts && !t.Blocked(key)
+	}
 }
 
 // Disproves reports whether this tracker knows answers that disprove what a record from another instance blames on a part. Whoever
--- a/internal/core/poison/writer_test.go
+++ b/internal/core/poison/writer_test.go
@@ -133,8 +133,10 @@
 	tracker, blaming := NewTracker(), NewTracker()
 	for position := range 5 {
 		partEnds(tracker, Key(position), position, "v1", epoch, 1)
-		require.Equal(t, position > 2, tracker.GathersAtHome(Key(position), false))
-		require.True(t, tracker.GathersAtHome(Key(position), true), "a large fleet is told of what is blocked")
+		require.Equal(t, position > 2, tracker.GathersAtHome(Key(position), Audience{}))
+		require.True(t, tracker.GathersAtHome(Key(position), Audience{Large: true}), "a large fleet is told of what is blocked")
+		require.False(t, tracker.GathersAtHome(Key(position), Audience{Separated: true}))
+		require.True(t, tracker.GathersAtHome(Key(position), Audience{Large: true, Separated: true}), "one end")
 		partEnds(blaming, Key(position), position, "v1", epoch, 1, 2, 3)
 	}
 	now := epoch.Add(time.Second)
@@ -143,5 +145,6 @@
 		require.True(t, ok)
 		require.Equal(t, position > 0, tracker.Disproves(record, now))
 		require.False(t, blaming.Disproves(record, now), "it is suspected there too")
+		require.False(t, blaming.GathersAtHome(Key(position), Audience{Large: true, Separated: true}), "three ends")
 	}
 }
--- a/internal/core/poisonhomes.go
+++ b/internal/core/poisonhomes.go
@@ -7,10 +7,13 @@
 
 // This file tells the peers of poison records: all at once, or towards the home of a part (poison.Tracker.GathersAtHome).
 
-// toldToAll reports whether all instances are told of a record. While instances may not hear each other, a home may be
-// out of reach.
+// toldToAll reports whether all instances are told of a record.
 func (n *Node) toldToAll(key poison.Key) bool {
-	return n.poison.store.separation.Separated() || !n.poison.tracker.GathersAtHome(key, n.multiHop())
+	return !n.poison.tracker.GathersAtHome(key, n.poisonAudience())
+}
+
+func (n *Node) poisonAudience() poison.Audience {
+	return poison.Audience{Large: n.multiHop(), Separated: n.poison.store.separation.Separated()}
 }
 
 // tellPoisonChanges queues the records that have changed since the last tick for the peers.
--- a/internal/core/poisonstore.go
+++ b/internal/core/poisonstore.go
@@ -115,9 +115,8 @@
 	}
 }
 
-// separationChanged logs the change. Once this instance is separated, peers that get only loads are
-// sent the latest poison records as well, and all peers those that were sent towards a home: those from which they
-// usually learn may be cut off.
+// separationChanged logs the change. Once this instance is separated, the latest poison records are told anew: those from which peers
+// usually learn of them may be cut off, and so may a home.
 func (n *Node) separationChanged() {
 	if !n.poison.store.separation.Separated() {
 		n.emit(StateChanged{Subject: SubjectLink, State: stateTogether})
@@ -125,11 +124,7 @@
 	}
 	n.emit(StateChanged{Subject: SubjectLink, State: stateSeparated})
 	for _, key := range n.poison.tracker.ChangedSince(n.now.Add(-separationWindow)) {
-		for name := range n.peers.inLayout {
-			if !n.receivesFacts(name) || n.poison.tracker.GathersAtHome(key, n.multiHop()) {
-				n.peer(name).pendingPoison[key] = true
-			}
-		}
+		n.poison.spread.Observed(key)
 	}
 }
 
