--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -60,8 +60,7 @@
 	options.Relays = peer.RelayDialer{Fleet: s.Fleet, Name: s.Name}
 	server := proxy.New(loop.Post, options)
 	loop.SetLog(server.Log)
-	counters.RegisterCallerConns(server.CallerConns, options.MaxConns)
-	counters.RegisterBodyBytes(server.BodyBytes, options.MaxBodies)
+	registerCallers(counters, server, &options)
 	exec := &executor{ctx: ctx, post: loop.Post, store: calls, proxy: server, links: links, relay: relays, stop: cancel}
 	var grace atomic.Int64
 	grace.Store(int64(s.StopGrace))
@@ -97,6 +96,12 @@
 	return nil
 }
 
+// registerCallers registers the gauges of what callers take, and their limits.
+func registerCallers(m *metrics.Metrics, server *proxy.Server, options *proxy.Options) {
+	m.RegisterCallerConns(server.CallerConns, options.MaxConns)
+	m.RegisterBodyBytes(server.BodyBytes, options.MaxBodies)
+}
+
 // applyReloaded applies the settings that can change without a restart. The core must know the time until the process is
 // killed as well: it refuses requests that could still be in progress then.
 func applyReloaded(s *settings.Settings, grace *atomic.Int64, calls *storeCalls, post func(core.Event)) {
