--- a/internal/core/load/load.go
+++ b/internal/core/load/load.go
@@ -85,7 +85,9 @@
 
 // Tracker tracks the loads of backend servers. Names of backend servers are unique in the fleet.
 type Tracker struct {
-	backends  map[string]*backend
+	backends map[string]*backend
+	// busy holds the records of the backend servers with requests of this instance.
+	busy      map[string]*backend
 	peers     map[string]*peer
 	nextSweep time.Time
 	changed   []string
@@ -121,7 +123,7 @@
 
 // NewTracker returns an empty tracker.
 func NewTracker() *Tracker {
-	return &Tracker{backends: make(map[string]*backend), peers: make(map[string]*peer)}
+	return &Tracker{backends: make(map[string]*backend), busy: make(map[string]*backend), peers: make(map[string]*peer)}
 }
 
 // backend returns the record of a backend server and creates it if necessary.
@@ -144,6 +146,7 @@
 func (t *Tracker) Sent(name string, now time.Time) {
 	b := t.backend(name)
 	b.own++
+	t.busy[name] = b
 	b.peak.add(b.counted(), now)
 }
 
@@ -152,6 +155,9 @@
 	b := t.backend(name)
 	b.peak.add(b.counted(), now)
 	b.own = max(0, b.own-1)
+	if b.own == 0 {
+		delete(t.busy, name)
+	}
 }
 
 // Own returns this instance's requests in progress at a backend server.
@@ -174,10 +180,8 @@
 
 // EachOwn calls f for every backend server with requests of this instance, in no particular order.
 func (t *Tracker) EachOwn(f func(backend string, inFlight int)) {
-	for name, b := range t.backends {
-		if b.own > 0 {
-			f(name, b.own)
-		}
+	for name, b := range t.busy {
+		f(name, b.own)
 	}
 }
 
