--- a/internal/core/poisonhomes.go
+++ b/internal/core/poisonhomes.go
@@ -5,7 +5,7 @@
 	"github.com/ebonydyke/ebonydyke/internal/core/rendezvous"
 )
 
-// This file tells the peers of poison records: all at once, or towards the home of a part (poison.Tracker.GathersAtHome).
+// This file tells the peers of poison records: all at once, or towards the home of a content or a part (poison.Tracker.GathersAtHome).
 
 // toldToAll reports whether all instances are told of a record.
 func (n *Node) toldToAll(key poison.Key) bool {
@@ -76,7 +76,7 @@
 	return list
 }
 
-// nextTowardsHome returns the next instance on the way to the home of a part, or this one's name at the home.
+// nextTowardsHome returns the next instance on the way to the home of a content or a part, or this one's name at the home.
 func (n *Node) nextTowardsHome(key poison.Key) string {
 	if n.multiHop() {
 		l := n.peers.layout
