Daemon: a reload does not end a process that starts

Cause: the daemon subscribed to signals after it had read its settings. A SIGHUP in that time ends a process; on a busy machine it is long enough for a reload to meet it. Now the signals are subscribed to first. What is before main, the start of the runtime and the packages, is still without a handler.

--- a/cmd/ebonydyked/main.go
+++ b/cmd/ebonydyked/main.go
@@ -32,6 +32,7 @@
 }
 
 func main() {
+	signals := subscribeSignals()
 	var options flags
 	kong.Parse(&options, kong.Description("An entry instance of the ebonydyke router fleet."))
 	s, err := settings.Read(options.Settings)
@@ -48,7 +49,7 @@
 		return
 	}
 	configureLogging(s.LogVerbosity)
-	if err := daemon.Run(subscribeSignals(), options.Settings, s); err != nil {
+	if err := daemon.Run(signals, options.Settings, s); err != nil {
 		klog.ErrorS(err, "daemon failed", "instance", s.Name)
 		os.Exit(exitFailed)
 	}
@@ -66,7 +67,7 @@
 }
 
 // subscribeSignals subscribes to the signals for shutdown and for reloading the settings. A
-// SIGHUP without a handler would terminate the process.
+// SIGHUP without a handler would terminate the process, also one that still reads its settings.
 func subscribeSignals() daemon.Signals {
 	stop := make(chan struct{})
 	reload := make(chan os.Signal, 1)
