Peers: each message takes one write and one wake-up

Cause: yamux writes the header and the body of a frame one after the other, so that each message is two system calls and two segments, and wakes its receiver twice. Now the header waits for the body that the session writes next.

--- a/internal/peer/endlessframes_test.go
+++ b/internal/peer/endlessframes_test.go
@@ -226,7 +226,7 @@
 	t.Cleanup(func() { _, _ = local.Close(), remote.Close() })
 	refusals := 0
 	conn := &linkConn{Conn: local}
-	conn.limitInput(func(error) { refusals++ })
+	conn.beginSession(func(error) { refusals++ })
 	go func() {
 		for range 2 {
 			_, _ = remote.Write(yamuxFrame(yamuxPing, yamuxSYN, 0, 7))
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -100,7 +100,7 @@
 	if peer.Name == l.cfg.Name || (name != "" && peer.Name != name) {
 		return errWrongPeer
 	}
-	conn.limitInput(func(err error) { l.endlessInput(peer.Name, err) })
+	conn.beginSession(func(err error) { l.endlessInput(peer.Name, err) })
 	session, err := openSession(conn, dialed)
 	if err != nil {
 		return err
--- a/internal/peer/linkconn.go
+++ b/internal/peer/linkconn.go
@@ -26,14 +26,25 @@
 	refused func(error)
 	// refusal is the error of the first input over the limit. The session may read on after it.
 	refusal error
+	// frames writes what the session writes, nil before that is opened.
+	frames  *frameWriter
 	mu      sync.Mutex
 	streams []*yamux.Stream
 	closed  bool
 }
 
-// limitInput bounds the input from now on.
-func (c *linkConn) limitInput(refused func(error)) {
+// beginSession bounds the input from now on, and takes what is written for the frames of a session.
+func (c *linkConn) beginSession(refused func(error)) {
 	c.limit, c.refused = &inputLimit{}, refused
+	c.frames = &frameWriter{to: c.Conn}
+}
+
+// Write implements net.Conn.
+func (c *linkConn) Write(b []byte) (int, error) {
+	if c.frames == nil {
+		return c.Conn.Write(b)
+	}
+	return c.frames.Write(b)
 }
 
 // Read implements net.Conn.
