--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -79,6 +79,9 @@
 	}
 }
 
+// InstanceCount returns the number of instances that this one knows to live, itself included.
+func (n *Node) InstanceCount() int { return len(n.liveInstances()) }
+
 // InFlight returns the number of requests in flight.
 func (n *Node) InFlight() int { return len(n.requests) }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -74,7 +74,7 @@
 	group.Go(func() error { return serveCallers(ctx, listeners.callers, server) })
 	group.Go(func() error { return serveAdmin(ctx, listeners.operators, loop, counters) })
 	group.Go(func() error { return serveReady(ctx, listeners.ready, loop) })
-	group.Go(func() error { return reload.run(ctx) })
+	group.Go(func() error { return upkeep(ctx, reload, loop) })
 	group.Go(func() error {
 		select {
 		case <-signals.Stop:
@@ -96,6 +96,14 @@
 	return nil
 }
 
+// upkeep reloads the settings and adapts the collector until ctx ends.
+func upkeep(ctx context.Context, reload *reloader, loop *Loop) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return reload.run(ctx) })
+	group.Go(func() error { return adaptCollector(ctx, loop) })
+	return group.Wait()
+}
+
 // registerCallers registers the gauges of what callers take, and their limits.
 func registerCallers(m *metrics.Metrics, server *proxy.Server, options *proxy.Options) {
 	m.RegisterCallerConns(server.CallerConns, options.MaxConns)
--- a/internal/daemon/memory.go
+++ b/internal/daemon/memory.go
@@ -10,9 +10,6 @@
 	bodyNumerator, bodyDenominator = 2, 5
 	// heapNumerator and heapDenominator give the part of the memory from which the collector runs more often.
 	heapNumerator, heapDenominator = 3, 4
-	// heapGrowth is the growth of the heap from one collection to the next, in percent of what is in use: an instance has more memory than
-	// processor time to spare.
-	heapGrowth = 300
 )
 
 // bodyMemory returns the limit, in bytes, of the memory for the bodies of requests: that of the settings, or a part of the memory
@@ -24,10 +21,8 @@
 	return min(limit, memory*megabyte/bodyDenominator*bodyNumerator)
 }
 
-// limitHeap makes the collector run seldom, and keep the heap below a part of the memory that the process may take, in megabytes, if that
-// is known.
+// limitHeap makes the collector keep the heap below a part of the memory that the process may take, in megabytes, if that is known.
 func limitHeap(memory int) {
-	debug.SetGCPercent(heapGrowth)
 	if memory > 0 {
 		debug.SetMemoryLimit(int64(memory) * megabyte / heapDenominator * heapNumerator)
 	}
