Proxy: a response whose status line breaks the protocol is none

Cause: the HTTP library repairs what it parses. A status code of 0 reads as 200, codes below 100 pass for final ones, blanks and empty lines in front of the code or the line are skipped, control bytes in the reason pass.

Change: responsehead looks at the bytes of a head before the library parses them, line by line as they arrive, the interim responses before the own one included. What breaks the protocol is no response: nothing of it reaches the dialect, so that neither its ID nor its refusal or load is believed; the attempt ends as malformed, which counts against its server, its connection is reset, and the request goes elsewhere only where it may run twice. Codes of 100 to 599 pass, also those without a name or a reason (RFC 9110, 15).

--- a/internal/proxy/callerleft_test.go
+++ b/internal/proxy/callerleft_test.go
@@ -23,7 +23,7 @@
 	backend := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { sent.Add(1) }))
 	t.Cleanup(backend.Close)
 	events := make(chan core.Event, 10)
-	i := &instance{dialled: make(map[proxy.DialReason]int)}
+	i := &instance{dialled: make(map[proxy.DialReason]int), endCauses: make(map[proxy.EndCause]int)}
 	server := proxy.New(func(e core.Event) { events <- e }, proxy.Options{Metrics: i})
 	listener, err := proxy.Listen(context.Background(), "127.0.0.1:0")
 	require.NoError(t, err)
--- a/internal/proxy/callresponse.go
+++ b/internal/proxy/callresponse.go
@@ -1,18 +1,21 @@
 package proxy
 
 import (
+	"bufio"
 	"errors"
 	"fmt"
 	"io"
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/ebonydyke/ebonydyke/internal/responsehead"
 )
 
 // readHeader reads a response header and finds out which request it names.
 func (c *call) readHeader(resp *fasthttp.Response) error {
-	if err := c.checkStart(); err != nil {
-		return err
+	if err := awaitHead(c.reader); err != nil {
+		return fmt.Errorf("proxy: read header: %w", c.readError(err))
 	}
 	if err := resp.ReadLimitBody(c.reader, 0); err != nil {
 		return fmt.Errorf("proxy: read header: %w", c.readError(err))
@@ -22,25 +25,13 @@
 	return nil
 }
 
-// responseStart is what each response begins with.
-const responseStart = "HTTP/1."
-
-// checkStart reads the first bytes of the response, and returns an error as soon as they are not those of one. The HTTP
-// library would wait for a whole header. It also passes over empty lines before one.
-func (c *call) checkStart() error {
-	for n := 1; n <= len(responseStart); n++ {
-		start, err := c.reader.Peek(n)
-		if err != nil {
-			return fmt.Errorf("proxy: read header: %w", err)
-		}
-		if start[0] == '\r' || start[0] == '\n' {
-			return nil
-		}
-		if string(start) != responseStart[:n] {
-			return fmt.Errorf("%w: %q in place of a header", errMalformed, start)
-		}
+// awaitHead waits for the head of a response and checks it. The HTTP library, which reads it next, repairs heads that are none.
+func awaitHead(r *bufio.Reader) error {
+	err := responsehead.Await(r)
+	if errors.Is(err, responsehead.ErrMalformed) {
+		return fmt.Errorf("%w: %w", errMalformed, err)
 	}
-	return nil
+	return err
 }
 
 // Read reads the response body. It returns io.EOF only at the end that the framing of
@@ -76,7 +67,7 @@
 // readError returns the error of a failed read of the response. One that the connection has not reported means that the
 // bytes that arrived are no response.
 func (c *call) readError(err error) error {
-	if c.conn.failed() {
+	if c.conn.failed() || errors.Is(err, errMalformed) {
 		return err
 	}
 	return fmt.Errorf("%w: %s", errMalformed, err.Error())
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -58,6 +58,8 @@
 	acceptErrors, idleCloses atomic.Int64
 	// connEnds are the ends of connections without a whole response.
 	connEnds []string
+	// endCauses counts the ends of attempts.
+	endCauses map[proxy.EndCause]int
 	// firstStates are the times at which the core first reported each state of a backend server.
 	firstStates map[backendState]time.Time
 }
@@ -117,7 +119,18 @@
 func (i *instance) Retried(reason.Reason) {}
 
 // AttemptEnded implements proxy.Metrics.
-func (i *instance) AttemptEnded(proxy.EndCause) {}
+func (i *instance) AttemptEnded(cause proxy.EndCause) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.endCauses[cause]++
+}
+
+// attemptsEnded returns the number of attempts that ended by a cause.
+func (i *instance) attemptsEnded(cause proxy.EndCause) int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.endCauses[cause]
+}
 
 // ResponseIdentified implements proxy.Metrics.
 func (i *instance) ResponseIdentified(proxy.Identity) {}
@@ -205,6 +218,7 @@
 		dialled: make(map[proxy.DialReason]int),
 
 		firstStates: make(map[backendState]time.Time),
+		endCauses:   make(map[proxy.EndCause]int),
 	}
 	node := core.New(core.Settings{Name: "entry-1", Zone: "zone-1", Seed: 1, AcceptDelay: 100 * time.Millisecond})
 	i.loop = daemon.NewLoop(node)
--- /dev/null
+++ b/internal/responsehead/head.go
@@ -0,0 +1,113 @@
+// Package responsehead decides whether the head of an HTTP/1 response follows the protocol (RFC 9110, RFC 9112).
+//
+// HTTP libraries repair much of what does not: they read a status of 0 as 200. What they then return is a guess at what the server
+// meant. So each reader of responses has the bytes of a head checked here before a library parses them.
+package responsehead
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+)
+
+// ErrMalformed means that the bytes that arrived are no head of a response.
+var ErrMalformed = errors.New("malformed response head")
+
+// maxInterim is the maximum number of interim responses before a final one.
+const maxInterim = 100
+
+const (
+	// minStatus and maxStatus are the bounds of a valid status code (RFC 9110, section 15).
+	minStatus, maxStatus = 100, 599
+	// minFinalStatus is the lowest status code of a final response, apart from switchingProtocols.
+	minFinalStatus     = 200
+	switchingProtocols = 101
+	statusDigits       = 3
+)
+
+const (
+	// versionStart is what each response begins with, and a digit follows it.
+	versionStart = "HTTP/1."
+	lineEnd      = "\r\n"
+)
+
+// head is what is known of the head of a response after some of its lines. The zero value is a head without any.
+type head struct {
+	// status is the status code, 0 before the first line.
+	status int
+	// complete is set once the empty line behind the fields was added.
+	complete bool
+}
+
+// isInterim reports whether another response follows the head.
+func (h *head) isInterim() bool { return h.status < minFinalStatus && h.status != switchingProtocols }
+
+// add adds the next line, with its end. It returns an error if no head can have it there.
+func (h *head) add(line []byte) error {
+	text, whole := bytes.CutSuffix(line, []byte(lineEnd))
+	switch {
+	case !whole:
+		return malformed("line without a carriage return", line)
+	case h.status == 0:
+		return h.addStatusLine(text)
+	default:
+		h.complete = len(text) == 0
+		return nil
+	}
+}
+
+// addStatusLine adds a status line (RFC 9112, section 4). The blank behind the status code may be missing if there is no reason.
+func (h *head) addStatusLine(line []byte) error {
+	version, rest, _ := bytes.Cut(line, []byte{' '})
+	code, reason, _ := bytes.Cut(rest, []byte{' '})
+	minor, found := bytes.CutPrefix(version, []byte(versionStart))
+	if !found || len(minor) != 1 || !isDigit(minor[0]) {
+		return malformed("version", line)
+	}
+	status, ok := parseStatus(code)
+	if !ok || !isText(reason) {
+		return malformed("status line", line)
+	}
+	h.status = status
+	return nil
+}
+
+// parseStatus returns a status code, and false if it is not valid.
+func parseStatus(code []byte) (int, bool) {
+	status := 0
+	for _, c := range code {
+		if !isDigit(c) {
+			return 0, false
+		}
+		status = 10*status + int(c-'0')
+	}
+	return status, len(code) == statusDigits && minStatus <= status && status <= maxStatus
+}
+
+// checkStart returns an error if the beginning of a status line, whose end has not arrived, cannot become one.
+func checkStart(start []byte) error {
+	n := min(len(start), len(versionStart))
+	if string(start[:n]) != versionStart[:n] {
+		return malformed("start", start[:n])
+	}
+	return nil
+}
+
+// maxQuoted is the maximum number of bytes of a line in an error.
+const maxQuoted = 80
+
+func malformed(part string, line []byte) error {
+	return fmt.Errorf("%w: %s: %q", ErrMalformed, part, line[:min(len(line), maxQuoted)])
+}
+
+func isDigit(c byte) bool { return '0' <= c && c <= '9' }
+
+// isText reports whether a reason has no control byte but tabs. Bytes above 0x7f may be anything.
+func isText(text []byte) bool {
+	for _, c := range text {
+		if c < ' ' && c != '\t' || c == 0x7f {
+			return false
+		}
+	}
+	return true
+}
