Proxy: a response with a line that is no field is none

What callers saw: a backend server in trouble sent a field whose name held a blank, and callers got the answer: `X Y: z` as it is, `X-Y : z` without its blank, and of `Content-Length : 3` three bytes of the body as the whole one (reported by operators, MIXED). With a blank in front of the colon a refusal, an ID or a seal was believed too.

Cause: the HTTP library takes blanks in names, cuts off those in front of the colon, and joins folded lines; it takes lines that end without a carriage return.

Change: responsehead also checks each line behind the status line: a name of token characters, directly followed by a colon, and a value without control bytes but tabs (RFC 9110, 5.5 and 5.6.2; RFC 9112, 5). Folded lines are refused, as a proxy may do (RFC 9112, 5.2). Bytes above 0x7f in values and empty values pass. The check of a caller's method uses the same table.

--- a/internal/proxy/brokenheads_test.go
+++ b/internal/proxy/brokenheads_test.go
@@ -18,9 +18,21 @@
 	"github.com/ebonydyke/ebonydyke/test/heads"
 )
 
-// brokenResponse is a response with a broken head. Its text has the marks of a path.
+// brokenResponse is a response with a broken head. Its text has the marks of a path, and begins with colonMark if a blank precedes
+// the colon of each of its fields.
 type brokenResponse struct{ name, text string }
 
+const colonMark = "%COLON"
+
+// fill returns the text with the fields of a response to the request.
+func (b brokenResponse) fill(p endlessPath, r *http.Request) string {
+	text := p.fill(r, b.text)
+	if rest, found := strings.CutPrefix(text, colonMark); found {
+		return strings.ReplaceAll(rest, ": ", " : ")
+	}
+	return text
+}
+
 // markedField and brokenBody are a field and the body of each broken response, by which one that was passed on is seen.
 const (
 	markedField = "X-Mark: z\r\n"
@@ -44,8 +56,13 @@
 
 // brokenResponses are responses whose heads break the protocol, each in one way.
 func brokenResponses() []brokenResponse {
-	refusal := heads.Head{}.Text("HTTP/1.1 000 Service Unavailable", refusalMark, "")
-	return append(responsesOf(heads.Broken()), brokenResponse{"refusal of status 000", refusal})
+	refused := heads.Head{}.Text("HTTP/1.1 503 Service Unavailable", refusalMark, "")
+	answered := heads.Head{}.Text(strings.TrimSpace(statusOK), markedField+plainFields, brokenBody)
+	return append(responsesOf(heads.Broken()),
+		brokenResponse{"refusal of status 000", heads.Head{}.Text("HTTP/1.1 000 Service Unavailable", refusalMark, "")},
+		brokenResponse{"refusal, blanks before all colons", colonMark + refused},
+		brokenResponse{"answer, blanks before all colons", colonMark + answered},
+	)
 }
 
 // headPaths are the ways of a request that differ in how its response is read.
@@ -84,7 +101,7 @@
 // startBrokenBackend starts a server that sends a broken response and keeps its connections open.
 func startBrokenBackend(t *testing.T, p endlessPath, broken brokenResponse) *rawBackend {
 	return startRawBackend(t, func(_ int, r *http.Request, conn net.Conn) bool {
-		_, err := io.WriteString(conn, p.fill(r, broken.text))
+		_, err := io.WriteString(conn, broken.fill(p, r))
 		return err == nil
 	})
 }
--- a/internal/proxy/methodcheck.go
+++ b/internal/proxy/methodcheck.go
@@ -2,7 +2,8 @@
 
 import (
 	"errors"
-	"strings"
+
+	"github.com/ebonydyke/ebonydyke/internal/responsehead"
 )
 
 // maxMethod is the maximum length of a request's method in bytes. The longest that is registered has 17.
@@ -38,7 +39,7 @@
 			}
 		case m.length > 0 && c == ' ':
 			m.checking = false
-		case m.length == maxMethod, !isTokenByte(c):
+		case m.length == maxMethod, !responsehead.IsTokenByte(c):
 			return errNoRequest
 		default:
 			m.length++
@@ -46,13 +47,3 @@
 	}
 	return nil
 }
-
-// isTokenByte reports whether c may occur in a token (RFC 9110, section 5.6.2).
-func isTokenByte(c byte) bool {
-	switch {
-	case '0' <= c && c <= '9', 'a' <= c && c <= 'z', 'A' <= c && c <= 'Z':
-		return true
-	default:
-		return strings.IndexByte("!#$%&'*+-.^_`|~", c) >= 0
-	}
-}
--- a/internal/responsehead/head.go
+++ b/internal/responsehead/head.go
@@ -1,13 +1,15 @@
 // Package responsehead decides whether the head of an HTTP/1 response follows the protocol (RFC 9110, RFC 9112).
 //
-// HTTP libraries repair much of what does not: they read a status of 0 as 200. What they then return is a guess at what the server
-// meant. So each reader of responses has the bytes of a head checked here before a library parses them.
+// HTTP libraries repair much of what does not: they cut off the blank behind a field's name, read a status of 0 as 200, and join
+// folded lines. What they then return is a guess at what the server meant. So each reader of responses has the bytes of a head
+// checked here before a library parses them.
 package responsehead
 
 import (
 	"bytes"
 	"errors"
 	"fmt"
+	"strings"
 )
 
 // ErrMalformed means that the bytes that arrived are no head of a response.
@@ -50,9 +52,11 @@
 		return malformed("line without a carriage return", line)
 	case h.status == 0:
 		return h.addStatusLine(text)
-	default:
-		h.complete = len(text) == 0
+	case len(text) == 0:
+		h.complete = true
 		return nil
+	default:
+		return checkField(text)
 	}
 }
 
@@ -84,6 +88,15 @@
 	return status, len(code) == statusDigits && minStatus <= status && status <= maxStatus
 }
 
+// checkField returns an error if a line is none of a field (RFC 9112, section 5). A folded line has no name and is refused.
+func checkField(line []byte) error {
+	name, value, found := bytes.Cut(line, []byte{':'})
+	if !found || !isToken(name) || !isText(value) {
+		return malformed("field", line)
+	}
+	return nil
+}
+
 // checkStart returns an error if the beginning of a status line, whose end has not arrived, cannot become one.
 func checkStart(start []byte) error {
 	n := min(len(start), len(versionStart))
@@ -102,7 +115,29 @@
 
 func isDigit(c byte) bool { return '0' <= c && c <= '9' }
 
-// isText reports whether a reason has no control byte but tabs. Bytes above 0x7f may be anything.
+// tokenBytes tells for each byte whether it may occur in a token.
+var tokenBytes = func() (table [256]bool) {
+	for c := range table {
+		letter := 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z'
+		table[c] = letter || isDigit(byte(c)) || strings.IndexByte("!#$%&'*+-.^_`|~", byte(c)) >= 0
+	}
+	return table
+}()
+
+// IsTokenByte reports whether c may occur in a token (RFC 9110, section 5.6.2).
+func IsTokenByte(c byte) bool { return tokenBytes[c] }
+
+func isToken(text []byte) bool {
+	for _, c := range text {
+		if !tokenBytes[c] {
+			return false
+		}
+	}
+	return len(text) > 0
+}
+
+// isText reports whether the text of a value or of a reason has no control byte but tabs (RFC 9110, section 5.5). Bytes above
+// 0x7f may be anything.
 func isText(text []byte) bool {
 	for _, c := range text {
 		if c < ' ' && c != '\t' || c == 0x7f {
--- a/internal/responsehead/head_test.go
+++ b/internal/responsehead/head_test.go
@@ -57,7 +57,7 @@
 
 // Guards against waiting for the end of a line that has shown already that no head follows.
 func TestMalformedHeadIsToldByItsFirstBytes(t *testing.T) {
-	for _, text := range []string{"x", "\r", "\n", "\x16\x03\x01", "HTTP/2", "HTTP/1.1 000 OK\r\n"} {
+	for _, text := range []string{"x", "\r", "\n", "\x16\x03\x01", "HTTP/2", "HTTP/1.1 000 OK\r\n", "HTTP/1.1 200 OK\r\nX Y: z\r\n"} {
 		blocked := io.MultiReader(strings.NewReader(text), iotest.ErrReader(errors.New("waited for more")))
 		require.ErrorIs(t, responsehead.Await(bufio.NewReader(blocked)), responsehead.ErrMalformed, "%q", text)
 	}
@@ -91,6 +91,9 @@
 		}
 		require.GreaterOrEqual(t, resp.StatusCode, 100)
 		require.LessOrEqual(t, resp.StatusCode, 599)
+		for name := range resp.Header {
+			require.NotContains(t, name, " ")
+		}
 	})
 }
 
--- a/test/heads/heads.go
+++ b/test/heads/heads.go
@@ -47,8 +47,25 @@
 	return heads
 }
 
+// BrokenFields returns responses with a field line that breaks the protocol.
+func BrokenFields() []Head {
+	heads := []Head{
+		{Name: "blank in a name before the response", Before: "HTTP/1.1 103 Early Hints\r\nX Y: z\r\n\r\n"},
+		{Name: "line without a carriage return", Lines: "X-Y: z\n"},
+		{Name: "blank before the first field", Lines: " "},
+		{Name: "tab before the first field", Lines: "\t"},
+	}
+	for _, line := range []string{
+		"X Y: z", "X-Y : z", "X-Y  : z", "X-Y\t: z", "X\tY: z", "X\x00Y: z", "X\x01Y: z", "X\x1fY: z", "X\x7fY: z", "X\x80Y: z", "X\xe9Y: z", "X(Y): z", "X/Y: z",
+		"X\"Y\": z", "X\rY: z", "\x01: z", ": z", " : z", "X-Y", "X-Y z", "X-Y: a\r\n b", "X-Y: a\r\n\tb", "X-Y:\r\n b", "X-Y: a\x00b", "X-Y: a\x01b", "X-Y: a\x7fb", "X-Y: a\rb",
+	} {
+		heads = append(heads, Head{Name: fmt.Sprintf("field %q", line), Lines: line + "\r\n"})
+	}
+	return heads
+}
+
 // Broken returns all responses whose head breaks the protocol.
-func Broken() []Head { return BrokenStatusLines() }
+func Broken() []Head { return append(BrokenStatusLines(), BrokenFields()...) }
 
 // tokenBytes are the bytes of which names consist.
 const tokenBytes = "!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
