Proxy: a response that gives two ends of its body is none

What callers saw: an answer with a length and chunks was read in chunks and passed on, and chunks in a version that has none (HTTP/1.0) were passed on as the body, with their sizes.

Cause: the HTTP library chooses one of two framings, and ignores the other. Which of them the server meant is a guess.

Change: responsehead takes one length of digits alone, or "chunked" alone in HTTP/1.1 (RFC 9112, 6.1 to 6.3), and refuses the rest.

--- a/internal/responsehead/head.go
+++ b/internal/responsehead/head.go
@@ -1,8 +1,8 @@
 // Package responsehead decides whether the head of an HTTP/1 response follows the protocol (RFC 9110, RFC 9112).
 //
-// HTTP libraries repair much of what does not: they cut off the blank behind a field's name, read a status of 0 as 200, and join
-// folded lines. What they then return is a guess at what the server meant. So each reader of responses has the bytes of a head
-// checked here before a library parses them.
+// HTTP libraries repair much of what does not: they cut off the blank behind a field's name, read a status of 0 as 200, join
+// folded lines, and choose between two lengths. What they then return is a guess at what the server meant. So each reader of
+// responses has the bytes of a head checked here before a library parses them.
 package responsehead
 
 import (
@@ -30,13 +30,23 @@
 const (
 	// versionStart is what each response begins with, and a digit follows it.
 	versionStart = "HTTP/1."
-	lineEnd      = "\r\n"
+	// chunkedVersion is the version whose responses may be in chunks.
+	chunkedVersion   = "HTTP/1.1"
+	chunked          = "chunked"
+	contentLength    = "Content-Length"
+	transferEncoding = "Transfer-Encoding"
+	lineEnd          = "\r\n"
+	blanks           = " \t"
 )
 
 // head is what is known of the head of a response after some of its lines. The zero value is a head without any.
 type head struct {
 	// status is the status code, 0 before the first line.
 	status int
+	// mayBeChunked is set if the version is one in which a body may be in chunks.
+	mayBeChunked bool
+	// hasLength and isChunked are set if a field gives the length of the body, or says that it is in chunks.
+	hasLength, isChunked bool
 	// complete is set once the empty line behind the fields was added.
 	complete bool
 }
@@ -56,7 +66,7 @@
 		h.complete = true
 		return nil
 	default:
-		return checkField(text)
+		return h.addField(text)
 	}
 }
 
@@ -72,7 +82,7 @@
 	if !ok || !isText(reason) {
 		return malformed("status line", line)
 	}
-	h.status = status
+	h.status, h.mayBeChunked = status, string(version) == chunkedVersion
 	return nil
 }
 
@@ -88,12 +98,29 @@
 	return status, len(code) == statusDigits && minStatus <= status && status <= maxStatus
 }
 
-// checkField returns an error if a line is none of a field (RFC 9112, section 5). A folded line has no name and is refused.
-func checkField(line []byte) error {
+// addField adds the line of a field (RFC 9112, section 5). A folded line has no name and is refused.
+func (h *head) addField(line []byte) error {
 	name, value, found := bytes.Cut(line, []byte{':'})
 	if !found || !isToken(name) || !isText(value) {
 		return malformed("field", line)
 	}
+	return h.addFraming(name, bytes.Trim(value, blanks), line)
+}
+
+// addFraming checks a field that tells where the body ends (RFC 9112, section 6). The others pass.
+func (h *head) addFraming(name, value, line []byte) error {
+	switch {
+	case len(name) == len(contentLength) && strings.EqualFold(string(name), contentLength):
+		if h.hasLength || h.isChunked || !isNumber(value) {
+			return malformed("length", line)
+		}
+		h.hasLength = true
+	case len(name) == len(transferEncoding) && strings.EqualFold(string(name), transferEncoding):
+		if h.hasLength || h.isChunked || !h.mayBeChunked || !strings.EqualFold(string(value), chunked) {
+			return malformed("transfer encoding", line)
+		}
+		h.isChunked = true
+	}
 	return nil
 }
 
@@ -115,6 +142,15 @@
 
 func isDigit(c byte) bool { return '0' <= c && c <= '9' }
 
+func isNumber(text []byte) bool {
+	for _, c := range text {
+		if !isDigit(c) {
+			return false
+		}
+	}
+	return len(text) > 0
+}
+
 // tokenBytes tells for each byte whether it may occur in a token.
 var tokenBytes = func() (table [256]bool) {
 	for c := range table {
--- a/test/heads/heads.go
+++ b/test/heads/heads.go
@@ -64,8 +64,25 @@
 	return heads
 }
 
+// BrokenFramings returns responses whose fields do not tell in one way where the body ends.
+func BrokenFramings() []Head {
+	heads := []Head{{Name: "version 1.0 with chunks", StatusLine: "HTTP/1.0 200 OK", Framing: "Transfer-Encoding: chunked\r\n"}}
+	for _, lines := range []string{
+		"Content-Length : 3", "Content-Length\t: 3", "Content Length: 3\r\nContent-Length: 14", "Content-Length: 3\r\nContent-Length: 14",
+		"Content-Length: 3\r\ncontent-length: 14", "Content-Length: 3, 14", "Content-Length: +3", "Content-Length: -3", "Content-Length: 0x3", "Content-Length: 3 4",
+		"Content-Length:", "Content-Length: x", "Transfer-Encoding : chunked", "Transfer-Encoding: chunked\r\nContent-Length: 3",
+		"Content-Length: 3\r\nTransfer-Encoding: chunked", "Transfer-Encoding: gzip, chunked", "Transfer-Encoding: chunked, gzip", "Transfer-Encoding: identity",
+		"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked", "Transfer-Encoding: chunked\r\ntransfer-encoding: identity", "Transfer-Encoding:",
+	} {
+		heads = append(heads, Head{Name: fmt.Sprintf("framing %q", lines), Framing: lines + "\r\n"})
+	}
+	return heads
+}
+
 // Broken returns all responses whose head breaks the protocol.
-func Broken() []Head { return append(BrokenStatusLines(), BrokenFields()...) }
+func Broken() []Head {
+	return append(append(BrokenStatusLines(), BrokenFields()...), BrokenFramings()...)
+}
 
 // tokenBytes are the bytes of which names consist.
 const tokenBytes = "!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
