Proxy: a process check believes no report whose head breaks the protocol

What callers could get: their request sent to another process than the one that the core has chosen, because a report that is no response named that one.

Cause: the check reads its response by the HTTP library alone, which repairs heads like those of other responses.

Change: it uses the same check of heads. The attempt ends as malformed, nothing of its request is sent, and its refusal is true.

--- a/internal/proxy/brokenheads_test.go
+++ b/internal/proxy/brokenheads_test.go
@@ -1,6 +1,7 @@
 package proxy_test
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -15,6 +16,7 @@
 	"github.com/ebonydyke/ebonydyke/internal/core"
 	"github.com/ebonydyke/ebonydyke/internal/proxy"
 	"github.com/ebonydyke/ebonydyke/platform"
+	"github.com/ebonydyke/ebonydyke/platform/fakeplatform"
 	"github.com/ebonydyke/ebonydyke/test/heads"
 )
 
@@ -252,3 +254,31 @@
 		})
 	}
 }
+
+// Guards against a request that is sent although the report of its server's process has a broken head, and against a server that is
+// not left for it.
+func TestBrokenReportStopsTheRequest(t *testing.T) {
+	t.Parallel()
+	for _, h := range heads.Broken() {
+		t.Run(h.Name, func(t *testing.T) {
+			t.Parallel()
+			p := routePath("once", "once")
+			p.incarnation = uint64(time.Now().UnixMilli())
+			var reached atomic.Int64
+			b := startRawBackend(t, func(_ int, r *http.Request, conn net.Conn) bool {
+				if r.URL.Path != fakeplatform.ReportPath {
+					reached.Add(1)
+					return p.respond(r, conn)
+				}
+				_, err := io.WriteString(conn, h.Text(strings.TrimSpace(statusOK), "", fmt.Sprintf(`{"born":%d}`, p.incarnation)))
+				return err == nil
+			})
+			i := startInstance(t, endlessConfig(p, []string{b.address}), p.options)
+			i.process = p.checkedProcess()
+			got := askOnce(p.request(t, i, 1))
+			require.Equal(t, http.StatusServiceUnavailable, got.status, "it has not run")
+			require.Zero(t, reached.Load())
+			require.EqualValues(t, b.requests.Load(), i.attemptsEnded("malformed"))
+		})
+	}
+}
--- a/internal/proxy/processcheck.go
+++ b/internal/proxy/processcheck.go
@@ -72,7 +72,7 @@
 		return nil, err
 	}
 	reader := bufio.NewReader(conn)
-	if err := resp.ReadLimitBody(reader, maxReportSize); err != nil {
+	if err := readReport(reader, resp); err != nil {
 		return nil, err
 	}
 	if c.responseID(&resp.Header) != "" {
@@ -87,6 +87,14 @@
 	return append([]byte(nil), resp.Body()...), nil
 }
 
+// readReport reads a whole response with a body of at most maxReportSize.
+func readReport(r *bufio.Reader, resp *fasthttp.Response) error {
+	if err := awaitHead(r); err != nil {
+		return err
+	}
+	return resp.ReadLimitBody(r, maxReportSize)
+}
+
 func writeRequest(conn *backendConn, req *fasthttp.Request) error {
 	out := bufio.NewWriter(conn)
 	if err := req.Write(out); err != nil {
