Proxy: polls and cancellations believe no response whose head breaks the protocol

What could happen: a load, or a state such as leaving, read from a report that is none, and the connection used for the next poll.

Cause: both go through the HTTP library's own transport, which repairs heads. It also keeps a connection on which bytes follow the response.

Change: a transport of ours, which reads responses as the process check does, behind the same check of heads. A poll that gets bytes which are no response counts as a fault of its server like a malformed answer (two in a row, and it gets requests only if no other one can serve). What follows a report ends its connection.

Unusual heads are read, on one connection, as before. TestMalformedReportsEjectAServer: polls without an answer eject nothing.

--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -182,8 +182,10 @@
 // BackendReported is the result of a PollReport.
 type BackendReported struct {
 	Report membership.Report `json:"report"`
-	// Failed is set if the poll got no response; only the report's names are set then.
-	Failed bool `json:"failed,omitempty"`
+	// Failed is set if the poll got no response; only the report's names are set then. Malformed is set as well if it got bytes that
+	// are none.
+	Failed    bool `json:"failed,omitempty"`
+	Malformed bool `json:"malformed,omitempty"`
 }
 
 // ConfigOffered is a configuration from a source other than the store or a peer: the
--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -141,6 +141,9 @@
 
 // backendReported handles a backend server's response to a report poll.
 func (n *Node) backendReported(e BackendReported) {
+	if e.Malformed {
+		n.countFaultOf(e.Report.Backend)
+	}
 	if e.Failed {
 		return
 	}
--- a/internal/core/quarantines.go
+++ b/internal/core/quarantines.go
@@ -11,8 +11,13 @@
 		return
 	}
 	r.faulty = true
-	if n.quarantine.Fault(r.backend, n.now) {
-		n.emit(StateChanged{Subject: SubjectBackend, Name: r.backend, State: "ejected", Cause: "what it sends is no response"})
+	n.countFaultOf(r.backend)
+}
+
+// countFaultOf counts bytes that are no response as a fault of a server.
+func (n *Node) countFaultOf(backend string) {
+	if n.quarantine.Fault(backend, n.now) {
+		n.emit(StateChanged{Subject: SubjectBackend, Name: backend, State: "ejected", Cause: "what it sends is no response"})
 	}
 }
 
--- a/internal/daemon/executor.go
+++ b/internal/daemon/executor.go
@@ -130,5 +130,5 @@
 	if err != nil {
 		klog.InfoS("failed to get a load report", "backend", e.Backend, "error", err)
 	}
-	x.post(core.BackendReported{Report: report, Failed: err != nil})
+	x.post(core.BackendReported{Report: report, Failed: err != nil, Malformed: proxy.IsMalformed(err)})
 }
--- a/internal/proxy/engineclient.go
+++ b/internal/proxy/engineclient.go
@@ -1,8 +1,10 @@
 package proxy
 
 import (
+	"bufio"
 	"encoding/json"
 	"fmt"
+	"net"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -30,10 +32,10 @@
 func newEngineClient(o Options, log *logQueue) *engineClient {
 	c := &engineClient{
 		http: &fasthttp.Client{
+			Transport:                 engineTransport{},
 			MaxIdemponentCallAttempts: 1,
 			NoDefaultUserAgentHeader:  true,
 			MaxIdleConnDuration:       o.BackendIdle,
-			MaxResponseBodySize:       maxReportSize,
 		},
 		log:   log,
 		queue: make(chan streamRef, cancelQueueSize),
@@ -44,6 +46,54 @@
 	return c
 }
 
+// engineTransport sends each request once, on a pooled connection or a new one, and reads its whole response within engineTimeout.
+type engineTransport struct{}
+
+// RoundTrip implements fasthttp.RoundTripper.
+func (engineTransport) RoundTrip(hc *fasthttp.HostClient, req *fasthttp.Request, resp *fasthttp.Response) (bool, error) {
+	pooled, err := hc.AcquireConn(engineTimeout, false)
+	if err != nil {
+		return false, err
+	}
+	reader := hc.AcquireReader(pooled.Conn())
+	defer hc.ReleaseReader(reader)
+	err = exchangeReport(pooled.Conn(), reader, req, resp, time.Now().Add(engineTimeout))
+	if err != nil || resp.ConnectionClose() || reader.Buffered() > 0 {
+		hc.CloseConn(pooled)
+		return false, err
+	}
+	hc.ReleaseConn(pooled)
+	return false, nil
+}
+
+// exchangeReport sends a request and reads the whole response, with a body of at most maxReportSize, until the deadline.
+func exchangeReport(conn net.Conn, r *bufio.Reader, req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time) error {
+	if err := conn.SetDeadline(deadline); err != nil {
+		return err
+	}
+	if err := writeRequest(conn, req); err != nil {
+		return err
+	}
+	if err := awaitHead(r); err != nil {
+		return err
+	}
+	if err := resp.ReadLimitBody(r, maxReportSize); err != nil {
+		return err
+	}
+	if resp.StatusCode() == fasthttp.StatusSwitchingProtocols {
+		return errSwitched
+	}
+	return nil
+}
+
+func writeRequest(conn net.Conn, req *fasthttp.Request) error {
+	out := bufio.NewWriter(conn)
+	if err := req.Write(out); err != nil {
+		return err
+	}
+	return out.Flush()
+}
+
 // cancel queues the cancellation of a stream. It never blocks.
 func (c *engineClient) cancel(s streamRef) {
 	select {
@@ -58,7 +108,7 @@
 		req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 		req.Header.SetMethod(fasthttp.MethodDelete)
 		req.SetRequestURI(streamURL(s))
-		if err := c.http.DoTimeout(req, resp, engineTimeout); err != nil {
+		if err := c.http.Do(req, resp); err != nil {
 			c.log.put("stream cancellation failed", "address", s.address, "stream", s.id, "error", err)
 		}
 		fasthttp.ReleaseRequest(req)
@@ -80,7 +130,7 @@
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	req.SetRequestURI("http://" + address + "/load")
-	if err := s.engine.http.DoTimeout(req, resp, engineTimeout); err != nil {
+	if err := s.engine.http.Do(req, resp); err != nil {
 		return report, fmt.Errorf("proxy: load report of %s: %w", backend, err)
 	}
 	if status := resp.StatusCode(); status != fasthttp.StatusOK {
--- a/internal/proxy/processcheck.go
+++ b/internal/proxy/processcheck.go
@@ -64,15 +64,10 @@
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	req.SetRequestURI("http://" + c.host.Addr + c.processPath)
-	if err := conn.SetDeadline(earlier(time.Now().Add(processCheckTimeout(c.attempt)), c.deadline)); err != nil {
-		return nil, err
-	}
 	conn.carried.addProcessCheck()
-	if err := writeRequest(conn, req); err != nil {
-		return nil, err
-	}
 	reader := bufio.NewReader(conn)
-	if err := readReport(reader, resp); err != nil {
+	deadline := earlier(time.Now().Add(processCheckTimeout(c.attempt)), c.deadline)
+	if err := exchangeReport(conn, reader, req, resp, deadline); err != nil {
 		return nil, err
 	}
 	if c.responseID(&resp.Header) != "" {
@@ -86,19 +81,3 @@
 	}
 	return append([]byte(nil), resp.Body()...), nil
 }
-
-// readReport reads a whole response with a body of at most maxReportSize.
-func readReport(r *bufio.Reader, resp *fasthttp.Response) error {
-	if err := awaitHead(r); err != nil {
-		return err
-	}
-	return resp.ReadLimitBody(r, maxReportSize)
-}
-
-func writeRequest(conn *backendConn, req *fasthttp.Request) error {
-	out := bufio.NewWriter(conn)
-	if err := req.Write(out); err != nil {
-		return err
-	}
-	return out.Flush()
-}
--- a/internal/proxy/transport.go
+++ b/internal/proxy/transport.go
@@ -30,6 +30,9 @@
 	errNoFraming    = fmt.Errorf("%w: body without a length or chunks", errMalformed)
 )
 
+// IsMalformed reports whether an error means that a backend server sent bytes that are no response.
+func IsMalformed(err error) bool { return errors.Is(err, errMalformed) }
+
 // transport sends each request at most once.
 //
 // The default transport of the client library resends a request when a connection fails,
