--- a/internal/responsehead/head.go
+++ b/internal/responsehead/head.go
@@ -2,7 +2,7 @@
 //
 // HTTP libraries repair much of what does not: they cut off the blank behind a field's name, read a status of 0 as 200, join
 // folded lines, and choose between two lengths. What they then return is a guess at what the server meant. So each reader of
-// responses has the bytes of a head checked here before a library parses them.
+// responses has the bytes of a head checked here before a library parses them, or as it reads them.
 package responsehead
 
 import (
