ebonyctl: an answer of an instance whose head breaks the protocol is none

What operators could see: a drain reported as begun, or a request as answered, by bytes that are no response, from a device on the path.

Change: calls of instances and `send` go through responsehead.Transport. Such an answer is reported as none, and the outcome of `send` as unknown.

--- a/cmd/ebonyctl/instances.go
+++ b/cmd/ebonyctl/instances.go
@@ -11,9 +11,9 @@
 	"sync"
 	"time"
 
-	"github.com/ebonydyke/ebonydyke/internal/core/status"
-
 	"github.com/ebonydyke/ebonydyke/internal/admin"
+	"github.com/ebonydyke/ebonydyke/internal/core/status"
+	"github.com/ebonydyke/ebonydyke/internal/responsehead"
 )
 
 const (
@@ -25,6 +25,9 @@
 	maxConcurrentCalls = 32
 )
 
+// httpClient sends requests to instances. It takes no response whose head is malformed for an answer.
+var httpClient = &http.Client{Transport: responsehead.NewTransport(http.DefaultTransport.(*http.Transport).Clone())}
+
 // statusResult is the result of a status request to one instance.
 type statusResult struct {
 	Address string         `json:"address"`
@@ -70,7 +73,7 @@
 	if err != nil {
 		return fmt.Errorf("instance at %s: %w", address, err)
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := httpClient.Do(req)
 	if err != nil {
 		return fmt.Errorf("no answer from the instance at %s: %w", address, err)
 	}
--- a/cmd/ebonyctl/send.go
+++ b/cmd/ebonyctl/send.go
@@ -50,7 +50,7 @@
 	if err != nil {
 		return fmt.Errorf("send: %w", err)
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := httpClient.Do(req)
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
 		return fmt.Errorf("send: nothing was sent: %w", err)
