Proxy: a part of an early answer is not whole if its server did not take the request

What callers could see: a backend server answers a long upload at once with a 200 without a length, sends a part of its body, closes its side of the connection and resets it while the upload is still under way. The caller got the part as the whole answer.

The report itself, a reset without such a close, was handled before: the read or the write fails, and the caller gets 502. So it is when the server closes the connection with the request unread, when it reads the request before it resets, over a relay, on a reused connection, for uploads in chunks, and for streams.

Cause: a close in order ends a body without a length. If the reset comes after it, a read no longer tells it: the kernel returns the end of the stream. The proxy only looked whether the server's process had ended.

Change: such an answer is whole only if the kernel says that the server's machine has acknowledged the whole request and has not reset the connection (RFC 9112, 8: unless an error was indicated by the underlying connection). The proxy waits for the acknowledgement while it advances, up to a second without any, and the deadline at most. A request whose server took all of it and closes in order afterwards is not affected, whatever comes later.

--- a/internal/proxy/callresponse.go
+++ b/internal/proxy/callresponse.go
@@ -55,15 +55,25 @@
 		return n, nil
 	case errors.Is(err, io.EOF) && c.hasFramedEnd():
 		return n, io.EOF
-	case errors.Is(err, io.EOF) && c.unframedEnd != nil:
-		return n, c.unframedEnd()
 	case errors.Is(err, io.EOF):
-		return n, errUnframed
+		return n, c.endUnframed()
 	default:
 		return n, fmt.Errorf("proxy: read response: %w", c.readError(err))
 	}
 }
 
+// endUnframed returns io.EOF if a response without a length or chunks is whole whose connection was closed in order.
+func (c *call) endUnframed() error {
+	if c.unframedEnd == nil {
+		return errUnframed
+	}
+	err := c.unframedEnd()
+	if errors.Is(err, io.EOF) && !c.conn.awaitDelivery(c.deadline) {
+		return errUnframed
+	}
+	return err
+}
+
 // readError returns the error of a failed read of the response. One that the connection has not reported means that the
 // bytes that arrived are no response.
 func (c *call) readError(err error) error {
