Soak: a request in transit may end a server while replacements are awaited

Cause: at the end of a soak the goroutines that replace ended servers are awaited by a WaitGroup. A poison request that was still in transit ended a server just then, and added to the group from zero beside the wait. The product is not concerned.

Change: replacements guards the start of a goroutine and the wait by a lock, and starts none after the wait began: the soak is over.

--- a/internal/soak/coldservers.go
+++ b/internal/soak/coldservers.go
@@ -93,7 +93,7 @@
 	if delay == 0 && b.warmUpLeft() == 0 {
 		return
 	}
-	b.world.replacing.Go(func() {
+	b.world.replacing.start(func() {
 		time.Sleep(delay)
 		for b.heartbeat() {
 			time.Sleep(warmUpHeartbeat)
@@ -132,7 +132,7 @@
 	b.cold.arrivals = nil
 	w.zones.recordExcess(excess)
 	if b.leavingAt.CompareAndSwap(0, -1) {
-		w.replacing.Go(func() { w.replaceEnded(b) })
+		w.replacing.start(func() { w.replaceEnded(b) })
 	}
 }
 
--- a/internal/soak/poison.go
+++ b/internal/soak/poison.go
@@ -62,7 +62,7 @@
 	if b.leavingAt.CompareAndSwap(0, -1) {
 		b.recordEnded()
 		w.recordPoisonEnd(content, maxEnds)
-		w.replacing.Go(func() { w.replaceEnded(b) })
+		w.replacing.start(func() { w.replaceEnded(b) })
 	}
 	panic(http.ErrAbortHandler)
 }
--- a/internal/soak/rejectionlimit.go
+++ b/internal/soak/rejectionlimit.go
@@ -62,6 +62,6 @@
 	b.mu.Unlock()
 	if _, strict := b.world.rejectionLimit(); strict && exceeded && b.leavingAt.CompareAndSwap(0, -1) {
 		b.world.limitFailures.Add(1)
-		b.world.replacing.Go(func() { b.world.replaceEnded(b) })
+		b.world.replacing.start(func() { b.world.replaceEnded(b) })
 	}
 }
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -123,7 +123,7 @@
 	crowded atomic.Pointer[crowding]
 
 	// replacing counts the ended backend servers that are yet to be replaced.
-	replacing sync.WaitGroup
+	replacing replacements
 
 	mu              sync.Mutex
 	backends        []*backend
@@ -205,7 +205,7 @@
 	w.checkRecovery(ctx)
 	stopCalling()
 	callers.Wait()
-	w.replacing.Wait()
+	w.replacing.finish()
 	// Requests in transit may still run and violate a guarantee.
 	time.Sleep(time.Second)
 	w.checkAtEnd()
--- a/internal/soak/zonechecks_test.go
+++ b/internal/soak/zonechecks_test.go
@@ -122,7 +122,7 @@
 		w.checkColdBound()
 		require.Equal(t, c.violated, len(w.recorder.violations) > 0, "%+v: %v", c, w.recorder.violations)
 		require.Equal(t, c.violated, b.leavingAt.Load() < 0, "%+v: the server ends", c)
-		w.replacing.Wait()
+		w.replacing.finish()
 		w.stop()
 		b.close()
 	}
--- a/internal/soak/zones.go
+++ b/internal/soak/zones.go
@@ -135,7 +135,7 @@
 		b.announce(randomDuration(random, time.Millisecond, maxHeartbeatDelay))
 	case startsCold:
 		own := rand.New(rand.NewPCG(random.Uint64(), 0))
-		w.replacing.Go(func() { w.restartCold(own, b) })
+		w.replacing.start(func() { w.restartCold(own, b) })
 	}
 }
 
