--- a/review/_kit2/replica.go
+++ b/review/_kit2/replica.go
@@ -22,6 +22,7 @@
 	slots, events                              int
 	interval, work                             time.Duration
 	drain                                      time.Duration
+	unframed                                   bool
 	born                                       time.Time
 	running                                    atomic.Int64
 	sequence                                   int
@@ -43,6 +44,7 @@
 	flags.DurationVar(&r.interval, "interval", 100*time.Millisecond, "")
 	flags.DurationVar(&r.work, "work", 60*time.Millisecond, "")
 	flags.DurationVar(&r.drain, "drain", 3*time.Second, "")
+	flags.BoolVar(&r.unframed, "unframed", false, "")
 	_ = flags.Parse(args)
 	l, err := net.Listen("tcp", r.address)
 	if err != nil {
@@ -121,6 +123,10 @@
 		return
 	}
 	out.Header().Set("Content-Type", "text/event-stream")
+	if r.unframed {
+		r.streamUnframed(out, after)
+		return
+	}
 	for n := after + 1; n <= r.events; n++ {
 		_, _ = fmt.Fprintf(out, "id: %d\ndata: %s %s %d\n\n", n, r.id, r.version, n)
 		out.(http.Flusher).Flush()
@@ -131,3 +137,21 @@
 		}
 	}
 }
+
+// streamUnframed sends a stream with neither a length nor chunks, which ends with its channel.
+func (r *replica) streamUnframed(out http.ResponseWriter, after int) {
+	conn, _, err := out.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	var head bytes.Buffer
+	head.WriteString("HTTP/1.1 200 OK\r\nConnection: close\r\n")
+	_ = out.Header().Write(&head)
+	head.WriteString("\r\n")
+	_, err = conn.Write(head.Bytes())
+	for n := after + 1; n <= r.events && err == nil; n++ {
+		_, err = fmt.Fprintf(conn, "id: %d\ndata: %s %s %d\n\n", n, r.id, r.version, n)
+		time.Sleep(r.interval)
+	}
+}
