--- a/review/_kit2/replicas.go
+++ b/review/_kit2/replicas.go
@@ -28,6 +28,9 @@
 	var err error
 	r.process, err = w.start("replica-"+s.id, nil, func(line string) {
 		w.record(s.id, "%s", line)
+		if w.onLine != nil {
+			w.onLine(line)
+		}
 		if field(line, "id") == s.id && line[:2] == "up" {
 			close(r.up)
 		}
--- a/review/_kit2/world.go
+++ b/review/_kit2/world.go
@@ -43,6 +43,8 @@
 
 	store    string
 	replicas map[string]*replicaProcess
+	// onLine is called with each line of a replica, if it is set.
+	onLine func(string)
 }
 
 // process is a process that the driver started.
