--- a/review/_kit2/case7.go
+++ b/review/_kit2/case7.go
@@ -10,60 +10,65 @@
 func init() { cases["case-7"] = playCase7 }
 
 const (
-	// rounds7 is the number of crashes, and streams7 the number of streams that begin before each.
-	rounds7  = 8
+	// rounds7 is the number of crashes. streams7 streams and plain7 plain requests begin before each.
+	rounds7  = 10
 	streams7 = 24
+	plain7   = 24
 	events7  = 80
 	// down7 is how long a replica is down.
 	down7 = 2 * time.Second
 )
 
-// stream7 is one stream of a consumer.
-type stream7 struct {
-	id   string
-	last int
+// request7 is one request of a consumer, with its answer.
+type request7 struct {
+	id, path string
+	parts    string
+	last     int
 	answer
 }
 
-// playCase7 runs a service of four replicas whose streams have neither a length nor chunks. One replica after the other crashes in the
-// middle of its streams, and is back two seconds later.
+// playCase7 runs two services of four replicas each, whose answers have neither a length nor chunks. One replica after the other
+// crashes in the middle of its answers, and is back two seconds later.
 func playCase7(w *world) (bool, error) {
 	if err := w.startStore(); err != nil {
 		return false, err
 	}
-	if err := w.configure(config(1, []any{service("pool", true)}, route("r-1", "/lohu930/", "streaming", "pool", 1, 15*time.Second, false))); err != nil {
+	err := w.configure(config(1, []any{service("pool", true), service("feed", false)},
+		route("r-1", "/lohu930/", "streaming", "pool", 1, 15*time.Second, false), route("r-2", "/puxa403/", "unsafe", "feed", 1, 4*time.Second, false)))
+	if err != nil {
 		return false, err
 	}
-	var replicas []*replicaProcess
-	for n, zone := range []string{"hervanta", "lielahti", "hatanpaa", "hervanta"} {
-		r, err := w.startReplica(replicaSpec{
-			id: fmt.Sprintf("i-%d", n+1), service: "pool", zone: zone, address: w.freeAddress(), version: "v1",
-			args: []string{"--unframed", "--events", fmt.Sprint(events7)},
-		})
-		if err != nil {
-			return false, err
-		}
-		replicas = append(replicas, r)
+	pool, err := w.startReplicas7("pool", "--events", fmt.Sprint(events7))
+	if err != nil {
+		return false, err
+	}
+	feed, err := w.startReplicas7("feed", "--work", "400ms")
+	if err != nil {
+		return false, err
 	}
 	fronts, err := w.startInstances("hervanta", "lielahti")
 	if err != nil {
 		return false, err
 	}
 	time.Sleep(3 * time.Second)
-	var list []*stream7
+	var list []*request7
 	var group sync.WaitGroup
 	for round := range rounds7 {
-		for n := range streams7 {
-			s := &stream7{id: fmt.Sprintf("r%d-s%02d", round, n)}
+		for n := range streams7 + plain7 {
+			s := &request7{id: fmt.Sprintf("p%d-%02d", round, n), path: "/puxa403/push"}
+			if n < streams7 {
+				s = &request7{id: fmt.Sprintf("s%d-%02d", round, n), path: "/lohu930/chat", parts: fmt.Sprintf("aa%02x:100,bb%02x:200", n, n)}
+			}
 			list = append(list, s)
-			group.Go(func() { s.consume(w, fronts[n%len(fronts)], n) })
-			time.Sleep(20 * time.Millisecond)
+			group.Go(func() { s.consume(w, fronts[n%len(fronts)]) })
+			time.Sleep(10 * time.Millisecond)
 		}
 		if !w.trouble {
 			continue
 		}
-		time.Sleep(500 * time.Millisecond)
-		if replicas[round%len(replicas)], err = w.crashAndRestart7(replicas[round%len(replicas)]); err != nil {
+		replicas := [][]*replicaProcess{feed, pool}[round%2]
+		which := round / 2 % len(replicas)
+		if replicas[which], err = w.crashAndRestart7(replicas[which]); err != nil {
 			return false, err
 		}
 	}
@@ -72,6 +77,22 @@
 	return w.judge7(list), nil
 }
 
+// startReplicas7 starts four replicas of a service.
+func (w *world) startReplicas7(service string, args ...string) ([]*replicaProcess, error) {
+	var list []*replicaProcess
+	for n, zone := range []string{"hervanta", "lielahti", "hatanpaa", "hervanta"} {
+		r, err := w.startReplica(replicaSpec{
+			id: fmt.Sprintf("i-%s-%d", service, n+1), service: service, zone: zone, address: w.freeAddress(), version: "v1",
+			args: append([]string{"--unframed"}, args...),
+		})
+		if err != nil {
+			return nil, err
+		}
+		list = append(list, r)
+	}
+	return list, nil
+}
+
 // crashAndRestart7 crashes a replica, and starts it again at its address under its id.
 func (w *world) crashAndRestart7(r *replicaProcess) (*replicaProcess, error) {
 	w.crash(r)
@@ -79,33 +100,47 @@
 	return w.startReplica(r.spec)
 }
 
-// consume reads a stream to its end.
-func (s *stream7) consume(w *world, front *instance, n int) {
-	c := call{
-		front: front.front, method: "POST", path: "/lohu930/chat", id: s.id, deadline: 15 * time.Second,
-		parts: fmt.Sprintf("aa%02x:100,bb%02x:200", n, n), body: "prompt " + s.id,
+// consume reads an answer to its end.
+func (s *request7) consume(w *world, front *instance) {
+	c := call{front: front.front, method: "POST", path: s.path, id: s.id, deadline: 15 * time.Second, parts: s.parts, body: "body of " + s.id}
+	if s.parts == "" {
+		c.deadline = 4 * time.Second
 	}
-	w.record(s.id, "sends %s to %s", c.id, front.name)
+	w.record(s.id, "sends to %s", front.name)
 	s.answer = c.send(func(id int, data string) {
 		if id == 1 {
 			w.record(s.id, "event 1 is of %s", strings.Fields(data)[0])
 		}
 		s.last = id
 	})
-	w.record(s.id, "%s, last event %d of %d", s.describe(), s.last, events7)
+	w.record(s.id, "%s, last event %d, body %q", s.describe(), s.last, s.body)
+}
+
+// isCut reports whether the consumer got a success that looks whole and lacks the end of the replica's answer.
+func (s *request7) isCut() bool {
+	if s.status != 200 || !s.whole {
+		return false
+	}
+	if s.parts != "" {
+		return s.last < events7
+	}
+	return !strings.HasSuffix(s.body, lastLine)
 }
 
 // judge7 applies the rule MIXED: a consumer gets a success with a body that is not the replica's whole body.
-func (w *world) judge7(list []*stream7) bool {
-	cut, broken := 0, 0
+func (w *world) judge7(list []*request7) bool {
+	streams, plain, broken := 0, 0, 0
 	for _, s := range list {
 		switch {
-		case s.status == 200 && s.whole && s.last < events7:
-			cut++
-		case !s.whole:
+		case s.isCut() && s.parts != "":
+			streams++
+		case s.isCut():
+			plain++
+		case s.status != 200 || !s.whole:
 			broken++
 		}
 	}
-	w.record("driver", "%d of %d streams ended as whole answers before their last piece; %d were seen to be broken off", cut, len(list), broken)
-	return cut > 0
+	w.record("driver", "%d streams and %d plain answers of %d requests came as whole answers and lack their end; %d were seen to be broken off",
+		streams, plain, len(list), broken)
+	return streams+plain > 0
 }
--- a/review/_kit2/replica.go
+++ b/review/_kit2/replica.go
@@ -117,6 +117,10 @@
 	after, _ := strconv.Atoi(req.Header.Get("Last-Event-Id"))
 	fmt.Printf("runs request=%s replica=%s version=%s service=%s path=%s after=%d tenant=%s expects=%s\n",
 		id, r.id, r.version, r.service, req.URL.Path, after, req.Header.Get("Tenant"), req.Header.Get("Expect-Instance"))
+	if req.Header.Get("Prefix-Hash") == "" && r.unframed {
+		r.answerUnframed(out, id)
+		return
+	}
 	if req.Header.Get("Prefix-Hash") == "" {
 		time.Sleep(r.work)
 		_, _ = fmt.Fprintf(out, "%s by %s %s of %s\n", id, r.id, r.version, r.service)
@@ -138,18 +142,42 @@
 	}
 }
 
-// streamUnframed sends a stream with neither a length nor chunks, which ends with its channel.
-func (r *replica) streamUnframed(out http.ResponseWriter, after int) {
+// beginUnframed sends the head of an answer with neither a length nor chunks, which ends with its channel.
+func beginUnframed(out http.ResponseWriter) (net.Conn, error) {
 	conn, _, err := out.(http.Hijacker).Hijack()
 	if err != nil {
-		return
+		return nil, err
 	}
-	defer func() { _ = conn.Close() }()
 	var head bytes.Buffer
 	head.WriteString("HTTP/1.1 200 OK\r\nConnection: close\r\n")
 	_ = out.Header().Write(&head)
 	head.WriteString("\r\n")
 	_, err = conn.Write(head.Bytes())
+	return conn, err
+}
+
+// answerUnframed sends a plain answer in two parts, the second one after the work is done.
+func (r *replica) answerUnframed(out http.ResponseWriter, id string) {
+	conn, err := beginUnframed(out)
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	_, _ = fmt.Fprintf(conn, "%s by %s %s of %s\n", id, r.id, r.version, r.service)
+	time.Sleep(r.work)
+	_, _ = fmt.Fprintf(conn, "%s", lastLine)
+}
+
+// lastLine is the last line of a plain answer that is sent in two parts.
+const lastLine = "this is the end\n"
+
+// streamUnframed sends a stream with neither a length nor chunks.
+func (r *replica) streamUnframed(out http.ResponseWriter, after int) {
+	conn, err := beginUnframed(out)
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
 	for n := after + 1; n <= r.events && err == nil; n++ {
 		_, err = fmt.Fprintf(conn, "id: %d\ndata: %s %s %d\n\n", n, r.id, r.version, n)
 		time.Sleep(r.interval)
