--- a/review/_found2/permitjoins_test.go
+++ b/review/_found2/permitjoins_test.go
@@ -1,8 +1,8 @@
 package core_test
 
-// This test isn't part of the default run. Copy it into internal/core, run it there, and remove the copy:
+// These tests aren't part of the default run. Copy the file into internal/core, run them there, and remove the copy:
 //
-//	cp review/_found2/permitjoins_test.go internal/core/ && go test -count=1 ./internal/core -run TestReviewPermitJoinsVersions
+//	cp review/_found2/permitjoins_test.go internal/core/ && go test -count=1 ./internal/core -run TestReview
 
 import (
 	"fmt"
@@ -16,6 +16,7 @@
 	"github.com/ebonydyke/ebonydyke/internal/core/config"
 	"github.com/ebonydyke/ebonydyke/internal/core/entries"
 	"github.com/ebonydyke/ebonydyke/internal/core/membership"
+	"github.com/ebonydyke/ebonydyke/internal/core/retry"
 	"github.com/ebonydyke/ebonydyke/internal/core/streams"
 )
 
@@ -58,3 +59,37 @@
 		require.Equal(t, first.Version, sent.Version, "sent to %s", sent.Backend)
 	}
 }
+
+// Shows the same of a request that waits for a borrowed slot, at a service whose servers limit their rejections. No server is cold.
+func TestReviewLoanJoinsVersions(t *testing.T) {
+	r := newNodeDriver(t, 6)
+	r.listInstances(13)
+	for i := range 12 {
+		r.handle(core.PeerConnected{Peer: fmt.Sprintf("entry-%d", i+1), Incarnation: 1})
+	}
+	r.handle(core.ConfigOffered{Envelope: config.Envelope{Generation: 2, Edit: "streams", Text: streamConfig(0)}})
+	r.putHistory(200, "v1")
+	r.putEngine(5, 206, membership.Live, "v2")
+	r.putHistory(210, "v1", "v2")
+	r.advanceWithStore(2 * time.Second)
+	first := r.beginStream("a")
+	require.Equal(t, "v1", first.Version)
+	r.handle(core.AttemptEnded{Request: first.Request, Attempt: first.Attempt, Outcome: retry.Answered, RejectionLimit: rejectionLimit})
+
+	var asks []core.SendPeer
+	for i := 0; len(asks) == 0; i++ {
+		require.Less(t, i, 60, "no slot was asked for")
+		asks = slotMessages(r.sendStream(fmt.Sprint("b", i), "key-1", after("a")), core.AskSlot)
+	}
+	slot := asks[0].Message.Slot
+	var server int
+	_, err := fmt.Sscanf(slot.Server, "engine-%d", &server)
+	require.NoError(t, err)
+	r.putEngine(server, 211, membership.Live, "v2")
+	granted := r.handle(core.PeerReceived{From: asks[0].To, Message: core.PeerMessage{
+		Slot: &core.SlotMessage{Action: core.GrantSlot, Token: slot.Token, Server: slot.Server},
+	}})
+	for _, sent := range effectsOf[core.SendAttempt](granted) {
+		require.Equal(t, first.Version, sent.Version, "sent to %s", sent.Backend)
+	}
+}
